One main per test program

Cause: BOOST_TEST_MODULE was defined for every file of a test program, so a package with two test files defined main() twice and didn't link. Ruled out: one test file per package; naming the module in one of the files, which each package would have to do by hand. Change: CMake writes the file that names the module. After: test_store links from three files; test_support passes unchanged.

--- a/cmake/Workspace.cmake
+++ b/cmake/Workspace.cmake
@@ -26,9 +26,12 @@
   endif()
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/unittests/${NAME}/*.cc)
   if(tests)
-    add_executable(test_${NAME} ${tests})
-    target_compile_definitions(test_${NAME} PRIVATE BOOST_TEST_DYN_LINK
-      BOOST_TEST_MODULE=${NAME})
+    # Boost.Test puts main() into the one file that names the module.
+    set(test_main ${CMAKE_BINARY_DIR}/test_mains/${NAME}.cc)
+    file(CONFIGURE OUTPUT ${test_main} CONTENT
+      "#define BOOST_TEST_MODULE ${NAME}\n#include <boost/test/unit_test.hpp>\n")
+    add_executable(test_${NAME} ${tests} ${test_main})
+    target_compile_definitions(test_${NAME} PRIVATE BOOST_TEST_DYN_LINK)
     target_link_libraries(test_${NAME} PRIVATE ${library}
       Boost::unit_test_framework rapidcheck)
     add_test(NAME ${NAME} COMMAND test_${NAME})
