--- a/lib/timeline/codec.cc
+++ b/lib/timeline/codec.cc
@@ -66,8 +66,8 @@
 }  // namespace
 
 const std::error_category& TimelineCategory() {
-  static const Category category;
-  return category;
+  static const Category kCategory;
+  return kCategory;
 }
 
 std::error_code make_error_code(TimelineError error) {
