Stand-ins for platform, engines, services and links

Cause: nothing of the whole path can run, or fail on demand, without what toucanwharf meets. Ruled out: one program with several faces (one fault would stop them all), and random tokens (a skipped, doubled or swapped layer would not show).

Change: four programs over libmicrohttpd and libcurl, their parts as libraries so that one test program plays them over the loopback.

--- /dev/null
+++ b/standins/platform/faults.cc
@@ -0,0 +1,77 @@
+#include "standins/platform/faults.h"
+
+namespace toucanwharf::standins {
+namespace {
+
+bool UseOne(std::uint64_t& left) {
+  if (left == 0) return false;
+  --left;
+  return true;
+}
+
+}  // namespace
+
+void Faults::Set(const nlohmann::json& body) {
+  const std::lock_guard lock(this->mutex);
+  this->outage = body.value("outage", this->outage);
+  this->silent =
+      body.value("outage_mode", this->silent ? "silent" : "503") == "silent";
+  this->slow_ms = body.value("slow_ms", this->slow_ms);
+  this->lose_answers = body.value("lose_answers", this->lose_answers);
+  this->stale_reads = body.value("stale_reads", this->stale_reads);
+  this->list_lag_ms = body.value("list_lag_ms", this->list_lag_ms);
+}
+
+nlohmann::json Faults::Get() {
+  const std::lock_guard lock(this->mutex);
+  return {{"outage", this->outage},
+          {"outage_mode", this->silent ? "silent" : "503"},
+          {"slow_ms", this->slow_ms},
+          {"lose_answers", this->lose_answers},
+          {"stale_reads", this->stale_reads},
+          {"list_lag_ms", this->list_lag_ms}};
+}
+
+bool Faults::Outage() {
+  const std::lock_guard lock(this->mutex);
+  return this->outage;
+}
+
+bool Faults::Silent() {
+  const std::lock_guard lock(this->mutex);
+  return this->silent;
+}
+
+std::chrono::milliseconds Faults::Slowness() {
+  const std::lock_guard lock(this->mutex);
+  return std::chrono::milliseconds(this->slow_ms);
+}
+
+bool Faults::LoseAnswer() {
+  const std::lock_guard lock(this->mutex);
+  return UseOne(this->lose_answers);
+}
+
+bool Faults::StaleRead() {
+  const std::lock_guard lock(this->mutex);
+  return UseOne(this->stale_reads);
+}
+
+void Faults::Count(const std::string& kind) {
+  const std::lock_guard lock(this->mutex);
+  ++this->calls[kind];
+}
+
+nlohmann::json Faults::Counters() {
+  const std::lock_guard lock(this->mutex);
+  nlohmann::json counters = nlohmann::json::object();
+  std::uint64_t total = 0;
+  for (const auto& [kind, count] : this->calls) {
+    counters[kind] = count;
+    total += count;
+  }
+  counters["total"] = total;
+  return counters;
+}
+
+}  // namespace toucanwharf::standins
