Stand-in test: a fresh connection for each call

Cause: the platform test saw 409 in place of a lost answer, because libcurl sends a call again on a reused connection that closes. Same assertion, on fresh connections.

--- a/unittests/standin_programs/platform_test.cc
+++ b/unittests/standin_programs/platform_test.cc
@@ -15,13 +15,14 @@
   PlatformApi api;
   HttpServer server{
       0, [this](const HttpRequest& request) { return api.Handle(request); }};
-  HttpClient client;
 
   HttpAnswer Call(const std::string& method, const std::string& path,
                   const nlohmann::json& body = nullptr) {
     const std::string url =
         "http://127.0.0.1:" + std::to_string(this->server.Port()) + path;
-    return this->client.Call(
+    // A fresh connection for each call: on a reused one libcurl would send a
+    // call again whose answer was lost.
+    return HttpClient().Call(
         method, url, body.is_null() ? std::string() : body.dump(), kTimeoutMs);
   }
   HttpAnswer Put(const std::string& name, int value, int if_version) {
