Leases with fencing numbers

Cause: a role such as publishing configuration must have one holder, and a holder that was paused past its term wakes believing it still has it. Ruled out: comparing wall clocks, or the validity from the renewal's answer: the answer may have waited in a paused process.

--- /dev/null
+++ b/unittests/control/lease_test.cc
@@ -0,0 +1,162 @@
+#include "toucanwharf/control/lease.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "../fakes/object_map.h"
+
+namespace toucanwharf::control {
+namespace {
+
+using fakes::Fault;
+using fakes::ObjectMap;
+
+constexpr Duration kSecond{std::chrono::seconds(1)};
+
+/// One process: its lease, its own clock's offset and a call on its way.
+struct Actor {
+  Lease lease;
+  Duration offset;
+  std::optional<LeaseCall> call;
+};
+
+TimePoint LocalNow(const Actor& actor, TimePoint now) {
+  return now + actor.offset;
+}
+
+/// Lets \p actor make its next call, or takes the answer of the last one.
+void TakeStep(Actor& actor, ObjectMap& map, TimePoint now, Fault fault) {
+  const TimePoint local = LocalNow(actor, now);
+  if (!actor.call.has_value()) {
+    actor.call = actor.lease.Poll(local);
+    return;
+  }
+  const LeaseCall call = *actor.call;
+  actor.call.reset();
+  if (const auto* write = std::get_if<store::Write>(&call)) {
+    actor.lease.OnWrite(map.Write(*write, fault), local);
+    return;
+  }
+  actor.lease.OnRead(map.Read(std::get<store::ObjectKey>(call), fault), local);
+}
+
+std::vector<Actor> MakeActors() {
+  std::vector<Actor> actors;
+  for (const char* name : {"r1", "r2", "r3"}) {
+    const Duration offset = kSecond * static_cast<int>(actors.size()) * 1000;
+    actors.push_back(
+        Actor{Lease(LeaseSettings{"acceptance", name}, 7), offset, {}});
+  }
+  return actors;
+}
+
+void CheckHolders(const std::vector<Actor>& actors, TimePoint now,
+                  std::map<std::uint64_t, std::size_t>& terms) {
+  int holders = 0;
+  std::uint64_t newest = terms.empty() ? 0 : terms.rbegin()->first;
+  for (std::size_t index = 0; index < actors.size(); ++index) {
+    const Actor& actor = actors[index];
+    if (!actor.lease.MayAct(LocalNow(actor, now))) continue;
+    ++holders;
+    RC_ASSERT(actor.lease.Fence() >= newest);
+    const auto [term, fresh] = terms.emplace(actor.lease.Fence(), index);
+    RC_ASSERT(term->second == index);
+  }
+  RC_ASSERT(holders <= 1);
+}
+
+// Three processes want the same role while calls fail, answers are lost,
+// writes land late, reads are stale, and any of them stops for longer than its
+// term. A user would see two publishers undo each other's work if two of them
+// believed at the same moment that they hold the role, or if a fencing number
+// were used twice.
+RC_BOOST_PROP(NeverTwoHoldersAndFencesRise, ()) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  std::map<std::uint64_t, std::size_t> terms;
+  TimePoint now{kSecond};
+  const auto steps = *rc::gen::scale(
+      4.0, rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3000)));
+  for (const int step : steps) {
+    now = now + Duration(std::chrono::milliseconds(step / 15 * 5));
+    if (step % 11 == 0) map.Land();
+    // A step that isn't taken is a pause of that process.
+    const int kind = step / 3 % 10;
+    const auto fault =
+        kind < fakes::kFaults ? static_cast<Fault>(kind) : Fault::kNone;
+    TakeStep(actors[static_cast<std::size_t>(step % 3)], map, now, fault);
+    CheckHolders(actors, now, terms);
+  }
+}
+
+void Run(Actor& actor, ObjectMap& map, TimePoint& now, Duration length) {
+  const TimePoint end = now + length;
+  for (; now < end; now = now + kSecond / 10) {
+    TakeStep(actor, map, now, Fault::kNone);
+  }
+}
+
+// The holder is stopped (SIGSTOP) for longer than its term. Meanwhile another
+// process takes the role over. The first wakes and must not act, although
+// nobody has told it anything yet.
+BOOST_AUTO_TEST_CASE(HolderPausedPastItsTermMayNotAct) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  Run(actors[0], map, now, 3 * kSecond);
+  BOOST_TEST(actors[0].lease.MayAct(LocalNow(actors[0], now)));
+  Run(actors[1], map, now, 10 * kSecond);
+  BOOST_TEST(actors[1].lease.MayAct(LocalNow(actors[1], now)));
+  BOOST_TEST(!actors[0].lease.MayAct(LocalNow(actors[0], now)));
+  BOOST_TEST(actors[1].lease.Fence() > actors[0].lease.Fence());
+}
+
+// A planned stop gives the role back, and the next holder doesn't wait for
+// the term to end.
+BOOST_AUTO_TEST_CASE(ReleasedRoleIsTakenAtOnce) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  Run(actors[0], map, now, 3 * kSecond);
+  actors[0].lease.Release();
+  BOOST_TEST(!actors[0].lease.MayAct(LocalNow(actors[0], now)));
+  Run(actors[0], map, now, kSecond);
+  Run(actors[1], map, now, kSecond);
+  BOOST_TEST(actors[1].lease.MayAct(LocalNow(actors[1], now)));
+}
+
+// Somebody deletes the lease object. The next holder's number still rises, so
+// that an order of the one before it stays recognisable as old.
+BOOST_AUTO_TEST_CASE(FenceRisesAcrossADeletion) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  Run(actors[0], map, now, 3 * kSecond);
+  Run(actors[1], map, now, kSecond);
+  map.Delete({"leases", "acceptance"});
+  Run(actors[1], map, now, 10 * kSecond);
+  BOOST_TEST(actors[1].lease.MayAct(LocalNow(actors[1], now)));
+  BOOST_TEST(actors[1].lease.Fence() == 2u);
+}
+
+// The store is down: the holder's term ends by itself on its own clock.
+BOOST_AUTO_TEST_CASE(TermEndsDuringAnOutage) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  Run(actors[0], map, now, 3 * kSecond);
+  const TimePoint end = now + 6 * kSecond;
+  for (; now < end; now = now + kSecond / 10) {
+    TakeStep(actors[0], map, now, Fault::kOutage);
+  }
+  BOOST_TEST(!actors[0].lease.MayAct(LocalNow(actors[0], now)));
+}
+
+}  // namespace
+}  // namespace toucanwharf::control
