--- /dev/null
+++ b/lib/once/segment.cc
@@ -0,0 +1,90 @@
+#include "toucanwharf/once/segment.h"
+
+#include <nlohmann/json.hpp>
+
+namespace toucanwharf::once {
+namespace {
+
+using Json = nlohmann::json;
+
+std::optional<std::uint64_t> Number(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_number_unsigned()) return std::nullopt;
+  return found->get<std::uint64_t>();
+}
+
+std::string Text(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+std::optional<Entry> DecodeEntry(const Json& json) {
+  if (!json.is_object()) return std::nullopt;
+  Entry entry;
+  entry.key = Text(json, "key");
+  entry.claim = Text(json, "claim");
+  entry.digest = Text(json, "digest");
+  const auto state = Number(json, "state");
+  const bool known =
+      state.has_value() && *state <= static_cast<unsigned>(KeyState::kLost);
+  if (entry.key.empty() || entry.claim.empty() || !known) return std::nullopt;
+  entry.state = static_cast<KeyState>(*state);
+  entry.outcome.status = static_cast<int>(Number(json, "status").value_or(0));
+  entry.outcome.content_type = Text(json, "type");
+  entry.outcome.body = Text(json, "body");
+  entry.outcome.whole = !json.contains("cut");
+  return entry;
+}
+
+}  // namespace
+
+std::string EncodeEntry(const Entry& entry) {
+  Json json{{"key", entry.key},
+            {"claim", entry.claim},
+            {"state", static_cast<unsigned>(entry.state)}};
+  if (!entry.digest.empty()) json["digest"] = entry.digest;
+  if (entry.state == KeyState::kDone) {
+    json["status"] = static_cast<unsigned>(entry.outcome.status);
+    json["type"] = entry.outcome.content_type;
+    json["body"] = entry.outcome.body;
+    if (!entry.outcome.whole) json["cut"] = true;
+  }
+  // Bodies come from services and need not be UTF-8.
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string EncodeSegment(const Segment& segment,
+                          std::string_view entries_text) {
+  const Json head{{"index", segment.index},
+                  {"sealed", segment.sealed},
+                  {"floor_millis", segment.floor_millis},
+                  {"newest_millis", segment.newest_millis}};
+  std::string text = head.dump();
+  text.pop_back();
+  text.append(",\"entries\":[").append(entries_text).append("]}");
+  return text;
+}
+
+std::optional<Segment> DecodeSegment(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
+  const auto index = Number(json, "index");
+  const auto floor = Number(json, "floor_millis");
+  const auto newest = Number(json, "newest_millis");
+  const auto sealed = json.find("sealed");
+  const auto entries = json.find("entries");
+  const bool whole = index && floor && newest && sealed != json.end() &&
+                     sealed->is_boolean() && entries != json.end() &&
+                     entries->is_array();
+  if (!whole) return std::nullopt;
+  Segment segment{*index, sealed->get<bool>(), *floor, *newest, {}};
+  for (const Json& item : *entries) {
+    auto entry = DecodeEntry(item);
+    if (!entry.has_value()) return std::nullopt;
+    segment.entries.push_back(std::move(*entry));
+  }
+  return segment;
+}
+
+}  // namespace toucanwharf::once
--- /dev/null
+++ b/unittests/once/shard_test.cc
@@ -0,0 +1,300 @@
+#include "toucanwharf/once/shard.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "../fakes/object_map.h"
+
+namespace toucanwharf::once {
+namespace {
+
+using fakes::Fault;
+using fakes::ObjectMap;
+
+constexpr Duration kMilli{std::chrono::milliseconds(1)};
+constexpr std::uint64_t kKeys = 4;
+
+ShardSettings SmallRing() {
+  ShardSettings settings;
+  settings.slots = 3;
+  settings.seal_bytes = 250;
+  settings.least_retention_millis = 40;
+  return settings;
+}
+
+/// One router's process, or the one that replaced it.
+struct Router {
+  Shard shard;
+  std::optional<ShardCall> call;
+  /// Granted claims that haven't been sent yet.
+  std::vector<std::string> granted;
+};
+
+/// Several routers before one service, over one faulty store. Keys are made
+/// anew every few steps, so that old segments are overwritten while repeats of
+/// their keys still come.
+class World {
+ public:
+  explicit World(int routers) {
+    for (int index = 0; index < routers; ++index) this->Start();
+  }
+
+  std::size_t Start() {
+    const std::string writer = "w" + std::to_string(++this->started);
+    this->routers.push_back(Router{Shard(SmallRing(), 0, writer), {}, {}});
+    return this->routers.size() - 1;
+  }
+
+  /// The process dies; a call of its own may still land.
+  void Replace(std::size_t index) {
+    const std::string writer = "w" + std::to_string(++this->started);
+    Router& router = this->routers[index];
+    if (router.call.has_value()) this->Carry(router, Fault::kLate);
+    router = Router{Shard(SmallRing(), 0, writer), {}, {}};
+  }
+
+  std::string Claim(std::size_t index, std::uint64_t key) {
+    const std::string claim = "c" + std::to_string(++this->claims);
+    const std::string name = "k" + std::to_string(key);
+    this->key_of[claim] = name;
+    this->routers[index].shard.Claim(
+        {name, claim, "d", key, this->now + 200 * kMilli});
+    return claim;
+  }
+
+  void Step(std::size_t index, Fault fault) {
+    Router& router = this->routers[index];
+    if (router.call.has_value()) {
+      this->Carry(router, fault);
+    } else {
+      router.call = router.shard.Poll(this->now, this->wall);
+    }
+    for (const Decision& decision : router.shard.TakeDecisions()) {
+      const bool fresh =
+          this->verdicts.emplace(decision.claim, decision.verdict).second;
+      RC_ASSERT(fresh);
+      if (std::holds_alternative<Granted>(decision.verdict)) {
+        router.granted.push_back(decision.claim);
+      }
+    }
+  }
+
+  /// The router sends what it was granted; \p how says how that ends.
+  void Send(std::size_t index, KeyState how) {
+    Router& router = this->routers[index];
+    if (router.granted.empty()) return;
+    const std::string claim = router.granted.back();
+    router.granted.pop_back();
+    const std::string& key = this->key_of[claim];
+    if (how != KeyState::kNotRun) ++this->runs[key];
+    RC_ASSERT(this->runs[key] <= 1);
+    // kClaimed stands for a death between the send and the record.
+    if (how == KeyState::kClaimed) return;
+    router.shard.Conclude(
+        Entry{key, claim, "", how, Outcome{200, "text/plain", claim, true}},
+        this->now);
+  }
+
+  void Settle() {
+    for (int round = 0; round < 3000; ++round) {
+      this->now = this->now + kMilli;
+      const auto routers_now = this->routers.size();
+      this->Step(static_cast<std::size_t>(round) % routers_now, Fault::kNone);
+    }
+  }
+
+  ObjectMap map;
+  TimePoint now;
+  std::uint64_t wall = 1000;
+  std::vector<Router> routers;
+  std::map<std::string, Verdict> verdicts;
+  std::map<std::string, std::string> key_of;
+  std::map<std::string, int> runs;
+  int started = 0;
+  int claims = 0;
+
+ private:
+  void Carry(Router& router, Fault fault) {
+    const ShardCall call = *router.call;
+    router.call.reset();
+    if (const auto* write = std::get_if<store::Write>(&call)) {
+      router.shard.OnWrite(this->map.Write(*write, fault));
+      return;
+    }
+    router.shard.OnRead(
+        this->map.Read(std::get<store::ObjectKey>(call), fault));
+  }
+};
+
+/// Plays one random step: what happens, to which router, with which fault.
+void PlayStep(World& world, std::uint32_t step) {
+  const std::size_t index = step % 3;
+  const std::uint32_t what = step / 3 % 16;
+  const std::uint32_t detail = step / 48;
+  if (what == 0) {
+    world.wall += detail % 30;
+    world.map.Land();
+  } else if (what == 1 && detail % 4 == 0) {
+    world.Replace(index);
+  } else if (what <= 3) {
+    const std::uint64_t age = detail % 3 == 0 ? 60 : 0;
+    world.Claim(index, (world.wall - age) / 10 * 10 + detail % kKeys);
+  } else if (what <= 5) {
+    world.Send(index, static_cast<KeyState>(detail % 4));
+  } else {
+    world.now = world.now + kMilli * (detail % 40);
+    const std::uint32_t kind = detail % 12;
+    const auto fault =
+        kind < fakes::kFaults ? static_cast<Fault>(kind) : Fault::kNone;
+    world.Step(index, fault);
+  }
+}
+
+// A pharmacist's client repeats one signature through several routers, while
+// these are killed, replaced and paused at any step, answers of the store are
+// lost, its reads are stale, writes land late, and old keys make room for new
+// ones. Whatever the order, the lot is signed once at most.
+RC_BOOST_PROP(NoKeyRunsTwiceInAnySchedule, ()) {
+  World world(3);
+  const auto steps =
+      *rc::gen::scale(12.0, rc::gen::container<std::vector<std::uint32_t>>(
+                                rc::gen::inRange<std::uint32_t>(0, 48 * 840)));
+  for (const std::uint32_t step : steps) PlayStep(world, step);
+  world.map.Land();
+  world.Settle();
+  for (std::size_t index = 0; index < world.routers.size(); ++index) {
+    while (!world.routers[index].granted.empty()) {
+      world.Send(index, KeyState::kDone);
+    }
+  }
+  RC_TAG(world.runs.empty() ? "nothing ran" : "some ran");
+}
+
+Verdict VerdictOf(const World& world, const std::string& claim) {
+  const auto found = world.verdicts.find(claim);
+  BOOST_REQUIRE(found != world.verdicts.end());
+  return found->second;
+}
+
+// A crew's client lost the connection after the job was logged and repeats the
+// call through another router. It gets the first answer and nothing runs.
+BOOST_AUTO_TEST_CASE(RepeatThroughAnotherRouterGetsTheFirstAnswer) {
+  World world(2);
+  const std::string first = world.Claim(0, 1000);
+  world.Settle();
+  BOOST_TEST(std::holds_alternative<Granted>(VerdictOf(world, first)));
+  world.Send(0, KeyState::kDone);
+  world.Settle();
+  const std::string again = world.Claim(1, 1000);
+  world.Settle();
+  const Verdict verdict = VerdictOf(world, again);
+  BOOST_REQUIRE(std::holds_alternative<Outcome>(verdict));
+  BOOST_TEST(std::get<Outcome>(verdict).body == first);
+}
+
+// The repeat comes while the first attempt still runs elsewhere: it waits, and
+// gets the first attempt's answer as soon as that is recorded.
+BOOST_AUTO_TEST_CASE(RepeatWaitsForTheAttemptUnderWay) {
+  World world(2);
+  world.Claim(0, 1000);
+  world.Settle();
+  const std::string again = world.Claim(1, 1000);
+  for (int step = 0; step < 50; ++step) world.Step(1, Fault::kNone);
+  BOOST_TEST(!world.verdicts.contains(again));
+  world.Send(0, KeyState::kDone);
+  world.Settle();
+  BOOST_TEST(std::holds_alternative<Outcome>(VerdictOf(world, again)));
+}
+
+// The endpoint refused before it ran anything, and the claimant recorded that.
+// The repeat may run.
+BOOST_AUTO_TEST_CASE(KeyThatSurelyDidNotRunMayBeClaimedAgain) {
+  World world(2);
+  world.Claim(0, 1000);
+  world.Settle();
+  world.Send(0, KeyState::kNotRun);
+  world.Settle();
+  const std::string again = world.Claim(1, 1000);
+  world.Settle();
+  BOOST_TEST(std::holds_alternative<Granted>(VerdictOf(world, again)));
+}
+
+// The store takes the claim, its answer is lost and the store goes down until
+// the caller's deadline. The caller hears "unknown"; when the store is back
+// the router records that nothing ran, and the repeat runs.
+BOOST_AUTO_TEST_CASE(OutageAfterTheClaimEndsTruthfullyAndHeals) {
+  World world(2);
+  const std::string warm = world.Claim(0, 1000);
+  world.Settle();
+  const std::string first = world.Claim(0, 1001);
+  world.Step(0, Fault::kNone);
+  world.Step(0, Fault::kAnswerLost);
+  for (int step = 0; step < 50; ++step) {
+    world.now = world.now + 10 * kMilli;
+    world.Step(0, Fault::kOutage);
+  }
+  const Verdict refusal = VerdictOf(world, first);
+  BOOST_REQUIRE(std::holds_alternative<Refused>(refusal));
+  BOOST_TEST((std::get<Refused>(refusal).ran == Ran::kUnknown));
+  world.Settle();
+  const std::string again = world.Claim(1, 1001);
+  world.Settle();
+  BOOST_TEST(std::holds_alternative<Granted>(VerdictOf(world, again)));
+}
+
+// A key is so old that its segment was overwritten. Whether it ran can't be
+// known any more, so it is refused rather than run.
+BOOST_AUTO_TEST_CASE(KeyOlderThanTheJournalIsRefused) {
+  World world(1);
+  world.Claim(0, 1000);
+  world.Settle();
+  world.Send(0, KeyState::kDone);
+  for (std::uint64_t key = 1001; key < 1060; ++key) {
+    world.wall = key + 100;
+    world.Claim(0, key);
+    world.Settle();
+  }
+  const std::string old = world.Claim(0, 1000);
+  world.Settle();
+  const Verdict verdict = VerdictOf(world, old);
+  BOOST_REQUIRE(std::holds_alternative<Refused>(verdict));
+  BOOST_TEST((std::get<Refused>(verdict).reason == OnceError::kKeyTooOld));
+}
+
+// A replaced router reads the journal from a lagging replica: the copy of a
+// full segment lacks its last claim. Taking it as it is would grant that
+// claim's key a second time.
+BOOST_AUTO_TEST_CASE(StaleCopyOfASealedSegmentGrantsNothing) {
+  World world(1);
+  for (std::uint64_t key = 1000; key < 1008; ++key) {
+    world.Claim(0, key);
+    world.Settle();
+  }
+  for (std::uint64_t key = 1000; key < 1008; ++key) {
+    world.Replace(0);
+    const std::string again = world.Claim(0, key);
+    world.Step(0, Fault::kNone);
+    world.Step(0, Fault::kStale);
+    world.Settle();
+    BOOST_TEST(!std::holds_alternative<Granted>(VerdictOf(world, again)));
+  }
+}
+
+// Many calls arrive together: they share commits, or the platform's few
+// hundred writes a second would bound them.
+BOOST_AUTO_TEST_CASE(ClaimsShareCommits) {
+  World world(1);
+  for (std::uint64_t key = 1000; key < 1100; ++key) world.Claim(0, key);
+  world.Settle();
+  BOOST_TEST(world.verdicts.size() == 100u);
+  BOOST_TEST(world.map.WritesTaken() <= 4u);
+}
+
+}  // namespace
+}  // namespace toucanwharf::once
