--- a/include/toucanwharf/once/shard.h
+++ b/include/toucanwharf/once/shard.h
@@ -22,9 +22,9 @@
   /// A segment is sealed once its entries are longer. Each commit writes the
   /// tail anew, so a longer segment costs more bytes per commit, and a shorter
   /// one more objects.
-  std::size_t seal_bytes = 64 * 1024;
+  std::size_t seal_bytes = std::size_t{64} * 1024;
   /// Most bytes of entries in one commit, well under the platform's limit.
-  std::size_t batch_bytes = 256 * 1024;
+  std::size_t batch_bytes = std::size_t{256} * 1024;
   /// Least time between two commits: bounds the platform's writes under load;
   /// a single call after a quiet time doesn't wait.
   Duration commit_gap{std::chrono::milliseconds(20)};
