--- a/include/toucanwharf/control/config.h
+++ b/include/toucanwharf/control/config.h
@@ -53,6 +53,8 @@
   std::uint64_t generation = 0;
   /// Fencing number of the publisher's lease.
   std::uint64_t fence = 0;
+  /// Revision of the listing of records that the generation was made from.
+  std::uint64_t records_revision = 0;
   std::string delta;
   SnapshotName snapshot;
 
--- a/include/toucanwharf/control/publisher.h
+++ b/include/toucanwharf/control/publisher.h
@@ -29,10 +29,13 @@
   /// \p writer is unique to this process.
   explicit Publisher(std::string writer);
 
-  /// Begins to publish \p changes on top of \p base.
+  /// Begins to publish \p changes, made from the records as of
+  /// \p records_revision, on top of \p base. Returns false, and does nothing,
+  /// if \p base was made from a later listing: this one is stale, and would
+  /// take back what others already accepted (I7).
   /// Precondition: not Busy(); \p base is up to date; \p changes isn't empty.
-  void Start(const ConfigFollower& base, const ChangeMap& changes,
-             std::uint64_t fence);
+  bool Start(const ConfigFollower& base, const ChangeMap& changes,
+             std::uint64_t records_revision, std::uint64_t fence);
   /// Returns whether a generation is on its way.
   bool Busy() const { return !this->writes.empty(); }
 
--- a/include/toucanwharf/store/mirror.h
+++ b/include/toucanwharf/store/mirror.h
@@ -43,6 +43,8 @@
 
   /// Returns the objects by name.
   const std::map<std::string, Object>& Objects() const { return this->objects; }
+  /// Returns the revision of the store that the copy shows.
+  std::uint64_t Revision() const { return this->revision; }
   /// Returns whether any listing has been taken.
   bool Filled() const { return this->filled; }
 
--- a/lib/control/config.cc
+++ b/lib/control/config.cc
@@ -54,6 +54,7 @@
 std::string Encode(const Head& head) {
   return Json{{"generation", head.generation},
               {"fence", head.fence},
+              {"records_revision", head.records_revision},
               {"delta", head.delta},
               {"snapshot",
                {{"generation", head.snapshot.generation},
@@ -66,8 +67,10 @@
   const Json json = ParseObject(text);
   const auto generation = Number(json, "generation");
   const auto fence = Number(json, "fence");
+  const auto records = Number(json, "records_revision");
   const auto delta = Text(json, "delta");
-  if (!generation || !fence || !delta || !json.contains("snapshot")) {
+  if (!generation || !fence || !records || !delta ||
+      !json.contains("snapshot")) {
     return std::nullopt;
   }
   const Json& snapshot = json["snapshot"];
@@ -75,7 +78,8 @@
   const auto name = Text(snapshot, "name");
   const auto chunks = Number(snapshot, "chunks");
   if (!base || !name || !chunks) return std::nullopt;
-  return Head{*generation, *fence, *delta, SnapshotName{*base, *name, *chunks}};
+  return Head{*generation, *fence, *records, *delta,
+              SnapshotName{*base, *name, *chunks}};
 }
 
 std::string Encode(const Delta& delta) {
--- a/lib/control/publisher.cc
+++ b/lib/control/publisher.cc
@@ -45,11 +45,14 @@
   return snapshot;
 }
 
-void Publisher::Start(const ConfigFollower& base, const ChangeMap& changes,
+bool Publisher::Start(const ConfigFollower& base, const ChangeMap& changes,
+                      std::uint64_t records_revision,
                       std::uint64_t lease_fence) {
   assert(!this->Busy() && base.UpToDate() && !changes.empty());
-  this->fence = lease_fence;
   Head head = base.KnownHead();
+  if (records_revision < head.records_revision) return false;
+  this->fence = lease_fence;
+  head.records_revision = records_revision;
   ++head.generation;
   head.fence = lease_fence;
   // The number of tokens keeps a second try of one term apart from the first.
@@ -64,6 +67,7 @@
   head.delta = "delta-" + suffix;
   this->Add(head.delta, 0, Encode(delta));
   this->Add(kHeadName, base.HeadVersion(), Encode(head));
+  return true;
 }
 
 std::optional<LeaseCall> Publisher::Poll(const Lease& lease, TimePoint now) {
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -30,5 +30,7 @@
   find_package(glog REQUIRED)
   tw_package(transport DEPS toucanwharf_support CURL::libcurl
     PkgConfig::MICROHTTPD)
+  tw_package(platform DEPS toucanwharf_transport toucanwharf_once
+    toucanwharf_control)
   include(standins/standins.cmake)
 endif()
--- /dev/null
+++ b/lib/platform/client.cc
@@ -0,0 +1,224 @@
+#include "toucanwharf/platform/client.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace toucanwharf::platform {
+namespace {
+
+using Json = nlohmann::json;
+using transport::CallEnd;
+using transport::HttpCall;
+using transport::HttpOutcome;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+/// The platform answers in milliseconds; a call without an answer for so long
+/// is taken as unknown and asked again or read back.
+constexpr Duration kCallTimeout = std::chrono::milliseconds(1500);
+/// How long a call may wait for the budget before it ends as unknown.
+constexpr Duration kLongestHold = std::chrono::milliseconds(1000);
+constexpr Duration kHoldCheck = std::chrono::milliseconds(10);
+
+std::uint64_t Number(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_number_unsigned()) return 0;
+  return found->get<std::uint64_t>();
+}
+
+std::string Text(const Json& json, const char* name) {
+  const auto found = json.find(name);
+  if (found == json.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+Json Body(const HttpOutcome& outcome) {
+  if (outcome.end != CallEnd::kAnswered) return Json();
+  return Json::parse(outcome.body, nullptr, false);
+}
+
+store::Object ToObject(const Json& json) {
+  store::Object object;
+  object.key = {Text(json, "collection"), Text(json, "name")};
+  object.version = Number(json, "version");
+  object.writer = Text(json, "writer");
+  if (json.contains("value")) object.value = json["value"].dump();
+  return object;
+}
+
+store::ReadAnswer ToReadAnswer(const HttpOutcome& outcome) {
+  if (outcome.end != CallEnd::kAnswered) return {};
+  if (outcome.status == kNotFound) return {store::ReadStatus::kMissing, {}};
+  const Json body = Body(outcome);
+  if (outcome.status != kOk || !body.is_object()) return {};
+  return {store::ReadStatus::kFound, ToObject(body)};
+}
+
+store::WriteAnswer ToWriteAnswer(const HttpOutcome& outcome) {
+  const Json body = Body(outcome);
+  if (!body.is_object()) return {};
+  const std::uint64_t version = Number(body, "version");
+  if (outcome.status == kOk) return {store::WriteStatus::kWritten, version};
+  if (outcome.status != kConflict) return {};
+  return {store::WriteStatus::kConflict, version};
+}
+
+WatchAnswer ToWatchAnswer(const HttpOutcome& outcome) {
+  WatchAnswer answer;
+  if (outcome.end != CallEnd::kAnswered) return answer;
+  if (outcome.status == kGone) {
+    answer.status = WatchStatus::kGone;
+    return answer;
+  }
+  const Json body = Body(outcome);
+  const bool whole = outcome.status == kOk && body.is_object() &&
+                     body.contains("events") && body["events"].is_array();
+  if (!whole) return answer;
+  answer.status = WatchStatus::kEvents;
+  answer.reached = Number(body, "revision");
+  for (const Json& event : body["events"]) {
+    if (!event.is_object() || !event.contains("object")) continue;
+    answer.events.push_back(store::Event{Text(event, "type") == "delete",
+                                         ToObject(event["object"])});
+  }
+  return answer;
+}
+
+std::optional<store::Listing> ToListing(const HttpOutcome& outcome) {
+  const Json body = Body(outcome);
+  const bool whole = outcome.status == kOk && body.is_object() &&
+                     body.contains("items") && body["items"].is_array();
+  if (!whole) return std::nullopt;
+  store::Listing listing{Number(body, "revision"), {}};
+  for (const Json& item : body["items"]) {
+    if (item.is_object()) listing.objects.push_back(ToObject(item));
+  }
+  return listing;
+}
+
+std::string Path(const store::ObjectKey& key) {
+  return "/objects/" + key.collection + "/" + key.name;
+}
+
+HttpCall MakePut(const store::ObjectKey& key, const std::string& writer,
+                 const std::string& value, const std::string& condition) {
+  HttpCall call;
+  call.method = "PUT";
+  call.url = Path(key);
+  call.headers.emplace_back("Content-Type", "application/json");
+  call.body = "{\"writer\":" + Json(writer).dump() + condition +
+              ",\"value\":" + value + "}";
+  return call;
+}
+
+}  // namespace
+
+Client::Client(transport::EventLoop& event_loop,
+               transport::HttpClient& http_client, std::string platform_address,
+               std::uint64_t seed)
+    : loop(event_loop),
+      http(http_client),
+      address(std::move(platform_address)),
+      gate(store::GateLimits{}, Random(seed)),
+      watch_gate(store::GateLimits{}, Random(MixBits(seed))) {}
+
+void Client::Enter(HttpCall call, store::CallGate& through, Done done,
+                   TimePoint give_up) {
+  const TimePoint now = this->loop.Now();
+  if (!through.TryEnter(now)) {
+    if (now >= give_up) {
+      done(HttpOutcome{});
+      return;
+    }
+    auto retry = [this, call = std::move(call), &through,
+                  done = std::move(done), give_up]() mutable {
+      this->Enter(std::move(call), through, std::move(done), give_up);
+    };
+    this->loop.After(kHoldCheck, std::move(retry));
+    return;
+  }
+  ++this->calls;
+  const auto on_done = [this, &through,
+                        done = std::move(done)](const HttpOutcome& outcome) {
+    const bool answered =
+        outcome.end == CallEnd::kAnswered && outcome.status != kUnavailable;
+    if (answered) {
+      through.OnSuccess();
+    } else {
+      through.OnFailure(this->loop.Now());
+    }
+    done(outcome);
+  };
+  this->http.Start(std::move(call), {nullptr, on_done});
+}
+
+void Client::Start(HttpCall call, store::CallGate& through, Done done) {
+  call.url = "http://" + this->address + call.url;
+  const TimePoint give_up = this->loop.Now() + kLongestHold;
+  auto enter = [this, call = std::move(call), &through, done = std::move(done),
+                give_up]() mutable {
+    this->Enter(std::move(call), through, std::move(done), give_up);
+  };
+  this->loop.Post(std::move(enter));
+}
+
+void Client::Read(const store::ObjectKey& key,
+                  std::function<void(store::ReadAnswer)> done) {
+  HttpCall call;
+  call.url = Path(key);
+  call.total_timeout = kCallTimeout;
+  this->Start(std::move(call), this->gate,
+              [done = std::move(done)](const HttpOutcome& outcome) {
+                done(ToReadAnswer(outcome));
+              });
+}
+
+void Client::Write(const store::Write& write,
+                   std::function<void(store::WriteAnswer)> done) {
+  const std::string condition =
+      ",\"if_version\":" + std::to_string(write.if_version);
+  HttpCall call = MakePut(write.key, write.writer, write.value, condition);
+  call.total_timeout = kCallTimeout;
+  this->Start(std::move(call), this->gate,
+              [done = std::move(done)](const HttpOutcome& outcome) {
+                done(ToWriteAnswer(outcome));
+              });
+}
+
+void Client::Put(const store::ObjectKey& key, const std::string& writer,
+                 const std::string& value) {
+  HttpCall call = MakePut(key, writer, value, "");
+  call.total_timeout = kCallTimeout;
+  this->Start(std::move(call), this->gate, [](const HttpOutcome&) {});
+}
+
+void Client::List(const std::string& collection,
+                  std::function<void(std::optional<store::Listing>)> done) {
+  HttpCall call;
+  call.url = "/objects/" + collection;
+  call.total_timeout = kCallTimeout;
+  this->Start(std::move(call), this->gate,
+              [done = std::move(done)](const HttpOutcome& outcome) {
+                done(ToListing(outcome));
+              });
+}
+
+void Client::Watch(const std::string& collection, std::uint64_t after,
+                   Duration wait, std::function<void(WatchAnswer)> done) {
+  const auto millis =
+      std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+  HttpCall call;
+  call.url = "/watch/" + collection + "?after=" + std::to_string(after) +
+             "&wait_ms=" + std::to_string(millis);
+  call.total_timeout = wait + kCallTimeout;
+  this->Start(std::move(call), this->watch_gate,
+              [done = std::move(done)](const HttpOutcome& outcome) {
+                done(ToWatchAnswer(outcome));
+              });
+}
+
+}  // namespace toucanwharf::platform
--- /dev/null
+++ b/lib/platform/once_journal.cc
@@ -0,0 +1,126 @@
+#include "toucanwharf/platform/once_journal.h"
+
+#include <chrono>
+#include <utility>
+
+#include "toucanwharf/support/ids.h"
+
+namespace toucanwharf::platform {
+namespace {
+
+/// Shards of the journal; the same in every instance for good. Each commits at
+/// most once in 20 ms, so that all together write 200 times a second.
+constexpr std::uint32_t kShards = 4;
+/// How often a shard with work is looked at: under the commit gap.
+constexpr Duration kPumpPeriod = std::chrono::milliseconds(5);
+
+std::string JournalKey(const OnceRequest& request) {
+  return request.customer + "/" + request.service + "/" +
+         request.idempotency_key;
+}
+
+/// FNV-1a, the same in every build.
+std::uint64_t StableHash(const std::string& text) {
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325ULL;
+  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
+  std::uint64_t hash = kOffset;
+  for (const char byte : text) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  return hash;
+}
+
+}  // namespace
+
+OnceJournal::OnceJournal(transport::EventLoop& event_loop,
+                         Client& platform_client,
+                         const std::string& incarnation)
+    : loop(event_loop), client(platform_client) {
+  for (std::uint32_t number = 0; number < kShards; ++number) {
+    this->shards.emplace_back(once::ShardSettings{}, number, incarnation);
+  }
+}
+
+once::Shard& OnceJournal::ShardOf(const std::string& key) {
+  return this->shards[StableHash(key) % kShards];
+}
+
+std::string OnceJournal::Claim(const OnceRequest& request, Done done) {
+  std::string claim = NewId();
+  const auto millis = MillisOf(request.idempotency_key);
+  if (!millis.has_value()) {
+    // No instance ever accepts such a key, so "not run" is true (I3).
+    auto refuse = [done = std::move(done)] {
+      done(once::Refused{once::OnceError::kKeyMalformed, once::Ran::kNo});
+    };
+    this->loop.Post(std::move(refuse));
+    return claim;
+  }
+  const std::string key = JournalKey(request);
+  const TimePoint deadline = this->loop.Now() + request.patience;
+  this->waiting.emplace(claim, std::move(done));
+  this->ShardOf(key).Claim(
+      {key, claim, Sha256Hex(request.content), *millis, deadline});
+  this->loop.Post([this] { this->Pump(); });
+  return claim;
+}
+
+void OnceJournal::Conclude(const OnceRequest& request, const std::string& claim,
+                           once::KeyState state, once::Outcome outcome) {
+  const std::string key = JournalKey(request);
+  this->ShardOf(key).Conclude(
+      once::Entry{key, claim, "", state, std::move(outcome)}, this->loop.Now());
+  this->Pump();
+}
+
+bool OnceJournal::Idle() const {
+  for (const once::Shard& shard : this->shards) {
+    if (!shard.Idle()) return false;
+  }
+  return true;
+}
+
+void OnceJournal::Pump() {
+  for (once::Shard& shard : this->shards) this->PumpShard(shard);
+  if (this->timer_set || this->Idle()) return;
+  this->timer_set = true;
+  auto again = [this] {
+    this->timer_set = false;
+    this->Pump();
+  };
+  this->loop.After(kPumpPeriod, std::move(again));
+}
+
+void OnceJournal::PumpShard(once::Shard& shard) {
+  const auto call = shard.Poll(this->loop.Now(), WallMillis());
+  this->Deliver(shard);
+  if (call.has_value()) this->Carry(shard, *call);
+}
+
+void OnceJournal::Carry(once::Shard& shard, const once::ShardCall& call) {
+  if (const auto* write = std::get_if<store::Write>(&call)) {
+    auto on_write = [this, &shard](const store::WriteAnswer& answer) {
+      shard.OnWrite(answer);
+      this->PumpShard(shard);
+    };
+    this->client.Write(*write, std::move(on_write));
+    return;
+  }
+  auto on_read = [this, &shard](const store::ReadAnswer& answer) {
+    shard.OnRead(answer);
+    this->PumpShard(shard);
+  };
+  this->client.Read(std::get<store::ObjectKey>(call), std::move(on_read));
+}
+
+void OnceJournal::Deliver(once::Shard& shard) {
+  for (once::Decision& decision : shard.TakeDecisions()) {
+    const auto found = this->waiting.find(decision.claim);
+    if (found == this->waiting.end()) continue;
+    const Done done = std::move(found->second);
+    this->waiting.erase(found);
+    done(std::move(decision.verdict));
+  }
+}
+
+}  // namespace toucanwharf::platform
--- a/unittests/control/config_test.cc
+++ b/unittests/control/config_test.cc
@@ -136,6 +136,7 @@
                         SchemaReaders{}, UniqueValues{});
       if (!review.changes.empty()) {
         instance.publisher.Start(instance.follower, review.changes,
+                                 this->map.List("records").revision,
                                  instance.lease.Fence());
       }
     }
@@ -239,6 +240,19 @@
   BOOST_TEST(!fresh.OnPeer(*update));
 }
 
+// A new holder of the lease lists the records from a lagging replica, which
+// doesn't show the newest one yet. Publishing that would delete it everywhere.
+BOOST_AUTO_TEST_CASE(StaleListingOfRecordsIsNotPublished) {
+  Fleet fleet(3);
+  WriteRecord(fleet.map, "n", "1");
+  const std::uint64_t stale = fleet.map.List("records").revision - 1;
+  fleet.Settle();
+  Publisher publisher("late");
+  const ConfigFollower& base = fleet.instances[0].follower;
+  BOOST_TEST(!publisher.Start(base, {{"n", std::nullopt}}, stale, 9));
+  BOOST_TEST(!publisher.Busy());
+}
+
 // Two operators write records that exclude each other. The first stays, and
 // the second's status names it.
 BOOST_AUTO_TEST_CASE(FirstOfTwoConflictingRecordsStays) {
