--- /dev/null
+++ b/include/toucanwharf/platform/record_inspector.h
@@ -0,0 +1,43 @@
+#ifndef TOUCANWHARF_PLATFORM_RECORD_INSPECTOR_H_
+#define TOUCANWHARF_PLATFORM_RECORD_INSPECTOR_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/control/review.h"
+#include "toucanwharf/records/records.h"
+
+namespace toucanwharf::platform {
+
+/// Inspects records by the schemas that this build reads. It remembers what it
+/// parsed: a review looks at every accepted record for each new one.
+/// Thread safety: none; for one thread.
+class RecordSchemas {
+ public:
+  /// Returns the schema of record \p name and what is wrong with it, alone and
+  /// among \p records. Precondition: \p records hold \p name.
+  control::Inspection Inspect(const control::RecordMap& records,
+                              const std::string& name) const;
+  /// Returns why \p records, which lack \p name, need it.
+  std::vector<std::string> InspectRemoval(const control::RecordMap& records,
+                                          const std::string& name) const;
+
+ private:
+  const std::optional<records::Record>& Parsed(const std::string& text) const;
+  std::vector<std::string> Problems(const control::RecordMap& records) const;
+
+  mutable std::map<std::string, std::optional<records::Record>> parsed;
+};
+
+static_assert(control::RecordInspector<RecordSchemas>);
+
+/// Returns the typed catalog of \p config. A record that this build can't read
+/// is left out.
+/// Thread safety: safe.
+records::Catalog CatalogOf(const control::Config& config);
+
+}  // namespace toucanwharf::platform
+
+#endif  // TOUCANWHARF_PLATFORM_RECORD_INSPECTOR_H_
--- a/lib/control/config_follower.cc
+++ b/lib/control/config_follower.cc
@@ -17,8 +17,7 @@
 void ConfigFollower::OnHead(const store::Object& object) {
   if (object.version <= this->head_version) return;
   const std::optional<Head> news = DecodeHead(object.value);
-  // The generation rises with each write of the head.
-  if (!news.has_value() || news->generation < this->head.generation) return;
+  if (!news.has_value()) return;
   this->head = *news;
   this->head_version = object.version;
   this->TryAdopt();
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -31,6 +31,8 @@
   tw_package(transport DEPS toucanwharf_support CURL::libcurl
     PkgConfig::MICROHTTPD)
   tw_package(platform DEPS toucanwharf_transport toucanwharf_once
-    toucanwharf_control)
+    toucanwharf_control glog::glog)
+  tw_program(bench_once bench/once DEPS toucanwharf_once)
+  target_include_directories(bench_once PRIVATE ${CMAKE_SOURCE_DIR})
   include(standins/standins.cmake)
 endif()
--- a/unittests/control/config_test.cc
+++ b/unittests/control/config_test.cc
@@ -253,6 +253,35 @@
   BOOST_TEST(!publisher.Busy());
 }
 
+// A peer sends what changed since a generation that this instance doesn't
+// have. Taking it would leave out the changes in between.
+BOOST_AUTO_TEST_CASE(UpdateThatSkipsGenerationsIsRefused) {
+  ConfigFollower follower;
+  BOOST_TEST(follower.OnPeer({0, 3, {{"n", "1"}}}));
+  BOOST_TEST(!follower.OnPeer({4, 5, {{"m", "2"}}}));
+  BOOST_TEST(follower.Current().generation == 3u);
+}
+
+// The publisher is paused past its lease between the delta and the head. When
+// it wakes it makes no further call.
+BOOST_AUTO_TEST_CASE(PublisherStopsWhenItsLeaseIsOver) {
+  Fleet fleet(3);
+  WriteRecord(fleet.map, "n", "1");
+  fleet.Settle();
+  for (Instance& instance : fleet.instances) {
+    if (!instance.lease.MayAct(fleet.now)) continue;
+    Publisher publisher("p");
+    publisher.Start(instance.follower, {{"n", "2"}},
+                    fleet.map.List("records").revision, instance.lease.Fence());
+    const auto delta = publisher.Poll(instance.lease, fleet.now);
+    const auto& write = std::get<store::Write>(*delta);
+    publisher.OnWrite(fleet.map.Write(write, Fault::kNone));
+    const TimePoint later = fleet.now + 7000 * kMilli;
+    BOOST_TEST(!publisher.Poll(instance.lease, later).has_value());
+    BOOST_TEST(!publisher.Busy());
+  }
+}
+
 // Two operators write records that exclude each other. The first stays, and
 // the second's status names it.
 BOOST_AUTO_TEST_CASE(FirstOfTwoConflictingRecordsStays) {
--- a/unittests/fakes/object_map.h
+++ b/unittests/fakes/object_map.h
@@ -14,8 +14,9 @@
 enum class Fault { kNone, kOutage, kAnswerLost, kStale, kLate };
 inline constexpr int kFaults = 5;
 
-/// The platform's object API as a map with versions. It keeps every version,
-/// so that a read can be stale, and holds late writes back until Land().
+/// The platform's object API as a map with versions. It keeps the version
+/// before the last, so that a read can be stale, and holds late writes back
+/// until Land().
 class ObjectMap {
  public:
   store::WriteAnswer Write(const store::Write& write, Fault fault) {
@@ -85,6 +86,7 @@
     ++this->writes_taken;
     versions.push_back(
         store::Object{write.key, ++this->revision, write.writer, write.value});
+    if (versions.size() > 2) versions.erase(versions.begin());
     return {store::WriteStatus::kWritten, this->revision};
   }
 
