Process fixture and recovery tests with real processes

Cause: the state machine's answers to faults are only as good as their wiring; kills, freezes, silent connections and slow links need real processes. Ruled out: a shell driver (no token timing, kills by name). Built once the router is a target.

--- /dev/null
+++ b/test/process/process.cc
@@ -0,0 +1,167 @@
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cctype>
+#include <csignal>
+#include <stdexcept>
+
+#include "test/process/fixture.h"
+
+namespace toucanwharf::process_test {
+namespace {
+
+constexpr int kExecFailed = 127;
+constexpr const char* kNowhere = "/dev/null";
+
+std::size_t TakeBody(const char* bytes, std::size_t size, std::size_t count,
+                     void* context) {
+  auto& [call, answer] =
+      *static_cast<std::pair<const Call*, Answer*>*>(context);
+  const std::string text(bytes, size * count);
+  if (call->on_data && !call->on_data(text)) return 0;
+  answer->body += text;
+  return size * count;
+}
+
+std::size_t TakeHeader(const char* bytes, std::size_t size, std::size_t count,
+                       void* context) {
+  auto& headers = *static_cast<std::map<std::string, std::string>*>(context);
+  const std::string line(bytes, size * count);
+  const std::size_t colon = line.find(':');
+  if (colon == std::string::npos) return size * count;
+  std::string name = line.substr(0, colon);
+  for (char& letter : name) {
+    letter =
+        static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  }
+  const std::size_t begin = line.find_first_not_of(' ', colon + 1);
+  const std::size_t end = line.find_last_not_of("\r\n ");
+  if (begin != std::string::npos && begin <= end) {
+    headers[name] = line.substr(begin, end + 1 - begin);
+  }
+  return size * count;
+}
+
+}  // namespace
+
+Process::Process(const std::string& program,
+                 const std::vector<std::string>& arguments,
+                 const std::string& log) {
+  const std::string path = std::string(TOUCANWHARF_BUILD_DIR) + "/" + program;
+  std::vector<std::string> words = {path};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  std::vector<char*> pointers;
+  for (std::string& word : words) pointers.push_back(word.data());
+  pointers.push_back(nullptr);
+  const std::string errors = log.empty() ? kNowhere : log;
+  int ends[2];
+  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  const pid_t parent = getpid();
+  this->pid = fork();
+  if (this->pid < 0) throw std::runtime_error("no process");
+  if (this->pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (getppid() != parent) _exit(kExecFailed);
+    const int error_file =
+        open(errors.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(ends[1], STDOUT_FILENO);
+    dup2(error_file, STDERR_FILENO);
+    execv(path.c_str(), pointers.data());
+    _exit(kExecFailed);
+  }
+  close(ends[1]);
+  this->output = ends[0];
+}
+
+Process::~Process() {
+  this->Kill();
+  close(this->output);
+}
+
+std::string Process::WaitForLine(const std::string& word) {
+  while (true) {
+    const std::size_t end = this->unread.find('\n');
+    if (end != std::string::npos) {
+      const std::string line = this->unread.substr(0, end);
+      this->unread.erase(0, end + 1);
+      if (line.starts_with(word + " ")) return line.substr(word.size() + 1);
+      continue;
+    }
+    char bytes[512];
+    const ssize_t count = read(this->output, bytes, sizeof(bytes));
+    if (count <= 0) throw std::runtime_error("no line with " + word);
+    this->unread.append(bytes, static_cast<std::size_t>(count));
+  }
+}
+
+void Process::Signal(int signal_number) const {
+  if (this->pid > 0) kill(this->pid, signal_number);
+}
+
+void Process::Kill() {
+  this->Signal(SIGKILL);
+  this->Wait();
+}
+
+int Process::Wait() {
+  if (this->pid <= 0) return -1;
+  int status = 0;
+  waitpid(this->pid, &status, 0);
+  this->pid = -1;
+  return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+nlohmann::json Answer::Json() const {
+  return nlohmann::json::parse(this->body, nullptr, false);
+}
+
+Answer Send(const Call& call) {
+  Answer answer;
+  std::pair<const Call*, Answer*> context{&call, &answer};
+  CURL* easy = curl_easy_init();
+  curl_slist* headers = nullptr;
+  headers = curl_slist_append(headers, "Content-Type: application/json");
+  if (!call.key.empty()) {
+    headers = curl_slist_append(headers,
+                                ("Authorization: Bearer " + call.key).c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.url).c_str());
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, long{call.timeout_ms});
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, TakeBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &context);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, TakeHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &answer.headers);
+  if (!call.body.empty()) {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.c_str());
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(call.body.size()));  // NOLINT
+  }
+  curl_easy_perform(easy);
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer.status);
+  curl_slist_free_all(headers);
+  curl_easy_cleanup(easy);
+  return answer;
+}
+
+std::string FreeAddress() {
+  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  auto* plain = reinterpret_cast<sockaddr*>(&address);
+  if (bind(probe, plain, size) != 0) throw std::runtime_error("no port");
+  getsockname(probe, plain, &size);
+  close(probe);
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+}  // namespace toucanwharf::process_test
--- /dev/null
+++ b/test/process/process_tests.cmake
@@ -0,0 +1,28 @@
+# Tests of several real processes on loopback. They need every program of the
+# build; each test program gets its own ctest entry.
+if(NOT TARGET toucanwharfd)
+  return()
+endif()
+add_library(tw_process_fixture STATIC test/process/process.cc
+  test/process/fleet.cc)
+target_link_libraries(tw_process_fixture PUBLIC toucanwharf_standins
+  toucanwharf_support CURL::libcurl)
+target_compile_definitions(tw_process_fixture PUBLIC
+  TOUCANWHARF_BUILD_DIR="${CMAKE_BINARY_DIR}")
+add_dependencies(tw_process_fixture toucanwharfd standin_platform
+  standin_engine standin_relay standin_service)
+
+# tw_process_test(NAME): test/process/NAME_test.cc as ctest's process_NAME.
+function(tw_process_test NAME)
+  set(test_main ${CMAKE_BINARY_DIR}/test_mains/process_${NAME}.cc)
+  file(CONFIGURE OUTPUT ${test_main} CONTENT
+    "#define BOOST_TEST_MODULE process_${NAME}\n#include <boost/test/unit_test.hpp>\n")
+  add_executable(process_${NAME} test/process/${NAME}_test.cc ${test_main})
+  target_compile_definitions(process_${NAME} PRIVATE BOOST_TEST_DYN_LINK)
+  target_link_libraries(process_${NAME} PRIVATE tw_process_fixture
+    Boost::unit_test_framework)
+  add_test(NAME process_${NAME} COMMAND process_${NAME})
+  set_tests_properties(process_${NAME} PROPERTIES TIMEOUT 240)
+endfunction()
+
+tw_process_test(recovery)
