The toucanwharf command, a library under a thin program

Cause: operators write records and read status, callers make calls, and all of it has to be driven and measured from a shell. Ruled out: a second HTTP client (the transport's is run until one call is done); appending after a lost stream (words twice), ending at the end of the connection (half an answer as a whole one): AnswerSession places tokens by index, resumes by id, and asks anew with the same seed when nobody knows the answer; positional options of cxxopts, which split a prompt at its commas; repeating a service call that may have been sent (I4). Change: validate, apply, get, delete, status, entries, call, drain, timeline, load; exit codes that scripts can rely on; example records of both deployments.

--- /dev/null
+++ b/lib/command/http.cc
@@ -0,0 +1,102 @@
+#include "toucanwharf/command/http.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "toucanwharf/transport/event_loop.h"
+
+namespace toucanwharf::command {
+namespace {
+
+using nlohmann::json;
+using transport::CallEnd;
+using transport::HttpOutcome;
+
+constexpr Duration kLookPeriod = std::chrono::milliseconds(100);
+
+std::string EndText(const HttpOutcome& outcome) {
+  switch (outcome.end) {
+    case CallEnd::kAnswered:
+      return "status " + std::to_string(outcome.status);
+    case CallEnd::kNotConnected:
+      return "cannot connect (" + outcome.error + ")";
+    case CallEnd::kBroken:
+      return "the connection broke (" + outcome.error + ")";
+    case CallEnd::kTimedOut:
+      return "timed out";
+  }
+  return outcome.error;
+}
+
+}  // namespace
+
+HttpOutcome Fetch(transport::HttpCall call,
+                  std::function<void(std::string_view)> on_data) {
+  transport::EventLoop loop;
+  transport::HttpClient client(loop);
+  HttpOutcome result;
+  const auto on_done = [&result, &loop](HttpOutcome outcome) {
+    result = std::move(outcome);
+    loop.Stop();
+  };
+  client.Start(std::move(call), {std::move(on_data), on_done});
+  loop.Run();
+  return result;
+}
+
+HttpOutcome FetchStream(transport::HttpCall call,
+                        std::function<void(std::string_view)> on_data,
+                        Duration silence) {
+  transport::EventLoop loop;
+  transport::HttpClient client(loop);
+  HttpOutcome result;
+  TimePoint last_byte = loop.Now();
+  const auto note_data = [&](std::string_view bytes) {
+    last_byte = loop.Now();
+    on_data(bytes);
+  };
+  const auto on_done = [&](HttpOutcome outcome) {
+    result = std::move(outcome);
+    loop.Stop();
+  };
+  call.total_timeout = Duration(0);
+  const auto id = client.Start(std::move(call), {note_data, on_done});
+  std::function<void()> look = [&] {
+    if (loop.Now() - last_byte >= silence) {
+      client.Cancel(id);
+      result.end = CallEnd::kBroken;
+      result.sent = true;
+      result.error = "silent for too long";
+      loop.Stop();
+      return;
+    }
+    loop.After(kLookPeriod, look);
+  };
+  loop.After(kLookPeriod, look);
+  loop.Run();
+  return result;
+}
+
+transport::HttpCall MakeCall(std::string_view method, std::string_view address,
+                             std::string_view target, std::string_view key) {
+  transport::HttpCall call;
+  call.method = std::string(method);
+  call.url = "http://" + std::string(address) + std::string(target);
+  if (!key.empty()) {
+    call.headers.emplace_back("Authorization", "Bearer " + std::string(key));
+  }
+  return call;
+}
+
+std::string Explain(const HttpOutcome& outcome) {
+  const std::string end = EndText(outcome);
+  const json body = json::parse(outcome.body, nullptr, false);
+  if (!body.is_object() || !body.contains("error")) return end;
+  const json& error = body["error"];
+  if (error.is_string()) return end + ": " + error.get<std::string>();
+  if (!error.is_object()) return end;
+  return end + ": " + error.value("message", "");
+}
+
+}  // namespace toucanwharf::command
--- /dev/null
+++ b/lib/command/load_runner.h
@@ -0,0 +1,91 @@
+#ifndef TOUCANWHARF_LIB_COMMAND_LOAD_RUNNER_H_
+#define TOUCANWHARF_LIB_COMMAND_LOAD_RUNNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/command/answer_session.h"
+#include "toucanwharf/command/load_plan.h"
+#include "toucanwharf/command/load_report.h"
+#include "toucanwharf/records/records.h"
+#include "toucanwharf/transport/event_loop.h"
+#include "toucanwharf/transport/http_client.h"
+
+namespace toucanwharf::command {
+
+struct LoadOptions {
+  LoadProfile profile;
+  /// Calls a second.
+  double rate = 10;
+  Duration length{std::chrono::seconds(10)};
+  std::uint64_t seed = 1;
+  /// Entry instances that are asked for advice.
+  std::vector<std::string> entries;
+  /// Whether the first advice is kept for the whole run, as by a caller that
+  /// does not ask again.
+  bool keep_advice = false;
+  Duration silence{std::chrono::seconds(10)};
+  /// Records by which answers are checked; nothing checks none.
+  std::optional<records::Catalog> catalog;
+
+  friend bool operator==(const LoadOptions&, const LoadOptions&) = default;
+};
+
+/// Plays an open-loop load on one thread.
+/// Thread safety: none.
+class LoadRunner {
+ public:
+  /// Calls \p on_progress about once a second.
+  LoadRunner(LoadOptions options,
+             std::function<void(const LoadReport&)> on_progress);
+
+  /// Plays the whole load, waits for its last answers, and returns what was
+  /// seen. Precondition: called once.
+  LoadReport Run();
+
+ private:
+  struct Answer;
+  /// What one customer last heard of which entries to use.
+  struct Advice {
+    std::vector<std::string> entries;
+    TimePoint until;
+    bool asking = false;
+  };
+  using SharedAnswer = std::shared_ptr<Answer>;
+
+  void ScheduleNext();
+  void Start(const Arrival& arrival);
+  void StartAnswer(const Arrival& arrival);
+  void StartService(const Arrival& arrival);
+  void Continue(const SharedAnswer& answer);
+  void TakeBytes(Answer& answer, std::string_view bytes);
+  void EndAnswer(const SharedAnswer& answer);
+  void EndService(const transport::HttpOutcome& outcome, TimePoint planned);
+  void RefreshAdvice(std::size_t customer);
+  std::vector<std::string> EntriesFor(std::size_t customer);
+  void CutSilent();
+  void ReportProgress();
+  void StopIfDone();
+
+  LoadOptions options;
+  std::function<void(const LoadReport&)> on_progress;
+  ArrivalSource arrivals;
+  Random random;
+  transport::EventLoop loop;
+  transport::HttpClient client;
+  LoadReport report;
+  TimePoint began;
+  bool all_started = false;
+  std::size_t running = 0;
+  std::vector<SharedAnswer> answers;
+  std::map<std::size_t, Advice> advice;
+};
+
+}  // namespace toucanwharf::command
+
+#endif  // TOUCANWHARF_LIB_COMMAND_LOAD_RUNNER_H_
--- /dev/null
+++ b/lib/command/platform.cc
@@ -0,0 +1,209 @@
+#include "toucanwharf/command/platform.h"
+
+#include <algorithm>
+#include <chrono>
+#include <thread>
+#include <utility>
+
+#include "toucanwharf/command/errors.h"
+#include "toucanwharf/command/http.h"
+#include "toucanwharf/store/conditional_write.h"
+#include "toucanwharf/support/ids.h"
+
+namespace toucanwharf::command {
+namespace {
+
+using nlohmann::json;
+using store::ConditionalWrite;
+using store::ObjectKey;
+using transport::CallEnd;
+using transport::HttpOutcome;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+constexpr Duration kFirstPause = std::chrono::milliseconds(50);
+constexpr Duration kLongestPause = std::chrono::seconds(1);
+
+/// Pauses between tries until the patience is used up.
+class Tries {
+ public:
+  explicit Tries(Duration patience)
+      : deadline(BootClock().Now() + patience), pause(kFirstPause) {}
+
+  /// Waits before the next try; false when there is no time for one.
+  bool Wait() {
+    if (BootClock().Now() + this->pause >= this->deadline) return false;
+    std::this_thread::sleep_for(this->pause);
+    this->pause = std::min(2 * this->pause, kLongestPause);
+    return true;
+  }
+
+ private:
+  TimePoint deadline;
+  Duration pause;
+};
+
+bool Answered(const HttpOutcome& outcome, int status) {
+  return outcome.end == CallEnd::kAnswered && outcome.status == status;
+}
+
+std::string TargetOf(const ObjectKey& key) {
+  return "/objects/" + key.collection + "/" + key.name;
+}
+
+std::string TextMember(const json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+std::uint64_t NumberMember(const json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_number_unsigned()) return 0;
+  return found->get<std::uint64_t>();
+}
+
+std::uint64_t VersionOf(const std::string& body) {
+  const json value = json::parse(body, nullptr, false);
+  return value.is_object() ? NumberMember(value, "version") : 0;
+}
+
+store::Object ObjectOf(const json& value) {
+  store::Object object;
+  object.key = {TextMember(value, "collection"), TextMember(value, "name")};
+  object.version = NumberMember(value, "version");
+  object.writer = TextMember(value, "writer");
+  if (value.contains("value")) object.value = value["value"].dump();
+  return object;
+}
+
+}  // namespace
+
+Platform::Platform(std::string where, Duration limit)
+    : address(std::move(where)), patience(limit) {}
+
+Result<store::Listing> Platform::List(const std::string& collection) const {
+  Tries tries(this->patience);
+  do {
+    auto call = MakeCall("GET", this->address, "/objects/" + collection, "");
+    call.total_timeout = kCallTimeout;
+    const HttpOutcome outcome = Fetch(std::move(call));
+    if (!Answered(outcome, kOk)) continue;
+    const json body = json::parse(outcome.body, nullptr, false);
+    if (!body.is_object() || !body.contains("items")) continue;
+    store::Listing listing;
+    listing.revision = NumberMember(body, "revision");
+    for (const json& item : body["items"]) {
+      listing.objects.push_back(ObjectOf(item));
+    }
+    return listing;
+  } while (tries.Wait());
+  return CommandError::kUnreachable;
+}
+
+store::ReadAnswer Platform::TryRead(const ObjectKey& key) const {
+  auto call = MakeCall("GET", this->address, TargetOf(key), "");
+  call.total_timeout = kCallTimeout;
+  const HttpOutcome outcome = Fetch(std::move(call));
+  if (Answered(outcome, kNotFound)) return {store::ReadStatus::kMissing, {}};
+  if (!Answered(outcome, kOk)) return {};
+  const json body = json::parse(outcome.body, nullptr, false);
+  if (!body.is_object()) return {};
+  return {store::ReadStatus::kFound, ObjectOf(body)};
+}
+
+store::WriteAnswer Platform::TryWrite(const store::Write& write) const {
+  auto call = MakeCall("PUT", this->address, TargetOf(write.key), "");
+  call.total_timeout = kCallTimeout;
+  call.reuse = transport::Reuse::kNever;
+  call.body = json{{"writer", write.writer},
+                   {"value", json::parse(write.value)},
+                   {"if_version", write.if_version}}
+                  .dump();
+  const HttpOutcome outcome = Fetch(std::move(call));
+  if (Answered(outcome, kOk)) {
+    return {store::WriteStatus::kWritten, VersionOf(outcome.body)};
+  }
+  if (Answered(outcome, kConflict)) {
+    return {store::WriteStatus::kConflict, VersionOf(outcome.body)};
+  }
+  return {};
+}
+
+Result<store::Object> Platform::Read(const ObjectKey& key) const {
+  Tries tries(this->patience);
+  do {
+    store::ReadAnswer answer = this->TryRead(key);
+    if (answer.status == store::ReadStatus::kFound) {
+      return std::move(answer.object);
+    }
+    if (answer.status == store::ReadStatus::kMissing) {
+      return CommandError::kNotFound;
+    }
+  } while (tries.Wait());
+  return CommandError::kUnreachable;
+}
+
+Result<std::uint64_t> Platform::Write(const ObjectKey& key, const json& value,
+                                      std::uint64_t if_version) const {
+  ConditionalWrite write(store::Write{key, NewId(), if_version, value.dump()});
+  Tries tries(this->patience);
+  do {
+    if (write.Next() == ConditionalWrite::Step::kWrite) {
+      write.OnWrite(this->TryWrite(write.Request()));
+    }
+    if (write.Next() == ConditionalWrite::Step::kRead) {
+      write.OnRead(this->TryRead(key));
+    }
+    if (write.Next() == ConditionalWrite::Step::kApplied) {
+      return write.AppliedVersion();
+    }
+    if (write.Next() == ConditionalWrite::Step::kConflict) {
+      return CommandError::kConflict;
+    }
+  } while (tries.Wait());
+  return CommandError::kOutcomeUnknown;
+}
+
+Result<void> Platform::Delete(const ObjectKey& key,
+                              std::uint64_t if_version) const {
+  const std::string target =
+      TargetOf(key) + "?if_version=" + std::to_string(if_version);
+  Tries tries(this->patience);
+  do {
+    auto call = MakeCall("DELETE", this->address, target, "");
+    call.total_timeout = kCallTimeout;
+    call.reuse = transport::Reuse::kNever;
+    const HttpOutcome outcome = Fetch(std::move(call));
+    if (Answered(outcome, kOk) || Answered(outcome, kNotFound)) {
+      return Success();
+    }
+    if (Answered(outcome, kConflict)) return CommandError::kConflict;
+    // No answer: the next try tells. If this one took effect it finds nothing,
+    // or the version of somebody who wrote after it.
+  } while (tries.Wait());
+  return CommandError::kOutcomeUnknown;
+}
+
+Result<std::vector<std::string>> Platform::AdminAddresses() const {
+  Tries tries(this->patience);
+  do {
+    auto call = MakeCall("GET", this->address, "/instances", "");
+    call.total_timeout = kCallTimeout;
+    const HttpOutcome outcome = Fetch(std::move(call));
+    if (!Answered(outcome, kOk)) continue;
+    const json body = json::parse(outcome.body, nullptr, false);
+    if (!body.is_object() || !body.contains("instances")) continue;
+    std::vector<std::string> addresses;
+    for (const json& line : body["instances"]) {
+      const std::string admin = TextMember(line, "admin_address");
+      if (!admin.empty()) addresses.push_back(admin);
+    }
+    return addresses;
+  } while (tries.Wait());
+  return CommandError::kUnreachable;
+}
+
+}  // namespace toucanwharf::command
--- /dev/null
+++ b/lib/command/subcommands.h
@@ -0,0 +1,24 @@
+#ifndef TOUCANWHARF_LIB_COMMAND_SUBCOMMANDS_H_
+#define TOUCANWHARF_LIB_COMMAND_SUBCOMMANDS_H_
+
+#include "toucanwharf/command/arguments.h"
+
+/// The subcommands, each made in a file of its own.
+namespace toucanwharf::command {
+
+inline constexpr int kExitUsage = static_cast<int>(CommandError::kBadUsage);
+
+Subcommand ValidateSubcommand();
+Subcommand ApplySubcommand();
+Subcommand GetSubcommand();
+Subcommand DeleteSubcommand();
+Subcommand StatusSubcommand();
+Subcommand EntriesSubcommand();
+Subcommand CallSubcommand();
+Subcommand DrainSubcommand();
+Subcommand TimelineSubcommand();
+Subcommand LoadSubcommand();
+
+}  // namespace toucanwharf::command
+
+#endif  // TOUCANWHARF_LIB_COMMAND_SUBCOMMANDS_H_
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -35,4 +35,12 @@
   tw_program(bench_once bench/once DEPS toucanwharf_once)
   target_include_directories(bench_once PRIVATE ${CMAKE_SOURCE_DIR})
   include(standins/standins.cmake)
+  tw_package(command DEPS toucanwharf_transport toucanwharf_records
+    toucanwharf_store toucanwharf_timeline toucanwharf_standins)
+  # cxxopts trips this false warning of g++ 12 (GCC bug 105329).
+  set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/command/options.cc
+    PROPERTIES COMPILE_OPTIONS $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
+  target_compile_definitions(toucanwharf_command PRIVATE
+    TOUCANWHARF_VERSION="${PROJECT_VERSION}")
+  tw_program(toucanwharf tools/toucanwharf DEPS toucanwharf_command)
 endif()
