Peers: gRPC between routers, and the exchange that joins it with membership

Cause: membership had no transport, and configuration and answers of another router could not be asked for.

Change: envelopes sealed by HMAC-SHA256 with the peers' key, answers bound to their request; calls for probes, passed-on probes, configuration and streamed answers by gRPC's callbacks, handed over to the loop's thread; at most 16 connections, dropped after a failed call because they may have gone silent. What a listener on the network can still do is written in seal.h.

--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -34,6 +34,15 @@
     toucanwharf_control glog::glog)
   tw_program(bench_once bench/once DEPS toucanwharf_once)
   target_include_directories(bench_once PRIVATE ${CMAKE_SOURCE_DIR})
+  pkg_check_modules(GRPC REQUIRED IMPORTED_TARGET grpc++ protobuf)
+  add_library(peers_generated STATIC lib/peers/generated/peer.pb.cc
+    lib/peers/generated/peer.grpc.pb.cc)
+  target_include_directories(peers_generated SYSTEM PUBLIC
+    ${CMAKE_SOURCE_DIR}/lib/peers/generated)
+  target_link_libraries(peers_generated PUBLIC PkgConfig::GRPC)
+  tw_package(peers DEPS toucanwharf_membership OpenSSL::Crypto peers_generated)
+  tw_package(exchange DEPS toucanwharf_settings toucanwharf_transport
+    toucanwharf_peers)
   include(standins/standins.cmake)
   tw_package(command DEPS toucanwharf_transport toucanwharf_records
     toucanwharf_store toucanwharf_timeline toucanwharf_standins)
