Router process: the thin path end to end

Cause: everything that follows grows on one request served by separate processes. Ruled out: a thread per request; polling the platform from each request. Change: listeners for callers and operators, the directory of instances, an answer runner round the answer machine, a service runner, drain.

--- /dev/null
+++ b/include/toucanwharf/daemon/admin_api.h
@@ -0,0 +1,40 @@
+#ifndef TOUCANWHARF_DAEMON_ADMIN_API_H_
+#define TOUCANWHARF_DAEMON_ADMIN_API_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "toucanwharf/transport/http_server.h"
+
+namespace toucanwharf::daemon {
+
+/// What operators can ask of one router.
+struct AdminPorts {
+  /// Returns `GET /admin/status` as JSON.
+  std::function<std::string()> status;
+  /// Returns `GET /admin/timeline` as JSON, events after a sequence number.
+  std::function<std::string(std::uint64_t)> timeline;
+  std::function<std::string()> metrics;
+  std::function<void()> drain;
+};
+
+/// The listener for operators.
+/// Thread safety: none; for the loop's thread.
+class AdminApi {
+ public:
+  AdminApi(std::string admin_key, AdminPorts ports);
+
+  /// Serves one request. Precondition: the exchange has no answer yet.
+  void Serve(const std::shared_ptr<transport::Exchange>& exchange);
+
+ private:
+  bool IsAllowed(const transport::HttpRequest& request) const;
+
+  std::string key_hash;
+  AdminPorts ports;
+};
+
+}  // namespace toucanwharf::daemon
+
+#endif  // TOUCANWHARF_DAEMON_ADMIN_API_H_
--- /dev/null
+++ b/include/toucanwharf/daemon/answer_runner.h
@@ -0,0 +1,95 @@
+#ifndef TOUCANWHARF_DAEMON_ANSWER_RUNNER_H_
+#define TOUCANWHARF_DAEMON_ANSWER_RUNNER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "toucanwharf/daemon/directory.h"
+#include "toucanwharf/daemon/metrics.h"
+#include "toucanwharf/pipeline/answer.h"
+#include "toucanwharf/pipeline/answer_machine.h"
+#include "toucanwharf/support/random.h"
+#include "toucanwharf/transport/event_loop.h"
+#include "toucanwharf/transport/event_stream.h"
+#include "toucanwharf/transport/http_client.h"
+
+namespace toucanwharf::daemon {
+
+/// One answer to run.
+struct AnswerJob {
+  pipeline::AnswerRequest request;
+  std::string prompt;
+  std::uint64_t seed = 0;
+
+  friend bool operator==(const AnswerJob&, const AnswerJob&) = default;
+};
+
+/// Where an answer's tokens and its end go. All run on the loop's thread;
+/// on_finish or on_fail comes once, last.
+struct AnswerHandlers {
+  std::function<void(const pipeline::Emit&)> on_token;
+  std::function<void(const pipeline::Finish&)> on_finish;
+  std::function<void(const pipeline::Fail&)> on_fail;
+};
+
+/// Carries out what the state machines of answers ask for: plans, streams to
+/// engines, probes and timers.
+/// Thread safety: none; for the loop's thread.
+class AnswerRunner {
+ public:
+  /// Precondition: all references outlive the runner.
+  AnswerRunner(transport::EventLoop& loop, transport::HttpClient& client,
+               Directory& directory, Metrics& metrics, std::uint64_t seed);
+  ~AnswerRunner();
+  AnswerRunner(const AnswerRunner&) = delete;
+  AnswerRunner& operator=(const AnswerRunner&) = delete;
+
+  /// Begins an answer. Its first callback may come before this returns.
+  /// Precondition: no answer with the same id is running.
+  void Start(AnswerJob job, AnswerHandlers handlers);
+
+  /// Ends the answer \p id because nobody waits for it; without effect when
+  /// it is not running.
+  void Abandon(const std::string& id);
+
+  /// Returns the number of answers under way.
+  std::size_t Running() const { return this->running.size(); }
+
+ private:
+  struct ActiveAnswer;
+  using Run = std::shared_ptr<ActiveAnswer>;
+
+  void Feed(const Run& run, pipeline::Event event);
+  void Drain(const Run& run);
+  void Perform(const Run& run, const pipeline::RequestPlan& action);
+  void Perform(const Run& run, const pipeline::StartAttempt& action);
+  void Perform(const Run& run, const pipeline::Emit& action);
+  void Perform(const Run& run, const pipeline::Cancel& action);
+  void Perform(const Run& run, const pipeline::ProbeStages& action);
+  void Perform(const Run& run, const pipeline::SuspectConnection& action);
+  void Perform(const Run& run, const pipeline::SuspectEndpoint& action);
+  void Perform(const Run& run, const pipeline::ArmTimer& action);
+  void Perform(const Run& run, const pipeline::Recovered& action);
+  void Perform(const Run& run, const pipeline::Finish& action);
+  void Perform(const Run& run, const pipeline::Fail& action);
+
+  void TakeData(const Run& run, std::uint32_t attempt, std::string_view bytes);
+  void TakeEnd(const Run& run, std::uint32_t attempt,
+               const transport::HttpOutcome& outcome);
+  void Close(const Run& run);
+
+  transport::EventLoop& loop;
+  transport::HttpClient& client;
+  Directory& directory;
+  Metrics& metrics;
+  Random random;
+  std::map<std::string, Run> running;
+};
+
+}  // namespace toucanwharf::daemon
+
+#endif  // TOUCANWHARF_DAEMON_ANSWER_RUNNER_H_
--- /dev/null
+++ b/include/toucanwharf/daemon/caller_api.h
@@ -0,0 +1,64 @@
+#ifndef TOUCANWHARF_DAEMON_CALLER_API_H_
+#define TOUCANWHARF_DAEMON_CALLER_API_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "toucanwharf/daemon/answer_sessions.h"
+#include "toucanwharf/daemon/config_sync.h"
+#include "toucanwharf/daemon/entries.h"
+#include "toucanwharf/daemon/metrics.h"
+#include "toucanwharf/daemon/service_runner.h"
+#include "toucanwharf/settings/settings.h"
+#include "toucanwharf/transport/http_server.h"
+
+namespace toucanwharf::daemon {
+
+/// The listener for callers: which request is which, and whose it is.
+/// Thread safety: none; for the loop's thread.
+class CallerApi {
+ public:
+  /// Precondition: all references outlive the object.
+  CallerApi(transport::EventLoop& loop, const settings::Settings& settings,
+            const ConfigSync& config, AnswerSessions& sessions,
+            ServiceRunner& services, Entries& entries, Metrics& metrics);
+
+  /// Serves one request. Precondition: the exchange has no answer yet.
+  void Serve(const std::shared_ptr<transport::Exchange>& exchange);
+
+  /// Returns whether requests can be served: a configuration is in force.
+  bool Ready() const;
+
+ private:
+  using SharedExchange = std::shared_ptr<transport::Exchange>;
+
+  /// Returns the customer whose key the request carries.
+  std::optional<records::Customer> Authenticate(
+      const transport::HttpRequest& request) const;
+  bool ServeOpen(const SharedExchange& exchange);
+  void ServeCompletion(const SharedExchange& exchange,
+                       const records::Customer& customer,
+                       CompletionShape shape);
+  void ServeService(const SharedExchange& exchange,
+                    const records::Customer& customer);
+  void ServeResume(const SharedExchange& exchange,
+                   const records::Customer& customer);
+  void ServeModels(const SharedExchange& exchange);
+  void Refuse(const SharedExchange& exchange, Refusal refusal);
+
+  transport::EventLoop& loop;
+  const settings::Settings& settings;
+  const ConfigSync& config;
+  AnswerSessions& sessions;
+  ServiceRunner& services;
+  Entries& entries;
+  Metrics& metrics;
+};
+
+}  // namespace toucanwharf::daemon
+
+#endif  // TOUCANWHARF_DAEMON_CALLER_API_H_
--- /dev/null
+++ b/include/toucanwharf/daemon/refusal.h
@@ -0,0 +1,45 @@
+#ifndef TOUCANWHARF_DAEMON_REFUSAL_H_
+#define TOUCANWHARF_DAEMON_REFUSAL_H_
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/pipeline/answer.h"
+#include "toucanwharf/support/clock.h"
+#include "toucanwharf/transport/http_server.h"
+
+namespace toucanwharf::daemon {
+
+/// What a caller is told when it gets no answer, or not all of it.
+struct Refusal {
+  int status = 503;
+  /// Short and stable, for programs: "busy", "no_cover", "bad_key".
+  std::string code;
+  /// For people; names the remedy.
+  std::string message;
+  pipeline::Ran ran = pipeline::Ran::kNo;
+  /// When to come back; absent when coming back would not help.
+  std::optional<Duration> retry_after;
+  std::string request_id;
+
+  friend bool operator==(const Refusal&, const Refusal&) = default;
+};
+
+/// Returns the refusal as the JSON body of an answer or of an error event, in
+/// the shape that OpenAI-style clients read.
+/// Thread safety: safe.
+std::string BodyOf(const Refusal& refusal);
+
+/// Sends \p refusal as the whole answer of \p exchange.
+/// Precondition: the exchange has no answer yet. Thread safety: safe.
+void Send(transport::Exchange& exchange, const Refusal& refusal);
+
+/// Sends a JSON body with status 200.
+/// Precondition: the exchange has no answer yet. Thread safety: safe.
+void SendJson(transport::Exchange& exchange, std::string body,
+              std::vector<transport::Header> headers = {});
+
+}  // namespace toucanwharf::daemon
+
+#endif  // TOUCANWHARF_DAEMON_REFUSAL_H_
--- /dev/null
+++ b/include/toucanwharf/daemon/service_runner.h
@@ -0,0 +1,92 @@
+#ifndef TOUCANWHARF_DAEMON_SERVICE_RUNNER_H_
+#define TOUCANWHARF_DAEMON_SERVICE_RUNNER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "toucanwharf/daemon/directory.h"
+#include "toucanwharf/daemon/metrics.h"
+#include "toucanwharf/daemon/refusal.h"
+#include "toucanwharf/records/records.h"
+#include "toucanwharf/support/random.h"
+#include "toucanwharf/transport/http_client.h"
+
+namespace toucanwharf::daemon {
+
+/// One call of a plain service.
+struct ServiceJob {
+  std::string request_id;
+  std::string customer;
+  records::Service service;
+  std::string method;
+  /// Path below the service, escaped, with a leading slash and the query.
+  std::string target;
+  std::string content_type;
+  /// Names the call for repeats; never empty for a non-idempotent call.
+  std::string idempotency_key;
+  bool idempotent = false;
+  std::string body;
+
+  friend bool operator==(const ServiceJob&, const ServiceJob&) = default;
+};
+
+/// The service's own answer.
+struct ServiceAnswer {
+  int status = 0;
+  std::string content_type;
+  std::string body;
+
+  friend bool operator==(const ServiceAnswer&, const ServiceAnswer&) = default;
+};
+
+using ServiceResult = std::variant<ServiceAnswer, Refusal>;
+
+/// Returns whether \p service says that a call may be repeated. A call that no
+/// line of the record matches may not.
+/// Thread safety: safe.
+bool IsIdempotent(const records::Service& service, const std::string& method,
+                  const std::string& path);
+
+/// Sends calls of plain services to their endpoints.
+///
+/// An idempotent call is tried at up to three endpoints. A non-idempotent one
+/// goes to another endpoint only if surely no byte of it was sent, or the
+/// endpoint said that it did not run (I3, I4).
+/// Thread safety: none; for the loop's thread.
+class ServiceRunner {
+ public:
+  using Done = std::function<void(ServiceResult)>;
+
+  /// Precondition: all references outlive the runner.
+  ServiceRunner(transport::HttpClient& client, Directory& directory,
+                Metrics& metrics, std::uint64_t seed);
+
+  /// Begins a call; \p done comes once.
+  void Start(ServiceJob job, Done done);
+
+  /// Returns the number of calls under way.
+  std::size_t Running() const { return this->calls_running; }
+
+ private:
+  struct Call;
+
+  void Try(const std::shared_ptr<Call>& call);
+  void TakeOutcome(const std::shared_ptr<Call>& call,
+                   const transport::HttpOutcome& outcome);
+  void Finish(const std::shared_ptr<Call>& call, ServiceResult result);
+
+  transport::HttpClient& client;
+  Directory& directory;
+  Metrics& metrics;
+  Random random;
+  std::size_t calls_running = 0;
+};
+
+}  // namespace toucanwharf::daemon
+
+#endif  // TOUCANWHARF_DAEMON_SERVICE_RUNNER_H_
--- /dev/null
+++ b/lib/daemon/answer_sessions.cc
@@ -0,0 +1,222 @@
+#include "toucanwharf/daemon/answer_sessions.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace toucanwharf::daemon {
+namespace {
+
+using transport::Exchange;
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+// A caller that left shows at most this much later.
+constexpr Duration kLookPeriod = std::chrono::milliseconds(250);
+// Time for a caller whose connection broke to come back by another entry
+// instance: a connection attempt, a timed-out one and a second attempt.
+constexpr Duration kResumeGrace = std::chrono::seconds(5);
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+constexpr const char* kDone = "[DONE]";
+
+const char* FinishReason(const pipeline::Finish& finish,
+                         std::uint32_t max_tokens) {
+  return finish.tokens >= max_tokens ? "length" : "stop";
+}
+
+Refusal RefusalOf(const std::string& id, const pipeline::Fail& fail) {
+  Refusal refusal;
+  refusal.status = kUnavailable;
+  refusal.code = "answer_failed";
+  refusal.message = fail.error.message();
+  refusal.ran = fail.ran;
+  refusal.retry_after = kRetryAfter;
+  refusal.request_id = id;
+  return refusal;
+}
+
+void BeginStream(Exchange& exchange, const std::string& id) {
+  exchange.BeginStream(kOk, {{"Content-Type", "text/event-stream"},
+                             {"Cache-Control", "no-cache"},
+                             {"X-Request-Id", id}});
+}
+
+void WriteEnd(Exchange& exchange, const CompletionNaming& naming,
+              std::string_view reason) {
+  exchange.Write(transport::FormatEvent(FinishChunk(naming, reason)));
+  exchange.Write(transport::FormatEvent(kDone));
+  exchange.End();
+}
+
+}  // namespace
+
+/// One answer and whoever reads it.
+struct AnswerSessions::Session {
+  SessionRequest request;
+  std::vector<std::shared_ptr<Exchange>> readers;
+  std::vector<std::string> tokens;
+  // Only a stream: whether its status line was sent, which a failure before
+  // the first token can then no longer use.
+  bool begun = false;
+  std::optional<TimePoint> unread_since;
+};
+
+AnswerSessions::AnswerSessions(transport::EventLoop& loop, AnswerRunner& runner,
+                               Metrics& metrics)
+    : loop(loop), runner(runner), metrics(metrics) {}
+
+void AnswerSessions::Start() { this->LookForLeftCallers(); }
+
+void AnswerSessions::Open(SessionRequest request,
+                          std::shared_ptr<Exchange> exchange) {
+  auto session = std::make_shared<Session>();
+  session->request = std::move(request);
+  session->readers.push_back(std::move(exchange));
+  const std::string id = session->request.job.request.id;
+  this->sessions.emplace(id, session);
+  this->log.Open(id, session->request.customer);
+  AnswerHandlers handlers;
+  handlers.on_token = [this, session](const pipeline::Emit& token) {
+    this->TakeToken(session, token);
+  };
+  handlers.on_finish = [this, session](const pipeline::Finish& finish) {
+    this->TakeFinish(session, finish);
+  };
+  handlers.on_fail = [this, session](const pipeline::Fail& fail) {
+    this->TakeFail(session, fail);
+  };
+  this->runner.Start(session->request.job, std::move(handlers));
+}
+
+void AnswerSessions::TakeToken(const Shared& session,
+                               const pipeline::Emit& token) {
+  const std::string& id = session->request.job.request.id;
+  this->log.Append(id, token);
+  session->tokens.push_back(token.text);
+  if (!session->request.stream) return;
+  if (!session->begun) {
+    session->begun = true;
+    for (const auto& reader : session->readers) BeginStream(*reader, id);
+  }
+  const std::string event = transport::FormatEvent(
+      TokenChunk(session->request.naming, token.index, token.text));
+  for (const auto& reader : session->readers) reader->Write(event);
+}
+
+void AnswerSessions::TakeFinish(const Shared& session,
+                                const pipeline::Finish& finish) {
+  const SessionRequest& request = session->request;
+  const std::string& id = request.job.request.id;
+  this->log.Close(id, finish, this->loop.Now());
+  const char* reason = FinishReason(finish, request.job.request.max_tokens);
+  for (const auto& reader : session->readers) {
+    if (!request.stream) {
+      SendJson(*reader,
+               WholeAnswer(request.naming, session->tokens,
+                           request.job.request.prompt_tokens, reason),
+               {{"X-Request-Id", id}});
+      continue;
+    }
+    if (!session->begun) BeginStream(*reader, id);
+    WriteEnd(*reader, request.naming, reason);
+  }
+  this->Forget(session);
+}
+
+void AnswerSessions::TakeFail(const Shared& session,
+                              const pipeline::Fail& fail) {
+  const std::string& id = session->request.job.request.id;
+  this->log.Close(id, fail, this->loop.Now());
+  const Refusal refusal = RefusalOf(id, fail);
+  for (const auto& reader : session->readers) {
+    if (!session->request.stream || !session->begun) {
+      Send(*reader, refusal);
+      continue;
+    }
+    // A broken stream says that it broke; ending it silently would pass for a
+    // whole, shorter answer (I2).
+    reader->Write(transport::FormatEvent(BodyOf(refusal)));
+    reader->End();
+  }
+  this->metrics.Count("toucanwharf_refusals_total{code=\"answer_failed\"}");
+  this->Forget(session);
+}
+
+void AnswerSessions::Forget(const Shared& session) {
+  const std::string& id = session->request.job.request.id;
+  this->ended[id] = session->request.naming;
+  this->sessions.erase(id);
+}
+
+void AnswerSessions::Resume(const std::string& id, const std::string& customer,
+                            std::uint32_t from,
+                            std::shared_ptr<Exchange> exchange) {
+  const auto slice = this->log.Read(id, customer, from);
+  if (!slice) {
+    Refusal refusal;
+    refusal.status = kNotFound;
+    refusal.code = "unknown_request";
+    refusal.message = slice.error().message();
+    refusal.ran = pipeline::Ran::kUnknown;
+    refusal.request_id = id;
+    Send(*exchange, refusal);
+    return;
+  }
+  const auto live = this->sessions.find(id);
+  const CompletionNaming naming = live != this->sessions.end()
+                                      ? live->second->request.naming
+                                      : this->ended[id];
+  BeginStream(*exchange, id);
+  std::uint32_t index = slice.value().first_index;
+  for (const std::string& text : slice.value().tokens) {
+    exchange->Write(transport::FormatEvent(TokenChunk(naming, index, text)));
+    ++index;
+  }
+  if (live != this->sessions.end()) {
+    live->second->begun = true;
+    live->second->unread_since.reset();
+    live->second->readers.push_back(std::move(exchange));
+    return;
+  }
+  const auto& end = slice.value().end;
+  if (end && std::holds_alternative<pipeline::Finish>(*end)) {
+    WriteEnd(*exchange, naming, "stop");
+    return;
+  }
+  const auto fail = end ? std::get<pipeline::Fail>(*end) : pipeline::Fail{};
+  exchange->Write(transport::FormatEvent(BodyOf(RefusalOf(id, fail))));
+  exchange->End();
+}
+
+void AnswerSessions::LookForLeftCallers() {
+  const TimePoint now = this->loop.Now();
+  std::vector<std::string> given_up;
+  for (const auto& [id, session] : this->sessions) {
+    this->DropLeft(*session, now);
+    const auto unread = session->unread_since;
+    if (!unread) continue;
+    const Duration grace = session->request.stream ? kResumeGrace : Duration(0);
+    if (now - *unread >= grace) given_up.push_back(id);
+  }
+  for (const std::string& id : given_up) {
+    this->metrics.Count("toucanwharf_answers_abandoned_total");
+    this->runner.Abandon(id);
+  }
+  this->log.Expire(now);
+  std::erase_if(this->ended, [this](const auto& entry) {
+    return !this->log.Contains(entry.first);
+  });
+  this->loop.After(kLookPeriod, [this] { this->LookForLeftCallers(); });
+}
+
+void AnswerSessions::DropLeft(Session& session, TimePoint now) {
+  std::erase_if(session.readers,
+                [](const auto& reader) { return reader->CallerLeft(); });
+  if (!session.readers.empty() || session.unread_since) return;
+  session.unread_since = now;
+}
+
+}  // namespace toucanwharf::daemon
--- /dev/null
+++ b/lib/daemon/directory.cc
@@ -0,0 +1,255 @@
+#include "toucanwharf/daemon/directory.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace toucanwharf::daemon {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kListPeriod = std::chrono::seconds(1);
+// Loads change with every batch, status only by orders and deaths; asking for
+// the status every fourth time still notices a leaving engine within 2 s (I5).
+constexpr Duration kLoadPeriod = std::chrono::milliseconds(500);
+constexpr std::uint64_t kStatusEvery = 4;
+constexpr Duration kAskTimeout = std::chrono::seconds(2);
+constexpr int kOk = 200;
+constexpr double kMicrosPerSecond = 1e6;
+
+std::string Text(const Json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_string()) return "";
+  return found->get<std::string>();
+}
+
+std::uint64_t Number(const Json& object, const char* name) {
+  const auto found = object.find(name);
+  if (found == object.end() || !found->is_number()) return 0;
+  const double value = found->get<double>();
+  return value <= 0 ? 0 : static_cast<std::uint64_t>(value);
+}
+
+std::optional<Role> RoleOf(const std::string& name) {
+  if (name == "router") return Role::kRouter;
+  if (name == "engine") return Role::kEngine;
+  if (name == "service") return Role::kService;
+  return std::nullopt;
+}
+
+std::optional<Instance> InstanceOf(const Json& line) {
+  if (!line.is_object()) return std::nullopt;
+  const auto role = RoleOf(Text(line, "role"));
+  if (!role) return std::nullopt;
+  Instance instance;
+  instance.id = Text(line, "id");
+  instance.address = Text(line, "address");
+  instance.role = *role;
+  instance.service = Text(line, "service");
+  instance.failure_domain = Text(line, "failure_domain");
+  instance.leaving = Text(line, "state") == "leaving";
+  instance.peer_address = Text(line, "peer_address");
+  instance.admin_address = Text(line, "admin_address");
+  if (instance.id.empty() || instance.address.empty()) return std::nullopt;
+  return instance;
+}
+
+Json ParseLoose(std::string_view body) {
+  return Json::parse(body, nullptr, /*allow_exceptions=*/false);
+}
+
+}  // namespace
+
+std::vector<Instance> ParseInstances(std::string_view body) {
+  std::vector<Instance> instances;
+  const Json parsed = ParseLoose(body);
+  if (!parsed.is_object()) return instances;
+  const auto lines = parsed.find("instances");
+  if (lines == parsed.end() || !lines->is_array()) return instances;
+  for (const Json& line : *lines) {
+    auto instance = InstanceOf(line);
+    if (instance) instances.push_back(std::move(*instance));
+  }
+  return instances;
+}
+
+bool ParseEngineStatus(std::string_view body, pipeline::EndpointView& view) {
+  const Json parsed = ParseLoose(body);
+  if (!parsed.is_object()) return false;
+  const auto layers = parsed.find("layers");
+  if (layers == parsed.end() || !layers->is_object()) return false;
+  view.model = Text(parsed, "model");
+  view.version = Text(parsed, "version");
+  view.layers.begin = static_cast<std::uint32_t>(Number(*layers, "begin"));
+  view.layers.end = static_cast<std::uint32_t>(Number(*layers, "end"));
+  view.layer_time = Duration(Number(parsed, "layer_micros"));
+  view.state = Text(parsed, "state") == "leaving"
+                   ? pipeline::EndpointState::kLeaving
+                   : pipeline::EndpointState::kLive;
+  view.adapters.clear();
+  const auto adapters = parsed.find("adapters");
+  if (adapters != parsed.end() && adapters->is_array()) {
+    for (const Json& adapter : *adapters) {
+      if (adapter.is_string()) {
+        view.adapters.push_back(adapter.get<std::string>());
+      }
+    }
+  }
+  return view.layers.begin < view.layers.end;
+}
+
+bool ParseEngineLoad(std::string_view body, pipeline::EndpointView& view) {
+  const Json parsed = ParseLoose(body);
+  if (!parsed.is_object()) return false;
+  const double queued = static_cast<double>(Number(parsed, "queued_tokens"));
+  const double speed = static_cast<double>(Number(parsed, "tokens_per_second"));
+  if (speed <= 0) return false;
+  view.expected_wait =
+      Duration(static_cast<std::int64_t>(queued / speed * kMicrosPerSecond));
+  return true;
+}
+
+Directory::Directory(transport::EventLoop& loop, transport::HttpClient& client,
+                     Metrics& metrics, std::string platform_address,
+                     const std::string& own_domain)
+    : loop(loop),
+      client(client),
+      metrics(metrics),
+      platform_address(std::move(platform_address)),
+      engines(own_domain, pipeline::LinkCosts{}) {}
+
+void Directory::Start() {
+  this->AskForList();
+  this->PollEngines();
+}
+
+std::vector<Instance> Directory::Of(Role role) const {
+  std::vector<Instance> found;
+  for (const auto& [id, instance] : this->instances) {
+    if (instance.role == role) found.push_back(instance);
+  }
+  return found;
+}
+
+std::vector<Instance> Directory::ServiceInstances(
+    const std::string& name) const {
+  std::vector<Instance> found;
+  for (const auto& [id, instance] : this->instances) {
+    if (instance.role != Role::kService || instance.service != name) continue;
+    if (!instance.leaving) found.push_back(instance);
+  }
+  return found;
+}
+
+void Directory::AskForList() {
+  transport::HttpCall call;
+  call.url = "http://" + this->platform_address + "/instances";
+  call.total_timeout = kAskTimeout;
+  this->metrics.Count("toucanwharf_platform_calls_total{call=\"instances\"}");
+  const auto on_done = [this](const transport::HttpOutcome& outcome) {
+    if (outcome.end == transport::CallEnd::kAnswered && outcome.status == kOk) {
+      this->TakeList(outcome.body);
+    } else {
+      // The list last read stays in force: during an outage of the platform
+      // the endpoints are still there (I2).
+      this->metrics.Count(
+          "toucanwharf_platform_errors_total{call=\"instances\"}");
+    }
+    this->loop.After(kListPeriod, [this] { this->AskForList(); });
+  };
+  this->client.Start(std::move(call), {nullptr, on_done});
+}
+
+void Directory::TakeList(std::string_view body) {
+  std::map<std::string, Instance> listed;
+  for (Instance& instance : ParseInstances(body)) {
+    listed.emplace(instance.id, std::move(instance));
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, instance] : this->instances) {
+    if (!listed.contains(id)) gone.push_back(id);
+  }
+  for (const std::string& id : gone) this->Forget(id);
+  const bool changed = !this->loaded || listed != this->instances;
+  this->instances = std::move(listed);
+  this->loaded = true;
+  for (const auto& [id, instance] : this->instances) {
+    if (instance.role != Role::kEngine) continue;
+    const auto known = this->views.find(id);
+    if (known == this->views.end()) {
+      this->AskEngine(id, /*with_status=*/true);
+      continue;
+    }
+    if (instance.leaving &&
+        known->second.state == pipeline::EndpointState::kLive) {
+      known->second.state = pipeline::EndpointState::kLeaving;
+      this->engines.Update(known->second);
+    }
+  }
+  if (changed && this->on_change) this->on_change();
+}
+
+void Directory::Forget(const std::string& id) {
+  this->instances.erase(id);
+  this->views.erase(id);
+  this->engines.Remove(id);
+}
+
+void Directory::PollEngines() {
+  ++this->polls;
+  const bool with_status = this->polls % kStatusEvery == 0;
+  for (const auto& [id, view] : this->views) this->AskEngine(id, with_status);
+  this->loop.After(kLoadPeriod, [this] { this->PollEngines(); });
+}
+
+void Directory::AskEngine(const std::string& id, bool with_status) {
+  const auto instance = this->instances.find(id);
+  if (instance == this->instances.end()) return;
+  transport::HttpCall call;
+  call.url = "http://" + instance->second.address +
+             (with_status ? "/v1/status" : "/v1/load");
+  call.total_timeout = kAskTimeout;
+  const auto on_done = [this, id,
+                        with_status](const transport::HttpOutcome& outcome) {
+    if (outcome.end != transport::CallEnd::kAnswered) {
+      this->metrics.Count("toucanwharf_engine_poll_errors_total");
+      return;
+    }
+    if (outcome.status != kOk) return;
+    if (with_status) {
+      this->TakeStatus(id, outcome);
+    } else {
+      this->TakeLoad(id, outcome);
+    }
+  };
+  this->client.Start(std::move(call), {nullptr, on_done});
+}
+
+void Directory::TakeStatus(const std::string& id,
+                           const transport::HttpOutcome& outcome) {
+  const auto instance = this->instances.find(id);
+  if (instance == this->instances.end()) return;
+  pipeline::EndpointView view;
+  const auto known = this->views.find(id);
+  if (known != this->views.end()) view = known->second;
+  view.id = id;
+  view.address = instance->second.address;
+  view.failure_domain = instance->second.failure_domain;
+  if (!ParseEngineStatus(outcome.body, view)) return;
+  if (instance->second.leaving) view.state = pipeline::EndpointState::kLeaving;
+  this->views[id] = view;
+  this->engines.Update(view);
+}
+
+void Directory::TakeLoad(const std::string& id,
+                         const transport::HttpOutcome& outcome) {
+  const auto known = this->views.find(id);
+  if (known == this->views.end()) return;
+  if (!ParseEngineLoad(outcome.body, known->second)) return;
+  this->engines.Update(known->second);
+}
+
+}  // namespace toucanwharf::daemon
--- /dev/null
+++ b/lib/daemon/router.cc
@@ -0,0 +1,182 @@
+#include "toucanwharf/daemon/router.h"
+
+#include <glog/logging.h>
+
+#include <chrono>
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "toucanwharf/daemon/admin_api.h"
+#include "toucanwharf/daemon/answer_runner.h"
+#include "toucanwharf/daemon/answer_sessions.h"
+#include "toucanwharf/daemon/caller_api.h"
+#include "toucanwharf/daemon/config_sync.h"
+#include "toucanwharf/daemon/directory.h"
+#include "toucanwharf/daemon/entries.h"
+#include "toucanwharf/daemon/metrics.h"
+#include "toucanwharf/daemon/service_runner.h"
+#include "toucanwharf/support/ids.h"
+#include "toucanwharf/support/random.h"
+#include "toucanwharf/transport/event_loop.h"
+#include "toucanwharf/transport/http_client.h"
+#include "toucanwharf/transport/http_server.h"
+
+namespace toucanwharf::daemon {
+namespace {
+
+using Json = nlohmann::json;
+using SharedExchange = std::shared_ptr<transport::Exchange>;
+
+constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
+
+std::uint64_t SeedFrom(const std::string& text) {
+  std::uint64_t seed = 0;
+  for (const char byte : text) {
+    seed = MixBits(seed ^ static_cast<unsigned char>(byte));
+  }
+  return seed;
+}
+
+}  // namespace
+
+/// All parts of a router, in the order they depend on each other; they are
+/// taken apart in reverse.
+struct Router::Parts {
+  explicit Parts(settings::Settings new_settings)
+      : settings(std::move(new_settings)),
+        incarnation(NewId()),
+        seed(SeedFrom(this->incarnation)),
+        client(this->loop),
+        directory(this->loop, this->client, this->metrics,
+                  this->settings.platform_address,
+                  this->settings.failure_domain),
+        config(this->loop, this->client, this->metrics,
+               this->settings.platform_address),
+        runner(this->loop, this->client, this->directory, this->metrics,
+               this->seed),
+        sessions(this->loop, this->runner, this->metrics),
+        services(this->client, this->directory, this->metrics, this->seed),
+        entries(this->directory, this->settings, this->seed),
+        callers(this->loop, this->settings, this->config, this->sessions,
+                this->services, this->entries, this->metrics),
+        admin(this->settings.admin_key, this->MakeAdminPorts()) {}
+
+  AdminPorts MakeAdminPorts() {
+    AdminPorts ports;
+    ports.status = [this] { return this->Status(); };
+    ports.timeline = [](std::uint64_t /*after*/) { return "{}"; };
+    ports.metrics = [this] { return this->metrics.Render(); };
+    ports.drain = [this] { this->BeginDrain(); };
+    return ports;
+  }
+
+  std::string Status() const {
+    const Json status = {{"instance", this->settings.instance},
+                         {"incarnation", this->incarnation},
+                         {"failure_domain", this->settings.failure_domain},
+                         {"generation", this->config.Catalog().generation},
+                         {"engines", this->directory.Engines().Size()},
+                         {"answers_running", this->runner.Running()},
+                         {"service_calls_running", this->services.Running()},
+                         {"state", this->drain_began ? "leaving" : "live"}};
+    return status.dump() + "\n";
+  }
+
+  void BeginDrain() {
+    if (this->drain_began) return;
+    this->drain_began = this->loop.Now();
+    LOG(INFO) << "drain of " << this->settings.instance << " begins";
+    this->entries.Leave();
+    this->CheckDrain();
+  }
+
+  void CheckDrain() {
+    const Duration passed = this->loop.Now() - *this->drain_began;
+    if (passed >= this->settings.timeouts.entries_ttl) {
+      this->caller_server->StopListening();
+      const bool idle = this->runner.Running() == 0 &&
+                        this->services.Running() == 0 &&
+                        this->caller_server->OpenExchanges() == 0;
+      if (idle || passed >= this->settings.timeouts.drain) {
+        LOG(INFO) << "drain of " << this->settings.instance << " complete";
+        this->loop.Stop();
+        return;
+      }
+    }
+    this->loop.After(kDrainCheckPeriod, [this] { this->CheckDrain(); });
+  }
+
+  Result<void> OpenListeners() {
+    transport::ServerLimits limits;
+    limits.body_bytes = this->settings.limits.body_bytes;
+    limits.connections = this->settings.limits.connections;
+    BOOST_OUTCOME_TRY(for_callers, transport::HttpServer::Open(
+                                       this->settings.listen.callers, limits,
+                                       [this](const SharedExchange& exchange) {
+                                         this->loop.Post([this, exchange] {
+                                           this->callers.Serve(exchange);
+                                         });
+                                       }));
+    transport::ServerLimits admin_limits;
+    admin_limits.threads = 1;
+    BOOST_OUTCOME_TRY(
+        for_operators,
+        transport::HttpServer::Open(this->settings.listen.admin, admin_limits,
+                                    [this](const SharedExchange& exchange) {
+                                      this->loop.Post([this, exchange] {
+                                        this->admin.Serve(exchange);
+                                      });
+                                    }));
+    this->caller_server = std::move(for_callers);
+    this->admin_server = std::move(for_operators);
+    return Success();
+  }
+
+  settings::Settings settings;
+  std::string incarnation;
+  std::uint64_t seed;
+  transport::EventLoop loop;
+  transport::HttpClient client;
+  Metrics metrics;
+  Directory directory;
+  ConfigSync config;
+  AnswerRunner runner;
+  AnswerSessions sessions;
+  ServiceRunner services;
+  Entries entries;
+  CallerApi callers;
+  AdminApi admin;
+  std::unique_ptr<transport::HttpServer> caller_server;
+  std::unique_ptr<transport::HttpServer> admin_server;
+  std::optional<TimePoint> drain_began;
+};
+
+Router::Router(std::unique_ptr<Parts> parts) : parts(std::move(parts)) {}
+
+Router::~Router() = default;
+
+Result<std::unique_ptr<Router>> Router::Open(settings::Settings settings) {
+  auto parts = std::make_unique<Parts>(std::move(settings));
+  BOOST_OUTCOME_TRY(parts->OpenListeners());
+  return std::unique_ptr<Router>(new Router(std::move(parts)));
+}
+
+void Router::Run() {
+  this->parts->directory.Start();
+  this->parts->config.Start();
+  this->parts->sessions.Start();
+  LOG(INFO) << "instance " << this->parts->settings.instance
+            << " listens for callers on port "
+            << this->parts->caller_server->Port() << ", for operators on port "
+            << this->parts->admin_server->Port();
+  this->parts->loop.Run();
+}
+
+void Router::Drain() {
+  this->parts->loop.Post([this] { this->parts->BeginDrain(); });
+}
+
+}  // namespace toucanwharf::daemon
--- /dev/null
+++ b/lib/daemon/service_runner.cc
@@ -0,0 +1,156 @@
+#include "toucanwharf/daemon/service_runner.h"
+
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include "absl/strings/match.h"
+
+namespace toucanwharf::daemon {
+namespace {
+
+using transport::CallEnd;
+using transport::HttpCall;
+using transport::HttpOutcome;
+
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr std::size_t kMostTries = 3;
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr Duration kRetryAfter = std::chrono::seconds(2);
+constexpr const char* kRanHeader = "toucanwharf-ran";
+
+bool RefusedBeforeRunning(const HttpOutcome& outcome) {
+  if (outcome.status != kUnavailable) return false;
+  const auto ran = outcome.headers.find(kRanHeader);
+  return ran != outcome.headers.end() && ran->second == "no";
+}
+
+Refusal MakeRefusal(const ServiceJob& job, int status, const char* code,
+                    std::string message, pipeline::Ran ran) {
+  Refusal refusal;
+  refusal.status = status;
+  refusal.code = code;
+  refusal.message = std::move(message);
+  refusal.ran = ran;
+  refusal.retry_after = kRetryAfter;
+  refusal.request_id = job.request_id;
+  return refusal;
+}
+
+}  // namespace
+
+bool IsIdempotent(const records::Service& service, const std::string& method,
+                  const std::string& path) {
+  const records::ServiceCall* best = nullptr;
+  for (const records::ServiceCall& call : service.calls) {
+    if (call.method != method) continue;
+    if (!absl::StartsWith(path, call.path_prefix)) continue;
+    const bool longer =
+        best == nullptr || call.path_prefix.size() > best->path_prefix.size();
+    if (longer) best = &call;
+  }
+  return best != nullptr && best->idempotent;
+}
+
+/// One call under way, over all its tries.
+struct ServiceRunner::Call {
+  ServiceJob job;
+  Done done;
+  std::set<std::string> tried;
+  std::string endpoint;
+  // Whether an earlier try may have run; then "not run" would be a lie (I3).
+  bool may_have_run = false;
+};
+
+ServiceRunner::ServiceRunner(transport::HttpClient& client,
+                             Directory& directory, Metrics& metrics,
+                             std::uint64_t seed)
+    : client(client), directory(directory), metrics(metrics), random(seed) {}
+
+void ServiceRunner::Start(ServiceJob job, Done done) {
+  ++this->calls_running;
+  this->metrics.Count("toucanwharf_service_calls_total");
+  auto call = std::make_shared<Call>();
+  call->job = std::move(job);
+  call->done = std::move(done);
+  this->Try(call);
+}
+
+void ServiceRunner::Try(const std::shared_ptr<Call>& call) {
+  std::vector<Instance> usable;
+  for (Instance& instance :
+       this->directory.ServiceInstances(call->job.service.name)) {
+    if (!call->tried.contains(instance.id)) {
+      usable.push_back(std::move(instance));
+    }
+  }
+  if (usable.empty() || call->tried.size() >= kMostTries) {
+    const auto ran =
+        call->may_have_run ? pipeline::Ran::kUnknown : pipeline::Ran::kNo;
+    this->Finish(call, MakeRefusal(call->job, kUnavailable, "no_endpoint",
+                                   "no endpoint of the service can be reached; "
+                                   "come back later",
+                                   ran));
+    return;
+  }
+  const Instance& chosen = usable[this->random.Below(usable.size())];
+  call->tried.insert(chosen.id);
+  call->endpoint = chosen.id;
+  HttpCall http;
+  http.method = call->job.method;
+  http.url = "http://" + chosen.address + call->job.target;
+  if (!call->job.content_type.empty()) {
+    http.headers.emplace_back("Content-Type", call->job.content_type);
+  }
+  if (!call->job.idempotency_key.empty()) {
+    http.headers.emplace_back("Idempotency-Key", call->job.idempotency_key);
+  }
+  http.body = call->job.body;
+  http.connect_timeout = kConnectTimeout;
+  http.total_timeout = call->job.service.timeout;
+  http.reuse = call->job.idempotent ? transport::Reuse::kAllowed
+                                    : transport::Reuse::kNever;
+  const auto on_done = [this, call](const HttpOutcome& outcome) {
+    this->TakeOutcome(call, outcome);
+  };
+  this->client.Start(std::move(http), {nullptr, on_done});
+}
+
+void ServiceRunner::TakeOutcome(const std::shared_ptr<Call>& call,
+                                const HttpOutcome& outcome) {
+  const bool answered = outcome.end == CallEnd::kAnswered;
+  if (answered && !RefusedBeforeRunning(outcome)) {
+    ServiceAnswer answer;
+    answer.status = outcome.status;
+    answer.body = outcome.body;
+    const auto type = outcome.headers.find("content-type");
+    if (type != outcome.headers.end()) answer.content_type = type->second;
+    this->Finish(call, std::move(answer));
+    return;
+  }
+  const bool surely_not_run = answered || !outcome.sent;
+  if (!surely_not_run) call->may_have_run = true;
+  if (surely_not_run || call->job.idempotent) {
+    this->metrics.Count("toucanwharf_service_retries_total");
+    this->Try(call);
+    return;
+  }
+  const bool timed_out = outcome.end == CallEnd::kTimedOut;
+  this->Finish(
+      call,
+      MakeRefusal(call->job, timed_out ? kGatewayTimeout : kBadGateway,
+                  "outcome_unknown",
+                  "the endpoint did not answer after the call was sent; ask "
+                  "the service whether it ran before you send it anew",
+                  pipeline::Ran::kUnknown));
+}
+
+void ServiceRunner::Finish(const std::shared_ptr<Call>& call,
+                           ServiceResult result) {
+  --this->calls_running;
+  call->done(std::move(result));
+}
+
+}  // namespace toucanwharf::daemon
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -52,4 +52,12 @@
   target_compile_definitions(toucanwharf_command PRIVATE
     TOUCANWHARF_VERSION="${PROJECT_VERSION}")
   tw_program(toucanwharf tools/toucanwharf DEPS toucanwharf_command)
+  tw_package(daemon DEPS toucanwharf_transport toucanwharf_records
+    toucanwharf_settings toucanwharf_pipeline glog::glog)
+  # Boost 1.74's quantile accumulator trips this warning in g++ 12.
+  set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/daemon/metrics.cc
+    PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
+  tw_program(toucanwharfd tools/toucanwharfd DEPS toucanwharf_daemon)
+  target_compile_definitions(toucanwharfd PRIVATE
+    TOUCANWHARF_VERSION="${PROJECT_VERSION}")
 endif()
--- /dev/null
+++ b/tools/toucanwharfd/main.cc
@@ -0,0 +1,116 @@
+#include <glog/logging.h>
+#include <pthread.h>
+#include <signal.h>  // NOLINT(modernize-deprecated-headers): sigwait is POSIX
+#include <unistd.h>
+
+#include <csignal>
+#include <cxxopts.hpp>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <thread>
+
+#include "toucanwharf/daemon/router.h"
+#include "toucanwharf/settings/settings.h"
+
+namespace {
+
+using toucanwharf::daemon::Router;
+using toucanwharf::settings::ParseSettings;
+using toucanwharf::settings::Settings;
+
+constexpr int kExitOk = 0;
+constexpr int kExitBadUsage = 2;
+constexpr int kExitBadSettings = 3;
+constexpr int kExitCannotListen = 4;
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+std::optional<Settings> LoadSettings(const std::string& path) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    std::cerr << path << ": cannot be read; give an existing file\n";
+    return std::nullopt;
+  }
+  const auto parsed = ParseSettings(*text);
+  if (parsed) return parsed.value();
+  for (const auto& problem : parsed.error()) {
+    std::cerr << path << ": " << toucanwharf::schema::ToText(problem) << "\n";
+  }
+  return std::nullopt;
+}
+
+sigset_t StopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  return signals;
+}
+
+int Serve(const Settings& settings) {
+  // Blocked before any thread starts, so that only the waiting thread below
+  // gets them.
+  const sigset_t signals = StopSignals();
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  signal(SIGPIPE, SIG_IGN);
+  auto router = Router::Open(settings);
+  if (!router) {
+    std::cerr << "toucanwharfd: " << router.error().message() << "\n";
+    return kExitCannotListen;
+  }
+  std::thread waiter([&router, &signals] {
+    int signal_number = 0;
+    sigwait(&signals, &signal_number);
+    router.value()->Drain();
+  });
+  router.value()->Run();
+  // Wakes the waiter when the drain was asked for by an operator.
+  kill(getpid(), SIGTERM);
+  waiter.join();
+  return kExitOk;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  cxxopts::Options options("toucanwharfd", "The toucanwharf router.");
+  options.add_options()("settings", "Settings file (JSON)",
+                        cxxopts::value<std::string>())(
+      "check-settings", "Check the settings file and exit")(
+      "version", "Print the version")("h,help", "Print this help");
+  cxxopts::ParseResult arguments;
+  try {
+    arguments = options.parse(argc, argv);
+  } catch (const cxxopts::exceptions::exception& error) {
+    std::cerr << "toucanwharfd: " << error.what() << "; see --help\n";
+    return kExitBadUsage;
+  }
+  if (arguments.count("help") > 0) {
+    std::cout << options.help();
+    return kExitOk;
+  }
+  if (arguments.count("version") > 0) {
+    std::cout << "toucanwharfd " << TOUCANWHARF_VERSION << "\n";
+    return kExitOk;
+  }
+  if (arguments.count("settings") == 0) {
+    std::cerr << "toucanwharfd: --settings FILE is needed; see --help\n";
+    return kExitBadUsage;
+  }
+  const auto settings = LoadSettings(arguments["settings"].as<std::string>());
+  if (!settings) return kExitBadSettings;
+  if (arguments.count("check-settings") > 0) {
+    std::cout << "settings are right\n";
+    return kExitOk;
+  }
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(argv[0]);
+  return Serve(*settings);
+}
--- a/unittests/transport/http_test.cc
+++ b/unittests/transport/http_test.cc
@@ -154,7 +154,7 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto* raw = reinterpret_cast<sockaddr*>(&address);
     socklen_t size = sizeof(address);
-    bind(this->listener, raw, size);
+    BOOST_REQUIRE(bind(this->listener, raw, size) == 0);
     getsockname(this->listener, raw, &size);
     this->port = ntohs(address.sin_port);
     listen(this->listener, 8);
