Time line: what routers record of answers and drains

Cause: an operator could not see which attempt ran where and why an answer moved. Conclusion: each attempt, suspicion, recovery and end stands there with its request id.

--- a/include/toucanwharf/daemon/answer_runner.h
+++ b/include/toucanwharf/daemon/answer_runner.h
@@ -13,6 +13,7 @@
 #include "toucanwharf/pipeline/answer.h"
 #include "toucanwharf/pipeline/answer_machine.h"
 #include "toucanwharf/support/random.h"
+#include "toucanwharf/timeline/buffer.h"
 #include "toucanwharf/transport/event_loop.h"
 #include "toucanwharf/transport/event_stream.h"
 #include "toucanwharf/transport/http_client.h"
@@ -43,7 +44,8 @@
  public:
   /// Precondition: all references outlive the runner.
   AnswerRunner(transport::EventLoop& loop, transport::HttpClient& client,
-               Directory& directory, Metrics& metrics, std::uint64_t seed);
+               Directory& directory, Metrics& metrics, timeline::Buffer& events,
+               std::uint64_t seed);
   ~AnswerRunner();
   AnswerRunner(const AnswerRunner&) = delete;
   AnswerRunner& operator=(const AnswerRunner&) = delete;
@@ -81,11 +83,14 @@
   void TakeEnd(const Run& run, std::uint32_t attempt,
                const transport::HttpOutcome& outcome);
   void Close(const Run& run);
+  void Note(timeline::EventKind kind, const Run& run,
+            const std::string& endpoint, std::string reason);
 
   transport::EventLoop& loop;
   transport::HttpClient& client;
   Directory& directory;
   Metrics& metrics;
+  timeline::Buffer& events;
   Random random;
   std::map<std::string, Run> running;
 };
--- a/lib/daemon/answer_runner.cc
+++ b/lib/daemon/answer_runner.cc
@@ -6,7 +6,10 @@
 #include <utility>
 #include <variant>
 
+#include "absl/strings/str_cat.h"
 #include "toucanwharf/daemon/engine_protocol.h"
+#include "toucanwharf/support/clock.h"
+#include "toucanwharf/timeline/event.h"
 
 namespace toucanwharf::daemon {
 namespace {
@@ -27,6 +30,17 @@
   return refused && SaysNotRun(outcome.body);
 }
 
+/// "e1[0,16) e2[16,32) from token 4".
+std::string PlanText(const pipeline::StartAttempt& start) {
+  std::string text;
+  for (const pipeline::Stage& stage : start.plan.stages) {
+    absl::StrAppend(&text, stage.endpoint, "[", stage.layers.begin, ",",
+                    stage.layers.end, ") ");
+  }
+  absl::StrAppend(&text, "from token ", start.first_index);
+  return text;
+}
+
 pipeline::Event EndEvent(std::uint32_t attempt, const HttpOutcome& outcome) {
   if (outcome.end == CallEnd::kAnswered) {
     if (outcome.status == kOk) return pipeline::StreamEnded{attempt};
@@ -71,11 +85,13 @@
 
 AnswerRunner::AnswerRunner(transport::EventLoop& loop,
                            transport::HttpClient& client, Directory& directory,
-                           Metrics& metrics, std::uint64_t seed)
+                           Metrics& metrics, timeline::Buffer& events,
+                           std::uint64_t seed)
     : loop(loop),
       client(client),
       directory(directory),
       metrics(metrics),
+      events(events),
       random(seed) {}
 
 AnswerRunner::~AnswerRunner() = default;
@@ -132,6 +148,17 @@
   this->running.erase(run->job.request.id);
 }
 
+void AnswerRunner::Note(timeline::EventKind kind, const Run& run,
+                        const std::string& endpoint, std::string reason) {
+  timeline::EventDetails details;
+  details.kind = kind;
+  details.request = run->job.request.id;
+  details.endpoint = endpoint;
+  details.attempt = run->machine.Attempt();
+  details.reason = std::move(reason);
+  this->events.Add(WallMillis(), std::move(details));
+}
+
 void AnswerRunner::Perform(const Run& run,
                            const pipeline::RequestPlan& action) {
   pipeline::PlanQuery query;
@@ -163,6 +190,8 @@
   // The machine's own timer watches progress.
   call.total_timeout = Duration(0);
   if (action.fresh_connection) call.reuse = transport::Reuse::kNever;
+  this->Note(timeline::EventKind::kAttemptStarted, run,
+             action.plan.stages.front().endpoint, PlanText(action));
   const std::uint32_t attempt = action.attempt;
   transport::CallHandlers handlers;
   handlers.on_data = [this, run, attempt](std::string_view bytes) {
@@ -241,13 +270,17 @@
   }
 }
 
-void AnswerRunner::Perform(const Run& /*run*/,
-                           const pipeline::SuspectConnection& /*action*/) {
+void AnswerRunner::Perform(const Run& run,
+                           const pipeline::SuspectConnection& action) {
+  this->Note(timeline::EventKind::kConnectionSuspected, run, action.endpoint,
+             "silent while a fresh connection works");
   this->metrics.Count("toucanwharf_suspect_connections_total");
 }
 
-void AnswerRunner::Perform(const Run& /*run*/,
-                           const pipeline::SuspectEndpoint& /*action*/) {
+void AnswerRunner::Perform(const Run& run,
+                           const pipeline::SuspectEndpoint& action) {
+  this->Note(timeline::EventKind::kStageLost, run, action.endpoint,
+             "a fresh connection failed too, or its neighbour lost it");
   this->metrics.Count("toucanwharf_suspect_endpoints_total");
 }
 
@@ -258,8 +291,11 @@
       wait, [this, run] { this->Feed(run, pipeline::TimerFired{}); });
 }
 
-void AnswerRunner::Perform(const Run& /*run*/,
-                           const pipeline::Recovered& action) {
+void AnswerRunner::Perform(const Run& run, const pipeline::Recovered& action) {
+  this->Note(timeline::EventKind::kAnswerResumed, run, "",
+             absl::StrCat("noticed in ", action.noticing.count(),
+                          " us, replanned in ", action.replanning.count(),
+                          " us, resumed in ", action.resuming.count(), " us"));
   this->metrics.Count("toucanwharf_recoveries_total");
   this->metrics.Observe("toucanwharf_recovery_noticing_seconds",
                         action.noticing);
@@ -271,12 +307,16 @@
 
 void AnswerRunner::Perform(const Run& run, const pipeline::Finish& action) {
   this->metrics.Count("toucanwharf_answers_finished_total");
+  this->Note(timeline::EventKind::kAnswerFinished, run, "",
+             absl::StrCat(action.tokens, " tokens"));
   this->Close(run);
   run->handlers.on_finish(action);
 }
 
 void AnswerRunner::Perform(const Run& run, const pipeline::Fail& action) {
   this->metrics.Count("toucanwharf_answers_failed_total");
+  this->Note(timeline::EventKind::kAnswerFailed, run, "",
+             action.error.message());
   this->Close(run);
   run->handlers.on_fail(action);
 }
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -20,6 +20,9 @@
 #include "toucanwharf/daemon/service_runner.h"
 #include "toucanwharf/support/ids.h"
 #include "toucanwharf/support/random.h"
+#include "toucanwharf/timeline/buffer.h"
+#include "toucanwharf/timeline/codec.h"
+#include "toucanwharf/timeline/event.h"
 #include "toucanwharf/transport/event_loop.h"
 #include "toucanwharf/transport/http_client.h"
 #include "toucanwharf/transport/http_server.h"
@@ -30,6 +33,9 @@
 using Json = nlohmann::json;
 using SharedExchange = std::shared_ptr<transport::Exchange>;
 
+// Events that one answer of the time line holds; the reader asks again with
+// the last sequence.
+constexpr std::size_t kTimelinePage = 2000;
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
 
 std::uint64_t SeedFrom(const std::string& text) {
@@ -49,6 +55,7 @@
       : settings(std::move(new_settings)),
         incarnation(NewId()),
         seed(SeedFrom(this->incarnation)),
+        events(this->settings.instance, this->settings.limits.timeline_events),
         client(this->loop),
         directory(this->loop, this->client, this->metrics,
                   this->settings.platform_address,
@@ -56,7 +63,7 @@
         config(this->loop, this->client, this->metrics,
                this->settings.platform_address),
         runner(this->loop, this->client, this->directory, this->metrics,
-               this->seed),
+               this->events, this->seed),
         sessions(this->loop, this->runner, this->metrics),
         services(this->client, this->directory, this->metrics, this->seed),
         entries(this->directory, this->settings, this->seed),
@@ -67,7 +74,9 @@
   AdminPorts MakeAdminPorts() {
     AdminPorts ports;
     ports.status = [this] { return this->Status(); };
-    ports.timeline = [](std::uint64_t /*after*/) { return "{}"; };
+    ports.timeline = [this](std::uint64_t after) {
+      return timeline::ToJson(this->events.After(after, kTimelinePage));
+    };
     ports.metrics = [this] { return this->metrics.Render(); };
     ports.drain = [this] { this->BeginDrain(); };
     return ports;
@@ -85,10 +94,18 @@
     return status.dump() + "\n";
   }
 
+  void Note(timeline::EventKind kind) {
+    timeline::EventDetails details;
+    details.kind = kind;
+    details.endpoint = this->settings.instance;
+    this->events.Add(WallMillis(), std::move(details));
+  }
+
   void BeginDrain() {
     if (this->drain_began) return;
     this->drain_began = this->loop.Now();
     LOG(INFO) << "drain of " << this->settings.instance << " begins";
+    this->Note(timeline::EventKind::kDrainBegan);
     this->entries.Leave();
     this->CheckDrain();
   }
@@ -138,6 +155,7 @@
   settings::Settings settings;
   std::string incarnation;
   std::uint64_t seed;
+  timeline::Buffer events;
   transport::EventLoop loop;
   transport::HttpClient client;
   Metrics metrics;
@@ -165,6 +183,7 @@
 }
 
 void Router::Run() {
+  this->parts->Note(timeline::EventKind::kStarted);
   this->parts->directory.Start();
   this->parts->config.Start();
   this->parts->sessions.Start();
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -53,7 +53,7 @@
     TOUCANWHARF_VERSION="${PROJECT_VERSION}")
   tw_program(toucanwharf tools/toucanwharf DEPS toucanwharf_command)
   tw_package(daemon DEPS toucanwharf_transport toucanwharf_records
-    toucanwharf_settings toucanwharf_pipeline glog::glog)
+    toucanwharf_settings toucanwharf_pipeline toucanwharf_timeline glog::glog)
   # Boost 1.74's quantile accumulator trips this warning in g++ 12.
   set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/daemon/metrics.cc
     PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
