Command: status of records as text, apply waits until they are in force

Cause: the acceptance of records reports a state per record; as raw JSON nobody reads it, and scripts need to know when a change holds everywhere.

--- a/lib/command/records_subcommands.cc
+++ b/lib/command/records_subcommands.cc
@@ -1,10 +1,13 @@
 #include <algorithm>
+#include <chrono>
 #include <cxxopts.hpp>
 #include <map>
 #include <ostream>
+#include <thread>
 
 #include "options.h"
 #include "record_files.h"
+#include "record_status.h"
 #include "subcommands.h"
 
 namespace toucanwharf::command {
@@ -14,6 +17,7 @@
 using records::Record;
 
 constexpr const char* kCollection = "records";
+constexpr Duration kStatusPause = std::chrono::milliseconds(100);
 
 std::vector<Record> RecordsIn(const store::Listing& listing) {
   std::vector<Record> found;
@@ -99,6 +103,32 @@
               << applied.version << "\n";
 }
 
+/// Waits until what was \p applied is in force on every router, and prints the
+/// status of each record that isn't by then.
+int AwaitInForce(const Platform& platform, const std::vector<Applied>& applied,
+                 Duration patience, Streams& streams) {
+  const TimePoint deadline = BootClock().Now() + patience;
+  for (const Applied& record : applied) {
+    RecordStatus status;
+    while (true) {
+      const auto object = platform.Read({"status", record.key});
+      if (object) status = ParseRecordStatus(object.value().value);
+      if (InForceEverywhere(status, record.version)) break;
+      if (IsRejected(status, record.version)) {
+        return Fail(streams, CommandError::kRefused,
+                    record.key + " " + ToText(status));
+      }
+      if (BootClock().Now() >= deadline) {
+        return Fail(streams, CommandError::kOutcomeUnknown,
+                    record.key + " not in force everywhere: " + ToText(status));
+      }
+      std::this_thread::sleep_for(kStatusPause);
+    }
+    streams.err << record.key << " " << ToText(status) << "\n";
+  }
+  return kExitOk;
+}
+
 int Apply(const Arguments& arguments, Streams& streams) {
   if (arguments.Positional().empty()) {
     return Fail(streams, CommandError::kBadUsage, "no FILE");
@@ -115,6 +145,7 @@
     return Report(files.problems, arguments.Json(), streams);
   }
   int exit_code = kExitOk;
+  std::vector<Applied> done;
   for (const FileRecord& record : files.records) {
     const auto applied = ApplyOne(platform.value(), record);
     if (!applied) {
@@ -122,8 +153,12 @@
       continue;
     }
     Print(applied.value(), arguments.Json(), streams);
+    done.push_back(applied.value());
   }
-  return exit_code;
+  const std::uint64_t wait = arguments.Number("wait-ms");
+  if (exit_code != kExitOk || wait == 0) return exit_code;
+  return AwaitInForce(platform.value(), done, std::chrono::milliseconds(wait),
+                      streams);
 }
 
 int Get(const Arguments& arguments, Streams& streams) {
@@ -175,6 +210,14 @@
                         "also check that what the records name is among them");
 }
 
+void AddApplyOptions(cxxopts::Options& options) {
+  AddPlatformOptions(options);
+  options.add_options()("wait-ms",
+                        "wait so long for the records to be in force on every "
+                        "router (0: don't wait)",
+                        cxxopts::value<std::uint64_t>()->default_value("0"));
+}
+
 void AddDeleteOptions(cxxopts::Options& options) {
   AddPlatformOptions(options);
   options.add_options()(
@@ -191,7 +234,7 @@
 
 Subcommand ApplySubcommand() {
   return {"apply", "Write the records of files to the platform",
-          "FILE|FOLDER...", AddPlatformOptions, Apply};
+          "FILE|FOLDER...", AddApplyOptions, Apply};
 }
 
 Subcommand GetSubcommand() {
--- a/lib/command/router_subcommands.cc
+++ b/lib/command/router_subcommands.cc
@@ -1,9 +1,10 @@
 #include <algorithm>
 #include <cxxopts.hpp>
-#include <fstream>
 #include <ostream>
 
+#include "absl/strings/match.h"
 #include "options.h"
+#include "record_status.h"
 #include "subcommands.h"
 #include "toucanwharf/command/http.h"
 #include "toucanwharf/timeline/codec.h"
@@ -18,6 +19,7 @@
 
 constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
+constexpr const char* kReportPrefix = "router.";
 
 bool IsOk(const HttpOutcome& outcome) {
   return outcome.end == CallEnd::kAnswered && outcome.status == kOk;
@@ -87,6 +89,8 @@
   }
   json record_list = json::object();
   for (const store::Object& object : records.objects) {
+    // What each router reports of itself, for the acceptance of records.
+    if (absl::StartsWith(object.key.name, kReportPrefix)) continue;
     record_list[object.key.name] = json::parse(object.value);
   }
   return {{"configuration", Summary(routers)},
@@ -107,7 +111,8 @@
     out << "\n";
   }
   for (const auto& [name, value] : status["records"].items()) {
-    out << "record " << name << ": " << value.dump() << "\n";
+    out << "record " << name << ": " << ToText(ParseRecordStatus(value.dump()))
+        << "\n";
   }
 }
 
