--- a/lib/command/router_subcommands.cc
+++ b/lib/command/router_subcommands.cc
@@ -187,17 +187,38 @@
   return exit_code;
 }
 
+/// Reads one router's whole buffer, page by page.
+Result<timeline::Page> AskTimeline(const Arguments& arguments,
+                                   const std::string& admin, Streams& streams) {
+  timeline::Page whole;
+  std::uint64_t after = 0;
+  while (true) {
+    const HttpOutcome outcome =
+        Ask(arguments, "GET", admin,
+            "/admin/timeline?after=" + std::to_string(after));
+    if (!IsOk(outcome)) {
+      streams.err << admin << ": " << Explain(outcome) << "\n";
+      return ErrorOf(outcome);
+    }
+    BOOST_OUTCOME_TRY(page, timeline::ParsePage(outcome.body));
+    whole.instance = page.instance;
+    whole.dropped = page.dropped;
+    if (page.events.empty()) return whole;
+    const std::uint64_t last = page.events.back().sequence;
+    // A router that counts back would be asked for ever.
+    if (last <= after) return whole;
+    after = last;
+    whole.events.insert(whole.events.end(), page.events.begin(),
+                        page.events.end());
+  }
+}
+
 std::vector<timeline::Page> AskTimelines(const Arguments& arguments,
                                          const std::vector<std::string>& admins,
                                          Streams& streams) {
   std::vector<timeline::Page> pages;
   for (const std::string& admin : admins) {
-    const HttpOutcome outcome = Ask(arguments, "GET", admin, "/admin/timeline");
-    if (!IsOk(outcome)) {
-      streams.err << admin << ": " << Explain(outcome) << "\n";
-      continue;
-    }
-    auto page = timeline::ParsePage(outcome.body);
+    auto page = AskTimeline(arguments, admin, streams);
     if (!page) {
       streams.err << admin << ": " << page.error().message() << "\n";
       continue;
