Caller interface: wrong input, idle connections, resumes and a drain, tested

Cause: the interface was tried by hand only. Ruled out: timed checks of a drain's advice, which a busy machine fails.

--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -26,3 +26,4 @@
 endfunction()
 
 tw_process_test(recovery)
+tw_process_test(caller_interface)
