Routers know each other; bench of what control costs

Cause: entry advice followed the platform's lagging list alone, and no figure of control's cost existed.

Change: each router joins membership, tells when it drains, leaves routers that left or died out of its advice before the list does, and says in its status who is there. Generations travel as items; fetching a newer one from a peer is wired to ports that the configuration service fills. bench_capacity starts real routers on loopback and prints their CPU, memory, bytes and platform calls, idle and under change, the time from write to in force and until a death is known.

--- a/include/toucanwharf/daemon/entries.h
+++ b/include/toucanwharf/daemon/entries.h
@@ -1,7 +1,10 @@
 #ifndef TOUCANWHARF_DAEMON_ENTRIES_H_
 #define TOUCANWHARF_DAEMON_ENTRIES_H_
 
+#include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
 
 #include "toucanwharf/daemon/directory.h"
 #include "toucanwharf/settings/settings.h"
@@ -20,6 +23,12 @@
   /// Returns the advice for \p customer as JSON.
   std::string Advice(const std::string& customer);
 
+  /// Sets who tells which routers left or died, before the platform's list
+  /// does: callers must not be sent to them (I5).
+  void SetGone(std::function<bool(const std::string& id)> source) {
+    this->is_gone = std::move(source);
+  }
+
   /// From now on this instance is in no advice of its own (I6).
   void Leave() { this->leaving = true; }
 
@@ -27,6 +36,7 @@
   const Directory& directory;
   const settings::Settings& settings;
   Random random;
+  std::function<bool(const std::string& id)> is_gone;
   bool leaving = false;
 };
 
--- a/include/toucanwharf/exchange/peer_exchange.h
+++ b/include/toucanwharf/exchange/peer_exchange.h
@@ -63,6 +63,9 @@
                const std::string& value);
   /// Returns the members not known to be dead, this one included.
   std::vector<membership::Member> Present() const;
+  /// Returns whether \p id said that it leaves, or is known to be dead. Of an
+  /// instance never heard of, nothing is known.
+  bool IsGone(const std::string& id) const;
   /// Returns all members' items of \p kind.
   std::vector<membership::Item> Items(membership::ItemKind kind) const;
   /// Returns whether this router is one of the \p count that watch
--- a/lib/daemon/entries.cc
+++ b/lib/daemon/entries.cc
@@ -18,6 +18,7 @@
   std::vector<Json> lines;
   for (const Instance& instance : this->directory.Of(Role::kRouter)) {
     if (instance.leaving || instance.id == this->settings.instance) continue;
+    if (this->is_gone && this->is_gone(instance.id)) continue;
     lines.push_back({{"instance", instance.id},
                      {"address", instance.address},
                      {"failure_domain", instance.failure_domain}});
--- /dev/null
+++ b/lib/daemon/fleet_sync.cc
@@ -0,0 +1,107 @@
+#include "toucanwharf/daemon/fleet_sync.h"
+
+#include <chrono>
+#include <map>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+
+namespace toucanwharf::daemon {
+namespace {
+
+/// As often as the platform's list is read; it only names whom to probe.
+constexpr Duration kPeriod = std::chrono::seconds(1);
+constexpr Duration kFetchTimeout = std::chrono::seconds(2);
+
+exchange::Ports PortsOf(const ConfigPorts& config) {
+  exchange::Ports ports;
+  ports.config = config.update_for;
+  // Answers are resumed where they run; no other router asks for them yet.
+  ports.answer = [](const std::string&, std::uint64_t, const std::string&,
+                    const peers::AnswerSink& sink) { sink.end(false); };
+  return ports;
+}
+
+}  // namespace
+
+FleetSync::FleetSync(transport::EventLoop& loop,
+                     const settings::Settings& settings,
+                     const Directory& directory, Metrics& metrics,
+                     ConfigPorts config, std::uint64_t seed)
+    : loop(loop),
+      settings(settings),
+      directory(directory),
+      metrics(metrics),
+      config(std::move(config)),
+      random(seed),
+      peers(loop, settings, PortsOf(this->config)) {}
+
+Result<void> FleetSync::Start() {
+  BOOST_OUTCOME_TRY(this->peers.Start());
+  this->Tick();
+  return Success();
+}
+
+void FleetSync::Tick() {
+  std::vector<membership::Seed> seeds;
+  for (const Instance& instance : this->directory.Of(Role::kRouter)) {
+    if (instance.peer_address.empty()) continue;
+    seeds.push_back({instance.id, instance.peer_address});
+  }
+  this->peers.OnList(seeds);
+  this->peers.Publish(membership::ItemKind::kGeneration, "",
+                      std::to_string(this->config.generation()));
+  this->FetchFromNewer();
+  this->Report();
+  this->loop.After(kPeriod, [this] { this->Tick(); });
+}
+
+void FleetSync::FetchFromNewer() {
+  if (this->fetching) return;
+  std::map<std::string, std::string> addresses;
+  for (const membership::Member& member : this->peers.Present()) {
+    addresses[member.id] = member.address;
+  }
+  const std::uint64_t own = this->config.generation();
+  std::vector<std::string> newer;
+  for (const auto& item :
+       this->peers.Items(membership::ItemKind::kGeneration)) {
+    std::uint64_t generation = 0;
+    const bool number = absl::SimpleAtoi(item.value, &generation);
+    if (!number) continue;
+    if (generation <= own || !addresses.contains(item.name.owner)) continue;
+    newer.push_back(addresses.at(item.name.owner));
+  }
+  if (newer.empty()) return;
+  // Any of them, so that not all routers ask the same one after a change.
+  const std::string& address = newer[this->random.Below(newer.size())];
+  this->fetching = true;
+  this->metrics.Count("toucanwharf_peer_config_fetches_total");
+  this->peers.Client().FetchConfig(address, own, kFetchTimeout,
+                                   [this](const Result<std::string>& update) {
+                                     this->fetching = false;
+                                     if (!update) return;
+                                     this->config.take_update(update.value());
+                                   });
+}
+
+void FleetSync::Report() {
+  const exchange::Counters counts = this->peers.Counts();
+  const auto set = [this](const char* name, std::uint64_t value) {
+    this->metrics.Set(name, static_cast<double>(value));
+  };
+  set("toucanwharf_members", this->peers.Present().size());
+  set("toucanwharf_peer_probes_sent", counts.probes_sent);
+  set("toucanwharf_peer_probes_received", counts.probes_received);
+  set("toucanwharf_peer_probes_failed", counts.probes_failed);
+  set("toucanwharf_peer_bytes_sent", counts.bytes_sent);
+  set("toucanwharf_peer_bytes_received", counts.bytes_received);
+}
+
+std::vector<std::string> FleetSync::Present() const {
+  std::vector<std::string> ids;
+  for (const auto& member : this->peers.Present()) ids.push_back(member.id);
+  return ids;
+}
+
+}  // namespace toucanwharf::daemon
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -16,6 +16,7 @@
 #include "toucanwharf/daemon/config_sync.h"
 #include "toucanwharf/daemon/directory.h"
 #include "toucanwharf/daemon/entries.h"
+#include "toucanwharf/daemon/fleet_sync.h"
 #include "toucanwharf/daemon/metrics.h"
 #include "toucanwharf/daemon/service_runner.h"
 #include "toucanwharf/support/ids.h"
@@ -62,6 +63,8 @@
                   this->settings.failure_domain),
         config(this->loop, this->client, this->metrics,
                this->settings.platform_address),
+        fleet(this->loop, this->settings, this->directory, this->metrics,
+              this->MakeConfigPorts(), this->seed),
         runner(this->loop, this->client, this->directory, this->metrics,
                this->events, this->seed),
         sessions(this->loop, this->runner, this->metrics),
@@ -69,7 +72,18 @@
         entries(this->directory, this->settings, this->seed),
         callers(this->loop, this->settings, this->config, this->sessions,
                 this->services, this->entries, this->metrics),
-        admin(this->settings.admin_key, this->MakeAdminPorts()) {}
+        admin(this->settings.admin_key, this->MakeAdminPorts()) {
+    this->entries.SetGone(
+        [this](const std::string& id) { return this->fleet.IsGone(id); });
+  }
+
+  ConfigPorts MakeConfigPorts() {
+    ConfigPorts ports;
+    ports.generation = [this] { return this->config.Catalog().generation; };
+    ports.update_for = [](std::uint64_t /*since*/) { return std::nullopt; };
+    ports.take_update = [](const std::string& /*text*/) { return false; };
+    return ports;
+  }
 
   AdminPorts MakeAdminPorts() {
     AdminPorts ports;
@@ -88,6 +102,7 @@
                          {"failure_domain", this->settings.failure_domain},
                          {"generation", this->config.Catalog().generation},
                          {"engines", this->directory.Engines().Size()},
+                         {"members", this->fleet.Present()},
                          {"answers_running", this->runner.Running()},
                          {"service_calls_running", this->services.Running()},
                          {"state", this->drain_began ? "leaving" : "live"}};
@@ -107,6 +122,7 @@
     LOG(INFO) << "drain of " << this->settings.instance << " begins";
     this->Note(timeline::EventKind::kDrainBegan);
     this->entries.Leave();
+    this->fleet.Leave();
     this->CheckDrain();
   }
 
@@ -147,6 +163,7 @@
                                         this->admin.Serve(exchange);
                                       });
                                     }));
+    BOOST_OUTCOME_TRY(this->fleet.Start());
     this->caller_server = std::move(for_callers);
     this->admin_server = std::move(for_operators);
     return Success();
@@ -161,6 +178,7 @@
   Metrics metrics;
   Directory directory;
   ConfigSync config;
+  FleetSync fleet;
   AnswerRunner runner;
   AnswerSessions sessions;
   ServiceRunner services;
--- a/lib/exchange/peer_exchange.cc
+++ b/lib/exchange/peer_exchange.cc
@@ -150,6 +150,12 @@
   return this->members.Present();
 }
 
+bool PeerExchange::IsGone(const std::string& id) const {
+  const membership::Member* member = this->members.Beliefs().Find(id);
+  if (member == nullptr) return false;
+  return member->leaving || member->status == membership::Status::kDead;
+}
+
 std::vector<membership::Item> PeerExchange::Items(
     membership::ItemKind kind) const {
   return this->members.Beliefs().Items(kind);
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -53,11 +53,17 @@
     TOUCANWHARF_VERSION="${PROJECT_VERSION}")
   tw_program(toucanwharf tools/toucanwharf DEPS toucanwharf_command)
   tw_package(daemon DEPS toucanwharf_transport toucanwharf_records
-    toucanwharf_settings toucanwharf_pipeline toucanwharf_timeline glog::glog)
+    toucanwharf_settings toucanwharf_pipeline toucanwharf_timeline
+    toucanwharf_exchange glog::glog)
   # Boost 1.74's quantile accumulator trips this warning in g++ 12.
   set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/daemon/metrics.cc
     PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
   tw_program(toucanwharfd tools/toucanwharfd DEPS toucanwharf_daemon)
   target_compile_definitions(toucanwharfd PRIVATE
     TOUCANWHARF_VERSION="${PROJECT_VERSION}")
+  tw_program(bench_capacity bench/capacity DEPS toucanwharf_support CURL::libcurl)
+  target_sources(bench_capacity PRIVATE test/process/process.cc)
+  target_include_directories(bench_capacity PRIVATE ${CMAKE_SOURCE_DIR})
+  target_compile_definitions(bench_capacity PRIVATE
+    TOUCANWHARF_BUILD_DIR="${CMAKE_BINARY_DIR}")
 endif()
--- a/test/process/fixture.h
+++ b/test/process/fixture.h
@@ -33,6 +33,8 @@
   /// the rest of it. Throws std::runtime_error if the output ends first.
   std::string WaitForLine(const std::string& word);
 
+  /// Returns its process id, for what /proc tells of it.
+  pid_t Pid() const { return this->pid; }
   /// Sends \p signal_number; without effect once it was reaped.
   void Signal(int signal_number) const;
   /// Kills the process (SIGKILL) and waits for its end.
