--- a/include/toucanwharf/daemon/caller_api.h
+++ b/include/toucanwharf/daemon/caller_api.h
@@ -9,10 +9,10 @@
 #include <string>
 
 #include "toucanwharf/daemon/answer_sessions.h"
-#include "toucanwharf/daemon/config_sync.h"
 #include "toucanwharf/daemon/entries.h"
 #include "toucanwharf/daemon/metrics.h"
 #include "toucanwharf/daemon/service_runner.h"
+#include "toucanwharf/platform/config_service.h"
 #include "toucanwharf/settings/settings.h"
 #include "toucanwharf/transport/http_server.h"
 
@@ -24,7 +24,7 @@
  public:
   /// Precondition: all references outlive the object.
   CallerApi(transport::EventLoop& loop, const settings::Settings& settings,
-            const ConfigSync& config, AnswerSessions& sessions,
+            const platform::ConfigService& config, AnswerSessions& sessions,
             ServiceRunner& services, Entries& entries, Metrics& metrics);
 
   /// Serves one request. Precondition: the exchange has no answer yet.
@@ -52,7 +52,7 @@
 
   transport::EventLoop& loop;
   const settings::Settings& settings;
-  const ConfigSync& config;
+  const platform::ConfigService& config;
   AnswerSessions& sessions;
   ServiceRunner& services;
   Entries& entries;
--- a/include/toucanwharf/daemon/service_runner.h
+++ b/include/toucanwharf/daemon/service_runner.h
@@ -12,6 +12,7 @@
 #include "toucanwharf/daemon/directory.h"
 #include "toucanwharf/daemon/metrics.h"
 #include "toucanwharf/daemon/refusal.h"
+#include "toucanwharf/platform/once_journal.h"
 #include "toucanwharf/records/records.h"
 #include "toucanwharf/support/random.h"
 #include "toucanwharf/transport/http_client.h"
@@ -56,7 +57,9 @@
 ///
 /// An idempotent call is tried at up to three endpoints. A non-idempotent one
 /// goes to another endpoint only if surely no byte of it was sent, or the
-/// endpoint said that it did not run (I3, I4).
+/// endpoint said that it did not run (I3, I4). With a key of the caller's own
+/// it is claimed in the journal before the first byte goes out, so that a
+/// repeat through any router doesn't run again and gets the first answer.
 /// Thread safety: none; for the loop's thread.
 class ServiceRunner {
  public:
@@ -64,7 +67,8 @@
 
   /// Precondition: all references outlive the runner.
   ServiceRunner(transport::HttpClient& client, Directory& directory,
-                Metrics& metrics, std::uint64_t seed);
+                platform::OnceJournal& journal, Metrics& metrics,
+                std::uint64_t seed);
 
   /// Begins a call; \p done comes once.
   void Start(ServiceJob job, Done done);
@@ -75,6 +79,9 @@
  private:
   struct Call;
 
+  void ClaimKey(const std::shared_ptr<Call>& call);
+  void TakeVerdict(const std::shared_ptr<Call>& call, once::Verdict verdict);
+  void Conclude(const Call& call, const ServiceResult& result);
   void Try(const std::shared_ptr<Call>& call);
   void TakeOutcome(const std::shared_ptr<Call>& call,
                    const transport::HttpOutcome& outcome);
@@ -82,6 +89,7 @@
 
   transport::HttpClient& client;
   Directory& directory;
+  platform::OnceJournal& journal;
   Metrics& metrics;
   Random random;
   std::size_t calls_running = 0;
--- a/include/toucanwharf/once/entry.h
+++ b/include/toucanwharf/once/entry.h
@@ -36,9 +36,9 @@
 struct Outcome {
   int status = 0;
   std::string content_type;
-  /// At most kMaxKeptBody bytes; see `whole`.
+  /// At most kMaxKeptBody bytes of UTF-8; see `whole`.
   std::string body;
-  /// False when the body was too long to keep.
+  /// False when the body couldn't be kept; then it is empty.
   bool whole = true;
 
   friend bool operator==(const Outcome&, const Outcome&) = default;
--- a/include/toucanwharf/once/segment.h
+++ b/include/toucanwharf/once/segment.h
@@ -29,6 +29,11 @@
   friend bool operator==(const Segment&, const Segment&) = default;
 };
 
+/// Returns whether \p body can be kept: not too long, and text that JSON
+/// carries unchanged. A repeat must get the first answer or none, never a part.
+/// Thread safety: safe.
+bool CanKeep(const std::string& body);
+
 /// Returns one entry as JSON text.
 /// Thread safety: safe.
 std::string EncodeEntry(const Entry& entry);
--- a/lib/daemon/caller_api.cc
+++ b/lib/daemon/caller_api.cc
@@ -106,9 +106,9 @@
 
 CallerApi::CallerApi(transport::EventLoop& loop,
                      const settings::Settings& settings,
-                     const ConfigSync& config, AnswerSessions& sessions,
-                     ServiceRunner& services, Entries& entries,
-                     Metrics& metrics)
+                     const platform::ConfigService& config,
+                     AnswerSessions& sessions, ServiceRunner& services,
+                     Entries& entries, Metrics& metrics)
     : loop(loop),
       settings(settings),
       config(config),
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -13,12 +13,14 @@
 #include "toucanwharf/daemon/answer_runner.h"
 #include "toucanwharf/daemon/answer_sessions.h"
 #include "toucanwharf/daemon/caller_api.h"
-#include "toucanwharf/daemon/config_sync.h"
 #include "toucanwharf/daemon/directory.h"
 #include "toucanwharf/daemon/entries.h"
 #include "toucanwharf/daemon/fleet_sync.h"
 #include "toucanwharf/daemon/metrics.h"
 #include "toucanwharf/daemon/service_runner.h"
+#include "toucanwharf/platform/client.h"
+#include "toucanwharf/platform/config_service.h"
+#include "toucanwharf/platform/once_journal.h"
 #include "toucanwharf/support/ids.h"
 #include "toucanwharf/support/random.h"
 #include "toucanwharf/timeline/buffer.h"
@@ -61,14 +63,18 @@
         directory(this->loop, this->client, this->metrics,
                   this->settings.platform_address,
                   this->settings.failure_domain),
-        config(this->loop, this->client, this->metrics,
-               this->settings.platform_address),
+        platform(this->loop, this->client, this->settings.platform_address,
+                 this->seed),
+        config(this->loop, this->platform, this->settings.instance,
+               this->incarnation),
+        journal(this->loop, this->platform, this->incarnation),
         fleet(this->loop, this->settings, this->directory, this->metrics,
               this->MakeConfigPorts(), this->seed),
         runner(this->loop, this->client, this->directory, this->metrics,
                this->events, this->seed),
         sessions(this->loop, this->runner, this->metrics),
-        services(this->client, this->directory, this->metrics, this->seed),
+        services(this->client, this->directory, this->journal, this->metrics,
+                 this->seed),
         entries(this->directory, this->settings, this->seed),
         callers(this->loop, this->settings, this->config, this->sessions,
                 this->services, this->entries, this->metrics),
@@ -80,8 +86,12 @@
   ConfigPorts MakeConfigPorts() {
     ConfigPorts ports;
     ports.generation = [this] { return this->config.Catalog().generation; };
-    ports.update_for = [](std::uint64_t /*since*/) { return std::nullopt; };
-    ports.take_update = [](const std::string& /*text*/) { return false; };
+    ports.update_for = [this](std::uint64_t since) {
+      return this->config.UpdateFor(since);
+    };
+    ports.take_update = [this](const std::string& text) {
+      return this->config.OnPeerUpdate(text);
+    };
     return ports;
   }
 
@@ -96,11 +106,27 @@
     return ports;
   }
 
+  /// Tells the configuration who is live, and the metrics what is in force.
+  void ConnectConfig() {
+    this->config.SetLiveRouters([this] {
+      std::vector<std::string> ids;
+      for (const Instance& router : this->directory.Of(Role::kRouter)) {
+        ids.push_back(router.id);
+      }
+      return ids;
+    });
+    this->config.OnChange([this] {
+      this->metrics.Set("toucanwharf_config_generation",
+                        static_cast<double>(this->config.Catalog().generation));
+    });
+  }
+
   std::string Status() const {
     const Json status = {{"instance", this->settings.instance},
                          {"incarnation", this->incarnation},
                          {"failure_domain", this->settings.failure_domain},
                          {"generation", this->config.Catalog().generation},
+                         {"accepts_records", this->config.Holds()},
                          {"engines", this->directory.Engines().Size()},
                          {"members", this->fleet.Present()},
                          {"answers_running", this->runner.Running()},
@@ -123,6 +149,7 @@
     this->Note(timeline::EventKind::kDrainBegan);
     this->entries.Leave();
     this->fleet.Leave();
+    this->config.Leave();
     this->CheckDrain();
   }
 
@@ -131,7 +158,7 @@
     if (passed >= this->settings.timeouts.entries_ttl) {
       this->caller_server->StopListening();
       const bool idle = this->runner.Running() == 0 &&
-                        this->services.Running() == 0 &&
+                        this->services.Running() == 0 && this->journal.Idle() &&
                         this->caller_server->OpenExchanges() == 0;
       if (idle || passed >= this->settings.timeouts.drain) {
         LOG(INFO) << "drain of " << this->settings.instance << " complete";
@@ -177,7 +204,9 @@
   transport::HttpClient client;
   Metrics metrics;
   Directory directory;
-  ConfigSync config;
+  platform::Client platform;
+  platform::ConfigService config;
+  platform::OnceJournal journal;
   FleetSync fleet;
   AnswerRunner runner;
   AnswerSessions sessions;
@@ -203,6 +232,7 @@
 void Router::Run() {
   this->parts->Note(timeline::EventKind::kStarted);
   this->parts->directory.Start();
+  this->parts->ConnectConfig();
   this->parts->config.Start();
   this->parts->sessions.Start();
   LOG(INFO) << "instance " << this->parts->settings.instance
--- a/lib/daemon/service_runner.cc
+++ b/lib/daemon/service_runner.cc
@@ -1,5 +1,6 @@
 #include "toucanwharf/daemon/service_runner.h"
 
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <utility>
@@ -13,7 +14,13 @@
 using transport::HttpCall;
 using transport::HttpOutcome;
 
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
 constexpr int kUnavailable = 503;
+/// How long a call waits for its claim. A store that answers within its usual
+/// milliseconds never comes near; in an outage the caller hears soon.
+constexpr Duration kClaimPatience = std::chrono::seconds(3);
 constexpr int kBadGateway = 502;
 constexpr int kGatewayTimeout = 504;
 constexpr std::size_t kMostTries = 3;
@@ -39,6 +46,50 @@
   return refusal;
 }
 
+int StatusOf(once::OnceError reason) {
+  switch (reason) {
+    case once::OnceError::kKeyMalformed:
+      return kBadRequest;
+    case once::OnceError::kKeyReused:
+      return kUnprocessable;
+    case once::OnceError::kKeyTooOld:
+    case once::OnceError::kInProgress:
+    case once::OnceError::kOutcomeLost:
+      return kConflict;
+    case once::OnceError::kJournalFull:
+    case once::OnceError::kJournalUnreachable:
+      return kUnavailable;
+  }
+  return kUnavailable;
+}
+
+const char* CodeOf(once::OnceError reason) {
+  switch (reason) {
+    case once::OnceError::kKeyMalformed:
+      return "bad_idempotency_key";
+    case once::OnceError::kKeyReused:
+      return "idempotency_key_reused";
+    case once::OnceError::kKeyTooOld:
+      return "idempotency_key_too_old";
+    case once::OnceError::kInProgress:
+      return "in_progress";
+    case once::OnceError::kOutcomeLost:
+      return "outcome_unknown";
+    case once::OnceError::kJournalFull:
+      return "journal_full";
+    case once::OnceError::kJournalUnreachable:
+      return "journal_unreachable";
+  }
+  return "journal_unreachable";
+}
+
+Refusal RefusalOf(const ServiceJob& job, const once::Refused& refused) {
+  const auto ran = refused.ran == once::Ran::kNo ? pipeline::Ran::kNo
+                                                 : pipeline::Ran::kUnknown;
+  return MakeRefusal(job, StatusOf(refused.reason), CodeOf(refused.reason),
+                     once::make_error_code(refused.reason).message(), ran);
+}
+
 }  // namespace
 
 bool IsIdempotent(const records::Service& service, const std::string& method,
@@ -62,12 +113,21 @@
   std::string endpoint;
   // Whether an earlier try may have run; then "not run" would be a lie (I3).
   bool may_have_run = false;
+  /// What the journal knows the call by, once its key is granted.
+  platform::OnceRequest request;
+  std::string claim;
+  bool granted = false;
 };
 
 ServiceRunner::ServiceRunner(transport::HttpClient& client,
-                             Directory& directory, Metrics& metrics,
+                             Directory& directory,
+                             platform::OnceJournal& journal, Metrics& metrics,
                              std::uint64_t seed)
-    : client(client), directory(directory), metrics(metrics), random(seed) {}
+    : client(client),
+      directory(directory),
+      journal(journal),
+      metrics(metrics),
+      random(seed) {}
 
 void ServiceRunner::Start(ServiceJob job, Done done) {
   ++this->calls_running;
@@ -75,9 +135,72 @@
   auto call = std::make_shared<Call>();
   call->job = std::move(job);
   call->done = std::move(done);
+  // A call without a key of the caller's own can't come again: it needs no
+  // claim, and "not run" is known without the platform.
+  const bool keyed = !call->job.idempotent &&
+                     call->job.idempotency_key != call->job.request_id;
+  if (keyed) {
+    this->ClaimKey(call);
+    return;
+  }
   this->Try(call);
 }
 
+void ServiceRunner::ClaimKey(const std::shared_ptr<Call>& call) {
+  const ServiceJob& job = call->job;
+  call->request.customer = job.customer;
+  call->request.service = job.service.name;
+  call->request.idempotency_key = job.idempotency_key;
+  call->request.content = job.method + " " + job.target + "\n" + job.body;
+  call->request.patience = std::min(kClaimPatience, job.service.timeout);
+  const auto done = [this, call](once::Verdict verdict) {
+    this->TakeVerdict(call, std::move(verdict));
+  };
+  call->claim = this->journal.Claim(call->request, done);
+}
+
+void ServiceRunner::TakeVerdict(const std::shared_ptr<Call>& call,
+                                once::Verdict verdict) {
+  if (std::holds_alternative<once::Granted>(verdict)) {
+    call->granted = true;
+    this->Try(call);
+    return;
+  }
+  if (const auto* refused = std::get_if<once::Refused>(&verdict)) {
+    this->metrics.Count("toucanwharf_once_refusals_total");
+    this->Finish(call, RefusalOf(call->job, *refused));
+    return;
+  }
+  this->metrics.Count("toucanwharf_once_repeats_total");
+  auto& outcome = std::get<once::Outcome>(verdict);
+  if (!outcome.whole) {
+    this->Finish(call,
+                 MakeRefusal(call->job, kConflict, "outcome_not_kept",
+                             "the request ran and its answer, status " +
+                                 std::to_string(outcome.status) +
+                                 ", was too long to keep; look it up in the "
+                                 "service",
+                             pipeline::Ran::kUnknown));
+    return;
+  }
+  this->Finish(call,
+               ServiceAnswer{outcome.status, std::move(outcome.content_type),
+                             std::move(outcome.body)});
+}
+
+void ServiceRunner::Conclude(const Call& call, const ServiceResult& result) {
+  if (!call.granted) return;
+  once::KeyState state = once::KeyState::kLost;
+  once::Outcome outcome;
+  if (const auto* answer = std::get_if<ServiceAnswer>(&result)) {
+    state = once::KeyState::kDone;
+    outcome = {answer->status, answer->content_type, answer->body, true};
+  } else if (std::get<Refusal>(result).ran == pipeline::Ran::kNo) {
+    state = once::KeyState::kNotRun;
+  }
+  this->journal.Conclude(call.request, call.claim, state, std::move(outcome));
+}
+
 void ServiceRunner::Try(const std::shared_ptr<Call>& call) {
   std::vector<Instance> usable;
   for (Instance& instance :
@@ -150,6 +273,7 @@
 void ServiceRunner::Finish(const std::shared_ptr<Call>& call,
                            ServiceResult result) {
   --this->calls_running;
+  this->Conclude(*call, result);
   call->done(std::move(result));
 }
 
--- a/lib/once/segment.cc
+++ b/lib/once/segment.cc
@@ -39,6 +39,13 @@
 
 }  // namespace
 
+bool CanKeep(const std::string& body) {
+  if (body.size() > kMaxKeptBody) return false;
+  const std::string text =
+      Json(body).dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Json::parse(text, nullptr, false) == Json(body);
+}
+
 std::string EncodeEntry(const Entry& entry) {
   Json json{{"key", entry.key},
             {"claim", entry.claim},
@@ -50,7 +57,7 @@
     json["body"] = entry.outcome.body;
     if (!entry.outcome.whole) json["cut"] = true;
   }
-  // Bodies come from services and need not be UTF-8.
+  // Keys and types come from outside and need not be UTF-8.
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/lib/once/shard.cc
+++ b/lib/once/shard.cc
@@ -23,7 +23,7 @@
 }
 
 void Shard::Conclude(Entry conclusion, TimePoint now) {
-  if (conclusion.outcome.body.size() > kMaxKeptBody) {
+  if (!CanKeep(conclusion.outcome.body)) {
     conclusion.outcome.body.clear();
     conclusion.outcome.whole = false;
   }
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -52,7 +52,7 @@
   target_compile_definitions(toucanwharf_command PRIVATE
     TOUCANWHARF_VERSION="${PROJECT_VERSION}")
   tw_program(toucanwharf tools/toucanwharf DEPS toucanwharf_command)
-  tw_package(daemon DEPS toucanwharf_transport toucanwharf_records
+  tw_package(daemon DEPS toucanwharf_platform toucanwharf_records
     toucanwharf_settings toucanwharf_pipeline toucanwharf_timeline
     toucanwharf_exchange glog::glog)
   # Boost 1.74's quantile accumulator trips this warning in g++ 12.
--- a/test/process/fixture.h
+++ b/test/process/fixture.h
@@ -65,6 +65,8 @@
   std::string url;
   /// Bearer key; empty for none.
   std::string key;
+  /// Further header lines, each "Name: value".
+  std::vector<std::string> headers;
   std::string body;
   int timeout_ms = 30000;
   /// Gets the body's bytes as they come; returning false closes the call.
--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -130,6 +130,9 @@
     headers = curl_slist_append(headers,
                                 ("Authorization: Bearer " + call.key).c_str());
   }
+  for (const std::string& line : call.headers) {
+    headers = curl_slist_append(headers, line.c_str());
+  }
   curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.url).c_str());
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -27,3 +27,4 @@
 
 tw_process_test(recovery)
 tw_process_test(caller_interface)
+tw_process_test(state)
--- /dev/null
+++ b/test/process/state_test.cc
@@ -0,0 +1,276 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <future>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/process/fixture.h"
+#include "toucanwharf/support/ids.h"
+
+namespace toucanwharf::process_test {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::chrono::milliseconds kPoll(50);
+constexpr int kMostPolls = 600;
+/// Longer than a lease's term of 6 s.
+constexpr std::chrono::seconds kPastTheLease(8);
+
+void WaitUntil(const std::string& what, const std::function<bool()>& holds) {
+  for (int poll = 0; poll < kMostPolls; ++poll) {
+    if (holds()) return;
+    std::this_thread::sleep_for(kPoll);
+  }
+  throw std::runtime_error("never came: " + what);
+}
+
+Json Record(const std::string& kind, const std::string& name,
+            const Json& spec) {
+  return {{"schema", "toucanwharf/v1"},
+          {"kind", kind},
+          {"name", name},
+          {"spec", spec}};
+}
+
+/// A fleet of routers and one plain service that signs lots.
+struct Signing {
+  Signing() {
+    this->fleet.AddRouter("casa-a");
+    this->fleet.AddRouter("casa-b");
+    this->service = std::make_unique<Process>(
+        "standin_service", std::vector<std::string>{
+                               "--id=records-1", "--service=lot-records",
+                               "--platform=" + this->fleet.PlatformAddress()});
+    this->service_address = this->service->WaitForLine("listening");
+    this->Write(Record("service", "lot-records",
+                       {{"calls", Json::array()}, {"timeout_ms", 3000}}));
+    for (std::size_t router = 0; router < 2; ++router) {
+      WaitUntil("a signature through each router", [this, router] {
+        return this->Sign(router, NewId()).status == 200;
+      });
+    }
+  }
+
+  void Write(const Json& record) const {
+    Call call;
+    call.method = "PUT";
+    call.url = this->fleet.PlatformAddress() + "/objects/records/" +
+               record["kind"].get<std::string>() + "." +
+               record["name"].get<std::string>();
+    call.body = Json({{"writer", NewId()}, {"value", record}}).dump();
+    BOOST_REQUIRE(Send(call).status == 200);
+  }
+
+  void PlatformFault(const Json& fault) const {
+    this->Fault(this->fleet.PlatformAddress(), fault);
+  }
+  void ServiceFault(const Json& fault) const {
+    this->Fault(this->service_address, fault);
+  }
+
+  Answer Sign(std::size_t router, const std::string& key) const {
+    Call call;
+    call.method = "POST";
+    call.url =
+        this->fleet.RouterAddress(router) + "/v1/services/lot-records/sign";
+    call.key = Fleet::kCustomerKey;
+    call.headers = {"Idempotency-Key: " + key};
+    call.body = R"({"lot": 2231})";
+    return Send(call);
+  }
+
+  /// Returns how often the service ran what came with \p key.
+  int Runs(const std::string& key) const {
+    Call call;
+    call.url = this->service_address + "/_runs?key=" + key;
+    return Send(call).Json().value("runs", 0);
+  }
+
+  static std::string RanOf(const Answer& answer) {
+    const Json body = answer.Json();
+    if (!body.is_object()) return "";
+    const Json& where = body.contains("error") ? body["error"] : body;
+    if (where.is_object() && where.contains("ran")) return where["ran"];
+    return body.value("ran", "");
+  }
+
+  std::uint64_t Generation(std::size_t router) const {
+    return this->StatusOf(router).value("generation", std::uint64_t{0});
+  }
+  Json StatusOf(std::size_t router) const {
+    Call call;
+    call.url = this->fleet.AdminAddress(router) + "/admin/status";
+    call.key = Fleet::kAdminKey;
+    const Json status = Send(call).Json();
+    return status.is_object() ? status : Json::object();
+  }
+
+  Fleet fleet;
+  std::unique_ptr<Process> service;
+  std::string service_address;
+
+ private:
+  void Fault(const std::string& address, const Json& fault) const {
+    Call call;
+    call.method = "POST";
+    call.url = address + "/faults";
+    call.body = fault.dump();
+    BOOST_REQUIRE(Send(call).status == 200);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(State, Signing)
+
+// The pharmacist's connection breaks after the lot was signed, and the client
+// repeats the call through the other router. The first answer comes again and
+// the register has one entry.
+BOOST_AUTO_TEST_CASE(RepeatThroughTheOtherRouterRunsNothing) {
+  const std::string key = NewId();
+  const Answer first = this->Sign(0, key);
+  BOOST_TEST(first.status == 200);
+  Answer again;
+  WaitUntil("the kept answer", [&] {
+    again = this->Sign(1, key);
+    return again.status == 200;
+  });
+  BOOST_TEST(again.body == first.body);
+  BOOST_TEST(this->Runs(key) == 1);
+}
+
+// The router dies (SIGKILL) while the service works on the signature. The
+// repeat through the other router must not sign again, and says "unknown".
+BOOST_AUTO_TEST_CASE(RouterKilledInTheCallSignsOnce) {
+  this->ServiceFault({{"delay_ms", 1500}});
+  const std::string key = NewId();
+  auto first = std::async(std::launch::async,
+                          [this, key] { return this->Sign(0, key); });
+  WaitUntil("the run", [&] { return this->Runs(key) == 1; });
+  this->fleet.Router(0).Kill();
+  BOOST_TEST(first.get().status == 0);
+  const Answer again = this->Sign(1, key);
+  BOOST_TEST(again.status == 409);
+  BOOST_TEST(this->RanOf(again) == "unknown");
+  BOOST_TEST(this->Runs(key) == 1);
+}
+
+// The store takes the claim, but its answers are lost, several in a row. The
+// router finds its claim by reading back and the signature goes through.
+BOOST_AUTO_TEST_CASE(LostAnswersOfTheStoreCostNothing) {
+  this->PlatformFault({{"lose_answers", 2}});
+  const std::string key = NewId();
+  Answer answer = this->Sign(0, key);
+  WaitUntil("the signature", [&] {
+    if (answer.status != 200) answer = this->Sign(0, key);
+    return answer.status == 200;
+  });
+  BOOST_TEST(this->Runs(key) == 1);
+}
+
+// The store is down. The signature is refused, nothing ran, and the refusal
+// doesn't claim to know whether an earlier attempt did. When the store is back
+// the repeat signs.
+BOOST_AUTO_TEST_CASE(OutageRefusesTruthfullyAndHeals) {
+  const std::string key = NewId();
+  this->PlatformFault({{"outage", true}});
+  const Answer refused = this->Sign(0, key);
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(this->RanOf(refused) == "unknown");
+  BOOST_TEST(this->Runs(key) == 0);
+  this->PlatformFault({{"outage", false}});
+  WaitUntil("the signature", [&] { return this->Sign(1, key).status == 200; });
+  BOOST_TEST(this->Runs(key) == 1);
+}
+
+// The router is frozen (SIGSTOP) while its claim is on the way, the client
+// repeats through the other router, and the first wakes past the deadline. It
+// must not sign what was given up.
+BOOST_AUTO_TEST_CASE(RouterFrozenInTheClaimSignsOnce) {
+  const std::string key = NewId();
+  this->PlatformFault({{"slow_ms", 400}});
+  auto first = std::async(std::launch::async,
+                          [this, key] { return this->Sign(0, key); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  this->fleet.Router(0).Signal(SIGSTOP);
+  this->PlatformFault({{"slow_ms", 0}});
+  WaitUntil("a final answer through the other router", [&] {
+    const Answer answer = this->Sign(1, key);
+    return answer.status == 200 || answer.status == 409;
+  });
+  std::this_thread::sleep_for(kPastTheLease);
+  this->fleet.Router(0).Signal(SIGCONT);
+  first.get();
+  BOOST_TEST(this->Runs(key) <= 1);
+}
+
+// The endpoint dies at each point of the call: before it read the request,
+// before it ran it, after it ran it. The client repeats through the other
+// router each time; nothing is signed twice.
+BOOST_AUTO_TEST_CASE(EndpointDyingAtAnyPointSignsOnce) {
+  for (const char* fault :
+       {"close_before_reading", "close_before_run", "close_after_run"}) {
+    const std::string key = NewId();
+    this->ServiceFault({{fault, 1}});
+    const Answer first = this->Sign(0, key);
+    const int ran = this->Runs(key);
+    if (first.status != 200) BOOST_TEST(this->RanOf(first) == "unknown");
+    this->Sign(1, key);
+    BOOST_TEST(this->Runs(key) == ran);
+    BOOST_TEST(this->Runs(key) <= 1);
+  }
+}
+
+// The endpoint refuses before it runs anything. The refusal says "not run", it
+// is true, and the repeat signs.
+BOOST_AUTO_TEST_CASE(RefusalOfTheEndpointIsNotRun) {
+  const std::string key = NewId();
+  this->ServiceFault({{"refuse", 1}});
+  const Answer refused = this->Sign(0, key);
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(this->RanOf(refused) == "no");
+  BOOST_TEST(this->Runs(key) == 0);
+  WaitUntil("the signature", [&] { return this->Sign(1, key).status == 200; });
+  BOOST_TEST(this->Runs(key) == 1);
+}
+
+// The router that accepts records is frozen past its lease. The other takes
+// over and publishes; the first wakes and doesn't bring the old state back.
+BOOST_AUTO_TEST_CASE(FrozenPublisherDoesNotRevert) {
+  std::size_t holder = 2;
+  WaitUntil("a holder", [&] {
+    for (std::size_t router = 0; router < 2; ++router) {
+      if (this->StatusOf(router).value("accepts_records", false)) {
+        holder = router;
+      }
+    }
+    return holder < 2;
+  });
+  const std::size_t other = 1 - holder;
+  const std::uint64_t before = this->Generation(other);
+  this->fleet.Router(holder).Signal(SIGSTOP);
+  this->Write(Record("customer", "berrechid",
+                     {{"key_sha256", Sha256Hex("another key")}}));
+  WaitUntil("the change in force",
+            [&] { return this->Generation(other) > before; });
+  const std::uint64_t after = this->Generation(other);
+  this->fleet.Router(holder).Signal(SIGCONT);
+  WaitUntil("the change in force on both",
+            [&] { return this->Generation(holder) == after; });
+  this->Write(Record("customer", "berrechid",
+                     {{"key_sha256", Sha256Hex("a third key")}}));
+  WaitUntil("the next change on both", [&] {
+    return this->Generation(0) > after && this->Generation(1) > after;
+  });
+  BOOST_TEST(this->Generation(0) == this->Generation(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace toucanwharf::process_test
--- a/unittests/control/config_test.cc
+++ b/unittests/control/config_test.cc
@@ -282,6 +282,40 @@
   }
 }
 
+// A publisher is paused before it writes the head. Meanwhile another holder
+// publishes. The first wakes within what it takes for its term, and its head
+// must not replace the other's.
+BOOST_AUTO_TEST_CASE(HeadOfAnotherPublisherStays) {
+  ObjectMap map;
+  ConfigFollower base;
+  Lease lease(LeaseSettings{"acceptance", "r"}, 1);
+  const TimePoint now{std::chrono::seconds(1)};
+  lease.Poll(now);
+  lease.OnRead(map.Read({"leases", "acceptance"}, Fault::kNone), now);
+  const auto take = lease.Poll(now);
+  lease.OnWrite(map.Write(std::get<store::Write>(*take), Fault::kNone), now);
+  Publisher paused("paused");
+  Publisher other("other");
+  paused.Start(base, {{"n", "1"}}, 0, lease.Fence());
+  other.Start(base, {{"n", "2"}}, 0, lease.Fence());
+  const auto publish = [&](Publisher& publisher) {
+    std::optional<store::Object> head;
+    while (const auto call = publisher.Poll(lease, now)) {
+      if (const auto* write = std::get_if<store::Write>(&*call)) {
+        head = publisher.OnWrite(map.Write(*write, Fault::kNone));
+      } else {
+        const auto& key = std::get<store::ObjectKey>(*call);
+        head = publisher.OnRead(map.Read(key, Fault::kNone));
+      }
+    }
+    return head;
+  };
+  BOOST_TEST(publish(other).has_value());
+  BOOST_TEST(!publish(paused).has_value());
+  const auto head = map.Read({kConfigCollection, kHeadName}, Fault::kNone);
+  BOOST_TEST(head.object.writer.find("other") == 0u);
+}
+
 // Two operators write records that exclude each other. The first stays, and
 // the second's status names it.
 BOOST_AUTO_TEST_CASE(FirstOfTwoConflictingRecordsStays) {
--- a/unittests/once/shard_test.cc
+++ b/unittests/once/shard_test.cc
@@ -286,6 +286,14 @@
   }
 }
 
+// A service answers with bytes that the journal can't carry, or with too many.
+// A repeat is told so; it never gets a changed or shortened body.
+BOOST_AUTO_TEST_CASE(BodyThatCannotBeKeptIsLeftOut) {
+  BOOST_TEST(CanKeep("{\"signed\": true}"));
+  BOOST_TEST(!CanKeep("\xff\xfe"));
+  BOOST_TEST(!CanKeep(std::string(kMaxKeptBody + 1, 'x')));
+}
+
 // Many calls arrive together: they share commits, or the platform's few
 // hundred writes a second would bound them.
 BOOST_AUTO_TEST_CASE(ClaimsShareCommits) {
