Load: fall back on the configured entries; refused connections interrupt nothing

Cause: with advice kept beyond its time to live, the only address that a customer had was a drained router: 2 of 40 answers broken, and connections that were refused counted as interruptions. Ruled out: the drain itself: callers that keep advice for its time to live saw 40 of 40 whole and no interruption.

--- a/include/toucanwharf/command/answer_session.h
+++ b/include/toucanwharf/command/answer_session.h
@@ -83,7 +83,7 @@
   const std::string& Id() const { return this->id; }
   /// Returns why Status() is kRefused or kBroken.
   const AnswerFailure& Failure() const { return this->failure; }
-  /// Returns how many connections were lost on the way.
+  /// Returns how many connections were lost after the call had been sent.
   std::uint32_t Interruptions() const { return this->interruptions; }
 
  private:
--- a/lib/command/answer_session.cc
+++ b/lib/command/answer_session.cc
@@ -157,7 +157,9 @@
     this->TakeRefusal(outcome);
     return;
   }
-  if (!answered || outcome.status == kOk) ++this->interruptions;
+  // A connection that was refused interrupts nothing.
+  const bool cut_off = !answered || outcome.status == kOk;
+  if (cut_off && outcome.sent) ++this->interruptions;
   if (outcome.sent && asked) this->asked_to_resume = {this->step.entry};
   this->failure = {outcome.status, Explain(outcome), "unknown", 0};
   this->GoOn();
--- a/lib/command/load_runner.cc
+++ b/lib/command/load_runner.cc
@@ -227,6 +227,12 @@
   const auto first =
       static_cast<std::ptrdiff_t>(this->random.Below(entries.size()));
   std::rotate(entries.begin(), entries.begin() + first, entries.end());
+  // Where the advised instances are gone, a caller falls back on what it was
+  // configured with.
+  for (const std::string& entry : this->options.entries) {
+    const auto known = std::find(entries.begin(), entries.end(), entry);
+    if (known == entries.end()) entries.push_back(entry);
+  }
   return entries;
 }
 
--- a/lib/command/load_subcommand.cc
+++ b/lib/command/load_subcommand.cc
@@ -99,7 +99,9 @@
       real("-1"))("silence-ms",
                   "milliseconds of silence until another entry is used",
                   number("10000"))(
-      "keep-advice", "keep the first answer of /v1/entries for the whole run")(
+      "keep-advice",
+      "keep the first answer of /v1/entries for the whole run, beyond its "
+      "time to live")(
       "verify",
       "compare answers with what the stand-in engines have to give "
       "(needs --platform)")("report",
--- a/unittests/command/answer_session_test.cc
+++ b/unittests/command/answer_session_test.cc
@@ -134,6 +134,7 @@
     session.OnEnd(HttpOutcome{});
   }
   BOOST_TEST((session.Status() == State::kBroken));
+  BOOST_TEST(session.Interruptions() == 0u);
 }
 
 RC_BOOST_PROP(AnyCutsAndResumesGiveTheWholeAnswer,
