--- a/test/process/state_test.cc
+++ b/test/process/state_test.cc
@@ -45,10 +45,14 @@
     this->fleet.AddRouter("casa-a");
     this->fleet.AddRouter("casa-b");
     this->service = std::make_unique<Process>(
-        "standin_service", std::vector<std::string>{
-                               "--id=records-1", "--service=lot-records",
-                               "--platform=" + this->fleet.PlatformAddress()});
+        "standin_service",
+        std::vector<std::string>{"--id=records-1", "--service=lot-records"});
     this->service_address = this->service->WaitForLine("listening");
+    this->relay = std::make_unique<Process>(
+        "standin_relay",
+        std::vector<std::string>{"--target=" + this->service_address});
+    this->relay_admin = this->relay->WaitForLine("admin");
+    this->ListService(this->relay->WaitForLine("listening"));
     this->Write(Record("service", "lot-records",
                        {{"calls", Json::array()}, {"timeout_ms", 3000}}));
     for (std::size_t router = 0; router < 2; ++router) {
@@ -68,6 +72,23 @@
     BOOST_REQUIRE(Send(call).status == 200);
   }
 
+  void ListService(const std::string& address) const {
+    Call call;
+    call.method = "POST";
+    call.url = this->fleet.PlatformAddress() + "/instances";
+    call.body = Json({{"id", "records-1"},
+                      {"address", address},
+                      {"role", "service"},
+                      {"service", "lot-records"},
+                      {"failure_domain", "casa-a"},
+                      {"state", "live"}})
+                    .dump();
+    BOOST_REQUIRE(Send(call).status == 200);
+  }
+
+  void RelayFault(const Json& fault) const {
+    this->Fault(this->relay_admin, fault);
+  }
   void PlatformFault(const Json& fault) const {
     this->Fault(this->fleet.PlatformAddress(), fault);
   }
@@ -115,6 +136,9 @@
   Fleet fleet;
   std::unique_ptr<Process> service;
   std::string service_address;
+  /// Stands between the routers and the service.
+  std::unique_ptr<Process> relay;
+  std::string relay_admin;
 
  private:
   void Fault(const std::string& address, const Json& fault) const {
@@ -226,6 +250,36 @@
   }
 }
 
+// Something between router and service forgets the connection: after the
+// request went out no answer ever comes. The call ends as "unknown" at its
+// timeout, and the repeat signs nothing, also when the link works again.
+BOOST_AUTO_TEST_CASE(SilentLinkSignsOnceAtMost) {
+  const std::string key = NewId();
+  this->ServiceFault({{"delay_ms", 700}});
+  auto first = std::async(std::launch::async,
+                          [this, key] { return this->Sign(0, key); });
+  WaitUntil("the run", [&] { return this->Runs(key) == 1; });
+  this->RelayFault({{"silence", "open"}});
+  const Answer unanswered = first.get();
+  BOOST_TEST(unanswered.status == 504);
+  BOOST_TEST(this->RanOf(unanswered) == "unknown");
+  this->RelayFault({{"heal", true}});
+  WaitUntil("a final answer", [&] { return this->Sign(1, key).status == 409; });
+  BOOST_TEST(this->Runs(key) == 1);
+}
+
+// The connection to the endpoint is reset after the request was read; libcurl
+// by itself would send it again. It goes out once, and the refusal is true.
+BOOST_AUTO_TEST_CASE(ResetAfterTheRequestWasReadSignsNothing) {
+  const std::string key = NewId();
+  this->RelayFault({{"close_after_request", 1}});
+  const Answer refused = this->Sign(0, key);
+  BOOST_TEST(this->RanOf(refused) == "unknown");
+  BOOST_TEST(this->Runs(key) == 0);
+  this->Sign(1, key);
+  BOOST_TEST(this->Runs(key) == 0);
+}
+
 // The endpoint refuses before it runs anything. The refusal says "not run", it
 // is true, and the repeat signs.
 BOOST_AUTO_TEST_CASE(RefusalOfTheEndpointIsNotRun) {
