A router's report of its generation is sent until it stands

Cause: each adoption sent a report without a condition and without a look at its end; three generations within 140 ms, and the older report landed last, or a lost one was never sent again. Ruled out: the adoption itself: all six logs show the last generation in force. Change: one report at a time, and another until the newest generation surely stands. Client::Put tells its end.

--- a/include/toucanwharf/platform/client.h
+++ b/include/toucanwharf/platform/client.h
@@ -43,9 +43,10 @@
   void Write(const store::Write& write,
              std::function<void(store::WriteAnswer)> done);
   /// Writes without a condition: only for objects of one writer, or such as
-  /// are put right again later. The answer is dropped.
+  /// are put right again later. \p done, if any, is told whether the write
+  /// surely took effect.
   void Put(const store::ObjectKey& key, const std::string& writer,
-           const std::string& value);
+           const std::string& value, std::function<void(bool)> done = nullptr);
   /// Calls back with nothing when there was no answer.
   void List(const std::string& collection,
             std::function<void(std::optional<store::Listing>)> done);
--- a/include/toucanwharf/platform/config_service.h
+++ b/include/toucanwharf/platform/config_service.h
@@ -61,6 +61,13 @@
   void TakeEvents(const WatchAnswer& answer);
   void Fetch();
   void Adopted();
+  /// Tells the holder of the lease what this router has in force.
+  ///
+  /// Failure guarded against: two reports that are under way at once land in
+  /// either order, or the only one is lost. The older generation then stands
+  /// for good, and the status says that this router is behind, although it
+  /// isn't (seen as "in force on 5 of 6"). The guard: one report at a time, and
+  /// another one until the newest generation surely stands.
   void Report();
 
   void Tick();
@@ -85,6 +92,7 @@
   bool mirror_waits = false;
   bool fetching = false;
   bool statuses_wait = false;
+  bool reporting = false;
   TimePoint next_statuses;
   /// What the routers report of themselves: generation and schemas.
   struct RouterReport {
--- a/lib/platform/client.cc
+++ b/lib/platform/client.cc
@@ -190,10 +190,13 @@
 }
 
 void Client::Put(const store::ObjectKey& key, const std::string& writer,
-                 const std::string& value) {
+                 const std::string& value, std::function<void(bool)> done) {
   HttpCall call = MakePut(key, writer, value, "");
   call.total_timeout = kCallTimeout;
-  this->Start(std::move(call), this->gate, [](const HttpOutcome&) {});
+  this->Start(std::move(call), this->gate,
+              [done = std::move(done)](const HttpOutcome& outcome) {
+                if (done) done(outcome.status == kOk);
+              });
 }
 
 void Client::List(const std::string& collection,
--- a/lib/platform/config_service.cc
+++ b/lib/platform/config_service.cc
@@ -146,11 +146,19 @@
 }
 
 void ConfigService::Report() {
+  if (this->reporting) return;
+  this->reporting = true;
+  const std::uint64_t generation = this->follower.Current().generation;
+  const auto on_done = [this, generation](bool written) {
+    this->reporting = false;
+    if (written && generation == this->follower.Current().generation) return;
+    this->loop.After(kRetry, [this] { this->Report(); });
+  };
   const Json report{{"instance", this->instance},
-                    {"generation", this->follower.Current().generation},
+                    {"generation", generation},
                     {"schemas", records::SupportedSchemas()}};
   this->client.Put({"status", kReportPrefix + this->instance},
-                   this->incarnation, report.dump());
+                   this->incarnation, report.dump(), on_done);
 }
 
 std::optional<std::string> ConfigService::UpdateFor(std::uint64_t have) const {
--- a/utils/demo.sh
+++ b/utils/demo.sh
@@ -80,6 +80,18 @@
 EOF
 }
 
+# The platform lists the instances that it runs; the stand-in has to be told.
+list_router() {
+  local body
+  body=$(printf '{"id": "%s", "role": "router", "service": "", "state": "live", "failure_domain": "%s", "address": "127.0.0.1:%s", "admin_address": "127.0.0.1:%s", "peer_address": "127.0.0.1:%s"}' "$@")
+  exec 3<>"/dev/tcp/${TOUCANWHARF_PLATFORM/://}"
+  printf 'POST /instances HTTP/1.1\r\nHost: platform\r\nContent-Length: %s\r\nConnection: close\r\n\r\n%s' \
+    "${#body}" "$body" >&3
+  cat <&3 >"$logs/listed"
+  exec 3>&-
+  grep -q ' 200 ' "$logs/listed" || fail "$1 is not listed"
+}
+
 start_router() {
   local name=$1 domain=$2 region=$3 callers admin peers
   find_port; callers=$port
@@ -89,6 +101,7 @@
   "$build/toucanwharfd" --settings "$logs/$name.json" --check-settings >/dev/null ||
     fail "settings of $name"
   start "$name" "$build/toucanwharfd" --settings "$logs/$name.json"
+  list_router "$name" "$domain" "$callers" "$admin" "$peers"
   router_pids+=("$started")
   entries+=("127.0.0.1:$callers")
   admins+=("127.0.0.1:$admin")
@@ -171,7 +184,7 @@
   export TOUCANWHARF_ENTRY TOUCANWHARF_ADMIN
 
   say "$deployment: records"
-  "$command" apply "examples/$deployment" || fail "apply"
+  "$command" apply --wait-ms 20000 "examples/$deployment" || fail "apply"
   await_ready
 
   say "$deployment: which entries to use"
