--- /dev/null
+++ b/bench/decisions/fleet.cc
@@ -0,0 +1,118 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace toucanwharf::bench {
+namespace {
+
+/// Four kinds of accelerator, from the fastest to the slowest. The fastest has
+/// less memory than its slots could use.
+constexpr std::array<Stage, 4> kKinds{{{32, 0.008, 16000, 12000},
+                                       {24, 0.012, 10000, 14400},
+                                       {16, 0.016, 8000, 9600},
+                                       {8, 0.020, 6000, 4800}}};
+
+/// Links between stages: within a rack, a hall, a site, and a slow one whose
+/// capacity binds.
+struct Link {
+  double seconds = 0;
+  double tokens_per_second = 0;
+};
+constexpr std::array<Link, 4> kLinks{
+    {{0.00005, 100000}, {0.0005, 10000}, {0.002, 2000}, {0.005, 260}}};
+
+/// Pairs of kinds that placement makes of eight endpoints.
+struct Pairing {
+  std::size_t first = 0;
+  std::size_t second = 0;
+  std::size_t link = 0;
+};
+constexpr std::array<Pairing, 4> kPairings{
+    {{0, 0, 0}, {1, 1, 1}, {2, 2, 2}, {3, 2, 3}}};
+
+constexpr double kShortPart = 0.7;
+constexpr double kShortMeanTokens = 60;
+constexpr double kLongMeanTokens = 260;
+constexpr double kLeastOutput = 8;
+constexpr double kMostOutput = 1024;
+
+double Exponential(Random& random, double mean) {
+  return -mean * std::log(std::max(random.Unit(), 1e-12));
+}
+
+}  // namespace
+
+double Chain::TokenSeconds() const {
+  return this->first.token_seconds + this->second.token_seconds +
+         2 * this->link_seconds;
+}
+
+double Chain::PrefillSeconds(double prompt_tokens) const {
+  return prompt_tokens / this->first.prefill_tokens_per_second +
+         prompt_tokens / this->second.prefill_tokens_per_second +
+         this->link_seconds;
+}
+
+std::uint32_t Chain::Slots() const {
+  const double link = this->link_tokens_per_second * this->TokenSeconds();
+  const auto by_link = static_cast<std::uint32_t>(std::floor(link));
+  return std::min({this->first.slots, this->second.slots, by_link});
+}
+
+double Chain::KvTokens() const {
+  return std::min(this->first.kv_tokens, this->second.kv_tokens);
+}
+
+double LinkSeconds(std::uint32_t from, std::uint32_t to) {
+  constexpr std::array<double, kDomains> kDelays{0.00005, 0.0005, 0.005};
+  const std::uint32_t apart = (to + kDomains - from) % kDomains;
+  return kDelays[apart];
+}
+
+std::vector<Chain> MakeFleet(std::uint32_t endpoints) {
+  std::vector<Chain> fleet;
+  for (std::uint32_t at = 0; at < endpoints / 2; ++at) {
+    const Pairing& pairing = kPairings[at % kPairings.size()];
+    const Link& link = kLinks[pairing.link];
+    fleet.push_back(Chain{kKinds[pairing.first], kKinds[pairing.second],
+                          link.seconds, link.tokens_per_second, at % kDomains});
+  }
+  return fleet;
+}
+
+Traffic::Traffic(const TrafficSettings& chosen)
+    : settings(chosen), random(chosen.seed) {}
+
+Job Traffic::Next() {
+  this->at_seconds +=
+      Exponential(this->random, 1 / this->settings.requests_per_second);
+  Job job;
+  job.id = this->count++;
+  const double shares =
+      this->settings.customers - 1 + this->settings.heavy_factor;
+  const double draw = this->random.Unit() * shares;
+  // Customer 0 is the heavy one.
+  const double others = std::max(draw - this->settings.heavy_factor, -1.0);
+  job.customer = others < 0 ? 0 : 1 + static_cast<std::uint32_t>(others);
+  job.customer = std::min(job.customer, this->settings.customers - 1);
+  job.prompt_tokens = 50 + this->random.Unit() * 600;
+  const bool brief = this->random.Unit() < kShortPart;
+  const double length =
+      Exponential(this->random, brief ? kShortMeanTokens : kLongMeanTokens);
+  job.output_tokens = std::floor(std::clamp(length, kLeastOutput, kMostOutput));
+  job.arrived =
+      TimePoint{Duration{static_cast<std::int64_t>(this->at_seconds * 1e6)}};
+  job.deadline = job.arrived + Duration{static_cast<std::int64_t>(
+                                   this->settings.patience_seconds * 1e6)};
+  return job;
+}
+
+double Traffic::ShareOf(std::uint32_t customer) const {
+  const double shares =
+      this->settings.customers - 1 + this->settings.heavy_factor;
+  return (customer == 0 ? this->settings.heavy_factor : 1) / shares;
+}
+
+}  // namespace toucanwharf::bench
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -66,4 +66,5 @@
   target_include_directories(bench_capacity PRIVATE ${CMAKE_SOURCE_DIR})
   target_compile_definitions(bench_capacity PRIVATE
     TOUCANWHARF_BUILD_DIR="${CMAKE_BINARY_DIR}")
+  tw_program(bench_decisions bench/decisions DEPS toucanwharf_admission)
 endif()
