--- a/include/toucanwharf/admission/limiter.h
+++ b/include/toucanwharf/admission/limiter.h
@@ -26,6 +26,8 @@
   double running = 0;
   /// Requests waiting inside the endpoint.
   double queued = 0;
+  /// Further requests for which the endpoint has KV memory.
+  double memory_room = 1e9;
   /// This router's requests that the report counts.
   std::uint32_t own = 0;
 
@@ -39,7 +41,7 @@
   /// Requests that may wait inside an endpoint for each router, so that a slot
   /// is taken again while the news of its release travels. One: a link's round
   /// trip is a few hundredths of the time that a request holds its slot.
-  double backlog = 1;
+  double backlog = 0;
 };
 
 /// The limits of one router.
@@ -92,7 +94,7 @@
  private:
   struct Entry {
     bool known = false;
-    std::uint32_t slots = 0;
+    double usable = 0;
     std::uint32_t in_flight = 0;
     double limit = 0;
     double part = 1;
--- a/include/toucanwharf/routing/load_view.h
+++ b/include/toucanwharf/routing/load_view.h
@@ -110,6 +110,10 @@
   /// Returns requests (not tokens) that the endpoint reported as waiting.
   double QueuedAtReport(Endpoint endpoint) const;
 
+  /// Returns how many more common requests fit into the KV memory that the
+  /// last report showed as free.
+  double MemoryRoomAtReport(Endpoint endpoint) const;
+
   /// Returns the last report of \p endpoint.
   const LoadReport& LastReport(Endpoint endpoint) const;
 
@@ -135,6 +139,7 @@
     std::uint32_t in_flight = 0;
     double slowdown = 1.0;
     double mean_tokens = 0;
+    double mean_kv_tokens = 0;
   };
 
   static void Note(Entry& entry, const Change& change);
--- a/lib/admission/gate.cc
+++ b/lib/admission/gate.cc
@@ -96,6 +96,7 @@
                          LimitSample{this->loads.SpecOf(endpoint).slots,
                                      static_cast<double>(last.running),
                                      this->loads.QueuedAtReport(endpoint),
+                                     this->loads.MemoryRoomAtReport(endpoint),
                                      this->loads.InFlightAtReport(endpoint)});
 }
 
--- a/lib/admission/limiter.cc
+++ b/lib/admission/limiter.cc
@@ -18,8 +18,8 @@
   Entry& entry = this->At(endpoint);
   const bool fresh = !entry.known;
   entry.known = true;
-  entry.slots = slots;
   if (fresh) {
+    entry.usable = slots;
     entry.claim = 1.0 / this->settings.routers;
     entry.limit = this->FairPart(entry);
   }
@@ -39,15 +39,19 @@
 
 void Limiter::Reported(routing::Endpoint endpoint, const LimitSample& sample) {
   Entry& entry = this->At(endpoint);
-  entry.slots = sample.slots;
   entry.refused = false;
+  // KV memory may run out before the slots do. Counting slots that no request
+  // can use as free would let a queue grow inside the endpoint.
+  const double usable =
+      std::min<double>(sample.slots, sample.running + sample.memory_room);
+  entry.usable = usable;
   const double target =
-      sample.slots + this->settings.backlog * this->settings.routers;
+      usable + this->settings.backlog * this->settings.routers;
   const double free = target - sample.running - sample.queued;
   const double least_claim = 1.0 / this->settings.routers;
   // A queue means that all routers together claimed too much. Slots left free
   // though they were offered mean that some routers have nothing to send.
-  const bool idle = sample.running < sample.slots && sample.queued < 1;
+  const bool idle = sample.running + 1 <= usable && sample.queued < 1;
   entry.claim = free < 0 ? entry.claim / 2 : entry.claim;
   entry.claim = idle ? entry.claim * 2 : entry.claim;
   entry.claim = std::clamp(entry.claim, least_claim, 1.0);
@@ -98,8 +102,7 @@
 /// Every router keeps at least this, so that one which starts late isn't shut
 /// out by those that already fill the endpoint.
 double Limiter::FairPart(const Entry& entry) const {
-  const double part = static_cast<double>(entry.slots) / this->settings.routers;
-  return std::max(std::ceil(part), 1.0);
+  return std::max(std::floor(entry.usable / this->settings.routers), 1.0);
 }
 
 double Limiter::Allowed(const Entry& entry) {
--- a/lib/routing/load_view.cc
+++ b/lib/routing/load_view.cc
@@ -53,8 +53,12 @@
   Entry& entry = this->At(endpoint);
   ++entry.in_flight;
   const double kv = work.prompt_tokens + work.output_tokens;
-  if (entry.mean_tokens == 0) entry.mean_tokens = work.Tokens();
+  if (entry.mean_tokens == 0) {
+    entry.mean_tokens = work.Tokens();
+    entry.mean_kv_tokens = kv;
+  }
   entry.mean_tokens += kSmoothing * (work.Tokens() - entry.mean_tokens);
+  entry.mean_kv_tokens += kSmoothing * (kv - entry.mean_kv_tokens);
   // The request reaches the endpoint a link delay later; a report made before
   // that can't show it.
   Note(entry, Change{now + entry.spec.link, 1, work.Tokens(), kv});
@@ -139,6 +143,12 @@
   return entry.report.queued_tokens / size;
 }
 
+double LoadView::MemoryRoomAtReport(Endpoint endpoint) const {
+  const Entry& entry = this->At(endpoint);
+  if (entry.mean_kv_tokens <= 0) return entry.spec.slots;
+  return std::max(entry.report.kv_tokens_free, 0.0) / entry.mean_kv_tokens;
+}
+
 const LoadReport& LoadView::LastReport(Endpoint endpoint) const {
   return this->At(endpoint).report;
 }
--- a/unittests/admission/gate_test.cc
+++ b/unittests/admission/gate_test.cc
@@ -222,7 +222,7 @@
     for (const std::uint32_t each : held) all += each;
     for (std::uint32_t at = 0; at < kRouters; ++at) {
       adapt(limiters[at], LimitSample{12, std::min(all, 12.0),
-                                      std::max(all - 12, 0.0), held[at]});
+                                      std::max(all - 12, 0.0), 1e9, held[at]});
     }
   }
   return all;
