--- a/bench/decisions/simulation.cc
+++ b/bench/decisions/simulation.cc
@@ -209,6 +209,7 @@
 
 template <typename RouterT>
 void Simulation<RouterT>::NoteWhole(const Placed& placed, TimePoint at) {
+  this->all_tokens += placed.job.output_tokens;
   if (!this->Measured(at)) return;
   this->whole.push_back(placed.job);
   this->tokens += placed.job.output_tokens;
@@ -272,6 +273,7 @@
   result.micros_per_request =
       micros.count() /
       static_cast<double>(std::max<std::uint64_t>(this->offered, 1));
+  result.micros_per_token = micros.count() / std::max(this->all_tokens, 1.0);
   return result;
 }
 
--- a/bench/decisions/simulation.h
+++ b/bench/decisions/simulation.h
@@ -46,6 +46,7 @@
   double idle_while_waiting = 0;
   /// Processor time of decisions; differs from run to run.
   double micros_per_request = 0;
+  double micros_per_token = 0;
 };
 
 /// Returns the \p part quantile of \p values, 0 when there are none.
@@ -128,6 +129,7 @@
   std::uint64_t lost = 0;
   std::vector<Job> whole;
   double tokens = 0;
+  double all_tokens = 0;
   double idle = 0;
   double slot_samples = 0;
   std::vector<double> first_tokens;
--- a/include/toucanwharf/admission/limiter.h
+++ b/include/toucanwharf/admission/limiter.h
@@ -26,10 +26,11 @@
   double running = 0;
   /// Requests waiting inside the endpoint.
   double queued = 0;
-  /// Further requests for which the endpoint has KV memory.
-  double memory_room = 1e9;
-  /// This router's requests that the report counts.
+  /// KV memory that is free, in tokens, less what the waiting requests need.
+  double memory_free = 1e9;
+  /// This router's requests that the report counts, and their KV memory.
   std::uint32_t own = 0;
+  double own_memory = 0;
 
   friend bool operator==(const LimitSample&, const LimitSample&) = default;
 };
@@ -42,6 +43,8 @@
   /// is taken again while the news of its release travels. One: a link's round
   /// trip is a few hundredths of the time that a request holds its slot.
   double backlog = 0;
+  /// Part of a common request that must still fit into the memory limit.
+  double memory_part = 0;
 };
 
 /// The limits of one router.
@@ -70,11 +73,11 @@
   /// Adapts the limit to a report.
   void Reported(routing::Endpoint endpoint, const LimitSample& sample);
 
-  /// Notes one request handed over.
-  void Started(routing::Endpoint endpoint);
+  /// Notes one request handed over that will take \p memory tokens of KV.
+  void Started(routing::Endpoint endpoint, double memory);
 
-  /// Notes the end of one request handed over before.
-  void Finished(routing::Endpoint endpoint);
+  /// Notes the end of one request handed over before with the same \p memory.
+  void Finished(routing::Endpoint endpoint, double memory);
 
   /// Notes that the endpoint refused for want of a slot. It gets nothing more
   /// until it reports again or ends one of this router's requests; asking on
@@ -94,9 +97,12 @@
  private:
   struct Entry {
     bool known = false;
-    double usable = 0;
+    std::uint32_t slots = 0;
     std::uint32_t in_flight = 0;
     double limit = 0;
+    double memory = 0;
+    double memory_limit = 1e18;
+    double mean_memory = 0;
     double part = 1;
     double claim = 0;
     bool refused = false;
@@ -108,6 +114,7 @@
   const Entry& At(routing::Endpoint endpoint) const;
   double FairPart(const Entry& entry) const;
   static double Allowed(const Entry& entry);
+  bool Fits(const Entry& entry) const;
   void Update(routing::Endpoint endpoint);
 
   LimiterSettings settings;
--- a/include/toucanwharf/routing/endpoint_choice.h
+++ b/include/toucanwharf/routing/endpoint_choice.h
@@ -42,7 +42,7 @@
 /// Two draws give most of the gain over one; each more brings routers closer
 /// to all taking the same best one. With kinds of different speed a third draw
 /// was measured: docs/design/load.md.
-inline constexpr std::size_t kDefaultDraws = 2;
+inline constexpr std::size_t kDefaultDraws = 3;
 
 /// An endpoint with a cached prefix is considered only up to this multiple of
 /// the load of the endpoint that would be taken otherwise. Without a bound one
--- a/include/toucanwharf/routing/load_view.h
+++ b/include/toucanwharf/routing/load_view.h
@@ -53,6 +53,8 @@
   double Tokens() const {
     return this->prompt_tokens - this->cached_tokens + this->output_tokens;
   }
+  /// Returns the KV memory that the request takes in the end, in tokens.
+  double KvTokens() const { return this->prompt_tokens + this->output_tokens; }
   friend bool operator==(const Work&, const Work&) = default;
 };
 
@@ -110,9 +112,8 @@
   /// Returns requests (not tokens) that the endpoint reported as waiting.
   double QueuedAtReport(Endpoint endpoint) const;
 
-  /// Returns how many more common requests fit into the KV memory that the
-  /// last report showed as free.
-  double MemoryRoomAtReport(Endpoint endpoint) const;
+  /// Returns the KV tokens of InFlightAtReport().
+  double KvInFlightAtReport(Endpoint endpoint) const;
 
   /// Returns the last report of \p endpoint.
   const LoadReport& LastReport(Endpoint endpoint) const;
@@ -139,7 +140,7 @@
     std::uint32_t in_flight = 0;
     double slowdown = 1.0;
     double mean_tokens = 0;
-    double mean_kv_tokens = 0;
+    double kv_in_flight = 0;
   };
 
   static void Note(Entry& entry, const Change& change);
--- a/lib/admission/gate.cc
+++ b/lib/admission/gate.cc
@@ -92,12 +92,14 @@
   if (!this->IsMember(endpoint)) return;
   this->loads.Report(endpoint, report);
   const routing::LoadReport& last = this->loads.LastReport(endpoint);
-  this->limiter.Reported(endpoint,
-                         LimitSample{this->loads.SpecOf(endpoint).slots,
-                                     static_cast<double>(last.running),
-                                     this->loads.QueuedAtReport(endpoint),
-                                     this->loads.MemoryRoomAtReport(endpoint),
-                                     this->loads.InFlightAtReport(endpoint)});
+  LimitSample sample;
+  sample.slots = this->loads.SpecOf(endpoint).slots;
+  sample.running = last.running;
+  sample.queued = this->loads.QueuedAtReport(endpoint);
+  sample.memory_free = last.kv_tokens_free - last.queued_tokens;
+  sample.own = this->loads.InFlightAtReport(endpoint);
+  sample.own_memory = this->loads.KvInFlightAtReport(endpoint);
+  this->limiter.Reported(endpoint, sample);
 }
 
 void Gate::CacheChanged(std::string_view id, const routing::CacheEvent& event) {
@@ -278,14 +280,14 @@
   known.endpoints = endpoints;
   for (const routing::Endpoint endpoint : endpoints) {
     this->loads.Started(now, endpoint, known.work);
-    this->limiter.Started(endpoint);
+    this->limiter.Started(endpoint, known.work.KvTokens());
   }
 }
 
 void Gate::Release(TimePoint now, Known& known, Outcome outcome) {
   for (const routing::Endpoint endpoint : known.endpoints) {
     this->loads.Finished(now, endpoint, known.work);
-    this->limiter.Finished(endpoint);
+    this->limiter.Finished(endpoint, known.work.KvTokens());
     if (outcome == Outcome::kRefused) this->limiter.Refused(endpoint);
     if (outcome == Outcome::kWhole) this->ejection.Succeeded(now, endpoint);
   }
--- a/lib/admission/limiter.cc
+++ b/lib/admission/limiter.cc
@@ -5,6 +5,12 @@
 #include <cmath>
 
 namespace toucanwharf::admission {
+namespace {
+
+/// Weight of one more request in the mean of memory taken.
+constexpr double kSmoothing = 0.1;
+
+}  // namespace
 
 void Limiter::SetRouters(std::uint32_t routers) {
   assert(routers > 0 && "this router is one of them");
@@ -19,7 +25,7 @@
   const bool fresh = !entry.known;
   entry.known = true;
   if (fresh) {
-    entry.usable = slots;
+    entry.slots = slots;
     entry.claim = 1.0 / this->settings.routers;
     entry.limit = this->FairPart(entry);
   }
@@ -39,36 +45,41 @@
 
 void Limiter::Reported(routing::Endpoint endpoint, const LimitSample& sample) {
   Entry& entry = this->At(endpoint);
+  entry.slots = sample.slots;
   entry.refused = false;
-  // KV memory may run out before the slots do. Counting slots that no request
-  // can use as free would let a queue grow inside the endpoint.
-  const double usable =
-      std::min<double>(sample.slots, sample.running + sample.memory_room);
-  entry.usable = usable;
   const double target =
-      usable + this->settings.backlog * this->settings.routers;
+      sample.slots + this->settings.backlog * this->settings.routers;
   const double free = target - sample.running - sample.queued;
   const double least_claim = 1.0 / this->settings.routers;
   // A queue means that all routers together claimed too much. Slots left free
   // though they were offered mean that some routers have nothing to send.
-  const bool idle = sample.running + 1 <= usable && sample.queued < 1;
-  entry.claim = free < 0 ? entry.claim / 2 : entry.claim;
-  entry.claim = idle ? entry.claim * 2 : entry.claim;
+  const bool full = free < 0 || sample.memory_free < 0;
+  const bool idle = free >= 1 && sample.memory_free > 2 * entry.mean_memory;
+  if (full) entry.claim /= 2;
+  if (idle) entry.claim *= 2;
   entry.claim = std::clamp(entry.claim, least_claim, 1.0);
   entry.limit = std::max(sample.own + free * (free > 0 ? entry.claim : 1.0),
                          this->FairPart(entry));
+  const double memory_part = sample.memory_free > 0 ? entry.claim : 1.0;
+  entry.memory_limit = std::max(
+      sample.own_memory + sample.memory_free * memory_part, entry.mean_memory);
   this->Update(endpoint);
 }
 
-void Limiter::Started(routing::Endpoint endpoint) {
-  ++this->At(endpoint).in_flight;
+void Limiter::Started(routing::Endpoint endpoint, double memory) {
+  Entry& entry = this->At(endpoint);
+  ++entry.in_flight;
+  entry.memory += memory;
+  if (entry.mean_memory == 0) entry.mean_memory = memory;
+  entry.mean_memory += kSmoothing * (memory - entry.mean_memory);
   this->Update(endpoint);
 }
 
-void Limiter::Finished(routing::Endpoint endpoint) {
+void Limiter::Finished(routing::Endpoint endpoint, double memory) {
   Entry& entry = this->At(endpoint);
   assert(entry.in_flight > 0 && "only work that was started can finish");
   --entry.in_flight;
+  entry.memory = entry.in_flight == 0 ? 0 : entry.memory - memory;
   entry.refused = false;
   this->Update(endpoint);
 }
@@ -102,7 +113,8 @@
 /// Every router keeps at least this, so that one which starts late isn't shut
 /// out by those that already fill the endpoint.
 double Limiter::FairPart(const Entry& entry) const {
-  return std::max(std::floor(entry.usable / this->settings.routers), 1.0);
+  const double part = static_cast<double>(entry.slots) / this->settings.routers;
+  return std::max(std::floor(part), 1.0);
 }
 
 double Limiter::Allowed(const Entry& entry) {
@@ -110,9 +122,16 @@
   return std::max(entry.limit * entry.part, 1.0);
 }
 
+bool Limiter::Fits(const Entry& entry) const {
+  if (entry.in_flight + 1 > Allowed(entry) + 1e-9) return false;
+  if (entry.in_flight == 0) return true;
+  const double more = entry.mean_memory * this->settings.memory_part;
+  return entry.memory + more <= entry.memory_limit;
+}
+
 void Limiter::Update(routing::Endpoint endpoint) {
   Entry& entry = this->At(endpoint);
-  const bool has_room = entry.in_flight + 1 <= Allowed(entry) + 1e-9;
+  const bool has_room = this->Fits(entry);
   if (has_room == (entry.place != 0)) return;
   if (has_room) {
     this->room.push_back(endpoint);
--- a/lib/routing/load_view.cc
+++ b/lib/routing/load_view.cc
@@ -52,13 +52,10 @@
 void LoadView::Started(TimePoint now, Endpoint endpoint, const Work& work) {
   Entry& entry = this->At(endpoint);
   ++entry.in_flight;
-  const double kv = work.prompt_tokens + work.output_tokens;
-  if (entry.mean_tokens == 0) {
-    entry.mean_tokens = work.Tokens();
-    entry.mean_kv_tokens = kv;
-  }
+  const double kv = work.KvTokens();
+  entry.kv_in_flight += kv;
+  if (entry.mean_tokens == 0) entry.mean_tokens = work.Tokens();
   entry.mean_tokens += kSmoothing * (work.Tokens() - entry.mean_tokens);
-  entry.mean_kv_tokens += kSmoothing * (kv - entry.mean_kv_tokens);
   // The request reaches the endpoint a link delay later; a report made before
   // that can't show it.
   Note(entry, Change{now + entry.spec.link, 1, work.Tokens(), kv});
@@ -68,7 +65,8 @@
   Entry& entry = this->At(endpoint);
   assert(entry.in_flight > 0 && "only work that was started can finish");
   --entry.in_flight;
-  const double kv = work.prompt_tokens + work.output_tokens;
+  const double kv = work.KvTokens();
+  entry.kv_in_flight -= kv;
   Note(entry, Change{now, -1, -work.Tokens(), -kv});
 }
 
@@ -97,7 +95,7 @@
 
 Duration LoadView::ExpectedWait(Endpoint endpoint, const Work& work) const {
   const Entry& entry = this->At(endpoint);
-  const double kv = work.prompt_tokens + work.output_tokens;
+  const double kv = work.KvTokens();
   const bool memory = !entry.reported || this->KvFree(endpoint) >= kv;
   if (memory && this->Occupied(endpoint) < entry.spec.slots) return Duration{0};
   const double speed = entry.spec.slots / Seconds(entry.spec.token_gap);
@@ -143,10 +141,9 @@
   return entry.report.queued_tokens / size;
 }
 
-double LoadView::MemoryRoomAtReport(Endpoint endpoint) const {
+double LoadView::KvInFlightAtReport(Endpoint endpoint) const {
   const Entry& entry = this->At(endpoint);
-  if (entry.mean_kv_tokens <= 0) return entry.spec.slots;
-  return std::max(entry.report.kv_tokens_free, 0.0) / entry.mean_kv_tokens;
+  return std::max(entry.kv_in_flight - entry.unseen_kv_tokens, 0.0);
 }
 
 const LoadReport& LoadView::LastReport(Endpoint endpoint) const {
