Limits see KV memory and each router's entitlement; totals of gossip never fall

(2) A correction that lowered a total was read as a peer's restart and charged the whole total again. (3) Routers with only an oversized customer held the same part of each endpoint as one with five small customers.

--- a/include/toucanwharf/admission/limiter.h
+++ b/include/toucanwharf/admission/limiter.h
@@ -2,6 +2,7 @@
 #define TOUCANWHARF_ADMISSION_LIMITER_H_
 
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -59,6 +60,10 @@
   /// Returns how many routers share the endpoints.
   std::uint32_t Routers() const { return this->settings.routers; }
 
+  /// Sets the part of each endpoint that this router is entitled to, 0 to 1;
+  /// until then it is one of all routers' equal parts.
+  void SetPartOfPool(double part);
+
   /// Learns of \p endpoint with \p slots; until it reports, this router's fair
   /// part is its limit.
   void Add(routing::Endpoint endpoint, std::uint32_t slots);
@@ -112,12 +117,14 @@
 
   Entry& At(routing::Endpoint endpoint);
   const Entry& At(routing::Endpoint endpoint) const;
+  double PartOfPool() const;
   double FairPart(const Entry& entry) const;
   static double Allowed(const Entry& entry);
   bool Fits(const Entry& entry) const;
   void Update(routing::Endpoint endpoint);
 
   LimiterSettings settings;
+  std::optional<double> part_of_pool;
   std::vector<Entry> entries;
   std::vector<routing::Endpoint> room;
 };
--- a/include/toucanwharf/admission/queue.h
+++ b/include/toucanwharf/admission/queue.h
@@ -82,7 +82,7 @@
   /// Customers whose turns are at most this many tokens apart count as equal,
   /// and the earliest deadline of them is taken: about two common answers, so
   /// that no share is off by more than that.
-  double turn_slack = 500;
+  double turn_slack = 100;
   /// Longest wait, whatever the deadline: a queue longer than this only adds
   /// waiting, not throughput.
   Duration longest_wait = std::chrono::seconds(10);
--- a/include/toucanwharf/admission/shares.h
+++ b/include/toucanwharf/admission/shares.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -40,6 +41,11 @@
   /// tokens per unit of weight. Bounds how long a customer waits here after a
   /// burst elsewhere: at 2,000 tokens a second about two seconds.
   double max_debt = 4000;
+  /// Share that a customer may save up while it uses less, in tokens per unit
+  /// of weight: about ten common answers. Without any, a customer that uses
+  /// nine tenths of its share evenly over a minute waits whenever three of its
+  /// requests meet, as soon as another fills the rest of the pool.
+  double credit = 6000;
   /// After this long without word of a peer its last rates are charged on:
   /// three gossip periods; less would take a lost message for silence.
   Duration silence = std::chrono::seconds(3);
@@ -68,8 +74,9 @@
   double WeightOf(CustomerNumber customer) const;
 
   /// Notes that \p customer has work waiting from now on. A customer that was
-  /// idle starts at the current virtual time: unused share isn't saved up, or
-  /// a night's silence would let it take everything in the morning.
+  /// idle starts at most its credit before the current virtual time: were all
+  /// unused share saved up, a night's silence would let it take everything in
+  /// the morning.
   void Activate(CustomerNumber customer);
 
   /// Notes that no work of \p customer waits any more.
@@ -89,7 +96,9 @@
   /// Returns the sum of the weights of all waiting customers.
   double ActiveWeight() const { return this->active_weight; }
 
-  /// Returns what this instance served, for gossip.
+  /// Returns what this instance served, for gossip. The totals never fall,
+  /// though corrections may take some of a charge back: a falling total reads
+  /// as a restart, and the peers would charge all of it anew.
   Usage Served() const;
 
   /// Takes in what \p peer served. Charges the difference to its last word.
@@ -99,6 +108,17 @@
   /// second.
   void Tick(TimePoint now);
 
+  /// Returns the part of the pool that this instance's customers are entitled
+  /// to, 0 to 1. Each customer counts with what it uses, at most the mean use
+  /// by weight, and here with the part of it that this instance serves. Peers
+  /// that can't be heard count with their last rates. Nothing while no use is
+  /// known.
+  ///
+  /// Without it every instance claims the same part of each endpoint: where a
+  /// customer far over its share is all that an instance has, that part is
+  /// taken from the small customers of another instance.
+  std::optional<double> PartOfPool() const;
+
   /// Forgets \p peer, which is known to be gone.
   void Forget(const std::string& peer);
 
@@ -108,6 +128,10 @@
     double weight = 1.0;
     double tag = 0;
     double served = 0;
+    /// Highest value of `served` so far; see Served().
+    double total = 0;
+    double rated = 0;
+    double tokens_per_second = 0;
     bool active = false;
   };
   struct PeerUsage {
@@ -124,6 +148,8 @@
   Entry& At(CustomerNumber customer);
   const Entry& At(CustomerNumber customer) const;
   void Move(CustomerNumber customer, double tag);
+  void RateOwn(TimePoint now);
+  std::vector<double> RemoteRates() const;
   void ChargeRemote(const std::string& customer, double tokens);
 
   SharesSettings settings;
@@ -131,6 +157,7 @@
   std::vector<Entry> entries;
   std::set<std::pair<double, CustomerNumber>> turns;
   std::map<std::string, Peer> peers;
+  TimePoint rated_at;
   double virtual_time = 0;
   double active_weight = 0;
 };
--- a/lib/admission/gate.cc
+++ b/lib/admission/gate.cc
@@ -209,6 +209,8 @@
     this->limiter.SetPart(endpoint, this->ejection.Ramp(now, endpoint));
   }
   this->queue.SharesOf().Tick(now);
+  const auto part = this->queue.SharesOf().PartOfPool();
+  if (part) this->limiter.SetPartOfPool(*part);
   std::vector<Refusal> refusals;
   for (const Ticket& ticket : this->queue.TakeLapsed(now)) {
     const std::string customer = this->requests.at(ticket.id).request.customer;
--- a/lib/admission/limiter.cc
+++ b/lib/admission/limiter.cc
@@ -17,6 +17,12 @@
   this->settings.routers = routers;
 }
 
+void Limiter::SetPartOfPool(double part) {
+  // A little of an equal part is kept for work of which no use is known yet.
+  constexpr double kEqual = 0.1;
+  this->part_of_pool = part * (1 - kEqual) + kEqual / this->settings.routers;
+}
+
 void Limiter::Add(routing::Endpoint endpoint, std::uint32_t slots) {
   if (routing::IndexOf(endpoint) >= this->entries.size()) {
     this->entries.resize(routing::IndexOf(endpoint) + 1);
@@ -26,7 +32,7 @@
   entry.known = true;
   if (fresh) {
     entry.slots = slots;
-    entry.claim = 1.0 / this->settings.routers;
+    entry.claim = this->PartOfPool();
     entry.limit = this->FairPart(entry);
   }
   this->Update(endpoint);
@@ -54,7 +60,8 @@
   // A queue means that all routers together claimed too much. Slots left free
   // though they were offered mean that some routers have nothing to send.
   const bool full = free < 0 || sample.memory_free < 0;
-  const bool idle = free >= 1 && sample.memory_free > 2 * entry.mean_memory;
+  const bool idle = sample.running + 1 <= sample.slots && sample.queued < 1 &&
+                    sample.memory_free > 2 * entry.mean_memory;
   if (full) entry.claim /= 2;
   if (idle) entry.claim *= 2;
   entry.claim = std::clamp(entry.claim, least_claim, 1.0);
@@ -110,11 +117,15 @@
   return this->entries[routing::IndexOf(endpoint)];
 }
 
+double Limiter::PartOfPool() const {
+  return this->part_of_pool.value_or(1.0 / this->settings.routers);
+}
+
 /// Every router keeps at least this, so that one which starts late isn't shut
 /// out by those that already fill the endpoint.
 double Limiter::FairPart(const Entry& entry) const {
-  const double part = static_cast<double>(entry.slots) / this->settings.routers;
-  return std::max(std::floor(part), 1.0);
+  const double part = entry.slots * this->PartOfPool();
+  return std::max(std::round(part), 1.0);
 }
 
 double Limiter::Allowed(const Entry& entry) {
--- a/lib/admission/shares.cc
+++ b/lib/admission/shares.cc
@@ -9,6 +9,10 @@
 /// Weight of a peer's newest rate against its earlier ones.
 constexpr double kRateSmoothing = 0.3;
 
+/// Time over which an instance rates its own use: a gossip period, so that own
+/// and remote rates are of the same age.
+constexpr Duration kRatePeriod = std::chrono::milliseconds(500);
+
 std::size_t IndexOf(CustomerNumber customer) {
   return static_cast<std::size_t>(customer);
 }
@@ -50,7 +54,7 @@
   Entry& entry = this->At(customer);
   if (entry.active) return;
   entry.active = true;
-  entry.tag = std::max(entry.tag, this->virtual_time);
+  entry.tag = std::max(entry.tag, this->virtual_time - this->settings.credit);
   this->active_weight += entry.weight;
   this->turns.emplace(entry.tag, customer);
 }
@@ -66,6 +70,7 @@
 void Shares::Charge(CustomerNumber customer, double cost) {
   Entry& entry = this->At(customer);
   entry.served += cost;
+  entry.total = std::max(entry.total, entry.served);
   // Virtual time is the smallest start tag of those that wait: it follows the
   // customer whose turn it is, not one that was taken ahead for its deadline.
   const double front =
@@ -77,14 +82,14 @@
 void Shares::Correct(CustomerNumber customer, double difference) {
   Entry& entry = this->At(customer);
   entry.served += difference;
-  this->Move(customer, std::max(entry.tag + difference / entry.weight,
-                                this->virtual_time));
+  entry.total = std::max(entry.total, entry.served);
+  this->Move(customer, entry.tag + difference / entry.weight);
 }
 
 Usage Shares::Served() const {
   Usage usage;
   for (const Entry& entry : this->entries) {
-    if (entry.served > 0) usage.served.emplace(entry.name, entry.served);
+    if (entry.total > 0) usage.served.emplace(entry.name, entry.total);
   }
   return usage;
 }
@@ -113,6 +118,7 @@
 }
 
 void Shares::Tick(TimePoint now) {
+  this->RateOwn(now);
   for (auto& [name, peer] : this->peers) {
     const Duration silent = now - peer.heard;
     if (silent <= this->settings.silence) continue;
@@ -128,6 +134,55 @@
   }
 }
 
+std::optional<double> Shares::PartOfPool() const {
+  const std::vector<double> remote = this->RemoteRates();
+  double all_rates = 0;
+  double all_weights = 0;
+  for (std::size_t at = 0; at < this->entries.size(); ++at) {
+    const double rate = this->entries[at].tokens_per_second + remote[at];
+    if (rate <= 0) continue;
+    all_rates += rate;
+    all_weights += this->entries[at].weight;
+  }
+  if (all_rates <= 0) return std::nullopt;
+  const double level = all_rates / all_weights;
+  double own = 0;
+  double all = 0;
+  for (std::size_t at = 0; at < this->entries.size(); ++at) {
+    const Entry& entry = this->entries[at];
+    const double rate = entry.tokens_per_second + remote[at];
+    if (rate <= 0) continue;
+    const double entitled = std::min(rate, level * entry.weight);
+    own += entitled * entry.tokens_per_second / rate;
+    all += entitled;
+  }
+  return own / all;
+}
+
+void Shares::RateOwn(TimePoint now) {
+  const Duration past = now - this->rated_at;
+  if (past < kRatePeriod) return;
+  this->rated_at = now;
+  for (Entry& entry : this->entries) {
+    const double rate = (entry.total - entry.rated) / Seconds(past);
+    entry.rated = entry.total;
+    entry.tokens_per_second +=
+        kRateSmoothing * (rate - entry.tokens_per_second);
+  }
+}
+
+std::vector<double> Shares::RemoteRates() const {
+  std::vector<double> rates(this->entries.size());
+  for (const auto& [name, peer] : this->peers) {
+    for (const auto& [customer, usage] : peer.customers) {
+      const auto number = this->numbers.find(customer);
+      if (number == this->numbers.end()) continue;
+      rates[IndexOf(number->second)] += usage.tokens_per_second;
+    }
+  }
+  return rates;
+}
+
 void Shares::Forget(const std::string& peer) { this->peers.erase(peer); }
 
 Shares::Entry& Shares::At(CustomerNumber customer) {
