Answers are read on at any instance, found by the request id

Cause: a caller whose way to its entry instance was cut got 404 from every other instance, although the answer ran on. Change: a request id names the instance that made it in its last 32 bits; another instance reads the answer there over gRPC and passes the events on. Left: an instance that died takes its answers along; a caller with a seed asks anew.

--- a/include/toucanwharf/daemon/answer_sessions.h
+++ b/include/toucanwharf/daemon/answer_sessions.h
@@ -27,6 +27,18 @@
                          const SessionRequest&) = default;
 };
 
+/// What a reader of an answer gets next.
+struct AnswerTail {
+  /// Server-sent events, as the caller gets them.
+  std::string events;
+  /// Index of the token after these.
+  std::uint32_t next = 0;
+  /// Whether the events hold the answer's end.
+  bool ended = false;
+
+  friend bool operator==(const AnswerTail&, const AnswerTail&) = default;
+};
+
 /// Joins running answers with the callers that read them.
 ///
 /// A streamed answer whose caller's connection broke runs on for a short while
@@ -54,6 +66,15 @@
               std::uint32_t from,
               std::shared_ptr<transport::Exchange> exchange);
 
+  /// Returns what there is of the answer \p id from index \p from on. Counts as
+  /// a reader: the answer is not given up for a while. Errors: those of
+  /// pipeline::AnswerLog::Read.
+  Result<AnswerTail> Tail(const std::string& id, const std::string& customer,
+                          std::uint32_t from);
+
+  /// Returns whether the answer \p id is kept here, whoever's it is.
+  bool Keeps(const std::string& id) const { return this->log.Contains(id); }
+
   /// Returns the number of answers under way.
   std::size_t Running() const { return this->sessions.size(); }
 
--- a/include/toucanwharf/daemon/caller_api.h
+++ b/include/toucanwharf/daemon/caller_api.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "toucanwharf/daemon/answer_sessions.h"
 #include "toucanwharf/daemon/entries.h"
@@ -27,6 +28,17 @@
             const platform::ConfigService& config, AnswerSessions& sessions,
             ServiceRunner& services, Entries& entries, Metrics& metrics);
 
+  /// Reads an answer that another instance runs, if it can be found.
+  /// Returns false, and leaves the exchange alone, if not.
+  using ResumeElsewhere = std::function<bool(
+      const std::string& id, std::uint32_t from, const std::string& customer,
+      const std::shared_ptr<transport::Exchange>& exchange)>;
+
+  /// Sets what is tried for answers that are not kept here.
+  void OnForeignAnswer(ResumeElsewhere resume) {
+    this->resume_elsewhere = std::move(resume);
+  }
+
   /// Serves one request. Precondition: the exchange has no answer yet.
   void Serve(const std::shared_ptr<transport::Exchange>& exchange);
 
@@ -57,6 +69,7 @@
   ServiceRunner& services;
   Entries& entries;
   Metrics& metrics;
+  ResumeElsewhere resume_elsewhere;
 };
 
 }  // namespace toucanwharf::daemon
--- a/include/toucanwharf/daemon/fleet_sync.h
+++ b/include/toucanwharf/daemon/fleet_sync.h
@@ -27,6 +27,11 @@
   std::function<bool(const std::string& text)> take_update;
 };
 
+/// Sends an answer of this router to another one; see peers::Handlers::answer.
+using AnswerPort =
+    std::function<void(const std::string& request, std::uint64_t from,
+                       const std::string& customer, peers::AnswerSink)>;
+
 /// Keeps this router in touch with the others: who is there, who leaves, and
 /// which configuration they have.
 ///
@@ -39,7 +44,7 @@
   /// Precondition: all references outlive the object.
   FleetSync(transport::EventLoop& loop, const settings::Settings& settings,
             const Directory& directory, Metrics& metrics, ConfigPorts config,
-            std::uint64_t seed);
+            AnswerPort answers, std::uint64_t seed);
 
   /// Listens for peers and begins to talk. Precondition: called once.
   Result<void> Start();
@@ -47,6 +52,11 @@
   void Leave() { this->peers.Leave(); }
   /// Returns whether the router \p id must be in no advice any more.
   bool IsGone(const std::string& id) const { return this->peers.IsGone(id); }
+  /// Returns where peers reach the router that made the request id \p id, if
+  /// it is another one and not known to be dead.
+  std::optional<std::string> OriginOf(const std::string& id) const;
+  /// Returns the client for calls to other routers.
+  peers::PeerClient& Client() { return this->peers.Client(); }
   /// Returns the ids of the routers not known to be dead, this one included.
   std::vector<std::string> Present() const;
 
--- a/include/toucanwharf/daemon/refusal.h
+++ b/include/toucanwharf/daemon/refusal.h
@@ -35,6 +35,14 @@
 /// Precondition: the exchange has no answer yet. Thread safety: safe.
 void Send(transport::Exchange& exchange, const Refusal& refusal);
 
+/// Returns the refusal for an answer that is not kept, \p why in words.
+/// Thread safety: safe.
+Refusal UnknownAnswer(const std::string& id, std::string why);
+
+/// Begins the stream of the answer \p id.
+/// Precondition: the exchange has no answer yet. Thread safety: safe.
+void BeginStream(transport::Exchange& exchange, const std::string& id);
+
 /// Sends a JSON body with status 200.
 /// Precondition: the exchange has no answer yet. Thread safety: safe.
 void SendJson(transport::Exchange& exchange, std::string body,
--- a/include/toucanwharf/support/ids.h
+++ b/include/toucanwharf/support/ids.h
@@ -14,6 +14,15 @@
 /// Thread safety: safe.
 std::string NewId();
 
+/// Returns a new id whose last 32 bits name \p origin, so that whoever reads it
+/// can find where it was made.
+/// Thread safety: safe.
+std::string NewIdOf(std::string_view origin);
+
+/// Returns whether \p id may be one that NewIdOf made for \p origin. Any text
+/// is allowed; different origins rarely match the same id.
+bool IsIdOf(std::string_view id, std::string_view origin);
+
 /// Builds the UUID version 7 of \p millis and the low 74 bits of the two
 /// random words. Without I/O, for tests and virtual time.
 std::string IdFrom(std::uint64_t millis, std::uint64_t random_high,
--- a/lib/daemon/answer_sessions.cc
+++ b/lib/daemon/answer_sessions.cc
@@ -12,7 +12,6 @@
 using transport::Exchange;
 
 constexpr int kOk = 200;
-constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 // A caller that left shows at most this much later.
 constexpr Duration kLookPeriod = std::chrono::milliseconds(250);
@@ -38,17 +37,20 @@
   return refusal;
 }
 
-void BeginStream(Exchange& exchange, const std::string& id) {
-  exchange.BeginStream(kOk, {{"Content-Type", "text/event-stream"},
-                             {"Cache-Control", "no-cache"},
-                             {"X-Request-Id", id}});
+std::string FinishEvents(const CompletionNaming& naming,
+                         std::string_view reason) {
+  return transport::FormatEvent(FinishChunk(naming, reason)) +
+         transport::FormatEvent(kDone);
 }
 
-void WriteEnd(Exchange& exchange, const CompletionNaming& naming,
-              std::string_view reason) {
-  exchange.Write(transport::FormatEvent(FinishChunk(naming, reason)));
-  exchange.Write(transport::FormatEvent(kDone));
-  exchange.End();
+/// The events that end an answer which is read after its end.
+std::string EndEvents(const std::string& id, const CompletionNaming& naming,
+                      const pipeline::AnswerLog::End& end) {
+  const auto* fail = std::get_if<pipeline::Fail>(&end);
+  if (fail != nullptr) {
+    return transport::FormatEvent(BodyOf(RefusalOf(id, *fail)));
+  }
+  return FinishEvents(naming, "stop");
 }
 
 }  // namespace
@@ -121,7 +123,8 @@
       continue;
     }
     if (!session->begun) BeginStream(*reader, id);
-    WriteEnd(*reader, request.naming, reason);
+    reader->Write(FinishEvents(request.naming, reason));
+    reader->End();
   }
   this->Forget(session);
 }
@@ -151,44 +154,47 @@
   this->sessions.erase(id);
 }
 
+Result<AnswerTail> AnswerSessions::Tail(const std::string& id,
+                                        const std::string& customer,
+                                        std::uint32_t from) {
+  BOOST_OUTCOME_TRY(slice, this->log.Read(id, customer, from));
+  const auto live = this->sessions.find(id);
+  const bool running = live != this->sessions.end();
+  if (running && live->second->readers.empty()) {
+    live->second->unread_since = this->loop.Now();
+  }
+  const CompletionNaming& naming =
+      running ? live->second->request.naming : this->ended[id];
+  AnswerTail tail;
+  tail.next = slice.first_index;
+  for (const std::string& text : slice.tokens) {
+    tail.events += transport::FormatEvent(TokenChunk(naming, tail.next, text));
+    ++tail.next;
+  }
+  if (!slice.end) return tail;
+  tail.ended = true;
+  tail.events += EndEvents(id, naming, *slice.end);
+  return tail;
+}
+
 void AnswerSessions::Resume(const std::string& id, const std::string& customer,
                             std::uint32_t from,
                             std::shared_ptr<Exchange> exchange) {
-  const auto slice = this->log.Read(id, customer, from);
-  if (!slice) {
-    Refusal refusal;
-    refusal.status = kNotFound;
-    refusal.code = "unknown_request";
-    refusal.message = slice.error().message();
-    refusal.ran = pipeline::Ran::kUnknown;
-    refusal.request_id = id;
-    Send(*exchange, refusal);
+  const auto tail = this->Tail(id, customer, from);
+  if (!tail) {
+    Send(*exchange, UnknownAnswer(id, tail.error().message()));
     return;
   }
-  const auto live = this->sessions.find(id);
-  const CompletionNaming naming = live != this->sessions.end()
-                                      ? live->second->request.naming
-                                      : this->ended[id];
   BeginStream(*exchange, id);
-  std::uint32_t index = slice.value().first_index;
-  for (const std::string& text : slice.value().tokens) {
-    exchange->Write(transport::FormatEvent(TokenChunk(naming, index, text)));
-    ++index;
-  }
-  if (live != this->sessions.end()) {
-    live->second->begun = true;
-    live->second->unread_since.reset();
-    live->second->readers.push_back(std::move(exchange));
+  exchange->Write(tail.value().events);
+  if (tail.value().ended) {
+    exchange->End();
     return;
   }
-  const auto& end = slice.value().end;
-  if (end && std::holds_alternative<pipeline::Finish>(*end)) {
-    WriteEnd(*exchange, naming, "stop");
-    return;
-  }
-  const auto fail = end ? std::get<pipeline::Fail>(*end) : pipeline::Fail{};
-  exchange->Write(transport::FormatEvent(BodyOf(RefusalOf(id, fail))));
-  exchange->End();
+  const Shared& session = this->sessions.at(id);
+  session->begun = true;
+  session->unread_since.reset();
+  session->readers.push_back(std::move(exchange));
 }
 
 void AnswerSessions::LookForLeftCallers() {
--- a/lib/daemon/caller_api.cc
+++ b/lib/daemon/caller_api.cc
@@ -221,7 +221,7 @@
   SessionRequest session;
   session.customer = customer.name;
   session.stream = wanted.stream;
-  session.naming = {shape, NewId(), wanted.model,
+  session.naming = {shape, NewIdOf(this->settings.instance), wanted.model,
                     WallMillis() / kMillisPerSecond};
   session.job.prompt = wanted.prompt;
   session.job.seed = wanted.has_seed ? wanted.seed : SeedOf(session.naming.id);
@@ -305,6 +305,13 @@
                                        "tokens that you have"));
     return;
   }
+  const bool elsewhere =
+      !this->sessions.Keeps(id) && this->resume_elsewhere &&
+      this->resume_elsewhere(id, from, customer.name, exchange);
+  if (elsewhere) {
+    this->metrics.Count("toucanwharf_answers_resumed_elsewhere_total");
+    return;
+  }
   this->sessions.Resume(id, customer.name, from, exchange);
 }
 
--- a/lib/daemon/fleet_sync.cc
+++ b/lib/daemon/fleet_sync.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "absl/strings/numbers.h"
+#include "toucanwharf/support/ids.h"
 
 namespace toucanwharf::daemon {
 namespace {
@@ -13,12 +14,10 @@
 constexpr Duration kPeriod = std::chrono::seconds(1);
 constexpr Duration kFetchTimeout = std::chrono::seconds(2);
 
-exchange::Ports PortsOf(const ConfigPorts& config) {
+exchange::Ports PortsOf(const ConfigPorts& config, AnswerPort answers) {
   exchange::Ports ports;
   ports.config = config.update_for;
-  // Answers are resumed where they run; no other router asks for them yet.
-  ports.answer = [](const std::string&, std::uint64_t, const std::string&,
-                    const peers::AnswerSink& sink) { sink.end(false); };
+  ports.answer = std::move(answers);
   return ports;
 }
 
@@ -27,14 +26,14 @@
 FleetSync::FleetSync(transport::EventLoop& loop,
                      const settings::Settings& settings,
                      const Directory& directory, Metrics& metrics,
-                     ConfigPorts config, std::uint64_t seed)
+                     ConfigPorts config, AnswerPort answers, std::uint64_t seed)
     : loop(loop),
       settings(settings),
       directory(directory),
       metrics(metrics),
       config(std::move(config)),
       random(seed),
-      peers(loop, settings, PortsOf(this->config)) {}
+      peers(loop, settings, PortsOf(this->config, std::move(answers))) {}
 
 Result<void> FleetSync::Start() {
   BOOST_OUTCOME_TRY(this->peers.Start());
@@ -98,6 +97,14 @@
   set("toucanwharf_peer_bytes_received", counts.bytes_received);
 }
 
+std::optional<std::string> FleetSync::OriginOf(const std::string& id) const {
+  for (const membership::Member& member : this->peers.Present()) {
+    if (member.id == this->settings.instance) continue;
+    if (IsIdOf(id, member.id)) return member.address;
+  }
+  return std::nullopt;
+}
+
 std::vector<std::string> FleetSync::Present() const {
   std::vector<std::string> ids;
   for (const auto& member : this->peers.Present()) ids.push_back(member.id);
--- a/lib/daemon/refusal.cc
+++ b/lib/daemon/refusal.cc
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
 
 std::int64_t WholeSeconds(Duration length) {
   return std::chrono::ceil<std::chrono::seconds>(length).count();
@@ -42,6 +43,22 @@
   exchange.Respond(refusal.status, std::move(headers), BodyOf(refusal) + "\n");
 }
 
+Refusal UnknownAnswer(const std::string& id, std::string why) {
+  Refusal refusal;
+  refusal.status = kNotFound;
+  refusal.code = "unknown_request";
+  refusal.message = std::move(why);
+  refusal.ran = pipeline::Ran::kUnknown;
+  refusal.request_id = id;
+  return refusal;
+}
+
+void BeginStream(transport::Exchange& exchange, const std::string& id) {
+  exchange.BeginStream(kOk, {{"Content-Type", "text/event-stream"},
+                             {"Cache-Control", "no-cache"},
+                             {"X-Request-Id", id}});
+}
+
 void SendJson(transport::Exchange& exchange, std::string body,
               std::vector<transport::Header> headers) {
   headers.emplace_back("Content-Type", "application/json");
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "toucanwharf/daemon/admin_api.h"
+#include "toucanwharf/daemon/answer_relay.h"
 #include "toucanwharf/daemon/answer_runner.h"
 #include "toucanwharf/daemon/answer_sessions.h"
 #include "toucanwharf/daemon/caller_api.h"
@@ -69,10 +70,11 @@
                this->incarnation),
         journal(this->loop, this->platform, this->incarnation),
         fleet(this->loop, this->settings, this->directory, this->metrics,
-              this->MakeConfigPorts(), this->seed),
+              this->MakeConfigPorts(), this->MakeAnswerPort(), this->seed),
         runner(this->loop, this->client, this->directory, this->metrics,
                this->events, this->seed),
         sessions(this->loop, this->runner, this->metrics),
+        relay(this->loop, this->sessions),
         services(this->client, this->directory, this->journal, this->metrics,
                  this->seed),
         entries(this->directory, this->settings, this->seed),
@@ -81,6 +83,22 @@
         admin(this->settings.admin_key, this->MakeAdminPorts()) {
     this->entries.SetGone(
         [this](const std::string& id) { return this->fleet.IsGone(id); });
+    this->callers.OnForeignAnswer(
+        [this](const std::string& id, std::uint32_t from,
+               const std::string& customer, const SharedExchange& exchange) {
+          const auto origin = this->fleet.OriginOf(id);
+          if (!origin) return false;
+          AnswerRelay::Read(this->fleet.Client(), *origin, id, from, customer,
+                            exchange);
+          return true;
+        });
+  }
+
+  AnswerPort MakeAnswerPort() {
+    return [this](const std::string& id, std::uint64_t from,
+                  const std::string& customer, const peers::AnswerSink& sink) {
+      this->relay.Serve(id, static_cast<std::uint32_t>(from), customer, sink);
+    };
   }
 
   ConfigPorts MakeConfigPorts() {
@@ -210,6 +228,7 @@
   FleetSync fleet;
   AnswerRunner runner;
   AnswerSessions sessions;
+  AnswerRelay relay;
   ServiceRunner services;
   Entries entries;
   CallerApi callers;
--- a/lib/support/ids.cc
+++ b/lib/support/ids.cc
@@ -11,6 +11,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_format.h"
 #include "toucanwharf/support/clock.h"
+#include "toucanwharf/support/random.h"
 
 namespace toucanwharf {
 namespace {
@@ -27,6 +28,15 @@
   return word;
 }
 
+/// The last 32 bits of the ids of \p origin.
+std::uint32_t OriginBits(std::string_view origin) {
+  std::uint64_t bits = 0;
+  for (const char byte : origin) {
+    bits = MixBits(bits ^ static_cast<unsigned char>(byte));
+  }
+  return static_cast<std::uint32_t>(bits);
+}
+
 bool HasIdShape(std::string_view id) {
   if (id.size() != kIdLength) return false;
   for (std::size_t at = 0; at < id.size(); ++at) {
@@ -43,6 +53,18 @@
 
 std::string NewId() { return IdFrom(WallMillis(), SecureWord(), SecureWord()); }
 
+std::string NewIdOf(std::string_view origin) {
+  const std::uint64_t random = SecureWord() & ~std::uint64_t{UINT32_MAX};
+  return IdFrom(WallMillis(), SecureWord(), random | OriginBits(origin));
+}
+
+bool IsIdOf(std::string_view id, std::string_view origin) {
+  if (!HasIdShape(id)) return false;
+  constexpr std::size_t kOriginDigits = 8;
+  return id.substr(id.size() - kOriginDigits) ==
+         absl::StrFormat("%08x", OriginBits(origin));
+}
+
 std::string IdFrom(std::uint64_t millis, std::uint64_t random_high,
                    std::uint64_t random_low) {
   const std::uint64_t time = millis & kMillisMask;
--- a/test/process/caller_interface_test.cc
+++ b/test/process/caller_interface_test.cc
@@ -151,6 +151,22 @@
   BOOST_TEST(all == expected, boost::test_tools::per_element());
 }
 
+// The caller's way to its entry instance is cut, the instance itself works on.
+// The caller asks another instance for the rest and has every token once (I2).
+BOOST_AUTO_TEST_CASE(CallerReadsOnAtAnotherInstance) {
+  constexpr std::uint32_t kTokens = 40;
+  const auto first = this->fleet.Stream(
+      0, kPrompt, kTokens, kSeed, [](std::size_t read) { return read < 5; });
+  const auto rest = this->fleet.Resume(1, first.id, first.tokens.size());
+  BOOST_TEST(rest.done);
+  std::vector<std::string> all = first.tokens;
+  all.insert(all.end(), rest.tokens.begin(), rest.tokens.end());
+  const auto expected = Fleet::Expected(kPrompt, kTokens, kSeed);
+  BOOST_TEST(all == expected, boost::test_tools::per_element());
+  BOOST_TEST(this->fleet.Metric(
+                 1, "toucanwharf_answers_resumed_elsewhere_total") == 1);
+}
+
 // An instance is replaced while callers hold its address and answers stream.
 // SIGTERM begins a drain: nothing is cut or refused, and it exits 0 (I6).
 BOOST_AUTO_TEST_CASE(DrainCutsNothing) {
--- a/test/process/fixture.h
+++ b/test/process/fixture.h
@@ -120,7 +120,8 @@
   void AddEngine(const EngineSpec& spec);
   /// Starts a router in \p failure_domain and returns its number, from 0.
   std::size_t AddRouter(const std::string& failure_domain);
-  /// Waits until every router knows all engines and serves the pipeline; throws
+  /// Waits until every router knows all engines and routers and serves the
+  /// pipeline; throws
   /// std::runtime_error after half a minute.
   void WaitUntilServing();
 
@@ -164,6 +165,7 @@
   void PutRecord(const std::string& kind, const std::string& name,
                  const nlohmann::json& spec) const;
   void List(const EngineSpec& spec, const std::string& address) const;
+  void List(const nlohmann::json& instance) const;
 
   std::unique_ptr<Process> platform;
   std::string platform_address;
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -163,16 +163,19 @@
 }
 
 void Fleet::List(const EngineSpec& spec, const std::string& address) const {
+  this->List({{"id", spec.id},
+              {"address", address},
+              {"role", "engine"},
+              {"service", ""},
+              {"failure_domain", spec.failure_domain},
+              {"state", "live"}});
+}
+
+void Fleet::List(const Json& instance) const {
   Call call;
   call.method = "POST";
   call.url = this->platform_address + "/instances";
-  call.body = Json({{"id", spec.id},
-                    {"address", address},
-                    {"role", "engine"},
-                    {"service", ""},
-                    {"failure_domain", spec.failure_domain},
-                    {"state", "live"}})
-                  .dump();
+  call.body = instance.dump();
   if (Send(call).status != kOk) throw std::runtime_error("not listed");
 }
 
@@ -181,12 +184,12 @@
   const std::string name = "router-" + std::to_string(number);
   const std::string callers = FreeAddress();
   const std::string admin = FreeAddress();
+  const std::string peers = FreeAddress();
   const Json settings = {
       {"instance", name},
       {"failure_domain", failure_domain},
       {"region", "casablanca"},
-      {"listen",
-       {{"callers", callers}, {"admin", admin}, {"peers", FreeAddress()}}},
+      {"listen", {{"callers", callers}, {"admin", admin}, {"peers", peers}}},
       {"platform", {{"address", this->platform_address}}},
       {"keys", {{"admin", kAdminKey}, {"peer", kPeerKey}}},
       {"timeouts", {{"entries_ttl_ms", 500}}}};
@@ -195,6 +198,13 @@
   this->routers.push_back(std::make_unique<Process>(
       "toucanwharfd", std::vector<std::string>{"--settings=" + file},
       RunFolder() + "/" + name + ".log"));
+  this->List({{"id", name},
+              {"address", callers},
+              {"peer_address", peers},
+              {"admin_address", admin},
+              {"role", "router"},
+              {"failure_domain", failure_domain},
+              {"state", "live"}});
   this->router_addresses.push_back(callers);
   this->admin_addresses.push_back(admin);
   return number;
@@ -209,7 +219,8 @@
       call.key = kAdminKey;
       const Json status = Send(call).Json();
       const bool all = status.is_object() &&
-                       status.value("engines", 0u) >= this->engines.size();
+                       status.value("engines", 0u) >= this->engines.size() &&
+                       status["members"].size() >= this->routers.size();
       serving = all && this->Stream(number, "ready?", 1, 1).done;
       if (!serving) std::this_thread::sleep_for(kPoll);
     }
--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <cctype>
 #include <csignal>
 #include <stdexcept>
@@ -154,17 +155,26 @@
   return answer;
 }
 
+// Below the range from which the system takes ports for outgoing connections:
+// one of those was at times handed to another connection between this check
+// and the router's own bind, and the router then ended with "cannot listen".
 std::string FreeAddress() {
-  const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof(address);
-  auto* plain = reinterpret_cast<sockaddr*>(&address);
-  if (bind(probe, plain, size) != 0) throw std::runtime_error("no port");
-  getsockname(probe, plain, &size);
-  close(probe);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  constexpr unsigned kFirst = 12000;
+  constexpr unsigned kCount = 20000;
+  static std::atomic<unsigned> next = static_cast<unsigned>(getpid()) * 101;
+  for (unsigned tries = 0; tries < kCount; ++tries) {
+    const unsigned port = kFirst + next++ % kCount;
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto* plain = reinterpret_cast<const sockaddr*>(&address);
+    const bool free = bind(probe, plain, sizeof(address)) == 0;
+    close(probe);
+    if (free) return "127.0.0.1:" + std::to_string(port);
+  }
+  throw std::runtime_error("no free port");
 }
 
 }  // namespace toucanwharf::process_test
--- a/unittests/support/ids_test.cc
+++ b/unittests/support/ids_test.cc
@@ -28,6 +28,13 @@
   BOOST_TEST(seen.size() == 1000u);
 }
 
+RC_BOOST_PROP(IdNamesItsOrigin, (const std::string& origin)) {
+  const std::string id = NewIdOf(origin);
+  RC_ASSERT(MillisOf(id).has_value());
+  RC_ASSERT(IsIdOf(id, origin));
+  RC_ASSERT(!IsIdOf(id, origin + "x"));
+}
+
 BOOST_AUTO_TEST_CASE(HashIsSha256) {
   BOOST_TEST(
       Sha256Hex("abc") ==
