Capacity bench: ports below the ephemeral range

Cause: rows for 48 and 96 routers ended with 'not within 90 s: all members known'. One router's log had 'the address cannot be listened on': the port was free when it was chosen, and an outgoing connection had it when the router started. Ruled out: membership not converging; all others had met.

--- a/bench/capacity/fleet.cc
+++ b/bench/capacity/fleet.cc
@@ -89,8 +89,9 @@
 
 }  // namespace
 
-CapacityFleet::CapacityFleet(std::size_t router_count,
-                             std::size_t engine_count) {
+CapacityFleet::CapacityFleet(std::size_t router_count, std::size_t engine_count,
+                             std::uint16_t first_port)
+    : next_port(first_port) {
   this->platform =
       std::make_unique<Process>("standin_platform", std::vector<std::string>{});
   this->platform_address = this->platform->WaitForLine("listening");
@@ -99,6 +100,10 @@
   for (std::size_t at = 0; at < router_count; ++at) this->AddRouter(at);
 }
 
+std::string CapacityFleet::NextAddress() {
+  return "127.0.0.1:" + std::to_string(this->next_port++);
+}
+
 void CapacityFleet::List(const Json& instance) const {
   const std::string url = this->platform_address + "/instances";
   if (Ask(url, instance, "POST").status != kOk) {
@@ -125,9 +130,9 @@
 
 void CapacityFleet::AddRouter(std::size_t number) {
   const std::string name = "router-" + std::to_string(number);
-  const std::string callers = process_test::FreeAddress();
-  const std::string admin = process_test::FreeAddress();
-  const std::string peers = process_test::FreeAddress();
+  const std::string callers = this->NextAddress();
+  const std::string admin = this->NextAddress();
+  const std::string peers = this->NextAddress();
   const std::string reached = number == 0 ? this->RelayBefore(peers) : peers;
   const Json settings = {
       {"instance", name},
--- a/bench/capacity/fleet.h
+++ b/bench/capacity/fleet.h
@@ -30,8 +30,11 @@
 /// Thread safety: none.
 class CapacityFleet {
  public:
-  /// Starts \p routers routers and \p engines engines.
-  CapacityFleet(std::size_t routers, std::size_t engines);
+  /// Starts \p routers routers and \p engines engines. Routers listen from
+  /// \p first_port on, which should lie below the system's ephemeral ports:
+  /// with so many connections a port that was free a moment ago often isn't.
+  CapacityFleet(std::size_t routers, std::size_t engines,
+                std::uint16_t first_port);
 
   /// Waits until each router knows all others; returns the seconds it took.
   double WaitForMembers();
@@ -50,6 +53,7 @@
  private:
   void AddEngine(std::size_t number);
   void AddRouter(std::size_t number);
+  std::string NextAddress();
   std::string RelayBefore(const std::string& address);
   nlohmann::json Status(std::size_t router) const;
   double Metric(const std::string& text, const std::string& name) const;
@@ -64,6 +68,7 @@
   std::vector<std::string> admins;
   /// Writes of the measurement itself, which the platform counts too.
   double own_calls = 0;
+  std::uint16_t next_port;
 };
 
 }  // namespace toucanwharf::bench
--- a/bench/capacity/main.cc
+++ b/bench/capacity/main.cc
@@ -60,8 +60,9 @@
                  static_cast<double>(fleet.Size()));
 }
 
-void PrintRow(std::size_t routers, std::size_t engines, int seconds) {
-  CapacityFleet fleet(routers, engines);
+void PrintRow(std::size_t routers, std::size_t engines, int seconds,
+              std::uint16_t first_port) {
+  CapacityFleet fleet(routers, engines, first_port);
   const double joined = fleet.WaitForMembers();
   // Until news of the start is told, and the lists of endpoints are read; the
   // byte cap makes that longer for more routers.
@@ -89,9 +90,10 @@
 }
 
 /// A row that can't be measured says why, and the others follow.
-void TryRow(std::size_t routers, std::size_t engines, int seconds) {
+void TryRow(std::size_t routers, std::size_t engines, int seconds,
+            std::uint16_t first_port) {
   try {
-    PrintRow(routers, engines, seconds);
+    PrintRow(routers, engines, seconds, first_port);
   } catch (const std::exception& error) {
     std::printf("| %zu | %zu | not measured: %s |\n", routers, engines,
                 error.what());
@@ -118,6 +120,8 @@
           "6,12,24,48,96"))(
       "engines", "numbers of endpoints, for 6 routers",
       cxxopts::value<std::vector<std::size_t>>()->default_value("10,40"))(
+      "first-port", "first of the ports that routers listen on",
+      cxxopts::value<std::uint16_t>()->default_value("12000"))(
       "seconds", "length of each window",
       cxxopts::value<int>()->default_value("10"));
   try {
@@ -127,15 +131,16 @@
       return 0;
     }
     const int seconds = parsed["seconds"].as<int>();
+    const auto first_port = parsed["first-port"].as<std::uint16_t>();
     PrintHead();
     for (const std::size_t routers :
          parsed["routers"].as<std::vector<std::size_t>>()) {
-      TryRow(routers, 0, seconds);
+      TryRow(routers, 0, seconds, first_port);
     }
     constexpr std::size_t kSmallFleet = 6;
     for (const std::size_t engines :
          parsed["engines"].as<std::vector<std::size_t>>()) {
-      TryRow(kSmallFleet, engines, seconds);
+      TryRow(kSmallFleet, engines, seconds, first_port);
     }
   } catch (const std::exception& error) {
     std::cerr << error.what() << std::endl;
