Leave a plan that crawls, once

Cause: with a link slowed a hundredfold each token still comes before its deadline, so the answer crawls to its end and nothing counts as a fault. Ruled out: a shorter gap deadline (suspects engines whose batch grew), moving as often as a plan is slow (under general load that only adds prefills). Change: when the mean gap passes three times the expected one and the tokens left repay a prefill, the answer moves once, the stages avoided.

--- a/include/toucanwharf/pipeline/answer_machine.h
+++ b/include/toucanwharf/pipeline/answer_machine.h
@@ -91,6 +91,7 @@
   bool Accept(Step& step, const TokenArrived& token);
   void HandOut(Step& step, const TokenArrived& token);
   void NoteProgress(Step& step);
+  void LeaveSlowPlan(Step& step);
   void ConnectionLost(Step& step);
   void Silent(Step& step);
   void StageFailed(Step& step, std::size_t stage);
@@ -130,6 +131,7 @@
   /// one failed, and gave no token yet.
   bool checking_connection = false;
   std::uint32_t losses_on_plan = 0;
+  bool moved_for_speed = false;
 
   TimePoint last_progress;
   TimePoint progress_deadline;
--- a/include/toucanwharf/pipeline/deadlines.h
+++ b/include/toucanwharf/pipeline/deadlines.h
@@ -22,6 +22,11 @@
   /// The expected wait comes from lagging reports and is the least certain
   /// part of a plan.
   int first_factor = 3;
+  /// A plan whose mean gap is so many times the expected one, and the floor
+  /// more, is left for another. Below the gap factor, or silence would always
+  /// come first; above the two that a growing batch explains.
+  int slow_factor = 3;
+  Duration slow_floor{std::chrono::milliseconds(20)};
   Duration first_floor{std::chrono::milliseconds(250)};
   /// A status call takes one round trip and no compute; the floor is the same
   /// as for token gaps plus the handshake of a fresh connection.
@@ -49,6 +54,12 @@
   /// Returns how long the next token may take after one that came, when gaps
   /// of \p observed were seen lately. Thread safety: safe.
   Duration NextToken(const PlanTimes& times, Duration observed) const;
+
+  /// Returns the mean gap from which on a plan counts as slow.
+  /// Thread safety: safe.
+  Duration SlowGap(const PlanTimes& times) const {
+    return times.token_gap * this->slow_factor + this->slow_floor;
+  }
 };
 
 }  // namespace toucanwharf::pipeline
--- a/lib/pipeline/answer_machine.cc
+++ b/lib/pipeline/answer_machine.cc
@@ -9,9 +9,9 @@
 namespace toucanwharf::pipeline {
 namespace {
 
-/// Weight of the newest gap in the running mean, as one in this many. Eight
-/// tokens follow a batch that grew without following one odd token.
-constexpr int kGapSmoothing = 8;
+/// Weight of the newest gap in the running mean, as one in this many. Four
+/// follow a degraded link within three tokens, and one odd token hardly.
+constexpr int kGapSmoothing = 4;
 
 }  // namespace
 
@@ -71,7 +71,10 @@
 void AnswerMachine::On(Step& step, const TokenArrived& token) {
   if (!this->Accept(step, token)) return;
   this->HandOut(step, token);
-  if (!token.last && this->Next() < this->request.max_tokens) return;
+  if (!token.last && this->Next() < this->request.max_tokens) {
+    this->LeaveSlowPlan(step);
+    return;
+  }
   if (!token.last) {
     step.actions.push_back(Cancel{this->attempt, *this->plan});
   }
@@ -145,6 +148,23 @@
   this->recovery.reset();
 }
 
+// A link that degrades a hundredfold still brings each token before its
+// deadline, so the answer would crawl to its end without a fault. The answer
+// moves once, and only when the tokens left repay a new prefill: under a load
+// that slows every endpoint, moving about would only add prefills.
+void AnswerMachine::LeaveSlowPlan(Step& step) {
+  if (this->moved_for_speed) return;
+  const PlanTimes& times = this->plan->times;
+  if (this->observed_gap < this->policy.SlowGap(times)) return;
+  const std::uint32_t left = this->request.max_tokens - this->Next();
+  const std::uint32_t prompt = this->request.prompt_tokens + this->Next();
+  const Duration excess = (this->observed_gap - times.token_gap) * left;
+  if (excess < times.FirstToken(prompt) * this->policy.first_factor) return;
+  this->moved_for_speed = true;
+  this->AvoidStages();
+  this->Replan(step);
+}
+
 // ---- Faults -----------------------------------------------------------------
 
 void AnswerMachine::On(Step& step, const StreamFailed& failure) {
@@ -351,6 +371,7 @@
   start.fresh_connection = fresh;
   start.imports = this->Imports(next_plan);
   if (!fresh) this->losses_on_plan = 0;
+  this->observed_gap = Duration(0);
   this->plan = next_plan;
   this->phase = Phase::kRunning;
   this->attempt_may_have_run = true;
--- a/unittests/pipeline/answer_machine_test.cc
+++ b/unittests/pipeline/answer_machine_test.cc
@@ -202,6 +202,33 @@
   BOOST_TEST(attempt == policy.idle_attempts);
 }
 
+// The link between two engines degrades a hundredfold. Every token still comes
+// before its deadline, six times as late as planned. The answer moves, once.
+BOOST_AUTO_TEST_CASE(SlowPlanIsLeftOnce) {
+  AnswerRequest request = SomeRequest();
+  request.max_tokens = 200;
+  AnswerMachine machine(request);
+  ManualClock clock;
+  machine.Start(clock.Now());
+  machine.Handle(clock.Now(), PlanReady{0, SomePlan("a", "b")});
+  int moves = 0;
+  for (std::uint32_t index = 0; index < 40; ++index) {
+    TokenArrived token = GoodToken(machine.Attempt(), index);
+    token.last = false;
+    const bool slow = index > 10;
+    clock.Advance(std::chrono::milliseconds(slow ? 120 : 20));
+    const auto asks = Of<RequestPlan>(machine.Handle(clock.Now(), token));
+    if (asks.empty()) continue;
+    BOOST_TEST(index <= 15u);
+    BOOST_TEST((asks[0].excluded == std::set<std::string>{"a", "b"}));
+    ++moves;
+    machine.Handle(clock.Now(),
+                   PlanReady{machine.Attempt(), SomePlan("c", "d")});
+  }
+  BOOST_TEST(moves == 1);
+  BOOST_TEST(machine.Tokens().size() == 40u);
+}
+
 BOOST_AUTO_TEST_CASE(CallerWhoLeavesCancelsTheWork) {
   Running run;
   const Actions left = run.Send(CallerLeft{});
