HTTP client: a call started inside a callback is sent

The next attempt starts while the stream's event is read, inside libcurl's callback, where curl_multi_add_handle refuses new transfers; the refusal was ignored and the attempt never sent, until its first-token deadline passed. Ruled out: the engines (the same attempt from a timer was answered), a connection that was reused while dead (no connection was opened). Change: a refused transfer is added right after the callback. The new test was seen failing without it (no end within 30 s).

--- a/include/toucanwharf/transport/http_client.h
+++ b/include/toucanwharf/transport/http_client.h
@@ -83,7 +83,8 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  /// Starts \p call. on_done runs later, never inside Start.
+  /// Starts \p call; may be called inside a callback. on_done runs later,
+  /// never inside Start.
   /// Precondition: \p handlers has an on_done.
   CallId Start(HttpCall call, CallHandlers handlers);
 
@@ -94,6 +95,7 @@
  private:
   struct Transfer;
 
+  void Add(CallId id);
   void Reap();
   void Finish(CallId id, int code);
   void Remove(CallId id);
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -156,11 +156,24 @@
   transfer->call = std::move(call);
   transfer->handlers = std::move(handlers);
   SetUp(*transfer);
-  curl_multi_add_handle(this->loop.MultiHandle(), transfer->easy);
+  CURL* easy = transfer->easy;
   this->transfers.emplace(id, std::move(transfer));
+  const CURLMcode added = curl_multi_add_handle(this->loop.MultiHandle(), easy);
+  // libcurl takes no new transfer inside its own callbacks. A stage that is
+  // replaced because of what a stream's data says would start there, and its
+  // call would never be sent nor end; it is added right after the callback.
+  if (added == CURLM_RECURSIVE_API_CALL) {
+    this->loop.Post([this, id] { this->Add(id); });
+  }
   return id;
 }
 
+void HttpClient::Add(CallId id) {
+  const auto found = this->transfers.find(id);
+  if (found == this->transfers.end()) return;
+  curl_multi_add_handle(this->loop.MultiHandle(), found->second->easy);
+}
+
 void HttpClient::Cancel(CallId id) {
   const auto found = this->transfers.find(id);
   if (found == this->transfers.end()) return;
--- a/unittests/transport/http_test.cc
+++ b/unittests/transport/http_test.cc
@@ -102,6 +102,34 @@
 // A router works on for a caller who hung up, and an engine's slot is lost to
 // others. The caller closes its connection while its request waits; the
 // listener does not look at suspended connections by itself.
+// An engine's stream says that a later stage is lost. The router starts the
+// next attempt while it reads that event, inside libcurl's own callback, which
+// takes no new transfers: the attempt was never sent, and the caller waited
+// for the first-token deadline.
+BOOST_AUTO_TEST_CASE(CallStartedInsideDataCallbackIsSent) {
+  auto server = Serve([](const std::shared_ptr<Exchange>& exchange) {
+    exchange->Respond(200, {}, "x");
+  });
+  LoopThread client;
+  std::promise<HttpOutcome> inner;
+  CallHandlers handlers;
+  handlers.on_data = [&](std::string_view /*bytes*/) {
+    HttpCall next = CallTo(server->Port());
+    next.total_timeout = std::chrono::seconds(5);
+    const auto on_done = [&inner](HttpOutcome outcome) {
+      inner.set_value(std::move(outcome));
+    };
+    client.client.Start(std::move(next), {nullptr, on_done});
+  };
+  handlers.on_done = [](const HttpOutcome& /*outcome*/) {};
+  client.loop.Post(
+      [&] { client.client.Start(CallTo(server->Port()), handlers); });
+  auto ended = inner.get_future();
+  BOOST_REQUIRE(
+      (ended.wait_for(std::chrono::seconds(30)) == std::future_status::ready));
+  BOOST_TEST(ended.get().status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(LeftCallerIsSeen) {
   std::promise<std::shared_ptr<Exchange>> taken;
   auto server = Serve([&](const std::shared_ptr<Exchange>& exchange) {
