--- a/test/process/fixture.h
+++ b/test/process/fixture.h
@@ -125,6 +125,10 @@
   /// std::runtime_error after half a minute.
   void WaitUntilServing();
 
+  /// Puts a relay that delays each way by \p millis before every router;
+  /// `Stream` and `Resume` go through it from now on.
+  void DelayCallers(int millis);
+
   Process& Platform() { return *this->platform; }
   Process& Engine(const std::string& id) { return *this->engines.at(id); }
   Process& Router(std::size_t number) { return *this->routers.at(number); }
@@ -176,6 +180,7 @@
   std::vector<std::unique_ptr<Process>> routers;
   std::vector<std::string> router_addresses;
   std::vector<std::string> admin_addresses;
+  std::vector<std::unique_ptr<Process>> caller_relays;
 };
 
 }  // namespace toucanwharf::process_test
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -228,6 +228,16 @@
   }
 }
 
+void Fleet::DelayCallers(int millis) {
+  for (std::string& address : this->router_addresses) {
+    auto relay = std::make_unique<Process>(
+        "standin_relay", std::vector<std::string>{"--target=" + address});
+    PostFault(relay->WaitForLine("admin"), {{"delay_ms", millis}});
+    address = relay->WaitForLine("listening");
+    this->caller_relays.push_back(std::move(relay));
+  }
+}
+
 void Fleet::EngineFault(const std::string& id, const Json& fault) const {
   PostFault(this->engine_addresses.at(id), fault);
 }
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -28,3 +28,5 @@
 tw_process_test(recovery)
 tw_process_test(caller_interface)
 tw_process_test(state)
+
+tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
