Answers pass the admission gate

Cause: the router took in every answer; at saturation engines refused and attempts were spent on engines that were full. Ruled out: a limit of running answers alone, which lets one customer take all of it and says nothing of when to come back. Change: one gate per model version before the answer runner: the answer waits for its turn, gets its plan from the planner with waits corrected by the router's own work, and is refused at once with 429 or 503, ran: no and Retry-After when it can't be served in time. Suspected endpoints count towards ejection. An answer that lost a stage keeps its place and may use a full engine. Until every other router was heard, no part of the pool beyond an equal one is taken. Left: usage of peers is not exchanged, so each router keeps an equal part; prefix affinity, hedging and gates for plain services are not wired.

--- a/include/toucanwharf/admission/gate.h
+++ b/include/toucanwharf/admission/gate.h
@@ -176,6 +176,10 @@
   /// ejected the endpoint.
   bool Failed(TimePoint now, routing::Endpoint endpoint);
 
+  /// Notes that \p endpoint refused a request that goes on elsewhere for want
+  /// of a slot or memory; it gets nothing more until it reports.
+  void EndpointFull(routing::Endpoint endpoint);
+
   /// Notes that request \p id, which was handed over, goes on at
   /// \p endpoints: a stage was replaced.
   void Moved(TimePoint now, const std::string& id,
@@ -214,7 +218,7 @@
   const routing::LoadView& Loads() const { return this->loads; }
   const Limiter& Limits() const { return this->limiter; }
   const routing::Ejection& Ejections() const { return this->ejection; }
-  const routing::EndpointNames& Names() const { return this->names; }
+  routing::EndpointNames& Names() { return this->names; }
   Shares& CustomerShares() { return this->queue.SharesOf(); }
   RetryBudget& Retries() { return this->retries; }
   std::size_t WaitingCount() const { return this->queue.size(); }
@@ -232,6 +236,7 @@
   };
 
   const Ticket* NextTicket() const;
+  void TakePartOfPool();
   routing::Work WorkOf(const Request& request) const;
   Ticket MakeTicket(TimePoint now, const Request& request);
   std::optional<Dispatch> HandOver(
--- a/include/toucanwharf/admission/shares.h
+++ b/include/toucanwharf/admission/shares.h
@@ -119,6 +119,9 @@
   /// taken from the small customers of another instance.
   std::optional<double> PartOfPool() const;
 
+  /// Returns from how many peers use was heard.
+  std::size_t PeerCount() const { return this->peers.size(); }
+
   /// Forgets \p peer, which is known to be gone.
   void Forget(const std::string& peer);
 
--- a/include/toucanwharf/daemon/answer_runner.h
+++ b/include/toucanwharf/daemon/answer_runner.h
@@ -8,11 +8,10 @@
 #include <memory>
 #include <string>
 
-#include "toucanwharf/daemon/directory.h"
+#include "toucanwharf/daemon/answer_gate.h"
 #include "toucanwharf/daemon/metrics.h"
 #include "toucanwharf/pipeline/answer.h"
 #include "toucanwharf/pipeline/answer_machine.h"
-#include "toucanwharf/support/random.h"
 #include "toucanwharf/timeline/buffer.h"
 #include "toucanwharf/transport/event_loop.h"
 #include "toucanwharf/transport/event_stream.h"
@@ -23,6 +22,7 @@
 /// One answer to run.
 struct AnswerJob {
   pipeline::AnswerRequest request;
+  std::string customer;
   std::string prompt;
   std::uint64_t seed = 0;
 
@@ -30,11 +30,14 @@
 };
 
 /// Where an answer's tokens and its end go. All run on the loop's thread;
-/// on_finish or on_fail comes once, last.
+/// on_finish, on_fail or, instead of everything else, on_refuse comes once,
+/// last.
 struct AnswerHandlers {
   std::function<void(const pipeline::Emit&)> on_token;
   std::function<void(const pipeline::Finish&)> on_finish;
   std::function<void(const pipeline::Fail&)> on_fail;
+  /// Nothing of the answer was handed to any endpoint (I3).
+  std::function<void(const admission::Refusal&)> on_refuse;
 };
 
 /// Carries out what the state machines of answers ask for: plans, streams to
@@ -44,13 +47,13 @@
  public:
   /// Precondition: all references outlive the runner.
   AnswerRunner(transport::EventLoop& loop, transport::HttpClient& client,
-               Directory& directory, Metrics& metrics, timeline::Buffer& events,
-               std::uint64_t seed);
+               AnswerGate& gate, Metrics& metrics, timeline::Buffer& events);
   ~AnswerRunner();
   AnswerRunner(const AnswerRunner&) = delete;
   AnswerRunner& operator=(const AnswerRunner&) = delete;
 
-  /// Begins an answer. Its first callback may come before this returns.
+  /// Offers an answer to admission and begins it when its turn comes. Its
+  /// first callback may come before this returns.
   /// Precondition: no answer with the same id is running.
   void Start(AnswerJob job, AnswerHandlers handlers);
 
@@ -65,6 +68,8 @@
   struct ActiveAnswer;
   using Run = std::shared_ptr<ActiveAnswer>;
 
+  void Begin(const Run& run, const pipeline::Plan& plan);
+  void Refuse(const Run& run, const admission::Refusal& refusal);
   void Feed(const Run& run, pipeline::Event event);
   void Drain(const Run& run);
   void Perform(const Run& run, const pipeline::RequestPlan& action);
@@ -88,10 +93,9 @@
 
   transport::EventLoop& loop;
   transport::HttpClient& client;
-  Directory& directory;
+  AnswerGate& gate;
   Metrics& metrics;
   timeline::Buffer& events;
-  Random random;
   std::map<std::string, Run> running;
 };
 
--- a/include/toucanwharf/daemon/answer_sessions.h
+++ b/include/toucanwharf/daemon/answer_sessions.h
@@ -84,6 +84,8 @@
 
   void TakeToken(const Shared& session, const pipeline::Emit& token);
   void TakeFinish(const Shared& session, const pipeline::Finish& finish);
+  void TakeRefusal(const Shared& session, const admission::Refusal& refused);
+  void SendRefusal(const Shared& session, const Refusal& refusal);
   void TakeFail(const Shared& session, const pipeline::Fail& fail);
   void Forget(const Shared& session);
   void LookForLeftCallers();
--- a/include/toucanwharf/daemon/directory.h
+++ b/include/toucanwharf/daemon/directory.h
@@ -46,6 +46,35 @@
 /// Thread safety: safe.
 bool ParseEngineLoad(std::string_view body, pipeline::EndpointView& view);
 
+/// An engine's word on its load.
+struct EngineLoad {
+  std::uint32_t running = 0;
+  double queued_tokens = 0;
+  double kv_tokens_free = 0;
+  /// How old the figures were when the engine sent them.
+  Duration age{0};
+
+  friend bool operator==(const EngineLoad&, const EngineLoad&) = default;
+};
+
+/// What follows the engines, besides the plans: admission.
+struct EngineWatchers {
+  /// A status came: what the engine holds, and how many answers it runs at
+  /// once.
+  std::function<void(const pipeline::EndpointView&, std::uint32_t slots)>
+      on_status;
+  std::function<void(const std::string& id, const EngineLoad&)> on_load;
+  std::function<void(const std::string& id)> on_gone;
+};
+
+/// Reads the number of slots from an engine's `GET /v1/status`, at least 1.
+/// Thread safety: safe.
+std::uint32_t ParseEngineSlots(std::string_view body);
+
+/// Reads the load from an engine's `GET /v1/load`.
+/// Thread safety: safe.
+EngineLoad ParseLoadReport(std::string_view body);
+
 /// All instances that this router knows, and what the engines among them hold.
 ///
 /// The platform's list lags, so that an engine's own word, which comes with
@@ -75,6 +104,11 @@
   /// Returns whether the platform's list was read at least once.
   bool Loaded() const { return this->loaded; }
 
+  /// Sets who is told about the engines. Precondition: before Start().
+  void Watch(EngineWatchers new_watchers) {
+    this->watchers = std::move(new_watchers);
+  }
+
   /// Sets what is called after each change of the set of instances.
   void OnChange(std::function<void()> callback) {
     this->on_change = std::move(callback);
@@ -97,6 +131,7 @@
   std::map<std::string, pipeline::EndpointView> views;
   pipeline::PlanIndex engines;
   std::function<void()> on_change;
+  EngineWatchers watchers;
   bool loaded = false;
   std::uint64_t polls = 0;
 };
--- a/lib/admission/gate.cc
+++ b/lib/admission/gate.cc
@@ -162,6 +162,10 @@
   return ejected;
 }
 
+void Gate::EndpointFull(routing::Endpoint endpoint) {
+  if (this->IsMember(endpoint)) this->limiter.Refused(endpoint);
+}
+
 void Gate::Moved(TimePoint now, const std::string& id,
                  const std::vector<routing::Endpoint>& endpoints) {
   const auto found = this->requests.find(id);
@@ -209,8 +213,7 @@
     this->limiter.SetPart(endpoint, this->ejection.Ramp(now, endpoint));
   }
   this->queue.SharesOf().Tick(now);
-  const auto part = this->queue.SharesOf().PartOfPool();
-  if (part) this->limiter.SetPartOfPool(*part);
+  this->TakePartOfPool();
   std::vector<Refusal> refusals;
   for (const Ticket& ticket : this->queue.TakeLapsed(now)) {
     const std::string customer = this->requests.at(ticket.id).request.customer;
@@ -221,6 +224,16 @@
   return refusals;
 }
 
+void Gate::TakePartOfPool() {
+  // Until every other router was heard its use would be missing from the sum:
+  // each router would hold itself entitled to all, and together they would
+  // send the endpoints several times what these can run.
+  const Shares& shares = this->queue.SharesOf();
+  if (shares.PeerCount() + 1 < this->limiter.Routers()) return;
+  const auto part = shares.PartOfPool();
+  if (part) this->limiter.SetPartOfPool(*part);
+}
+
 Duration Gate::RetryAfter(TimePoint now, std::string_view customer,
                           Duration allowed) {
   const CustomerNumber number = this->queue.SharesOf().NumberOf(customer);
@@ -279,8 +292,11 @@
 
 void Gate::Occupy(TimePoint now, Known& known,
                   const std::vector<routing::Endpoint>& endpoints) {
-  known.endpoints = endpoints;
+  known.endpoints.clear();
   for (const routing::Endpoint endpoint : endpoints) {
+    // A planner may use an endpoint that has just left the pool.
+    if (!this->IsMember(endpoint)) continue;
+    known.endpoints.push_back(endpoint);
     this->loads.Started(now, endpoint, known.work);
     this->limiter.Started(endpoint, known.work.KvTokens());
   }
--- a/lib/daemon/answer_runner.cc
+++ b/lib/daemon/answer_runner.cc
@@ -73,6 +73,9 @@
   transport::CallId stream = 0;
   transport::EventStreamParser parser;
   transport::TimerId timer = 0;
+  /// The plan that came with the answer's turn.
+  std::optional<pipeline::Plan> first_plan;
+  std::optional<pipeline::Plan> plan;
   TimePoint began;
   std::optional<TimePoint> last_token;
 
@@ -84,15 +87,13 @@
 };
 
 AnswerRunner::AnswerRunner(transport::EventLoop& loop,
-                           transport::HttpClient& client, Directory& directory,
-                           Metrics& metrics, timeline::Buffer& events,
-                           std::uint64_t seed)
+                           transport::HttpClient& client, AnswerGate& gate,
+                           Metrics& metrics, timeline::Buffer& events)
     : loop(loop),
       client(client),
-      directory(directory),
+      gate(gate),
       metrics(metrics),
-      events(events),
-      random(seed) {}
+      events(events) {}
 
 AnswerRunner::~AnswerRunner() = default;
 
@@ -104,7 +105,20 @@
       std::make_shared<ActiveAnswer>(std::move(job), std::move(handlers), now);
   this->running.emplace(id, run);
   this->metrics.Count("toucanwharf_answers_total");
-  const pipeline::Actions actions = run->machine.Start(now);
+  GateHandlers turn;
+  turn.on_plan = [this, run](const pipeline::Plan& plan) {
+    this->Begin(run, plan);
+  };
+  turn.on_refuse = [this, run](const admission::Refusal& refusal) {
+    this->Refuse(run, refusal);
+  };
+  this->gate.Offer(run->job.request, run->job.customer, std::move(turn));
+}
+
+void AnswerRunner::Begin(const Run& run, const pipeline::Plan& plan) {
+  run->first_plan = plan;
+  run->plan = plan;
+  const pipeline::Actions actions = run->machine.Start(this->loop.Now());
   run->draining = true;
   for (const pipeline::Action& action : actions) {
     std::visit([&](const auto& wanted) { this->Perform(run, wanted); }, action);
@@ -113,10 +127,22 @@
   this->Drain(run);
 }
 
+void AnswerRunner::Refuse(const Run& run, const admission::Refusal& refusal) {
+  this->Note(timeline::EventKind::kAnswerFailed, run, "",
+             std::string(admission::RemedyOf(refusal.reason)));
+  this->Close(run);
+  run->handlers.on_refuse(refusal);
+}
+
 void AnswerRunner::Abandon(const std::string& id) {
   const auto found = this->running.find(id);
   if (found == this->running.end()) return;
-  this->Feed(found->second, pipeline::CallerLeft{});
+  const Run run = found->second;
+  if (this->gate.Cancel(id)) {
+    this->Refuse(run, {id, admission::RefusalReason::kDeadline, Duration(0)});
+    return;
+  }
+  this->Feed(run, pipeline::CallerLeft{});
 }
 
 void AnswerRunner::Feed(const Run& run, pipeline::Event event) {
@@ -167,7 +193,13 @@
   query.prompt_tokens = action.prompt_tokens;
   query.output_tokens = action.output_tokens;
   query.excluded = action.excluded;
-  const auto plan = this->directory.Engines().Choose(query, this->random);
+  if (run->first_plan) {
+    run->events.push_back(
+        pipeline::PlanReady{action.attempt, *run->first_plan});
+    run->first_plan.reset();
+    return;
+  }
+  const auto plan = this->gate.Replan(query);
   if (plan) {
     run->events.push_back(pipeline::PlanReady{action.attempt, plan.value()});
     return;
@@ -180,6 +212,8 @@
   this->client.Cancel(run->stream);
   run->parser = transport::EventStreamParser();
   run->stream_attempt = action.attempt;
+  run->plan = action.plan;
+  this->gate.Moved(run->job.request.id, action.plan);
   HttpCall call;
   call.method = "POST";
   call.url = "http://" + action.plan.stages.front().address + "/v1/generate";
@@ -216,6 +250,10 @@
                            const HttpOutcome& outcome) {
   if (run->closed || run->stream_attempt != attempt) return;
   run->stream = 0;
+  if (IsRefusal(outcome) && run->plan) {
+    this->gate.EndpointFull(run->job.request.id,
+                            run->plan->stages.front().endpoint);
+  }
   this->Feed(run, EndEvent(attempt, outcome));
 }
 
@@ -282,6 +320,7 @@
   this->Note(timeline::EventKind::kStageLost, run, action.endpoint,
              "a fresh connection failed too, or its neighbour lost it");
   this->metrics.Count("toucanwharf_suspect_endpoints_total");
+  this->gate.EndpointFailed(run->job.request.id, action.endpoint);
 }
 
 void AnswerRunner::Perform(const Run& run, const pipeline::ArmTimer& action) {
@@ -311,6 +350,7 @@
              absl::StrCat(action.tokens, " tokens"));
   this->Close(run);
   run->handlers.on_finish(action);
+  this->gate.Finished(run->job.request.id, true, action.tokens);
 }
 
 void AnswerRunner::Perform(const Run& run, const pipeline::Fail& action) {
@@ -319,6 +359,8 @@
              action.error.message());
   this->Close(run);
   run->handlers.on_fail(action);
+  const auto emitted = static_cast<std::uint32_t>(run->machine.Tokens().size());
+  this->gate.Finished(run->job.request.id, false, emitted);
 }
 
 }  // namespace toucanwharf::daemon
--- a/lib/daemon/answer_sessions.cc
+++ b/lib/daemon/answer_sessions.cc
@@ -12,6 +12,7 @@
 using transport::Exchange;
 
 constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 // A caller that left shows at most this much later.
 constexpr Duration kLookPeriod = std::chrono::milliseconds(250);
@@ -37,6 +38,18 @@
   return refusal;
 }
 
+Refusal RefusalOf(const admission::Refusal& refused) {
+  const bool backlog = refused.reason == admission::RefusalReason::kBacklog;
+  const bool none = refused.reason == admission::RefusalReason::kNoEndpoint;
+  Refusal refusal;
+  refusal.status = backlog ? kTooManyRequests : kUnavailable;
+  refusal.code = none ? "no_cover" : "busy";
+  refusal.message = std::string(admission::RemedyOf(refused.reason));
+  refusal.retry_after = refused.retry_after;
+  refusal.request_id = refused.id;
+  return refusal;
+}
+
 std::string FinishEvents(const CompletionNaming& naming,
                          std::string_view reason) {
   return transport::FormatEvent(FinishChunk(naming, reason)) +
@@ -90,7 +103,12 @@
   handlers.on_fail = [this, session](const pipeline::Fail& fail) {
     this->TakeFail(session, fail);
   };
-  this->runner.Start(session->request.job, std::move(handlers));
+  handlers.on_refuse = [this, session](const admission::Refusal& refused) {
+    this->TakeRefusal(session, refused);
+  };
+  AnswerJob job = session->request.job;
+  job.customer = session->request.customer;
+  this->runner.Start(std::move(job), std::move(handlers));
 }
 
 void AnswerSessions::TakeToken(const Shared& session,
@@ -133,7 +151,21 @@
                               const pipeline::Fail& fail) {
   const std::string& id = session->request.job.request.id;
   this->log.Close(id, fail, this->loop.Now());
-  const Refusal refusal = RefusalOf(id, fail);
+  this->SendRefusal(session, RefusalOf(id, fail));
+}
+
+void AnswerSessions::TakeRefusal(const Shared& session,
+                                 const admission::Refusal& refused) {
+  const std::string& id = session->request.job.request.id;
+  const auto error =
+      std::make_error_code(std::errc::resource_unavailable_try_again);
+  this->log.Close(id, pipeline::Fail{pipeline::Ran::kNo, error},
+                  this->loop.Now());
+  this->SendRefusal(session, RefusalOf(refused));
+}
+
+void AnswerSessions::SendRefusal(const Shared& session,
+                                 const Refusal& refusal) {
   for (const auto& reader : session->readers) {
     if (!session->request.stream || !session->begun) {
       Send(*reader, refusal);
@@ -144,7 +176,8 @@
     reader->Write(transport::FormatEvent(BodyOf(refusal)));
     reader->End();
   }
-  this->metrics.Count("toucanwharf_refusals_total{code=\"answer_failed\"}");
+  this->metrics.Count("toucanwharf_refusals_total{code=\"" + refusal.code +
+                      "\"}");
   this->Forget(session);
 }
 
--- a/lib/daemon/directory.cc
+++ b/lib/daemon/directory.cc
@@ -1,5 +1,6 @@
 #include "toucanwharf/daemon/directory.h"
 
+#include <algorithm>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -112,6 +113,24 @@
   return true;
 }
 
+std::uint32_t ParseEngineSlots(std::string_view body) {
+  const Json parsed = ParseLoose(body);
+  if (!parsed.is_object()) return 1;
+  const std::uint64_t slots = Number(parsed, "slots");
+  return std::max(static_cast<std::uint32_t>(slots), 1U);
+}
+
+EngineLoad ParseLoadReport(std::string_view body) {
+  EngineLoad load;
+  const Json parsed = ParseLoose(body);
+  if (!parsed.is_object()) return load;
+  load.running = static_cast<std::uint32_t>(Number(parsed, "running"));
+  load.queued_tokens = static_cast<double>(Number(parsed, "queued_tokens"));
+  load.kv_tokens_free = static_cast<double>(Number(parsed, "kv_tokens_free"));
+  load.age = std::chrono::milliseconds(Number(parsed, "as_of_ms_ago"));
+  return load;
+}
+
 Directory::Directory(transport::EventLoop& loop, transport::HttpClient& client,
                      Metrics& metrics, std::string platform_address,
                      const std::string& own_domain)
@@ -187,6 +206,7 @@
         known->second.state == pipeline::EndpointState::kLive) {
       known->second.state = pipeline::EndpointState::kLeaving;
       this->engines.Update(known->second);
+      if (this->watchers.on_gone) this->watchers.on_gone(id);
     }
   }
   if (changed && this->on_change) this->on_change();
@@ -196,6 +216,7 @@
   this->instances.erase(id);
   this->views.erase(id);
   this->engines.Remove(id);
+  if (this->watchers.on_gone) this->watchers.on_gone(id);
 }
 
 void Directory::PollEngines() {
@@ -242,6 +263,9 @@
   if (instance->second.leaving) view.state = pipeline::EndpointState::kLeaving;
   this->views[id] = view;
   this->engines.Update(view);
+  if (this->watchers.on_status) {
+    this->watchers.on_status(view, ParseEngineSlots(outcome.body));
+  }
 }
 
 void Directory::TakeLoad(const std::string& id,
@@ -250,6 +274,9 @@
   if (known == this->views.end()) return;
   if (!ParseEngineLoad(outcome.body, known->second)) return;
   this->engines.Update(known->second);
+  if (this->watchers.on_load) {
+    this->watchers.on_load(id, ParseLoadReport(outcome.body));
+  }
 }
 
 }  // namespace toucanwharf::daemon
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "toucanwharf/daemon/admin_api.h"
+#include "toucanwharf/daemon/answer_gate.h"
 #include "toucanwharf/daemon/answer_relay.h"
 #include "toucanwharf/daemon/answer_runner.h"
 #include "toucanwharf/daemon/answer_sessions.h"
@@ -71,8 +72,9 @@
         journal(this->loop, this->platform, this->incarnation),
         fleet(this->loop, this->settings, this->directory, this->metrics,
               this->MakeConfigPorts(), this->MakeAnswerPort(), this->seed),
-        runner(this->loop, this->client, this->directory, this->metrics,
-               this->events, this->seed),
+        gate(this->loop, this->directory, this->metrics, this->seed),
+        runner(this->loop, this->client, this->gate, this->metrics,
+               this->events),
         sessions(this->loop, this->runner, this->metrics),
         relay(this->loop, this->sessions),
         services(this->client, this->directory, this->journal, this->metrics,
@@ -226,6 +228,7 @@
   platform::ConfigService config;
   platform::OnceJournal journal;
   FleetSync fleet;
+  AnswerGate gate;
   AnswerRunner runner;
   AnswerSessions sessions;
   AnswerRelay relay;
@@ -250,6 +253,7 @@
 
 void Router::Run() {
   this->parts->Note(timeline::EventKind::kStarted);
+  this->parts->gate.Start();
   this->parts->directory.Start();
   this->parts->ConnectConfig();
   this->parts->config.Start();
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -54,7 +54,7 @@
   tw_program(toucanwharf tools/toucanwharf DEPS toucanwharf_command)
   tw_package(daemon DEPS toucanwharf_platform toucanwharf_records
     toucanwharf_settings toucanwharf_pipeline toucanwharf_timeline
-    toucanwharf_exchange glog::glog)
+    toucanwharf_admission toucanwharf_exchange glog::glog)
   # Boost 1.74's quantile accumulator trips this warning in g++ 12.
   set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/daemon/metrics.cc
     PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
