Entry advice by customer; a drain serves until all advice has expired

Cause: a drain closed its listener one time to live after it began, while other instances named it until they had heard; and every customer got all instances in random order. Change: EntryAdvisor makes the advice; the drain asks it until when to serve. Before: CheckServes after DrainCutsNothing's answer failed on a refused connection (a time to live of half a second had passed). After: served.

--- a/include/toucanwharf/daemon/entries.h
+++ b/include/toucanwharf/daemon/entries.h
@@ -5,9 +5,12 @@
 #include <functional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "toucanwharf/daemon/directory.h"
+#include "toucanwharf/routing/entry_advice.h"
 #include "toucanwharf/settings/settings.h"
+#include "toucanwharf/support/clock.h"
 #include "toucanwharf/support/random.h"
 
 namespace toucanwharf::daemon {
@@ -29,13 +32,29 @@
     this->is_gone = std::move(source);
   }
 
+  /// Sets who tells which part of this instance's traffic, 0 to 1, a customer
+  /// has: a large one is spread over all instances.
+  void SetTrafficShare(std::function<double(const std::string&)> source) {
+    this->traffic_share = std::move(source);
+  }
+
+  /// Returns until when this instance must take new connections when it
+  /// announced at \p announced that it leaves (I6).
+  TimePoint ServeUntil(TimePoint announced) const {
+    return this->advisor.ServeUntil(announced);
+  }
+
   /// From now on this instance is in no advice of its own (I6).
   void Leave() { this->leaving = true; }
 
  private:
+  std::vector<routing::EntryInstance> Instances() const;
+
   const Directory& directory;
   const settings::Settings& settings;
+  routing::EntryAdvisor advisor;
   Random random;
+  std::function<double(const std::string&)> traffic_share;
   std::function<bool(const std::string& id)> is_gone;
   bool leaving = false;
 };
--- a/lib/daemon/entries.cc
+++ b/lib/daemon/entries.cc
@@ -3,35 +3,74 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <nlohmann/json.hpp>
+#include <utility>
 #include <vector>
 
 namespace toucanwharf::daemon {
 
 using Json = nlohmann::json;
 
+namespace {
+
+routing::AdviceSettings AdviceOf(const settings::Settings& settings) {
+  routing::AdviceSettings advice;
+  advice.time_to_live = settings.timeouts.entries_ttl;
+  return advice;
+}
+
+}  // namespace
+
 Entries::Entries(const Directory& directory, const settings::Settings& settings,
                  std::uint64_t seed)
-    : directory(directory), settings(settings), random(seed) {}
+    : directory(directory),
+      settings(settings),
+      advisor(AdviceOf(settings)),
+      random(seed) {}
 
-std::string Entries::Advice(const std::string& /*customer*/) {
-  std::vector<Json> lines;
-  for (const Instance& instance : this->directory.Of(Role::kRouter)) {
-    if (instance.leaving || instance.id == this->settings.instance) continue;
-    if (this->is_gone && this->is_gone(instance.id)) continue;
+std::string Entries::Advice(const std::string& customer) {
+  const auto instances = this->Instances();
+  const double share =
+      this->traffic_share ? this->traffic_share(customer) : 0.0;
+  const auto advice =
+      this->advisor.For(customer, share, instances, this->random);
+  std::map<std::string, const routing::EntryInstance*> by_address;
+  for (const auto& instance : instances) {
+    by_address[instance.address] = &instance;
+  }
+  Json lines = Json::array();
+  for (const std::string& address : advice.addresses) {
+    const routing::EntryInstance& instance = *by_address.at(address);
     lines.push_back({{"instance", instance.id},
-                     {"address", instance.address},
+                     {"address", address},
                      {"failure_domain", instance.failure_domain}});
   }
-  if (!this->leaving) {
-    lines.push_back({{"instance", this->settings.instance},
-                     {"address", this->settings.advertise.callers},
-                     {"failure_domain", this->settings.failure_domain}});
+  const auto ttl =
+      std::chrono::floor<std::chrono::seconds>(advice.time_to_live);
+  const auto ttl_s = std::max<std::int64_t>(ttl.count(), 1);
+  return Json({{"entries", lines}, {"ttl_s", ttl_s}}).dump() + "\n";
+}
+
+std::vector<routing::EntryInstance> Entries::Instances() const {
+  std::vector<routing::EntryInstance> instances;
+  for (const Instance& listed : this->directory.Of(Role::kRouter)) {
+    if (listed.id == this->settings.instance) continue;
+    if (this->is_gone && this->is_gone(listed.id)) continue;
+    routing::EntryInstance instance;
+    instance.id = listed.id;
+    instance.address = listed.address;
+    instance.failure_domain = listed.failure_domain;
+    instance.leaving = listed.leaving;
+    instances.push_back(std::move(instance));
   }
-  std::shuffle(lines.begin(), lines.end(), this->random);
-  const auto ttl = std::chrono::duration_cast<std::chrono::seconds>(
-      this->settings.timeouts.entries_ttl);
-  return Json({{"entries", lines}, {"ttl_s", ttl.count()}}).dump() + "\n";
+  routing::EntryInstance own;
+  own.id = this->settings.instance;
+  own.address = this->settings.advertise.callers;
+  own.failure_domain = this->settings.failure_domain;
+  own.leaving = this->leaving;
+  instances.push_back(std::move(own));
+  return instances;
 }
 
 }  // namespace toucanwharf::daemon
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -85,6 +85,9 @@
         admin(this->settings.admin_key, this->MakeAdminPorts()) {
     this->entries.SetGone(
         [this](const std::string& id) { return this->fleet.IsGone(id); });
+    this->entries.SetTrafficShare([this](const std::string& customer) {
+      return this->gate.TrafficShareOf(customer);
+    });
     this->callers.OnForeignAnswer(
         [this](const std::string& id, std::uint32_t from,
                const std::string& customer, const SharedExchange& exchange) {
@@ -174,8 +177,9 @@
   }
 
   void CheckDrain() {
-    const Duration passed = this->loop.Now() - *this->drain_began;
-    if (passed >= this->settings.timeouts.entries_ttl) {
+    const TimePoint now = this->loop.Now();
+    const Duration passed = now - *this->drain_began;
+    if (now >= this->entries.ServeUntil(*this->drain_began)) {
       this->caller_server->StopListening();
       const bool idle = this->runner.Running() == 0 &&
                         this->services.Running() == 0 && this->journal.Idle() &&
