--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -67,4 +67,6 @@
   target_compile_definitions(bench_capacity PRIVATE
     TOUCANWHARF_BUILD_DIR="${CMAKE_BINARY_DIR}")
   tw_program(bench_decisions bench/decisions DEPS toucanwharf_admission)
+  # Boost.Geometry 1.74 includes headers that Boost calls deprecated.
+  target_compile_definitions(bench_decisions PRIVATE BOOST_ALLOW_DEPRECATED_HEADERS)
 endif()
--- a/test/process/caller_interface_test.cc
+++ b/test/process/caller_interface_test.cc
@@ -130,7 +130,7 @@
 // are asked past their slots and a queue without end were the cause.
 BOOST_AUTO_TEST_CASE(OverloadIsRefusedAtOnceAndTruthfully) {
   constexpr int kCallers = 150;
-  constexpr std::uint32_t kTokens = 60;
+  constexpr std::uint32_t kTokens = 400;
   const auto expected = Fleet::Expected(kPrompt, kTokens, kSeed);
   std::vector<Answer> answers(kCallers);
   std::vector<std::thread> callers;
@@ -160,6 +160,7 @@
     BOOST_TEST(answer.headers.count("retry-after") == 1u);
   }
   BOOST_TEST(whole > 0);
+  BOOST_TEST(whole < kCallers);
   BOOST_TEST_MESSAGE(whole << " of " << kCallers << " answered whole");
 }
 
