One reader of JSON members, one main of the stand-ins; names as the linter asks

Cause: the reading of a member of foreign JSON stood in six files, the main function of the stand-ins in four; an engine's figure out of range was converted with undefined behaviour. Change: support/json.h; standins::RunMain; figures are cut before they are converted; three constants renamed.

--- /dev/null
+++ b/include/toucanwharf/support/json.h
@@ -0,0 +1,28 @@
+#ifndef TOUCANWHARF_SUPPORT_JSON_H_
+#define TOUCANWHARF_SUPPORT_JSON_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+/// Members of JSON that came from outside and may be of any type.
+namespace toucanwharf {
+
+/// Returns the string \p name of \p object; empty if it is absent or of
+/// another type, or \p object is no object.
+/// Thread safety: safe.
+std::string TextMember(const nlohmann::json& object, const char* name);
+
+/// Returns the whole number \p name of \p object; nothing if it is absent,
+/// negative or of another type, or \p object is no object.
+/// Thread safety: safe.
+std::optional<std::uint64_t> CountMember(const nlohmann::json& object,
+                                         const char* name);
+
+/// CountMember, or 0 for nothing. Thread safety: safe.
+std::uint64_t NumberMember(const nlohmann::json& object, const char* name);
+
+}  // namespace toucanwharf
+
+#endif  // TOUCANWHARF_SUPPORT_JSON_H_
--- a/lib/command/platform.cc
+++ b/lib/command/platform.cc
@@ -9,6 +9,7 @@
 #include "toucanwharf/command/http.h"
 #include "toucanwharf/store/conditional_write.h"
 #include "toucanwharf/support/ids.h"
+#include "toucanwharf/support/json.h"
 
 namespace toucanwharf::command {
 namespace {
@@ -53,18 +54,6 @@
   return "/objects/" + key.collection + "/" + key.name;
 }
 
-std::string TextMember(const json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_string()) return "";
-  return found->get<std::string>();
-}
-
-std::uint64_t NumberMember(const json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_number_unsigned()) return 0;
-  return found->get<std::uint64_t>();
-}
-
 std::uint64_t VersionOf(const std::string& body) {
   const json value = json::parse(body, nullptr, false);
   return value.is_object() ? NumberMember(value, "version") : 0;
--- a/lib/command/record_status.cc
+++ b/lib/command/record_status.cc
@@ -3,24 +3,13 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/str_join.h"
+#include "toucanwharf/support/json.h"
 
 namespace toucanwharf::command {
 namespace {
 
 using nlohmann::json;
 
-std::string TextMember(const json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_string()) return "";
-  return found->get<std::string>();
-}
-
-std::uint64_t NumberMember(const json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_number_unsigned()) return 0;
-  return found->get<std::uint64_t>();
-}
-
 std::vector<std::string> ListMember(const json& object, const char* name) {
   std::vector<std::string> texts;
   const auto found = object.find(name);
--- a/lib/daemon/directory.cc
+++ b/lib/daemon/directory.cc
@@ -7,6 +7,8 @@
 #include <set>
 #include <utility>
 
+#include "toucanwharf/support/json.h"
+
 namespace toucanwharf::daemon {
 namespace {
 
@@ -19,19 +21,16 @@
 constexpr std::uint64_t kStatusEvery = 4;
 constexpr Duration kAskTimeout = std::chrono::seconds(2);
 constexpr int kOk = 200;
+constexpr double kLargestFigure = 1e15;
 constexpr double kMicrosPerSecond = 1e6;
 
-std::string Text(const Json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_string()) return "";
-  return found->get<std::string>();
-}
-
-std::uint64_t Number(const Json& object, const char* name) {
+/// A figure of an engine's report, whole or not. What no engine can mean is
+/// cut, since a conversion out of range is undefined.
+std::uint64_t FigureOf(const Json& object, const char* name) {
   const auto found = object.find(name);
   if (found == object.end() || !found->is_number()) return 0;
   const double value = found->get<double>();
-  return value <= 0 ? 0 : static_cast<std::uint64_t>(value);
+  return static_cast<std::uint64_t>(std::clamp(value, 0.0, kLargestFigure));
 }
 
 std::optional<Role> RoleOf(const std::string& name) {
@@ -43,17 +42,17 @@
 
 std::optional<Instance> InstanceOf(const Json& line) {
   if (!line.is_object()) return std::nullopt;
-  const auto role = RoleOf(Text(line, "role"));
+  const auto role = RoleOf(TextMember(line, "role"));
   if (!role) return std::nullopt;
   Instance instance;
-  instance.id = Text(line, "id");
-  instance.address = Text(line, "address");
+  instance.id = TextMember(line, "id");
+  instance.address = TextMember(line, "address");
   instance.role = *role;
-  instance.service = Text(line, "service");
-  instance.failure_domain = Text(line, "failure_domain");
-  instance.leaving = Text(line, "state") == "leaving";
-  instance.peer_address = Text(line, "peer_address");
-  instance.admin_address = Text(line, "admin_address");
+  instance.service = TextMember(line, "service");
+  instance.failure_domain = TextMember(line, "failure_domain");
+  instance.leaving = TextMember(line, "state") == "leaving";
+  instance.peer_address = TextMember(line, "peer_address");
+  instance.admin_address = TextMember(line, "admin_address");
   if (instance.id.empty() || instance.address.empty()) return std::nullopt;
   return instance;
 }
@@ -82,12 +81,12 @@
   if (!parsed.is_object()) return false;
   const auto layers = parsed.find("layers");
   if (layers == parsed.end() || !layers->is_object()) return false;
-  view.model = Text(parsed, "model");
-  view.version = Text(parsed, "version");
-  view.layers.begin = static_cast<std::uint32_t>(Number(*layers, "begin"));
-  view.layers.end = static_cast<std::uint32_t>(Number(*layers, "end"));
-  view.layer_time = Duration(Number(parsed, "layer_micros"));
-  view.state = Text(parsed, "state") == "leaving"
+  view.model = TextMember(parsed, "model");
+  view.version = TextMember(parsed, "version");
+  view.layers.begin = static_cast<std::uint32_t>(FigureOf(*layers, "begin"));
+  view.layers.end = static_cast<std::uint32_t>(FigureOf(*layers, "end"));
+  view.layer_time = Duration(FigureOf(parsed, "layer_micros"));
+  view.state = TextMember(parsed, "state") == "leaving"
                    ? pipeline::EndpointState::kLeaving
                    : pipeline::EndpointState::kLive;
   view.adapters.clear();
@@ -105,8 +104,9 @@
 bool ParseEngineLoad(std::string_view body, pipeline::EndpointView& view) {
   const Json parsed = ParseLoose(body);
   if (!parsed.is_object()) return false;
-  const double queued = static_cast<double>(Number(parsed, "queued_tokens"));
-  const double speed = static_cast<double>(Number(parsed, "tokens_per_second"));
+  const double queued = static_cast<double>(FigureOf(parsed, "queued_tokens"));
+  const double speed =
+      static_cast<double>(FigureOf(parsed, "tokens_per_second"));
   if (speed <= 0) return false;
   view.expected_wait =
       Duration(static_cast<std::int64_t>(queued / speed * kMicrosPerSecond));
@@ -116,7 +116,7 @@
 std::uint32_t ParseEngineSlots(std::string_view body) {
   const Json parsed = ParseLoose(body);
   if (!parsed.is_object()) return 1;
-  const std::uint64_t slots = Number(parsed, "slots");
+  const std::uint64_t slots = FigureOf(parsed, "slots");
   return std::max(static_cast<std::uint32_t>(slots), 1U);
 }
 
@@ -124,10 +124,10 @@
   EngineLoad load;
   const Json parsed = ParseLoose(body);
   if (!parsed.is_object()) return load;
-  load.running = static_cast<std::uint32_t>(Number(parsed, "running"));
-  load.queued_tokens = static_cast<double>(Number(parsed, "queued_tokens"));
-  load.kv_tokens_free = static_cast<double>(Number(parsed, "kv_tokens_free"));
-  load.age = std::chrono::milliseconds(Number(parsed, "as_of_ms_ago"));
+  load.running = static_cast<std::uint32_t>(FigureOf(parsed, "running"));
+  load.queued_tokens = static_cast<double>(FigureOf(parsed, "queued_tokens"));
+  load.kv_tokens_free = static_cast<double>(FigureOf(parsed, "kv_tokens_free"));
+  load.age = std::chrono::milliseconds(FigureOf(parsed, "as_of_ms_ago"));
   return load;
 }
 
--- a/lib/once/segment.cc
+++ b/lib/once/segment.cc
@@ -2,37 +2,28 @@
 
 #include <nlohmann/json.hpp>
 
+#include "toucanwharf/support/json.h"
+
 namespace toucanwharf::once {
 namespace {
 
 using Json = nlohmann::json;
 
-std::optional<std::uint64_t> Number(const Json& json, const char* name) {
-  const auto found = json.find(name);
-  if (found == json.end() || !found->is_number_unsigned()) return std::nullopt;
-  return found->get<std::uint64_t>();
-}
-
-std::string Text(const Json& json, const char* name) {
-  const auto found = json.find(name);
-  if (found == json.end() || !found->is_string()) return "";
-  return found->get<std::string>();
-}
-
 std::optional<Entry> DecodeEntry(const Json& json) {
   if (!json.is_object()) return std::nullopt;
   Entry entry;
-  entry.key = Text(json, "key");
-  entry.claim = Text(json, "claim");
-  entry.digest = Text(json, "digest");
-  const auto state = Number(json, "state");
+  entry.key = TextMember(json, "key");
+  entry.claim = TextMember(json, "claim");
+  entry.digest = TextMember(json, "digest");
+  const auto state = CountMember(json, "state");
   const bool known =
       state.has_value() && *state <= static_cast<unsigned>(KeyState::kLost);
   if (entry.key.empty() || entry.claim.empty() || !known) return std::nullopt;
   entry.state = static_cast<KeyState>(*state);
-  entry.outcome.status = static_cast<int>(Number(json, "status").value_or(0));
-  entry.outcome.content_type = Text(json, "type");
-  entry.outcome.body = Text(json, "body");
+  entry.outcome.status =
+      static_cast<int>(CountMember(json, "status").value_or(0));
+  entry.outcome.content_type = TextMember(json, "type");
+  entry.outcome.body = TextMember(json, "body");
   entry.outcome.whole = !json.contains("cut");
   return entry;
 }
@@ -76,9 +67,9 @@
 std::optional<Segment> DecodeSegment(std::string_view text) {
   const Json json = Json::parse(text, nullptr, false);
   if (!json.is_object()) return std::nullopt;
-  const auto index = Number(json, "index");
-  const auto floor = Number(json, "floor_millis");
-  const auto newest = Number(json, "newest_millis");
+  const auto index = CountMember(json, "index");
+  const auto floor = CountMember(json, "floor_millis");
+  const auto newest = CountMember(json, "newest_millis");
   const auto sealed = json.find("sealed");
   const auto entries = json.find("entries");
   const bool whole = index && floor && newest && sealed != json.end() &&
--- a/lib/platform/client.cc
+++ b/lib/platform/client.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "toucanwharf/support/json.h"
+
 namespace toucanwharf::platform {
 namespace {
 
@@ -24,18 +26,6 @@
 constexpr Duration kLongestHold = std::chrono::milliseconds(1000);
 constexpr Duration kHoldCheck = std::chrono::milliseconds(10);
 
-std::uint64_t Number(const Json& json, const char* name) {
-  const auto found = json.find(name);
-  if (found == json.end() || !found->is_number_unsigned()) return 0;
-  return found->get<std::uint64_t>();
-}
-
-std::string Text(const Json& json, const char* name) {
-  const auto found = json.find(name);
-  if (found == json.end() || !found->is_string()) return "";
-  return found->get<std::string>();
-}
-
 Json Body(const HttpOutcome& outcome) {
   if (outcome.end != CallEnd::kAnswered) return Json();
   return Json::parse(outcome.body, nullptr, false);
@@ -43,9 +33,9 @@
 
 store::Object ToObject(const Json& json) {
   store::Object object;
-  object.key = {Text(json, "collection"), Text(json, "name")};
-  object.version = Number(json, "version");
-  object.writer = Text(json, "writer");
+  object.key = {TextMember(json, "collection"), TextMember(json, "name")};
+  object.version = NumberMember(json, "version");
+  object.writer = TextMember(json, "writer");
   if (json.contains("value")) object.value = json["value"].dump();
   return object;
 }
@@ -61,7 +51,7 @@
 store::WriteAnswer ToWriteAnswer(const HttpOutcome& outcome) {
   const Json body = Body(outcome);
   if (!body.is_object()) return {};
-  const std::uint64_t version = Number(body, "version");
+  const std::uint64_t version = NumberMember(body, "version");
   if (outcome.status == kOk) return {store::WriteStatus::kWritten, version};
   if (outcome.status != kConflict) return {};
   return {store::WriteStatus::kConflict, version};
@@ -79,10 +69,10 @@
                      body.contains("events") && body["events"].is_array();
   if (!whole) return answer;
   answer.status = WatchStatus::kEvents;
-  answer.reached = Number(body, "revision");
+  answer.reached = NumberMember(body, "revision");
   for (const Json& event : body["events"]) {
     if (!event.is_object() || !event.contains("object")) continue;
-    answer.events.push_back(store::Event{Text(event, "type") == "delete",
+    answer.events.push_back(store::Event{TextMember(event, "type") == "delete",
                                          ToObject(event["object"])});
   }
   return answer;
@@ -93,7 +83,7 @@
   const bool whole = outcome.status == kOk && body.is_object() &&
                      body.contains("items") && body["items"].is_array();
   if (!whole) return std::nullopt;
-  store::Listing listing{Number(body, "revision"), {}};
+  store::Listing listing{NumberMember(body, "revision"), {}};
   for (const Json& item : body["items"]) {
     if (item.is_object()) listing.objects.push_back(ToObject(item));
   }
--- a/lib/records/parse.cc
+++ b/lib/records/parse.cc
@@ -47,8 +47,8 @@
 };
 
 const SchemaSet& Schemas() {
-  static const SchemaSet* const schemas = new SchemaSet();
-  return *schemas;
+  static const SchemaSet* const kSchemas = new SchemaSet();
+  return *kSchemas;
 }
 
 Model ReadModel(const std::string& name, const json& spec) {
--- a/lib/settings/settings.cc
+++ b/lib/settings/settings.cc
@@ -28,10 +28,10 @@
 constexpr int kMaxPort = 65535;
 
 const json& SettingsSchema() {
-  static const json* const schema_file =
+  static const json* const kSchemaFile =
       new json(json::parse(EmbeddedSchema("settings.json"), nullptr, false));
-  assert(schema_file->is_object() && "the schema is embedded by CMake");
-  return *schema_file;
+  assert(kSchemaFile->is_object() && "the schema is embedded by CMake");
+  return *kSchemaFile;
 }
 
 /// Returns whether \p address is an IP number with a port. Names are refused:
--- a/lib/timeline/codec.cc
+++ b/lib/timeline/codec.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "toucanwharf/support/json.h"
+
 namespace toucanwharf::timeline {
 namespace {
 
@@ -35,18 +37,6 @@
   return result;
 }
 
-std::string TextMember(const json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_string()) return "";
-  return found->get<std::string>();
-}
-
-std::uint64_t NumberMember(const json& object, const char* name) {
-  const auto found = object.find(name);
-  if (found == object.end() || !found->is_number_unsigned()) return 0;
-  return found->get<std::uint64_t>();
-}
-
 std::optional<Event> ReadEvent(const json& value) {
   if (!value.is_object()) return std::nullopt;
   const auto kind = KindOf(TextMember(value, "kind"));
--- a/standins/common/program.cc
+++ b/standins/common/program.cc
@@ -4,6 +4,7 @@
 
 #include <charconv>
 #include <csignal>
+#include <exception>
 #include <iostream>
 #include <stdexcept>
 #include <string_view>
@@ -25,6 +26,22 @@
 
 }  // namespace
 
+int RunMain(cxxopts::Options& options, int argc, char** argv,
+            const std::function<void(const cxxopts::ParseResult&)>& run) {
+  try {
+    const auto parsed = options.parse(argc, argv);
+    if (parsed.count("help") > 0) {
+      std::cout << options.help() << std::endl;
+      return 0;
+    }
+    run(parsed);
+  } catch (const std::exception& error) {
+    std::cerr << error.what() << std::endl;
+    return 2;
+  }
+  return 0;
+}
+
 std::uint16_t ListenPort(const std::string& listen) {
   constexpr std::string_view kLoopback = "127.0.0.1:";
   std::uint16_t port = 0;
--- a/standins/common/program.h
+++ b/standins/common/program.h
@@ -2,12 +2,19 @@
 #define TOUCANWHARF_STANDINS_COMMON_PROGRAM_H_
 
 #include <cstdint>
+#include <cxxopts.hpp>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 
 /// What the main functions of the stand-ins share.
 namespace toucanwharf::standins {
 
+/// Parses the arguments and runs \p run with them; the exit code of main.
+/// Prints the help if asked for it, and what \p run throws.
+int RunMain(cxxopts::Options& options, int argc, char** argv,
+            const std::function<void(const cxxopts::ParseResult&)>& run);
+
 /// Returns the port of \p listen, "127.0.0.1:PORT". Throws std::runtime_error
 /// for any other address: the stand-ins serve the loopback only.
 std::uint16_t ListenPort(const std::string& listen);
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -1,7 +1,5 @@
 #include <chrono>
 #include <cxxopts.hpp>
-#include <exception>
-#include <iostream>
 #include <stdexcept>
 #include <string>
 #include <thread>
@@ -136,16 +134,5 @@
 
 int main(int argc, char** argv) {
   cxxopts::Options options = MakeOptions();
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << std::endl;
-      return 0;
-    }
-    Run(parsed);
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << std::endl;
-    return 2;
-  }
-  return 0;
+  return standins::RunMain(options, argc, argv, Run);
 }
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -1,6 +1,4 @@
 #include <cxxopts.hpp>
-#include <exception>
-#include <iostream>
 #include <string>
 
 #include "standins/common/program.h"
@@ -33,16 +31,5 @@
       cxxopts::value<std::string>()->default_value("127.0.0.1:0"))(
       "list-lag-ms", "age of the instance list",
       cxxopts::value<int>()->default_value("0"))("help", "print this");
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << std::endl;
-      return 0;
-    }
-    Run(parsed);
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << std::endl;
-    return 2;
-  }
-  return 0;
+  return standins::RunMain(options, argc, argv, Run);
 }
--- a/standins/relay/main.cc
+++ b/standins/relay/main.cc
@@ -1,5 +1,4 @@
 #include <cxxopts.hpp>
-#include <exception>
 #include <iostream>
 #include <string>
 
@@ -46,16 +45,5 @@
                                               text("127.0.0.1:0"))(
       "admin", "127.0.0.1:PORT of the switches", text("127.0.0.1:0"))(
       "target", "127.0.0.1:PORT", cxxopts::value<std::string>());
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << std::endl;
-      return 0;
-    }
-    Run(parsed);
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << std::endl;
-    return 2;
-  }
-  return 0;
+  return standins::RunMain(options, argc, argv, Run);
 }
--- a/standins/service/main.cc
+++ b/standins/service/main.cc
@@ -1,7 +1,5 @@
 #include <atomic>
 #include <cxxopts.hpp>
-#include <exception>
-#include <iostream>
 #include <string>
 
 #include "standins/common/program.h"
@@ -57,16 +55,5 @@
 
 int main(int argc, char** argv) {
   cxxopts::Options options = MakeOptions();
-  try {
-    const auto parsed = options.parse(argc, argv);
-    if (parsed.count("help") > 0) {
-      std::cout << options.help() << std::endl;
-      return 0;
-    }
-    Run(parsed);
-  } catch (const std::exception& error) {
-    std::cerr << error.what() << std::endl;
-    return 2;
-  }
-  return 0;
+  return standins::RunMain(options, argc, argv, Run);
 }
--- a/unittests/schema/schema_test.cc
+++ b/unittests/schema/schema_test.cc
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 const json& PersonSchema() {
-  static const json* const person = new json(json::parse(R"({
+  static const json* const kPerson = new json(json::parse(R"({
     "type": "object", "required": ["name", "age"],
     "additionalProperties": false,
     "properties": {
@@ -19,7 +19,7 @@
       "age": {"type": "integer", "minimum": 0, "description": "years"},
       "pets": {"type": "array", "items": {
         "type": "string", "description": "name of a pet"}}}})"));
-  return *person;
+  return *kPerson;
 }
 
 BOOST_AUTO_TEST_CASE(EveryProblemIsTold) {
