A folded path no longer makes a call repeatable

Cause: POST /drafts/../sign matches the record's line for drafts, which may be repeated; libcurl folds the path to /sign on its way out, and after a lost answer the router sends it again: the service ran it twice (I4). Ruled out: matching the folded path alone, since the next one on the way may fold differently (an escaped dot, for one). Change: a path with a segment . or .. is refused as not run; the HTTP client sends paths as they are written.

--- a/lib/daemon/caller_api.cc
+++ b/lib/daemon/caller_api.cc
@@ -8,6 +8,8 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_format.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/string_view.h"
 #include "absl/strings/strip.h"
 #include "toucanwharf/support/ids.h"
 #include "toucanwharf/support/random.h"
@@ -72,6 +74,17 @@
   return escaped;
 }
 
+/// Returns whether \p path has a segment "." or "..". What such a path means is
+/// decided by whoever folds it last: a call that the record lets repeat would
+/// become another one on its way, and run twice (I4).
+bool HasDotSegment(std::string_view path) {
+  for (const absl::string_view segment :
+       absl::StrSplit(absl::string_view(path.data(), path.size()), '/')) {
+    if (segment == "." || segment == "..") return true;
+  }
+  return false;
+}
+
 std::string EscapeArgument(std::string_view text) {
   std::string escaped;
   for (const char byte : Escape(text)) {
@@ -245,6 +258,12 @@
   const std::string name = rest.substr(0, slash);
   const std::string path =
       slash == std::string::npos ? "/" : rest.substr(slash);
+  if (HasDotSegment(path)) {
+    this->Refuse(exchange, MakeRefusal(kBadRequest, "bad_path",
+                                       "the path has a segment . or ..; send "
+                                       "the path that is meant"));
+    return;
+  }
   const auto& all = this->config.Catalog().services;
   const auto service = all.find(name);
   if (service == all.end()) {
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -107,6 +107,8 @@
   transfer.headers = curl_slist_append(transfer.headers, "Expect:");
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
   curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+  // The path goes out as the caller of this client wrote it.
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -135,6 +135,8 @@
     headers = curl_slist_append(headers, line.c_str());
   }
   curl_easy_setopt(easy, CURLOPT_URL, ("http://" + call.url).c_str());
+  // Tests choose each byte of the path.
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
--- a/test/process/state_test.cc
+++ b/test/process/state_test.cc
@@ -72,11 +72,12 @@
     BOOST_REQUIRE(Send(call).status == 200);
   }
 
-  void ListService(const std::string& address) const {
+  void ListService(const std::string& address,
+                   const std::string& id = "records-1") const {
     Call call;
     call.method = "POST";
     call.url = this->fleet.PlatformAddress() + "/instances";
-    call.body = Json({{"id", "records-1"},
+    call.body = Json({{"id", id},
                       {"address", address},
                       {"role", "service"},
                       {"service", "lot-records"},
@@ -293,6 +294,40 @@
   BOOST_TEST(this->Runs(key) == 1);
 }
 
+// A caller asks for /drafts/../sign. The record says that drafts may be
+// repeated; the HTTP library on the way folds the path to /sign, the answer is
+// lost, and the router repeats what it takes for a draft: the lot is signed
+// twice (I4).
+BOOST_AUTO_TEST_CASE(FoldedPathDoesNotMakeACallRepeatable) {
+  const std::uint64_t before = this->Generation(0);
+  this->Write(Record("service", "lot-records",
+                     {{"calls",
+                       {{{"method", "POST"},
+                         {"path_prefix", "/drafts"},
+                         {"idempotent", true}}}},
+                      {"timeout_ms", 3000}}));
+  this->ListService(this->service_address, "records-2");
+  const auto draft = [this](const std::string& path) {
+    Call call;
+    call.method = "POST";
+    call.url = this->fleet.RouterAddress(0) + "/v1/services/lot-records" + path;
+    call.key = Fleet::kCustomerKey;
+    call.body = "{}";
+    return Send(call);
+  };
+  WaitUntil("the change in force",
+            [&] { return this->Generation(0) > before; });
+  BOOST_TEST(draft("/drafts/1").status == 200);
+  this->ServiceFault({{"close_after_run", 1}});
+  const Answer answer = draft("/drafts/%2e%2e/sign-twice");
+  BOOST_TEST(answer.status == 400);
+  BOOST_TEST(RanOf(answer) == "no");
+  Call runs;
+  runs.url = this->service_address + "/_runs";
+  const Json by_call = Send(runs).Json()["by_call"];
+  BOOST_TEST(by_call.value("POST /sign-twice", 0) == 0);
+}
+
 // The router that accepts records is frozen past its lease. The other takes
 // over and publishes; the first wakes and doesn't bring the old state back.
 BOOST_AUTO_TEST_CASE(FrozenPublisherDoesNotRevert) {
