Services take GET, POST and PUT only

Cause: any method was passed on, and a HEAD would have waited for a body that never comes until the service's timeout. Change: 405, as not run. Before: 404 for DELETE in WrongInputGetsAClearRefusal; after: 405.

--- a/lib/daemon/caller_api.cc
+++ b/lib/daemon/caller_api.cc
@@ -23,6 +23,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
 constexpr int kNotFound = 404;
+constexpr int kMethodNotAllowed = 405;
 constexpr int kUnavailable = 503;
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 constexpr std::uint64_t kMillisPerSecond = 1000;
@@ -258,6 +259,14 @@
   const std::string name = rest.substr(0, slash);
   const std::string path =
       slash == std::string::npos ? "/" : rest.substr(slash);
+  const bool passed_on = request.method == "GET" || request.method == "POST" ||
+                         request.method == "PUT";
+  if (!passed_on) {
+    this->Refuse(exchange,
+                 MakeRefusal(kMethodNotAllowed, "method_not_allowed",
+                             "services take GET, POST and PUT; use one"));
+    return;
+  }
   if (HasDotSegment(path)) {
     this->Refuse(exchange, MakeRefusal(kBadRequest, "bad_path",
                                        "the path has a segment . or ..; send "
--- a/test/process/caller_interface_test.cc
+++ b/test/process/caller_interface_test.cc
@@ -100,6 +100,11 @@
       R"({"model":"none","messages":[{"role":"user","content":"x"}]})";
   BOOST_TEST(this->Post(chat, unknown).status == 404);
   BOOST_TEST(this->Post("/nowhere", "{}").status == 404);
+  Call remove;
+  remove.method = "DELETE";
+  remove.url = this->fleet.RouterAddress(0) + "/v1/services/any/lots";
+  remove.key = Fleet::kCustomerKey;
+  BOOST_TEST(Send(remove).status == 405);
   this->CheckServes();
 }
 
