One hash of text, one refusal, one loop over actions; dead code out

Cause: a read-through found the same hash of a text in three files, the same maker of a refusal in two, the same loop over actions twice in the answer runner, and a change callback of the directory that nobody sets, for which it compared the whole list each second. Change: HashText in support/random.h, MakeRefusal in refusal.h, PerformAll; Directory::OnChange and Loaded are gone. Behaviour is the same.

--- a/include/toucanwharf/daemon/answer_runner.h
+++ b/include/toucanwharf/daemon/answer_runner.h
@@ -72,6 +72,7 @@
   void Refuse(const Run& run, const admission::Refusal& refusal);
   void Feed(const Run& run, pipeline::Event event);
   void Drain(const Run& run);
+  void PerformAll(const Run& run, const pipeline::Actions& actions);
   void Perform(const Run& run, const pipeline::RequestPlan& action);
   void Perform(const Run& run, const pipeline::StartAttempt& action);
   void Perform(const Run& run, const pipeline::Emit& action);
--- a/include/toucanwharf/daemon/directory.h
+++ b/include/toucanwharf/daemon/directory.h
@@ -101,19 +101,11 @@
   /// Returns the live instances of the plain service \p name, by id.
   std::vector<Instance> ServiceInstances(const std::string& name) const;
 
-  /// Returns whether the platform's list was read at least once.
-  bool Loaded() const { return this->loaded; }
-
   /// Sets who is told about the engines. Precondition: before Start().
   void Watch(EngineWatchers new_watchers) {
     this->watchers = std::move(new_watchers);
   }
 
-  /// Sets what is called after each change of the set of instances.
-  void OnChange(std::function<void()> callback) {
-    this->on_change = std::move(callback);
-  }
-
  private:
   void AskForList();
   void TakeList(std::string_view body);
@@ -130,9 +122,7 @@
   std::map<std::string, Instance> instances;
   std::map<std::string, pipeline::EndpointView> views;
   pipeline::PlanIndex engines;
-  std::function<void()> on_change;
   EngineWatchers watchers;
-  bool loaded = false;
   std::uint64_t polls = 0;
 };
 
--- a/include/toucanwharf/daemon/refusal.h
+++ b/include/toucanwharf/daemon/refusal.h
@@ -35,6 +35,10 @@
 /// Precondition: the exchange has no answer yet. Thread safety: safe.
 void Send(transport::Exchange& exchange, const Refusal& refusal);
 
+/// Returns the refusal of a request of which nothing ran.
+/// Thread safety: safe.
+Refusal MakeRefusal(int status, std::string code, std::string message);
+
 /// Returns the refusal for an answer that is not kept, \p why in words.
 /// Thread safety: safe.
 Refusal UnknownAnswer(const std::string& id, std::string why);
--- a/include/toucanwharf/support/random.h
+++ b/include/toucanwharf/support/random.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <limits>
+#include <string_view>
 
 namespace toucanwharf {
 
@@ -14,6 +15,16 @@
   return word ^ (word >> 31);
 }
 
+/// Returns a hash of \p text that is the same in every process and build. Not
+/// for secrets. Thread safety: safe.
+constexpr std::uint64_t HashText(std::string_view text) {
+  std::uint64_t hash = 0;
+  for (const char byte : text) {
+    hash = MixBits(hash ^ static_cast<unsigned char>(byte));
+  }
+  return hash;
+}
+
 /// Small seeded generator, the same sequence on every machine. Satisfies
 /// UniformRandomBitGenerator. Not for secrets.
 /// Thread safety: none; one generator per thread.
--- a/lib/daemon/admin_api.cc
+++ b/lib/daemon/admin_api.cc
@@ -15,14 +15,6 @@
 constexpr int kNotFound = 404;
 constexpr const char* kBearer = "Bearer ";
 
-Refusal MakeRefusal(int status, const char* code, const char* message) {
-  Refusal refusal;
-  refusal.status = status;
-  refusal.code = code;
-  refusal.message = message;
-  return refusal;
-}
-
 std::uint64_t AfterArgument(const transport::HttpRequest& request) {
   const auto argument = request.query.find("after");
   std::uint64_t after = 0;
--- a/lib/daemon/answer_runner.cc
+++ b/lib/daemon/answer_runner.cc
@@ -120,9 +120,7 @@
   run->plan = plan;
   const pipeline::Actions actions = run->machine.Start(this->loop.Now());
   run->draining = true;
-  for (const pipeline::Action& action : actions) {
-    std::visit([&](const auto& wanted) { this->Perform(run, wanted); }, action);
-  }
+  this->PerformAll(run, actions);
   run->draining = false;
   this->Drain(run);
 }
@@ -157,15 +155,19 @@
     const pipeline::Event event = std::move(run->events.front());
     run->events.pop_front();
     const auto actions = run->machine.Handle(this->loop.Now(), event);
-    for (const pipeline::Action& action : actions) {
-      std::visit([&](const auto& wanted) { this->Perform(run, wanted); },
-                 action);
-    }
+    this->PerformAll(run, actions);
   }
   run->draining = false;
   if (run->machine.Done()) this->Close(run);
 }
 
+void AnswerRunner::PerformAll(const Run& run,
+                              const pipeline::Actions& actions) {
+  for (const pipeline::Action& action : actions) {
+    std::visit([&](const auto& wanted) { this->Perform(run, wanted); }, action);
+  }
+}
+
 void AnswerRunner::Close(const Run& run) {
   if (run->closed) return;
   run->closed = true;
--- a/lib/daemon/caller_api.cc
+++ b/lib/daemon/caller_api.cc
@@ -31,27 +31,11 @@
 constexpr const char* kServicesPrefix = "/v1/services/";
 constexpr const char* kRequestsPrefix = "/v1/requests/";
 
-Refusal MakeRefusal(int status, const char* code, std::string message) {
-  Refusal refusal;
-  refusal.status = status;
-  refusal.code = code;
-  refusal.message = std::move(message);
-  return refusal;
-}
-
 std::string HeaderOf(const transport::HttpRequest& request, const char* name) {
   const auto found = request.headers.find(name);
   return found == request.headers.end() ? "" : found->second;
 }
 
-std::uint64_t SeedOf(const std::string& id) {
-  std::uint64_t seed = 0;
-  for (const char byte : id) {
-    seed = MixBits(seed ^ static_cast<unsigned char>(byte));
-  }
-  return seed;
-}
-
 bool IsPlain(char byte) {
   constexpr std::string_view kPlain = "-._~/!$&'()*+,;=:@";
   const bool alphanumeric = (byte >= 'a' && byte <= 'z') ||
@@ -238,7 +222,8 @@
   session.naming = {shape, NewIdOf(this->settings.instance), wanted.model,
                     WallMillis() / kMillisPerSecond};
   session.job.prompt = wanted.prompt;
-  session.job.seed = wanted.has_seed ? wanted.seed : SeedOf(session.naming.id);
+  session.job.seed =
+      wanted.has_seed ? wanted.seed : HashText(session.naming.id);
   pipeline::AnswerRequest& request = session.job.request;
   request.id = session.naming.id;
   request.model = {pipeline->second.model, pipeline->second.version,
--- a/lib/daemon/directory.cc
+++ b/lib/daemon/directory.cc
@@ -192,9 +192,7 @@
     if (!listed.contains(id)) gone.push_back(id);
   }
   for (const std::string& id : gone) this->Forget(id);
-  const bool changed = !this->loaded || listed != this->instances;
   this->instances = std::move(listed);
-  this->loaded = true;
   for (const auto& [id, instance] : this->instances) {
     if (instance.role != Role::kEngine) continue;
     const auto known = this->views.find(id);
@@ -209,7 +207,6 @@
       if (this->watchers.on_gone) this->watchers.on_gone(id);
     }
   }
-  if (changed && this->on_change) this->on_change();
 }
 
 void Directory::Forget(const std::string& id) {
--- a/lib/daemon/refusal.cc
+++ b/lib/daemon/refusal.cc
@@ -43,11 +43,16 @@
   exchange.Respond(refusal.status, std::move(headers), BodyOf(refusal) + "\n");
 }
 
-Refusal UnknownAnswer(const std::string& id, std::string why) {
+Refusal MakeRefusal(int status, std::string code, std::string message) {
   Refusal refusal;
-  refusal.status = kNotFound;
-  refusal.code = "unknown_request";
-  refusal.message = std::move(why);
+  refusal.status = status;
+  refusal.code = std::move(code);
+  refusal.message = std::move(message);
+  return refusal;
+}
+
+Refusal UnknownAnswer(const std::string& id, std::string why) {
+  Refusal refusal = MakeRefusal(kNotFound, "unknown_request", std::move(why));
   refusal.ran = pipeline::Ran::kUnknown;
   refusal.request_id = id;
   return refusal;
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -43,14 +43,6 @@
 constexpr std::size_t kTimelinePage = 2000;
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
 
-std::uint64_t SeedFrom(const std::string& text) {
-  std::uint64_t seed = 0;
-  for (const char byte : text) {
-    seed = MixBits(seed ^ static_cast<unsigned char>(byte));
-  }
-  return seed;
-}
-
 }  // namespace
 
 /// All parts of a router, in the order they depend on each other; they are
@@ -59,7 +51,7 @@
   explicit Parts(settings::Settings new_settings)
       : settings(std::move(new_settings)),
         incarnation(NewId()),
-        seed(SeedFrom(this->incarnation)),
+        seed(HashText(this->incarnation)),
         events(this->settings.instance, this->settings.limits.timeline_events),
         client(this->loop),
         directory(this->loop, this->client, this->metrics,
--- a/lib/support/ids.cc
+++ b/lib/support/ids.cc
@@ -30,11 +30,7 @@
 
 /// The last 32 bits of the ids of \p origin.
 std::uint32_t OriginBits(std::string_view origin) {
-  std::uint64_t bits = 0;
-  for (const char byte : origin) {
-    bits = MixBits(bits ^ static_cast<unsigned char>(byte));
-  }
-  return static_cast<std::uint32_t>(bits);
+  return static_cast<std::uint32_t>(HashText(origin));
 }
 
 bool HasIdShape(std::string_view id) {
