--- /dev/null
+++ b/include/toucanwharf/gossip/beacon.h
@@ -0,0 +1,94 @@
+#ifndef TOUCANWHARF_GOSSIP_BEACON_H_
+#define TOUCANWHARF_GOSSIP_BEACON_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "toucanwharf/pipeline/plan.h"
+#include "toucanwharf/support/clock.h"
+
+/// What instances tell each other: each sends its whole state, small, several
+/// times a second, so that a lost message is made good by the next.
+namespace toucanwharf::gossip {
+
+/// What an instance has under way at one endpoint.
+struct EndpointLoad {
+  std::string endpoint;
+  double answers = 0;
+  /// Tokens times layers.
+  double token_layers = 0;
+  /// Answers whose path begins there.
+  double first_of = 0;
+
+  friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
+};
+
+/// An endpoint that an instance saw fail, and for how much longer it should be
+/// avoided.
+struct Suspicion {
+  std::string endpoint;
+  Duration remaining{0};
+
+  friend bool operator==(const Suspicion&, const Suspicion&) = default;
+};
+
+/// What the holder of the placement lease knows of an engine, from its own
+/// report: newer than what the store lists.
+struct EngineFact {
+  std::string endpoint;
+  std::uint64_t born = 0;
+  pipeline::LayerRange layers;
+  double slowdown = 1;
+
+  friend bool operator==(const EngineFact&, const EngineFact&) = default;
+};
+
+/// One instance's state, addressed to one other.
+struct Beacon {
+  /// Changes with each start of the process.
+  std::string instance;
+  std::string failure_domain;
+  /// Where callers connect, and where instances ask each other, "IP:PORT".
+  std::string callers_address;
+  std::string control_address;
+  /// Whether callers may be sent there.
+  bool ready = false;
+  /// Whether it was told to stop.
+  bool stopping = false;
+  /// Whether it holds the placement lease.
+  bool leads = false;
+  /// Store's revision of the configuration in force, 0 for none.
+  std::uint64_t configuration_revision = 0;
+  /// Age of the proof that it is current, when the beacon was made.
+  std::optional<Duration> configuration_age;
+  /// Store's revision of the list of endpoints.
+  std::uint64_t endpoints_revision = 0;
+  /// Age of that list.
+  std::optional<Duration> endpoints_age;
+  /// Sender's clock when the beacon was made; means nothing to others.
+  std::int64_t stamp = 0;
+  /// The newest stamp that came from the receiver, 0 for none. The receiver
+  /// knows by it that the beacon was made after that moment of its own clock.
+  std::int64_t echo = 0;
+  std::vector<EndpointLoad> loads;
+  std::vector<Suspicion> suspicions;
+  std::vector<EngineFact> facts;
+  /// Datagram addresses of other instances that the sender knows.
+  std::vector<std::string> peers;
+
+  friend bool operator==(const Beacon&, const Beacon&) = default;
+};
+
+/// Returns \p beacon as bytes (CBOR). Thread safety: safe.
+std::string Encode(const Beacon& beacon);
+
+/// Returns the beacon in \p bytes, or nothing if they are none.
+/// Thread safety: safe.
+std::optional<Beacon> Decode(std::string_view bytes);
+
+}  // namespace toucanwharf::gossip
+
+#endif  // TOUCANWHARF_GOSSIP_BEACON_H_
--- /dev/null
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -0,0 +1,83 @@
+#ifndef TOUCANWHARF_GOSSIP_PEER_TABLE_H_
+#define TOUCANWHARF_GOSSIP_PEER_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/gossip/beacon.h"
+#include "toucanwharf/support/clock.h"
+
+namespace toucanwharf::gossip {
+
+/// Times of the gossip, with the reason of each.
+struct PeerSettings {
+  /// Without a beacon for so long a peer counts as gone: it is not named to
+  /// callers. Five beacons may be lost before.
+  Duration silent_after = std::chrono::milliseconds(1500);
+  /// Its loads at endpoints count for so long: what it had under way may still
+  /// run.
+  Duration loads_for = std::chrono::seconds(2);
+  /// Beacons still go to a silent peer for so long, in case the way between
+  /// the two comes back.
+  Duration forgotten_after = std::chrono::seconds(60);
+};
+
+/// A peer as it last described itself.
+struct Peer {
+  Beacon beacon;
+  TimePoint heard;
+
+  friend bool operator==(const Peer&, const Peer&) = default;
+};
+
+/// What this instance knows of the others.
+/// Thread safety: none; for one thread.
+class PeerTable {
+ public:
+  explicit PeerTable(std::string own_instance, const PeerSettings& chosen = {})
+      : own(std::move(own_instance)), settings(chosen) {}
+
+  /// Learns that an instance may listen for datagrams at \p address.
+  void AddAddress(const std::string& address, TimePoint now);
+  /// Takes a beacon from the datagram address \p sender. Returns false for
+  /// one's own and for one older than what is known.
+  bool OnBeacon(const std::string& sender, const Beacon& beacon,
+                TimePoint now);
+
+  /// Returns the addresses to send to.
+  std::vector<std::string> Addresses(TimePoint now) const;
+  /// Returns the peer at \p address if it was heard of lately, or null.
+  const Peer* Live(const std::string& address, TimePoint now) const;
+  /// Returns all peers heard of lately.
+  std::vector<const Peer*> AllLive(TimePoint now) const;
+  /// Returns how many instances there are or lately were, this one included.
+  std::size_t Instances(TimePoint now) const;
+
+  /// Returns the moment of the own clock at which the configuration of
+  /// \p revision is proved current by the peers' words, or nothing. A peer's
+  /// age is counted back from the moment at which the beacon that it answers
+  /// was sent, since its own was made later: time under way makes the proof
+  /// older, never younger. A peer that at that moment saw an older revision
+  /// proves as much: what is newer came later.
+  std::optional<TimePoint> ConfigurationVouched(std::uint64_t revision,
+                                                TimePoint now) const;
+  /// The same for the list of endpoints.
+  std::optional<TimePoint> EndpointsVouched(std::uint64_t revision,
+                                            TimePoint now) const;
+
+ private:
+  struct Entry {
+    std::optional<Peer> peer;
+    TimePoint last_sign;
+  };
+
+  std::string own;
+  PeerSettings settings;
+  std::map<std::string, Entry> entries;
+};
+
+}  // namespace toucanwharf::gossip
+
+#endif  // TOUCANWHARF_GOSSIP_PEER_TABLE_H_
--- /dev/null
+++ b/include/toucanwharf/http/loop.h
@@ -0,0 +1,59 @@
+#ifndef TOUCANWHARF_HTTP_LOOP_H_
+#define TOUCANWHARF_HTTP_LOOP_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+#include "toucanwharf/support/clock.h"
+
+namespace toucanwharf::http {
+
+/// Names a timer of one loop; 0 names none.
+using TimerId = std::uint64_t;
+
+/// The one thread of a process on which sockets are served and all decisions
+/// are taken, so that the core needs no locks.
+/// Thread safety: all methods only on the thread that runs the loop, or before
+/// Run; Post and Stop from any thread.
+class Loop {
+ public:
+  using Task = std::function<void()>;
+
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  /// Runs \p task soon, never inside this call.
+  void Post(Task task);
+  /// Runs \p task once, \p delay from now on the boot clock.
+  TimerId After(Duration delay, Task task);
+  /// Runs \p task every \p period, first after one period.
+  void Every(Duration period, const Task& task);
+  /// Forgets a timer; one that has run, or 0, is ignored.
+  void Cancel(TimerId id);
+  /// Runs \p task on the loop at each signal \p number.
+  void OnSignal(int number, Task task);
+  /// Serves until Stop. Precondition: called once.
+  void Run();
+  /// Makes Run return soon.
+  void Stop();
+  /// Returns the time on the clock that the timers use.
+  TimePoint Now() const { return this->clock.Now(); }
+
+  struct State;
+  /// Returns what the sockets of this library need.
+  State& Inner() { return *this->state; }
+
+ private:
+  void Arm();
+  void RunDue();
+
+  BootClock clock;
+  std::unique_ptr<State> state;
+};
+
+}  // namespace toucanwharf::http
+
+#endif  // TOUCANWHARF_HTTP_LOOP_H_
--- /dev/null
+++ b/include/toucanwharf/http/message.h
@@ -0,0 +1,97 @@
+#ifndef TOUCANWHARF_HTTP_MESSAGE_H_
+#define TOUCANWHARF_HTTP_MESSAGE_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+/// HTTP/1.1 on both sides of a router that passes messages on unchanged. The
+/// parser is Boost.Beast's, the sockets are Boost.Asio's.
+namespace toucanwharf::http {
+
+inline constexpr int kOk = 200;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kConflict = 409;
+inline constexpr int kGone = 410;
+inline constexpr int kContentTooLarge = 413;
+inline constexpr int kMisdirected = 421;
+inline constexpr int kTooManyRequests = 429;
+inline constexpr int kHeaderTooLarge = 431;
+inline constexpr int kServerError = 500;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+
+/// Returns whether \p left and \p right are equal but for the case of ASCII
+/// letters. Thread safety: safe.
+bool EqualIgnoringCase(std::string_view left, std::string_view right);
+
+/// Header fields in the order in which they came, repeated ones included.
+class Headers {
+ public:
+  using Field = std::pair<std::string, std::string>;
+
+  void Add(std::string name, std::string value) {
+    this->fields.emplace_back(std::move(name), std::move(value));
+  }
+  /// Removes every field \p name and adds one.
+  void Set(std::string_view name, std::string value);
+  void Remove(std::string_view name);
+  /// Returns the first value of \p name, or nothing.
+  std::optional<std::string_view> Find(std::string_view name) const;
+  /// Returns the first value of \p name, or an empty text.
+  std::string_view Get(std::string_view name) const {
+    return this->Find(name).value_or(std::string_view());
+  }
+
+  auto begin() const { return this->fields.begin(); }
+  auto end() const { return this->fields.end(); }
+
+  friend bool operator==(const Headers&, const Headers&) = default;
+
+ private:
+  std::vector<Field> fields;
+};
+
+/// Returns \p headers without those that concern one connection only: the
+/// standard ones, and those that a Connection field names. Content-Length is
+/// one of them here: whoever sends the message frames it anew.
+/// Thread safety: safe.
+Headers EndToEnd(const Headers& headers);
+
+/// A request as its sender wrote it; the target is not decoded.
+struct Request {
+  std::string method = "GET";
+  std::string target = "/";
+  Headers headers;
+  std::string body;
+
+  friend bool operator==(const Request&, const Request&) = default;
+};
+
+/// The head of a response.
+struct ResponseHead {
+  int status = 0;
+  std::string reason;
+  Headers headers;
+  /// Length of the body; nothing when only the end of the message tells.
+  std::optional<std::uint64_t> length;
+
+  friend bool operator==(const ResponseHead&, const ResponseHead&) = default;
+};
+
+/// Returns the path of \p target, without the query. Thread safety: safe.
+std::string_view PathOf(std::string_view target);
+
+/// Returns the value of \p name in the query of \p target with percent signs
+/// decoded; empty if absent. Thread safety: safe.
+std::string QueryValue(std::string_view target, std::string_view name);
+
+}  // namespace toucanwharf::http
+
+#endif  // TOUCANWHARF_HTTP_MESSAGE_H_
--- /dev/null
+++ b/include/toucanwharf/http/server.h
@@ -0,0 +1,93 @@
+#ifndef TOUCANWHARF_HTTP_SERVER_H_
+#define TOUCANWHARF_HTTP_SERVER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "toucanwharf/http/loop.h"
+#include "toucanwharf/http/message.h"
+#include "toucanwharf/support/result.h"
+
+namespace toucanwharf::http {
+
+/// What one caller may send and how long it may take; the operator's figures
+/// replace these.
+struct ServerLimits {
+  /// Bytes of a request's head.
+  std::uint32_t max_header_bytes = 16 * 1024;
+  /// Bytes of a request's body.
+  std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+  /// From a request's first byte to the end of its head.
+  Duration header_timeout = std::chrono::seconds(3);
+  /// A connection without a request is closed after this long.
+  Duration idle_timeout = std::chrono::seconds(15);
+
+  friend bool operator==(const ServerLimits&, const ServerLimits&) = default;
+};
+
+/// One request and the way to answer it. Exactly one of: Respond; Begin then
+/// Write and End; or Abort at any time before the end.
+/// Thread safety: only on the loop's thread.
+class Exchange {
+ public:
+  virtual ~Exchange() = default;
+
+  virtual const Request& Received() const = 0;
+  /// Sends a whole response.
+  virtual void Respond(const ResponseHead& head, std::string_view body) = 0;
+  /// Sends the head; a body without a length goes out in chunks.
+  virtual void Begin(const ResponseHead& head) = 0;
+  /// Sends a piece of the body at once. Precondition: Begin was called.
+  virtual void Write(std::string_view bytes) = 0;
+  /// Ends the body that Begin began.
+  virtual void End() = 0;
+  /// Closes the connection, so that what went out can't look complete.
+  virtual void Abort() = 0;
+  /// Returns whether the caller's connection is closed.
+  virtual bool Gone() const = 0;
+  /// Returns how many bytes wait for the caller to read.
+  virtual std::size_t Unsent() const = 0;
+  /// Sets what to call, once, when the caller closes before the response's
+  /// end. Not called after it.
+  virtual void OnGone(std::function<void()> callback) = 0;
+};
+
+/// Listens on one address and hands requests to a handler.
+/// Thread safety: only on the loop's thread.
+class Server {
+ public:
+  using Handler = std::function<void(std::shared_ptr<Exchange>)>;
+
+  /// Listens on \p address ("IP:PORT"), or says why it cannot.
+  /// Precondition: \p loop outlives the server.
+  static Result<std::unique_ptr<Server>> Listen(Loop& loop,
+                                                const std::string& address,
+                                                Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// Takes new limits into force for the next request on each connection.
+  void SetLimits(const ServerLimits& limits);
+  /// From now on every response closes its connection.
+  void CloseAfterResponses();
+  /// Returns how many connections are open.
+  std::size_t Connections() const;
+  /// Returns the port listened on.
+  std::uint16_t Port() const;
+
+  struct State;
+
+ private:
+  explicit Server(std::shared_ptr<State> inner);
+
+  std::shared_ptr<State> state;
+};
+
+}  // namespace toucanwharf::http
+
+#endif  // TOUCANWHARF_HTTP_SERVER_H_
--- /dev/null
+++ b/include/toucanwharf/instance/adapter.h
@@ -0,0 +1,95 @@
+#ifndef TOUCANWHARF_INSTANCE_ADAPTER_H_
+#define TOUCANWHARF_INSTANCE_ADAPTER_H_
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "toucanwharf/endpoints/endpoint_table.h"
+#include "toucanwharf/http/client.h"
+#include "toucanwharf/http/message.h"
+#include "toucanwharf/instance/settings.h"
+#include "toucanwharf/placement/order_book.h"
+#include "toucanwharf/routes/configuration.h"
+#include "toucanwharf/store/object.h"
+#include "toucanwharf/support/result.h"
+
+namespace toucanwharf::instance {
+
+/// A request whose answer an endpoint cannot finish, because another endpoint
+/// of its path is silent.
+struct StalledAnswer {
+  std::string request_id;
+  /// Address of the silent endpoint.
+  std::string address;
+
+  friend bool operator==(const StalledAnswer&, const StalledAnswer&) = default;
+};
+
+/// What an endpoint says of itself when asked.
+struct EndpointReport {
+  /// See endpoints::Endpoint.
+  std::uint64_t born = 0;
+  placement::EngineReport engine;
+  std::vector<StalledAnswer> stalled;
+
+  friend bool operator==(const EndpointReport&,
+                         const EndpointReport&) = default;
+};
+
+/// A caller's question where to connect.
+struct EntryQuestion {
+  std::string failure_domain;
+
+  friend bool operator==(const EntryQuestion&, const EntryQuestion&) = default;
+};
+
+/// The store's calls. Every callback runs once, later, on the loop's thread.
+template <typename S>
+concept ObjectStore =
+    requires(S& store, const store::ObjectKey& key, const store::Write& write,
+             const std::string& collection,
+             std::function<void(store::ReadAnswer)> read,
+             std::function<void(store::WriteAnswer)> written,
+             std::function<void(std::optional<store::Listing>)> listed) {
+      store.Read(key, read);
+      store.Write(write, written);
+      store.List(collection, listed);
+      store.Remove(key);
+    };
+
+/// A deployment's names, formats and calls. It translates and decides nothing;
+/// everything else in this library is the same on every deployment.
+template <typename A>
+concept Adapter = requires(const std::string& text, std::string_view target,
+                           const store::Object& object,
+                           const placement::PlaceOrder& order, int status,
+                           const std::vector<std::string>& addresses,
+                           Duration length) {
+  requires ObjectStore<typename A::Store>;
+  { A::Headers() } -> std::same_as<HeaderNames>;
+  { A::ConfigurationKey() } -> std::same_as<store::ObjectKey>;
+  { A::EndpointCollection() } -> std::same_as<std::string>;
+  { A::InstanceCollection() } -> std::same_as<std::string>;
+  {
+    A::ToConfiguration(text)
+  } -> std::same_as<std::optional<routes::Configuration>>;
+  { A::ToEndpoint(object) } -> std::same_as<std::optional<endpoints::Endpoint>>;
+  { A::ReportRequest() } -> std::same_as<http::Request>;
+  { A::ToReport(text) } -> std::same_as<std::optional<EndpointReport>>;
+  { A::OrderRequest(order) } -> std::same_as<http::Request>;
+  { A::ToOrderEnd(status) } -> std::same_as<placement::OrderEnd>;
+  { A::IsReadyQuestion(target) } -> std::same_as<bool>;
+  {
+    A::ToEntryQuestion(target)
+  } -> std::same_as<std::optional<EntryQuestion>>;
+  { A::EntryAnswer(addresses, length) } -> std::same_as<std::string>;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_ADAPTER_H_
--- /dev/null
+++ b/include/toucanwharf/instance/beliefs.h
@@ -0,0 +1,51 @@
+#ifndef TOUCANWHARF_INSTANCE_BELIEFS_H_
+#define TOUCANWHARF_INSTANCE_BELIEFS_H_
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/endpoints/endpoint_table.h"
+#include "toucanwharf/endpoints/load_book.h"
+#include "toucanwharf/gossip/peer_table.h"
+#include "toucanwharf/instance/settings.h"
+#include "toucanwharf/routes/freshness.h"
+#include "toucanwharf/routes/route_table.h"
+
+namespace toucanwharf::instance {
+
+/// What one process believes about the world, read by all its parts.
+/// Thread safety: none; for the loop's thread.
+struct Beliefs {
+  explicit Beliefs(const InstanceSettings& settings, std::string instance_id);
+
+  /// Changes with each start.
+  std::string instance;
+  /// The configuration in force, or null before the first.
+  std::shared_ptr<const routes::RouteTable> table;
+  /// Store's revision and text of it.
+  std::uint64_t configuration_revision = 0;
+  std::string configuration_text;
+  routes::Freshness freshness;
+  endpoints::EndpointTable endpoints;
+  /// When the list of endpoints was last read, by a read begun then.
+  std::optional<TimePoint> endpoints_read;
+  endpoints::LoadBook loads;
+  gossip::PeerTable peers;
+  /// Whether this process was told to stop, and when.
+  std::optional<TimePoint> stopping_since;
+  /// Whether it holds the placement lease.
+  bool leads = false;
+
+  /// Returns whether callers may be sent here.
+  bool Ready(TimePoint now) const;
+  /// Returns whether keys may be admitted.
+  bool KeysHold(TimePoint now) const;
+
+  bool strict_revocation;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_BELIEFS_H_
--- /dev/null
+++ b/include/toucanwharf/instance/instance.h
@@ -0,0 +1,259 @@
+#ifndef TOUCANWHARF_INSTANCE_INSTANCE_H_
+#define TOUCANWHARF_INSTANCE_INSTANCE_H_
+
+#include <algorithm>
+#include <csignal>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/http/client.h"
+#include "toucanwharf/http/server.h"
+#include "toucanwharf/instance/adapter.h"
+#include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/gateway.h"
+#include "toucanwharf/instance/peer_link.h"
+#include "toucanwharf/instance/placement_driver.h"
+#include "toucanwharf/instance/store_sync.h"
+#include "toucanwharf/support/ids.h"
+
+namespace toucanwharf::instance {
+
+/// One router process: all parts on one loop.
+/// Thread safety: only on the thread that calls Run.
+template <Adapter A>
+class Instance {
+ public:
+  /// Writes its log to \p log_descriptor.
+  Instance(InstanceSettings chosen, int log_descriptor)
+      : settings(std::move(chosen)),
+        logger(log_descriptor, this->settings.name),
+        beliefs(this->settings, NewId()),
+        client(this->loop),
+        store(this->loop, this->client, this->settings.store_address),
+        gateway(this->loop, this->client, this->beliefs, this->logger,
+                this->settings, A::Headers()),
+        peers(this->loop, this->client, this->beliefs, this->logger,
+              this->settings),
+        sync(this->loop, this->store, this->beliefs, this->logger,
+             [this] { this->OnChange(); }),
+        placement(this->loop, this->client, this->store, this->beliefs,
+                  this->peers, this->logger) {}
+
+  /// Listens and serves until it was told to stop. Returns an error if it
+  /// can't listen.
+  Result<void> Run() {
+    this->logger.Write(eventlog::Level::kNotable, "start",
+                       eventlog::Fields()
+                           .Text("process", this->beliefs.instance)
+                           .Text("domain", this->settings.failure_domain),
+                       this->loop.Now());
+    BOOST_OUTCOME_TRYV(this->Listen());
+    BOOST_OUTCOME_TRYV(this->peers.Start(
+        [this](std::uint64_t revision, const std::string& text) {
+          this->sync.Adopt(revision, text);
+        },
+        [this] { this->OnChange(); }));
+    this->sync.Start();
+    this->placement.Start();
+    this->Register();
+    this->loop.OnSignal(SIGTERM, [this] { this->Stop(); });
+    this->loop.OnSignal(SIGINT, [this] { this->Stop(); });
+    // Settings are read at the start only: addresses and bounds don't change
+    // while a process runs.
+    this->loop.OnSignal(SIGHUP, [this] {
+      this->logger.Write(eventlog::Level::kNotable, "reload_ignored",
+                         eventlog::Fields(), this->loop.Now());
+    });
+    this->loop.Every(kHousekeeping, [this] { this->Housekeep(); });
+    this->loop.Run();
+    this->logger.Flush();
+    return Success();
+  }
+
+ private:
+  /// Flushes the log, and looks whether a stop is done.
+  static constexpr Duration kHousekeeping = std::chrono::milliseconds(100);
+  /// After the signal to stop, callers may still come for as long as the other
+  /// instances take to hear of it.
+  static constexpr Duration kLeastDrain = std::chrono::milliseconds(1500);
+  /// Time for the last answers to leave before the kill.
+  static constexpr Duration kBeforeKill = std::chrono::milliseconds(400);
+  static constexpr Duration kAdviceLives = std::chrono::seconds(2);
+
+  Result<void> Listen() {
+    BOOST_OUTCOME_TRY(opened,
+                      this->Open(this->settings.callers_address,
+                                 [this](std::shared_ptr<http::Exchange> one) {
+                                   this->gateway.Handle(std::move(one));
+                                 }));
+    this->front = std::move(opened);
+    const auto ask = [this](const std::shared_ptr<http::Exchange>& one) {
+      this->HandleQuestion(*one);
+    };
+    for (const std::string& address :
+         {this->settings.ready_address, this->settings.directory_address,
+          this->settings.control_address}) {
+      if (address.empty()) continue;
+      BOOST_OUTCOME_TRY(server, this->Open(address, ask));
+      this->others.push_back(std::move(server));
+    }
+    return Success();
+  }
+
+  Result<std::unique_ptr<http::Server>> Open(const std::string& address,
+                                             http::Server::Handler handler) {
+    auto server =
+        http::Server::Listen(this->loop, address, std::move(handler));
+    if (!server) {
+      this->logger.Write(eventlog::Level::kNotable, "listen_failed",
+                         eventlog::Fields()
+                             .Text("address", address)
+                             .Text("error", server.error().message()),
+                         this->loop.Now());
+      this->logger.Flush();
+    }
+    return server;
+  }
+
+  void HandleQuestion(http::Exchange& exchange) {
+    const std::string& target = exchange.Received().target;
+    const TimePoint now = this->loop.Now();
+    http::ResponseHead head;
+    head.status = http::kOk;
+    if (A::IsReadyQuestion(target)) {
+      if (!this->beliefs.Ready(now)) head.status = http::kUnavailable;
+      exchange.Respond(head, "");
+      return;
+    }
+    if (const auto question = A::ToEntryQuestion(target)) {
+      const auto addresses = this->Advice(now);
+      if (addresses.empty()) head.status = http::kUnavailable;
+      head.headers.Add("Content-Type", "application/json");
+      exchange.Respond(head, A::EntryAnswer(addresses, kAdviceLives));
+      return;
+    }
+    if (this->peers.HandlePeer(exchange)) return;
+    head.status = http::kNotFound;
+    exchange.Respond(head, "");
+  }
+
+  /// Returns where callers may connect: the instances that say they are ready.
+  std::vector<std::string> Advice(TimePoint now) const {
+    std::vector<std::string> addresses;
+    if (this->beliefs.Ready(now)) {
+      addresses.push_back(this->settings.callers_address);
+    }
+    for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+      if (!peer->beacon.ready) continue;
+      addresses.push_back(peer->beacon.callers_address);
+    }
+    return addresses;
+  }
+
+  void OnChange() {
+    this->peers.Announce();
+    if (!this->beliefs.table) return;
+    const routes::CallerLimits& limits = this->beliefs.table->All().limits;
+    this->front->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
+                            limits.header_timeout, limits.idle_timeout});
+  }
+
+  /// Writes this instance's address to the store and learns the others'.
+  void Register() {
+    store::Write write;
+    write.key = {A::InstanceCollection(), this->settings.name};
+    write.writer = this->beliefs.instance;
+    write.value = "\"" + this->settings.control_address + "\"";
+    this->store.Write(write, [this, write](const store::WriteAnswer& answer) {
+      this->OnRegistered(write, answer);
+    });
+    this->LearnInstances();
+  }
+
+  void OnRegistered(store::Write write, const store::WriteAnswer& answer) {
+    if (answer.status == store::WriteStatus::kWritten) return;
+    constexpr Duration kAgain = std::chrono::milliseconds(700);
+    // An entry of an earlier start is overwritten.
+    write.if_version = answer.version;
+    this->loop.After(kAgain, [this, write] {
+      if (this->beliefs.stopping_since) return;
+      this->store.Write(write, [this, write](const auto& next) {
+        this->OnRegistered(write, next);
+      });
+    });
+  }
+
+  void LearnInstances() {
+    this->store.List(
+        A::InstanceCollection(),
+        [this](const std::optional<store::Listing>& listing) {
+          constexpr Duration kAgain = std::chrono::milliseconds(1000);
+          if (!listing) {
+            this->loop.After(kAgain, [this] { this->LearnInstances(); });
+            return;
+          }
+          for (const store::Object& object : listing->objects) {
+            const std::string& text = object.value;
+            constexpr std::size_t kQuotes = 2;
+            if (text.size() <= kQuotes || text.front() != '"') continue;
+            this->peers.AddInstance(text.substr(1, text.size() - kQuotes));
+          }
+        });
+  }
+
+  void Housekeep() {
+    const TimePoint now = this->loop.Now();
+    this->gateway.SetInstances(this->beliefs.peers.Instances(now));
+    if (this->beliefs.stopping_since) this->EndIfDone(now);
+    this->logger.Flush();
+  }
+
+  void Stop() {
+    if (this->beliefs.stopping_since) return;
+    const TimePoint now = this->loop.Now();
+    this->beliefs.stopping_since = now;
+    this->logger.Write(
+        eventlog::Level::kNotable, "stopping",
+        eventlog::Fields().Count(
+            "under_way", static_cast<std::int64_t>(this->gateway.UnderWay())),
+        now);
+    this->front->CloseAfterResponses();
+    this->peers.Announce();
+    this->placement.Release();
+    this->store.Remove({A::InstanceCollection(), this->settings.name});
+  }
+
+  void EndIfDone(TimePoint now) {
+    const Duration since = now - *this->beliefs.stopping_since;
+    const bool idle = this->gateway.UnderWay() == 0 && since > kLeastDrain;
+    const bool late = since > this->settings.bounds.grace - kBeforeKill;
+    if (!idle && !late) return;
+    this->logger.Write(
+        eventlog::Level::kNotable, "stopped",
+        eventlog::Fields().Count(
+            "cut", static_cast<std::int64_t>(this->gateway.UnderWay())),
+        now);
+    this->loop.Stop();
+  }
+
+  InstanceSettings settings;
+  http::Loop loop;
+  eventlog::Logger logger;
+  Beliefs beliefs;
+  http::Client client;
+  typename A::Store store;
+  Gateway gateway;
+  PeerLink peers;
+  StoreSync<A> sync;
+  PlacementDriver<A> placement;
+  std::unique_ptr<http::Server> front;
+  std::vector<std::unique_ptr<http::Server>> others;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_INSTANCE_H_
--- /dev/null
+++ b/include/toucanwharf/instance/peer_link.h
@@ -0,0 +1,84 @@
+#ifndef TOUCANWHARF_INSTANCE_PEER_LINK_H_
+#define TOUCANWHARF_INSTANCE_PEER_LINK_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/http/client.h"
+#include "toucanwharf/http/datagram.h"
+#include "toucanwharf/http/server.h"
+#include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/settings.h"
+
+namespace toucanwharf::instance {
+
+/// Sends beacons to the other instances, takes theirs, and fetches from them
+/// what they have newer.
+/// Thread safety: only on the loop's thread.
+class PeerLink {
+ public:
+  /// Called with the store's revision and the text of a newer configuration.
+  using OnConfiguration =
+      std::function<void(std::uint64_t revision, const std::string& text)>;
+  /// Called after the list of endpoints has changed.
+  using OnEndpoints = std::function<void()>;
+
+  /// Precondition: all references outlive the link.
+  PeerLink(http::Loop& event_loop, http::Client& http_client,
+           Beliefs& shared_beliefs, eventlog::Logger& log,
+           const InstanceSettings& chosen);
+
+  /// Binds the datagram socket and begins to send.
+  Result<void> Start(OnConfiguration on_configuration,
+                     OnEndpoints on_endpoints);
+  /// Learns that an instance has its control address at \p address.
+  void AddInstance(const std::string& control_address);
+  /// Sends beacons at once, because something changed that others act on.
+  void Announce();
+  /// Answers a peer's request on the control address; false if it is none.
+  bool HandlePeer(http::Exchange& exchange) const;
+  /// Sets the facts to send along while this instance places layers.
+  void SetFacts(std::vector<gossip::EngineFact> known) {
+    this->facts = std::move(known);
+  }
+
+ private:
+  void SendAll();
+  void Tick();
+  gossip::Beacon MakeBeacon(TimePoint now) const;
+  void OnDatagram(const std::string& sender, std::string_view payload);
+  void AdoptFrom(const gossip::Beacon& beacon, TimePoint now);
+  void FetchNewer(const gossip::Beacon& beacon);
+  void FetchConfiguration(const std::string& control_address);
+  void FetchEndpoints(const std::string& control_address);
+  void LogPeers(TimePoint now);
+
+  http::Loop& loop;
+  http::Client& client;
+  Beliefs& beliefs;
+  eventlog::Logger& logger;
+  InstanceSettings settings;
+  std::unique_ptr<http::DatagramSocket> socket;
+  OnConfiguration take_configuration;
+  OnEndpoints endpoints_changed;
+  std::vector<gossip::EngineFact> facts;
+  /// Newest stamp by datagram address.
+  std::map<std::string, std::int64_t> stamps;
+  std::set<std::string> live_before;
+  bool fetching_configuration = false;
+  bool fetching_endpoints = false;
+};
+
+/// Returns \p listed as text, and back; for one instance to hand to another.
+std::string EndpointsToText(const endpoints::EndpointTable& table);
+/// Thread safety: safe. Nothing for a text that is no such list.
+std::optional<std::vector<endpoints::Endpoint>> EndpointsFromText(
+    const std::string& text);
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_PEER_LINK_H_
--- /dev/null
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -0,0 +1,329 @@
+#ifndef TOUCANWHARF_INSTANCE_PLACEMENT_DRIVER_H_
+#define TOUCANWHARF_INSTANCE_PLACEMENT_DRIVER_H_
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "toucanwharf/control/lease.h"
+#include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/http/client.h"
+#include "toucanwharf/instance/adapter.h"
+#include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/peer_link.h"
+#include "toucanwharf/placement/layout.h"
+#include "toucanwharf/placement/order_book.h"
+
+namespace toucanwharf::instance {
+
+/// Times of the placement, with the reason of each.
+struct PlacementTimes {
+  /// Between looks at the engines that are not as wanted.
+  Duration step = std::chrono::milliseconds(200);
+  /// Between reports of engines that are as wanted: their speed is all that
+  /// may have changed, and each report costs a request.
+  Duration watch_period = std::chrono::milliseconds(2000);
+  /// The first layout waits until the list of engines has been the same for
+  /// so long: at a cold start they register one after the other, and a layout
+  /// of half of them would be moved at once.
+  Duration settle = std::chrono::milliseconds(700);
+  Duration call_timeout = std::chrono::milliseconds(800);
+  /// What a report told goes before the store's list for so long.
+  Duration facts_for = std::chrono::seconds(3);
+};
+
+/// Takes the placement lease, and while it holds it tells engines which layers
+/// to hold. Any instance may hold it; another takes over when its holder is
+/// gone, so no machine is set aside.
+/// Thread safety: only on the loop's thread.
+template <Adapter A>
+class PlacementDriver {
+ public:
+  using Store = typename A::Store;
+
+  /// Precondition: all references outlive the driver.
+  PlacementDriver(http::Loop& event_loop, http::Client& http_client,
+                  Store& object_store, Beliefs& shared_beliefs,
+                  PeerLink& peer_link, eventlog::Logger& log)
+      : loop(event_loop),
+        client(http_client),
+        store(object_store),
+        beliefs(shared_beliefs),
+        peers(peer_link),
+        logger(log),
+        lease(LeaseTerms(shared_beliefs.instance),
+              HashText(shared_beliefs.instance)) {}
+
+  void Start() {
+    this->loop.Every(this->times.step, [this] { this->Step(); });
+  }
+
+  /// Gives the lease back, so that another instance goes on at once.
+  void Release() {
+    this->lease.Release();
+    this->beliefs.leads = false;
+    this->PollLease();
+  }
+
+ private:
+  static control::LeaseSettings LeaseTerms(const std::string& holder) {
+    control::LeaseSettings settings;
+    settings.role = "placement";
+    settings.holder = holder;
+    // An engine that died is replaced by its cover's next layout, which must
+    // come within seconds also when the placing instance died with it.
+    settings.term = std::chrono::milliseconds(3000);
+    settings.margin = std::chrono::milliseconds(300);
+    settings.renewal = std::chrono::milliseconds(1200);
+    return settings;
+  }
+
+  void Step() {
+    this->PollLease();
+    const TimePoint now = this->loop.Now();
+    this->NoteLeadership(this->lease.MayAct(now), now);
+    if (!this->beliefs.leads || !this->beliefs.table) return;
+    this->Plan(now);
+    this->AskReports(now);
+    this->GiveOrders(now);
+    this->ShareFacts();
+  }
+
+  void NoteLeadership(bool leads, TimePoint now) {
+    if (std::exchange(this->beliefs.leads, leads) == leads) return;
+    this->logger.Write(
+        eventlog::Level::kNotable, leads ? "lease_gained" : "lease_lost",
+        eventlog::Fields().Count(
+            "fence", static_cast<std::int64_t>(this->lease.Fence())),
+        now);
+    this->book = placement::OrderBook();
+    this->engines.clear();
+    this->peers.Announce();
+  }
+
+  /// Another holder that is heard of makes looking at the lease needless.
+  bool AnotherLeads(TimePoint now) const {
+    for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+      if (peer->beacon.leads) return true;
+    }
+    return false;
+  }
+
+  void PollLease() {
+    const TimePoint now = this->loop.Now();
+    if (!this->beliefs.leads && this->AnotherLeads(now)) return;
+    auto call = this->lease.Poll(now);
+    if (!call) return;
+    if (const auto* key = std::get_if<store::ObjectKey>(&*call)) {
+      this->store.Read(*key, [this](const store::ReadAnswer& answer) {
+        this->lease.OnRead(answer, this->loop.Now());
+        this->PollLease();
+      });
+      return;
+    }
+    this->store.Write(std::get<store::Write>(*call),
+                      [this](const store::WriteAnswer& answer) {
+                        this->lease.OnWrite(answer, this->loop.Now());
+                        if (answer.status != store::WriteStatus::kWritten) {
+                          this->PollLease();
+                        }
+                      });
+  }
+
+  void Plan(TimePoint now) {
+    for (const routes::Service& service :
+         this->beliefs.table->All().services) {
+      if (!service.engine || service.engine->layers == 0) continue;
+      this->PlanService(service, now);
+    }
+  }
+
+  void PlanService(const routes::Service& service, TimePoint now) {
+    std::vector<placement::Accelerator> fleet;
+    this->beliefs.endpoints.ForEachReady(
+        service.name, [&](const endpoints::Endpoint& endpoint) {
+          if (this->beliefs.loads.Suspected(endpoint.id, now)) return;
+          placement::Accelerator one{endpoint.id, endpoint.failure_domain,
+                                     endpoint.kind, endpoint.layers};
+          this->TakeNewest(endpoint, one);
+          fleet.push_back(std::move(one));
+        });
+    if (!this->Settled(fleet, now)) return;
+    if (fleet == this->planned_for) return;
+    this->planned_for = fleet;
+    const auto layout = placement::PlanLayout(*service.engine, fleet, {});
+    if (layout == this->book.Wanted()) return;
+    this->logger.Write(
+        eventlog::Level::kNotable, "layout",
+        eventlog::Fields()
+            .Count("engines", static_cast<std::int64_t>(fleet.size()))
+            .Count("used", static_cast<std::int64_t>(layout.size())),
+        now);
+    this->book.Want(layout);
+  }
+
+  /// Replaces what the store lists by what was ordered or reported since.
+  void TakeNewest(const endpoints::Endpoint& endpoint,
+                  placement::Accelerator& one) {
+    auto& known = this->engines[endpoint.id];
+    if (known.born != endpoint.born) {
+      known = Known{};
+      known.born = endpoint.born;
+      this->book.Forget(endpoint.id);
+    }
+    const auto wanted = this->book.Wanted().find(endpoint.id);
+    if (wanted != this->book.Wanted().end()) {
+      one.layers = wanted->second;
+      return;
+    }
+    const placement::EngineReport* report = this->book.Report(endpoint.id);
+    if (report != nullptr) one.layers = report->layers;
+  }
+
+  bool Settled(const std::vector<placement::Accelerator>& fleet,
+               TimePoint now) {
+    if (!this->planned_for.empty()) return true;
+    if (fleet != this->seen_fleet) {
+      this->seen_fleet = fleet;
+      this->seen_since = now;
+      return false;
+    }
+    return !fleet.empty() && now - this->seen_since >= this->times.settle;
+  }
+
+  void AskReports(TimePoint now) {
+    for (auto& [id, known] : this->engines) {
+      const endpoints::Endpoint* endpoint = this->beliefs.endpoints.Find(id);
+      if (endpoint == nullptr || known.asking) continue;
+      const bool due = this->book.NeedsReport(id) ||
+                       now - known.asked >= this->times.watch_period;
+      if (due) this->AskReport(*endpoint, now);
+    }
+  }
+
+  void AskReport(const endpoints::Endpoint& endpoint, TimePoint now) {
+    Known& known = this->engines[endpoint.id];
+    known.asking = true;
+    known.asked = now;
+    http::Fetch(this->loop, this->client, endpoint.address, A::ReportRequest(),
+                this->times.call_timeout,
+                [this, id = endpoint.id, now](const http::CallResult& result,
+                                              const http::ResponseHead& head,
+                                              const std::string& body) {
+                  this->OnReport(id, now, result, head, body);
+                });
+  }
+
+  void OnReport(const std::string& id, TimePoint asked,
+                const http::CallResult& result, const http::ResponseHead& head,
+                const std::string& body) {
+    const auto found = this->engines.find(id);
+    if (found == this->engines.end()) return;
+    Known& known = found->second;
+    known.asking = false;
+    if (result.end != http::CallEnd::kComplete || head.status != http::kOk) {
+      return;
+    }
+    const auto report = A::ToReport(body);
+    if (!report) {
+      this->logger.Write(eventlog::Level::kNotable, "report_unreadable",
+                         eventlog::Fields().Text("endpoint", id),
+                         this->loop.Now());
+      return;
+    }
+    // Another endpoint may have got the address, or this one started anew.
+    if (report->born != 0 && report->born != known.born) return;
+    this->book.OnReport(id, report->engine, asked);
+    this->beliefs.loads.SetFact(
+        {id, known.born, report->engine.layers, report->engine.slowdown},
+        this->loop.Now() + this->times.facts_for);
+  }
+
+  void GiveOrders(TimePoint now) {
+    for (const auto& [id, layers] : this->book.Wanted()) {
+      const endpoints::Endpoint* endpoint = this->beliefs.endpoints.Find(id);
+      if (endpoint == nullptr) continue;
+      // Asked right before the send: a holder that was suspended must not act
+      // on a lease that another has by now.
+      if (!this->lease.MayAct(this->loop.Now())) return;
+      const auto order = this->book.Next(id, now);
+      if (order) this->SendOrder(*endpoint, *order);
+    }
+  }
+
+  void SendOrder(const endpoints::Endpoint& endpoint,
+                 const placement::PlaceOrder& order) {
+    eventlog::Fields fields;
+    fields.Text("endpoint", order.engine)
+        .Count("begin", order.layers.begin)
+        .Count("end", order.layers.end)
+        .Count("sequence", static_cast<std::int64_t>(order.sequence));
+    this->logger.Write(eventlog::Level::kNotable, "order", fields,
+                       this->loop.Now());
+    http::Request request = A::OrderRequest(order);
+    request.headers.Set(A::Headers().expected_endpoint, order.engine);
+    http::Fetch(this->loop, this->client, endpoint.address, request,
+                this->times.call_timeout,
+                [this, id = order.engine](const http::CallResult& result,
+                                          const http::ResponseHead& head,
+                                          const std::string&) {
+                  this->OnOrderEnd(id, result, head);
+                });
+  }
+
+  void OnOrderEnd(const std::string& id, const http::CallResult& result,
+                  const http::ResponseHead& head) {
+    placement::OrderEnd end = placement::OrderEnd::kUnknown;
+    if (result.end == http::CallEnd::kNotConnected) {
+      end = placement::OrderEnd::kRefused;
+    } else if (result.end == http::CallEnd::kComplete) {
+      end = A::ToOrderEnd(head.status);
+    }
+    this->book.OnEnd(id, end, this->loop.Now());
+    if (end == placement::OrderEnd::kAccepted) return;
+    this->logger.Write(
+        eventlog::Level::kNotable, "order_not_accepted",
+        eventlog::Fields().Text("endpoint", id).Count("status", head.status),
+        this->loop.Now());
+  }
+
+  void ShareFacts() {
+    std::vector<gossip::EngineFact> facts;
+    for (const auto& [id, known] : this->engines) {
+      const endpoints::Endpoint* endpoint = this->beliefs.endpoints.Find(id);
+      if (endpoint == nullptr) continue;
+      const gossip::EngineFact* fact =
+          this->beliefs.loads.Fact(*endpoint, this->loop.Now());
+      if (fact != nullptr) facts.push_back(*fact);
+    }
+    this->peers.SetFacts(std::move(facts));
+  }
+
+  struct Known {
+    std::uint64_t born = 0;
+    bool asking = false;
+    TimePoint asked{Duration(-1'000'000'000)};
+  };
+
+  http::Loop& loop;
+  http::Client& client;
+  Store& store;
+  Beliefs& beliefs;
+  PeerLink& peers;
+  eventlog::Logger& logger;
+  PlacementTimes times;
+  control::Lease lease;
+  placement::OrderBook book;
+  std::map<std::string, Known> engines;
+  std::vector<placement::Accelerator> planned_for;
+  std::vector<placement::Accelerator> seen_fleet;
+  TimePoint seen_since;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_PLACEMENT_DRIVER_H_
--- /dev/null
+++ b/include/toucanwharf/instance/settings.h
@@ -0,0 +1,81 @@
+#ifndef TOUCANWHARF_INSTANCE_SETTINGS_H_
+#define TOUCANWHARF_INSTANCE_SETTINGS_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/attempts/arrival_budget.h"
+#include "toucanwharf/support/clock.h"
+
+/// One router process in front of endpoints that register in a store: it
+/// passes requests on, tells callers where to connect, and places layers.
+namespace toucanwharf::instance {
+
+/// Bounds that the deployment promises to keep.
+struct Bounds {
+  /// A key that was taken away runs nothing after this long.
+  Duration revocation{std::chrono::seconds(5)};
+  /// Whether that holds also while the store can't be reached.
+  bool strict_revocation = true;
+  /// A new configuration is in force after this long.
+  Duration configuration{std::chrono::seconds(2)};
+  /// A draining endpoint gets nothing new after this long.
+  Duration drain{std::chrono::seconds(2)};
+  /// From the signal to stop to the kill.
+  Duration grace{std::chrono::seconds(8)};
+  /// Longest time that entry advice may be kept.
+  Duration advice{std::chrono::seconds(5)};
+
+  friend bool operator==(const Bounds&, const Bounds&) = default;
+};
+
+/// What a process is told at its start.
+struct InstanceSettings {
+  std::string name;
+  std::string failure_domain;
+  /// Addresses to listen on, "IP:PORT".
+  std::string callers_address;
+  std::string ready_address;
+  std::string control_address;
+  std::string directory_address;
+  std::string datagram_address;
+  /// Control addresses of some instances; may be stale.
+  std::vector<std::string> seeds;
+  std::string store_address;
+  Bounds bounds;
+  attempts::ArrivalBudgetSettings budget;
+
+  friend bool operator==(const InstanceSettings&,
+                         const InstanceSettings&) = default;
+};
+
+/// Names of the header fields that callers, endpoints and the router use.
+struct HeaderNames {
+  std::string request_id;
+  /// Milliseconds that are left.
+  std::string deadline;
+  /// Prompt tokens and most output tokens, with a comma between.
+  std::string token_counts;
+  /// A caller's guess at the output tokens.
+  std::string length_hint;
+  std::string customer;
+  /// Id of the endpoint that the request is meant for.
+  std::string expected_endpoint;
+  /// Set by an endpoint that did not run the request.
+  std::string not_run;
+  /// Address of the endpoint at fault in a refusal.
+  std::string at_fault;
+  /// The endpoints of a path.
+  std::string path;
+  std::string authorization;
+  /// Word before the key in the authorization.
+  std::string key_scheme;
+  std::string last_event_id;
+
+  friend bool operator==(const HeaderNames&, const HeaderNames&) = default;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_SETTINGS_H_
--- /dev/null
+++ b/include/toucanwharf/instance/store_sync.h
@@ -0,0 +1,195 @@
+#ifndef TOUCANWHARF_INSTANCE_STORE_SYNC_H_
+#define TOUCANWHARF_INSTANCE_STORE_SYNC_H_
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/http/loop.h"
+#include "toucanwharf/instance/adapter.h"
+#include "toucanwharf/instance/beliefs.h"
+
+namespace toucanwharf::instance {
+
+/// Times of the reads, with the reason of each.
+struct StoreSyncTimes {
+  /// The instance that places layers reads this often, and vouches to the
+  /// others; a change must be in force everywhere within two seconds.
+  Duration reader_period = std::chrono::milliseconds(650);
+  /// An instance whose newest proof is older than this reads for itself. The
+  /// reader's period and two beacons stay below it; with the read it stays
+  /// below the two seconds also when the reader dies.
+  Duration oldest_proof = std::chrono::milliseconds(1400);
+  /// Between looks at the clock, and between tries while the store is away.
+  Duration look_period = std::chrono::milliseconds(100);
+  Duration away_period = std::chrono::milliseconds(300);
+};
+
+/// Keeps the configuration and the list of endpoints as the store has them.
+///
+/// Load that it answers: every instance reading for itself costs a call each
+/// second for each instance, and all of them at once when the store returns.
+/// One reads and tells the others; those that it can't reach, or that have
+/// waited too long, read for themselves. Reads rather than watches: a watch
+/// that waits proves nothing, may have lost its connection without a sign, and
+/// misses changes whose history is gone.
+/// Thread safety: only on the loop's thread.
+template <Adapter A>
+class StoreSync {
+ public:
+  using Store = typename A::Store;
+
+  /// Precondition: all references outlive the object.
+  StoreSync(http::Loop& event_loop, Store& object_store,
+            Beliefs& shared_beliefs, eventlog::Logger& log,
+            std::function<void()> on_change, const StoreSyncTimes& chosen = {})
+      : loop(event_loop),
+        store(object_store),
+        beliefs(shared_beliefs),
+        logger(log),
+        changed(std::move(on_change)),
+        times(chosen) {}
+
+  /// Begins to read.
+  void Start() {
+    this->ReadConfiguration();
+    this->ListEndpoints();
+    this->loop.Every(this->times.look_period, [this] { this->Look(); });
+  }
+
+  /// Puts \p text of the store's \p revision into force unless what is in
+  /// force is as new. A text that is no configuration is dropped.
+  void Adopt(std::uint64_t revision, const std::string& text) {
+    if (revision <= this->beliefs.configuration_revision) return;
+    const TimePoint now = this->loop.Now();
+    eventlog::Fields fields;
+    fields.Count("revision", static_cast<std::int64_t>(revision));
+    auto read = A::ToConfiguration(text);
+    if (!read) {
+      this->logger.Write(eventlog::Level::kNotable, "configuration_unreadable",
+                         fields, now);
+      return;
+    }
+    fields.Count("version", static_cast<std::int64_t>(read->version));
+    this->beliefs.table =
+        std::make_shared<const routes::RouteTable>(std::move(*read));
+    this->beliefs.configuration_revision = revision;
+    this->beliefs.configuration_text = text;
+    this->logger.Write(eventlog::Level::kNotable, "configuration_in_force",
+                       fields, now);
+    this->changed();
+  }
+
+ private:
+  void Look() {
+    const TimePoint now = this->loop.Now();
+    const Duration period = this->beliefs.leads ? this->times.reader_period
+                                                : this->times.oldest_proof;
+    const auto age = this->beliefs.freshness.Age(now);
+    if (this->Due(age, period, this->configuration_asked, now)) {
+      this->ReadConfiguration();
+    }
+    std::optional<Duration> list_age;
+    if (this->beliefs.endpoints_read) {
+      list_age = now - *this->beliefs.endpoints_read;
+    }
+    if (this->Due(list_age, period, this->endpoints_asked, now)) {
+      this->ListEndpoints();
+    }
+  }
+
+  bool Due(const std::optional<Duration>& age, Duration period,
+           TimePoint asked, TimePoint now) const {
+    if (now - asked < this->times.away_period) return false;
+    return !age || *age >= period;
+  }
+
+  void ReadConfiguration() {
+    const TimePoint begun = this->loop.Now();
+    this->configuration_asked = begun;
+    this->store.Read(A::ConfigurationKey(),
+                     [this, begun](const store::ReadAnswer& answer) {
+                       this->OnConfiguration(answer, begun);
+                     });
+  }
+
+  void OnConfiguration(const store::ReadAnswer& answer, TimePoint begun) {
+    this->NoteStore(answer.status != store::ReadStatus::kUnknown);
+    if (answer.status != store::ReadStatus::kFound) return;
+    // An answer that was overtaken by a newer one proves nothing of now.
+    if (answer.object.version < this->beliefs.configuration_revision) return;
+    this->Adopt(answer.object.version, answer.object.value);
+    if (this->beliefs.configuration_revision == answer.object.version) {
+      this->beliefs.freshness.Confirm(begun);
+    }
+  }
+
+  void ListEndpoints() {
+    const TimePoint begun = this->loop.Now();
+    this->endpoints_asked = begun;
+    this->store.List(A::EndpointCollection(),
+                     [this, begun](const std::optional<store::Listing>& list) {
+                       this->OnEndpoints(list, begun);
+                     });
+  }
+
+  void OnEndpoints(const std::optional<store::Listing>& list,
+                   TimePoint begun) {
+    this->NoteStore(list.has_value());
+    if (!list) return;
+    std::vector<endpoints::Endpoint> read;
+    std::int64_t unreadable = 0;
+    for (const store::Object& object : list->objects) {
+      auto endpoint = A::ToEndpoint(object);
+      if (endpoint) {
+        read.push_back(std::move(*endpoint));
+      } else {
+        ++unreadable;
+      }
+    }
+    const TimePoint now = this->loop.Now();
+    const bool new_list = this->beliefs.endpoints.Replace(
+        std::move(read), list->revision, now);
+    if (this->beliefs.endpoints.Revision() == list->revision) {
+      this->beliefs.endpoints_read = begun;
+    }
+    if (!new_list) return;
+    const auto count =
+        static_cast<std::int64_t>(this->beliefs.endpoints.All().size());
+    this->logger.Write(eventlog::Level::kNotable, "endpoints_changed",
+                       eventlog::Fields()
+                           .Count("revision",
+                                  static_cast<std::int64_t>(list->revision))
+                           .Count("endpoints", count)
+                           .Count("unreadable", unreadable),
+                       now);
+    this->changed();
+  }
+
+  void NoteStore(bool answered) {
+    if (!answered) this->beliefs.endpoints.OnStoreAway();
+    if (std::exchange(this->store_answers, answered) == answered) return;
+    this->logger.Write(eventlog::Level::kNotable,
+                       answered ? "store_regained" : "store_lost",
+                       eventlog::Fields(), this->loop.Now());
+  }
+
+  http::Loop& loop;
+  Store& store;
+  Beliefs& beliefs;
+  eventlog::Logger& logger;
+  std::function<void()> changed;
+  StoreSyncTimes times;
+  TimePoint configuration_asked;
+  TimePoint endpoints_asked;
+  bool store_answers = true;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_STORE_SYNC_H_
--- /dev/null
+++ b/include/toucanwharf/placement/layout.h
@@ -0,0 +1,63 @@
+#ifndef TOUCANWHARF_PLACEMENT_LAYOUT_H_
+#define TOUCANWHARF_PLACEMENT_LAYOUT_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/pipeline/plan.h"
+#include "toucanwharf/placement/engine_model.h"
+
+namespace toucanwharf::placement {
+
+/// An engine that may be told which layers to hold.
+struct Accelerator {
+  std::string id;
+  std::string failure_domain;
+  std::string kind;
+  /// Layers that it holds, or is loading by an earlier order.
+  pipeline::LayerRange layers;
+
+  friend bool operator==(const Accelerator&, const Accelerator&) = default;
+};
+
+/// Thresholds of the layout, with the reason of each.
+struct LayoutSettings {
+  /// Answers that each cover should have room for. Twice what a cover of a
+  /// fleet of forty carries, so that it can take half of a lost cover's too,
+  /// and below the 192 that an engine takes as the first of a path.
+  double wanted_answers = 130;
+  /// A cover with room for fewer isn't worth its loads: it would be full
+  /// within a second, and hold engines that could mend another.
+  double least_answers = 16;
+};
+
+/// Layers by engine id. Engines that aren't named stay as they are.
+using Layout = std::map<std::string, pipeline::LayerRange>;
+
+/// Decides which engine holds which layers.
+///
+/// A cover lies inside one failure domain where it fits: activations of every
+/// token cross each boundary between two stages, a thousand times the bytes of
+/// the tokens themselves, so a cover over two domains fills the link between
+/// them. Each cover uses the fastest engines first and leaves the slowest
+/// free; those mend a cover that loses an engine. Covers that are whole stay
+/// as they are, since a load takes seconds and an engine that moves serves
+/// nothing meanwhile. A domain that cannot hold a cover gives its engines to
+/// one over several domains.
+///
+/// Never more layers on an engine than fit. Deterministic in \p fleet.
+/// Thread safety: safe.
+Layout PlanLayout(const EngineModel& model,
+                  const std::vector<Accelerator>& fleet,
+                  const LayoutSettings& settings);
+
+/// Returns the layers of \p kind that leave room for \p answers of usual
+/// length; at most those of the model. Thread safety: safe.
+std::uint32_t LayersFor(const EngineModel& model, const AcceleratorKind& kind,
+                        double answers);
+
+}  // namespace toucanwharf::placement
+
+#endif  // TOUCANWHARF_PLACEMENT_LAYOUT_H_
--- /dev/null
+++ b/include/toucanwharf/placement/path_finder.h
@@ -0,0 +1,102 @@
+#ifndef TOUCANWHARF_PLACEMENT_PATH_FINDER_H_
+#define TOUCANWHARF_PLACEMENT_PATH_FINDER_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/pipeline/plan.h"
+#include "toucanwharf/placement/engine_model.h"
+#include "toucanwharf/support/random.h"
+
+namespace toucanwharf::placement {
+
+/// An engine and what is known of its load.
+struct Engine {
+  std::string id;
+  std::string address;
+  std::string failure_domain;
+  std::string kind;
+  /// Layers loaded now; empty for none.
+  pipeline::LayerRange layers;
+  /// How many times slower than its kind it runs; 1 for as it should.
+  double slowdown = 1;
+  /// Answers under way through it.
+  double answers = 0;
+  /// Tokens that those answers hold, times the layers that they run here.
+  double token_layers = 0;
+  /// Answers under way of which it is the first of the path.
+  double first_of = 0;
+
+  friend bool operator==(const Engine&, const Engine&) = default;
+};
+
+/// Returns the tokens times layers that an engine of \p kind has room for
+/// beside \p held layers; 0 when the layers don't fit.
+double TokenLayerRoom(const EngineModel& model, const AcceleratorKind& kind,
+                      std::uint32_t held);
+
+/// One answer that needs a path.
+struct PathQuery {
+  /// Failure domain of the router that asks.
+  std::string failure_domain;
+  double prompt_tokens = 0;
+  double output_tokens = 1;
+  /// Ids of engines that must not be used.
+  std::set<std::string> excluded;
+};
+
+struct Path {
+  /// An exact cover of the layers, in order.
+  std::vector<pipeline::Stage> stages;
+  /// Expected time between two tokens, and to the first one.
+  double token_millis = 0;
+  double first_token_millis = 0;
+
+  friend bool operator==(const Path&, const Path&) = default;
+};
+
+/// Thresholds of the choice, with the reason of each.
+struct PathSettings {
+  /// Part of an engine's room for answers that may be promised. An engine
+  /// without room pauses its newest answer and reads it again, so the last
+  /// tenth is left for answers that grow longer than expected.
+  double room_share = 0.9;
+  /// Added for each token at each crossing of a failure domain, beside the
+  /// delay: the link between two is shared by all answers, and its use is paid
+  /// for.
+  double crossing_millis = 2;
+  /// Costs vary by this part up and down between choices. Several routers see
+  /// the same lagging loads, and would all take the same path until the next
+  /// report.
+  double jitter = 0.1;
+};
+
+/// Why there is no path.
+enum class PathLack {
+  kNone,
+  /// No engine holds some layer.
+  kLayers,
+  /// Paths exist, but none has room now.
+  kRoom,
+};
+
+struct PathChoice {
+  std::optional<Path> path;
+  PathLack lack = PathLack::kNone;
+};
+
+/// Finds the path whose answer should be finished soonest and that has room.
+/// A path is a shortest way through a graph whose nodes are layer boundaries
+/// in a failure domain and whose edges are parts of engines; it costs some
+/// hundred steps for forty engines.
+/// Thread safety: safe with a generator of the caller's own.
+PathChoice FindPath(const EngineModel& model,
+                    const std::vector<Engine>& engines, const PathQuery& query,
+                    const PathSettings& settings, Random& random);
+
+}  // namespace toucanwharf::placement
+
+#endif  // TOUCANWHARF_PLACEMENT_PATH_FINDER_H_
--- /dev/null
+++ b/include/toucanwharf/routes/configuration.h
@@ -0,0 +1,105 @@
+#ifndef TOUCANWHARF_ROUTES_CONFIGURATION_H_
+#define TOUCANWHARF_ROUTES_CONFIGURATION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/placement/engine_model.h"
+#include "toucanwharf/support/clock.h"
+
+/// What operators configure for requests that are passed on unchanged: routes,
+/// services and customers, as immutable values, and the lookups on them.
+namespace toucanwharf::routes {
+
+/// What may be done again with a request.
+enum class RequestKind {
+  /// Idempotent: may run more than once.
+  kIdempotent,
+  /// May run at most once (I4).
+  kNonIdempotent,
+  /// A stream of events; runs once unless the route can be resumed.
+  kStream,
+};
+
+/// A service that a route leads to, and its part of the route's requests.
+struct ServiceShare {
+  std::string service;
+  std::uint32_t weight = 1;
+
+  friend bool operator==(const ServiceShare&, const ServiceShare&) = default;
+};
+
+struct Route {
+  std::string name;
+  std::string host;
+  /// Begins and ends with a slash.
+  std::string path_prefix;
+  RequestKind kind = RequestKind::kNonIdempotent;
+  /// Longest time that a caller is kept waiting, up to the end of the answer.
+  Duration timeout{std::chrono::seconds(20)};
+  /// Time within which an answer, or a stream's first event, is worth most.
+  Duration objective{std::chrono::milliseconds(500)};
+  /// 0 is the most urgent.
+  int priority = 0;
+  std::vector<ServiceShare> services;
+  /// Endpoints that one request may be sent to.
+  int max_attempts = 1;
+  /// Needs no key.
+  bool open = false;
+  /// A stream may go on at another endpoint after the last event handed out.
+  bool resumable = false;
+
+  /// Returns whether a request that may have run may be sent again.
+  bool Repeatable() const {
+    return this->kind == RequestKind::kIdempotent ||
+           (this->kind == RequestKind::kStream && this->resumable);
+  }
+
+  friend bool operator==(const Route&, const Route&) = default;
+};
+
+struct Service {
+  std::string name;
+  /// Connections that one endpoint takes from all callers together.
+  std::uint32_t max_connections = 0;
+  /// Set for model engines.
+  std::optional<placement::EngineModel> engine;
+
+  friend bool operator==(const Service&, const Service&) = default;
+};
+
+struct Customer {
+  std::string name;
+  std::vector<std::string> keys;
+  /// Goes before the route's priority.
+  std::optional<int> priority;
+
+  friend bool operator==(const Customer&, const Customer&) = default;
+};
+
+/// Bounds on what a caller sends, and for how long it may stay idle.
+struct CallerLimits {
+  std::uint32_t max_header_bytes = 16 * 1024;
+  std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+  Duration header_timeout{std::chrono::seconds(3)};
+  Duration idle_timeout{std::chrono::seconds(15)};
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
+/// All that is configured, as one version.
+struct Configuration {
+  std::uint64_t version = 0;
+  std::vector<Route> routes;
+  std::vector<Service> services;
+  CallerLimits limits;
+  std::vector<Customer> customers;
+
+  friend bool operator==(const Configuration&, const Configuration&) = default;
+};
+
+}  // namespace toucanwharf::routes
+
+#endif  // TOUCANWHARF_ROUTES_CONFIGURATION_H_
--- /dev/null
+++ b/lib/endpoints/load_book.cc
@@ -0,0 +1,106 @@
+#include "toucanwharf/endpoints/load_book.h"
+
+#include <algorithm>
+
+namespace toucanwharf::endpoints {
+namespace {
+
+void Add(gossip::EndpointLoad& sum, const gossip::EndpointLoad& load,
+         double sign) {
+  sum.answers += sign * load.answers;
+  sum.token_layers += sign * load.token_layers;
+  sum.first_of += sign * load.first_of;
+}
+
+}  // namespace
+
+void LoadBook::Began(const gossip::EndpointLoad& load) {
+  gossip::EndpointLoad& sum = this->own[load.endpoint];
+  sum.endpoint = load.endpoint;
+  Add(sum, load, 1);
+}
+
+void LoadBook::Ended(const gossip::EndpointLoad& load) {
+  const auto found = this->own.find(load.endpoint);
+  if (found == this->own.end()) return;
+  Add(found->second, load, -1);
+  // Half an answer is none: what is left is the rounding of the sums.
+  constexpr double kNone = 0.5;
+  if (found->second.answers < kNone) this->own.erase(found);
+}
+
+std::vector<gossip::EndpointLoad> LoadBook::Own() const {
+  std::vector<gossip::EndpointLoad> loads;
+  for (const auto& [endpoint, load] : this->own) loads.push_back(load);
+  return loads;
+}
+
+void LoadBook::SetPeers(const std::vector<gossip::EndpointLoad>& loads) {
+  this->peers.clear();
+  for (const gossip::EndpointLoad& load : loads) {
+    gossip::EndpointLoad& sum = this->peers[load.endpoint];
+    sum.endpoint = load.endpoint;
+    Add(sum, load, 1);
+  }
+}
+
+gossip::EndpointLoad LoadBook::Total(const std::string& endpoint) const {
+  gossip::EndpointLoad sum{endpoint, 0, 0, 0};
+  const auto mine = this->own.find(endpoint);
+  if (mine != this->own.end()) Add(sum, mine->second, 1);
+  const auto others = this->peers.find(endpoint);
+  if (others != this->peers.end()) Add(sum, others->second, 1);
+  return sum;
+}
+
+void LoadBook::Suspect(const std::string& endpoint, TimePoint until) {
+  TimePoint& known = this->suspected[endpoint];
+  known = std::max(known, until);
+}
+
+bool LoadBook::Suspected(const std::string& endpoint, TimePoint now) const {
+  const auto found = this->suspected.find(endpoint);
+  return found != this->suspected.end() && now < found->second;
+}
+
+std::vector<gossip::Suspicion> LoadBook::Suspicions(TimePoint now) const {
+  std::vector<gossip::Suspicion> holding;
+  for (const auto& [endpoint, until] : this->suspected) {
+    if (now < until) holding.push_back({endpoint, until - now});
+  }
+  return holding;
+}
+
+void LoadBook::SetFact(const gossip::EngineFact& fact, TimePoint until) {
+  this->facts[fact.endpoint] = TimedFact{fact, until};
+}
+
+const gossip::EngineFact* LoadBook::Fact(const Endpoint& endpoint,
+                                         TimePoint now) const {
+  const auto found = this->facts.find(endpoint.id);
+  if (found == this->facts.end()) return nullptr;
+  const TimedFact& known = found->second;
+  const bool counts = now < known.until && known.fact.born == endpoint.born;
+  return counts ? &known.fact : nullptr;
+}
+
+placement::Engine LoadBook::ToEngine(const Endpoint& endpoint,
+                                     TimePoint now) const {
+  placement::Engine engine;
+  engine.id = endpoint.id;
+  engine.address = endpoint.address;
+  engine.failure_domain = endpoint.failure_domain;
+  engine.kind = endpoint.kind;
+  engine.layers = endpoint.layers;
+  if (const gossip::EngineFact* fact = this->Fact(endpoint, now)) {
+    engine.layers = fact->layers;
+    engine.slowdown = fact->slowdown;
+  }
+  const gossip::EndpointLoad load = this->Total(endpoint.id);
+  engine.answers = load.answers;
+  engine.token_layers = load.token_layers;
+  engine.first_of = load.first_of;
+  return engine;
+}
+
+}  // namespace toucanwharf::endpoints
--- /dev/null
+++ b/lib/gossip/peer_table.cc
@@ -0,0 +1,98 @@
+#include "toucanwharf/gossip/peer_table.h"
+
+#include <algorithm>
+
+namespace toucanwharf::gossip {
+
+void PeerTable::AddAddress(const std::string& address, TimePoint now) {
+  const auto [at, added] = this->entries.try_emplace(address);
+  if (added) at->second.last_sign = now;
+}
+
+bool PeerTable::OnBeacon(const std::string& sender, const Beacon& beacon,
+                         TimePoint now) {
+  if (beacon.instance == this->own) {
+    this->entries.erase(sender);
+    return false;
+  }
+  Entry& entry = this->entries[sender];
+  if (entry.peer && entry.peer->beacon.instance == beacon.instance &&
+      beacon.stamp <= entry.peer->beacon.stamp) {
+    return false;
+  }
+  entry.peer = Peer{beacon, now};
+  entry.last_sign = now;
+  return true;
+}
+
+std::vector<std::string> PeerTable::Addresses(TimePoint now) const {
+  std::vector<std::string> addresses;
+  for (const auto& [address, entry] : this->entries) {
+    if (now - entry.last_sign > this->settings.forgotten_after) continue;
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+const Peer* PeerTable::Live(const std::string& address, TimePoint now) const {
+  const auto found = this->entries.find(address);
+  if (found == this->entries.end() || !found->second.peer) return nullptr;
+  const Peer& peer = *found->second.peer;
+  return now - peer.heard > this->settings.silent_after ? nullptr : &peer;
+}
+
+std::vector<const Peer*> PeerTable::AllLive(TimePoint now) const {
+  std::vector<const Peer*> live;
+  for (const auto& [address, entry] : this->entries) {
+    const Peer* peer = this->Live(address, now);
+    if (peer != nullptr) live.push_back(peer);
+  }
+  return live;
+}
+
+std::size_t PeerTable::Instances(TimePoint now) const {
+  std::size_t count = 1;
+  for (const auto& [address, entry] : this->entries) {
+    const bool lately =
+        entry.peer && now - entry.peer->heard < this->settings.forgotten_after;
+    if (lately) ++count;
+  }
+  return count;
+}
+
+namespace {
+
+/// Returns the later of \p best and what \p beacon proves by \p age.
+std::optional<TimePoint> Later(std::optional<TimePoint> best,
+                               const Beacon& beacon,
+                               const std::optional<Duration>& age) {
+  if (!age || beacon.echo == 0) return best;
+  const TimePoint proved = TimePoint{Duration(beacon.echo)} - *age;
+  return best ? std::max(*best, proved) : proved;
+}
+
+}  // namespace
+
+std::optional<TimePoint> PeerTable::ConfigurationVouched(
+    std::uint64_t revision, TimePoint now) const {
+  std::optional<TimePoint> best;
+  for (const Peer* peer : this->AllLive(now)) {
+    const Beacon& beacon = peer->beacon;
+    if (beacon.configuration_revision > revision) continue;
+    best = Later(best, beacon, beacon.configuration_age);
+  }
+  return best;
+}
+
+std::optional<TimePoint> PeerTable::EndpointsVouched(std::uint64_t revision,
+                                                     TimePoint now) const {
+  std::optional<TimePoint> best;
+  for (const Peer* peer : this->AllLive(now)) {
+    const Beacon& beacon = peer->beacon;
+    if (beacon.endpoints_revision > revision) continue;
+    best = Later(best, beacon, beacon.endpoints_age);
+  }
+  return best;
+}
+
+}  // namespace toucanwharf::gossip
--- /dev/null
+++ b/lib/http/loop_state.h
@@ -0,0 +1,30 @@
+#ifndef TOUCANWHARF_LIB_HTTP_LOOP_STATE_H_
+#define TOUCANWHARF_LIB_HTTP_LOOP_STATE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <utility>
+
+#include "toucanwharf/http/loop.h"
+
+namespace toucanwharf::http {
+
+/// What a loop holds, for the other files of this library.
+struct Loop::State {
+  /// One thread only: Asio then leaves its locks out.
+  boost::asio::io_context context{1};
+  boost::asio::steady_timer alarm{context};
+  std::map<std::pair<TimePoint, TimerId>, Task> timers;
+  std::map<TimerId, TimePoint> due_times;
+  TimerId last_timer = 0;
+  /// When the alarm is set to ring; far away for not set.
+  TimePoint armed_for{Duration::max()};
+  std::list<boost::asio::signal_set> signals;
+};
+
+}  // namespace toucanwharf::http
+
+#endif  // TOUCANWHARF_LIB_HTTP_LOOP_STATE_H_
--- /dev/null
+++ b/lib/http/message.cc
@@ -0,0 +1,116 @@
+#include "toucanwharf/http/message.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace toucanwharf::http {
+namespace {
+
+/// Fields that speak of one connection (RFC 9110, 7.6.1), and the length.
+constexpr std::array<std::string_view, 9> kOneConnection = {
+    "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
+    "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",
+    "Expect"};
+
+absl::string_view ToAbsl(std::string_view text) {
+  return absl::string_view(text.data(), text.size());
+}
+
+bool Contains(const std::vector<std::string>& names, std::string_view name) {
+  return std::any_of(names.begin(), names.end(), [&](const auto& one) {
+    return EqualIgnoringCase(one, name);
+  });
+}
+
+std::vector<std::string> NamedByConnection(const Headers& headers) {
+  std::vector<std::string> names;
+  for (const auto& [name, value] : headers) {
+    if (!EqualIgnoringCase(name, "Connection")) continue;
+    for (const absl::string_view part : absl::StrSplit(value, ',')) {
+      names.emplace_back(absl::StripAsciiWhitespace(part));
+    }
+  }
+  return names;
+}
+
+std::string PercentDecoded(std::string_view text) {
+  constexpr int kHex = 16;
+  std::string decoded;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    unsigned value = 0;
+    if (text[at] == '%' && at + 2 < text.size()) {
+      const char* first = text.data() + at + 1;
+      const auto [end, error] = std::from_chars(first, first + 2, value, kHex);
+      if (error == std::errc() && end == first + 2) {
+        decoded.push_back(static_cast<char>(value));
+        at += 2;
+        continue;
+      }
+    }
+    decoded.push_back(text[at] == '+' ? ' ' : text[at]);
+  }
+  return decoded;
+}
+
+}  // namespace
+
+bool EqualIgnoringCase(std::string_view left, std::string_view right) {
+  return absl::EqualsIgnoreCase(ToAbsl(left), ToAbsl(right));
+}
+
+void Headers::Set(std::string_view name, std::string value) {
+  this->Remove(name);
+  this->fields.emplace_back(std::string(name), std::move(value));
+}
+
+void Headers::Remove(std::string_view name) {
+  std::erase_if(this->fields, [&](const Field& field) {
+    return EqualIgnoringCase(field.first, name);
+  });
+}
+
+std::optional<std::string_view> Headers::Find(std::string_view name) const {
+  for (const auto& [field, value] : this->fields) {
+    if (EqualIgnoringCase(field, name)) return std::string_view(value);
+  }
+  return std::nullopt;
+}
+
+Headers EndToEnd(const Headers& headers) {
+  const auto named = NamedByConnection(headers);
+  Headers kept;
+  for (const auto& [name, value] : headers) {
+    const std::string_view field = name;
+    const bool hop = std::any_of(
+        kOneConnection.begin(), kOneConnection.end(),
+        [&](std::string_view one) { return EqualIgnoringCase(one, field); });
+    if (!hop && !Contains(named, field)) kept.Add(name, value);
+  }
+  return kept;
+}
+
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+std::string QueryValue(std::string_view target, std::string_view name) {
+  const std::size_t mark = target.find('?');
+  if (mark == std::string_view::npos) return {};
+  const std::string_view query = target.substr(mark + 1);
+  for (const absl::string_view pair : absl::StrSplit(ToAbsl(query), '&')) {
+    const std::size_t equals = pair.find('=');
+    const absl::string_view key = pair.substr(0, equals);
+    if (std::string_view(key.data(), key.size()) != name) continue;
+    if (equals == absl::string_view::npos) return {};
+    const absl::string_view value = pair.substr(equals + 1);
+    return PercentDecoded({value.data(), value.size()});
+  }
+  return {};
+}
+
+}  // namespace toucanwharf::http
--- /dev/null
+++ b/lib/instance/gateway.cc
@@ -0,0 +1,145 @@
+#include "toucanwharf/instance/gateway.h"
+
+#include <charconv>
+#include <utility>
+
+#include "absl/strings/str_format.h"
+#include "passage.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using eventlog::Fields;
+using eventlog::Level;
+
+/// When to come back to an instance that knows too little: it reads the store
+/// again about once a second.
+constexpr Duration kRetryForBeliefs = std::chrono::milliseconds(500);
+/// Streams last a few seconds. One that arrives later than this after the
+/// signal to stop could be cut by the kill; its caller is sent on at once.
+constexpr Duration kTakeAfterStop = std::chrono::milliseconds(2800);
+constexpr double kMicrosPerSecond = 1e6;
+
+std::string_view KeyOf(std::string_view authorization,
+                       std::string_view scheme) {
+  if (authorization.size() <= scheme.size()) return {};
+  const std::string_view word = authorization.substr(0, scheme.size());
+  if (!http::EqualIgnoringCase(word, scheme)) return {};
+  std::string_view key = authorization.substr(scheme.size());
+  if (key.front() != ' ') return {};
+  while (!key.empty() && key.front() == ' ') key.remove_prefix(1);
+  while (!key.empty() && key.back() == ' ') key.remove_suffix(1);
+  return key;
+}
+
+Duration DeadlineOf(std::string_view text, Duration most) {
+  std::int64_t millis = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), millis);
+  if (error != std::errc() || millis <= 0) return most;
+  return std::min<Duration>(most, std::chrono::milliseconds(millis));
+}
+
+}  // namespace
+
+Gateway::Gateway(http::Loop& event_loop, http::Client& http_client,
+                 Beliefs& shared_beliefs, eventlog::Logger& log,
+                 const InstanceSettings& chosen, HeaderNames header_names)
+    : loop(event_loop),
+      client(http_client),
+      beliefs(shared_beliefs),
+      logger(log),
+      settings(chosen),
+      names(std::move(header_names)),
+      budget(chosen.budget),
+      random(HashText(shared_beliefs.instance)) {}
+
+bool Gateway::TooLateToTake(TimePoint now) const {
+  return this->beliefs.stopping_since &&
+         now - *this->beliefs.stopping_since > kTakeAfterStop;
+}
+
+void Gateway::Handle(std::shared_ptr<http::Exchange> exchange) {
+  ++this->counters.received;
+  const TimePoint now = this->loop.Now();
+  const http::Request& request = exchange->Received();
+  const auto table = this->beliefs.table;
+  if (!table) {
+    this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs,
+                 "no_configuration");
+    return;
+  }
+  if (this->TooLateToTake(now)) {
+    this->Refuse(*exchange, http::kUnavailable, Duration(0), "stopping");
+    return;
+  }
+  Admitted admitted;
+  admitted.table = table;
+  admitted.arrived = now;
+  admitted.route = table->Find(request.headers.Get("Host"),
+                               http::PathOf(request.target));
+  if (admitted.route == nullptr) {
+    this->Refuse(*exchange, http::kNotFound, Duration(0), "no_route");
+    return;
+  }
+  const routes::Route& route = *admitted.route;
+  if (!route.open && !table->All().customers.empty()) {
+    if (!this->beliefs.KeysHold(now)) {
+      this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs,
+                   "keys_unconfirmed");
+      return;
+    }
+    const routes::Customer* customer = table->CustomerOf(
+        KeyOf(request.headers.Get(this->names.authorization),
+              this->names.key_scheme));
+    if (customer == nullptr) {
+      this->Refuse(*exchange, http::kUnauthorized, Duration(0), "unknown_key");
+      return;
+    }
+    admitted.customer = customer->name;
+  }
+  const routes::ServiceShare* share =
+      routes::DrawService(route, this->random);
+  if (share != nullptr) admitted.service = table->FindService(share->service);
+  if (admitted.service == nullptr) {
+    this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs,
+                 "no_service");
+    return;
+  }
+  admitted.deadline =
+      now + DeadlineOf(request.headers.Get(this->names.deadline),
+                       route.timeout);
+  std::make_shared<Passage>(*this, std::move(exchange), std::move(admitted))
+      ->Start();
+}
+
+void Gateway::Refuse(http::Exchange& exchange, int status, Duration retry_after,
+                     std::string_view reason) {
+  http::ResponseHead head;
+  head.status = status;
+  head.headers.Add("Content-Type", "text/plain");
+  if (status == http::kUnavailable) {
+    const double spread = 0.75 + 0.5 * this->random.Unit();
+    const double seconds =
+        static_cast<double>(retry_after.count()) / kMicrosPerSecond * spread;
+    head.headers.Add("Retry-After", absl::StrFormat("%.3f", seconds));
+  }
+  std::string body = "not run: ";
+  body.append(reason).append("\n");
+  exchange.Respond(head, body);
+  ++this->counters.refused;
+  const http::Headers& headers = exchange.Received().headers;
+  Fields fields;
+  fields.Text("request", headers.Get(this->names.request_id))
+      .Text("why", reason)
+      .Count("status", status)
+      .Count("configuration",
+             static_cast<std::int64_t>(this->beliefs.configuration_revision));
+  const TimePoint now = this->loop.Now();
+  if (const auto age = this->beliefs.freshness.Age(now)) {
+    fields.Millis("configuration_age_ms", *age);
+  }
+  this->logger.Write(Level::kNotable, "refused", fields, now);
+}
+
+}  // namespace toucanwharf::instance
--- /dev/null
+++ b/lib/instance/passage.cc
@@ -0,0 +1,562 @@
+#include "passage.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using attempts::NextStep;
+using attempts::TryEnd;
+using eventlog::Fields;
+using eventlog::Level;
+
+/// An endpoint that can't be connected to gets nothing new for this long. A
+/// restart takes longer, and each try costs a caller the connect timeout.
+constexpr Duration kUnreachableFor = std::chrono::milliseconds(1500);
+/// An endpoint that broke off or fell silent, likewise.
+constexpr Duration kBrokenFor = std::chrono::milliseconds(1000);
+/// An endpoint named in a refusal: it is short of memory, draining, or was
+/// moved, and its report will say so within this time.
+constexpr Duration kRefusingFor = std::chrono::milliseconds(400);
+/// A plain request's answer up to this size is handed on only when it is
+/// whole, so that a break in it can be made good by another endpoint.
+constexpr std::size_t kMostHeldBack = 256 * 1024;
+/// When to come back after a refusal. Room is free as soon as one of the
+/// answers under way ends, which happens many times a second; a lost layer is
+/// loaded again in one to two seconds.
+constexpr Duration kRetryForRoom = std::chrono::milliseconds(400);
+constexpr Duration kRetryForLayers = std::chrono::milliseconds(1500);
+/// Silence before an answer's first event: queueing, prefill and a few steps
+/// take a tenth of this on a path that works.
+constexpr Duration kFirstEventSilence = std::chrono::milliseconds(1200);
+/// Silence between two events. Usual gaps are 30 to 60 ms, and callers count
+/// a pause above 200 ms as late.
+constexpr Duration kEventSilence = std::chrono::milliseconds(400);
+/// An idempotent request without any answer for so long is tried elsewhere.
+constexpr Duration kPlainSilence = std::chrono::milliseconds(400);
+/// Connect timeouts: a connection inside a region takes a millisecond.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
+/// Part of the most output tokens that an answer usually has, where the caller
+/// gives no hint.
+constexpr double kUsualOutputShare = 0.6;
+
+double NumberOf(std::string_view text) {
+  double value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return std::max(value, 0.0);
+}
+
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstRedirect = 300;
+
+bool IsSuccess(int status) {
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
+std::string PathText(const std::vector<pipeline::Stage>& stages) {
+  std::vector<std::string> parts;
+  for (const pipeline::Stage& stage : stages) {
+    parts.push_back(absl::StrCat(stage.address, "=", stage.layers.begin, "-",
+                                 stage.layers.end));
+  }
+  return absl::StrJoin(parts, ",");
+}
+
+}  // namespace
+
+Passage::Passage(Gateway& owner, std::shared_ptr<http::Exchange> caller,
+                 Admitted admitted)
+    : gateway(owner), exchange(std::move(caller)), what(std::move(admitted)) {
+  const http::Headers& headers = this->exchange->Received().headers;
+  const HeaderNames& names = this->gateway.names;
+  this->request_id = std::string(headers.Get(names.request_id));
+  const std::string_view counts = headers.Get(names.token_counts);
+  const std::size_t comma = counts.find(',');
+  if (comma != std::string_view::npos) {
+    this->prompt_tokens = NumberOf(counts.substr(0, comma));
+    const double most = NumberOf(counts.substr(comma + 1));
+    const auto hint = headers.Find(names.length_hint);
+    this->output_tokens = hint ? std::min(NumberOf(*hint), most)
+                               : kUsualOutputShare * most;
+  }
+  ++this->gateway.under_way;
+}
+
+Passage::~Passage() {
+  this->CancelCall();
+  this->ReleaseLoad();
+  this->gateway.loop.Cancel(this->deadline_timer);
+  --this->gateway.under_way;
+}
+
+void Passage::Start() {
+  this->exchange->OnGone([self = this->shared_from_this()] {
+    self->OnCallerGone();
+  });
+  const TimePoint now = this->gateway.loop.Now();
+  this->deadline_timer = this->gateway.loop.After(
+      this->what.deadline - now, [self = this->shared_from_this()] {
+        self->OnDeadline();
+      });
+  this->gateway.budget.OnRequest(this->what.service->name, now);
+  if (const auto from = this->exchange->Received().headers.Find(
+          this->gateway.names.last_event_id)) {
+    this->events.SetLastId(std::string(*from));
+  }
+  this->Try();
+}
+
+void Passage::Try() {
+  const auto chosen = this->Choose();
+  if (!chosen) {
+    this->Refuse(this->lack == placement::PathLack::kRoom ? "no_room"
+                                                          : "no_endpoint");
+    return;
+  }
+  this->Send(*chosen);
+}
+
+std::optional<Passage::Target> Passage::Choose() {
+  return this->IsModel() ? this->ChoosePath() : this->ChoosePlain();
+}
+
+std::optional<Passage::Target> Passage::ChoosePath() {
+  Beliefs& beliefs = this->gateway.beliefs;
+  const TimePoint now = this->gateway.loop.Now();
+  std::vector<placement::Engine> engines;
+  beliefs.endpoints.ForEachReady(
+      this->what.service->name, [&](const endpoints::Endpoint& endpoint) {
+        if (beliefs.loads.Suspected(endpoint.id, now)) return;
+        engines.push_back(beliefs.loads.ToEngine(endpoint, now));
+      });
+  placement::PathQuery query;
+  query.failure_domain = this->gateway.settings.failure_domain;
+  query.prompt_tokens = this->prompt_tokens;
+  query.output_tokens = std::max(this->output_tokens, 1.0);
+  query.excluded = this->excluded;
+  const placement::PathChoice choice =
+      placement::FindPath(*this->what.service->engine, engines, query, {},
+                          this->gateway.random);
+  this->lack = choice.lack;
+  if (!choice.path) return std::nullopt;
+  const pipeline::Stage& first = choice.path->stages.front();
+  return Target{first.endpoint, first.address, choice.path->stages,
+                choice.path->token_millis};
+}
+
+std::optional<Passage::Target> Passage::ChoosePlain() {
+  Beliefs& beliefs = this->gateway.beliefs;
+  const TimePoint now = this->gateway.loop.Now();
+  std::optional<Target> best;
+  double least = 0;
+  beliefs.endpoints.ForEachReady(
+      this->what.service->name, [&](const endpoints::Endpoint& endpoint) {
+        if (this->excluded.contains(endpoint.id)) return;
+        const gossip::EndpointLoad load = beliefs.loads.Total(endpoint.id);
+        // Suspected endpoints only when there is no other.
+        constexpr double kSuspectedCost = 1000;
+        const double cost =
+            (load.answers + this->gateway.random.Unit()) / endpoint.slots +
+            (beliefs.loads.Suspected(endpoint.id, now) ? kSuspectedCost : 0);
+        if (best && cost >= least) return;
+        least = cost;
+        best = Target{endpoint.id, endpoint.address, {}, 0};
+      });
+  return best;
+}
+
+http::Request Passage::BuildRequest(const Target& to) const {
+  const HeaderNames& names = this->gateway.names;
+  const http::Request& received = this->exchange->Received();
+  http::Request request;
+  request.method = received.method;
+  request.target = received.target;
+  request.body = received.body;
+  request.headers = http::EndToEnd(received.headers);
+  if (!this->what.table->All().customers.empty()) {
+    request.headers.Remove(names.authorization);
+  }
+  request.headers.Remove(names.customer);
+  if (!this->what.customer.empty()) {
+    request.headers.Set(names.customer, this->what.customer);
+  }
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->what.deadline - this->gateway.loop.Now());
+  request.headers.Set(names.deadline,
+                      absl::StrCat(std::max<std::int64_t>(left.count(), 1)));
+  request.headers.Set(names.expected_endpoint, to.endpoint);
+  request.headers.Remove(names.path);
+  if (!to.stages.empty()) {
+    request.headers.Set(names.path, PathText(to.stages));
+  }
+  if (this->events.LastId()) {
+    request.headers.Set(names.last_event_id, *this->events.LastId());
+  }
+  return request;
+}
+
+void Passage::Send(const Target& to) {
+  this->target = to;
+  ++this->tries.made;
+  ++this->tries.may_have_run;
+  this->has_head = false;
+  this->head_good = false;
+  this->head_verdict.reset();
+  this->body.clear();
+  this->events.DropPart();
+  this->try_began = this->gateway.loop.Now();
+  this->last_data = this->try_began;
+  const double tokens = this->prompt_tokens + this->output_tokens;
+  if (to.stages.empty()) {
+    this->counted.push_back({to.endpoint, 1, 0, 1});
+  }
+  for (const pipeline::Stage& stage : to.stages) {
+    const bool first = stage.endpoint == to.endpoint;
+    this->counted.push_back({stage.endpoint, 1, tokens * stage.layers.Count(),
+                             first ? 1.0 : 0.0});
+  }
+  for (const auto& load : this->counted) {
+    this->gateway.beliefs.loads.Began(load);
+  }
+  http::CallOptions options;
+  options.connect_timeout = kConnectTimeout;
+  if (!this->what.route->Repeatable()) options.reuse = http::Reuse::kNever;
+  http::CallHandlers handlers;
+  handlers.on_head = [self = this->shared_from_this()](const auto& answer) {
+    self->OnHead(answer);
+  };
+  handlers.on_data = [self = this->shared_from_this()](std::string_view bytes) {
+    self->OnData(bytes);
+  };
+  handlers.on_done = [self = this->shared_from_this()](const auto& result) {
+    self->OnDone(result);
+  };
+  this->call = this->gateway.client.Start(
+      to.address, this->BuildRequest(to), options, std::move(handlers));
+  this->Log(Level::kRoutine, "sent",
+            Fields()
+                .Text("endpoint", to.endpoint)
+                .Count("try", this->tries.made)
+                .Count("stages", static_cast<std::int64_t>(to.stages.size())));
+  this->WatchSilence();
+}
+
+void Passage::OnHead(const http::ResponseHead& answer) {
+  if (this->finished || this->call == 0) return;
+  this->has_head = true;
+  this->last_data = this->gateway.loop.Now();
+  this->head = answer;
+  this->JudgeHead(answer);
+}
+
+void Passage::JudgeHead(const http::ResponseHead& answer) {
+  const HeaderNames& names = this->gateway.names;
+  const auto id = answer.headers.Find(names.request_id);
+  const bool others = id && *id != this->request_id;
+  const bool nameless = !id && IsSuccess(answer.status);
+  if (others || nameless) {
+    // A late answer to another request came where this one's was due.
+    this->EndTry(TryEnd::kUnknown, "answer_of_another_request");
+    return;
+  }
+  const bool not_run = answer.headers.Find(names.not_run).has_value() ||
+                       answer.status == http::kMisdirected;
+  if (not_run) {
+    this->head_verdict = TryEnd::kNotRun;
+    return;
+  }
+  if (!IsSuccess(answer.status)) {
+    if (answer.status >= http::kServerError) {
+      this->head_verdict = TryEnd::kFailed;
+    }
+    return;
+  }
+  this->head_good = true;
+  if (this->IsStream()) this->BeginStream(answer);
+}
+
+void Passage::BeginStream(const http::ResponseHead& answer) {
+  if (this->tries.answer_begun) return;
+  this->tries.answer_begun = true;
+  http::ResponseHead out;
+  out.status = answer.status;
+  out.reason = answer.reason;
+  out.headers = http::EndToEnd(answer.headers);
+  this->exchange->Begin(out);
+}
+
+void Passage::OnData(std::string_view bytes) {
+  if (this->finished || this->call == 0) return;
+  this->last_data = this->gateway.loop.Now();
+  if (!this->head_good || !this->IsStream()) {
+    this->body.append(bytes);
+    if (this->body.size() > kMostHeldBack && this->head_good &&
+        !this->tries.answer_begun) {
+      http::ResponseHead out = this->head;
+      out.headers = http::EndToEnd(this->head.headers);
+      this->tries.answer_begun = true;
+      this->exchange->Begin(out);
+    }
+    if (this->tries.answer_begun) {
+      this->exchange->Write(this->body);
+      this->body.clear();
+    }
+    return;
+  }
+  this->events.Feed(bytes);
+  const std::string whole = this->events.TakeWhole();
+  if (whole.empty()) return;
+  this->any_event = true;
+  this->exchange->Write(whole);
+}
+
+void Passage::OnDone(const http::CallResult& result) {
+  this->call = 0;
+  if (this->finished) return;
+  if (result.end == http::CallEnd::kNotConnected) {
+    this->gateway.beliefs.loads.Suspect(
+        this->target.endpoint, this->gateway.loop.Now() + kUnreachableFor);
+    this->EndTry(TryEnd::kNotSent, "not_connected");
+    return;
+  }
+  if (result.end != http::CallEnd::kComplete) {
+    this->EndTry(result.sent ? TryEnd::kUnknown : TryEnd::kNotSent, "broken");
+    return;
+  }
+  if (this->head_verdict) {
+    this->EndTry(*this->head_verdict, *this->head_verdict == TryEnd::kNotRun
+                                          ? "refused_by_endpoint"
+                                          : "failed_at_endpoint");
+    return;
+  }
+  if (!this->tries.answer_begun) {
+    this->FinishPlain();
+    return;
+  }
+  if (this->IsStream() && this->events.HasPart()) {
+    this->EndTry(TryEnd::kUnknown, "ended_inside_event");
+    return;
+  }
+  this->exchange->End();
+  ++this->gateway.counters.answered;
+  this->Finish("answered", this->head.status);
+}
+
+void Passage::FinishPlain() {
+  http::ResponseHead out;
+  out.status = this->head.status;
+  out.reason = this->head.reason;
+  out.headers = http::EndToEnd(this->head.headers);
+  this->exchange->Respond(out, this->body);
+  const bool success = IsSuccess(this->head.status);
+  ++(success ? this->gateway.counters.answered
+             : this->gateway.counters.failed);
+  this->Finish(success ? "answered" : "failure_relayed", this->head.status);
+}
+
+/// Returns where to try again, if that is allowed and there is such a place.
+std::optional<Passage::Target> Passage::ChooseAgain(TryEnd end) {
+  const TimePoint now = this->gateway.loop.Now();
+  if (now >= this->what.deadline) return std::nullopt;
+  if (!attempts::MayTryAgain(*this->what.route, this->tries, end)) {
+    return std::nullopt;
+  }
+  auto next = this->Choose();
+  if (!next) return std::nullopt;
+  // A connection that never was caused no arrival.
+  if (end == TryEnd::kNotSent) return next;
+  const bool granted =
+      this->gateway.budget.TakeExtra(this->what.service->name, now);
+  return granted ? next : std::nullopt;
+}
+
+/// Ends the try under way and goes on with what the policy says.
+void Passage::EndTry(TryEnd end, std::string_view why) {
+  this->CancelCall();
+  this->ReleaseLoad();
+  const TimePoint now = this->gateway.loop.Now();
+  this->excluded.insert(this->target.endpoint);
+  const bool surely_not = end == TryEnd::kNotSent || end == TryEnd::kNotRun;
+  if (surely_not) --this->tries.may_have_run;
+  if (end == TryEnd::kNotRun) {
+    const std::string_view fault =
+        this->head.headers.Get(this->gateway.names.at_fault);
+    for (const pipeline::Stage& stage : this->target.stages) {
+      if (stage.address != fault) continue;
+      this->excluded.insert(stage.endpoint);
+      this->excluded.erase(this->target.endpoint);
+      this->gateway.beliefs.loads.Suspect(stage.endpoint, now + kRefusingFor);
+    }
+  }
+  Fields fields;
+  fields.Text("endpoint", this->target.endpoint)
+      .Text("why", why)
+      .Count("status", this->has_head ? this->head.status : 0)
+      .Text("at_fault", this->head.headers.Get(this->gateway.names.at_fault))
+      .Millis("took_ms", now - this->try_began);
+  this->Log(Level::kNotable, "try_ended", fields);
+  this->Proceed(end, why);
+}
+
+void Passage::Proceed(TryEnd end, std::string_view why) {
+  if (this->abandoned) {
+    this->Finish("left_by_caller", 0);
+    return;
+  }
+  const auto next = this->ChooseAgain(end);
+  switch (attempts::After(*this->what.route, this->tries, end,
+                          next.has_value())) {
+    case NextStep::kTryAgain:
+      ++(this->tries.answer_begun ? this->gateway.counters.resumed
+                                  : this->gateway.counters.tried_again);
+      this->Send(*next);
+      return;
+    case NextStep::kRefuse:
+      this->Refuse(why);
+      return;
+    case NextStep::kUnknownFate:
+      this->Fail(http::kBadGateway, why);
+      return;
+    case NextStep::kRelayFailure:
+      this->FinishPlain();
+      return;
+    case NextStep::kBreakOff:
+      ++this->gateway.counters.broken_off;
+      this->exchange->Abort();
+      this->Finish("broken_off", 0);
+      return;
+  }
+}
+
+void Passage::WatchSilence() {
+  if (!this->what.route->Repeatable()) return;
+  this->gateway.loop.Cancel(this->silence_timer);
+  const Duration patience = !this->IsStream() ? kPlainSilence
+                            : this->any_event ? kEventSilence
+                                              : kFirstEventSilence;
+  const TimePoint due = this->last_data + patience;
+  this->silence_timer = this->gateway.loop.After(
+      due - this->gateway.loop.Now(), [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock()) self->OnSilence();
+      });
+}
+
+void Passage::OnSilence() {
+  if (this->finished || this->call == 0) return;
+  const Duration patience = !this->IsStream() ? kPlainSilence
+                            : this->any_event ? kEventSilence
+                                              : kFirstEventSilence;
+  if (this->gateway.loop.Now() - this->last_data < patience) {
+    this->WatchSilence();
+    return;
+  }
+  if (!attempts::MayTryAgain(*this->what.route, this->tries,
+                             TryEnd::kUnknown)) {
+    return;
+  }
+  ++this->gateway.counters.stalls;
+  this->EndTry(TryEnd::kUnknown, "silent");
+}
+
+void Passage::OnDeadline() {
+  if (this->finished) return;
+  ++this->gateway.counters.timed_out;
+  if (this->tries.answer_begun) {
+    this->exchange->Abort();
+    this->Finish("deadline_in_answer", 0);
+    return;
+  }
+  this->Fail(http::kGatewayTimeout, "deadline");
+}
+
+void Passage::OnCallerGone() {
+  if (this->finished) return;
+  ++this->gateway.counters.left_by_caller;
+  if (this->what.route->kind == routes::RequestKind::kNonIdempotent &&
+      this->call != 0) {
+    // Work that must not run twice goes on once it was sent: nobody can tell
+    // how far it came, and the endpoint would be cut in the middle of it.
+    this->abandoned = true;
+    return;
+  }
+  this->Finish("left_by_caller", 0);
+}
+
+void Passage::Refuse(std::string_view why) {
+  if (this->tries.answer_begun) {
+    ++this->gateway.counters.broken_off;
+    this->exchange->Abort();
+    this->Finish("broken_off", 0);
+    return;
+  }
+  if (this->tries.may_have_run > 0) {
+    this->Fail(http::kBadGateway, why);
+    return;
+  }
+  const Duration wait = this->lack == placement::PathLack::kLayers
+                            ? kRetryForLayers
+                            : kRetryForRoom;
+  this->gateway.Refuse(*this->exchange, http::kUnavailable, wait, why);
+  this->Finish("refused", http::kUnavailable);
+}
+
+void Passage::Fail(int status, std::string_view why) {
+  http::ResponseHead out;
+  out.status = status;
+  out.headers.Add("Content-Type", "text/plain");
+  this->exchange->Respond(out, absl::StrCat("the request may have run: ",
+                                            absl::string_view(why.data(),
+                                                              why.size()),
+                                            "\n"));
+  ++this->gateway.counters.failed;
+  this->Log(Level::kNotable, "failed",
+            Fields().Text("why", why).Count("status", status));
+  this->Finish("failed", status);
+}
+
+void Passage::Finish(std::string_view outcome, int status) {
+  if (std::exchange(this->finished, true)) return;
+  this->CancelCall();
+  this->ReleaseLoad();
+  this->gateway.loop.Cancel(this->deadline_timer);
+  this->gateway.loop.Cancel(this->silence_timer);
+  this->exchange->OnGone(nullptr);
+  const Level level =
+      outcome == "answered" ? Level::kRoutine : Level::kNotable;
+  this->Log(level, "finished",
+            Fields()
+                .Text("outcome", outcome)
+                .Count("status", status)
+                .Count("tries", this->tries.made)
+                .Text("endpoint", this->target.endpoint)
+                .Millis("took_ms",
+                        this->gateway.loop.Now() - this->what.arrived));
+}
+
+void Passage::CancelCall() {
+  const http::CallId open = std::exchange(this->call, 0);
+  if (open == 0) return;
+  this->gateway.client.Cancel(open);
+}
+
+void Passage::ReleaseLoad() {
+  for (const auto& load : this->counted) {
+    this->gateway.beliefs.loads.Ended(load);
+  }
+  this->counted.clear();
+}
+
+void Passage::Log(Level level, std::string_view event,
+                  const Fields& more) const {
+  Fields fields;
+  fields.Text("request", this->request_id).Text("route", this->what.route->name);
+  fields.Append(more);
+  this->gateway.logger.Write(level, event, fields, this->gateway.loop.Now());
+}
+
+}  // namespace toucanwharf::instance
--- /dev/null
+++ b/lib/instance/passage.h
@@ -0,0 +1,120 @@
+#ifndef TOUCANWHARF_LIB_INSTANCE_PASSAGE_H_
+#define TOUCANWHARF_LIB_INSTANCE_PASSAGE_H_
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "toucanwharf/attempts/attempt_policy.h"
+#include "toucanwharf/http/event_splitter.h"
+#include "toucanwharf/instance/gateway.h"
+#include "toucanwharf/placement/path_finder.h"
+
+namespace toucanwharf::instance {
+
+/// What the gateway knows of a request before it is passed on.
+struct Admitted {
+  std::shared_ptr<const routes::RouteTable> table;
+  const routes::Route* route = nullptr;
+  const routes::Service* service = nullptr;
+  /// Empty for a route that needs no key.
+  std::string customer;
+  TimePoint arrived;
+  /// When the final answer is due.
+  TimePoint deadline;
+};
+
+/// One request on its way: tries endpoints, hands the answer back, and goes on
+/// elsewhere when an endpoint fails.
+/// Thread safety: only on the loop's thread.
+class Passage : public std::enable_shared_from_this<Passage> {
+ public:
+  Passage(Gateway& owner, std::shared_ptr<http::Exchange> caller,
+          Admitted what);
+  ~Passage();
+  Passage(const Passage&) = delete;
+  Passage& operator=(const Passage&) = delete;
+
+  void Start();
+
+ private:
+  /// Where a try goes.
+  struct Target {
+    std::string endpoint;
+    std::string address;
+    std::vector<pipeline::Stage> stages;
+    double token_millis = 0;
+  };
+
+  bool IsStream() const {
+    return this->what.route->kind == routes::RequestKind::kStream;
+  }
+  bool IsModel() const { return this->what.service->engine.has_value(); }
+
+  void Try();
+  std::optional<Target> Choose();
+  std::optional<Target> ChooseAgain(attempts::TryEnd end);
+  std::optional<Target> ChoosePath();
+  std::optional<Target> ChoosePlain();
+  http::Request BuildRequest(const Target& target) const;
+  void Send(const Target& target);
+
+  void OnHead(const http::ResponseHead& head);
+  void OnData(std::string_view bytes);
+  void OnDone(const http::CallResult& result);
+  void JudgeHead(const http::ResponseHead& head);
+  void BeginStream(const http::ResponseHead& head);
+  void FinishPlain();
+  void EndTry(attempts::TryEnd end, std::string_view why);
+  void Proceed(attempts::TryEnd end, std::string_view why);
+
+  void WatchSilence();
+  void OnSilence();
+  void OnDeadline();
+  void OnCallerGone();
+
+  void Refuse(std::string_view why);
+  void Fail(int status, std::string_view why);
+  void Finish(std::string_view outcome, int status);
+  void CancelCall();
+  void ReleaseLoad();
+  void Log(eventlog::Level level, std::string_view event,
+           const eventlog::Fields& more) const;
+
+  Gateway& gateway;
+  std::shared_ptr<http::Exchange> exchange;
+  Admitted what;
+  std::string request_id;
+  double prompt_tokens = 0;
+  double output_tokens = 0;
+
+  attempts::Tries tries;
+  std::set<std::string> excluded;
+  Target target;
+  std::vector<gossip::EndpointLoad> counted;
+  http::CallId call = 0;
+  http::TimerId deadline_timer = 0;
+  http::TimerId silence_timer = 0;
+  TimePoint try_began;
+  TimePoint last_data;
+
+  http::ResponseHead head;
+  bool has_head = false;
+  /// The head is one that can be handed on.
+  bool head_good = false;
+  std::optional<attempts::TryEnd> head_verdict;
+  std::string body;
+  http::EventSplitter events;
+  bool any_event = false;
+  bool finished = false;
+  /// The caller is gone, and the work goes on.
+  bool abandoned = false;
+  placement::PathLack lack = placement::PathLack::kNone;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_LIB_INSTANCE_PASSAGE_H_
--- /dev/null
+++ b/lib/instance/peer_link.cc
@@ -0,0 +1,310 @@
+#include "toucanwharf/instance/peer_link.h"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "toucanwharf/support/json.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using eventlog::Fields;
+using eventlog::Level;
+using Json = nlohmann::json;
+
+/// Between beacons. Four a second keep what peers know of loads and of the
+/// configuration's age within the time of one answer's first event.
+constexpr Duration kBeaconPeriod = std::chrono::milliseconds(250);
+/// In a large fleet the period grows by this for each instance, so that what
+/// one instance sends and reads stays below 400 messages a second.
+constexpr Duration kPeriodPerInstance = std::chrono::milliseconds(5);
+/// Facts that the placing instance told count for so long without new ones.
+constexpr Duration kFactsFor = std::chrono::seconds(3);
+constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
+/// Suspicions that peers tell are cut to this: a peer's link may be at fault.
+constexpr Duration kLongestSuspicion = std::chrono::seconds(3);
+constexpr std::size_t kMostPeersTold = 64;
+
+constexpr std::string_view kConfigurationPath = "/peer/configuration";
+constexpr std::string_view kEndpointsPath = "/peer/endpoints";
+constexpr std::string_view kRevisionHeader = "X-Revision";
+
+std::string IpOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+std::string PortOf(const std::string& address) {
+  return address.substr(address.rfind(':') + 1);
+}
+
+std::uint64_t RevisionOf(const http::ResponseHead& head) {
+  const std::string_view text = head.headers.Get(kRevisionHeader);
+  std::uint64_t revision = 0;
+  std::from_chars(text.data(), text.data() + text.size(), revision);
+  return revision;
+}
+
+}  // namespace
+
+std::string EndpointsToText(const endpoints::EndpointTable& table) {
+  Json list = Json::array();
+  for (const auto& [id, one] : table.All()) {
+    list.push_back({one.id, one.born, one.service, one.address,
+                    one.failure_domain, one.slots,
+                    one.state == endpoints::EndpointState::kDraining, one.kind,
+                    one.layers.begin, one.layers.end, one.sequence});
+  }
+  return list.dump();
+}
+
+std::optional<std::vector<endpoints::Endpoint>> EndpointsFromText(
+    const std::string& text) {
+  const Json list = Json::parse(text, nullptr, false);
+  if (!list.is_array()) return std::nullopt;
+  std::vector<endpoints::Endpoint> all;
+  // A peer of another build may write another shape; such a list is none.
+  try {
+    for (const Json& one : list) {
+      endpoints::Endpoint endpoint;
+      std::size_t at = 0;
+      endpoint.id = one.at(at++).get<std::string>();
+      endpoint.born = one.at(at++).get<std::uint64_t>();
+      endpoint.service = one.at(at++).get<std::string>();
+      endpoint.address = one.at(at++).get<std::string>();
+      endpoint.failure_domain = one.at(at++).get<std::string>();
+      endpoint.slots = one.at(at++).get<std::uint32_t>();
+      endpoint.state = one.at(at++).get<bool>()
+                           ? endpoints::EndpointState::kDraining
+                           : endpoints::EndpointState::kReady;
+      endpoint.kind = one.at(at++).get<std::string>();
+      endpoint.layers.begin = one.at(at++).get<std::uint32_t>();
+      endpoint.layers.end = one.at(at++).get<std::uint32_t>();
+      endpoint.sequence = one.at(at++).get<std::uint64_t>();
+      all.push_back(std::move(endpoint));
+    }
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+  return all;
+}
+
+PeerLink::PeerLink(http::Loop& event_loop, http::Client& http_client,
+                   Beliefs& shared_beliefs, eventlog::Logger& log,
+                   const InstanceSettings& chosen)
+    : loop(event_loop),
+      client(http_client),
+      beliefs(shared_beliefs),
+      logger(log),
+      settings(chosen) {}
+
+Result<void> PeerLink::Start(OnConfiguration on_configuration,
+                             OnEndpoints on_endpoints) {
+  this->take_configuration = std::move(on_configuration);
+  this->endpoints_changed = std::move(on_endpoints);
+  auto bound = http::DatagramSocket::Bind(
+      this->loop, this->settings.datagram_address,
+      [this](const std::string& sender, std::string_view payload) {
+        this->OnDatagram(sender, payload);
+      });
+  if (!bound) return bound.error();
+  this->socket = std::move(bound.value());
+  for (const std::string& seed : this->settings.seeds) this->AddInstance(seed);
+  this->Tick();
+  return Success();
+}
+
+void PeerLink::AddInstance(const std::string& control_address) {
+  // Ports are the same on all instances.
+  const std::string address =
+      absl::StrCat(IpOf(control_address), ":",
+                   PortOf(this->settings.datagram_address));
+  if (address == this->settings.datagram_address) return;
+  this->beliefs.peers.AddAddress(address, this->loop.Now());
+}
+
+void PeerLink::Tick() {
+  this->SendAll();
+  const auto count = static_cast<std::int64_t>(
+      this->beliefs.peers.Instances(this->loop.Now()));
+  this->loop.After(std::max(kBeaconPeriod, kPeriodPerInstance * count),
+                   [this] { this->Tick(); });
+}
+
+void PeerLink::Announce() { this->SendAll(); }
+
+gossip::Beacon PeerLink::MakeBeacon(TimePoint now) const {
+  gossip::Beacon beacon;
+  beacon.instance = this->beliefs.instance;
+  beacon.failure_domain = this->settings.failure_domain;
+  beacon.callers_address = this->settings.callers_address;
+  beacon.control_address = this->settings.control_address;
+  beacon.ready = this->beliefs.Ready(now);
+  beacon.stopping = this->beliefs.stopping_since.has_value();
+  beacon.leads = this->beliefs.leads;
+  beacon.configuration_revision = this->beliefs.configuration_revision;
+  beacon.configuration_age = this->beliefs.freshness.Age(now);
+  beacon.endpoints_revision = this->beliefs.endpoints.ChangedAt();
+  if (this->beliefs.endpoints_read) {
+    beacon.endpoints_age = now - *this->beliefs.endpoints_read;
+  }
+  beacon.stamp = now.since_start.count();
+  beacon.loads = this->beliefs.loads.Own();
+  beacon.suspicions = this->beliefs.loads.Suspicions(now);
+  if (this->beliefs.leads) beacon.facts = this->facts;
+  return beacon;
+}
+
+void PeerLink::SendAll() {
+  const TimePoint now = this->loop.Now();
+  gossip::Beacon beacon = this->MakeBeacon(now);
+  const auto addresses = this->beliefs.peers.Addresses(now);
+  for (const std::string& address : addresses) {
+    const auto stamp = this->stamps.find(address);
+    beacon.echo = stamp == this->stamps.end() ? 0 : stamp->second;
+    beacon.peers.clear();
+    // Whoever is not heard of may be new, and knows nobody yet.
+    if (this->beliefs.peers.Live(address, now) == nullptr) {
+      const std::size_t told = std::min(addresses.size(), kMostPeersTold);
+      beacon.peers.assign(addresses.begin(),
+                          addresses.begin() + static_cast<std::ptrdiff_t>(told));
+    }
+    this->socket->Send(address, gossip::Encode(beacon));
+  }
+  this->LogPeers(now);
+}
+
+void PeerLink::LogPeers(TimePoint now) {
+  std::set<std::string> live;
+  for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+    live.insert(peer->beacon.callers_address);
+  }
+  for (const std::string& one : live) {
+    if (this->live_before.contains(one)) continue;
+    this->logger.Write(Level::kNotable, "peer_heard", Fields().Text("peer", one),
+                       now);
+  }
+  for (const std::string& one : this->live_before) {
+    if (live.contains(one)) continue;
+    this->logger.Write(Level::kNotable, "peer_silent",
+                       Fields().Text("peer", one), now);
+  }
+  this->live_before = std::move(live);
+}
+
+void PeerLink::OnDatagram(const std::string& sender,
+                          std::string_view payload) {
+  const TimePoint now = this->loop.Now();
+  const auto beacon = gossip::Decode(payload);
+  if (!beacon) {
+    this->logger.Write(Level::kNotable, "beacon_unreadable",
+                       Fields().Text("sender", sender), now);
+    return;
+  }
+  if (!this->beliefs.peers.OnBeacon(sender, *beacon, now)) return;
+  this->stamps[sender] = beacon->stamp;
+  for (const std::string& address : beacon->peers) {
+    if (address == this->settings.datagram_address) continue;
+    this->beliefs.peers.AddAddress(address, now);
+  }
+  this->AdoptFrom(*beacon, now);
+  this->FetchNewer(*beacon);
+}
+
+void PeerLink::AdoptFrom(const gossip::Beacon& beacon, TimePoint now) {
+  for (const gossip::Suspicion& one : beacon.suspicions) {
+    this->beliefs.loads.Suspect(
+        one.endpoint, now + std::min(one.remaining, kLongestSuspicion));
+  }
+  if (beacon.leads) {
+    for (const gossip::EngineFact& fact : beacon.facts) {
+      this->beliefs.loads.SetFact(fact, now + kFactsFor);
+    }
+  }
+  std::vector<gossip::EndpointLoad> loads;
+  for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+    const auto& theirs = peer->beacon.loads;
+    loads.insert(loads.end(), theirs.begin(), theirs.end());
+  }
+  this->beliefs.loads.SetPeers(loads);
+  const auto configuration = this->beliefs.peers.ConfigurationVouched(
+      this->beliefs.configuration_revision, now);
+  if (configuration && this->beliefs.table) {
+    this->beliefs.freshness.Confirm(*configuration);
+  }
+  const auto listed = this->beliefs.peers.EndpointsVouched(
+      this->beliefs.endpoints.ChangedAt(), now);
+  if (listed && this->beliefs.endpoints.ChangedAt() > 0) {
+    this->beliefs.endpoints_read =
+        std::max(this->beliefs.endpoints_read.value_or(*listed), *listed);
+  }
+}
+
+void PeerLink::FetchNewer(const gossip::Beacon& beacon) {
+  if (beacon.configuration_revision > this->beliefs.configuration_revision &&
+      !this->fetching_configuration) {
+    this->FetchConfiguration(beacon.control_address);
+  }
+  if (beacon.endpoints_revision > this->beliefs.endpoints.ChangedAt() &&
+      !this->fetching_endpoints) {
+    this->FetchEndpoints(beacon.control_address);
+  }
+}
+
+void PeerLink::FetchConfiguration(const std::string& control_address) {
+  this->fetching_configuration = true;
+  http::Request request;
+  request.target = std::string(kConfigurationPath);
+  http::Fetch(this->loop, this->client, control_address, request, kFetchTimeout,
+              [this](const http::CallResult& result,
+                     const http::ResponseHead& head, const std::string& body) {
+                this->fetching_configuration = false;
+                const bool good = result.end == http::CallEnd::kComplete &&
+                                  head.status == http::kOk;
+                if (good) this->take_configuration(RevisionOf(head), body);
+              });
+}
+
+void PeerLink::FetchEndpoints(const std::string& control_address) {
+  this->fetching_endpoints = true;
+  http::Request request;
+  request.target = std::string(kEndpointsPath);
+  http::Fetch(
+      this->loop, this->client, control_address, request, kFetchTimeout,
+      [this](const http::CallResult& result, const http::ResponseHead& head,
+             const std::string& body) {
+        this->fetching_endpoints = false;
+        const bool good = result.end == http::CallEnd::kComplete &&
+                          head.status == http::kOk;
+        if (!good) return;
+        auto listed = EndpointsFromText(body);
+        if (!listed) return;
+        if (this->beliefs.endpoints.Replace(
+                std::move(*listed), RevisionOf(head), this->loop.Now())) {
+          this->endpoints_changed();
+        }
+      });
+}
+
+bool PeerLink::HandlePeer(http::Exchange& exchange) const {
+  const std::string_view path = http::PathOf(exchange.Received().target);
+  http::ResponseHead head;
+  head.status = http::kOk;
+  if (path == kConfigurationPath && this->beliefs.table) {
+    head.headers.Add(std::string(kRevisionHeader),
+                     absl::StrCat(this->beliefs.configuration_revision));
+    exchange.Respond(head, this->beliefs.configuration_text);
+    return true;
+  }
+  if (path == kEndpointsPath && this->beliefs.endpoints.ChangedAt() > 0) {
+    head.headers.Add(std::string(kRevisionHeader),
+                     absl::StrCat(this->beliefs.endpoints.ChangedAt()));
+    exchange.Respond(head, EndpointsToText(this->beliefs.endpoints));
+    return true;
+  }
+  return false;
+}
+
+}  // namespace toucanwharf::instance
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -18,6 +18,13 @@
 tw_package(routing DEPS toucanwharf_support)
 tw_package(admission DEPS toucanwharf_routing)
 tw_package(pipeline DEPS toucanwharf_support)
+# What requests that are passed on unchanged need: decisions without I/O.
+tw_package(placement DEPS toucanwharf_pipeline)
+tw_package(routes DEPS toucanwharf_placement absl::flat_hash_map absl::strings)
+tw_package(attempts DEPS toucanwharf_routes)
+tw_package(gossip DEPS toucanwharf_pipeline)
+tw_package(endpoints DEPS toucanwharf_gossip toucanwharf_placement)
+tw_package(eventlog DEPS toucanwharf_support absl::strings)
 tw_package(once DEPS toucanwharf_store)
 tw_package(control DEPS toucanwharf_records toucanwharf_store)
 # The stand-ins' arithmetic; a library so that tests and tools can use it.
@@ -28,6 +35,17 @@
   find_package(PkgConfig REQUIRED)
   pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
   find_package(glog REQUIRED)
+  # Asio and Beast are headers of Boost; only this package includes them.
+  tw_package(http DEPS toucanwharf_support absl::strings)
+  target_compile_definitions(toucanwharf_http PRIVATE
+    BOOST_ASIO_DISABLE_CONCEPTS BOOST_ALLOW_DEPRECATED_HEADERS)
+  tw_package(instance DEPS toucanwharf_http toucanwharf_eventlog
+    toucanwharf_endpoints toucanwharf_attempts toucanwharf_control
+    absl::strings absl::str_format)
+  file(GLOB adapter_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
+  add_library(toucanwharf_adapter STATIC ${adapter_sources})
+  target_include_directories(toucanwharf_adapter PUBLIC ${CMAKE_SOURCE_DIR})
+  target_link_libraries(toucanwharf_adapter PUBLIC toucanwharf_instance)
   tw_package(transport DEPS toucanwharf_support CURL::libcurl
     PkgConfig::MICROHTTPD)
   tw_package(platform DEPS toucanwharf_transport toucanwharf_once
@@ -58,7 +76,8 @@
   # Boost 1.74's quantile accumulator trips this warning in g++ 12.
   set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/daemon/metrics.cc
     PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
-  tw_program(toucanwharfd tools/toucanwharfd DEPS toucanwharf_daemon)
+  tw_program(toucanwharfd tools/toucanwharfd DEPS toucanwharf_daemon
+    toucanwharf_adapter)
   target_compile_definitions(toucanwharfd PRIVATE
     TOUCANWHARF_VERSION="${PROJECT_VERSION}")
   tw_program(bench_capacity bench/capacity DEPS toucanwharf_support CURL::libcurl)
--- /dev/null
+++ b/lib/placement/layout.cc
@@ -0,0 +1,237 @@
+#include "toucanwharf/placement/layout.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace toucanwharf::placement {
+namespace {
+
+using pipeline::LayerRange;
+using Group = std::vector<const Accelerator*>;
+
+/// Layers from the first that nobody holds up to the next that somebody does.
+using Gap = LayerRange;
+
+class Planner {
+ public:
+  Planner(const EngineModel& engine_model, const LayoutSettings& chosen)
+      : model(engine_model), settings(chosen) {}
+
+  Layout Plan(const std::vector<Accelerator>& fleet) {
+    std::map<std::string, Group> domains;
+    for (const Accelerator& one : fleet) {
+      if (this->model.FindKind(one.kind) == nullptr) continue;
+      domains[one.failure_domain].push_back(&one);
+    }
+    Group left_over;
+    for (auto& [domain, members] : domains) {
+      SortFastestFirst(members);
+      const Group free = this->PlanGroup(members);
+      left_over.insert(left_over.end(), free.begin(), free.end());
+    }
+    // What no domain could use alone may make a cover together.
+    SortFastestFirst(left_over);
+    this->PlanGroup(left_over);
+    return std::move(this->layout);
+  }
+
+ private:
+  void SortFastestFirst(Group& members) const {
+    std::sort(members.begin(), members.end(),
+              [this](const Accelerator* left, const Accelerator* right) {
+                const double a =
+                    this->model.FindKind(left->kind)->step_factor;
+                const double b =
+                    this->model.FindKind(right->kind)->step_factor;
+                return std::pair(a, left->id) < std::pair(b, right->id);
+              });
+  }
+
+  /// Keeps whole covers, mends a broken one, builds new ones; returns the
+  /// engines that are still free.
+  Group PlanGroup(Group members) {
+    while (this->KeepWholeCover(members)) {
+    }
+    while (this->MendCover(members)) {
+    }
+    while (this->BuildCover(members)) {
+    }
+    return members;
+  }
+
+  void Take(Group& members, const Layout& chosen) {
+    for (const auto& [id, layers] : chosen) this->layout[id] = layers;
+    std::erase_if(members, [&](const Accelerator* one) {
+      return chosen.contains(one->id);
+    });
+  }
+
+  /// Finds engines whose layers follow one another from first to last.
+  bool KeepWholeCover(Group& members) {
+    const Layout chain = this->LongestChain(members).first;
+    const bool whole = !chain.empty() && this->Holes(chain).empty();
+    if (whole) this->Take(members, chain);
+    return whole;
+  }
+
+  /// Returns the disjoint holdings that cover most layers between them, and
+  /// how many layers that is.
+  std::pair<Layout, std::uint32_t> LongestChain(const Group& members) const {
+    std::vector<const Accelerator*> holders;
+    for (const Accelerator* one : members) {
+      if (one->layers.Count() > 0 && this->Fits(*one)) holders.push_back(one);
+    }
+    std::stable_sort(holders.begin(), holders.end(),
+                     [](const Accelerator* left, const Accelerator* right) {
+                       return left->layers.end < right->layers.end;
+                     });
+    // Best sum of layers with ranges that end at or before each layer.
+    const std::uint32_t layers = this->model.layers;
+    std::vector<std::uint32_t> best(layers + 1, 0);
+    std::vector<const Accelerator*> last(layers + 1, nullptr);
+    std::size_t next = 0;
+    for (std::uint32_t end = 1; end <= layers; ++end) {
+      best[end] = best[end - 1];
+      for (; next < holders.size() && holders[next]->layers.end == end;
+           ++next) {
+        const LayerRange& held = holders[next]->layers;
+        const std::uint32_t sum = best[held.begin] + held.Count();
+        if (sum <= best[end]) continue;
+        best[end] = sum;
+        last[end] = holders[next];
+      }
+    }
+    Layout chain;
+    for (std::uint32_t end = layers; end > 0;) {
+      const Accelerator* one = last[end];
+      if (one == nullptr) {
+        --end;
+        continue;
+      }
+      chain[one->id] = one->layers;
+      end = one->layers.begin;
+    }
+    return {chain, best[layers]};
+  }
+
+  bool Fits(const Accelerator& one) const {
+    const AcceleratorKind& kind = *this->model.FindKind(one.kind);
+    return one.layers.end <= this->model.layers &&
+           this->model.layer_mb * one.layers.Count() < kind.memory_mb;
+  }
+
+  std::vector<Gap> Holes(const Layout& chain) const {
+    std::vector<LayerRange> held;
+    for (const auto& [id, layers] : chain) held.push_back(layers);
+    std::sort(held.begin(), held.end());
+    std::vector<Gap> holes;
+    std::uint32_t at = 0;
+    for (const LayerRange& range : held) {
+      if (range.begin > at) holes.push_back({at, range.begin});
+      at = range.end;
+    }
+    if (at < this->model.layers) holes.push_back({at, this->model.layers});
+    return holes;
+  }
+
+  /// Fills the holes of what is left of a cover with free engines, if most of
+  /// it is left: then a few loads bring it back.
+  bool MendCover(Group& members) {
+    const auto [chain, held] = this->LongestChain(members);
+    if (2 * held < this->model.layers) return false;
+    Group free;
+    for (const Accelerator* one : members) {
+      if (!chain.contains(one->id)) free.push_back(one);
+    }
+    for (double answers = this->settings.wanted_answers;
+         answers >= this->settings.least_answers; answers /= 2) {
+      Layout mended = chain;
+      if (!this->Fill(this->Holes(chain), free, answers, mended)) continue;
+      this->Take(members, mended);
+      return true;
+    }
+    return false;
+  }
+
+  bool Fill(const std::vector<Gap>& holes, const Group& free, double answers,
+            Layout& chosen) const {
+    auto next = free.begin();
+    for (Gap hole : holes) {
+      while (hole.Count() > 0) {
+        if (next == free.end()) return false;
+        const Accelerator& one = **next;
+        ++next;
+        const std::uint32_t most =
+            LayersFor(this->model, *this->model.FindKind(one.kind), answers);
+        const std::uint32_t taken = std::min(most, hole.Count());
+        if (taken == 0) continue;
+        chosen[one.id] = {hole.begin, hole.begin + taken};
+        hole.begin += taken;
+      }
+    }
+    return true;
+  }
+
+  /// Builds a cover from scratch, with room for as many answers as wanted or,
+  /// failing that, as many as all members together allow.
+  bool BuildCover(Group& members) {
+    double answers = this->settings.wanted_answers;
+    if (this->Capacity(members, answers) < this->model.layers) {
+      answers = this->MostAnswers(members);
+    }
+    if (answers < this->settings.least_answers) return false;
+    Layout chosen;
+    if (!this->Fill({{0, this->model.layers}}, members, answers, chosen)) {
+      return false;
+    }
+    this->Take(members, chosen);
+    return true;
+  }
+
+  std::uint32_t Capacity(const Group& members, double answers) const {
+    std::uint32_t sum = 0;
+    for (const Accelerator* one : members) {
+      sum += LayersFor(this->model, *this->model.FindKind(one->kind), answers);
+    }
+    return sum;
+  }
+
+  double MostAnswers(const Group& members) const {
+    constexpr int kHalvings = 20;
+    double low = 0;
+    double high = this->settings.wanted_answers;
+    for (int step = 0; step < kHalvings; ++step) {
+      const double middle = (low + high) / 2;
+      const bool enough = this->Capacity(members, middle) >= this->model.layers;
+      (enough ? low : high) = middle;
+    }
+    return low;
+  }
+
+  const EngineModel& model;
+  const LayoutSettings& settings;
+  Layout layout;
+};
+
+}  // namespace
+
+std::uint32_t LayersFor(const EngineModel& model, const AcceleratorKind& kind,
+                        double answers) {
+  const double tokens = answers * (model.usual_prompt + model.usual_answer);
+  const double token_layer_mb = model.token_mb / model.layers;
+  const double per_layer = model.layer_mb + tokens * token_layer_mb;
+  if (per_layer <= 0) return 0;
+  const double fit = kind.memory_mb / per_layer;
+  return std::min(static_cast<std::uint32_t>(fit), model.layers);
+}
+
+Layout PlanLayout(const EngineModel& model,
+                  const std::vector<Accelerator>& fleet,
+                  const LayoutSettings& settings) {
+  if (model.layers == 0) return {};
+  return Planner(model, settings).Plan(fleet);
+}
+
+}  // namespace toucanwharf::placement
--- a/tools/toucanwharfd/main.cc
+++ b/tools/toucanwharfd/main.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <fstream>
 #include <iostream>
@@ -12,7 +13,11 @@
 #include <string>
 #include <thread>
 
+#include "platform/adapter.h"
+#include "platform/names.h"
+#include "platform/settings.h"
 #include "toucanwharf/daemon/router.h"
+#include "toucanwharf/instance/instance.h"
 #include "toucanwharf/settings/settings.h"
 
 namespace {
@@ -46,6 +51,31 @@
   return std::nullopt;
 }
 
+/// Runs as one of the users' platform's processes, whose settings file the
+/// environment names.
+int ServePlatform() {
+  const char* path = std::getenv(toucanwharf::adapter::names::kSettingsVariable);
+  const auto text = ReadFile(path == nullptr ? "" : path);
+  if (!text) {
+    std::cerr << toucanwharf::adapter::names::kSettingsVariable
+              << " must name a settings file that can be read\n";
+    return kExitBadSettings;
+  }
+  const auto parsed = toucanwharf::adapter::ParsePlatformSettings(*text);
+  for (const std::string& problem : parsed.problems) {
+    std::cerr << path << ": " << problem << "\n";
+  }
+  if (!parsed.problems.empty()) return kExitBadSettings;
+  signal(SIGPIPE, SIG_IGN);
+  toucanwharf::instance::Instance<toucanwharf::adapter::PlatformAdapter>
+      instance(parsed.settings, STDOUT_FILENO);
+  const auto ended = instance.Run();
+  if (ended) return kExitOk;
+  std::cerr << "toucanwharfd: cannot listen: " << ended.error().message()
+            << "\n";
+  return kExitCannotListen;
+}
+
 sigset_t StopSignals() {
   sigset_t signals;
   sigemptyset(&signals);
@@ -83,6 +113,8 @@
   cxxopts::Options options("toucanwharfd", "The toucanwharf router.");
   options.add_options()("settings", "Settings file (JSON)",
                         cxxopts::value<std::string>())(
+      "platform",
+      "Run on the users' platform, with the settings that it names")(
       "check-settings", "Check the settings file and exit")(
       "version", "Print the version")("h,help", "Print this help");
   cxxopts::ParseResult arguments;
@@ -100,6 +132,7 @@
     std::cout << "toucanwharfd " << TOUCANWHARF_VERSION << "\n";
     return kExitOk;
   }
+  if (arguments.count("platform") > 0) return ServePlatform();
   if (arguments.count("settings") == 0) {
     std::cerr << "toucanwharfd: --settings FILE is needed; see --help\n";
     return kExitBadUsage;
