--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -218,8 +218,10 @@
     const CallId call = this->id;
     while (this->id == call && !this->input.empty()) {
       // A head is announced before any of its body is handed on.
-      this->parser->eager(this->sent_head);
+      const bool announced = this->sent_head;
+      this->parser->eager(announced);
       Code why;
+      const std::size_t before = this->input.size();
       const bool good = this->parser->Feed(this->input, why);
       if (this->id != call) return;
       if (!good) {
@@ -233,7 +235,8 @@
         this->OnWhole();
         return;
       }
-      if (this->input.empty()) return;
+      // Part of a chunk's head needs the rest of it.
+      if (announced && this->input.size() == before) return;
     }
   }
 
--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -30,6 +30,8 @@
   bool Feed(std::string& bytes, Code& why) {
     std::size_t taken = 0;
     while (taken < bytes.size() && !this->is_done()) {
+      // A parser that isn't eager stops where the body begins.
+      if (!this->eager() && this->is_header_done()) break;
       const std::size_t step = this->put(
           boost::asio::buffer(bytes.data() + taken, bytes.size() - taken), why);
       taken += step;
