--- a/include/toucanwharf/eventlog/logger.h
+++ b/include/toucanwharf/eventlog/logger.h
@@ -45,7 +45,7 @@
 struct LoggerSettings {
   /// Lines a second. A line costs about 5 us to build and write, so 200 of
   /// each level take at most 0.2% of a core.
-  double routine_per_second = 2000;
+  double routine_per_second = 20;
   double notable_per_second = 200;
   /// Lines that may come at once after a quiet time.
   double burst_seconds = 2;
--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -41,6 +41,15 @@
                          const EndpointReport&) = default;
 };
 
+/// An order to an engine that is the first of an answer's path: run the rest
+/// of it along \p stages, whose first is the engine itself.
+struct RepathOrder {
+  std::string request_id;
+  std::vector<pipeline::Stage> stages;
+
+  friend bool operator==(const RepathOrder&, const RepathOrder&) = default;
+};
+
 /// A caller's question where to connect.
 struct EntryQuestion {
   std::string failure_domain;
@@ -67,7 +76,8 @@
 template <typename A>
 concept Adapter = requires(const std::string& text, std::string_view target,
                            const store::Object& object,
-                           const placement::PlaceOrder& order, int status,
+                           const placement::PlaceOrder& order,
+                           const RepathOrder& repath, int status,
                            const std::vector<std::string>& addresses,
                            Duration length) {
   requires ObjectStore<typename A::Store>;
@@ -82,6 +92,8 @@
   { A::ReportRequest() } -> std::same_as<http::Request>;
   { A::ToReport(text) } -> std::same_as<std::optional<EndpointReport>>;
   { A::OrderRequest(order) } -> std::same_as<http::Request>;
+  { A::RepathRequest(repath) } -> std::same_as<http::Request>;
+  { A::PathText(repath.stages) } -> std::same_as<std::string>;
   { A::ToOrderEnd(status) } -> std::same_as<placement::OrderEnd>;
   { A::IsReadyQuestion(target) } -> std::same_as<bool>;
   {
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -2,19 +2,33 @@
 #define TOUCANWHARF_INSTANCE_GATEWAY_H_
 
 #include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "toucanwharf/attempts/arrival_budget.h"
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/server.h"
+#include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/beliefs.h"
 #include "toucanwharf/instance/settings.h"
 #include "toucanwharf/support/random.h"
 
 namespace toucanwharf::instance {
 
+/// How the gateway talks to an engine beside the requests themselves.
+struct EngineCalls {
+  http::Request report;
+  std::function<std::optional<EndpointReport>(const std::string&)> to_report;
+  std::function<http::Request(const RepathOrder&)> repath;
+  std::function<std::string(const std::vector<pipeline::Stage>&)> path_text;
+};
+
 /// Counts of what became of requests.
 struct GatewayCounters {
   std::uint64_t received = 0;
@@ -27,11 +41,15 @@
   std::uint64_t tried_again = 0;
   std::uint64_t resumed = 0;
   std::uint64_t stalls = 0;
+  std::uint64_t repathed = 0;
+  std::uint64_t queued = 0;
 
   friend bool operator==(const GatewayCounters&,
                          const GatewayCounters&) = default;
 };
 
+class Passage;
+
 /// Passes callers' requests on to endpoints and their answers back.
 /// Thread safety: only on the loop's thread.
 class Gateway {
@@ -39,7 +57,8 @@
   /// Precondition: all references outlive the gateway.
   Gateway(http::Loop& event_loop, http::Client& http_client,
           Beliefs& shared_beliefs, eventlog::Logger& log,
-          const InstanceSettings& chosen, HeaderNames header_names);
+          const InstanceSettings& chosen, HeaderNames header_names,
+          EngineCalls engine_calls);
 
   /// Takes a request; its answer may come much later.
   void Handle(std::shared_ptr<http::Exchange> exchange);
@@ -52,6 +71,15 @@
  private:
   friend class Passage;
 
+  using OnReport = std::function<void(const std::optional<EndpointReport>&)>;
+
+  /// Asks an engine for its report. Answers that stall together ask together:
+  /// one question serves all that come while it is under way.
+  void AskReport(const std::string& address, OnReport done);
+  /// Lets \p passage wait until there is room for its answer.
+  void Enqueue(std::shared_ptr<Passage> passage);
+  void ServeQueue();
+
   void Refuse(http::Exchange& exchange, int status, Duration retry_after,
               std::string_view reason);
   bool TooLateToTake(TimePoint now) const;
@@ -64,8 +92,12 @@
   HeaderNames names;
   attempts::ArrivalBudget budget;
   Random random;
+  EngineCalls calls;
   std::size_t under_way = 0;
   GatewayCounters counters;
+  std::map<std::string, std::vector<OnReport>> reports_asked;
+  std::deque<std::shared_ptr<Passage>> queue;
+  http::TimerId queue_timer = 0;
 };
 
 }  // namespace toucanwharf::instance
--- a/include/toucanwharf/placement/path_finder.h
+++ b/include/toucanwharf/placement/path_finder.h
@@ -46,6 +46,9 @@
   double output_tokens = 1;
   /// Ids of engines that must not be used.
   std::set<std::string> excluded;
+  /// For an answer under way that goes around a dead engine: the first stage,
+  /// which stays as it is.
+  std::optional<pipeline::Stage> first;
 };
 
 struct Path {
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -19,6 +19,12 @@
 /// signal to stop could be cut by the kill; its caller is sent on at once.
 constexpr Duration kTakeAfterStop = std::chrono::milliseconds(2800);
 constexpr double kMicrosPerSecond = 1e6;
+/// An engine answers for its report in a millisecond; one that doesn't within
+/// this is silent. An answer's caller waits meanwhile.
+constexpr Duration kReportTimeout = std::chrono::milliseconds(150);
+/// Between looks at the queue. A hundred answers a second end, so that one
+/// place is free every ten milliseconds on average.
+constexpr Duration kQueueLook = std::chrono::milliseconds(20);
 
 std::string_view KeyOf(std::string_view authorization,
                        std::string_view scheme) {
@@ -44,7 +50,8 @@
 
 Gateway::Gateway(http::Loop& event_loop, http::Client& http_client,
                  Beliefs& shared_beliefs, eventlog::Logger& log,
-                 const InstanceSettings& chosen, HeaderNames header_names)
+                 const InstanceSettings& chosen, HeaderNames header_names,
+                 EngineCalls engine_calls)
     : loop(event_loop),
       client(http_client),
       beliefs(shared_beliefs),
@@ -52,7 +59,8 @@
       settings(chosen),
       names(std::move(header_names)),
       budget(chosen.budget),
-      random(HashText(shared_beliefs.instance)) {}
+      random(HashText(shared_beliefs.instance)),
+      calls(std::move(engine_calls)) {}
 
 bool Gateway::TooLateToTake(TimePoint now) const {
   return this->beliefs.stopping_since &&
@@ -113,6 +121,47 @@
       ->Start();
 }
 
+void Gateway::AskReport(const std::string& address, OnReport done) {
+  auto& waiting = this->reports_asked[address];
+  waiting.push_back(std::move(done));
+  if (waiting.size() > 1) return;
+  http::Fetch(this->loop, this->client, address, this->calls.report,
+              kReportTimeout,
+              [this, address](const http::CallResult& result,
+                              const http::ResponseHead& head,
+                              const std::string& body) {
+                const bool whole = result.end == http::CallEnd::kComplete &&
+                                   head.status == http::kOk;
+                const auto report =
+                    whole ? this->calls.to_report(body) : std::nullopt;
+                const auto asked = std::move(this->reports_asked[address]);
+                this->reports_asked.erase(address);
+                for (const OnReport& each : asked) each(report);
+              });
+}
+
+void Gateway::Enqueue(std::shared_ptr<Passage> passage) {
+  ++this->counters.queued;
+  this->queue.push_back(std::move(passage));
+  if (this->queue_timer != 0) return;
+  this->queue_timer =
+      this->loop.After(kQueueLook, [this] { this->ServeQueue(); });
+}
+
+void Gateway::ServeQueue() {
+  this->queue_timer = 0;
+  // In the order of arrival; whoever finds no room keeps those behind from
+  // overtaking, or a long answer would never find a place.
+  while (!this->queue.empty()) {
+    const auto first = this->queue.front();
+    if (!first->LeaveQueue()) break;
+    this->queue.pop_front();
+  }
+  if (this->queue.empty()) return;
+  this->queue_timer =
+      this->loop.After(kQueueLook, [this] { this->ServeQueue(); });
+}
+
 void Gateway::Refuse(http::Exchange& exchange, int status, Duration retry_after,
                      std::string_view reason) {
   http::ResponseHead head;
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_join.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -31,12 +30,27 @@
 /// loaded again in one to two seconds.
 constexpr Duration kRetryForRoom = std::chrono::milliseconds(400);
 constexpr Duration kRetryForLayers = std::chrono::milliseconds(1500);
-/// Silence before an answer's first event: queueing, prefill and a few steps
-/// take a tenth of this on a path that works.
-constexpr Duration kFirstEventSilence = std::chrono::milliseconds(2500);
+/// Silence before an answer's first event after which its engine is asked why:
+/// queueing, prefill and a few steps take 60 ms on a path that works.
+constexpr Duration kFirstEventSilence = std::chrono::milliseconds(400);
 /// Silence between two events. Usual gaps are 30 to 60 ms, and callers count
 /// a pause above 200 ms as late.
-constexpr Duration kEventSilence = std::chrono::milliseconds(1500);
+constexpr Duration kEventSilence = std::chrono::milliseconds(150);
+/// An engine's report is some hundred milliseconds old, so the first question
+/// may come too early.
+constexpr Duration kAskAgain = std::chrono::milliseconds(70);
+/// An answer that is silent for so long though its engine names nobody is
+/// tried elsewhere: callers leave after two seconds.
+constexpr Duration kLongSilence = std::chrono::milliseconds(1200);
+/// Callers leave a stream after two seconds without an event; until then an
+/// answer that lost its path may find another.
+constexpr Duration kCallersPatience = std::chrono::milliseconds(1900);
+/// Between looks for a place for such an answer.
+constexpr Duration kRepathTimeout = std::chrono::milliseconds(200);
+constexpr Duration kPlaceLook = std::chrono::milliseconds(60);
+/// A request waits for room at most until so much of its objective is left:
+/// the first event takes about as long after it was sent.
+constexpr Duration kLeftAfterQueue = std::chrono::milliseconds(200);
 /// An idempotent request without any answer for so long is tried elsewhere.
 constexpr Duration kPlainSilence = std::chrono::milliseconds(400);
 /// Connect timeouts: a connection inside a region takes a millisecond.
@@ -60,15 +74,6 @@
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
 
-std::string PathText(const std::vector<pipeline::Stage>& stages) {
-  std::vector<std::string> parts;
-  for (const pipeline::Stage& stage : stages) {
-    parts.push_back(absl::StrCat(stage.address, "=", stage.layers.begin, "-",
-                                 stage.layers.end));
-  }
-  return absl::StrJoin(parts, ",");
-}
-
 }  // namespace
 
 Passage::Passage(Gateway& owner, std::shared_ptr<http::Exchange> caller,
@@ -113,8 +118,36 @@
   this->Try();
 }
 
-void Passage::Try() {
+bool Passage::MayQueue() const {
+  if (!this->IsModel() || this->lack != placement::PathLack::kRoom) {
+    return false;
+  }
+  const TimePoint until =
+      this->what.arrived + this->what.route->objective - kLeftAfterQueue;
+  return this->gateway.loop.Now() < until;
+}
+
+bool Passage::LeaveQueue() {
+  if (this->finished) return true;
   const auto chosen = this->Choose();
+  if (chosen) {
+    this->Send(*chosen);
+    return true;
+  }
+  if (this->MayQueue()) return false;
+  this->Refuse("no_room_in_time");
+  return true;
+}
+
+void Passage::Try() {
+  // Whoever came first is served first.
+  const bool behind = this->IsModel() && !this->gateway.queue.empty();
+  const auto chosen = behind ? std::nullopt : this->Choose();
+  if (behind) this->lack = placement::PathLack::kRoom;
+  if (!chosen && this->MayQueue()) {
+    this->gateway.Enqueue(this->shared_from_this());
+    return;
+  }
   if (!chosen) {
     this->Refuse(this->lack == placement::PathLack::kRoom ? "no_room"
                                                           : "no_endpoint");
@@ -124,10 +157,11 @@
 }
 
 std::optional<Passage::Target> Passage::Choose() {
-  return this->IsModel() ? this->ChoosePath() : this->ChoosePlain();
+  return this->IsModel() ? this->ChoosePath({}) : this->ChoosePlain();
 }
 
-std::optional<Passage::Target> Passage::ChoosePath() {
+std::optional<Passage::Target> Passage::ChoosePath(
+    const std::optional<pipeline::Stage>& kept) {
   Beliefs& beliefs = this->gateway.beliefs;
   const TimePoint now = this->gateway.loop.Now();
   std::vector<placement::Engine> engines;
@@ -140,7 +174,8 @@
   query.failure_domain = this->gateway.settings.failure_domain;
   query.prompt_tokens = this->prompt_tokens;
   query.output_tokens = std::max(this->output_tokens, 1.0);
-  query.excluded = this->excluded;
+  query.first = kept;
+  if (!kept) query.excluded = this->excluded;
   const placement::PathChoice choice =
       placement::FindPath(*this->what.service->engine, engines, query, {},
                           this->gateway.random);
@@ -194,7 +229,7 @@
   request.headers.Set(names.expected_endpoint, to.endpoint);
   request.headers.Remove(names.path);
   if (!to.stages.empty()) {
-    request.headers.Set(names.path, PathText(to.stages));
+    request.headers.Set(names.path, this->gateway.calls.path_text(to.stages));
   }
   if (this->events.LastId()) {
     request.headers.Set(names.last_event_id, *this->events.LastId());
@@ -213,18 +248,7 @@
   this->events.DropPart();
   this->try_began = this->gateway.loop.Now();
   this->last_data = this->try_began;
-  const double tokens = this->prompt_tokens + this->output_tokens;
-  if (to.stages.empty()) {
-    this->counted.push_back({to.endpoint, 1, 0, 1});
-  }
-  for (const pipeline::Stage& stage : to.stages) {
-    const bool first = stage.endpoint == to.endpoint;
-    this->counted.push_back({stage.endpoint, 1, tokens * stage.layers.Count(),
-                             first ? 1.0 : 0.0});
-  }
-  for (const auto& load : this->counted) {
-    this->gateway.beliefs.loads.Began(load);
-  }
+  this->CountLoad();
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   if (!this->what.route->Repeatable()) options.reuse = http::Reuse::kNever;
@@ -245,7 +269,23 @@
                 .Text("endpoint", to.endpoint)
                 .Count("try", this->tries.made)
                 .Count("stages", static_cast<std::int64_t>(to.stages.size())));
-  this->WatchSilence();
+  this->WatchSilence(this->Patience());
+}
+
+void Passage::CountLoad() {
+  const double tokens = this->prompt_tokens + this->output_tokens;
+  const Target& to = this->target;
+  if (to.stages.empty()) {
+    this->counted.push_back({to.endpoint, 1, 0, 1});
+  }
+  for (const pipeline::Stage& stage : to.stages) {
+    const bool first = stage.endpoint == to.endpoint;
+    this->counted.push_back({stage.endpoint, 1, tokens * stage.layers.Count(),
+                             first ? 1.0 : 0.0});
+  }
+  for (const auto& load : this->counted) {
+    this->gateway.beliefs.loads.Began(load);
+  }
 }
 
 void Passage::OnHead(const http::ResponseHead& answer) {
@@ -429,6 +469,10 @@
       this->FinishPlain();
       return;
     case NextStep::kBreakOff:
+      if (attempts::MayTryAgain(*this->what.route, this->tries, end)) {
+        this->AwaitPlace(end, why);
+        return;
+      }
       ++this->gateway.counters.broken_off;
       this->exchange->Abort();
       this->Finish("broken_off", 0);
@@ -436,34 +480,159 @@
   }
 }
 
-void Passage::WatchSilence() {
-  if (!this->what.route->Repeatable()) return;
+/// Part of the answer is out, and nowhere is room for the rest of it yet. The
+/// caller waits for the next event anyway, so the answer is given up only when
+/// the caller would be gone.
+void Passage::AwaitPlace(TryEnd end, std::string_view why) {
+  const TimePoint now = this->gateway.loop.Now();
+  if (now - this->last_data > kCallersPatience) {
+    ++this->gateway.counters.broken_off;
+    this->exchange->Abort();
+    this->Finish("broken_off", 0);
+    return;
+  }
   this->gateway.loop.Cancel(this->silence_timer);
-  const Duration patience = !this->IsStream() ? kPlainSilence
-                            : this->any_event ? kEventSilence
-                                              : kFirstEventSilence;
-  const TimePoint due = this->last_data + patience;
   this->silence_timer = this->gateway.loop.After(
-      due - this->gateway.loop.Now(), [weak = this->weak_from_this()] {
+      kPlaceLook, [self = this->shared_from_this(), end,
+                   reason = std::string(why)] {
+        if (!self->finished) self->Proceed(end, reason);
+      });
+}
+
+Duration Passage::Patience() const {
+  if (!this->IsStream()) return kPlainSilence;
+  return this->any_event ? kEventSilence : kFirstEventSilence;
+}
+
+void Passage::WatchSilence(Duration delay) {
+  if (!this->what.route->Repeatable()) return;
+  this->gateway.loop.Cancel(this->silence_timer);
+  this->silence_timer =
+      this->gateway.loop.After(delay, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock()) self->OnSilence();
       });
 }
 
 void Passage::OnSilence() {
-  if (this->finished || this->call == 0) return;
-  const Duration patience = !this->IsStream() ? kPlainSilence
-                            : this->any_event ? kEventSilence
-                                              : kFirstEventSilence;
-  if (this->gateway.loop.Now() - this->last_data < patience) {
-    this->WatchSilence();
+  if (this->finished || this->call == 0 || this->asking) return;
+  const Duration silent = this->gateway.loop.Now() - this->last_data;
+  const Duration left = this->Patience() - silent;
+  if (left > Duration(0)) {
+    this->WatchSilence(left);
     return;
   }
-  if (!attempts::MayTryAgain(*this->what.route, this->tries,
-                             TryEnd::kUnknown)) {
+  if (!this->IsModel()) {
+    this->TryElsewhere("silent");
     return;
   }
-  ++this->gateway.counters.stalls;
-  this->EndTry(TryEnd::kUnknown, "silent");
+  this->asking = true;
+  this->gateway.AskReport(
+      this->target.address,
+      [self = this->shared_from_this(), asked_of = this->call](
+          const std::optional<EndpointReport>& report) {
+        self->asking = false;
+        const bool same = !self->finished && self->call == asked_of;
+        if (same) self->OnReport(report);
+      });
+}
+
+/// The first engine of the path has said why no event came, or nothing.
+void Passage::OnReport(const std::optional<EndpointReport>& report) {
+  const Duration silent = this->gateway.loop.Now() - this->last_data;
+  if (silent < this->Patience()) {
+    this->WatchSilence(this->Patience() - silent);
+    return;
+  }
+  if (!report) {
+    ++this->gateway.counters.stalls;
+    this->SuspectAt(this->target.address);
+    this->TryElsewhere("first_engine_silent");
+    return;
+  }
+  bool named = false;
+  for (const StalledAnswer& one : report->stalled) {
+    this->SuspectAt(one.address);
+    named = named || one.request_id == this->request_id;
+  }
+  if (named) {
+    ++this->gateway.counters.stalls;
+    this->Repath();
+    return;
+  }
+  if (silent > kLongSilence) {
+    this->TryElsewhere("silent");
+    return;
+  }
+  this->WatchSilence(kAskAgain);
+}
+
+void Passage::SuspectAt(const std::string& address) {
+  const TimePoint until = this->gateway.loop.Now() + kBrokenFor;
+  for (const pipeline::Stage& stage : this->target.stages) {
+    if (stage.address != address) continue;
+    this->gateway.beliefs.loads.Suspect(stage.endpoint, until);
+  }
+}
+
+/// Ends the try under way if there is another place; a silent endpoint may
+/// still answer, and is better than none.
+void Passage::TryElsewhere(std::string_view why) {
+  const bool place =
+      attempts::MayTryAgain(*this->what.route, this->tries,
+                            TryEnd::kUnknown) &&
+      this->Choose().has_value();
+  if (!place) {
+    this->WatchSilence(kPlaceLook);
+    return;
+  }
+  this->EndTry(TryEnd::kUnknown, why);
+}
+
+/// Leads the answer around the engines that are suspected. The engines that
+/// stay keep what they hold of it, so only the new ones read it again.
+void Passage::Repath() {
+  const auto next = this->ChoosePath(this->target.stages.front());
+  if (!next) {
+    this->TryElsewhere("no_way_around");
+    return;
+  }
+  this->asking = true;
+  http::Request order = this->gateway.calls.repath(
+      RepathOrder{this->request_id, next->stages});
+  order.headers.Set(this->gateway.names.expected_endpoint,
+                    this->target.endpoint);
+  http::Fetch(this->gateway.loop, this->gateway.client, this->target.address,
+              order, kRepathTimeout,
+              [self = this->shared_from_this(), asked_of = this->call,
+               stages = next->stages](const http::CallResult& result,
+                                      const http::ResponseHead& head,
+                                      const std::string&) {
+                self->asking = false;
+                const bool same = !self->finished && self->call == asked_of;
+                const bool whole = result.end == http::CallEnd::kComplete;
+                if (same) self->OnRepathed(stages, whole ? head.status : 0);
+              });
+}
+
+void Passage::OnRepathed(const std::vector<pipeline::Stage>& stages,
+                         int status) {
+  const TimePoint now = this->gateway.loop.Now();
+  this->Log(Level::kNotable, "repathed",
+            Fields()
+                .Text("endpoint", this->target.endpoint)
+                .Count("status", status)
+                .Millis("silent_ms", now - this->last_data));
+  constexpr int kRefused = 400;
+  if (status == 0 || status >= kRefused) {
+    this->TryElsewhere("repath_refused");
+    return;
+  }
+  ++this->gateway.counters.repathed;
+  this->ReleaseLoad();
+  this->target.stages = stages;
+  this->CountLoad();
+  // The new engines read the answer so far before the next event.
+  this->WatchSilence(kFirstEventSilence);
 }
 
 void Passage::OnDeadline() {
--- a/lib/instance/passage.h
+++ b/lib/instance/passage.h
@@ -39,6 +39,9 @@
   Passage& operator=(const Passage&) = delete;
 
   void Start();
+  /// Looks for room again. Returns whether this request need not wait any
+  /// longer: it was sent, refused, or its caller is gone.
+  bool LeaveQueue();
 
  private:
   /// Where a try goes.
@@ -57,7 +60,8 @@
   void Try();
   std::optional<Target> Choose();
   std::optional<Target> ChooseAgain(attempts::TryEnd end);
-  std::optional<Target> ChoosePath();
+  std::optional<Target> ChoosePath(
+      const std::optional<pipeline::Stage>& kept);
   std::optional<Target> ChoosePlain();
   http::Request BuildRequest(const Target& target) const;
   void Send(const Target& target);
@@ -71,8 +75,17 @@
   void EndTry(attempts::TryEnd end, std::string_view why);
   void Proceed(attempts::TryEnd end, std::string_view why);
 
-  void WatchSilence();
+  bool MayQueue() const;
+  void WatchSilence(Duration delay);
+  Duration Patience() const;
   void OnSilence();
+  void OnReport(const std::optional<EndpointReport>& report);
+  void TryElsewhere(std::string_view why);
+  void Repath();
+  void OnRepathed(const std::vector<pipeline::Stage>& stages, int status);
+  void SuspectAt(const std::string& address);
+  void CountLoad();
+  void AwaitPlace(attempts::TryEnd end, std::string_view why);
   void OnDeadline();
   void OnCallerGone();
 
@@ -98,6 +111,8 @@
   http::CallId call = 0;
   http::TimerId deadline_timer = 0;
   http::TimerId silence_timer = 0;
+  /// A report, or an order to change the path, is on its way.
+  bool asking = false;
   TimePoint try_began;
   TimePoint last_data;
 
--- a/lib/placement/path_finder.cc
+++ b/lib/placement/path_finder.cc
@@ -80,6 +80,9 @@
       this->boundaries.push_back(engine.layers.begin);
       this->boundaries.push_back(engine.layers.end);
     }
+    if (this->query.first) {
+      this->boundaries.push_back(this->query.first->layers.end);
+    }
     std::sort(this->boundaries.begin(), this->boundaries.end());
     const auto last =
         std::unique(this->boundaries.begin(), this->boundaries.end());
@@ -87,6 +90,16 @@
     this->labels[{0, 0}] = Label{0, 0, 0, 0, 0, 0};
   }
 
+  /// Whether \p at may run the layers from \p begin to \p end, where the query
+  /// keeps the first stage.
+  bool Allowed(std::size_t at, std::uint32_t begin, std::uint32_t end) const {
+    if (!this->query.first) return true;
+    const bool is_first = this->engines[at].id == this->query.first->endpoint;
+    const LayerRange& kept = this->query.first->layers;
+    if (begin == 0) return is_first && end == kept.end;
+    return !is_first;
+  }
+
   std::size_t DomainIndex(const std::string& domain) {
     const auto found =
         std::find(this->domains.begin(), this->domains.end(), domain);
@@ -155,6 +168,7 @@
                                         this->boundaries.end(), begin);
     for (auto end = first; end != this->boundaries.end(); ++end) {
       if (*end > held.end) break;
+      if (!this->Allowed(at, begin, *end)) continue;
       const double layers = *end - begin;
       if (this->need_room && this->Needed() * layers > rate.room) break;
       Label label;
