Lease and store are asked with pauses while the store is away

Change: 600 ms after an unanswered lease call; one question at a time, backing off to 1.2 s, while the store is away.

--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -32,6 +32,8 @@
   /// of half of them would be moved at once.
   Duration settle = std::chrono::milliseconds(700);
   Duration call_timeout = std::chrono::milliseconds(500);
+  /// After a call on the lease without an answer.
+  Duration lease_pause = std::chrono::milliseconds(600);
   /// What a report told goes before the store's list for so long.
   Duration facts_for = std::chrono::seconds(3);
 };
@@ -116,10 +118,12 @@
   void PollLease() {
     const TimePoint now = this->loop.Now();
     if (!this->beliefs.leads && this->AnotherLeads(now)) return;
+    if (now < this->lease_pause_until) return;
     auto call = this->lease.Poll(now);
     if (!call) return;
     if (const auto* key = std::get_if<store::ObjectKey>(&*call)) {
       this->store.Read(*key, [this](const store::ReadAnswer& answer) {
+        this->NoteLeaseAnswer(answer.status != store::ReadStatus::kUnknown);
         this->lease.OnRead(answer, this->loop.Now());
         this->PollLease();
       });
@@ -127,6 +131,8 @@
     }
     this->store.Write(std::get<store::Write>(*call),
                       [this](const store::WriteAnswer& answer) {
+                        this->NoteLeaseAnswer(answer.status !=
+                                              store::WriteStatus::kUnknown);
                         this->lease.OnWrite(answer, this->loop.Now());
                         if (answer.status != store::WriteStatus::kWritten) {
                           this->PollLease();
@@ -134,6 +140,13 @@
                       });
   }
 
+  /// A store that is away refuses in a millisecond; asking again at once would
+  /// be thousands of calls in an outage, from every instance that would lead.
+  void NoteLeaseAnswer(bool answered) {
+    if (answered) return;
+    this->lease_pause_until = this->loop.Now() + this->times.lease_pause;
+  }
+
   void Plan(TimePoint now) {
     for (const routes::Service& service :
          this->beliefs.table->All().services) {
@@ -335,6 +348,7 @@
   eventlog::Logger& logger;
   PlacementTimes times;
   control::Lease lease;
+  TimePoint lease_pause_until;
   placement::OrderBook book;
   std::map<std::string, Known> engines;
   std::vector<placement::Accelerator> planned_for;
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -98,17 +98,29 @@
     if (this->beliefs.endpoints_read) {
       list_age = now - *this->beliefs.endpoints_read;
     }
-    if (this->Due(list_age, period, this->endpoints_asked, now)) {
+    // While the store is away one question at a time looks for its return.
+    if (this->store_answers &&
+        this->Due(list_age, period, this->endpoints_asked, now)) {
       this->ListEndpoints();
     }
   }
 
   bool Due(const std::optional<Duration>& age, Duration period,
            TimePoint asked, TimePoint now) const {
-    if (now - asked < this->times.away_period) return false;
+    const Duration pause = this->store_answers ? this->times.away_period
+                                               : this->Backoff();
+    if (now - asked < pause) return false;
     return !age || *age >= period;
   }
 
+  /// Grows with each failure up to a bound that leaves a change enough time to
+  /// be in force in time after the store's return.
+  Duration Backoff() const {
+    constexpr int kMostDoublings = 2;
+    return this->times.away_period *
+           (1 << std::min(this->failures, kMostDoublings));
+  }
+
   void ReadConfiguration() {
     const TimePoint begun = this->loop.Now();
     this->configuration_asked = begun;
@@ -173,6 +185,7 @@
 
   void NoteStore(bool answered) {
     if (!answered) this->beliefs.endpoints.OnStoreAway();
+    this->failures = answered ? 0 : this->failures + 1;
     if (std::exchange(this->store_answers, answered) == answered) return;
     this->logger.Write(eventlog::Level::kNotable,
                        answered ? "store_regained" : "store_lost",
@@ -188,6 +201,7 @@
   TimePoint configuration_asked;
   TimePoint endpoints_asked;
   bool store_answers = true;
+  int failures = 0;
 };
 
 }  // namespace toucanwharf::instance
