Stand-in of the users' platform, and process tests of the whole path on it

Cause of two first failures lay in the tests: the fault was on both engines that an answer could use, and the copy on the standby engine made a new placement needless.

--- /dev/null
+++ b/standins/fleet/endpoints.cc
@@ -0,0 +1,317 @@
+#include "standins/fleet/endpoints.h"
+
+#include <cstdio>
+#include <stdexcept>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+namespace toucanwharf::standins::fleet {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kAccepted = 202;
+/// Most layers that any engine here holds.
+constexpr std::uint32_t kMostLayers = 6;
+
+http::ResponseHead HeadOf(int status, const http::Request& request) {
+  http::ResponseHead head;
+  head.status = status;
+  const auto id = request.headers.Find("X-Request-Id");
+  if (id) head.headers.Add("X-Request-Id", std::string(*id));
+  return head;
+}
+
+std::string EventText(int number) {
+  return absl::StrCat("id: ", number, "\ndata: piece ", number, "\n\n");
+}
+
+}  // namespace
+
+Endpoints::Endpoints(http::Loop& event_loop, Store& registry,
+                     std::uint32_t layer_count)
+    : loop(event_loop), store(registry), layers(layer_count) {}
+
+void Endpoints::Add(const EndpointSpec& spec) {
+  Endpoint endpoint;
+  endpoint.spec = spec;
+  auto server = http::Server::Listen(
+      this->loop, spec.address,
+      [this, id = spec.id](std::shared_ptr<http::Exchange> exchange) {
+        this->Handle(id, std::move(exchange));
+      });
+  if (!server) throw std::runtime_error(spec.id + " cannot listen");
+  endpoint.server = std::move(server.value());
+  this->Register(endpoint);
+  this->endpoints[spec.id] = std::move(endpoint);
+}
+
+void Endpoints::Register(const Endpoint& endpoint) {
+  Json entry = {{"service", endpoint.spec.service},
+                {"addr", endpoint.spec.address},
+                {"zone", endpoint.spec.failure_domain},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", endpoint.state},
+                {"cold_ms", 0},
+                {"born", 1},
+                {"seq", endpoint.sequence}};
+  if (!endpoint.spec.kind.empty()) {
+    entry["kind"] = endpoint.spec.kind;
+    entry["layers"] = {{"from", endpoint.layers.begin},
+                       {"target", endpoint.layers.end}};
+  }
+  this->store.Put("servers", endpoint.spec.id, entry);
+}
+
+void Endpoints::SetFault(const std::string& id, EndpointFault fault) {
+  this->endpoints.at(id).fault = fault;
+}
+
+void Endpoints::Drain(const std::string& id) {
+  Endpoint& endpoint = this->endpoints.at(id);
+  endpoint.state = "draining";
+  this->Register(endpoint);
+}
+
+void Endpoints::Crash(const std::string& id) {
+  const auto found = this->endpoints.find(id);
+  if (found == this->endpoints.end()) return;
+  const auto running = this->streams;
+  for (const auto& stream : running) {
+    if (stream->endpoint != id) continue;
+    stream->exchange->Abort();
+    this->streams.erase(stream);
+  }
+  this->endpoints.erase(found);
+}
+
+Endpoints::Endpoint* Endpoints::AtAddress(const std::string& address) {
+  for (auto& [id, endpoint] : this->endpoints) {
+    if (endpoint.spec.address == address) return &endpoint;
+  }
+  return nullptr;
+}
+
+void Endpoints::Handle(const std::string& id,
+                       std::shared_ptr<http::Exchange> exchange) {
+  Endpoint& endpoint = this->endpoints.at(id);
+  if (endpoint.fault == EndpointFault::kDark) {
+    endpoint.held.push_back(std::move(exchange));
+    return;
+  }
+  const http::Request& request = exchange->Received();
+  if (request.target == "/toucanwharf/report") {
+    this->HandleReport(endpoint, *exchange);
+    return;
+  }
+  const auto expected = request.headers.Find("X-Expect-Instance");
+  if (expected && *expected != id) {
+    exchange->Respond(HeadOf(http::kMisdirected, request), "");
+    return;
+  }
+  if (request.target == "/toucanwharf/order") {
+    this->HandleOrder(endpoint, *exchange);
+    return;
+  }
+  if (endpoint.fault == EndpointFault::kFull) {
+    http::ResponseHead head = HeadOf(http::kUnavailable, request);
+    head.headers.Add("X-Not-Run", "1");
+    head.headers.Add("At-Server", endpoint.spec.address);
+    exchange->Respond(head, "");
+    return;
+  }
+  this->Serve(endpoint, std::move(exchange));
+}
+
+void Endpoints::HandleReport(const Endpoint& endpoint,
+                             http::Exchange& exchange) {
+  Json stalled = Json::array();
+  for (const auto& stream : this->streams) {
+    if (stream->endpoint != endpoint.spec.id) continue;
+    const std::string at = this->Hindrance(stream->path);
+    if (at.empty()) continue;
+    stalled.push_back({{"id", stream->request_id}, {"addr", at}});
+  }
+  const Json body = {{"kind", endpoint.spec.kind},
+                     {"born", 1},
+                     {"layers",
+                      {{"from", endpoint.layers.begin},
+                       {"target", endpoint.layers.end}}},
+                     {"busy", false},
+                     {"seq", endpoint.sequence},
+                     {"pace", 1.0},
+                     {"stalled", stalled}};
+  exchange.Respond(HeadOf(http::kOk, exchange.Received()), body.dump());
+}
+
+void Endpoints::HandleOrder(Endpoint& endpoint, http::Exchange& exchange) {
+  ++this->orders;
+  const http::Request& request = exchange.Received();
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (body.value("op", "") == "repath") {
+    ++this->repaths;
+    const bool refuses = endpoint.fault == EndpointFault::kRefusesRepath;
+    for (const auto& stream : this->streams) {
+      if (refuses || stream->request_id != body.value("id", "")) continue;
+      stream->path = this->ParsePath(body.value("path", ""));
+      this->CheckCover(stream->path);
+      exchange.Respond(HeadOf(kAccepted, request), "");
+      return;
+    }
+    exchange.Respond(HeadOf(http::kConflict, request), "");
+    return;
+  }
+  if (body.value("expected", endpoint.sequence) != endpoint.sequence) {
+    exchange.Respond(HeadOf(http::kConflict, request), "");
+    return;
+  }
+  endpoint.layers = {body.at("from").get<std::uint32_t>(),
+                     body.at("target").get<std::uint32_t>()};
+  if (endpoint.layers.Count() > kMostLayers) {
+    this->violations.push_back(endpoint.spec.id + " was ordered too much");
+  }
+  ++endpoint.sequence;
+  this->Register(endpoint);
+  exchange.Respond(HeadOf(kAccepted, request), "");
+}
+
+void Endpoints::Serve(Endpoint& endpoint,
+                      std::shared_ptr<http::Exchange> exchange) {
+  const http::Request& request = exchange->Received();
+  Run run;
+  run.endpoint = endpoint.spec.id;
+  run.request_id = std::string(request.headers.Get("X-Request-Id"));
+  run.target = request.target;
+  run.body = request.body;
+  run.customer = std::string(request.headers.Get("X-Tenant"));
+  run.headers = request.headers;
+  if (endpoint.spec.kind.empty()) {
+    this->runs.push_back(std::move(run));
+    this->ServePlain(endpoint, *exchange);
+    return;
+  }
+  this->ServeStream(endpoint, std::move(exchange));
+}
+
+void Endpoints::ServePlain(const Endpoint& endpoint,
+                           http::Exchange& exchange) {
+  const http::Request& request = exchange.Received();
+  if (endpoint.fault == EndpointFault::kLosesAnswers) {
+    exchange.Abort();
+    return;
+  }
+  const bool fails = endpoint.fault == EndpointFault::kFails;
+  http::ResponseHead head =
+      HeadOf(fails ? http::kServerError : http::kOk, request);
+  if (endpoint.fault == EndpointFault::kSendsOthersAnswer) {
+    head.headers.Set("X-Request-Id", "of-another-request");
+  }
+  head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
+  exchange.Respond(head, "ran at " + endpoint.spec.id);
+}
+
+std::vector<Endpoints::Part> Endpoints::ParsePath(
+    const std::string& text) const {
+  std::vector<Part> path;
+  for (const absl::string_view each : absl::StrSplit(text, ',')) {
+    const std::vector<std::string> sides = absl::StrSplit(each, '=');
+    if (sides.size() != 2) continue;
+    const std::vector<std::string> ends = absl::StrSplit(sides[1], '-');
+    Part part;
+    part.address = sides[0];
+    if (ends.size() == 2) {
+      (void)absl::SimpleAtoi(ends[0], &part.layers.begin);
+      (void)absl::SimpleAtoi(ends[1], &part.layers.end);
+    }
+    path.push_back(std::move(part));
+  }
+  return path;
+}
+
+void Endpoints::CheckCover(const std::vector<Part>& path) {
+  std::vector<pipeline::LayerRange> ranges;
+  for (const Part& part : path) ranges.push_back(part.layers);
+  if (pipeline::IsExactCover(ranges, this->layers)) return;
+  this->violations.emplace_back("a path is no exact cover");
+}
+
+std::string Endpoints::Hindrance(const std::vector<Part>& path) {
+  for (const Part& part : path) {
+    const Endpoint* endpoint = this->AtAddress(part.address);
+    if (endpoint == nullptr || endpoint->fault == EndpointFault::kDark) {
+      return part.address;
+    }
+  }
+  return {};
+}
+
+void Endpoints::ServeStream(Endpoint& endpoint,
+                            std::shared_ptr<http::Exchange> exchange) {
+  const http::Request& request = exchange->Received();
+  const auto path = this->ParsePath(
+      std::string(request.headers.Get("X-Hop-Count")));
+  for (const Part& part : path) {
+    const Endpoint* at = this->AtAddress(part.address);
+    const bool holds = at != nullptr && at->layers.begin <= part.layers.begin &&
+                       at->layers.end >= part.layers.end;
+    if (holds) continue;
+    http::ResponseHead head = HeadOf(http::kMisdirected, request);
+    head.headers.Add("X-Not-Run", "1");
+    head.headers.Add("At-Server", part.address);
+    exchange->Respond(head, "");
+    return;
+  }
+  this->CheckCover(path);
+  int last = 0;
+  (void)absl::SimpleAtoi(std::string(request.headers.Get("Last-Event-Id")),
+                         &last);
+  Run run;
+  run.endpoint = endpoint.spec.id;
+  run.request_id = std::string(request.headers.Get("X-Request-Id"));
+  run.target = request.target;
+  run.headers = request.headers;
+  run.first_event = last + 1;
+  this->runs.push_back(run);
+  http::ResponseHead head = HeadOf(http::kOk, request);
+  head.headers.Add("Content-Type", "text/event-stream");
+  head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
+  auto stream = std::make_shared<Stream>(
+      Stream{endpoint.spec.id, run.request_id, path, exchange, last + 1});
+  this->streams.insert(stream);
+  exchange->OnGone([this, weak = std::weak_ptr<Stream>(stream)] {
+    if (const auto gone = weak.lock()) this->streams.erase(gone);
+  });
+  exchange->Begin(head);
+  this->Step(stream);
+}
+
+void Endpoints::Step(const std::shared_ptr<Stream>& stream) {
+  if (!this->streams.contains(stream)) return;
+  const auto again = [this, stream] { this->Step(stream); };
+  if (!this->Hindrance(stream->path).empty()) {
+    this->loop.After(kEventGap, again);
+    return;
+  }
+  const Endpoint& endpoint = this->endpoints.at(stream->endpoint);
+  constexpr int kBreakAt = kEvents / 2;
+  if (endpoint.fault == EndpointFault::kBreaksEvent &&
+      stream->next == kBreakAt) {
+    stream->exchange->Write("id: 10\nda");
+    stream->exchange->Abort();
+    this->streams.erase(stream);
+    return;
+  }
+  stream->exchange->Write(EventText(stream->next));
+  if (++stream->next > kEvents) {
+    stream->exchange->End();
+    this->streams.erase(stream);
+    return;
+  }
+  this->loop.After(kEventGap, again);
+}
+
+}  // namespace toucanwharf::standins::fleet
--- /dev/null
+++ b/standins/fleet/store.cc
@@ -0,0 +1,144 @@
+#include "standins/fleet/store.h"
+
+#include <stdexcept>
+#include <utility>
+
+namespace toucanwharf::standins::fleet {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kPrefix = "/toucanwharf/objects/";
+/// Objects in one answer, so that callers have to ask for further pages.
+constexpr std::size_t kPage = 5;
+
+}  // namespace
+
+Store::Store(http::Loop& event_loop, const std::vector<std::string>& addresses)
+    : faults(addresses.size(), StoreFault::kNone) {
+  for (std::size_t at = 0; at < addresses.size(); ++at) {
+    auto server = http::Server::Listen(
+        event_loop, addresses[at],
+        [this, at](std::shared_ptr<http::Exchange> exchange) {
+          this->Handle(at, std::move(exchange));
+        });
+    if (!server) throw std::runtime_error("the store cannot listen");
+    this->servers.push_back(std::move(server.value()));
+  }
+}
+
+void Store::Put(const std::string& kind, const std::string& name,
+                const Json& spec) {
+  this->kinds[kind][name] = Object{++this->revision, spec};
+}
+
+void Store::Remove(const std::string& kind, const std::string& name) {
+  if (this->kinds[kind].erase(name) > 0) ++this->revision;
+}
+
+Json Store::Spec(const std::string& kind, const std::string& name) const {
+  const auto objects = this->kinds.find(kind);
+  if (objects == this->kinds.end()) return Json();
+  const auto found = objects->second.find(name);
+  return found == objects->second.end() ? Json() : found->second.spec;
+}
+
+void Store::SetFault(std::size_t address, StoreFault fault) {
+  this->faults.at(address) = fault;
+}
+
+void Store::Handle(std::size_t address,
+                   std::shared_ptr<http::Exchange> exchange) {
+  ++this->calls;
+  http::ResponseHead head;
+  switch (this->faults[address]) {
+    case StoreFault::kBusy:
+      head.status = http::kUnavailable;
+      exchange->Respond(head, "");
+      return;
+    case StoreFault::kReset:
+      exchange->Abort();
+      return;
+    case StoreFault::kSilent:
+      this->held.push_back(std::move(exchange));
+      return;
+    case StoreFault::kNone:
+    case StoreFault::kLosesAnswers:
+      break;
+  }
+  const Reply reply = this->Carry(exchange->Received());
+  const bool writes = exchange->Received().method != "GET";
+  if (writes && this->faults[address] == StoreFault::kLosesAnswers) {
+    exchange->Abort();
+    return;
+  }
+  head.status = reply.status;
+  head.headers.Add("Content-Type", "application/json");
+  exchange->Respond(head, reply.body.dump());
+}
+
+Store::Reply Store::Carry(const http::Request& request) {
+  const std::string_view path = http::PathOf(request.target);
+  if (path.substr(0, kPrefix.size()) != kPrefix) return {http::kNotFound, {}};
+  const std::string_view rest = path.substr(kPrefix.size());
+  const std::size_t slash = rest.find('/');
+  const std::string kind(rest.substr(0, slash));
+  const bool named = slash != std::string_view::npos;
+  const std::string name(named ? rest.substr(slash + 1) : "");
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (request.method == "POST") return this->Create(kind, body);
+  if (request.method == "PUT") return this->Replace(kind, name, body);
+  if (request.method == "DELETE") {
+    this->Remove(kind, name);
+    return {http::kOk, {}};
+  }
+  if (!named) return this->List(kind, http::QueryValue(request.target, "after"));
+  const auto found = this->kinds[kind].find(name);
+  if (found == this->kinds[kind].end()) return {http::kNotFound, {}};
+  return {http::kOk, ToJson(name, found->second)};
+}
+
+Store::Reply Store::List(const std::string& kind,
+                         const std::string& after) const {
+  Json items = Json::array();
+  bool more = false;
+  const auto objects = this->kinds.find(kind);
+  if (objects != this->kinds.end()) {
+    auto next = objects->second.upper_bound(after);
+    for (; next != objects->second.end() && items.size() < kPage; ++next) {
+      items.push_back(ToJson(next->first, next->second));
+    }
+    more = next != objects->second.end();
+  }
+  return {http::kOk,
+          {{"items", items}, {"has_more", more}, {"as_of", this->revision}}};
+}
+
+Store::Reply Store::Create(const std::string& kind, const Json& body) {
+  const std::string name = body.at("metadata").at("name").get<std::string>();
+  const auto found = this->kinds[kind].find(name);
+  if (found != this->kinds[kind].end()) {
+    return {http::kConflict, ToJson(name, found->second)};
+  }
+  this->Put(kind, name, body.at("spec"));
+  return {http::kOk, ToJson(name, this->kinds[kind][name])};
+}
+
+Store::Reply Store::Replace(const std::string& kind, const std::string& name,
+                            const Json& body) {
+  const auto found = this->kinds[kind].find(name);
+  if (found == this->kinds[kind].end()) return {http::kNotFound, {}};
+  const Json& metadata = body.at("metadata");
+  const bool stale = metadata.contains("revision") &&
+                     metadata["revision"] != found->second.revision;
+  if (stale) return {http::kConflict, ToJson(name, found->second)};
+  this->Put(kind, name, body.at("spec"));
+  return {http::kOk, ToJson(name, found->second)};
+}
+
+Json Store::ToJson(const std::string& name, const Object& object) {
+  return {{"metadata", {{"name", name}, {"revision", object.revision}}},
+          {"spec", object.spec}};
+}
+
+}  // namespace toucanwharf::standins::fleet
--- /dev/null
+++ b/standins/fleet/store.h
@@ -0,0 +1,81 @@
+#ifndef TOUCANWHARF_STANDINS_FLEET_STORE_H_
+#define TOUCANWHARF_STANDINS_FLEET_STORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/http/loop.h"
+#include "toucanwharf/http/server.h"
+
+/// A small stand-in for the users' platform: its store, its model engines and
+/// its plain services, with faults that a test switches on. It plays protocols
+/// and faults, not time.
+namespace toucanwharf::standins::fleet {
+
+/// What the store does to the calls that come to one of its addresses.
+enum class StoreFault {
+  kNone,
+  /// Answers 503.
+  kBusy,
+  /// Closes the connection.
+  kReset,
+  /// Never answers.
+  kSilent,
+  /// Carries a write out and closes the connection without an answer.
+  kLosesAnswers,
+};
+
+/// The store: objects by kind and name, with revisions and conditional writes.
+/// Thread safety: only on the loop's thread.
+class Store {
+ public:
+  /// Listens on \p addresses, one for each caller whose calls are to have
+  /// faults of their own. Precondition: the addresses are free.
+  Store(http::Loop& event_loop, const std::vector<std::string>& addresses);
+
+  /// Writes an object as the operator or an endpoint would.
+  void Put(const std::string& kind, const std::string& name,
+           const nlohmann::json& spec);
+  void Remove(const std::string& kind, const std::string& name);
+  /// Returns an object's spec, null if there is none.
+  nlohmann::json Spec(const std::string& kind, const std::string& name) const;
+  /// Sets what happens to the calls to the address number \p address.
+  void SetFault(std::size_t address, StoreFault fault);
+  /// Returns how many calls came.
+  std::uint64_t Calls() const { return this->calls; }
+
+ private:
+  struct Object {
+    std::uint64_t revision = 0;
+    nlohmann::json spec;
+  };
+  using Kind = std::map<std::string, Object>;
+  struct Reply {
+    int status = 0;
+    nlohmann::json body;
+  };
+
+  void Handle(std::size_t address, std::shared_ptr<http::Exchange> exchange);
+  Reply Carry(const http::Request& request);
+  Reply List(const std::string& kind, const std::string& after) const;
+  Reply Create(const std::string& kind, const nlohmann::json& body);
+  Reply Replace(const std::string& kind, const std::string& name,
+                const nlohmann::json& body);
+  static nlohmann::json ToJson(const std::string& name, const Object& object);
+
+  std::vector<std::unique_ptr<http::Server>> servers;
+  std::vector<StoreFault> faults;
+  /// Calls that get no answer.
+  std::vector<std::shared_ptr<http::Exchange>> held;
+  std::map<std::string, Kind> kinds;
+  std::uint64_t revision = 0;
+  std::uint64_t calls = 0;
+};
+
+}  // namespace toucanwharf::standins::fleet
+
+#endif  // TOUCANWHARF_STANDINS_FLEET_STORE_H_
--- a/standins/standins.cmake
+++ b/standins/standins.cmake
@@ -15,3 +15,8 @@
 endforeach()
 tw_package(standin_programs DEPS standin_platform_parts standin_engine_parts
   standin_service_parts standin_relay_parts)
+# The users' platform in one library, for tests that start routers on it.
+file(GLOB fleet_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/standins/fleet/*.cc)
+add_library(standin_fleet STATIC ${fleet_sources})
+target_include_directories(standin_fleet PUBLIC ${CMAKE_SOURCE_DIR})
+target_link_libraries(standin_fleet PUBLIC toucanwharf_http toucanwharf_pipeline)
--- /dev/null
+++ b/test/process/platform_fleet.cc
@@ -0,0 +1,286 @@
+#include "test/process/platform_fleet.h"
+
+#include <stdlib.h>  // NOLINT(modernize-deprecated-headers): mkdtemp is POSIX
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <stdexcept>
+#include <utility>
+
+namespace toucanwharf::process_test {
+namespace {
+
+using Json = nlohmann::json;
+using Clock = std::chrono::steady_clock;
+
+constexpr const char* kModelService = "model-service";
+constexpr const char* kPlainService = "plain-service";
+constexpr const char* kHost = "calls.example";
+constexpr const char* kDomains[] = {"domain-a", "domain-b"};
+/// Four hold the cover of a domain, one stands by.
+constexpr int kEnginesPerDomain = 5;
+constexpr int kPlainEndpoints = 2;
+
+int PortOf(const std::string& address) {
+  return std::stoi(address.substr(address.rfind(':') + 1));
+}
+
+int FreePort() { return PortOf(FreeAddress()); }
+
+Json RouteJson(const char* prefix, const char* kind, const char* service,
+               bool open) {
+  return {{"name", std::string("route") + prefix},
+          {"host", kHost},
+          {"path_prefix", prefix},
+          {"kind", kind},
+          {"timeout_ms", 5000},
+          {"slo_ms", 500},
+          {"priority", 1},
+          {"service", service},
+          {"max_attempts", std::string(kind) == "unsafe" ? 1 : 2},
+          {"public", open},
+          {"resumable", std::string(kind) == "stream"}};
+}
+
+/// An engine holds three layers with room for the answers wanted, and six with
+/// room for few.
+Json EngineJson() {
+  return {{"slots", 64},
+          {"kv_token_bytes", 100000},
+          {"stride", 1},
+          {"models", {{{"name", "model"}, {"load_s", 1.0}}}},
+          {"step_ms", 1.0},
+          {"per_seq_ms", 0.005},
+          {"context_per_k", 0.006},
+          {"read_per_s", 100000.0},
+          {"chunk", 512},
+          {"loads_at_once", 6},
+          {"delays", Json::array()},
+          {"usual", {{"prompt", 100}, {"answer", 100}}},
+          {"layers", PlatformFleet::kLayers},
+          {"layer_mb", 100.0},
+          {"kinds",
+           {{{"name", "big"}, {"mb", 1000.0}, {"pace", 1.0},
+             {"read_x", 1.0}}}}};
+}
+
+}  // namespace
+
+PlatformFleet::PlatformFleet(std::size_t count)
+    : ports{FreePort(), FreePort(), FreePort(),
+            FreePort(), FreePort(), FreePort()} {
+  std::string pattern =
+      (std::filesystem::temp_directory_path() / "toucanwharf-XXXXXX").string();
+  if (mkdtemp(pattern.data()) == nullptr) {
+    throw std::runtime_error("no folder for settings");
+  }
+  this->folder = pattern;
+  for (std::size_t at = 0; at < count; ++at) {
+    this->store_addresses.push_back(FreeAddress());
+  }
+  this->loop = std::make_unique<http::Loop>();
+  this->store = std::make_unique<standins::fleet::Store>(
+      *this->loop, this->store_addresses);
+  this->endpoints = std::make_unique<standins::fleet::Endpoints>(
+      *this->loop, *this->store, kLayers);
+  this->AddEndpoints();
+  this->thread = std::thread([this] { this->loop->Run(); });
+  this->Configure({kKey, kOtherKey});
+  this->routers.resize(count);
+  for (std::size_t at = 0; at < count; ++at) this->StartRouter(at);
+  const bool ready = Eventually([this, count] {
+    for (std::size_t at = 0; at < count; ++at) {
+      if (!this->Ready(at) || this->Advice(at).size() != count) return false;
+    }
+    return this->Stream(0, "first-look").answer.status == http::kOk;
+  }, 15000);
+  if (!ready) throw std::runtime_error("the fleet did not get ready");
+}
+
+PlatformFleet::~PlatformFleet() {
+  this->routers.clear();
+  this->loop->Stop();
+  this->thread.join();
+  this->endpoints.reset();
+  this->store.reset();
+  this->loop.reset();
+  std::filesystem::remove_all(this->folder);
+}
+
+void PlatformFleet::AddEndpoints() {
+  int number = 0;
+  const auto address = [this, &number] {
+    return "127.0.2." + std::to_string(++number) + ":" +
+           std::to_string(this->ports.service);
+  };
+  for (const char* domain : kDomains) {
+    for (int at = 0; at < kEnginesPerDomain; ++at) {
+      this->endpoints->Add({std::string(domain) + "-" + std::to_string(at),
+                            kModelService, address(), domain, "big"});
+    }
+  }
+  for (int at = 0; at < kPlainEndpoints; ++at) {
+    this->endpoints->Add({"plain-" + std::to_string(at), kPlainService,
+                          address(), kDomains[at], ""});
+  }
+}
+
+void PlatformFleet::On(const std::function<void()>& act) {
+  std::promise<void> done;
+  this->loop->Post([&] {
+    act();
+    done.set_value();
+  });
+  done.get_future().get();
+}
+
+void PlatformFleet::Configure(const std::vector<std::string>& keys) {
+  Json customers = Json::array();
+  for (const std::string& key : keys) {
+    customers.push_back({{"name", "holder-of-" + key}, {"api_keys", {key}}});
+  }
+  const Json configuration = {
+      {"version", ++this->version},
+      {"routes",
+       {RouteJson("/read/", "safe", kPlainService, false),
+        RouteJson("/sign/", "unsafe", kPlainService, false),
+        RouteJson("/open/", "safe", kPlainService, true),
+        RouteJson("/chat/", "stream", kModelService, false)}},
+      {"services",
+       {{{"name", kPlainService}, {"max_conns", 64}},
+        {{"name", kModelService},
+         {"max_conns", 64},
+         {"engine", EngineJson()}}}},
+      {"limits", Json::object()},
+      {"tenants", customers}};
+  this->On([&] { this->store->Put("config", "main", configuration); });
+}
+
+std::string PlatformFleet::RouterIp(std::size_t index) const {
+  return "127.0.1." + std::to_string(index + 1);
+}
+
+std::string PlatformFleet::CallersAddress(std::size_t index) const {
+  return this->RouterIp(index) + ":" + std::to_string(this->ports.callers);
+}
+
+std::string PlatformFleet::WriteSettings(std::size_t index) const {
+  const std::string ip = this->RouterIp(index);
+  const std::string path =
+      this->folder + "/router-" + std::to_string(index) + ".conf";
+  const auto listen = [&](int port) { return ip + ":" + std::to_string(port); };
+  std::ofstream file(path);
+  file << "node_name=router-" << index << "\n"
+       << "zone=" << kDomains[index % 2] << "\n"
+       << "ip=" << ip << "\n"
+       << "listen.front=" << listen(this->ports.callers) << "\n"
+       << "listen.ready=" << listen(this->ports.ready) << "\n"
+       << "listen.control=" << listen(this->ports.control) << "\n"
+       << "listen.directory=" << listen(this->ports.directory) << "\n"
+       << "port_range=" << this->ports.datagrams << "\n"
+       << "provider.addr=" << this->store_addresses[index] << "\n"
+       << "bounds.strict_revoke=true\nbounds.revoke_ms=2500\n"
+       << "bounds.config_ms=2000\nbounds.drain_ms=2000\n"
+       << "bounds.grace_s=8\nbounds.budget_ratio=0.2\n"
+       << "bounds.budget_slack=100\nbounds.budget_window_s=10\n"
+       << "a.field.to.come=ignored\n";
+  return path;
+}
+
+void PlatformFleet::StartRouter(std::size_t index) {
+  setenv("TOUCANWHARF_BOOT", this->WriteSettings(index).c_str(), 1);
+  this->routers.at(index) = std::make_unique<Process>(
+      "toucanwharfd", std::vector<std::string>{"--platform"},
+      this->folder + "/router-" + std::to_string(index) + ".log");
+}
+
+Answer PlatformFleet::Plain(std::size_t index, const std::string& path,
+                            const std::string& id, const std::string& key) {
+  Call call;
+  call.method = path.starts_with("/sign/") ? "POST" : "GET";
+  call.url = this->CallersAddress(index) + path;
+  call.headers = {std::string("Host: ") + kHost, "X-Request-Id: " + id,
+                  "X-Deadline-Ms: 4000"};
+  if (!key.empty()) call.headers.push_back("Authorization: Token " + key);
+  if (call.method == "POST") call.body = "the body of " + id;
+  return Send(call);
+}
+
+EventStream PlatformFleet::Stream(std::size_t index, const std::string& id) {
+  EventStream stream;
+  std::string text;
+  auto last = Clock::now();
+  Call call;
+  call.method = "POST";
+  call.url = this->CallersAddress(index) + "/chat/one";
+  call.headers = {std::string("Host: ") + kHost, "X-Request-Id: " + id,
+                  "X-Deadline-Ms: 5000", "X-Token-Counts: 100,100",
+                  std::string("Authorization: Token ") + kKey};
+  call.body = "a prompt";
+  call.on_data = [&](const std::string& bytes) {
+    text += bytes;
+    const auto now = Clock::now();
+    const auto pause =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - last);
+    if (!stream.ids.empty()) {
+      stream.longest_pause_ms =
+          std::max<std::int64_t>(stream.longest_pause_ms, pause.count());
+    }
+    last = now;
+    for (std::size_t end = text.find("\n\n"); end != std::string::npos;
+         end = text.find("\n\n")) {
+      stream.ids.push_back(std::atoi(text.c_str() + sizeof("id:")));
+      text.erase(0, end + 2);
+    }
+    return true;
+  };
+  stream.answer = Send(call);
+  return stream;
+}
+
+bool PlatformFleet::Ready(std::size_t index) {
+  Call call;
+  call.url = this->RouterIp(index) + ":" + std::to_string(this->ports.ready) +
+             "/toucanwharf/readyz";
+  call.timeout_ms = 1000;
+  return Send(call).status == http::kOk;
+}
+
+std::vector<std::string> PlatformFleet::Advice(std::size_t index) {
+  Call call;
+  call.url = this->RouterIp(index) + ":" +
+             std::to_string(this->ports.directory) +
+             "/toucanwharf/resolve?name=calls.example&zone=domain-a";
+  call.timeout_ms = 1000;
+  const Json answer = Send(call).Json();
+  if (!answer.is_object() || !answer.contains("addrs")) return {};
+  return answer["addrs"].get<std::vector<std::string>>();
+}
+
+bool PlatformFleet::Eventually(const std::function<bool()>& holds,
+                               int millis) {
+  constexpr auto kPause = std::chrono::milliseconds(50);
+  const auto until = Clock::now() + std::chrono::milliseconds(millis);
+  while (Clock::now() < until) {
+    if (holds()) return true;
+    std::this_thread::sleep_for(kPause);
+  }
+  return holds();
+}
+
+std::vector<standins::fleet::Run> PlatformFleet::RunsOf(
+    const std::string& id) {
+  std::vector<standins::fleet::Run> found;
+  this->On([&] {
+    for (const auto& run : this->endpoints->Runs()) {
+      if (run.request_id == id) found.push_back(run);
+    }
+  });
+  return found;
+}
+
+}  // namespace toucanwharf::process_test
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -29,4 +29,8 @@
 tw_process_test(caller_interface)
 tw_process_test(state)
 
+tw_process_test(platform)
+target_sources(process_platform PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_platform PRIVATE standin_fleet)
+
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
