--- a/cmake/Workspace.cmake
+++ b/cmake/Workspace.cmake
@@ -14,19 +14,9 @@
   target_link_options(tw_options INTERFACE -fsanitize=${TOUCANWHARF_SANITIZE})
 endif()
 
-# tw_package(NAME [DEPS library...]): lib/NAME/*.cc as toucanwharf_NAME and
-# unittests/NAME/*.cc as the test program test_NAME.
-function(tw_package NAME)
-  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/lib/${NAME}/*.cc)
-  set(library toucanwharf_${NAME})
-  if(sources)
-    add_library(${library} STATIC ${sources})
-    target_link_libraries(${library} PUBLIC tw_options ${ARG_DEPS})
-  else()
-    add_library(${library} INTERFACE)
-    target_link_libraries(${library} INTERFACE tw_options ${ARG_DEPS})
-  endif()
+# tw_unit_tests(NAME LIBRARY): unittests/NAME/*.cc as the test program
+# test_NAME, if there are any.
+function(tw_unit_tests NAME library)
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/unittests/${NAME}/*.cc)
   if(tests)
     # Boost.Test puts main() into the one file that names the module.
@@ -43,6 +33,22 @@
   endif()
 endfunction()
 
+# tw_package(NAME [DEPS library...]): lib/NAME/*.cc as toucanwharf_NAME and
+# unittests/NAME/*.cc as the test program test_NAME.
+function(tw_package NAME)
+  cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/lib/${NAME}/*.cc)
+  set(library toucanwharf_${NAME})
+  if(sources)
+    add_library(${library} STATIC ${sources})
+    target_link_libraries(${library} PUBLIC tw_options ${ARG_DEPS})
+  else()
+    add_library(${library} INTERFACE)
+    target_link_libraries(${library} INTERFACE tw_options ${ARG_DEPS})
+  endif()
+  tw_unit_tests(${NAME} ${library})
+endfunction()
+
 # tw_program(NAME FOLDER [DEPS library...]): FOLDER/*.cc as one program.
 function(tw_program NAME FOLDER)
   cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
--- a/include/toucanwharf/endpoints/load_book.h
+++ b/include/toucanwharf/endpoints/load_book.h
@@ -38,8 +38,7 @@
   /// \p until.
   void SetFact(const gossip::EngineFact& fact, TimePoint until);
   /// Returns the report of \p endpoint that still counts, or null.
-  const gossip::EngineFact* Fact(const Endpoint& endpoint,
-                                 TimePoint now) const;
+  const gossip::EngineFact* Fact(const Endpoint& endpoint, TimePoint now) const;
 
   /// Returns \p endpoint as the path finder sees it.
   placement::Engine ToEngine(const Endpoint& endpoint, TimePoint now) const;
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -43,8 +43,7 @@
   void AddAddress(const std::string& address, TimePoint now);
   /// Takes a beacon from the datagram address \p sender. Returns false for
   /// one's own and for one older than what is known.
-  bool OnBeacon(const std::string& sender, const Beacon& beacon,
-                TimePoint now);
+  bool OnBeacon(const std::string& sender, const Beacon& beacon, TimePoint now);
 
   /// Returns the addresses to send to.
   std::vector<std::string> Addresses(TimePoint now) const;
--- a/include/toucanwharf/http/server.h
+++ b/include/toucanwharf/http/server.h
@@ -20,7 +20,7 @@
   /// Bytes of a request's head.
   std::uint32_t max_header_bytes = 16 * 1024;
   /// Bytes of a request's body.
-  std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+  std::uint64_t max_body_bytes = 4ULL * 1024 * 1024;
   /// From a request's first byte to the end of its head.
   Duration header_timeout = std::chrono::seconds(3);
   /// A connection without a request is closed after this long.
--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -59,17 +59,16 @@
 
 /// The store's calls. Every callback runs once, later, on the loop's thread.
 template <typename S>
-concept ObjectStore =
-    requires(S& store, const store::ObjectKey& key, const store::Write& write,
-             const std::string& collection,
-             std::function<void(store::ReadAnswer)> read,
-             std::function<void(store::WriteAnswer)> written,
-             std::function<void(std::optional<store::Listing>)> listed) {
-      store.Read(key, read);
-      store.Write(write, written);
-      store.List(collection, listed);
-      store.Remove(key);
-    };
+concept ObjectStore = requires(
+    S& store, const store::ObjectKey& key, const store::Write& write,
+    const std::string& collection, std::function<void(store::ReadAnswer)> read,
+    std::function<void(store::WriteAnswer)> written,
+    std::function<void(std::optional<store::Listing>)> listed) {
+  store.Read(key, read);
+  store.Write(write, written);
+  store.List(collection, listed);
+  store.Remove(key);
+};
 
 /// A deployment's names, formats and calls. It translates and decides nothing;
 /// everything else in this library is the same on every deployment.
@@ -87,7 +86,7 @@
   { A::InstanceCollection() } -> std::same_as<std::string>;
   {
     A::ToConfiguration(text)
-  } -> std::same_as<std::optional<routes::Configuration>>;
+    } -> std::same_as<std::optional<routes::Configuration>>;
   { A::ToEndpoint(object) } -> std::same_as<std::optional<endpoints::Endpoint>>;
   { A::ReportRequest() } -> std::same_as<http::Request>;
   { A::ToReport(text) } -> std::same_as<std::optional<EndpointReport>>;
@@ -96,9 +95,7 @@
   { A::PathText(repath.stages) } -> std::same_as<std::string>;
   { A::ToOrderEnd(status) } -> std::same_as<placement::OrderEnd>;
   { A::IsReadyQuestion(target) } -> std::same_as<bool>;
-  {
-    A::ToEntryQuestion(target)
-  } -> std::same_as<std::optional<EntryQuestion>>;
+  { A::ToEntryQuestion(target) } -> std::same_as<std::optional<EntryQuestion>>;
   { A::EntryAnswer(addresses, length) } -> std::same_as<std::string>;
 };
 
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -108,8 +108,7 @@
 
   Result<std::unique_ptr<http::Server>> Open(const std::string& address,
                                              http::Server::Handler handler) {
-    auto server =
-        http::Server::Listen(this->loop, address, std::move(handler));
+    auto server = http::Server::Listen(this->loop, address, std::move(handler));
     if (!server) {
       this->logger.Write(eventlog::Level::kNotable, "listen_failed",
                          eventlog::Fields()
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -129,15 +129,15 @@
       });
       return;
     }
-    this->store.Write(std::get<store::Write>(*call),
-                      [this](const store::WriteAnswer& answer) {
-                        this->NoteLeaseAnswer(answer.status !=
-                                              store::WriteStatus::kUnknown);
-                        this->lease.OnWrite(answer, this->loop.Now());
-                        if (answer.status != store::WriteStatus::kWritten) {
-                          this->PollLease();
-                        }
-                      });
+    this->store.Write(
+        std::get<store::Write>(*call),
+        [this](const store::WriteAnswer& answer) {
+          this->NoteLeaseAnswer(answer.status != store::WriteStatus::kUnknown);
+          this->lease.OnWrite(answer, this->loop.Now());
+          if (answer.status != store::WriteStatus::kWritten) {
+            this->PollLease();
+          }
+        });
   }
 
   /// A store that is away refuses in a millisecond; asking again at once would
@@ -148,8 +148,7 @@
   }
 
   void Plan(TimePoint now) {
-    for (const routes::Service& service :
-         this->beliefs.table->All().services) {
+    for (const routes::Service& service : this->beliefs.table->All().services) {
       if (!service.engine || service.engine->layers == 0) continue;
       this->PlanService(service, now);
     }
@@ -222,8 +221,7 @@
     for (auto& [id, known] : this->engines) {
       const endpoints::Endpoint* endpoint = this->beliefs.endpoints.Find(id);
       if (endpoint == nullptr || known.asking) continue;
-      const bool due = this->book.NeedsReport(id) ||
-                       known.failed_reports > 0 ||
+      const bool due = this->book.NeedsReport(id) || known.failed_reports > 0 ||
                        this->beliefs.loads.Suspected(id, now) ||
                        now - known.asked >= this->times.watch_period;
       if (due) this->AskReport(*endpoint, now);
@@ -293,13 +291,12 @@
                        this->loop.Now());
     http::Request request = A::OrderRequest(order);
     request.headers.Set(A::Headers().expected_endpoint, order.engine);
-    http::Fetch(this->loop, this->client, endpoint.address, request,
-                this->times.call_timeout,
-                [this, id = order.engine](const http::CallResult& result,
-                                          const http::ResponseHead& head,
-                                          const std::string&) {
-                  this->OnOrderEnd(id, result, head);
-                });
+    http::Fetch(
+        this->loop, this->client, endpoint.address, request,
+        this->times.call_timeout,
+        [this, id = order.engine](
+            const http::CallResult& result, const http::ResponseHead& head,
+            const std::string&) { this->OnOrderEnd(id, result, head); });
   }
 
   void OnOrderEnd(const std::string& id, const http::CallResult& result,
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -105,10 +105,10 @@
     }
   }
 
-  bool Due(const std::optional<Duration>& age, Duration period,
-           TimePoint asked, TimePoint now) const {
-    const Duration pause = this->store_answers ? this->times.away_period
-                                               : this->Backoff();
+  bool Due(const std::optional<Duration>& age, Duration period, TimePoint asked,
+           TimePoint now) const {
+    const Duration pause =
+        this->store_answers ? this->times.away_period : this->Backoff();
     if (now - asked < pause) return false;
     return !age || *age >= period;
   }
@@ -150,8 +150,7 @@
                      });
   }
 
-  void OnEndpoints(const std::optional<store::Listing>& list,
-                   TimePoint begun) {
+  void OnEndpoints(const std::optional<store::Listing>& list, TimePoint begun) {
     this->NoteStore(list.has_value());
     if (!list) return;
     std::vector<endpoints::Endpoint> read;
@@ -165,21 +164,21 @@
       }
     }
     const TimePoint now = this->loop.Now();
-    const bool new_list = this->beliefs.endpoints.Replace(
-        std::move(read), list->revision, now);
+    const bool new_list =
+        this->beliefs.endpoints.Replace(std::move(read), list->revision, now);
     if (this->beliefs.endpoints.Revision() == list->revision) {
       this->beliefs.endpoints_read = begun;
     }
     if (!new_list) return;
     const auto count =
         static_cast<std::int64_t>(this->beliefs.endpoints.All().size());
-    this->logger.Write(eventlog::Level::kNotable, "endpoints_changed",
-                       eventlog::Fields()
-                           .Count("revision",
-                                  static_cast<std::int64_t>(list->revision))
-                           .Count("endpoints", count)
-                           .Count("unreadable", unreadable),
-                       now);
+    this->logger.Write(
+        eventlog::Level::kNotable, "endpoints_changed",
+        eventlog::Fields()
+            .Count("revision", static_cast<std::int64_t>(list->revision))
+            .Count("endpoints", count)
+            .Count("unreadable", unreadable),
+        now);
     this->changed();
   }
 
--- a/include/toucanwharf/routes/configuration.h
+++ b/include/toucanwharf/routes/configuration.h
@@ -82,7 +82,7 @@
 /// Bounds on what a caller sends, and for how long it may stay idle.
 struct CallerLimits {
   std::uint32_t max_header_bytes = 16 * 1024;
-  std::uint64_t max_body_bytes = 4 * 1024 * 1024;
+  std::uint64_t max_body_bytes = 4ULL * 1024 * 1024;
   Duration header_timeout{std::chrono::seconds(3)};
   Duration idle_timeout{std::chrono::seconds(15)};
 
--- a/lib/eventlog/logger.cc
+++ b/lib/eventlog/logger.cc
@@ -23,9 +23,9 @@
       out.push_back('\\');
       out.push_back(byte);
     } else if (static_cast<unsigned char>(byte) < kFirstPrintable) {
-      absl::StrAppend(&out, "\\u",
-                      absl::Hex(static_cast<unsigned char>(byte),
-                                absl::kZeroPad4));
+      absl::StrAppend(
+          &out, "\\u",
+          absl::Hex(static_cast<unsigned char>(byte), absl::kZeroPad4));
     } else {
       out.push_back(byte);
     }
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -69,11 +69,11 @@
 std::vector<EngineFact> FactsOf(const Json& list) {
   std::vector<EngineFact> facts;
   for (const Json& one : list) {
-    facts.push_back(
-        {one.at(0).get<std::string>(), one.at(1).get<std::uint64_t>(),
-         pipeline::LayerRange{one.at(2).get<std::uint32_t>(),
-                              one.at(3).get<std::uint32_t>()},
-         one.at(4).get<double>()});
+    facts.push_back({one.at(0).get<std::string>(),
+                     one.at(1).get<std::uint64_t>(),
+                     pipeline::LayerRange{one.at(2).get<std::uint32_t>(),
+                                          one.at(3).get<std::uint32_t>()},
+                     one.at(4).get<double>()});
   }
   return facts;
 }
@@ -105,26 +105,25 @@
 }  // namespace
 
 std::string Encode(const Beacon& beacon) {
-  const Json json = {
-      {"format", kFormat},
-      {"instance", beacon.instance},
-      {"domain", beacon.failure_domain},
-      {"callers", beacon.callers_address},
-      {"control", beacon.control_address},
-      {"ready", beacon.ready},
-      {"stopping", beacon.stopping},
-      {"leads", beacon.leads},
-      {"config", beacon.configuration_revision},
-      {"config_age", AgeOrNull(beacon.configuration_age)},
-      {"endpoints", beacon.endpoints_revision},
-      {"endpoints_age", AgeOrNull(beacon.endpoints_age)},
-      {"stamp", beacon.stamp},
-      {"echo", beacon.echo},
-      {"echo_of", beacon.echo_of},
-      {"loads", LoadsToJson(beacon.loads)},
-      {"suspicions", SuspicionsToJson(beacon.suspicions)},
-      {"facts", FactsToJson(beacon.facts)},
-      {"peers", beacon.peers}};
+  const Json json = {{"format", kFormat},
+                     {"instance", beacon.instance},
+                     {"domain", beacon.failure_domain},
+                     {"callers", beacon.callers_address},
+                     {"control", beacon.control_address},
+                     {"ready", beacon.ready},
+                     {"stopping", beacon.stopping},
+                     {"leads", beacon.leads},
+                     {"config", beacon.configuration_revision},
+                     {"config_age", AgeOrNull(beacon.configuration_age)},
+                     {"endpoints", beacon.endpoints_revision},
+                     {"endpoints_age", AgeOrNull(beacon.endpoints_age)},
+                     {"stamp", beacon.stamp},
+                     {"echo", beacon.echo},
+                     {"echo_of", beacon.echo_of},
+                     {"loads", LoadsToJson(beacon.loads)},
+                     {"suspicions", SuspicionsToJson(beacon.suspicions)},
+                     {"facts", FactsToJson(beacon.facts)},
+                     {"peers", beacon.peers}};
   std::string bytes;
   Json::to_cbor(json, nlohmann::detail::output_adapter<char>(bytes));
   return bytes;
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -81,8 +81,8 @@
 
 }  // namespace
 
-std::optional<TimePoint> PeerTable::ConfigurationVouched(
-    std::uint64_t revision, TimePoint now) const {
+std::optional<TimePoint> PeerTable::ConfigurationVouched(std::uint64_t revision,
+                                                         TimePoint now) const {
   std::optional<TimePoint> best;
   for (const Peer* peer : this->AllLive(now)) {
     const Beacon& beacon = peer->beacon;
--- a/lib/http/address.cc
+++ b/lib/http/address.cc
@@ -10,7 +10,8 @@
 namespace {
 
 template <int kName>
-using TcpOption = boost::asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
+using TcpOption =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, kName>;
 
 /// A peer without an acknowledgement for this long is taken as gone. Callers
 /// leave after two seconds of silence, so more would only hold work for them.
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -161,15 +161,16 @@
 
   void SendRequest() {
     this->result.sent = true;
-    boost::asio::async_write(
-        this->socket, boost::asio::buffer(this->output),
-        [self = this->shared_from_this(), call = this->id](const Code& error,
-                                                           std::size_t) {
-          // A server may answer before it has read all; what it said is read
-          // first, and the end of the connection tells the rest.
-          if (error && self->id == call) self->write_failed = true;
-          if (self->id == call) self->output.clear();
-        });
+    boost::asio::async_write(this->socket, boost::asio::buffer(this->output),
+                             [self = this->shared_from_this(), call = this->id](
+                                 const Code& error, std::size_t) {
+                               // A server may answer before it has read all;
+                               // what it said is read first, and the end of the
+                               // connection tells the rest.
+                               if (error && self->id == call)
+                                 self->write_failed = true;
+                               if (self->id == call) self->output.clear();
+                             });
   }
 
   void Read() {
--- a/lib/http/datagram.cc
+++ b/lib/http/datagram.cc
@@ -44,10 +44,9 @@
         if (error == boost::asio::error::operation_aborted) return;
         // Any other error speaks of one datagram only.
         if (!error) {
-          state->handler(
-              absl::StrCat(state->sender.address().to_string(), ":",
-                           state->sender.port()),
-              std::string_view(state->buffer.data(), size));
+          state->handler(absl::StrCat(state->sender.address().to_string(), ":",
+                                      state->sender.port()),
+                         std::string_view(state->buffer.data(), size));
         }
         Receive(state);
       });
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -13,9 +13,8 @@
 
 /// Fields that speak of one connection (RFC 9110, 7.6.1), and the length.
 constexpr std::array<std::string_view, 9> kOneConnection = {
-    "Connection", "Keep-Alive", "Proxy-Connection",  "TE",
-    "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length",
-    "Expect"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",    "Trailer",
+    "Upgrade",    "Transfer-Encoding", "Content-Length",   "Expect"};
 
 absl::string_view ToAbsl(std::string_view text) {
   return absl::string_view(text.data(), text.size());
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -332,9 +332,8 @@
   /// A failed send is found inside the handler's own call; the close waits
   /// until that call has returned.
   void CloseSoon() {
-    this->server->loop.Post([self = this->shared_from_this()] {
-      self->Close();
-    });
+    this->server->loop.Post(
+        [self = this->shared_from_this()] { self->Close(); });
   }
 
   void NoteGone() {
@@ -423,24 +422,23 @@
 namespace {
 
 void Accept(const std::shared_ptr<Server::State>& state) {
-  state->acceptor.async_accept(
-      [state](const Code& error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) return;
-        if (error) {
-          // Out of descriptors: accepting again at once would spin.
-          constexpr Duration kPause = std::chrono::milliseconds(50);
-          std::fprintf(stderr, "accept failed: %s; raise the limit of open files\n",
-                       error.message().c_str());
-          state->loop.After(kPause, [state] { Accept(state); });
-          return;
-        }
-        Code ignored;
-        socket.set_option(tcp::no_delay(true), ignored);
-        socket.non_blocking(true, ignored);
-        KeepAlive(socket);
-        std::make_shared<Connection>(state, std::move(socket))->Start();
-        Accept(state);
-      });
+  state->acceptor.async_accept([state](const Code& error, tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) {
+      // Out of descriptors: accepting again at once would spin.
+      constexpr Duration kPause = std::chrono::milliseconds(50);
+      std::fprintf(stderr, "accept failed: %s; raise the limit of open files\n",
+                   error.message().c_str());
+      state->loop.After(kPause, [state] { Accept(state); });
+      return;
+    }
+    Code ignored;
+    socket.set_option(tcp::no_delay(true), ignored);
+    socket.non_blocking(true, ignored);
+    KeepAlive(socket);
+    std::make_shared<Connection>(state, std::move(socket))->Start();
+    Accept(state);
+  });
 }
 
 }  // namespace
@@ -457,8 +455,8 @@
   if (!error) acceptor.bind(*endpoint, error);
   if (!error) acceptor.listen(kBacklog, error);
   if (error) return std::error_code(error.value(), std::generic_category());
-  auto state = std::make_shared<State>(loop, std::move(acceptor),
-                                       std::move(handler));
+  auto state =
+      std::make_shared<State>(loop, std::move(acceptor), std::move(handler));
   Accept(state);
   return std::unique_ptr<Server>(new Server(std::move(state)));
 }
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -84,8 +84,8 @@
   Admitted admitted;
   admitted.table = table;
   admitted.arrived = now;
-  admitted.route = table->Find(request.headers.Get("Host"),
-                               http::PathOf(request.target));
+  admitted.route =
+      table->Find(request.headers.Get("Host"), http::PathOf(request.target));
   if (admitted.route == nullptr) {
     this->Refuse(*exchange, http::kNotFound, Duration(0), "no_route");
     return;
@@ -97,26 +97,24 @@
                    "keys_unconfirmed");
       return;
     }
-    const routes::Customer* customer = table->CustomerOf(
-        KeyOf(request.headers.Get(this->names.authorization),
-              this->names.key_scheme));
+    const routes::Customer* customer =
+        table->CustomerOf(KeyOf(request.headers.Get(this->names.authorization),
+                                this->names.key_scheme));
     if (customer == nullptr) {
       this->Refuse(*exchange, http::kUnauthorized, Duration(0), "unknown_key");
       return;
     }
     admitted.customer = customer->name;
   }
-  const routes::ServiceShare* share =
-      routes::DrawService(route, this->random);
+  const routes::ServiceShare* share = routes::DrawService(route, this->random);
   if (share != nullptr) admitted.service = table->FindService(share->service);
   if (admitted.service == nullptr) {
-    this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs,
-                 "no_service");
+    this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs, "no_service");
     return;
   }
   admitted.deadline =
-      now + DeadlineOf(request.headers.Get(this->names.deadline),
-                       route.timeout);
+      now +
+      DeadlineOf(request.headers.Get(this->names.deadline), route.timeout);
   std::make_shared<Passage>(*this, std::move(exchange), std::move(admitted))
       ->Start();
 }
@@ -125,19 +123,17 @@
   auto& waiting = this->reports_asked[address];
   waiting.push_back(std::move(done));
   if (waiting.size() > 1) return;
-  http::Fetch(this->loop, this->client, address, this->calls.report,
-              kReportTimeout,
-              [this, address](const http::CallResult& result,
-                              const http::ResponseHead& head,
-                              const std::string& body) {
-                const bool whole = result.end == http::CallEnd::kComplete &&
-                                   head.status == http::kOk;
-                const auto report =
-                    whole ? this->calls.to_report(body) : std::nullopt;
-                const auto asked = std::move(this->reports_asked[address]);
-                this->reports_asked.erase(address);
-                for (const OnReport& each : asked) each(report);
-              });
+  http::Fetch(
+      this->loop, this->client, address, this->calls.report, kReportTimeout,
+      [this, address](const http::CallResult& result,
+                      const http::ResponseHead& head, const std::string& body) {
+        const bool whole =
+            result.end == http::CallEnd::kComplete && head.status == http::kOk;
+        const auto report = whole ? this->calls.to_report(body) : std::nullopt;
+        const auto asked = std::move(this->reports_asked[address]);
+        this->reports_asked.erase(address);
+        for (const OnReport& each : asked) each(report);
+      });
 }
 
 void Gateway::Enqueue(std::shared_ptr<Passage> passage) {
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -88,8 +88,8 @@
     this->prompt_tokens = NumberOf(counts.substr(0, comma));
     const double most = NumberOf(counts.substr(comma + 1));
     const auto hint = headers.Find(names.length_hint);
-    this->output_tokens = hint ? std::min(NumberOf(*hint), most)
-                               : kUsualOutputShare * most;
+    this->output_tokens =
+        hint ? std::min(NumberOf(*hint), most) : kUsualOutputShare * most;
   }
   ++this->gateway.under_way;
 }
@@ -102,14 +102,12 @@
 }
 
 void Passage::Start() {
-  this->exchange->OnGone([self = this->shared_from_this()] {
-    self->OnCallerGone();
-  });
+  this->exchange->OnGone(
+      [self = this->shared_from_this()] { self->OnCallerGone(); });
   const TimePoint now = this->gateway.loop.Now();
   this->deadline_timer = this->gateway.loop.After(
-      this->what.deadline - now, [self = this->shared_from_this()] {
-        self->OnDeadline();
-      });
+      this->what.deadline - now,
+      [self = this->shared_from_this()] { self->OnDeadline(); });
   this->gateway.budget.OnRequest(this->what.service->name, now);
   if (const auto from = this->exchange->Received().headers.Find(
           this->gateway.names.last_event_id)) {
@@ -176,9 +174,8 @@
   query.output_tokens = std::max(this->output_tokens, 1.0);
   query.first = kept;
   if (!kept) query.excluded = this->excluded;
-  const placement::PathChoice choice =
-      placement::FindPath(*this->what.service->engine, engines, query, {},
-                          this->gateway.random);
+  const placement::PathChoice choice = placement::FindPath(
+      *this->what.service->engine, engines, query, {}, this->gateway.random);
   this->lack = choice.lack;
   if (!choice.path) return std::nullopt;
   const pipeline::Stage& first = choice.path->stages.front();
@@ -262,8 +259,8 @@
   handlers.on_done = [self = this->shared_from_this()](const auto& result) {
     self->OnDone(result);
   };
-  this->call = this->gateway.client.Start(
-      to.address, this->BuildRequest(to), options, std::move(handlers));
+  this->call = this->gateway.client.Start(to.address, this->BuildRequest(to),
+                                          options, std::move(handlers));
   this->Log(Level::kRoutine, "sent",
             Fields()
                 .Text("endpoint", to.endpoint)
@@ -280,8 +277,8 @@
   }
   for (const pipeline::Stage& stage : to.stages) {
     const bool first = stage.endpoint == to.endpoint;
-    this->counted.push_back({stage.endpoint, 1, tokens * stage.layers.Count(),
-                             first ? 1.0 : 0.0});
+    this->counted.push_back(
+        {stage.endpoint, 1, tokens * stage.layers.Count(), first ? 1.0 : 0.0});
   }
   for (const auto& load : this->counted) {
     this->gateway.beliefs.loads.Began(load);
@@ -397,8 +394,7 @@
   out.headers = http::EndToEnd(this->head.headers);
   this->exchange->Respond(out, this->body);
   const bool success = IsSuccess(this->head.status);
-  ++(success ? this->gateway.counters.answered
-             : this->gateway.counters.failed);
+  ++(success ? this->gateway.counters.answered : this->gateway.counters.failed);
   this->Finish(success ? "answered" : "failure_relayed", this->head.status);
 }
 
@@ -452,8 +448,8 @@
     return;
   }
   const auto next = this->ChooseAgain(end);
-  switch (attempts::After(*this->what.route, this->tries, end,
-                          next.has_value())) {
+  switch (
+      attempts::After(*this->what.route, this->tries, end, next.has_value())) {
     case NextStep::kTryAgain:
       ++(this->tries.answer_begun ? this->gateway.counters.resumed
                                   : this->gateway.counters.tried_again);
@@ -493,8 +489,8 @@
   }
   this->gateway.loop.Cancel(this->silence_timer);
   this->silence_timer = this->gateway.loop.After(
-      kPlaceLook, [self = this->shared_from_this(), end,
-                   reason = std::string(why)] {
+      kPlaceLook,
+      [self = this->shared_from_this(), end, reason = std::string(why)] {
         if (!self->finished) self->Proceed(end, reason);
       });
 }
@@ -528,8 +524,8 @@
   this->asking = true;
   this->gateway.AskReport(
       this->target.address,
-      [self = this->shared_from_this(), asked_of = this->call](
-          const std::optional<EndpointReport>& report) {
+      [self = this->shared_from_this(),
+       asked_of = this->call](const std::optional<EndpointReport>& report) {
         self->asking = false;
         const bool same = !self->finished && self->call == asked_of;
         if (same) self->OnReport(report);
@@ -578,8 +574,7 @@
 /// still answer, and is better than none.
 void Passage::TryElsewhere(std::string_view why) {
   const bool place =
-      attempts::MayTryAgain(*this->what.route, this->tries,
-                            TryEnd::kUnknown) &&
+      attempts::MayTryAgain(*this->what.route, this->tries, TryEnd::kUnknown) &&
       this->Choose().has_value();
   if (!place) {
     this->WatchSilence(kPlaceLook);
@@ -597,8 +592,8 @@
     return;
   }
   this->asking = true;
-  http::Request order = this->gateway.calls.repath(
-      RepathOrder{this->request_id, next->stages});
+  http::Request order =
+      this->gateway.calls.repath(RepathOrder{this->request_id, next->stages});
   order.headers.Set(this->gateway.names.expected_endpoint,
                     this->target.endpoint);
   http::Fetch(this->gateway.loop, this->gateway.client, this->target.address,
@@ -681,10 +676,9 @@
   http::ResponseHead out;
   out.status = status;
   out.headers.Add("Content-Type", "text/plain");
-  this->exchange->Respond(out, absl::StrCat("the request may have run: ",
-                                            absl::string_view(why.data(),
-                                                              why.size()),
-                                            "\n"));
+  this->exchange->Respond(
+      out, absl::StrCat("the request may have run: ",
+                        absl::string_view(why.data(), why.size()), "\n"));
   ++this->gateway.counters.failed;
   this->Log(Level::kNotable, "failed",
             Fields().Text("why", why).Count("status", status));
@@ -698,22 +692,21 @@
   this->gateway.loop.Cancel(this->deadline_timer);
   this->gateway.loop.Cancel(this->silence_timer);
   this->exchange->OnGone(nullptr);
-  const Level level =
-      outcome == "answered" ? Level::kRoutine : Level::kNotable;
-  this->Log(level, "finished",
-            Fields()
-                .Text("outcome", outcome)
-                .Count("status", status)
-                .Count("tries", this->tries.made)
-                .Text("endpoint", this->target.endpoint)
-                .Count("stages",
-                       static_cast<std::int64_t>(this->target.stages.size()))
-                .Count("pieces", this->chunks_written)
-                .Count("expected_token_us",
-                       static_cast<std::int64_t>(this->target.token_millis *
-                                                 kMicrosPerMilli))
-                .Millis("took_ms",
-                        this->gateway.loop.Now() - this->what.arrived));
+  const Level level = outcome == "answered" ? Level::kRoutine : Level::kNotable;
+  this->Log(
+      level, "finished",
+      Fields()
+          .Text("outcome", outcome)
+          .Count("status", status)
+          .Count("tries", this->tries.made)
+          .Text("endpoint", this->target.endpoint)
+          .Count("stages",
+                 static_cast<std::int64_t>(this->target.stages.size()))
+          .Count("pieces", this->chunks_written)
+          .Count("expected_token_us",
+                 static_cast<std::int64_t>(this->target.token_millis *
+                                           kMicrosPerMilli))
+          .Millis("took_ms", this->gateway.loop.Now() - this->what.arrived));
 }
 
 void Passage::CancelCall() {
@@ -732,7 +725,8 @@
 void Passage::Log(Level level, std::string_view event,
                   const Fields& more) const {
   Fields fields;
-  fields.Text("request", this->request_id).Text("route", this->what.route->name);
+  fields.Text("request", this->request_id)
+      .Text("route", this->what.route->name);
   fields.Append(more);
   this->gateway.logger.Write(level, event, fields, this->gateway.loop.Now());
 }
--- a/lib/instance/passage.h
+++ b/lib/instance/passage.h
@@ -60,8 +60,7 @@
   void Try();
   std::optional<Target> Choose();
   std::optional<Target> ChooseAgain(attempts::TryEnd end);
-  std::optional<Target> ChoosePath(
-      const std::optional<pipeline::Stage>& kept);
+  std::optional<Target> ChoosePath(const std::optional<pipeline::Stage>& kept);
   std::optional<Target> ChoosePlain();
   http::Request BuildRequest(const Target& target) const;
   void Send(const Target& target);
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -118,9 +118,8 @@
 
 void PeerLink::AddInstance(const std::string& control_address) {
   // Ports are the same on all instances.
-  const std::string address =
-      absl::StrCat(IpOf(control_address), ":",
-                   PortOf(this->settings.datagram_address));
+  const std::string address = absl::StrCat(
+      IpOf(control_address), ":", PortOf(this->settings.datagram_address));
   if (address == this->settings.datagram_address) return;
   this->beliefs.peers.AddAddress(address, this->loop.Now());
 }
@@ -170,8 +169,9 @@
     // Whoever is not heard of may be new, and knows nobody yet.
     if (this->beliefs.peers.Live(address, now) == nullptr) {
       const std::size_t told = std::min(addresses.size(), kMostPeersTold);
-      beacon.peers.assign(addresses.begin(),
-                          addresses.begin() + static_cast<std::ptrdiff_t>(told));
+      beacon.peers.assign(
+          addresses.begin(),
+          addresses.begin() + static_cast<std::ptrdiff_t>(told));
     }
     this->socket->Send(address, gossip::Encode(beacon));
   }
@@ -185,8 +185,8 @@
   }
   for (const std::string& one : live) {
     if (this->live_before.contains(one)) continue;
-    this->logger.Write(Level::kNotable, "peer_heard", Fields().Text("peer", one),
-                       now);
+    this->logger.Write(Level::kNotable, "peer_heard",
+                       Fields().Text("peer", one), now);
   }
   for (const std::string& one : this->live_before) {
     if (live.contains(one)) continue;
@@ -196,8 +196,7 @@
   this->live_before = std::move(live);
 }
 
-void PeerLink::OnDatagram(const std::string& sender,
-                          std::string_view payload) {
+void PeerLink::OnDatagram(const std::string& sender, std::string_view payload) {
   const TimePoint now = this->loop.Now();
   const auto beacon = gossip::Decode(payload);
   if (!beacon) {
@@ -278,8 +277,8 @@
       [this](const http::CallResult& result, const http::ResponseHead& head,
              const std::string& body) {
         this->fetching_endpoints = false;
-        const bool good = result.end == http::CallEnd::kComplete &&
-                          head.status == http::kOk;
+        const bool good =
+            result.end == http::CallEnd::kComplete && head.status == http::kOk;
         if (!good) return;
         auto listed = EndpointsFromText(body);
         if (!listed) return;
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -46,6 +46,7 @@
   add_library(toucanwharf_adapter STATIC ${adapter_sources})
   target_include_directories(toucanwharf_adapter PUBLIC ${CMAKE_SOURCE_DIR})
   target_link_libraries(toucanwharf_adapter PUBLIC toucanwharf_instance)
+  tw_unit_tests(adapter toucanwharf_adapter)
   tw_package(transport DEPS toucanwharf_support CURL::libcurl
     PkgConfig::MICROHTTPD)
   tw_package(platform DEPS toucanwharf_transport toucanwharf_once
--- a/lib/placement/layout.cc
+++ b/lib/placement/layout.cc
@@ -41,10 +41,8 @@
   void SortFastestFirst(Group& members) const {
     std::sort(members.begin(), members.end(),
               [this](const Accelerator* left, const Accelerator* right) {
-                const double a =
-                    this->model.FindKind(left->kind)->step_factor;
-                const double b =
-                    this->model.FindKind(right->kind)->step_factor;
+                const double a = this->model.FindKind(left->kind)->step_factor;
+                const double b = this->model.FindKind(right->kind)->step_factor;
                 return std::pair(a, left->id) < std::pair(b, right->id);
               });
   }
@@ -55,27 +53,26 @@
     this->covers.clear();
     while (this->KeepWholeCover(members)) {
     }
-    while (this->MendCover(members)) {
-    }
+    if (this->covers.empty()) this->MendCover(members);
     while (this->BuildCover(members)) {
     }
     this->StandBy(members);
     return !this->covers.empty();
   }
 
-  /// Gives each engine that is left a copy of neighbouring parts of a cover,
-  /// as many as leave it some room, so that paths go around one that dies.
+  /// Gives each engine that is left without layers a copy of neighbouring
+  /// parts of a cover, as many as leave it some room, so that paths go around
+  /// one that dies. Those that hold layers keep them: a path may use any part
+  /// of them, and a load would cost more than a better choice gains.
   void StandBy(const Group& members) {
     std::set<LayerRange> copied;
-    Group movable;
     for (const Accelerator* one : members) {
-      if (this->IsRun(one->layers) && copied.insert(one->layers).second) {
-        this->layout[one->id] = one->layers;
-      } else {
-        movable.push_back(one);
-      }
+      if (!this->Holds(*one)) continue;
+      copied.insert(one->layers);
+      this->layout[one->id] = one->layers;
     }
-    for (const Accelerator* one : movable) {
+    for (const Accelerator* one : members) {
+      if (this->Holds(*one)) continue;
       const LayerRange run = this->BestRun(*one, copied);
       if (run.Count() == 0) continue;
       copied.insert(run);
@@ -83,23 +80,6 @@
     }
   }
 
-  /// Returns whether \p range is just some neighbouring parts of a cover.
-  bool IsRun(const LayerRange& range) const {
-    if (range.Count() == 0) return false;
-    return std::any_of(
-        this->covers.begin(), this->covers.end(), [&](const auto& parts) {
-          const bool begins =
-              std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
-                return part.begin == range.begin;
-              });
-          const bool ends =
-              std::any_of(parts.begin(), parts.end(), [&](const auto& part) {
-                return part.end == range.end;
-              });
-          return begins && ends;
-        });
-  }
-
   /// Returns the neighbouring parts that fit on \p one and of which the fewest
   /// layers are copied already; the most layers first.
   LayerRange BestRun(const Accelerator& one,
@@ -161,7 +141,7 @@
   std::pair<Layout, std::uint32_t> LongestChain(const Group& members) const {
     std::vector<const Accelerator*> holders;
     for (const Accelerator* one : members) {
-      if (one->layers.Count() > 0 && this->Fits(*one)) holders.push_back(one);
+      if (this->Holds(*one)) holders.push_back(one);
     }
     std::stable_sort(holders.begin(), holders.end(),
                      [](const Accelerator* left, const Accelerator* right) {
@@ -196,9 +176,10 @@
     return {chain, best[layers]};
   }
 
-  bool Fits(const Accelerator& one) const {
+  /// Returns whether \p one holds layers that it can go on holding.
+  bool Holds(const Accelerator& one) const {
     const AcceleratorKind& kind = *this->model.FindKind(one.kind);
-    return one.layers.end <= this->model.layers &&
+    return one.layers.Count() > 0 && one.layers.end <= this->model.layers &&
            this->model.layer_mb * one.layers.Count() < kind.memory_mb;
   }
 
@@ -218,9 +199,9 @@
 
   /// Fills the holes of what is left of a cover with free engines, if most of
   /// it is left: then a few loads bring it back.
-  bool MendCover(Group& members) {
+  void MendCover(Group& members) {
     const auto [chain, held] = this->LongestChain(members);
-    if (2 * held < this->model.layers) return false;
+    if (2 * held < this->model.layers) return;
     Group free;
     for (const Accelerator* one : members) {
       if (!chain.contains(one->id)) free.push_back(one);
@@ -230,9 +211,8 @@
       Layout mended = chain;
       if (!this->Fill(this->Holes(chain), free, answers, mended)) continue;
       this->TakeCover(members, mended);
-      return true;
+      return;
     }
-    return false;
   }
 
   bool Fill(const std::vector<Gap>& holes, const Group& free, double answers,
@@ -255,15 +235,25 @@
   }
 
   /// Builds a cover from scratch, with room for as many answers as wanted or,
-  /// failing that, as many as all members together allow.
+  /// failing that, as many as all members together allow. Beside another cover
+  /// only engines without layers are used.
   bool BuildCover(Group& members) {
+    if (this->covers.empty()) return this->BuildFrom(members, members);
+    Group unused;
+    for (const Accelerator* one : members) {
+      if (!this->Holds(*one)) unused.push_back(one);
+    }
+    return this->BuildFrom(unused, members);
+  }
+
+  bool BuildFrom(const Group& usable, Group& members) {
     double answers = this->settings.wanted_answers;
-    if (this->Capacity(members, answers) < this->model.layers) {
-      answers = this->MostAnswers(members);
+    if (this->Capacity(usable, answers) < this->model.layers) {
+      answers = this->MostAnswers(usable);
     }
     if (answers < this->settings.least_answers) return false;
     Layout chosen;
-    if (!this->Fill({{0, this->model.layers}}, members, answers, chosen)) {
+    if (!this->Fill({{0, this->model.layers}}, usable, answers, chosen)) {
       return false;
     }
     this->TakeCover(members, chosen);
--- a/lib/placement/path_finder.cc
+++ b/lib/placement/path_finder.cc
@@ -103,8 +103,7 @@
   std::size_t DomainIndex(const std::string& domain) {
     const auto found =
         std::find(this->domains.begin(), this->domains.end(), domain);
-    const auto index =
-        static_cast<std::size_t>(found - this->domains.begin());
+    const auto index = static_cast<std::size_t>(found - this->domains.begin());
     if (found == this->domains.end()) this->domains.push_back(domain);
     return index;
   }
@@ -124,8 +123,7 @@
     rate.room = TokenLayerRoom(this->model, kind, engine.layers.Count()) *
                     this->settings.room_share -
                 engine.token_layers;
-    rate.jitter =
-        1 + this->settings.jitter * (2 * this->random.Unit() - 1);
+    rate.jitter = 1 + this->settings.jitter * (2 * this->random.Unit() - 1);
     return rate;
   }
 
@@ -172,12 +170,12 @@
       const double layers = *end - begin;
       if (this->need_room && this->Needed() * layers > rate.room) break;
       Label label;
-      label.token_millis =
-          from.token_millis + hop + rate.token_millis * layers;
+      label.token_millis = from.token_millis + hop + rate.token_millis * layers;
       label.first_millis =
           from.first_millis + hop + rate.prompt_millis * layers;
-      label.cost = from.cost + (hop + rate.token_millis * layers) *
-                                   rate.jitter * this->query.output_tokens +
+      label.cost = from.cost +
+                   (hop + rate.token_millis * layers) * rate.jitter *
+                       this->query.output_tokens +
                    rate.prompt_millis * layers;
       label.engine = at;
       label.begin = begin;
@@ -261,8 +259,7 @@
     choice.lack = PathLack::kLayers;
     return choice;
   }
-  choice.path =
-      Search(model, engines, query, settings, random, true).Run();
+  choice.path = Search(model, engines, query, settings, random, true).Run();
   if (choice.path) return choice;
   const bool covered =
       Search(model, engines, query, settings, random, false).Run().has_value();
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -136,15 +136,15 @@
     if (at.empty()) continue;
     stalled.push_back({{"id", stream->request_id}, {"addr", at}});
   }
-  const Json body = {{"kind", endpoint.spec.kind},
-                     {"born", 1},
-                     {"layers",
-                      {{"from", endpoint.layers.begin},
-                       {"target", endpoint.layers.end}}},
-                     {"busy", false},
-                     {"seq", endpoint.sequence},
-                     {"pace", 1.0},
-                     {"stalled", stalled}};
+  const Json body = {
+      {"kind", endpoint.spec.kind},
+      {"born", 1},
+      {"layers",
+       {{"from", endpoint.layers.begin}, {"target", endpoint.layers.end}}},
+      {"busy", false},
+      {"seq", endpoint.sequence},
+      {"pace", 1.0},
+      {"stalled", stalled}};
   exchange.Respond(HeadOf(http::kOk, exchange.Received()), body.dump());
 }
 
@@ -197,8 +197,7 @@
   this->ServeStream(endpoint, std::move(exchange));
 }
 
-void Endpoints::ServePlain(const Endpoint& endpoint,
-                           http::Exchange& exchange) {
+void Endpoints::ServePlain(const Endpoint& endpoint, http::Exchange& exchange) {
   const http::Request& request = exchange.Received();
   if (endpoint.fault == EndpointFault::kLosesAnswers) {
     exchange.Abort();
@@ -252,8 +251,8 @@
 void Endpoints::ServeStream(Endpoint& endpoint,
                             std::shared_ptr<http::Exchange> exchange) {
   const http::Request& request = exchange->Received();
-  const auto path = this->ParsePath(
-      std::string(request.headers.Get("X-Hop-Count")));
+  const auto path =
+      this->ParsePath(std::string(request.headers.Get("X-Hop-Count")));
   for (const Part& part : path) {
     const Endpoint* at = this->AtAddress(part.address);
     const bool holds = at != nullptr && at->layers.begin <= part.layers.begin &&
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -49,23 +49,23 @@
 /// An engine holds three layers with room for the answers wanted, and six with
 /// room for few.
 Json EngineJson() {
-  return {{"slots", 64},
-          {"kv_token_bytes", 100000},
-          {"stride", 1},
-          {"models", {{{"name", "model"}, {"load_s", 1.0}}}},
-          {"step_ms", 1.0},
-          {"per_seq_ms", 0.005},
-          {"context_per_k", 0.006},
-          {"read_per_s", 100000.0},
-          {"chunk", 512},
-          {"loads_at_once", 6},
-          {"delays", Json::array()},
-          {"usual", {{"prompt", 100}, {"answer", 100}}},
-          {"layers", PlatformFleet::kLayers},
-          {"layer_mb", 100.0},
-          {"kinds",
-           {{{"name", "big"}, {"mb", 1000.0}, {"pace", 1.0},
-             {"read_x", 1.0}}}}};
+  return {
+      {"slots", 64},
+      {"kv_token_bytes", 100000},
+      {"stride", 1},
+      {"models", {{{"name", "model"}, {"load_s", 1.0}}}},
+      {"step_ms", 1.0},
+      {"per_seq_ms", 0.005},
+      {"context_per_k", 0.006},
+      {"read_per_s", 100000.0},
+      {"chunk", 512},
+      {"loads_at_once", 6},
+      {"delays", Json::array()},
+      {"usual", {{"prompt", 100}, {"answer", 100}}},
+      {"layers", PlatformFleet::kLayers},
+      {"layer_mb", 100.0},
+      {"kinds",
+       {{{"name", "big"}, {"mb", 1000.0}, {"pace", 1.0}, {"read_x", 1.0}}}}};
 }
 
 }  // namespace
@@ -83,8 +83,8 @@
     this->store_addresses.push_back(FreeAddress());
   }
   this->loop = std::make_unique<http::Loop>();
-  this->store = std::make_unique<standins::fleet::Store>(
-      *this->loop, this->store_addresses);
+  this->store = std::make_unique<standins::fleet::Store>(*this->loop,
+                                                         this->store_addresses);
   this->endpoints = std::make_unique<standins::fleet::Endpoints>(
       *this->loop, *this->store, kLayers);
   this->AddEndpoints();
@@ -92,12 +92,15 @@
   this->Configure({kKey, kOtherKey});
   this->routers.resize(count);
   for (std::size_t at = 0; at < count; ++at) this->StartRouter(at);
-  const bool ready = Eventually([this, count] {
-    for (std::size_t at = 0; at < count; ++at) {
-      if (!this->Ready(at) || this->Advice(at).size() != count) return false;
-    }
-    return this->Stream(0, "first-look").answer.status == http::kOk;
-  }, 15000);
+  const bool ready = Eventually(
+      [this, count] {
+        for (std::size_t at = 0; at < count; ++at) {
+          if (!this->Ready(at) || this->Advice(at).size() != count)
+            return false;
+        }
+        return this->Stream(0, "first-look").answer.status == http::kOk;
+      },
+      15000);
   if (!ready) throw std::runtime_error("the fleet did not get ready");
 }
 
@@ -261,8 +264,7 @@
   return answer["addrs"].get<std::vector<std::string>>();
 }
 
-bool PlatformFleet::Eventually(const std::function<bool()>& holds,
-                               int millis) {
+bool PlatformFleet::Eventually(const std::function<bool()>& holds, int millis) {
   constexpr auto kPause = std::chrono::milliseconds(50);
   const auto until = Clock::now() + std::chrono::milliseconds(millis);
   while (Clock::now() < until) {
@@ -272,8 +274,7 @@
   return holds();
 }
 
-std::vector<standins::fleet::Run> PlatformFleet::RunsOf(
-    const std::string& id) {
+std::vector<standins::fleet::Run> PlatformFleet::RunsOf(const std::string& id) {
   std::vector<standins::fleet::Run> found;
   this->On([&] {
     for (const auto& run : this->endpoints->Runs()) {
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -64,8 +64,7 @@
   std::string CallersAddress(std::size_t index) const;
 
   /// Waits until \p holds, for at most \p millis; returns whether it did.
-  static bool Eventually(const std::function<bool()>& holds,
-                         int millis = 8000);
+  static bool Eventually(const std::function<bool()>& holds, int millis = 8000);
   /// Returns the runs of the request \p id.
   std::vector<standins::fleet::Run> RunsOf(const std::string& id);
 
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -42,8 +42,8 @@
 /// Makes \p act happen while \p stream is about half through.
 EventStream StreamWith(PlatformFleet& fleet, const std::string& id,
                        const std::function<void()>& act) {
-  auto stream = std::async(std::launch::async,
-                           [&] { return fleet.Stream(0, id); });
+  auto stream =
+      std::async(std::launch::async, [&] { return fleet.Stream(0, id); });
   const bool begun =
       PlatformFleet::Eventually([&] { return !fleet.RunsOf(id).empty(); });
   BOOST_REQUIRE(begun);
@@ -133,9 +133,7 @@
   PlatformFleet fleet(1);
   const EventStream stream = StreamWith(fleet, "silent-first", [&] {
     const std::string first = fleet.RunsOf("silent-first")[0].endpoint;
-    fleet.On([&] {
-      fleet.Endpoints().SetFault(first, EndpointFault::kDark);
-    });
+    fleet.On([&] { fleet.Endpoints().SetFault(first, EndpointFault::kDark); });
   });
   CheckWhole(stream);
   CheckNoViolations(fleet);
@@ -172,17 +170,15 @@
 // when to come back.
 BOOST_AUTO_TEST_CASE(RefusedSignatureRunsElsewhere) {
   PlatformFleet fleet(1);
-  fleet.On([&] {
-    fleet.Endpoints().SetFault("plain-0", EndpointFault::kFull);
-  });
+  fleet.On(
+      [&] { fleet.Endpoints().SetFault("plain-0", EndpointFault::kFull); });
   for (int at = 0; at < 6; ++at) {
     const std::string id = "elsewhere-" + std::to_string(at);
     BOOST_TEST(fleet.Plain(0, "/sign/lot", id).status == 200);
     BOOST_TEST(fleet.RunsOf(id).size() == 1U);
   }
-  fleet.On([&] {
-    fleet.Endpoints().SetFault("plain-1", EndpointFault::kFull);
-  });
+  fleet.On(
+      [&] { fleet.Endpoints().SetFault("plain-1", EndpointFault::kFull); });
   const Answer refused = fleet.Plain(0, "/sign/lot", "refused");
   BOOST_TEST(refused.status == 503);
   BOOST_TEST(refused.headers.contains("retry-after"));
@@ -209,9 +205,8 @@
 // it is, since it ran.
 BOOST_AUTO_TEST_CASE(OnlyReadsAreRepeatedAfterFailure) {
   PlatformFleet fleet(1);
-  fleet.On([&] {
-    fleet.Endpoints().SetFault("plain-0", EndpointFault::kFails);
-  });
+  fleet.On(
+      [&] { fleet.Endpoints().SetFault("plain-0", EndpointFault::kFails); });
   int failed_signs = 0;
   for (int at = 0; at < 6; ++at) {
     const std::string id = std::to_string(at);
@@ -274,9 +269,8 @@
   fleet.On([&] { fleet.Store().SetFault(0, StoreFault::kReset); });
   fleet.Router(0).Kill();
   fleet.StartRouter(0);
-  const bool listens = PlatformFleet::Eventually([&] {
-    return fleet.Plain(0, "/read/x", "early").status != 0;
-  });
+  const bool listens = PlatformFleet::Eventually(
+      [&] { return fleet.Plain(0, "/read/x", "early").status != 0; });
   BOOST_REQUIRE(listens);
   BOOST_TEST(fleet.Plain(0, "/read/x", "early").status == 503);
   BOOST_TEST(fleet.Plain(0, "/nowhere/", "early").status == 503);
@@ -366,7 +360,9 @@
                        {"slots", 1},
                        {"state", "asleep"}});
     fleet.Store().Put("servers", "odd-types",
-                      {{"service", {1, 2}}, {"addr", 5}, {"slots", "many"},
+                      {{"service", {1, 2}},
+                       {"addr", 5},
+                       {"slots", "many"},
                        {"state", "ready"}});
   });
   Pause(1500);
--- a/tools/toucanwharfd/main.cc
+++ b/tools/toucanwharfd/main.cc
@@ -54,7 +54,8 @@
 /// Runs as one of the users' platform's processes, whose settings file the
 /// environment names.
 int ServePlatform() {
-  const char* path = std::getenv(toucanwharf::adapter::names::kSettingsVariable);
+  const char* path =
+      std::getenv(toucanwharf::adapter::names::kSettingsVariable);
   const auto text = ReadFile(path == nullptr ? "" : path);
   if (!text) {
     std::cerr << toucanwharf::adapter::names::kSettingsVariable
--- /dev/null
+++ b/unittests/endpoints/endpoints_test.cc
@@ -0,0 +1,112 @@
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+#include "toucanwharf/endpoints/endpoint_table.h"
+#include "toucanwharf/endpoints/load_book.h"
+
+namespace toucanwharf::endpoints {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kGrace = milliseconds(2000);
+
+TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
+
+Endpoint MakeEndpoint(const std::string& id) {
+  Endpoint endpoint;
+  endpoint.id = id;
+  endpoint.born = 1;
+  endpoint.service = "service";
+  endpoint.address = "10.0.0.1:80";
+  return endpoint;
+}
+
+std::size_t Ready(const EndpointTable& table) {
+  std::size_t count = 0;
+  table.ForEachReady("service", [&](const Endpoint&) { ++count; });
+  return count;
+}
+
+// The store is away for some seconds, and the entries of all endpoints run out
+// meanwhile. When it returns its list is empty. A router that believed it would
+// refuse everything, though every endpoint lives.
+BOOST_AUTO_TEST_CASE(EntriesThatLapsedInAnOutageAreKept) {
+  EndpointTable table(kGrace);
+  table.Replace({MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway();
+  table.Replace({}, 20, At(5000));
+  BOOST_TEST(Ready(table) == 2U);
+  table.Replace({MakeEndpoint("one")}, 30, At(6000));
+  BOOST_TEST(Ready(table) == 2U);
+  table.Replace({MakeEndpoint("one")}, 31, At(7100));
+  BOOST_TEST(Ready(table) == 1U);
+}
+
+// Without an outage an entry that is gone is gone at once (I5).
+BOOST_AUTO_TEST_CASE(RemovedEntryIsGone) {
+  EndpointTable table(kGrace);
+  table.Replace({MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  BOOST_TEST(table.Replace({MakeEndpoint("two")}, 11, At(100)));
+  BOOST_TEST(Ready(table) == 1U);
+}
+
+// An endpoint says that it leaves right after an outage: the grace is for
+// missing entries only.
+BOOST_AUTO_TEST_CASE(DrainingIsBelievedAtOnce) {
+  EndpointTable table(kGrace);
+  table.Replace({MakeEndpoint("one")}, 10, At(0));
+  table.OnStoreAway();
+  Endpoint leaving = MakeEndpoint("one");
+  leaving.state = EndpointState::kDraining;
+  table.Replace({leaving}, 20, At(5000));
+  BOOST_TEST(Ready(table) == 0U);
+}
+
+// Two answers overtake each other; the older list must not bring an endpoint
+// back that is gone.
+BOOST_AUTO_TEST_CASE(OlderListIsIgnored) {
+  EndpointTable table(kGrace);
+  table.Replace({MakeEndpoint("one")}, 10, At(0));
+  BOOST_TEST(!table.Replace({MakeEndpoint("one"), MakeEndpoint("two")}, 9,
+                            At(100)));
+  BOOST_TEST(Ready(table) == 1U);
+  BOOST_TEST(table.ChangedAt() == 10U);
+}
+
+BOOST_AUTO_TEST_CASE(LoadsOfAllInstancesAddUp) {
+  LoadBook book;
+  book.Began({"engine", 1, 100, 1});
+  book.Began({"engine", 1, 50, 0});
+  book.SetPeers({{"engine", 2, 30, 1}, {"engine", 1, 10, 0}});
+  BOOST_TEST(book.Total("engine").answers == 5);
+  BOOST_TEST(book.Total("engine").token_layers == 190);
+  book.Ended({"engine", 1, 100, 1});
+  book.Ended({"engine", 1, 50, 0});
+  BOOST_TEST(book.Own().empty());
+  BOOST_TEST(book.Total("engine").answers == 3);
+}
+
+// An engine started anew under its old id holds nothing; what it reported in
+// its former life must not lead answers to it.
+BOOST_AUTO_TEST_CASE(FactOfAnEarlierLifeDoesNotCount) {
+  LoadBook book;
+  book.SetFact({"engine", 1, {0, 26}, 1.0}, At(3000));
+  Endpoint endpoint = MakeEndpoint("engine");
+  BOOST_TEST(book.ToEngine(endpoint, At(0)).layers.Count() == 26U);
+  endpoint.born = 2;
+  BOOST_TEST(book.ToEngine(endpoint, At(0)).layers.Count() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(SuspicionEndsByItself) {
+  LoadBook book;
+  book.Suspect("engine", At(1000));
+  book.Suspect("engine", At(500));
+  BOOST_TEST(book.Suspected("engine", At(999)));
+  BOOST_TEST(!book.Suspected("engine", At(1000)));
+  BOOST_TEST(book.Suspicions(At(400)).size() == 1U);
+  BOOST_TEST(book.Suspicions(At(1000)).empty());
+}
+
+}  // namespace
+}  // namespace toucanwharf::endpoints
--- /dev/null
+++ b/unittests/gossip/gossip_test.cc
@@ -0,0 +1,114 @@
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+#include "toucanwharf/gossip/beacon.h"
+#include "toucanwharf/gossip/peer_table.h"
+
+namespace toucanwharf::gossip {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
+
+Beacon MakeBeacon(const std::string& instance, int stamp_millis) {
+  Beacon beacon;
+  beacon.instance = instance;
+  beacon.stamp = Duration(milliseconds(stamp_millis)).count();
+  return beacon;
+}
+
+/// A beacon of a peer that vouches for the configuration 5, read \p age ago,
+/// in answer to what \p to sent at \p echo of its own clock.
+Beacon Vouching(const std::string& to, int echo, int age) {
+  Beacon beacon = MakeBeacon("peer", 1);
+  beacon.configuration_revision = 5;
+  beacon.configuration_age = milliseconds(age);
+  beacon.echo = Duration(milliseconds(echo)).count();
+  beacon.echo_of = to;
+  return beacon;
+}
+
+RC_BOOST_PROP(BeaconsSurviveTheWire, ()) {
+  Beacon beacon;
+  beacon.instance = *rc::gen::container<std::string>(rc::gen::inRange('a', 'z'));
+  beacon.ready = *rc::gen::arbitrary<bool>();
+  beacon.stopping = *rc::gen::arbitrary<bool>();
+  beacon.configuration_revision = *rc::gen::inRange<std::uint64_t>(0, 1 << 30);
+  if (*rc::gen::arbitrary<bool>()) {
+    beacon.configuration_age = Duration(*rc::gen::inRange(0, 1 << 30));
+  }
+  beacon.stamp = *rc::gen::inRange(0, 1 << 30);
+  beacon.echo = *rc::gen::inRange(0, 1 << 30);
+  beacon.echo_of = "receiver";
+  beacon.loads = {{"engine", 2, 300, 1}};
+  beacon.suspicions = {{"engine", milliseconds(20)}};
+  beacon.facts = {{"engine", 7, {0, 26}, 1.5}};
+  beacon.peers = {"10.0.0.1:7"};
+  const auto read = Decode(Encode(beacon));
+  RC_ASSERT(read.has_value());
+  RC_ASSERT(*read == beacon);
+}
+
+// Bytes of another sender, or of another build, are no beacon.
+RC_BOOST_PROP(AnyBytesAreReadSafely, (const std::string& bytes)) {
+  const auto read = Decode(bytes);
+  RC_ASSERT(!read.has_value() || read->stamp >= 0 || read->stamp < 0);
+}
+
+BOOST_AUTO_TEST_CASE(CutBeaconIsNone) {
+  const std::string whole = Encode(MakeBeacon("peer", 1));
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    BOOST_REQUIRE(!Decode(whole.substr(0, size)).has_value());
+  }
+}
+
+// A peer read the configuration 300 ms before it answered. However long the
+// answer was under way, the proof counts from before the question.
+BOOST_AUTO_TEST_CASE(ProofCountsFromBeforeTheQuestion) {
+  PeerTable table("own");
+  table.OnBeacon("10.0.0.1:7", Vouching("own", 10000, 300), At(11000));
+  const auto proved = table.ConfigurationVouched(5, At(11000));
+  BOOST_REQUIRE(proved.has_value());
+  BOOST_TEST((*proved == At(9700)));
+  BOOST_TEST(!table.ConfigurationVouched(4, At(11000)).has_value());
+}
+
+// An instance lost power and started anew; its clock began at zero. A peer
+// still echoes a stamp of the clock before, which lies far in the future. If
+// it counted, the configuration would be taken as current for ever, nobody
+// would read the store again, and revoked keys would go on working.
+BOOST_AUTO_TEST_CASE(EchoOfAnEarlierStartProvesNothing) {
+  PeerTable table("second-start");
+  table.OnBeacon("10.0.0.1:7", Vouching("first-start", 900000, 300), At(50));
+  BOOST_TEST(!table.ConfigurationVouched(5, At(50)).has_value());
+  Beacon negative = Vouching("second-start", 40, -500000);
+  negative.stamp += 1;
+  table.OnBeacon("10.0.0.1:7", negative, At(60));
+  BOOST_TEST(!table.ConfigurationVouched(5, At(60)).has_value());
+}
+
+// A beacon overtaken by a newer one must not bring the past back, but a peer
+// that started anew counts its clock from zero.
+BOOST_AUTO_TEST_CASE(OvertakenBeaconIsDropped) {
+  PeerTable table("own");
+  BOOST_TEST(table.OnBeacon("10.0.0.1:7", MakeBeacon("peer", 20), At(1)));
+  BOOST_TEST(!table.OnBeacon("10.0.0.1:7", MakeBeacon("peer", 10), At(2)));
+  BOOST_TEST(table.OnBeacon("10.0.0.1:7", MakeBeacon("anew", 1), At(3)));
+}
+
+// A peer that fell silent is not named to callers, but its share of common
+// budgets is kept for it: it may still work behind a cut.
+BOOST_AUTO_TEST_CASE(SilentPeerIsNotLiveButCounted) {
+  PeerTable table("own");
+  table.OnBeacon("10.0.0.1:7", MakeBeacon("peer", 20), At(0));
+  BOOST_TEST(table.AllLive(At(1000)).size() == 1U);
+  BOOST_TEST(table.AllLive(At(2000)).empty());
+  BOOST_TEST(table.Instances(At(2000)) == 2U);
+  BOOST_TEST(table.Addresses(At(2000)).size() == 1U);
+  BOOST_TEST(table.Addresses(At(70000)).empty());
+}
+
+}  // namespace
+}  // namespace toucanwharf::gossip
--- /dev/null
+++ b/unittests/http/http_test.cc
@@ -0,0 +1,470 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "toucanwharf/http/client.h"
+#include "toucanwharf/http/datagram.h"
+#include "toucanwharf/http/event_splitter.h"
+#include "toucanwharf/http/server.h"
+
+namespace toucanwharf::http {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A blocking socket, to send and read any bytes.
+class RawSocket {
+ public:
+  explicit RawSocket(std::uint16_t port)
+      : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in peer{};
+    peer.sin_family = AF_INET;
+    peer.sin_port = htons(port);
+    peer.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const timeval patience{3, 0};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &patience,
+               sizeof(patience));
+    BOOST_REQUIRE(connect(this->descriptor, reinterpret_cast<sockaddr*>(&peer),
+                          sizeof(peer)) == 0);
+  }
+  ~RawSocket() { this->Close(); }
+  RawSocket(const RawSocket&) = delete;
+  RawSocket& operator=(const RawSocket&) = delete;
+
+  void Send(const std::string& bytes) const {
+    BOOST_REQUIRE(send(this->descriptor, bytes.data(), bytes.size(),
+                       MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size()));
+  }
+  /// Reads until \p end was read or the peer closes.
+  std::string ReadUntil(const std::string& end) const {
+    std::string text;
+    char byte = 0;
+    while (recv(this->descriptor, &byte, 1, 0) == 1) {
+      text.push_back(byte);
+      if (!end.empty() && text.ends_with(end)) break;
+    }
+    return text;
+  }
+  void Close() {
+    if (this->descriptor >= 0) close(this->descriptor);
+    this->descriptor = -1;
+  }
+
+ private:
+  int descriptor;
+};
+
+/// A server on a loop of its own thread.
+class ServerThread {
+ public:
+  explicit ServerThread(Server::Handler handler, ServerLimits limits = {}) {
+    auto opened = Server::Listen(this->loop, "127.0.0.1:0", std::move(handler));
+    BOOST_REQUIRE(opened.has_value());
+    this->server = std::move(opened.value());
+    this->server->SetLimits(limits);
+    this->client = std::make_unique<Client>(this->loop);
+    this->thread = std::thread([this] { this->loop.Run(); });
+  }
+  ~ServerThread() {
+    this->On([this] {
+      this->server.reset();
+      this->client.reset();
+    });
+    this->loop.Stop();
+    this->thread.join();
+  }
+  ServerThread(const ServerThread&) = delete;
+  ServerThread& operator=(const ServerThread&) = delete;
+
+  void On(const std::function<void()>& act) {
+    std::promise<void> done;
+    this->loop.Post([&] {
+      act();
+      done.set_value();
+    });
+    done.get_future().get();
+  }
+  std::uint16_t Port() {
+    std::uint16_t port = 0;
+    this->On([&] { port = this->server->Port(); });
+    return port;
+  }
+
+  Loop loop;
+  std::unique_ptr<Server> server;
+  std::unique_ptr<Client> client;
+
+ private:
+  std::thread thread;
+};
+
+/// Answers with what it was asked, so that tests see what the server read.
+void Echo(const std::shared_ptr<Exchange>& exchange) {
+  const Request& request = exchange->Received();
+  ResponseHead head;
+  head.status = kOk;
+  std::string body = request.method + " " + request.target + "\n";
+  for (const auto& [name, value] : request.headers) {
+    body += name + ": " + value + "\n";
+  }
+  exchange->Respond(head, body + request.body);
+}
+
+/// What a client call gave.
+struct Fetched {
+  CallResult result;
+  ResponseHead head;
+  std::string body;
+  bool body_before_head = false;
+};
+
+/// Calls \p address on a client of its own and waits for the end.
+Fetched Call(const std::string& address, const Request& request,
+             int calls = 1) {
+  Loop loop;
+  Client client(loop);
+  Fetched last;
+  std::function<void(int)> next = [&](int left) {
+    last = Fetched{};
+    CallHandlers handlers;
+    handlers.on_head = [&](const ResponseHead& head) { last.head = head; };
+    handlers.on_data = [&](std::string_view bytes) {
+      last.body_before_head = last.body_before_head || last.head.status == 0;
+      last.body.append(bytes);
+    };
+    handlers.on_done = [&, left](const CallResult& result) {
+      last.result = result;
+      if (left > 1) {
+        loop.After(milliseconds(50), [&, left] { next(left - 1); });
+      } else {
+        loop.Stop();
+      }
+    };
+    client.Start(address, request, {}, std::move(handlers));
+  };
+  loop.Post([&] { next(calls); });
+  loop.After(std::chrono::seconds(5), [&] { loop.Stop(); });
+  loop.Run();
+  return last;
+}
+
+/// A peer that answers each connection with fixed bytes, then closes.
+class ScriptedPeer {
+ public:
+  ScriptedPeer(std::vector<std::string> pieces, bool reset = false)
+      : listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(own);
+    BOOST_REQUIRE(bind(this->listener, reinterpret_cast<sockaddr*>(&own),
+                       size) == 0);
+    BOOST_REQUIRE(listen(this->listener, 4) == 0);
+    getsockname(this->listener, reinterpret_cast<sockaddr*>(&own), &size);
+    this->port = ntohs(own.sin_port);
+    this->thread = std::thread(
+        [this, pieces = std::move(pieces), reset] { Serve(pieces, reset); });
+  }
+  ~ScriptedPeer() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+  }
+  ScriptedPeer(const ScriptedPeer&) = delete;
+  ScriptedPeer& operator=(const ScriptedPeer&) = delete;
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->port);
+  }
+
+ private:
+  void Serve(const std::vector<std::string>& pieces, bool reset) const {
+    const int connection = accept(this->listener, nullptr, nullptr);
+    if (connection < 0) return;
+    char bytes[4096];
+    (void)recv(connection, bytes, sizeof(bytes), 0);
+    for (const std::string& piece : pieces) {
+      send(connection, piece.data(), piece.size(), MSG_NOSIGNAL);
+      std::this_thread::sleep_for(milliseconds(30));
+    }
+    if (reset) {
+      const linger hard{1, 0};
+      setsockopt(connection, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+    }
+    close(connection);
+  }
+
+  int listener;
+  std::uint16_t port = 0;
+  std::thread thread;
+};
+
+const std::string kGet = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+
+// The endpoint must get the caller's bytes: a decoded path would name another
+// resource, and a folded header would lose a value.
+BOOST_AUTO_TEST_CASE(TargetAndRepeatedHeadersArriveAsSent) {
+  ServerThread server(Echo);
+  RawSocket caller(server.Port());
+  caller.Send(
+      "POST /a%2Fb/../c?x=%41&y=+ HTTP/1.1\r\nHost: h\r\nX-Twice: 1\r\n"
+      "X-Twice: 2\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+  const std::string answer = caller.ReadUntil("");
+  BOOST_TEST(answer.find("POST /a%2Fb/../c?x=%41&y=+\n") !=
+             std::string::npos);
+  BOOST_TEST(answer.find("X-Twice: 1\nX-Twice: 2\n") != std::string::npos);
+  BOOST_TEST(answer.ends_with("body"));
+}
+
+BOOST_AUTO_TEST_CASE(BodyInChunksIsJoined) {
+  ServerThread server(Echo);
+  RawSocket caller(server.Port());
+  caller.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n2;x=y\r\nab\r\n");
+  caller.Send("1\r\nc\r\n0\r\n\r\n");
+  BOOST_TEST(caller.ReadUntil("").ends_with("abc"));
+}
+
+// Two lengths, or one that is none: what one reader takes for the body another
+// takes for the next request, which nobody sent.
+BOOST_AUTO_TEST_CASE(AmbiguousLengthsAreRefused) {
+  const std::vector<std::string> lengths = {
+      "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+      "Content-Length: 4\r\nContent-Length: 5\r\n",
+      "Content-Length: four\r\n",
+      "Content-Length: -1\r\n",
+  };
+  for (const std::string& length : lengths) {
+    int handled = 0;
+    ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+      ++handled;
+      Echo(exchange);
+    });
+    RawSocket caller(server.Port());
+    caller.Send("POST /a HTTP/1.1\r\nHost: h\r\n" + length +
+                "\r\nGET /hidden HTTP/1.1\r\n\r\n");
+    const std::string answer = caller.ReadUntil("");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), length);
+    server.On([&] { BOOST_TEST(handled == 0); });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LimitsHaveTheirOwnStatus) {
+  ServerLimits limits;
+  limits.max_header_bytes = 512;
+  limits.max_body_bytes = 100;
+  limits.header_timeout = milliseconds(200);
+  ServerThread server(Echo, limits);
+  RawSocket large_head(server.Port());
+  large_head.Send("GET /a HTTP/1.1\r\nX: " + std::string(2000, 'x'));
+  BOOST_TEST(large_head.ReadUntil("").starts_with("HTTP/1.1 431 "));
+  RawSocket large_body(server.Port());
+  large_body.Send("POST /a HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
+  BOOST_TEST(large_body.ReadUntil("").starts_with("HTTP/1.1 413 "));
+  RawSocket slow(server.Port());
+  slow.Send("GET /a HT");
+  BOOST_TEST(slow.ReadUntil("").starts_with("HTTP/1.1 408 "));
+}
+
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder) {
+  ServerThread server(Echo);
+  RawSocket caller(server.Port());
+  caller.Send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n" + kGet);
+  const std::string answers = caller.ReadUntil("Host: h\n");
+  BOOST_TEST(answers.find("GET /1") < answers.find("GET /2"));
+  BOOST_TEST(answers.find("GET /2") < answers.find("GET /a"));
+}
+
+// An answer that breaks off must not look complete to its caller.
+BOOST_AUTO_TEST_CASE(AbortedBodyHasNoEnd) {
+  ServerThread server([](const std::shared_ptr<Exchange>& exchange) {
+    ResponseHead head;
+    head.status = kOk;
+    exchange->Begin(head);
+    exchange->Write("part");
+    exchange->Abort();
+  });
+  RawSocket caller(server.Port());
+  caller.Send(kGet);
+  const std::string answer = caller.ReadUntil("");
+  BOOST_TEST(answer.find("part") != std::string::npos);
+  BOOST_TEST(answer.find("\r\n0\r\n") == std::string::npos);
+}
+
+// A caller leaves while its request is worked on: whoever works must learn it
+// at once, or endpoints go on for nobody.
+BOOST_AUTO_TEST_CASE(CallersCloseIsNoticedAtOnce) {
+  std::promise<void> gone;
+  std::vector<std::shared_ptr<Exchange>> held;
+  ServerThread server([&](std::shared_ptr<Exchange> exchange) {
+    exchange->OnGone([&] { gone.set_value(); });
+    held.push_back(std::move(exchange));
+  });
+  {
+    RawSocket caller(server.Port());
+    caller.Send(kGet);
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  BOOST_CHECK(gone.get_future().wait_for(milliseconds(400)) ==
+              std::future_status::ready);
+  server.On([&] { held.clear(); });
+}
+
+// A handler loses a request. Its caller must not wait for ever.
+BOOST_AUTO_TEST_CASE(ForgottenRequestIsClosed) {
+  ServerThread server([](const std::shared_ptr<Exchange>&) {});
+  RawSocket caller(server.Port());
+  caller.Send(kGet);
+  BOOST_TEST(caller.ReadUntil("").empty());
+}
+
+BOOST_AUTO_TEST_CASE(StoppingServerClosesAfterResponses) {
+  ServerThread server(Echo);
+  server.On([&] { server.server->CloseAfterResponses(); });
+  RawSocket caller(server.Port());
+  caller.Send(kGet);
+  BOOST_TEST(caller.ReadUntil("").find("Connection: close") !=
+             std::string::npos);
+}
+
+// The first bytes of a body came in one piece with the head. They were handed
+// on before the head, so that the first event of each stream was lost.
+BOOST_AUTO_TEST_CASE(HeadComesBeforeBody) {
+  ScriptedPeer peer({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "5\r\nfirst\r\n",
+                     "6\r\nsecond\r\n0\r\n\r\n"});
+  const Fetched fetched = Call(peer.Address(), {});
+  BOOST_CHECK(fetched.result.end == CallEnd::kComplete);
+  BOOST_TEST(!fetched.body_before_head);
+  BOOST_TEST(fetched.body == "firstsecond");
+}
+
+// A piece ends in the middle of a chunk's head. The client went round and round
+// over the same bytes and the process served nobody.
+BOOST_AUTO_TEST_CASE(CutChunkHeadIsReadOn) {
+  ScriptedPeer peer({"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1",
+                     "0", "\r\n0123456789abcdef", "\r", "\n0\r\n\r\n"});
+  const Fetched fetched = Call(peer.Address(), {});
+  BOOST_CHECK(fetched.result.end == CallEnd::kComplete);
+  BOOST_TEST(fetched.body == "0123456789abcdef");
+}
+
+BOOST_AUTO_TEST_CASE(BodyWithoutLengthEndsWithItsConnection) {
+  ScriptedPeer whole({"HTTP/1.1 200 OK\r\n\r\n", "all of it"});
+  const Fetched fetched = Call(whole.Address(), {});
+  BOOST_CHECK(fetched.result.end == CallEnd::kComplete);
+  BOOST_TEST(fetched.body == "all of it");
+  ScriptedPeer broken({"HTTP/1.1 200 OK\r\n\r\n", "part"}, true);
+  BOOST_CHECK(Call(broken.Address(), {}).result.end == CallEnd::kBroken);
+}
+
+BOOST_AUTO_TEST_CASE(ShortBodyIsBroken) {
+  ScriptedPeer peer({"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfour"});
+  BOOST_CHECK(Call(peer.Address(), {}).result.end == CallEnd::kBroken);
+}
+
+BOOST_AUTO_TEST_CASE(BytesThatAreNoResponseAreMalformed) {
+  ScriptedPeer peer({"what is this\r\n\r\n"});
+  const Fetched fetched = Call(peer.Address(), {});
+  BOOST_CHECK(fetched.result.end == CallEnd::kMalformed);
+  BOOST_TEST(fetched.result.sent);
+}
+
+BOOST_AUTO_TEST_CASE(UnreachablePeerGotNothing) {
+  const Fetched fetched = Call("127.0.0.1:1", {});
+  BOOST_CHECK(fetched.result.end == CallEnd::kNotConnected);
+  BOOST_TEST(!fetched.result.sent);
+  BOOST_CHECK(Call("no address", {}).result.end == CallEnd::kNotConnected);
+}
+
+// A peer sends another answer right behind a whole one. The next request on
+// that connection would get it as its own (I2), so the connection is dropped.
+BOOST_AUTO_TEST_CASE(SurplusBytesSpoilTheConnection) {
+  ScriptedPeer peer({"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad"});
+  const Fetched second = Call(peer.Address(), {}, 2);
+  BOOST_TEST(second.body != "bad");
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsAreKeptForTheNextCall) {
+  ServerThread server(Echo);
+  const Fetched second =
+      Call("127.0.0.1:" + std::to_string(server.Port()), {}, 2);
+  BOOST_CHECK(second.result.end == CallEnd::kComplete);
+  BOOST_TEST(second.result.reused);
+}
+
+BOOST_AUTO_TEST_CASE(HopByHopFieldsStayBehind) {
+  Headers headers;
+  headers.Add("X-Kept", "1");
+  headers.Add("connection", "close, X-Named");
+  headers.Add("X-Named", "2");
+  headers.Add("Transfer-Encoding", "chunked");
+  headers.Add("X-Kept", "3");
+  Headers expected;
+  expected.Add("X-Kept", "1");
+  expected.Add("X-Kept", "3");
+  BOOST_CHECK(EndToEnd(headers) == expected);
+}
+
+BOOST_AUTO_TEST_CASE(QueryValuesAreDecoded) {
+  BOOST_TEST(QueryValue("/p?a=1&zone=x%20y&b=", "zone") == "x y");
+  BOOST_TEST(QueryValue("/p?a=1", "zone").empty());
+  BOOST_TEST(QueryValue("/p", "zone").empty());
+  BOOST_TEST(QueryValue("/p?zone=%zz%4", "zone") == "%zz%4");
+  BOOST_TEST(PathOf("/p/q?x") == "/p/q");
+}
+
+// A stream may be cut anywhere, also between the two line ends of an event.
+BOOST_AUTO_TEST_CASE(EventsComeOutWhole) {
+  const std::string text = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n";
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    EventSplitter splitter;
+    splitter.Feed(text.substr(0, cut));
+    std::string out = splitter.TakeWhole();
+    splitter.Feed(text.substr(cut));
+    out += splitter.TakeWhole();
+    BOOST_REQUIRE(out == text);
+    BOOST_REQUIRE(splitter.LastId() == "2");
+  }
+  EventSplitter splitter;
+  splitter.Feed("id: 1\ndata: a\n\nid: 2\nda");
+  BOOST_TEST(splitter.TakeWhole() == "id: 1\ndata: a\n\n");
+  BOOST_TEST(splitter.HasPart());
+  BOOST_TEST(*splitter.LastId() == "1");
+  splitter.DropPart();
+  BOOST_TEST(!splitter.HasPart());
+}
+
+BOOST_AUTO_TEST_CASE(DatagramsArrive) {
+  Loop loop;
+  std::string got;
+  auto receiver = DatagramSocket::Bind(
+      loop, "127.0.0.1:28951",
+      [&](const std::string&, std::string_view payload) {
+        got = std::string(payload);
+        loop.Stop();
+      });
+  BOOST_REQUIRE(receiver.has_value());
+  auto sender = DatagramSocket::Bind(
+      loop, "127.0.0.1:28952", [](const std::string&, std::string_view) {});
+  BOOST_REQUIRE(sender.has_value());
+  loop.Post([&] { sender.value()->Send("127.0.0.1:28951", "hello"); });
+  loop.After(std::chrono::seconds(2), [&] { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(got == "hello");
+}
+
+}  // namespace
+}  // namespace toucanwharf::http
--- /dev/null
+++ b/unittests/placement/layout_test.cc
@@ -0,0 +1,123 @@
+#include "toucanwharf/placement/layout.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+#include "models.h"
+
+namespace toucanwharf::placement {
+namespace {
+
+const std::vector<std::string> kKinds = {"large", "small", "slow"};
+const std::vector<std::string> kDomains = {"a", "b", "c"};
+
+bool Serves(const EngineModel& model, const std::vector<Accelerator>& fleet) {
+  Random random(1);
+  PathQuery query;
+  query.failure_domain = "a";
+  query.prompt_tokens = 100;
+  query.output_tokens = 100;
+  return FindPath(model, Idle(fleet), query, {}, random).path.has_value();
+}
+
+int Moves(const std::vector<Accelerator>& fleet, const Layout& layout) {
+  int moves = 0;
+  for (const Accelerator& one : fleet) {
+    const auto found = layout.find(one.id);
+    if (found != layout.end() && found->second != one.layers) ++moves;
+  }
+  return moves;
+}
+
+std::vector<Accelerator> AnyFleet() {
+  std::vector<Accelerator> fleet;
+  for (const std::string& domain : kDomains) {
+    for (const std::string& kind : kKinds) {
+      AddEngines(fleet, domain, kind, *rc::gen::inRange(0, 12));
+    }
+  }
+  for (Accelerator& one : fleet) {
+    const auto begin = *rc::gen::inRange<std::uint32_t>(0, 80);
+    const auto count = *rc::gen::inRange<std::uint32_t>(0, 8);
+    one.layers = {begin, std::min(begin + count, 80U)};
+  }
+  return fleet;
+}
+
+// An engine that is told to hold more than fits crashes, and takes every
+// answer that runs through it along.
+RC_BOOST_PROP(NeverMoreLayersThanFit, ()) {
+  const EngineModel model = LargeModel();
+  const auto fleet = AnyFleet();
+  for (const auto& [id, layers] : PlanLayout(model, fleet, {})) {
+    const auto one = std::find_if(fleet.begin(), fleet.end(),
+                                  [&](const auto& it) { return it.id == id; });
+    RC_ASSERT(one != fleet.end());
+    RC_ASSERT(layers.end <= model.layers);
+    RC_ASSERT(layers.begin <= layers.end);
+    const double memory = model.FindKind(one->kind)->memory_mb;
+    RC_ASSERT(layers.Count() * model.layer_mb < memory);
+  }
+}
+
+// Whoever plans next, from what the engines hold, leaves them as they are:
+// a new lease holder must not move layers.
+RC_BOOST_PROP(PlanOfAPlanMovesNothing, ()) {
+  const EngineModel model = LargeModel();
+  const auto fleet = AnyFleet();
+  const auto placed = Placed(fleet, PlanLayout(model, fleet, {}));
+  RC_ASSERT(Moves(placed, PlanLayout(model, placed, {})) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(EveryDomainGetsACoverOfItsOwn) {
+  const EngineModel model = LargeModel();
+  const auto placed =
+      Placed(LargeFleet(), PlanLayout(model, LargeFleet(), {}));
+  for (const std::string& domain : kDomains) {
+    std::vector<Accelerator> alone;
+    std::copy_if(placed.begin(), placed.end(), std::back_inserter(alone),
+                 [&](const auto& one) { return one.failure_domain == domain; });
+    BOOST_TEST(Serves(model, alone), "no cover in domain " << domain);
+  }
+}
+
+// Any one engine dies. Some path is left at once, without a load; and then a
+// few loads, not a new layout of everything, bring the cover back.
+BOOST_AUTO_TEST_CASE(OneDeadEngineIsGoneAroundAndReplaced) {
+  const EngineModel model = LargeModel();
+  const auto placed =
+      Placed(LargeFleet(), PlanLayout(model, LargeFleet(), {}));
+  for (std::size_t dead = 0; dead < placed.size(); ++dead) {
+    auto left = placed;
+    left.erase(left.begin() + static_cast<std::ptrdiff_t>(dead));
+    BOOST_REQUIRE(Serves(model, left));
+    const auto layout = PlanLayout(model, left, {});
+    // At most its own failure domain's engines move.
+    BOOST_REQUIRE(Moves(left, layout) <= 15);
+    BOOST_REQUIRE(Serves(model, Placed(left, layout)));
+  }
+}
+
+// A domain that is too small for a cover gives its engines to one that spans
+// several domains, rather than serving nobody.
+BOOST_AUTO_TEST_CASE(SmallDomainsServeTogether) {
+  const EngineModel model = LargeModel();
+  std::vector<Accelerator> fleet;
+  for (const std::string& domain : kDomains) {
+    AddEngines(fleet, domain, "small", 6);
+  }
+  BOOST_TEST(!Serves(model, fleet));
+  BOOST_TEST(Serves(model, Placed(fleet, PlanLayout(model, fleet, {}))));
+}
+
+BOOST_AUTO_TEST_CASE(NothingFitsGivesNoLayout) {
+  EngineModel model = LargeModel();
+  model.layer_mb = 100000;
+  BOOST_TEST(PlanLayout(model, LargeFleet(), {}).empty());
+  BOOST_TEST(PlanLayout(LargeModel(), {}, {}).empty());
+}
+
+}  // namespace
+}  // namespace toucanwharf::placement
--- /dev/null
+++ b/unittests/placement/path_finder_test.cc
@@ -0,0 +1,144 @@
+#include "toucanwharf/placement/path_finder.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+#include "models.h"
+
+namespace toucanwharf::placement {
+namespace {
+
+std::vector<Engine> AnyEngines() {
+  std::vector<Engine> engines;
+  const int count = *rc::gen::inRange(0, 30);
+  for (int at = 0; at < count; ++at) {
+    Engine engine;
+    engine.id = std::to_string(at);
+    engine.address = "address-" + engine.id;
+    engine.failure_domain = *rc::gen::element<std::string>("a", "b", "c");
+    engine.kind = *rc::gen::element<std::string>("large", "slow");
+    const auto begin = *rc::gen::inRange<std::uint32_t>(0, 8) * 10;
+    const auto parts = *rc::gen::inRange<std::uint32_t>(0, 4);
+    engine.layers = {begin, std::min(begin + parts * 10, 80U)};
+    engine.answers = *rc::gen::inRange(0, 100);
+    engine.token_layers = *rc::gen::inRange(0, 1000000);
+    engines.push_back(std::move(engine));
+  }
+  return engines;
+}
+
+PathQuery Query() {
+  PathQuery query;
+  query.failure_domain = "a";
+  query.prompt_tokens = 775;
+  query.output_tokens = 220;
+  return query;
+}
+
+// Every token runs each layer exactly once and in order (I1), each stage on an
+// engine that holds its layers, and no engine twice.
+RC_BOOST_PROP(PathsAreExactCovers, ()) {
+  const auto engines = AnyEngines();
+  Random random(*rc::gen::arbitrary<std::uint64_t>());
+  const EngineModel model = LargeModel();
+  const auto choice = FindPath(model, engines, Query(), {}, random);
+  if (!choice.path) return;
+  RC_ASSERT(pipeline::IsExactCover(RangesOf(*choice.path), model.layers));
+  std::set<std::string> seen;
+  for (const pipeline::Stage& stage : choice.path->stages) {
+    const Engine& engine = engines.at(std::stoul(stage.endpoint));
+    RC_ASSERT(engine.layers.begin <= stage.layers.begin);
+    RC_ASSERT(engine.layers.end >= stage.layers.end);
+    RC_ASSERT(seen.insert(stage.endpoint).second);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LackOfLayersAndLackOfRoomDiffer) {
+  const EngineModel model = LargeModel();
+  auto engines =
+      Idle(Placed(LargeFleet(), PlanLayout(model, LargeFleet(), {})));
+  Random random(1);
+  for (Engine& engine : engines) engine.token_layers = 1e9;
+  BOOST_CHECK(FindPath(model, engines, Query(), {}, random).lack ==
+              PathLack::kRoom);
+  std::erase_if(engines, [](const Engine& engine) {
+    return engine.layers.begin == 0;
+  });
+  BOOST_CHECK(FindPath(model, engines, Query(), {}, random).lack ==
+              PathLack::kLayers);
+}
+
+// An answer goes around a dead engine: the first stage stays as it is, and the
+// rest is a cover without the dead one.
+BOOST_AUTO_TEST_CASE(FirstStageIsKept) {
+  const EngineModel model = LargeModel();
+  auto engines =
+      Idle(Placed(LargeFleet(), PlanLayout(model, LargeFleet(), {})));
+  Random random(1);
+  const auto first = FindPath(model, engines, Query(), {}, random);
+  BOOST_REQUIRE(first.path.has_value());
+  PathQuery around = Query();
+  around.first = first.path->stages.front();
+  const std::string dead = first.path->stages[2].endpoint;
+  std::erase_if(engines, [&](const auto& one) { return one.id == dead; });
+  const auto second = FindPath(model, engines, around, {}, random);
+  BOOST_REQUIRE(second.path.has_value());
+  BOOST_CHECK(second.path->stages.front() == *around.first);
+  BOOST_TEST(pipeline::IsExactCover(RangesOf(*second.path), model.layers));
+}
+
+/// Plays answers that come at a steady rate to several routers, which hear of
+/// each other's answers only from time to time, and returns the most answers
+/// that any engine had under way, against the mean of those in use.
+double PlayHerd(double jitter, int lag) {
+  const EngineModel model = LargeModel();
+  auto engines =
+      Idle(Placed(LargeFleet(), PlanLayout(model, LargeFleet(), {})));
+  constexpr int kRouters = 6;
+  constexpr int kAnswers = 240;
+  std::map<std::string, std::size_t> index;
+  for (std::size_t at = 0; at < engines.size(); ++at) {
+    index[engines[at].id] = at;
+  }
+  std::vector<std::vector<Engine>> views(kRouters, engines);
+  PathSettings settings;
+  settings.jitter = jitter;
+  Random random(3);
+  for (int at = 0; at < kAnswers; ++at) {
+    if (at % lag == 0) views.assign(kRouters, engines);
+    auto& view = views[at % kRouters];
+    const auto choice = FindPath(model, view, Query(), settings, random);
+    if (!choice.path) continue;
+    for (const pipeline::Stage& stage : choice.path->stages) {
+      const double load = 995.0 * stage.layers.Count();
+      for (auto* seen : {&view, &engines}) {
+        (*seen)[index[stage.endpoint]].answers += 1;
+        (*seen)[index[stage.endpoint]].token_layers += load;
+      }
+    }
+  }
+  double most = 0;
+  double sum = 0;
+  double used = 0;
+  for (const Engine& engine : engines) {
+    if (engine.answers == 0) continue;
+    most = std::max(most, engine.answers);
+    sum += engine.answers;
+    used += 1;
+  }
+  return most / (sum / used);
+}
+
+// Six routers choose from the same lagging loads. No engine gets more than
+// twice its part of the answers, and none more than it has room for.
+BOOST_AUTO_TEST_CASE(LaggingLoadsDoNotMakeAHerd) {
+  BOOST_TEST(PlayHerd(0.1, 60) < 2.0);
+  BOOST_TEST(PlayHerd(0.1, 6) < 2.0);
+}
+
+}  // namespace
+}  // namespace toucanwharf::placement
--- /dev/null
+++ b/unittests/routes/freshness_test.cc
@@ -0,0 +1,31 @@
+#include "toucanwharf/routes/freshness.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace toucanwharf::routes {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
+
+// A key is taken away while an instance cannot read. It must stop admitting
+// keys before the bound is over, counted from the beginning of its last read.
+BOOST_AUTO_TEST_CASE(ProofLapsesBeforeTheBound) {
+  Freshness freshness(milliseconds(5000), milliseconds(100));
+  BOOST_TEST(!freshness.Holds(At(0)));
+  freshness.Confirm(At(1000));
+  BOOST_TEST(freshness.Holds(At(5899)));
+  BOOST_TEST(!freshness.Holds(At(5900)));
+}
+
+// Answers come out of order; an older proof must not replace a newer one.
+BOOST_AUTO_TEST_CASE(OlderProofChangesNothing) {
+  Freshness freshness(milliseconds(5000), milliseconds(100));
+  freshness.Confirm(At(3000));
+  freshness.Confirm(At(1000));
+  BOOST_TEST((freshness.Age(At(3500)) == milliseconds(500)));
+}
+
+}  // namespace
+}  // namespace toucanwharf::routes
