--- a/include/toucanwharf/endpoints/load_book.h
+++ b/include/toucanwharf/endpoints/load_book.h
@@ -25,6 +25,11 @@
   std::vector<gossip::EndpointLoad> Own() const;
   /// Replaces what the other instances have under way.
   void SetPeers(const std::vector<gossip::EndpointLoad>& loads);
+  /// The same, from what all instances together, this one included, have under
+  /// way: the own part is taken off.
+  void SetFleet(const std::vector<gossip::EndpointLoad>& loads);
+  /// Returns what all instances together have under way, without the idle.
+  std::vector<gossip::EndpointLoad> All() const;
   /// Returns what all instances together have under way at \p endpoint.
   gossip::EndpointLoad Total(const std::string& endpoint) const;
 
--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -77,6 +77,8 @@
   /// anew, with another clock, since it sent that stamp.
   std::string echo_of;
   std::vector<EndpointLoad> loads;
+  /// From the leader only: what all instances together have under way.
+  std::vector<EndpointLoad> fleet_loads;
   std::vector<Suspicion> suspicions;
   std::vector<EngineFact> facts;
   /// Datagram addresses of other instances that the sender knows.
@@ -88,6 +90,19 @@
 /// Returns \p beacon as bytes (CBOR). Thread safety: safe.
 std::string Encode(const Beacon& beacon);
 
+/// A beacon for several receivers: all but the echo is encoded once.
+/// Thread safety: safe once built.
+class EncodedBeacon {
+ public:
+  explicit EncodedBeacon(const Beacon& beacon);
+  /// Returns the bytes for the receiver that sent the stamp \p echo as the
+  /// instance \p echo_of.
+  std::string For(std::int64_t echo, const std::string& echo_of) const;
+
+ private:
+  std::string common;
+};
+
 /// Returns the beacon in \p bytes, or nothing if they are none.
 /// Thread safety: safe.
 std::optional<Beacon> Decode(std::string_view bytes);
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -14,11 +14,8 @@
 /// Times of the gossip, with the reason of each.
 struct PeerSettings {
   /// Without a beacon for so long a peer counts as gone: it is not named to
-  /// callers. Five beacons may be lost before.
+  /// callers. In a large fleet its turn comes less often; see Rotation.
   Duration silent_after = std::chrono::milliseconds(1500);
-  /// Its loads at endpoints count for so long: what it had under way may still
-  /// run.
-  Duration loads_for = std::chrono::seconds(2);
   /// Beacons still go to a silent peer for so long, in case the way between
   /// the two comes back.
   Duration forgotten_after = std::chrono::seconds(60);
@@ -45,6 +42,11 @@
   /// one's own and for one older than what is known.
   bool OnBeacon(const std::string& sender, const Beacon& beacon, TimePoint now);
 
+  /// Sets after how long without a beacon a peer is silent.
+  void SetSilentAfter(Duration length) { this->settings.silent_after = length; }
+  /// Returns the address of the live peer that leads, empty for none.
+  std::string Leader(TimePoint now) const;
+
   /// Returns the addresses to send to.
   std::vector<std::string> Addresses(TimePoint now) const;
   /// Returns the peer at \p address if it was heard of lately, or null.
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -41,7 +41,8 @@
         peers(this->loop, this->client, this->beliefs, this->logger,
               this->settings),
         sync(this->loop, this->store, this->beliefs, this->logger,
-             [this] { this->OnChange(); }),
+             [this] { this->OnChange(); },
+             StoreSyncTimes(this->settings.bounds.configuration)),
         placement(this->loop, this->client, this->store, this->beliefs,
                   this->peers, this->logger) {}
 
@@ -85,6 +86,7 @@
   /// Time for the last answers to leave before the kill.
   static constexpr Duration kBeforeKill = std::chrono::milliseconds(400);
   static constexpr Duration kAdviceLives = std::chrono::seconds(2);
+  static constexpr std::size_t kMostAdvised = 64;
 
   Result<void> Listen() {
     BOOST_OUTCOME_TRY(opened,
@@ -143,7 +145,7 @@
   }
 
   /// Returns where callers may connect: the instances that say they are ready.
-  std::vector<std::string> Advice(TimePoint now) const {
+  std::vector<std::string> Advice(TimePoint now) {
     std::vector<std::string> addresses;
     if (this->beliefs.Ready(now)) {
       addresses.push_back(this->settings.callers_address);
@@ -152,6 +154,9 @@
       if (!peer->beacon.ready) continue;
       addresses.push_back(peer->beacon.callers_address);
     }
+    // Callers read this many; each instance leaves others out.
+    std::shuffle(addresses.begin(), addresses.end(), this->random);
+    addresses.resize(std::min(addresses.size(), kMostAdvised));
     return addresses;
   }
 
@@ -245,6 +250,7 @@
   http::Loop loop;
   eventlog::Logger logger;
   Beliefs beliefs;
+  Random random{HashText(this->beliefs.instance)};
   http::Client client;
   typename A::Store store;
   Gateway gateway;
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/gossip/rotation.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/datagram.h"
 #include "toucanwharf/http/server.h"
@@ -53,10 +54,11 @@
     std::int64_t at = 0;
   };
 
-  void SendAll();
+  void SendTo(const std::vector<std::string>& addresses);
   void Tick();
   gossip::Beacon MakeBeacon(TimePoint now) const;
   void OnDatagram(const std::string& sender, std::string_view payload);
+  void AdoptLoads(const gossip::Beacon& beacon, TimePoint now);
   void AdoptFrom(const gossip::Beacon& beacon, TimePoint now);
   void FetchNewer(const gossip::Beacon& beacon);
   void FetchConfiguration(const std::string& control_address);
@@ -72,6 +74,7 @@
   OnConfiguration take_configuration;
   OnEndpoints endpoints_changed;
   std::vector<gossip::EngineFact> facts;
+  gossip::Rotation rotation;
   /// Newest stamp by datagram address.
   std::map<std::string, Stamp> stamps;
   std::set<std::string> live_before;
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -18,13 +18,18 @@
 
 /// Times of the reads, with the reason of each.
 struct StoreSyncTimes {
+  /// \p configuration is how soon a change must be in force everywhere.
+  explicit StoreSyncTimes(Duration configuration)
+      : reader_period(configuration * 13 / 40),
+        oldest_proof(configuration * 7 / 10) {}
+
   /// The instance that places layers reads this often, and vouches to the
-  /// others; a change must be in force everywhere within two seconds.
-  Duration reader_period = std::chrono::milliseconds(650);
+  /// others.
+  Duration reader_period;
   /// An instance whose newest proof is older than this reads for itself. The
-  /// reader's period and two beacons stay below it; with the read it stays
-  /// below the two seconds also when the reader dies.
-  Duration oldest_proof = std::chrono::milliseconds(1400);
+  /// reader's period and the beacons both ways stay below it; with the read it
+  /// stays below the bound also when the reader dies.
+  Duration oldest_proof;
   /// Between looks at the clock, and between tries while the store is away.
   Duration look_period = std::chrono::milliseconds(100);
   Duration away_period = std::chrono::milliseconds(300);
@@ -47,7 +52,7 @@
   /// Precondition: all references outlive the object.
   StoreSync(http::Loop& event_loop, Store& object_store,
             Beliefs& shared_beliefs, eventlog::Logger& log,
-            std::function<void()> on_change, const StoreSyncTimes& chosen = {})
+            std::function<void()> on_change, const StoreSyncTimes& chosen)
       : loop(event_loop),
         store(object_store),
         beliefs(shared_beliefs),
--- a/lib/endpoints/load_book.cc
+++ b/lib/endpoints/load_book.cc
@@ -44,6 +44,30 @@
   }
 }
 
+void LoadBook::SetFleet(const std::vector<gossip::EndpointLoad>& loads) {
+  this->SetPeers(loads);
+  for (auto& [endpoint, sum] : this->peers) {
+    const auto mine = this->own.find(endpoint);
+    if (mine == this->own.end()) continue;
+    Add(sum, mine->second, -1);
+    // The own part may have grown since the sum was made.
+    sum.answers = std::max(sum.answers, 0.0);
+    sum.token_layers = std::max(sum.token_layers, 0.0);
+    sum.first_of = std::max(sum.first_of, 0.0);
+  }
+}
+
+std::vector<gossip::EndpointLoad> LoadBook::All() const {
+  std::vector<gossip::EndpointLoad> all;
+  for (const auto& [endpoint, load] : this->peers) {
+    all.push_back(this->Total(endpoint));
+  }
+  for (const auto& [endpoint, load] : this->own) {
+    if (!this->peers.contains(endpoint)) all.push_back(load);
+  }
+  return all;
+}
+
 gossip::EndpointLoad LoadBook::Total(const std::string& endpoint) const {
   gossip::EndpointLoad sum{endpoint, 0, 0, 0};
   const auto mine = this->own.find(endpoint);
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -11,7 +11,7 @@
 
 /// Another layout of the message gets another number, and is ignored by
 /// instances that don't know it.
-constexpr std::uint64_t kFormat = 1;
+constexpr std::uint64_t kFormat = 2;
 
 Json AgeOrNull(const std::optional<Duration>& age) {
   return age ? Json(age->count()) : Json();
@@ -93,9 +93,8 @@
   beacon.endpoints_revision = NumberMember(json, "endpoints");
   beacon.endpoints_age = AgeOf(json.at("endpoints_age"));
   beacon.stamp = json.at("stamp").get<std::int64_t>();
-  beacon.echo = json.at("echo").get<std::int64_t>();
-  beacon.echo_of = json.at("echo_of").get<std::string>();
   beacon.loads = LoadsOf(json.at("loads"));
+  beacon.fleet_loads = LoadsOf(json.at("fleet_loads"));
   beacon.suspicions = SuspicionsOf(json.at("suspicions"));
   beacon.facts = FactsOf(json.at("facts"));
   beacon.peers = json.at("peers").get<std::vector<std::string>>();
@@ -104,39 +103,61 @@
 
 }  // namespace
 
-std::string Encode(const Beacon& beacon) {
-  const Json json = {{"format", kFormat},
-                     {"instance", beacon.instance},
-                     {"domain", beacon.failure_domain},
-                     {"callers", beacon.callers_address},
-                     {"control", beacon.control_address},
-                     {"ready", beacon.ready},
-                     {"stopping", beacon.stopping},
-                     {"leads", beacon.leads},
-                     {"config", beacon.configuration_revision},
-                     {"config_age", AgeOrNull(beacon.configuration_age)},
-                     {"endpoints", beacon.endpoints_revision},
-                     {"endpoints_age", AgeOrNull(beacon.endpoints_age)},
-                     {"stamp", beacon.stamp},
-                     {"echo", beacon.echo},
-                     {"echo_of", beacon.echo_of},
-                     {"loads", LoadsToJson(beacon.loads)},
-                     {"suspicions", SuspicionsToJson(beacon.suspicions)},
-                     {"facts", FactsToJson(beacon.facts)},
-                     {"peers", beacon.peers}};
-  std::string bytes;
-  Json::to_cbor(json, nlohmann::detail::output_adapter<char>(bytes));
+EncodedBeacon::EncodedBeacon(const Beacon& beacon) {
+  const Json json = {
+      {"format", kFormat},
+      {"instance", beacon.instance},
+      {"domain", beacon.failure_domain},
+      {"callers", beacon.callers_address},
+      {"control", beacon.control_address},
+      {"ready", beacon.ready},
+      {"stopping", beacon.stopping},
+      {"leads", beacon.leads},
+      {"config", beacon.configuration_revision},
+      {"config_age", AgeOrNull(beacon.configuration_age)},
+      {"endpoints", beacon.endpoints_revision},
+      {"endpoints_age", AgeOrNull(beacon.endpoints_age)},
+      {"stamp", beacon.stamp},
+      {"loads", LoadsToJson(beacon.loads)},
+      {"fleet_loads", LoadsToJson(beacon.fleet_loads)},
+      {"suspicions", SuspicionsToJson(beacon.suspicions)},
+      {"facts", FactsToJson(beacon.facts)},
+      {"peers", beacon.peers}};
+  Json::to_cbor(json, nlohmann::detail::output_adapter<char>(this->common));
+}
+
+std::string EncodedBeacon::For(std::int64_t echo,
+                               const std::string& echo_of) const {
+  std::string trailer;
+  Json::to_cbor(Json::array({echo, echo_of}),
+                nlohmann::detail::output_adapter<char>(trailer));
+  std::string bytes = this->common + trailer;
+  // The last byte is the trailer's length; ids are 36 bytes long.
+  bytes.push_back(static_cast<char>(trailer.size()));
   return bytes;
 }
 
+std::string Encode(const Beacon& beacon) {
+  return EncodedBeacon(beacon).For(beacon.echo, beacon.echo_of);
+}
+
 std::optional<Beacon> Decode(std::string_view bytes) {
-  const Json json = Json::from_cbor(bytes, true, false);
+  if (bytes.empty()) return std::nullopt;
+  const std::size_t size = static_cast<unsigned char>(bytes.back());
+  bytes.remove_suffix(1);
+  if (size > bytes.size()) return std::nullopt;
+  const std::size_t common = bytes.size() - size;
+  const Json trailer = Json::from_cbor(bytes.substr(common), true, false);
+  const Json json = Json::from_cbor(bytes.substr(0, common), true, false);
   if (!json.is_object() || NumberMember(json, "format") != kFormat) {
     return std::nullopt;
   }
   // A sender of another build may leave members out; such a message is none.
   try {
-    return FromJson(json);
+    Beacon beacon = FromJson(json);
+    beacon.echo = trailer.at(0).get<std::int64_t>();
+    beacon.echo_of = trailer.at(1).get<std::string>();
+    return beacon;
   } catch (const Json::exception&) {
     return std::nullopt;
   }
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -50,6 +50,14 @@
   return live;
 }
 
+std::string PeerTable::Leader(TimePoint now) const {
+  for (const auto& [address, entry] : this->entries) {
+    const Peer* peer = this->Live(address, now);
+    if (peer != nullptr && peer->beacon.leads) return address;
+  }
+  return {};
+}
+
 std::size_t PeerTable::Instances(TimePoint now) const {
   std::size_t count = 1;
   for (const auto& [address, entry] : this->entries) {
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -33,15 +33,18 @@
 /// Connections that may wait to be accepted.
 constexpr int kBacklog = 1024;
 
+std::string ReasonOf(const ResponseHead& head) {
+  if (!head.reason.empty()) return head.reason;
+  const auto usual =
+      beast_http::obsolete_reason(static_cast<beast_http::status>(head.status));
+  return {usual.data(), usual.size()};
+}
+
 std::string HeadText(const ResponseHead& head, bool chunked,
                      std::optional<std::uint64_t> length, bool close,
                      Duration idle) {
-  std::string text = absl::StrCat(
-      "HTTP/1.1 ", head.status, " ",
-      head.reason.empty() ? std::string(beast_http::obsolete_reason(
-                                static_cast<beast_http::status>(head.status)))
-                          : head.reason,
-      "\r\n");
+  std::string text =
+      absl::StrCat("HTTP/1.1 ", head.status, " ", ReasonOf(head), "\r\n");
   for (const auto& [name, value] : head.headers) {
     absl::StrAppend(&text, name, ": ", value, "\r\n");
   }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -15,18 +15,14 @@
 using eventlog::Level;
 using Json = nlohmann::json;
 
-/// Between beacons. Four a second keep what peers know of loads and of the
-/// configuration's age within the time of one answer's first event.
-constexpr Duration kBeaconPeriod = std::chrono::milliseconds(250);
-/// In a large fleet the period grows by this for each instance, so that what
-/// one instance sends and reads stays below 400 messages a second.
-constexpr Duration kPeriodPerInstance = std::chrono::milliseconds(5);
 /// Facts that the placing instance told count for so long without new ones.
 constexpr Duration kFactsFor = std::chrono::seconds(3);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
 /// Suspicions that peers tell are cut to this: a peer's link may be at fault.
 constexpr Duration kLongestSuspicion = std::chrono::seconds(3);
 constexpr std::size_t kMostPeersTold = 64;
+/// Up to so many peers are heard of in every round (see gossip::Rotation).
+constexpr std::size_t kSumUpTo = 16;
 
 constexpr std::string_view kConfigurationPath = "/peer/configuration";
 constexpr std::string_view kEndpointsPath = "/peer/endpoints";
@@ -125,14 +121,19 @@
 }
 
 void PeerLink::Tick() {
-  this->SendAll();
-  const auto count = static_cast<std::int64_t>(
-      this->beliefs.peers.Instances(this->loop.Now()));
-  this->loop.After(std::max(kBeaconPeriod, kPeriodPerInstance * count),
-                   [this] { this->Tick(); });
+  const TimePoint now = this->loop.Now();
+  const auto addresses = this->beliefs.peers.Addresses(now);
+  this->beliefs.peers.SetSilentAfter(
+      this->rotation.SilentAfter(addresses.size()));
+  this->SendTo(this->rotation.Next(addresses, this->beliefs.peers.Leader(now),
+                                   this->beliefs.leads));
+  this->LogPeers(now);
+  this->loop.After(this->rotation.Period(), [this] { this->Tick(); });
 }
 
-void PeerLink::Announce() { this->SendAll(); }
+void PeerLink::Announce() {
+  this->SendTo(this->beliefs.peers.Addresses(this->loop.Now()));
+}
 
 gossip::Beacon PeerLink::MakeBeacon(TimePoint now) const {
   gossip::Beacon beacon;
@@ -152,30 +153,31 @@
   beacon.stamp = now.since_start.count();
   beacon.loads = this->beliefs.loads.Own();
   beacon.suspicions = this->beliefs.loads.Suspicions(now);
-  if (this->beliefs.leads) beacon.facts = this->facts;
+  if (this->beliefs.leads) {
+    beacon.facts = this->facts;
+    beacon.fleet_loads = this->beliefs.loads.All();
+  }
   return beacon;
 }
 
-void PeerLink::SendAll() {
+void PeerLink::SendTo(const std::vector<std::string>& addresses) {
+  if (addresses.empty()) return;
   const TimePoint now = this->loop.Now();
   gossip::Beacon beacon = this->MakeBeacon(now);
-  const auto addresses = this->beliefs.peers.Addresses(now);
+  const gossip::EncodedBeacon usual(beacon);
+  // Whoever is not heard of may be new, and knows nobody yet.
+  const auto known = this->beliefs.peers.Addresses(now);
+  const std::size_t told = std::min(known.size(), kMostPeersTold);
+  beacon.peers.assign(known.begin(),
+                      known.begin() + static_cast<std::ptrdiff_t>(told));
+  const gossip::EncodedBeacon introducing(beacon);
   for (const std::string& address : addresses) {
     const auto stamp = this->stamps.find(address);
-    const bool known = stamp != this->stamps.end();
-    beacon.echo = known ? stamp->second.at : 0;
-    beacon.echo_of = known ? stamp->second.instance : "";
-    beacon.peers.clear();
-    // Whoever is not heard of may be new, and knows nobody yet.
-    if (this->beliefs.peers.Live(address, now) == nullptr) {
-      const std::size_t told = std::min(addresses.size(), kMostPeersTold);
-      beacon.peers.assign(
-          addresses.begin(),
-          addresses.begin() + static_cast<std::ptrdiff_t>(told));
-    }
-    this->socket->Send(address, gossip::Encode(beacon));
+    const Stamp last = stamp == this->stamps.end() ? Stamp{} : stamp->second;
+    const bool live = this->beliefs.peers.Live(address, now) != nullptr;
+    this->socket->Send(
+        address, (live ? usual : introducing).For(last.at, last.instance));
   }
-  this->LogPeers(now);
 }
 
 void PeerLink::LogPeers(TimePoint now) {
@@ -224,12 +226,7 @@
       this->beliefs.loads.SetFact(fact, now + kFactsFor);
     }
   }
-  std::vector<gossip::EndpointLoad> loads;
-  for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
-    const auto& theirs = peer->beacon.loads;
-    loads.insert(loads.end(), theirs.begin(), theirs.end());
-  }
-  this->beliefs.loads.SetPeers(loads);
+  this->AdoptLoads(beacon, now);
   const auto configuration = this->beliefs.peers.ConfigurationVouched(
       this->beliefs.configuration_revision, now);
   if (configuration && this->beliefs.table) {
@@ -243,6 +240,23 @@
   }
 }
 
+/// In a small fleet everybody's newest word adds up. In a large one those words
+/// are seconds old, but for the leader's, which has heard all lately.
+void PeerLink::AdoptLoads(const gossip::Beacon& beacon, TimePoint now) {
+  const auto live = this->beliefs.peers.AllLive(now);
+  const bool large = live.size() > kSumUpTo;
+  if (large && !this->beliefs.leads) {
+    if (beacon.leads) this->beliefs.loads.SetFleet(beacon.fleet_loads);
+    return;
+  }
+  std::vector<gossip::EndpointLoad> loads;
+  for (const gossip::Peer* peer : live) {
+    const auto& theirs = peer->beacon.loads;
+    loads.insert(loads.end(), theirs.begin(), theirs.end());
+  }
+  this->beliefs.loads.SetPeers(loads);
+}
+
 void PeerLink::FetchNewer(const gossip::Beacon& beacon) {
   if (beacon.configuration_revision > this->beliefs.configuration_revision &&
       !this->fetching_configuration) {
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -1,9 +1,12 @@
 #include <rapidcheck/boost_test.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
 
 #include "toucanwharf/gossip/beacon.h"
 #include "toucanwharf/gossip/peer_table.h"
+#include "toucanwharf/gossip/rotation.h"
 
 namespace toucanwharf::gossip {
 namespace {
@@ -110,5 +113,47 @@
   BOOST_TEST(table.Addresses(At(70000)).empty());
 }
 
+std::vector<std::string> Addresses(int count) {
+  std::vector<std::string> addresses;
+  for (int at = 0; at < count; ++at) {
+    addresses.push_back("10.0.0." + std::to_string(at) + ":7");
+  }
+  return addresses;
+}
+
+// However large the fleet, an instance sends about as many messages a second as
+// a small one, everybody hears of everybody within the time after which a peer
+// is called silent, and the leader hears of everybody in every round.
+BOOST_AUTO_TEST_CASE(TalkDoesNotGrowWithTheFleet) {
+  for (const int size : {5, 85, 420}) {
+    const auto addresses = Addresses(size);
+    Rotation rotation;
+    std::map<std::string, int> last_told;
+    std::size_t sent = 0;
+    const int rounds = static_cast<int>(rotation.SilentAfter(size).count() /
+                                        rotation.Period().count());
+    for (int round = 0; round < rounds; ++round) {
+      const auto chosen = rotation.Next(addresses, addresses.back(), false);
+      BOOST_REQUIRE(chosen.size() <= 16U);
+      BOOST_REQUIRE(std::count(chosen.begin(), chosen.end(),
+                               addresses.back()) == 1);
+      sent += chosen.size();
+      for (const std::string& one : chosen) last_told[one] = round;
+    }
+    BOOST_TEST(last_told.size() == addresses.size());
+    BOOST_TEST(sent <= static_cast<std::size_t>(rounds) * 16);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LeaderTellsEverybodyInEverySecondRound) {
+  const auto addresses = Addresses(85);
+  Rotation rotation;
+  int whole = 0;
+  for (int round = 0; round < 10; ++round) {
+    if (rotation.Next(addresses, "", true).size() == 85U) ++whole;
+  }
+  BOOST_TEST(whole == 5);
+}
+
 }  // namespace
 }  // namespace toucanwharf::gossip
