Metrics, belief changes in the log, and 'toucanwharf explain'

An on-call engineer gets from a request's id to its cause with logs alone; the metrics are on the control address.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -1,6 +1,8 @@
 #ifndef TOUCANWHARF_INSTANCE_GATEWAY_H_
 #define TOUCANWHARF_INSTANCE_GATEWAY_H_
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -29,6 +31,31 @@
   std::function<std::string(const std::vector<pipeline::Stage>&)> path_text;
 };
 
+/// How many answers took how long.
+struct LatencyHistogram {
+  /// Upper bounds of the buckets; a last one takes the rest. Around the
+  /// objectives of 300 and 500 ms that operators state.
+  static constexpr std::array<Duration, 8> kBounds = {
+      std::chrono::milliseconds(25),   std::chrono::milliseconds(50),
+      std::chrono::milliseconds(100),  std::chrono::milliseconds(200),
+      std::chrono::milliseconds(300),  std::chrono::milliseconds(500),
+      std::chrono::milliseconds(1000), std::chrono::milliseconds(2000)};
+
+  std::array<std::uint64_t, kBounds.size() + 1> counts{};
+  Duration sum{0};
+
+  /// Counts one answer that took \p length.
+  void Add(Duration length) {
+    const auto bucket =
+        std::lower_bound(kBounds.begin(), kBounds.end(), length);
+    ++this->counts[static_cast<std::size_t>(bucket - kBounds.begin())];
+    this->sum += length;
+  }
+
+  friend bool operator==(const LatencyHistogram&,
+                         const LatencyHistogram&) = default;
+};
+
 /// Counts of what became of requests.
 struct GatewayCounters {
   std::uint64_t received = 0;
@@ -43,6 +70,8 @@
   std::uint64_t stalls = 0;
   std::uint64_t repathed = 0;
   std::uint64_t queued = 0;
+  LatencyHistogram plain_latency;
+  LatencyHistogram first_event_latency;
 
   friend bool operator==(const GatewayCounters&,
                          const GatewayCounters&) = default;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -15,6 +15,7 @@
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/beliefs.h"
 #include "toucanwharf/instance/gateway.h"
+#include "toucanwharf/instance/metrics.h"
 #include "toucanwharf/instance/peer_link.h"
 #include "toucanwharf/instance/placement_driver.h"
 #include "toucanwharf/instance/store_sync.h"
@@ -88,6 +89,7 @@
   static constexpr Duration kBeforeKill = std::chrono::milliseconds(400);
   static constexpr Duration kAdviceLives = std::chrono::seconds(2);
   static constexpr std::size_t kMostAdvised = 64;
+  static constexpr const char* kMetricsPath = "/metrics";
 
   Result<void> Listen() {
     BOOST_OUTCOME_TRY(opened,
@@ -140,6 +142,13 @@
       exchange.Respond(head, A::EntryAnswer(addresses, kAdviceLives));
       return;
     }
+    if (target == kMetricsPath) {
+      head.headers.Add("Content-Type", "text/plain; version=0.0.4");
+      exchange.Respond(
+          head, MetricsText(this->gateway.Counters(), this->gateway.UnderWay(),
+                            this->beliefs, this->logger.Dropped(), now));
+      return;
+    }
     if (this->peers.HandlePeer(exchange)) return;
     head.status = http::kNotFound;
     exchange.Respond(head, "");
@@ -215,10 +224,28 @@
   void Housekeep() {
     const TimePoint now = this->loop.Now();
     this->gateway.SetInstances(this->beliefs.peers.Instances(now));
+    this->NoteBeliefs(now);
     if (this->beliefs.stopping_since) this->EndIfDone(now);
     this->logger.Flush();
   }
 
+  /// Logs when keys begin or cease to be admitted, and callers to be sent here.
+  void NoteBeliefs(TimePoint now) {
+    const auto age = this->beliefs.freshness.Age(now);
+    const bool keys = this->beliefs.KeysHold(now);
+    if (std::exchange(this->keys_held, keys) != keys) {
+      eventlog::Fields fields;
+      if (age) fields.Millis("configuration_age_ms", *age);
+      this->logger.Write(eventlog::Level::kNotable,
+                         keys ? "keys_confirmed" : "keys_unconfirmed", fields,
+                         now);
+    }
+    const bool ready = this->beliefs.Ready(now);
+    if (std::exchange(this->was_ready, ready) == ready) return;
+    this->logger.Write(eventlog::Level::kNotable, ready ? "ready" : "not_ready",
+                       eventlog::Fields(), now);
+  }
+
   void Stop() {
     if (this->beliefs.stopping_since) return;
     const TimePoint now = this->loop.Now();
@@ -258,6 +285,8 @@
   PeerLink peers;
   StoreSync<A> sync;
   PlacementDriver<A> placement;
+  bool keys_held = false;
+  bool was_ready = false;
   std::unique_ptr<http::Server> front;
   std::vector<std::unique_ptr<http::Server>> others;
 };
--- /dev/null
+++ b/include/toucanwharf/instance/metrics.h
@@ -0,0 +1,21 @@
+#ifndef TOUCANWHARF_INSTANCE_METRICS_H_
+#define TOUCANWHARF_INSTANCE_METRICS_H_
+
+#include <cstdint>
+#include <string>
+
+#include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/gateway.h"
+#include "toucanwharf/support/clock.h"
+
+namespace toucanwharf::instance {
+
+/// Returns the process's metrics in Prometheus' text format.
+/// Thread safety: only on the loop's thread.
+std::string MetricsText(const GatewayCounters& counters,
+                        std::size_t requests_under_way, const Beliefs& beliefs,
+                        std::uint64_t log_lines_dropped, TimePoint now);
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_METRICS_H_
--- /dev/null
+++ b/lib/command/explain_subcommand.cc
@@ -0,0 +1,76 @@
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "subcommands.h"
+#include "toucanwharf/eventlog/explain.h"
+
+namespace toucanwharf::command {
+namespace {
+
+using eventlog::Explanation;
+using eventlog::LogEntry;
+
+void PrintEntries(std::ostream& out, const char* title,
+                  const std::vector<LogEntry>& entries) {
+  out << title << "\n";
+  for (const LogEntry& entry : entries) out << "  " << entry.text << "\n";
+}
+
+nlohmann::json ToJson(const std::vector<LogEntry>& entries) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const LogEntry& entry : entries) {
+    list.push_back(nlohmann::json::parse(entry.text, nullptr, false));
+  }
+  return list;
+}
+
+void Print(const Explanation& explanation, bool as_json, std::ostream& out) {
+  if (as_json) {
+    out << nlohmann::json{{"steps", ToJson(explanation.steps)},
+                          {"beliefs", ToJson(explanation.beliefs)},
+                          {"cause", explanation.cause}}
+               .dump()
+        << "\n";
+    return;
+  }
+  PrintEntries(out, "what happened:", explanation.steps);
+  PrintEntries(out, "what its instance believed:", explanation.beliefs);
+  out << "likely cause: " << explanation.cause << "\n";
+}
+
+int Run(const Arguments& arguments, Streams& streams) {
+  const auto words = arguments.Positional();
+  if (words.size() < 2) {
+    return Fail(streams, CommandError::kBadUsage,
+                "explain REQUEST-ID LOG-FILE...");
+  }
+  std::vector<LogEntry> entries;
+  for (std::size_t at = 1; at < words.size(); ++at) {
+    std::ifstream file(words[at]);
+    if (!file) return Fail(streams, CommandError::kBadUsage, words[at]);
+    for (std::string line; std::getline(file, line);) {
+      if (auto entry = eventlog::ParseLogLine(line)) {
+        entries.push_back(std::move(*entry));
+      }
+    }
+  }
+  const Explanation explanation =
+      eventlog::Explain(std::move(entries), words.front());
+  if (explanation.steps.empty()) {
+    return Fail(streams, CommandError::kNotFound, words.front());
+  }
+  Print(explanation, arguments.Json(), streams.out);
+  return kExitOk;
+}
+
+}  // namespace
+
+Subcommand ExplainSubcommand() {
+  return {"explain", "tell from logs what became of a request",
+          "REQUEST-ID LOG-FILE...", [](cxxopts::Options&) {}, Run};
+}
+
+}  // namespace toucanwharf::command
--- a/lib/command/program.cc
+++ b/lib/command/program.cc
@@ -112,7 +112,7 @@
       ValidateSubcommand(), ApplySubcommand(),  GetSubcommand(),
       DeleteSubcommand(),   StatusSubcommand(), EntriesSubcommand(),
       CallSubcommand(),     DrainSubcommand(),  TimelineSubcommand(),
-      LoadSubcommand()};
+      LoadSubcommand(),     ExplainSubcommand()};
   return *kAll;
 }
 
--- a/lib/command/subcommands.h
+++ b/lib/command/subcommands.h
@@ -18,6 +18,7 @@
 Subcommand DrainSubcommand();
 Subcommand TimelineSubcommand();
 Subcommand LoadSubcommand();
+Subcommand ExplainSubcommand();
 
 }  // namespace toucanwharf::command
 
--- /dev/null
+++ b/lib/eventlog/explain.cc
@@ -0,0 +1,108 @@
+#include "toucanwharf/eventlog/explain.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "toucanwharf/support/json.h"
+
+namespace toucanwharf::eventlog {
+namespace {
+
+using Json = nlohmann::json;
+
+/// What each reason of a try's or a request's end means, and what to look at.
+constexpr std::array<std::pair<std::string_view, std::string_view>, 18>
+    kCauses = {{
+        {"no_configuration",
+         "the instance had just started and had no configuration; see its "
+         "store_lost lines"},
+        {"keys_unconfirmed",
+         "the instance could not prove for the bound of revocation that its "
+         "keys still hold; see configuration_age_ms and store_lost"},
+        {"unknown_key",
+         "no configuration in force at the instance has the key"},
+        {"no_route",
+         "no route of the configuration in force matches host and path"},
+        {"no_service", "the route names a service that is not configured"},
+        {"stopping",
+         "the instance was stopping and could not have finished it in time"},
+        {"no_endpoint",
+         "no endpoint, or no path over all layers, was usable; see "
+         "endpoints_changed and layout"},
+        {"no_room", "all paths were full when it came"},
+        {"no_room_in_time",
+         "all paths were full, and no room came free within its objective"},
+        {"not_connected", "the endpoint could not be connected to"},
+        {"refused_by_endpoint",
+         "the endpoint named in at_fault refused it: short of memory, "
+         "draining, or without the layers"},
+        {"failed_at_endpoint", "the endpoint ran it and failed"},
+        {"broken",
+         "the connection to the endpoint broke before the answer was whole"},
+        {"answer_of_another_request",
+         "the endpoint sent an answer to another request"},
+        {"ended_inside_event", "the endpoint ended in the middle of an event"},
+        {"first_engine_silent", "the first engine of the path fell silent"},
+        {"no_way_around",
+         "an engine of the path fell silent, and no path around it had room"},
+        {"deadline", "its time was over before an answer came"},
+    }};
+
+std::string CauseOf(const std::string& why) {
+  for (const auto& [reason, meaning] : kCauses) {
+    if (reason == why) return std::string{meaning};
+  }
+  return why.empty() ? "nothing went wrong" : why;
+}
+
+}  // namespace
+
+std::optional<LogEntry> ParseLogLine(std::string_view line) {
+  const std::size_t brace = line.find('{');
+  if (brace == std::string_view::npos) return std::nullopt;
+  const Json json = Json::parse(line.substr(brace), nullptr, false);
+  const auto at = CountMember(json, "at");
+  LogEntry entry;
+  entry.event = TextMember(json, "event");
+  if (!at || entry.event.empty()) return std::nullopt;
+  entry.at = *at;
+  entry.instance = TextMember(json, "instance");
+  entry.request = TextMember(json, "request");
+  entry.why = TextMember(json, "why");
+  entry.text = std::string{line.substr(brace)};
+  return entry;
+}
+
+Explanation Explain(std::vector<LogEntry> entries, const std::string& id) {
+  std::stable_sort(
+      entries.begin(), entries.end(),
+      [](const LogEntry& one, const LogEntry& two) { return one.at < two.at; });
+  Explanation explanation;
+  for (const LogEntry& entry : entries) {
+    if (entry.request == id) explanation.steps.push_back(entry);
+  }
+  if (explanation.steps.empty()) return explanation;
+  const LogEntry& last = explanation.steps.back();
+  std::map<std::string, LogEntry> newest;
+  for (const LogEntry& entry : entries) {
+    if (!entry.request.empty() || entry.instance != last.instance) continue;
+    if (entry.at <= last.at) newest.insert_or_assign(entry.event, entry);
+  }
+  for (const auto& [event, entry] : newest) {
+    explanation.beliefs.push_back(entry);
+  }
+  std::stable_sort(
+      explanation.beliefs.begin(), explanation.beliefs.end(),
+      [](const LogEntry& one, const LogEntry& two) { return one.at < two.at; });
+  std::string why;
+  for (const LogEntry& step : explanation.steps) {
+    if (!step.why.empty()) why = step.why;
+  }
+  explanation.cause = CauseOf(why);
+  return explanation;
+}
+
+}  // namespace toucanwharf::eventlog
--- /dev/null
+++ b/lib/instance/metrics.cc
@@ -0,0 +1,111 @@
+#include "toucanwharf/instance/metrics.h"
+
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+/// Writes metrics one after the other.
+class Writer {
+ public:
+  void Counter(const char* name, const char* help, std::uint64_t value) {
+    this->Head(name, help, "counter");
+    absl::StrAppend(&this->text, "toucanwharf_", name, "_total ", value, "\n");
+  }
+  void Gauge(const char* name, const char* help, double value) {
+    this->Head(name, help, "gauge");
+    absl::StrAppend(&this->text, "toucanwharf_", name, " ", value, "\n");
+  }
+  void Latencies(const char* name, const char* help,
+                 const LatencyHistogram& values) {
+    this->Head(name, help, "histogram");
+    std::uint64_t sum = 0;
+    for (std::size_t at = 0; at < LatencyHistogram::kBounds.size(); ++at) {
+      sum += values.counts[at];
+      const double bound =
+          static_cast<double>(LatencyHistogram::kBounds[at].count()) /
+          kMicrosPerSecond;
+      absl::StrAppend(&this->text, "toucanwharf_", name, "_bucket{le=\"", bound,
+                      "\"} ", sum, "\n");
+    }
+    sum += values.counts.back();
+    absl::StrAppend(&this->text, "toucanwharf_", name, "_bucket{le=\"+Inf\"} ",
+                    sum, "\n", "toucanwharf_", name, "_count ", sum, "\n",
+                    "toucanwharf_", name, "_sum ",
+                    static_cast<double>(values.sum.count()) / kMicrosPerSecond,
+                    "\n");
+  }
+  std::string Take() { return std::move(this->text); }
+
+ private:
+  void Head(const char* name, const char* help, const char* type) {
+    const char* suffix = std::string_view(type) == "counter" ? "_total" : "";
+    absl::StrAppend(&this->text, "# HELP toucanwharf_", name, suffix, " ", help,
+                    "\n# TYPE toucanwharf_", name, suffix, " ", type, "\n");
+  }
+
+  std::string text;
+};
+
+/// -1 for an age that is not known.
+double SecondsOf(const std::optional<Duration>& age) {
+  if (!age) return -1;
+  return static_cast<double>(age->count()) / kMicrosPerSecond;
+}
+
+}  // namespace
+
+std::string MetricsText(const GatewayCounters& counters,
+                        std::size_t requests_under_way, const Beliefs& beliefs,
+                        std::uint64_t log_lines_dropped, TimePoint now) {
+  Writer writer;
+  writer.Counter("requests", "requests received", counters.received);
+  writer.Counter("answered", "requests answered with success",
+                 counters.answered);
+  writer.Counter("refused", "requests refused as not run", counters.refused);
+  writer.Counter("failed", "requests that ended in a failure", counters.failed);
+  writer.Counter("broken_off", "answers broken off in the middle",
+                 counters.broken_off);
+  writer.Counter("timed_out", "requests whose time was over",
+                 counters.timed_out);
+  writer.Counter("left_by_caller", "requests whose caller left",
+                 counters.left_by_caller);
+  writer.Counter("tried_again", "requests sent to another endpoint",
+                 counters.tried_again);
+  writer.Counter("resumed", "answers that went on at another engine",
+                 counters.resumed);
+  writer.Counter("stalls", "answers that an engine of the path held up",
+                 counters.stalls);
+  writer.Counter("repathed", "answers led around an engine", counters.repathed);
+  writer.Counter("queued", "requests that waited for room", counters.queued);
+  writer.Latencies("plain_seconds", "time to the end of a plain answer",
+                   counters.plain_latency);
+  writer.Latencies("first_event_seconds", "time to a stream's first event",
+                   counters.first_event_latency);
+  writer.Gauge("under_way", "requests under way",
+               static_cast<double>(requests_under_way));
+  writer.Gauge("configuration_revision",
+               "store's revision of the configuration in force",
+               static_cast<double>(beliefs.configuration_revision));
+  writer.Gauge("configuration_age_seconds",
+               "age of the proof that it is current, -1 for none",
+               SecondsOf(beliefs.freshness.Age(now)));
+  writer.Gauge("endpoints", "endpoints registered",
+               static_cast<double>(beliefs.endpoints.All().size()));
+  writer.Gauge("peers", "other instances heard of lately",
+               static_cast<double>(beliefs.peers.AllLive(now).size()));
+  writer.Gauge("ready", "whether callers are sent here",
+               beliefs.Ready(now) ? 1 : 0);
+  writer.Gauge("leads", "whether this instance places layers",
+               beliefs.leads ? 1 : 0);
+  writer.Counter("log_lines_dropped", "log lines dropped", log_lines_dropped);
+  return writer.Take();
+}
+
+}  // namespace toucanwharf::instance
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -354,7 +354,10 @@
   this->events.Feed(bytes);
   const std::string whole = this->events.TakeWhole();
   if (whole.empty()) return;
-  this->any_event = true;
+  if (!std::exchange(this->any_event, true)) {
+    this->gateway.counters.first_event_latency.Add(this->gateway.loop.Now() -
+                                                   this->what.arrived);
+  }
   this->asked_again = 0;
   ++this->chunks_written;
   this->exchange->Write(whole);
@@ -399,6 +402,10 @@
   out.headers = http::EndToEnd(this->head.headers);
   this->exchange->Respond(out, this->body);
   const bool success = IsSuccess(this->head.status);
+  if (success) {
+    this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
+                                             this->what.arrived);
+  }
   ++(success ? this->gateway.counters.answered : this->gateway.counters.failed);
   this->Finish(success ? "answered" : "failure_relayed", this->head.status);
 }
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -64,7 +64,8 @@
     toucanwharf_peers)
   include(standins/standins.cmake)
   tw_package(command DEPS toucanwharf_transport toucanwharf_records
-    toucanwharf_store toucanwharf_timeline toucanwharf_standins)
+    toucanwharf_store toucanwharf_timeline toucanwharf_eventlog
+    toucanwharf_standins)
   # cxxopts trips this false warning of g++ 12 (GCC bug 105329).
   set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/command/options.cc
     PROPERTIES COMPILE_OPTIONS $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -253,6 +253,14 @@
   return Send(call).status == http::kOk;
 }
 
+std::string PlatformFleet::Metrics(std::size_t index) {
+  Call call;
+  call.url = this->RouterIp(index) + ":" + std::to_string(this->ports.control) +
+             "/metrics";
+  call.timeout_ms = 1000;
+  return Send(call).body;
+}
+
 std::vector<std::string> PlatformFleet::Advice(std::size_t index) {
   Call call;
   call.url = this->RouterIp(index) + ":" +
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -59,6 +59,8 @@
   EventStream Stream(std::size_t index, const std::string& id);
   /// Returns whether router \p index says that it is ready.
   bool Ready(std::size_t index);
+  /// Returns the metrics of router \p index.
+  std::string Metrics(std::size_t index);
   /// Returns the addresses that router \p index advises.
   std::vector<std::string> Advice(std::size_t index);
   std::string CallersAddress(std::size_t index) const;
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -387,6 +387,19 @@
   CheckWhole(fleet.Stream(0, "chat"));
 }
 
+// Operators read the metrics of an instance on its control address.
+BOOST_AUTO_TEST_CASE(MetricsTellWhatIsServed) {
+  PlatformFleet fleet(1);
+  BOOST_TEST(fleet.Plain(0, "/read/x", "read").status == 200);
+  const std::string text = fleet.Metrics(0);
+  for (const char* line :
+       {"# TYPE toucanwharf_requests_total counter", "toucanwharf_ready 1",
+        "toucanwharf_leads 1", "toucanwharf_plain_seconds_count 1",
+        "toucanwharf_endpoints 12"}) {
+    BOOST_TEST(text.find(line) != std::string::npos, line);
+  }
+}
+
 // On a calm day the store is called about twice a second by all routers
 // together: one reads for all, and the others trust its word.
 BOOST_AUTO_TEST_CASE(StoreIsCalledRarely) {
