--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -91,9 +91,8 @@
 
   /// Takes a request; its answer may come much later.
   void Handle(std::shared_ptr<http::Exchange> exchange);
-  /// Sets how many instances there are: they share the budget of extra
-  /// arrivals, and choose paths without knowing of each other's last choices.
-  void SetInstances(std::size_t count);
+  /// Sets how many instances share the budget of extra arrivals.
+  void SetInstances(std::size_t count) { this->budget.SetInstances(count); }
   /// Returns how many requests are under way.
   std::size_t UnderWay() const { return this->under_way; }
   const GatewayCounters& Counters() const { return this->counters; }
@@ -127,7 +126,6 @@
   attempts::ArrivalBudget budget;
   Random random;
   EngineCalls calls;
-  placement::PathSettings path_settings;
   std::size_t under_way = 0;
   GatewayCounters counters;
   std::map<std::string, std::vector<OnReport>> reports_asked;
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -24,13 +24,6 @@
 constexpr Duration kReportTimeout = std::chrono::milliseconds(150);
 /// A report serves all answers that ask within this time.
 constexpr Duration kReportLives = std::chrono::milliseconds(80);
-/// Beyond this many instances loads are known only by the leader's sums, up to
-/// a second old. At 290 answers a second that many take the same path before
-/// it shows: with the figures for few, 599 of 8,000 answers lost their room to
-/// others. Paths then vary more, and more room is left free.
-constexpr std::size_t kFewInstances = 17;
-constexpr double kJitterOfMany = 0.4;
-constexpr double kRoomOfMany = 0.9;
 /// Between looks at the queue. A hundred answers a second end, so that one
 /// place is free every ten milliseconds on average.
 constexpr Duration kQueueLook = std::chrono::milliseconds(20);
@@ -128,15 +121,6 @@
       ->Start();
 }
 
-void Gateway::SetInstances(std::size_t count) {
-  this->budget.SetInstances(count);
-  const bool many = count > kFewInstances;
-  this->path_settings = placement::PathSettings{};
-  if (!many) return;
-  this->path_settings.jitter = kJitterOfMany;
-  this->path_settings.room_share = kRoomOfMany;
-}
-
 void Gateway::AskReport(const std::string& address, OnReport done) {
   const auto recent = this->recent_reports.find(address);
   if (recent != this->recent_reports.end() &&
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -177,9 +177,8 @@
   query.output_tokens = std::max(this->output_tokens, 1.0);
   query.first = kept;
   if (!kept) query.excluded = this->excluded;
-  const placement::PathChoice choice =
-      placement::FindPath(*this->what.service->engine, engines, query,
-                          this->gateway.path_settings, this->gateway.random);
+  const placement::PathChoice choice = placement::FindPath(
+      *this->what.service->engine, engines, query, {}, this->gateway.random);
   this->lack = choice.lack;
   if (!choice.path) return std::nullopt;
   const pipeline::Stage& first = choice.path->stages.front();
