Layouts of several models side by side; a request's code in three files

Cause, found by reading: the layout of one model's service replaced the orders of the other's, and the two plans alternated.

--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -104,6 +104,7 @@
         now);
     this->book = placement::OrderBook();
     this->engines.clear();
+    this->plans.clear();
     this->peers.Announce();
   }
 
@@ -164,18 +165,25 @@
           this->TakeNewest(endpoint, one);
           fleet.push_back(std::move(one));
         });
-    if (!this->Settled(fleet, now)) return;
-    if (fleet == this->planned_for) return;
-    this->planned_for = fleet;
+    ServicePlan& plan = this->plans[service.name];
+    if (!this->Settled(plan, fleet, now)) return;
+    if (fleet == plan.planned_for) return;
+    plan.planned_for = fleet;
     const auto layout = placement::PlanLayout(*service.engine, fleet, {});
-    if (layout == this->book.Wanted()) return;
+    if (layout == plan.layout) return;
+    plan.layout = layout;
     this->logger.Write(
         eventlog::Level::kNotable, "layout",
         eventlog::Fields()
+            .Text("service", service.name)
             .Count("engines", static_cast<std::int64_t>(fleet.size()))
             .Count("used", static_cast<std::int64_t>(layout.size())),
         now);
-    this->book.Want(layout);
+    placement::Layout all;
+    for (const auto& [name, each] : this->plans) {
+      all.insert(each.layout.begin(), each.layout.end());
+    }
+    this->book.Want(std::move(all));
   }
 
   /// Returns whether \p endpoint has not answered for some reports. Its entry
@@ -206,15 +214,25 @@
     if (report != nullptr) one.layers = report->layers;
   }
 
-  bool Settled(const std::vector<placement::Accelerator>& fleet,
-               TimePoint now) {
-    if (!this->planned_for.empty()) return true;
-    if (fleet != this->seen_fleet) {
-      this->seen_fleet = fleet;
-      this->seen_since = now;
+  /// What was planned for the engines of one service.
+  struct ServicePlan {
+    std::vector<placement::Accelerator> planned_for;
+    placement::Layout layout;
+    /// The engines seen before the first plan, and since when.
+    std::vector<placement::Accelerator> seen;
+    TimePoint seen_since;
+  };
+
+  bool Settled(ServicePlan& plan,
+               const std::vector<placement::Accelerator>& fleet,
+               TimePoint now) const {
+    if (!plan.planned_for.empty()) return true;
+    if (fleet != plan.seen) {
+      plan.seen = fleet;
+      plan.seen_since = now;
       return false;
     }
-    return !fleet.empty() && now - this->seen_since >= this->times.settle;
+    return !fleet.empty() && now - plan.seen_since >= this->times.settle;
   }
 
   void AskReports(TimePoint now) {
@@ -348,9 +366,8 @@
   TimePoint lease_pause_until;
   placement::OrderBook book;
   std::map<std::string, Known> engines;
-  std::vector<placement::Accelerator> planned_for;
-  std::vector<placement::Accelerator> seen_fleet;
-  TimePoint seen_since;
+  /// By service.
+  std::map<std::string, ServicePlan> plans;
 };
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/passage.h
+++ b/lib/instance/passage.h
@@ -28,7 +28,9 @@
 };
 
 /// One request on its way: tries endpoints, hands the answer back, and goes on
-/// elsewhere when an endpoint fails.
+/// elsewhere when an endpoint fails. passage.cc has its life from the first try
+/// to the end, passage_target.cc where a try goes and what is sent there,
+/// passage_silence.cc what is done when an endpoint says nothing.
 /// Thread safety: only on the loop's thread.
 class Passage : public std::enable_shared_from_this<Passage> {
  public:
--- /dev/null
+++ b/lib/instance/passage_target.cc
@@ -0,0 +1,105 @@
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "passage.h"
+
+namespace toucanwharf::instance {
+
+std::optional<Passage::Target> Passage::Choose() {
+  return this->IsModel() ? this->ChoosePath({}) : this->ChoosePlain();
+}
+
+std::optional<Passage::Target> Passage::ChoosePath(
+    const std::optional<pipeline::Stage>& kept) {
+  Beliefs& beliefs = this->gateway.beliefs;
+  const TimePoint now = this->gateway.loop.Now();
+  std::vector<placement::Engine> engines;
+  beliefs.endpoints.ForEachReady(
+      this->what.service->name, [&](const endpoints::Endpoint& endpoint) {
+        if (beliefs.loads.Suspected(endpoint.id, now)) return;
+        engines.push_back(beliefs.loads.ToEngine(endpoint, now));
+      });
+  placement::PathQuery query;
+  query.failure_domain = this->gateway.settings.failure_domain;
+  query.prompt_tokens = this->prompt_tokens;
+  query.output_tokens = std::max(this->output_tokens, 1.0);
+  query.first = kept;
+  if (!kept) query.excluded = this->excluded;
+  const placement::PathChoice choice = placement::FindPath(
+      *this->what.service->engine, engines, query, {}, this->gateway.random);
+  this->lack = choice.lack;
+  if (!choice.path) return std::nullopt;
+  const pipeline::Stage& first = choice.path->stages.front();
+  return Target{first.endpoint, first.address, choice.path->stages,
+                choice.path->token_millis};
+}
+
+std::optional<Passage::Target> Passage::ChoosePlain() {
+  Beliefs& beliefs = this->gateway.beliefs;
+  const TimePoint now = this->gateway.loop.Now();
+  std::optional<Target> best;
+  double least = 0;
+  beliefs.endpoints.ForEachReady(
+      this->what.service->name, [&](const endpoints::Endpoint& endpoint) {
+        if (this->excluded.contains(endpoint.id)) return;
+        const gossip::EndpointLoad load = beliefs.loads.Total(endpoint.id);
+        // Suspected endpoints only when there is no other.
+        constexpr double kSuspectedCost = 1000;
+        const double cost =
+            (load.answers + this->gateway.random.Unit()) / endpoint.slots +
+            (beliefs.loads.Suspected(endpoint.id, now) ? kSuspectedCost : 0);
+        if (best && cost >= least) return;
+        least = cost;
+        best = Target{endpoint.id, endpoint.address, {}, 0};
+      });
+  return best;
+}
+
+http::Request Passage::BuildRequest(const Target& to) const {
+  const HeaderNames& names = this->gateway.names;
+  const http::Request& received = this->exchange->Received();
+  http::Request request;
+  request.method = received.method;
+  request.target = received.target;
+  request.body = received.body;
+  request.headers = http::EndToEnd(received.headers);
+  if (!this->what.table->All().customers.empty()) {
+    request.headers.Remove(names.authorization);
+  }
+  request.headers.Remove(names.customer);
+  if (!this->what.customer.empty()) {
+    request.headers.Set(names.customer, this->what.customer);
+  }
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->what.deadline - this->gateway.loop.Now());
+  request.headers.Set(names.deadline,
+                      absl::StrCat(std::max<std::int64_t>(left.count(), 1)));
+  request.headers.Set(names.expected_endpoint, to.endpoint);
+  request.headers.Remove(names.path);
+  if (!to.stages.empty()) {
+    request.headers.Set(names.path, this->gateway.calls.path_text(to.stages));
+  }
+  if (this->events.LastId()) {
+    request.headers.Set(names.last_event_id, *this->events.LastId());
+  }
+  return request;
+}
+
+void Passage::CountLoad() {
+  const double tokens = this->prompt_tokens + this->output_tokens;
+  const Target& to = this->target;
+  if (to.stages.empty()) {
+    this->counted.push_back({to.endpoint, 1, 0, 1});
+  }
+  for (const pipeline::Stage& stage : to.stages) {
+    const bool first = stage.endpoint == to.endpoint;
+    this->counted.push_back(
+        {stage.endpoint, 1, tokens * stage.layers.Count(), first ? 1.0 : 0.0});
+  }
+  for (const auto& load : this->counted) {
+    this->gateway.beliefs.loads.Began(load);
+  }
+}
+
+}  // namespace toucanwharf::instance
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -19,6 +19,7 @@
 
 constexpr const char* kModelService = "model-service";
 constexpr const char* kPlainService = "plain-service";
+constexpr const char* kSecondModelService = "second-model-service";
 constexpr const char* kHost = "calls.example";
 constexpr const char* kDomains[] = {"domain-a", "domain-b"};
 /// Four hold the cover of a domain, one stands by.
@@ -70,9 +71,10 @@
 
 }  // namespace
 
-PlatformFleet::PlatformFleet(std::size_t count)
-    : ports{FreePort(), FreePort(), FreePort(),
-            FreePort(), FreePort(), FreePort()} {
+PlatformFleet::PlatformFleet(std::size_t count, bool second_model)
+    : has_second_model(second_model), ports{FreePort(), FreePort(),
+                                            FreePort(), FreePort(),
+                                            FreePort(), FreePort()} {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "toucanwharf-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) {
@@ -126,6 +128,10 @@
                             kModelService, address(), domain, "big"});
     }
   }
+  for (int at = 0; this->has_second_model && at < kEnginesPerDomain; ++at) {
+    this->endpoints->Add({"other-" + std::to_string(at), kSecondModelService,
+                          address(), kDomains[0], "big"});
+  }
   for (int at = 0; at < kPlainEndpoints; ++at) {
     this->endpoints->Add({"plain-" + std::to_string(at), kPlainService,
                           address(), kDomains[at], ""});
@@ -152,10 +158,12 @@
        {RouteJson("/read/", "safe", kPlainService, false),
         RouteJson("/sign/", "unsafe", kPlainService, false),
         RouteJson("/open/", "safe", kPlainService, true),
-        RouteJson("/chat/", "stream", kModelService, false)}},
+        RouteJson("/chat/", "stream", kModelService, false),
+        RouteJson("/other/", "stream", kSecondModelService, false)}},
       {"services",
        {{{"name", kPlainService}, {"max_conns", 64}},
-        {{"name", kModelService},
+        {{"name", kModelService}, {"max_conns", 64}, {"engine", EngineJson()}},
+        {{"name", kSecondModelService},
          {"max_conns", 64},
          {"engine", EngineJson()}}}},
       {"limits", Json::object()},
@@ -213,13 +221,14 @@
   return Send(call);
 }
 
-EventStream PlatformFleet::Stream(std::size_t index, const std::string& id) {
+EventStream PlatformFleet::Stream(std::size_t index, const std::string& id,
+                                  const std::string& path) {
   EventStream stream;
   std::string text;
   auto last = Clock::now();
   Call call;
   call.method = "POST";
-  call.url = this->CallersAddress(index) + "/chat/one";
+  call.url = this->CallersAddress(index) + path;
   call.headers = {std::string("Host: ") + kHost, "X-Request-Id: " + id,
                   "X-Deadline-Ms: 5000", "X-Token-Counts: 100,100",
                   std::string("Authorization: Token ") + kKey};
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -35,7 +35,9 @@
 
   /// Starts the platform and \p count routers, and waits until all are ready
   /// and answers can be had. Revoked keys run nothing after two seconds.
-  explicit PlatformFleet(std::size_t count);
+  /// With \p second_model there is another model, "/other/...", on five
+  /// engines of its own.
+  explicit PlatformFleet(std::size_t count, bool second_model = false);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -56,7 +58,8 @@
   Answer Plain(std::size_t index, const std::string& path,
                const std::string& id, const std::string& key = kKey);
   /// Asks the model through router \p index.
-  EventStream Stream(std::size_t index, const std::string& id);
+  EventStream Stream(std::size_t index, const std::string& id,
+                     const std::string& path = "/chat/one");
   /// Returns whether router \p index says that it is ready.
   bool Ready(std::size_t index);
   /// Returns the metrics of router \p index.
@@ -84,6 +87,7 @@
   std::string WriteSettings(std::size_t index) const;
   void AddEndpoints();
 
+  bool has_second_model;
   Ports ports;
   std::string folder;
   std::unique_ptr<http::Loop> loop;
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -345,6 +345,17 @@
   CheckNoViolations(fleet);
 }
 
+// Two models are served side by side. The layout of one replaced that of the
+// other in the orders, so that only the last one was ever placed.
+BOOST_AUTO_TEST_CASE(TwoModelsArePlacedSideBySide) {
+  PlatformFleet fleet(1, true);
+  const bool served = PlatformFleet::Eventually(
+      [&] { return fleet.Stream(0, "second", "/other/x").ids == AllEvents(); });
+  BOOST_TEST(served);
+  CheckWhole(fleet.Stream(0, "first"));
+  CheckNoViolations(fleet);
+}
+
 // Another writer leaves entries that can't be read among the endpoints'. They
 // name no endpoint, and the others hold.
 BOOST_AUTO_TEST_CASE(UnreadableEntriesHarmNobody) {
