First layout waits until the list of engines stands still

Cause: at a cold start of 93 engines they register in groups up to a second apart; the layout of the first 29 gave engines up to 35 layers, with room for few answers, and whole covers stay. Four engines out of 93 turned a third of all requests away. Ruled out: lack of room in the fleet (a count of what answers hold: a third of the room), and lag of loads alone (played in steps with 0.75 s of lag). Change: the first layout of a fleet without layers waits for 2 s of stillness.

--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -17,6 +17,7 @@
 #include "toucanwharf/instance/peer_link.h"
 #include "toucanwharf/placement/layout.h"
 #include "toucanwharf/placement/order_book.h"
+#include "toucanwharf/placement/settling.h"
 
 namespace toucanwharf::instance {
 
@@ -27,10 +28,6 @@
   /// Between reports of engines that are as wanted: their speed is all that
   /// may have changed, and each report costs a request.
   Duration watch_period = std::chrono::milliseconds(2000);
-  /// The first layout waits until the list of engines has been the same for
-  /// so long: at a cold start they register one after the other, and a layout
-  /// of half of them would be moved at once.
-  Duration settle = std::chrono::milliseconds(700);
   Duration call_timeout = std::chrono::milliseconds(500);
   /// After a call on the lease without an answer.
   Duration lease_pause = std::chrono::milliseconds(600);
@@ -166,7 +163,7 @@
           fleet.push_back(std::move(one));
         });
     ServicePlan& plan = this->plans[service.name];
-    if (!this->Settled(plan, fleet, now)) return;
+    if (!plan.settling.Settled(fleet, now)) return;
     if (fleet == plan.planned_for) return;
     plan.planned_for = fleet;
     const auto layout = placement::PlanLayout(*service.engine, fleet, {});
@@ -218,23 +215,9 @@
   struct ServicePlan {
     std::vector<placement::Accelerator> planned_for;
     placement::Layout layout;
-    /// The engines seen before the first plan, and since when.
-    std::vector<placement::Accelerator> seen;
-    TimePoint seen_since;
+    placement::Settling settling;
   };
 
-  bool Settled(ServicePlan& plan,
-               const std::vector<placement::Accelerator>& fleet,
-               TimePoint now) const {
-    if (!plan.planned_for.empty()) return true;
-    if (fleet != plan.seen) {
-      plan.seen = fleet;
-      plan.seen_since = now;
-      return false;
-    }
-    return !fleet.empty() && now - plan.seen_since >= this->times.settle;
-  }
-
   void AskReports(TimePoint now) {
     for (auto& [id, known] : this->engines) {
       const endpoints::Endpoint* endpoint = this->beliefs.endpoints.Find(id);
--- /dev/null
+++ b/include/toucanwharf/placement/settling.h
@@ -0,0 +1,49 @@
+#ifndef TOUCANWHARF_PLACEMENT_SETTLING_H_
+#define TOUCANWHARF_PLACEMENT_SETTLING_H_
+
+#include <vector>
+
+#include "toucanwharf/placement/layout.h"
+#include "toucanwharf/support/clock.h"
+
+namespace toucanwharf::placement {
+
+/// Times of Settling, with the reason of each.
+struct SettlingSettings {
+  /// Where some engine holds layers: a new leader takes over a running fleet,
+  /// and reads its list anew about once in this time.
+  Duration warm = std::chrono::milliseconds(700);
+  /// Where none does. Nothing is served before the first layout anyway. 93
+  /// engines registered in groups that were up to a second apart.
+  Duration cold = std::chrono::milliseconds(2000);
+
+  friend bool operator==(const SettlingSettings&,
+                         const SettlingSettings&) = default;
+};
+
+/// Decides when the list of engines is whole enough for a first layout.
+///
+/// Failure guarded against: at a cold start engines register one after the
+/// other. A layout of the first third of them spreads the layers over too few,
+/// each with room for few answers, and since covers that are whole stay, that
+/// lasts. It showed as a third of all requests turned away by four engines out
+/// of 93. The guard: the first layout waits until the list has stood still.
+/// Thread safety: none; for one thread.
+class Settling {
+ public:
+  explicit Settling(const SettlingSettings& chosen = {}) : settings(chosen) {}
+
+  /// Takes the list as it is at \p now. Returns whether it may be planned for;
+  /// once that is so it stays so.
+  bool Settled(const std::vector<Accelerator>& fleet, TimePoint now);
+
+ private:
+  SettlingSettings settings;
+  bool settled = false;
+  std::vector<Accelerator> seen;
+  TimePoint seen_since;
+};
+
+}  // namespace toucanwharf::placement
+
+#endif  // TOUCANWHARF_PLACEMENT_SETTLING_H_
