--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -53,6 +53,9 @@
   const Peer* Live(const std::string& address, TimePoint now) const;
   /// Returns all peers heard of lately.
   std::vector<const Peer*> AllLive(TimePoint now) const;
+  /// Returns whether there are so many peers that each is heard of only by
+  /// turns (see Rotation), so that what is known of their loads is old.
+  bool Large(TimePoint now) const;
   /// Returns how many instances there are or lately were, this one included.
   std::size_t Instances(TimePoint now) const;
 
--- a/include/toucanwharf/placement/path_finder.h
+++ b/include/toucanwharf/placement/path_finder.h
@@ -73,13 +73,26 @@
   /// Added for each token at each crossing of a failure domain, beside the
   /// delay: the link between two is shared by all answers, and its use is paid
   /// for.
-  double crossing_millis = 2;
+  double crossing_millis = 50;
+  /// Of the engines that hold the first layer, only so many drawn at random are
+  /// looked at; all of them for 0. See kEntryChoicesInLargeFleet.
+  std::size_t entry_choices = 0;
   /// Costs vary by this part up and down between choices. Several routers see
   /// the same lagging loads, and would all take the same path until the next
   /// report.
   double jitter = 0.1;
 };
 
+/// How many first engines a router of a large fleet looks at.
+///
+/// Load that it answers: 86 routers see the loads of all others up to 0.75 s
+/// late, in which time 200 answers begin. If each takes the path that looks
+/// best, all of them fill the same one past its room, and then the next. Two
+/// choices at random spread answers nearly as evenly as full knowledge would,
+/// and leave a path that fills up its share of the draws only. Small fleets
+/// hear of each answer sooner than the next one begins, and look at all.
+inline constexpr std::size_t kEntryChoicesInLargeFleet = 2;
+
 /// Why there is no path.
 enum class PathLack {
   kNone,
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "toucanwharf/gossip/rotation.h"
+
 namespace toucanwharf::gossip {
 
 void PeerTable::AddAddress(const std::string& address, TimePoint now) {
@@ -50,6 +52,10 @@
   return live;
 }
 
+bool PeerTable::Large(TimePoint now) const {
+  return this->AllLive(now).size() > RotationSettings().everyone_up_to;
+}
+
 std::string PeerTable::Leader(TimePoint now) const {
   for (const auto& [address, entry] : this->entries) {
     const Peer* peer = this->Live(address, now);
--- a/lib/instance/passage_target.cc
+++ b/lib/instance/passage_target.cc
@@ -26,8 +26,13 @@
   query.output_tokens = std::max(this->output_tokens, 1.0);
   query.first = kept;
   if (!kept) query.excluded = this->excluded;
-  const placement::PathChoice choice = placement::FindPath(
-      *this->what.service->engine, engines, query, {}, this->gateway.random);
+  placement::PathSettings settings;
+  if (beliefs.peers.Large(now)) {
+    settings.entry_choices = placement::kEntryChoicesInLargeFleet;
+  }
+  const placement::PathChoice choice =
+      placement::FindPath(*this->what.service->engine, engines, query, settings,
+                          this->gateway.random);
   this->lack = choice.lack;
   if (!choice.path) return std::nullopt;
   const pipeline::Stage& first = choice.path->stages.front();
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -21,8 +21,6 @@
 /// Suspicions that peers tell are cut to this: a peer's link may be at fault.
 constexpr Duration kLongestSuspicion = std::chrono::seconds(3);
 constexpr std::size_t kMostPeersTold = 64;
-/// Up to so many peers are heard of in every round (see gossip::Rotation).
-constexpr std::size_t kSumUpTo = 16;
 
 constexpr std::string_view kConfigurationPath = "/peer/configuration";
 constexpr std::string_view kEndpointsPath = "/peer/endpoints";
@@ -243,14 +241,13 @@
 /// In a small fleet everybody's newest word adds up. In a large one those words
 /// are seconds old, but for the leader's, which has heard all lately.
 void PeerLink::AdoptLoads(const gossip::Beacon& beacon, TimePoint now) {
-  const auto live = this->beliefs.peers.AllLive(now);
-  const bool large = live.size() > kSumUpTo;
+  const bool large = this->beliefs.peers.Large(now);
   if (large && !this->beliefs.leads) {
     if (beacon.leads) this->beliefs.loads.SetFleet(beacon.fleet_loads);
     return;
   }
   std::vector<gossip::EndpointLoad> loads;
-  for (const gossip::Peer* peer : live) {
+  for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
     const auto& theirs = peer->beacon.loads;
     loads.insert(loads.end(), theirs.begin(), theirs.end());
   }
--- a/lib/placement/path_finder.cc
+++ b/lib/placement/path_finder.cc
@@ -15,13 +15,17 @@
 constexpr double kNever = std::numeric_limits<double>::infinity();
 /// A hop inside a failure domain takes about a tenth of a millisecond.
 constexpr double kNearHopMillis = 0.1;
+/// Room counts as used up to this part at most where crowding is priced, so
+/// that the price stays finite.
+constexpr double kMostCrowded = 0.95;
 
 /// What one layer of an engine costs the answer asked for.
 struct Rate {
   double token_millis = 0;
   double prompt_millis = 0;
-  /// Tokens times layers that are still free.
+  /// Tokens times layers that are still free, and that there are in all.
   double room = 0;
+  double whole_room = 1;
   double jitter = 1;
 };
 
@@ -48,7 +52,9 @@
         random(source),
         need_room(with_room) {}
 
-  std::optional<Path> Run() {
+  /// Looks only at paths that begin at one of \p entries, if there are any.
+  std::optional<Path> Run(const std::vector<std::size_t>& entries = {}) {
+    this->begin_at = entries;
     this->Collect();
     for (const std::uint32_t boundary : this->boundaries) {
       this->Extend(boundary);
@@ -93,13 +99,19 @@
   /// Whether \p at may run the layers from \p begin to \p end, where the query
   /// keeps the first stage.
   bool Allowed(std::size_t at, std::uint32_t begin, std::uint32_t end) const {
-    if (!this->query.first) return true;
+    if (!this->query.first) return begin > 0 || this->MayBegin(at);
     const bool is_first = this->engines[at].id == this->query.first->endpoint;
     const LayerRange& kept = this->query.first->layers;
     if (begin == 0) return is_first && end == kept.end;
     return !is_first;
   }
 
+  bool MayBegin(std::size_t at) const {
+    if (this->begin_at.empty()) return true;
+    return std::find(this->begin_at.begin(), this->begin_at.end(), at) !=
+           this->begin_at.end();
+  }
+
   std::size_t DomainIndex(const std::string& domain) {
     const auto found =
         std::find(this->domains.begin(), this->domains.end(), domain);
@@ -120,13 +132,23 @@
     rate.prompt_millis = this->query.prompt_tokens /
                          this->model.prefill_tokens_per_milli *
                          kind.prefill_factor * engine.slowdown / layers;
-    rate.room = TokenLayerRoom(this->model, kind, engine.layers.Count()) *
-                    this->settings.room_share -
-                engine.token_layers;
+    rate.whole_room =
+        std::max(1.0, TokenLayerRoom(this->model, kind, engine.layers.Count()) *
+                          this->settings.room_share);
+    rate.room = rate.whole_room - engine.token_layers;
     rate.jitter = 1 + this->settings.jitter * (2 * this->random.Unit() - 1);
     return rate;
   }
 
+  /// Returns what an engine whose room is used up by so much costs, against an
+  /// empty one. Without it the fastest engines are filled to the brim, where
+  /// answers that turn out longer than guessed crowd each other out.
+  static double Crowding(const Rate& rate, double needed) {
+    const double used =
+        std::min(kMostCrowded, 1 - (rate.room - needed) / rate.whole_room);
+    return 1 / ((1 - used) * (1 - used));
+  }
+
   double HopMillis(std::size_t left, std::size_t right) const {
     if (left == right) return kNearHopMillis;
     for (const DomainDelay& delay : this->model.delays) {
@@ -173,8 +195,9 @@
       label.token_millis = from.token_millis + hop + rate.token_millis * layers;
       label.first_millis =
           from.first_millis + hop + rate.prompt_millis * layers;
+      const double crowding = Crowding(rate, this->Needed() * layers);
       label.cost = from.cost +
-                   (hop + rate.token_millis * layers) * rate.jitter *
+                   (hop + rate.token_millis * layers * crowding) * rate.jitter *
                        this->query.output_tokens +
                    rate.prompt_millis * layers;
       label.engine = at;
@@ -234,6 +257,8 @@
   const PathSettings& settings;
   Random& random;
   bool need_room;
+  /// Engines that a path may begin at; all if empty.
+  std::vector<std::size_t> begin_at;
   std::vector<std::size_t> used;
   std::vector<std::string> domains;
   std::vector<std::uint32_t> boundaries;
@@ -242,6 +267,22 @@
   std::map<std::pair<std::uint32_t, std::size_t>, Label> labels;
 };
 
+/// Returns up to \p count different engines that hold the first layer.
+std::vector<std::size_t> DrawEntries(const std::vector<Engine>& engines,
+                                     const PathQuery& query, std::size_t count,
+                                     Random& random) {
+  std::vector<std::size_t> entries;
+  for (std::size_t at = 0; at < engines.size(); ++at) {
+    const Engine& engine = engines[at];
+    if (engine.layers.begin > 0 || engine.layers.Count() == 0) continue;
+    if (query.excluded.contains(engine.id)) continue;
+    entries.push_back(at);
+  }
+  std::shuffle(entries.begin(), entries.end(), random);
+  entries.resize(std::min(entries.size(), count));
+  return entries;
+}
+
 }  // namespace
 
 double TokenLayerRoom(const EngineModel& model, const AcceleratorKind& kind,
@@ -259,6 +300,13 @@
     choice.lack = PathLack::kLayers;
     return choice;
   }
+  if (settings.entry_choices > 0 && !query.first) {
+    const auto entries =
+        DrawEntries(engines, query, settings.entry_choices, random);
+    choice.path =
+        Search(model, engines, query, settings, random, true).Run(entries);
+    if (choice.path) return choice;
+  }
   choice.path = Search(model, engines, query, settings, random, true).Run();
   if (choice.path) return choice;
   const bool covered =
