Dead engines are made known by the leader, full ones left alone for a moment

Cause: an engine that fell dark got up to 350 requests in two seconds: each of 86 instances learned of it by refusals of its own, and the word of 400 ms had lapsed before it reached the others by way of the leader. Every instance told all others of every change it had just learned (7,300 messages a change), and beacons carried loads that only the leader reads. Change: two reports in a row without an answer, or one of an engine that an instance suspects, make the leader suspect it for all; refusals of engines that are not full pause for 1 s and more, of full ones for 0.4 s and locally; 0.95 of the room for new answers; loads only to the leader; changes announced by the leader only.

--- a/include/toucanwharf/endpoints/load_book.h
+++ b/include/toucanwharf/endpoints/load_book.h
@@ -42,12 +42,16 @@
   /// all instances alike, so its own part tells what the others' must be.
   void AssumeAlike(std::size_t count) { this->unheard = count; }
 
-  /// Notes that \p endpoint refused a request, and keeps new work from it.
+  /// Notes that \p endpoint refused a request, and keeps new work from it:
+  /// for a moment and without telling the others if it is full, as far as is
+  /// known, for longer and in all instances if not.
   ///
-  /// Failure guarded against: an engine that is full of work nobody knows of,
-  /// or says that it is well and isn't, refuses again as soon as it is tried
-  /// again, by every instance in turn. Each refusal in a row doubles the pause.
-  void OnRefusal(const std::string& endpoint, TimePoint now);
+  /// Failure guarded against: an engine that is dead, or that says that it is
+  /// well and isn't, refuses whatever comes, and each of 86 instances learns so
+  /// by requests of its own, which cost their callers time and the endpoints'
+  /// budget: 350 refusals by one dead engine in two seconds. Each refusal in a
+  /// row doubles the pause.
+  void OnRefusal(const std::string& endpoint, bool full, TimePoint now);
   /// Keeps new work from \p endpoint until \p until.
   void Suspect(const std::string& endpoint, TimePoint until);
   bool Suspected(const std::string& endpoint, TimePoint now) const;
@@ -78,6 +82,8 @@
   Loads peers;
   std::size_t unheard = 0;
   std::map<std::string, TimePoint> suspected;
+  /// Pauses that the other instances aren't told of.
+  std::map<std::string, TimePoint> full_until;
   std::map<std::string, Refusals> refusals;
   std::map<std::string, TimedFact> facts;
 };
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -171,7 +171,7 @@
   }
 
   void OnChange() {
-    this->peers.Announce();
+    this->peers.AnnounceChange();
     if (!this->beliefs.table) return;
     const routes::CallerLimits& limits = this->beliefs.table->All().limits;
     this->front->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -40,6 +40,11 @@
   void AddInstance(const std::string& control_address);
   /// Sends beacons at once, because something changed that others act on.
   void Announce();
+  /// The same for a change of the configuration or the list of endpoints. In a
+  /// large fleet only the leader does so, which all hear of: if each of 86 told
+  /// all others of every change that it has just learned, a change would cost
+  /// 7,300 messages.
+  void AnnounceChange();
   /// Answers a peer's request on the control address; false if it is none.
   bool HandlePeer(http::Exchange& exchange) const;
   /// Sets the facts to send along while this instance places layers.
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -32,6 +32,11 @@
   /// instances cause which can't be heard: 93 reports a second for 93 engines.
   Duration watch_period_large = std::chrono::milliseconds(1000);
   Duration call_timeout = std::chrono::milliseconds(500);
+  /// A report comes in a millisecond, or after one packet that is sent again.
+  Duration report_timeout = std::chrono::milliseconds(300);
+  /// An engine without a report gets nothing new for this long, from any
+  /// instance; it is asked again sooner than that.
+  Duration unanswered_pause = std::chrono::milliseconds(1500);
   /// After a call on the lease without an answer.
   Duration lease_pause = std::chrono::milliseconds(600);
   /// What a report told goes before the store's list for so long.
@@ -72,6 +77,13 @@
   }
 
  private:
+  struct Known {
+    std::uint64_t born = 0;
+    bool asking = false;
+    int failed_reports = 0;
+    TimePoint asked{Duration(-1'000'000'000)};
+  };
+
   static control::LeaseSettings LeaseTerms(const std::string& holder) {
     control::LeaseSettings settings;
     settings.role = "placement";
@@ -240,7 +252,7 @@
     known.asking = true;
     known.asked = now;
     http::Fetch(this->loop, this->client, endpoint.address, A::ReportRequest(),
-                this->times.call_timeout,
+                this->times.report_timeout,
                 [this, id = endpoint.id, now](const http::CallResult& result,
                                               const http::ResponseHead& head,
                                               const std::string& body) {
@@ -257,6 +269,7 @@
     known.asking = false;
     if (result.end != http::CallEnd::kComplete || head.status != http::kOk) {
       ++known.failed_reports;
+      this->SuspectSilent(id, known);
       return;
     }
     known.failed_reports = 0;
@@ -275,9 +288,20 @@
     // and a report of a moment ago would hold back room that is free by now.
     const double held =
         this->beliefs.peers.Large(now) ? report->engine.token_layers : 0;
-    this->beliefs.loads.SetFact({id, known.born, report->engine.layers,
-                                 report->engine.slowdown, held},
-                                now + this->times.facts_for);
+    this->beliefs.loads.SetFact(
+        {id, known.born, report->engine.layers, report->engine.slowdown, held},
+        now + this->times.facts_for);
+  }
+
+  /// Tells all instances of an engine that gives no reports. One report may be
+  /// lost; a second in a row, or one right after an instance was refused, is
+  /// taken as a sign.
+  void SuspectSilent(const std::string& id, const Known& known) {
+    constexpr int kSure = 2;
+    const TimePoint now = this->loop.Now();
+    const bool doubted = this->beliefs.loads.Suspected(id, now);
+    if (known.failed_reports < kSure && !doubted) return;
+    this->beliefs.loads.Suspect(id, now + this->times.unanswered_pause);
   }
 
   void GiveOrders(TimePoint now) {
@@ -342,13 +366,6 @@
   /// Reports in a row without an answer that make an engine count as lost.
   static constexpr int kLostAfter = 3;
 
-  struct Known {
-    std::uint64_t born = 0;
-    bool asking = false;
-    int failed_reports = 0;
-    TimePoint asked{Duration(-1'000'000'000)};
-  };
-
   http::Loop& loop;
   http::Client& client;
   Store& store;
--- a/include/toucanwharf/placement/path_finder.h
+++ b/include/toucanwharf/placement/path_finder.h
@@ -93,6 +93,14 @@
 /// hear of each answer sooner than the next one begins, and look at all.
 inline constexpr std::size_t kEntryChoicesInLargeFleet = 2;
 
+/// Part of an engine's room that new answers may be promised in a large fleet.
+///
+/// Load that it answers: engines die under a burst, and the answers that ran
+/// through them look for a place elsewhere. Where new answers have taken all
+/// room, they find none and are cut off in the middle. New ones that wait or
+/// come back lose less. It also leaves room for answers that begin unseen.
+inline constexpr double kRoomForNewInLargeFleet = 0.95;
+
 /// Why there is no path.
 enum class PathLack {
   kNone,
--- a/lib/endpoints/load_book.cc
+++ b/lib/endpoints/load_book.cc
@@ -5,11 +5,15 @@
 namespace toucanwharf::endpoints {
 namespace {
 
-/// An engine that refused: it is short of memory, draining, or was moved, and
-/// its report will say so within this time.
-constexpr Duration kRefusalPause = std::chrono::milliseconds(400);
-/// Up to 3.2 s: as long as engines that fall over take to be replaced.
-constexpr int kMostPauseDoublings = 3;
+/// A full engine: so many of its answers end in this time that it has room for
+/// some again.
+constexpr Duration kFullPause = std::chrono::milliseconds(400);
+/// An engine that refuses for another reason: the word of it reaches all
+/// instances of a large fleet by way of the leader in 0.75 s, and must still
+/// hold then.
+constexpr Duration kRefusalPause = std::chrono::milliseconds(1000);
+/// Up to 4 s: as long as engines that fall over take to be replaced.
+constexpr int kMostPauseDoublings = 2;
 /// Without a refusal for so long after a pause the next one is a first again.
 constexpr Duration kRefusalsForgotten = std::chrono::milliseconds(1500);
 
@@ -95,7 +99,12 @@
   return sum;
 }
 
-void LoadBook::OnRefusal(const std::string& endpoint, TimePoint now) {
+void LoadBook::OnRefusal(const std::string& endpoint, bool full,
+                         TimePoint now) {
+  if (full) {
+    this->full_until[endpoint] = now + kFullPause;
+    return;
+  }
   Refusals& known = this->refusals[endpoint];
   // Requests that were under way together are refused together.
   if (now < known.paused_until) return;
@@ -111,6 +120,8 @@
 }
 
 bool LoadBook::Suspected(const std::string& endpoint, TimePoint now) const {
+  const auto full = this->full_until.find(endpoint);
+  if (full != this->full_until.end() && now < full->second) return true;
   const auto found = this->suspected.find(endpoint);
   return found != this->suspected.end() && now < found->second;
 }
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -42,6 +42,10 @@
   return std::max(value, 0.0);
 }
 
+constexpr double kPercent = 100;
+/// An engine that refuses while more than this part of its room is taken, as
+/// far as is known, is taken as full.
+constexpr double kFull = 0.6;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
@@ -301,6 +305,21 @@
   return granted ? next : std::nullopt;
 }
 
+/// Returns the part of an engine's room that is taken, as far as is known.
+double Passage::RoomUsed(const std::string& id) const {
+  const Beliefs& beliefs = this->gateway.beliefs;
+  const endpoints::Endpoint* endpoint = beliefs.endpoints.Find(id);
+  if (endpoint == nullptr || !this->IsModel()) return 0;
+  const placement::EngineModel& model = *this->what.service->engine;
+  const placement::AcceleratorKind* kind = model.FindKind(endpoint->kind);
+  if (kind == nullptr) return 0;
+  const placement::Engine engine =
+      beliefs.loads.ToEngine(*endpoint, this->gateway.loop.Now());
+  const double room =
+      placement::TokenLayerRoom(model, *kind, engine.layers.Count());
+  return room > 0 ? engine.token_layers / room : 1;
+}
+
 /// Ends the try under way and goes on with what the policy says.
 void Passage::EndTry(TryEnd end, std::string_view why) {
   this->CancelCall();
@@ -317,14 +336,13 @@
       if (stage.address != fault) continue;
       this->excluded.insert(stage.endpoint);
       this->excluded.erase(this->target.endpoint);
-      this->gateway.beliefs.loads.OnRefusal(stage.endpoint, now);
-      // What was believed of its load tells a wrong belief from a full fleet.
-      const auto load = this->gateway.beliefs.loads.Total(stage.endpoint);
+      // How full it was taken to be tells a wrong belief from a full fleet.
+      const double used = this->RoomUsed(stage.endpoint);
+      this->gateway.beliefs.loads.OnRefusal(stage.endpoint, used > kFull, now);
       fields.Text("fault", stage.endpoint)
           .Count("fault_layers", stage.layers.Count())
-          .Count("fault_answers", static_cast<std::int64_t>(load.answers))
-          .Count("fault_token_layers",
-                 static_cast<std::int64_t>(load.token_layers));
+          .Count("fault_room_used_percent",
+                 static_cast<std::int64_t>(used * kPercent));
     }
   }
   fields.Text("endpoint", this->target.endpoint)
--- a/lib/instance/passage.h
+++ b/lib/instance/passage.h
@@ -86,6 +86,7 @@
   void OnRepathed(const std::vector<pipeline::Stage>& stages, int status);
   void SuspectAt(const std::string& address);
   void CountLoad();
+  double RoomUsed(const std::string& id) const;
   void AwaitPlace(attempts::TryEnd end, std::string_view why);
   void OnDeadline();
   void OnCallerGone();
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -123,8 +123,8 @@
   const bool led = this->beliefs.leads ||
                    !this->beliefs.peers.Leader(now).empty() ||
                    !this->beliefs.peers.Large(now);
-  this->beliefs.loads.AssumeAlike(
-      led ? 0 : this->beliefs.peers.Instances(now) - 1);
+  this->beliefs.loads.AssumeAlike(led ? 0
+                                      : this->beliefs.peers.Instances(now) - 1);
   const auto addresses = this->beliefs.peers.Addresses(now);
   this->beliefs.peers.SetSilentAfter(
       this->rotation.SilentAfter(addresses.size()));
@@ -138,6 +138,12 @@
   this->SendTo(this->beliefs.peers.Addresses(this->loop.Now()));
 }
 
+void PeerLink::AnnounceChange() {
+  const bool by_leader =
+      this->beliefs.peers.Large(this->loop.Now()) && !this->beliefs.leads;
+  if (!by_leader) this->Announce();
+}
+
 gossip::Beacon PeerLink::MakeBeacon(TimePoint now) const {
   gossip::Beacon beacon;
   beacon.instance = this->beliefs.instance;
@@ -168,6 +174,12 @@
   const TimePoint now = this->loop.Now();
   gossip::Beacon beacon = this->MakeBeacon(now);
   const gossip::EncodedBeacon usual(beacon);
+  const std::string leader = this->beliefs.peers.Leader(now);
+  // In a large fleet only the leader adds up what the others have under way,
+  // and tells all of them the sum: the single loads are most of a beacon.
+  gossip::Beacon brief = beacon;
+  if (this->beliefs.peers.Large(now)) brief.loads.clear();
+  const gossip::EncodedBeacon to_followers(brief);
   // Whoever is not heard of may be new, and knows nobody yet.
   const auto known = this->beliefs.peers.Addresses(now);
   const std::size_t told = std::min(known.size(), kMostPeersTold);
@@ -178,8 +190,10 @@
     const auto stamp = this->stamps.find(address);
     const Stamp last = stamp == this->stamps.end() ? Stamp{} : stamp->second;
     const bool live = this->beliefs.peers.Live(address, now) != nullptr;
+    const gossip::EncodedBeacon& known_as =
+        address == leader ? usual : to_followers;
     this->socket->Send(
-        address, (live ? usual : introducing).For(last.at, last.instance));
+        address, (live ? known_as : introducing).For(last.at, last.instance));
   }
 }
 
