Fault soak: random faults from outside on real routers, promises checked

Routers as processes on the stand-in of the users' platform, each with a relay of its own to the store; kills, suspensions, stops, restarts, reloads, store and link faults, endpoint faults and revocations overlap, drawn from a seed. Checked from what callers and endpoints see: I1 to I4, revocation, no router ends by itself, every router serves again, no engine works for callers that are gone.

--- a/test/process/fixture.h
+++ b/test/process/fixture.h
@@ -53,6 +53,8 @@
   long status = 0;  // NOLINT(google-runtime-int): libcurl's type
   std::map<std::string, std::string> headers;
   std::string body;
+  /// Whether it came to its end as the protocol says.
+  bool complete = false;
 
   /// Returns the body as JSON, a discarded value if it is none.
   nlohmann::json Json() const;
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -71,7 +71,8 @@
 
 }  // namespace
 
-PlatformFleet::PlatformFleet(std::size_t count, bool second_model)
+PlatformFleet::PlatformFleet(std::size_t count, bool second_model,
+                             bool store_links)
     : has_second_model(second_model), ports{FreePort(), FreePort(),
                                             FreePort(), FreePort(),
                                             FreePort(), FreePort()} {
@@ -89,6 +90,12 @@
                                                          this->store_addresses);
   this->endpoints = std::make_unique<standins::fleet::Endpoints>(
       *this->loop, *this->store, kLayers);
+  for (std::size_t at = 0; store_links && at < count; ++at) {
+    std::string& address = this->store_addresses[at];
+    auto relay = std::make_unique<standins::Relay>(PortOf(address));
+    address = "127.0.0.1:" + std::to_string(relay->Start(0));
+    this->store_relays.push_back(relay.release());
+  }
   this->AddEndpoints();
   this->thread = std::thread([this] { this->loop->Run(); });
   this->Configure({kKey, kOtherKey});
@@ -222,7 +229,8 @@
 }
 
 EventStream PlatformFleet::Stream(std::size_t index, const std::string& id,
-                                  const std::string& path) {
+                                  const std::string& path,
+                                  std::size_t leave_after) {
   EventStream stream;
   std::string text;
   auto last = Clock::now();
@@ -248,7 +256,7 @@
       stream.ids.push_back(std::atoi(text.c_str() + sizeof("id:")));
       text.erase(0, end + 2);
     }
-    return true;
+    return leave_after == 0 || stream.ids.size() < leave_after;
   };
   stream.answer = Send(call);
   return stream;
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -9,6 +9,7 @@
 
 #include "standins/fleet/endpoints.h"
 #include "standins/fleet/store.h"
+#include "standins/relay/relay.h"
 #include "test/process/fixture.h"
 
 namespace toucanwharf::process_test {
@@ -37,7 +38,9 @@
   /// and answers can be had. Revoked keys run nothing after two seconds.
   /// With \p second_model there is another model, "/other/...", on five
   /// engines of its own.
-  explicit PlatformFleet(std::size_t count, bool second_model = false);
+  /// With \p store_links each router reaches the store through a relay.
+  explicit PlatformFleet(std::size_t count, bool second_model = false,
+                         bool store_links = false);
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -46,6 +49,10 @@
   void On(const std::function<void()>& act);
   standins::fleet::Store& Store() { return *this->store; }
   standins::fleet::Endpoints& Endpoints() { return *this->endpoints; }
+  /// Returns the relay between router \p index and the store.
+  standins::Relay& StoreLink(std::size_t index) {
+    return *this->store_relays.at(index);
+  }
 
   /// Writes the next version of the configuration, with these keys.
   void Configure(const std::vector<std::string>& keys);
@@ -57,9 +64,11 @@
   /// key.
   Answer Plain(std::size_t index, const std::string& path,
                const std::string& id, const std::string& key = kKey);
-  /// Asks the model through router \p index.
+  /// Asks the model through router \p index; the caller leaves after the event
+  /// number \p leave_after, or never for 0.
   EventStream Stream(std::size_t index, const std::string& id,
-                     const std::string& path = "/chat/one");
+                     const std::string& path = "/chat/one",
+                     std::size_t leave_after = 0);
   /// Returns whether router \p index says that it is ready.
   bool Ready(std::size_t index);
   /// Returns the metrics of router \p index.
@@ -93,7 +102,10 @@
   std::unique_ptr<http::Loop> loop;
   std::unique_ptr<standins::fleet::Store> store;
   std::unique_ptr<standins::fleet::Endpoints> endpoints;
+  /// Where each router finds the store.
   std::vector<std::string> store_addresses;
+  /// Their threads outlive the fleet, so these are never destroyed.
+  std::vector<standins::Relay*> store_relays;
   std::vector<std::unique_ptr<Process>> routers;
   std::uint64_t version = 0;
   std::thread thread;
--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -150,7 +150,7 @@
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(call.body.size()));  // NOLINT
   }
-  curl_easy_perform(easy);
+  answer.complete = curl_easy_perform(easy) == CURLE_OK;
   curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &answer.status);
   curl_slist_free_all(headers);
   curl_easy_cleanup(easy);
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -31,6 +31,22 @@
 
 tw_process_test(platform)
 target_sources(process_platform PRIVATE test/process/platform_fleet.cc)
-target_link_libraries(process_platform PRIVATE standin_fleet)
+target_link_libraries(process_platform PRIVATE standin_fleet
+  standin_relay_parts)
+
+# Faults at random on real routers; CI plays two short seeds, and each seed
+# that ever showed a fault (test/soak/seeds.txt).
+tw_program(soak test/soak DEPS tw_process_fixture standin_fleet
+  standin_relay_parts)
+target_sources(soak PRIVATE test/process/platform_fleet.cc)
+tw_process_test(soak_checks)
+target_sources(process_soak_checks PRIVATE test/soak/checks.cc)
+target_link_libraries(process_soak_checks PRIVATE standin_fleet
+  standin_relay_parts)
+file(STRINGS test/soak/seeds.txt soak_seeds REGEX "^[0-9]")
+list(TRANSFORM soak_seeds REPLACE " .*" "")
+list(JOIN soak_seeds "," soak_seeds)
+add_test(NAME soak COMMAND soak --seeds ${soak_seeds} --seconds 8)
+set_tests_properties(soak PROPERTIES TIMEOUT 300)
 
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
