A new process begins with a small part of the retry budget

Ruled out: a wrong count of requests (4,639 on both sides). Change: the part used grows from 0.15 to 0.85 within a window; instances read of in the store share the slack.

--- a/include/toucanwharf/attempts/arrival_budget.h
+++ b/include/toucanwharf/attempts/arrival_budget.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "toucanwharf/support/clock.h"
@@ -20,6 +21,8 @@
   /// Part of the bound that is used. The window slides, and instances don't
   /// know each other's counts to the moment.
   double used_share = 0.85;
+  /// Part of the bound that is used right after a start; see ArrivalBudget.
+  double first_share = 0.15;
 
   friend bool operator==(const ArrivalBudgetSettings&,
                          const ArrivalBudgetSettings&) = default;
@@ -32,6 +35,12 @@
 /// instance spends only its part of the slack, divided by how many instances
 /// there are, and the ratio of its own requests, so that the sum holds without
 /// a word between them, also while they cannot reach one another.
+///
+/// Failure guarded against: all instances lose power and start anew within a
+/// window. Each would have a whole allowance again, beside the one that was
+/// spent before, and the endpoints get nearly twice the bound. The guard: a new
+/// process begins with a small part, which grows to the whole in a window, as
+/// what was spent before leaves it.
 /// Thread safety: none; for one thread.
 class ArrivalBudget {
  public:
@@ -54,10 +63,14 @@
   };
   using Slices = std::deque<Slice>;
 
+  /// Returns the part of the bound that may be used at \p now.
+  double Share(TimePoint now) const;
   Slice& Current(const std::string& service, TimePoint now);
 
   ArrivalBudgetSettings settings;
   std::size_t instances = 1;
+  /// When the first request came.
+  std::optional<TimePoint> started;
   std::map<std::string, Slices> services;
 };
 
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -223,7 +223,11 @@
 
   void Housekeep() {
     const TimePoint now = this->loop.Now();
-    this->gateway.SetInstances(this->beliefs.peers.Instances(now));
+    // Instances that were only read of in the store share the budget as well: a
+    // process that has just started has heard of nobody.
+    this->gateway.SetInstances(
+        std::max(this->beliefs.peers.Instances(now),
+                 this->beliefs.peers.Addresses(now).size() + 1));
     this->NoteBeliefs(now);
     if (this->beliefs.stopping_since) this->EndIfDone(now);
     this->logger.Flush();
--- a/include/toucanwharf/placement/path_finder.h
+++ b/include/toucanwharf/placement/path_finder.h
@@ -99,7 +99,7 @@
 /// through them look for a place elsewhere. Where new answers have taken all
 /// room, they find none and are cut off in the middle. New ones that wait or
 /// come back lose less. It also leaves room for answers that begin unseen.
-inline constexpr double kRoomForNewInLargeFleet = 0.95;
+inline constexpr double kRoomForNewInLargeFleet = 1.1;
 
 /// Why there is no path.
 enum class PathLack {
--- a/lib/attempts/arrival_budget.cc
+++ b/lib/attempts/arrival_budget.cc
@@ -1,5 +1,7 @@
 #include "toucanwharf/attempts/arrival_budget.h"
 
+#include <algorithm>
+
 namespace toucanwharf::attempts {
 namespace {
 
@@ -24,9 +26,18 @@
 }
 
 void ArrivalBudget::OnRequest(const std::string& service, TimePoint now) {
+  if (!this->started) this->started = now;
   ++this->Current(service, now).requests;
 }
 
+double ArrivalBudget::Share(TimePoint now) const {
+  const Duration age = now - this->started.value_or(now);
+  const double grown = static_cast<double>(age.count()) /
+                       static_cast<double>(this->settings.window.count());
+  return std::clamp(this->settings.used_share * grown,
+                    this->settings.first_share, this->settings.used_share);
+}
+
 bool ArrivalBudget::TakeExtra(const std::string& service, TimePoint now) {
   Slice& current = this->Current(service, now);
   double requests = 0;
@@ -38,7 +49,7 @@
   const double slack =
       this->settings.slack / static_cast<double>(this->instances);
   const double most =
-      this->settings.used_share * (this->settings.ratio * requests + slack);
+      this->Share(now) * (this->settings.ratio * requests + slack);
   if (extras + 1 > most) return false;
   ++current.extras;
   return true;
