Soak: an exception shows its message; fleet that doesn't get ready ends cleanly

Cause of the form: threads of callers or of the stand-in platform were not joined while an exception left a constructor or the run, so its message was lost.

--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -110,13 +110,21 @@
         return this->Stream(0, "first-look").answer.status == http::kOk;
       },
       15000);
-  if (!ready) throw std::runtime_error("the fleet did not get ready");
+  if (ready) return;
+  // No destructor runs for an object whose constructor throws.
+  this->Shut();
+  throw std::runtime_error("the fleet did not get ready; logs in " +
+                           this->folder);
 }
 
-PlatformFleet::~PlatformFleet() {
+void PlatformFleet::Shut() {
   this->routers.clear();
   this->loop->Stop();
   this->thread.join();
+}
+
+PlatformFleet::~PlatformFleet() {
+  this->Shut();
   this->endpoints.reset();
   this->store.reset();
   this->loop.reset();
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -92,6 +92,8 @@
     int service = 0;
   };
 
+  /// Ends the routers and the platform's thread.
+  void Shut();
   std::string RouterIp(std::size_t index) const;
   std::string WriteSettings(std::size_t index) const;
   void AddEndpoints();
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -21,10 +21,14 @@
   }
 }
 
-std::vector<Seen> Callers::Stop() {
+void Callers::Join() {
   this->stopping = true;
   for (std::thread& thread : this->threads) thread.join();
   this->threads.clear();
+}
+
+std::vector<Seen> Callers::Stop() {
+  this->Join();
   return std::move(this->seen);
 }
 
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -37,10 +37,16 @@
 class Callers {
  public:
   Callers(process_test::PlatformFleet& called, const SoakSettings& settings);
+  /// Stops them, if Stop was not called because something threw before.
+  ~Callers() { this->Join(); }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
   /// Lets them finish what is under way and returns all that they saw.
   std::vector<Seen> Stop();
 
  private:
+  void Join();
   void Run(std::size_t number, std::uint64_t seed, std::size_t routers);
   Seen CallOnce(const std::string& id, std::uint64_t draw, std::size_t router);
 
