Instances read of the others after their own entry is written

If all lists were read before any entry was written, nobody heard of anybody, and without seeds nobody ever did. Change: the list is read when the own entry has been written.

--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -187,11 +187,16 @@
     this->store.Write(write, [this, write](const store::WriteAnswer& answer) {
       this->OnRegistered(write, answer);
     });
-    this->LearnInstances();
   }
 
   void OnRegistered(store::Write write, const store::WriteAnswer& answer) {
-    if (answer.status == store::WriteStatus::kWritten) return;
+    // Only now: of two instances that start together, the one whose entry was
+    // written last reads the other's. If both read first, neither would hear of
+    // the other.
+    if (answer.status == store::WriteStatus::kWritten) {
+      this->LearnInstances();
+      return;
+    }
     constexpr Duration kAgain = std::chrono::milliseconds(700);
     // An entry of an earlier start is overwritten.
     write.if_version = answer.version;
