--- /dev/null
+++ b/include/toucanwharf/attempts/event_pace.h
@@ -0,0 +1,65 @@
+#ifndef TOUCANWHARF_ATTEMPTS_EVENT_PACE_H_
+#define TOUCANWHARF_ATTEMPTS_EVENT_PACE_H_
+
+#include <optional>
+
+#include "toucanwharf/support/clock.h"
+
+namespace toucanwharf::attempts {
+
+/// Thresholds of an answer's silence.
+struct EventPaceSettings {
+  /// Shorter silences are ordinary: an engine reads the prompt of another
+  /// answer, or waits for its turn at the processor.
+  Duration least = std::chrono::milliseconds(60);
+  /// So many of the answer's own usual gaps are ordinary as well. More would
+  /// leave too little of the callers' pause for the way around.
+  double usual_gaps = 1.6;
+  /// Part of the time to the first event that goes by before the question.
+  double objective_share = 0.4;
+  /// Weight of the newest gap in the usual one.
+  double newest_weight = 0.2;
+
+  friend bool operator==(const EventPaceSettings&,
+                         const EventPaceSettings&) = default;
+};
+
+/// Decides after how long a silence the engines of a streamed answer are asked
+/// whether they live.
+///
+/// Load that it answers: an engine in the middle of a path dies, and the first
+/// engine tells of it only when its callers' pause is over. Asked too early, an
+/// overloaded fleet, where every answer pauses now and then, would answer
+/// questions instead of requests; so an answer's own gaps count.
+/// Thread safety: none; for one thread.
+class EventPace {
+ public:
+  /// \p first_event is the time in which the first event is wanted.
+  explicit EventPace(Duration first_event, const EventPaceSettings& chosen = {})
+      : settings(chosen), objective(first_event) {}
+
+  /// Notes an event.
+  void OnEvent(TimePoint now);
+  /// Begins anew at another endpoint: what went before says nothing of it.
+  void Restart();
+  /// Returns the silence after which the engines are asked.
+  Duration Patience() const;
+  /// Returns the silence after which an answer through an engine that is taken
+  /// as dead for other reasons is led around it.
+  Duration PatienceOnceSuspected() const;
+  /// Returns the longest pause so far between two events.
+  Duration LongestPause() const { return this->longest_pause; }
+
+ private:
+  EventPaceSettings settings;
+  Duration objective;
+  std::optional<TimePoint> last_event;
+  Duration usual_gap{0};
+  /// When the last event came, from whichever endpoint.
+  std::optional<TimePoint> last_event_of_all;
+  Duration longest_pause{0};
+};
+
+}  // namespace toucanwharf::attempts
+
+#endif  // TOUCANWHARF_ATTEMPTS_EVENT_PACE_H_
--- a/include/toucanwharf/endpoints/load_book.h
+++ b/include/toucanwharf/endpoints/load_book.h
@@ -55,6 +55,13 @@
   /// Keeps new work from \p endpoint until \p until.
   void Suspect(const std::string& endpoint, TimePoint until);
   bool Suspected(const std::string& endpoint, TimePoint now) const;
+  /// The same for an endpoint that answers nothing at all, so that answers
+  /// under way through it have stopped. Returns whether that is news.
+  bool SuspectSilent(const std::string& endpoint, TimePoint until,
+                     TimePoint now);
+  bool Silent(const std::string& endpoint, TimePoint now) const;
+  /// Notes that \p endpoint has answered.
+  void HeardFrom(const std::string& endpoint);
   /// Returns the suspicions that still hold.
   std::vector<gossip::Suspicion> Suspicions(TimePoint now) const;
 
@@ -82,6 +89,7 @@
   Loads peers;
   std::size_t unheard = 0;
   std::map<std::string, TimePoint> suspected;
+  std::map<std::string, TimePoint> silent_until;
   /// Pauses that the other instances aren't told of.
   std::map<std::string, TimePoint> full_until;
   std::map<std::string, Refusals> refusals;
--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -31,6 +31,8 @@
 struct Suspicion {
   std::string endpoint;
   Duration remaining{0};
+  /// Whether it answers nothing at all; otherwise it refuses requests.
+  bool silent = false;
 
   friend bool operator==(const Suspicion&, const Suspicion&) = default;
 };
--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -92,7 +92,8 @@
            const Request& request, Duration timeout,
            std::function<void(const CallResult&, const ResponseHead&,
                               const std::string&)>
-               done);
+               done,
+           const CallOptions& options = {});
 
 }  // namespace toucanwharf::http
 
--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -92,6 +92,7 @@
   { A::ToReport(text) } -> std::same_as<std::optional<EndpointReport>>;
   { A::OrderRequest(order) } -> std::same_as<http::Request>;
   { A::RepathRequest(repath) } -> std::same_as<http::Request>;
+  { A::ToRepathFault(text) } -> std::same_as<std::string>;
   { A::PathText(repath.stages) } -> std::same_as<std::string>;
   { A::ToOrderEnd(status) } -> std::same_as<placement::OrderEnd>;
   { A::IsReadyQuestion(target) } -> std::same_as<bool>;
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -9,15 +9,18 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "toucanwharf/attempts/arrival_budget.h"
+#include "toucanwharf/endpoints/doubt.h"
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/server.h"
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/engine_probe.h"
 #include "toucanwharf/instance/settings.h"
 #include "toucanwharf/support/random.h"
 
@@ -29,6 +32,9 @@
   std::function<std::optional<EndpointReport>(const std::string&)> to_report;
   std::function<http::Request(const RepathOrder&)> repath;
   std::function<std::string(const std::vector<pipeline::Stage>&)> path_text;
+  /// Returns the address of the engine that keeps a change of path from being
+  /// made, from the refusal's body; empty if it names none.
+  std::function<std::string(const std::string&)> repath_fault;
 };
 
 /// How many answers took how long.
@@ -89,26 +95,31 @@
           const InstanceSettings& chosen, HeaderNames header_names,
           EngineCalls engine_calls);
 
+  /// Calls \p task when an engine turns out to be silent, so that the other
+  /// instances hear of it.
+  void OnSilentEngine(std::function<void()> task) {
+    this->tell_silent = std::move(task);
+  }
+  /// Leads the answers around \p endpoint that were under way through it and
+  /// have stopped, without further questions.
+  void LeadAround(const std::string& endpoint);
   /// Takes a request; its answer may come much later.
   void Handle(std::shared_ptr<http::Exchange> exchange);
   /// Sets how many instances share the budget of extra arrivals.
   void SetInstances(std::size_t count) { this->budget.SetInstances(count); }
   /// Returns how many requests are under way.
-  std::size_t UnderWay() const { return this->under_way; }
+  std::size_t UnderWay() const { return this->passages.size(); }
   const GatewayCounters& Counters() const { return this->counters; }
 
  private:
   friend class Passage;
 
-  struct RecentReport {
-    TimePoint at;
-    std::optional<EndpointReport> report;
-  };
-  using OnReport = std::function<void(const std::optional<EndpointReport>&)>;
-
-  /// Asks an engine for its report. Answers that stall together ask together:
-  /// one question serves all that come while it is under way.
-  void AskReport(const std::string& address, OnReport done);
+  /// Asks an engine whether it lives, unless it has answered since \p since.
+  void AskWhetherAlive(const pipeline::Stage& stage, TimePoint since);
+  /// Notes that the engine of \p stage gives no sign of life.
+  void NoteSilent(const pipeline::Stage& stage);
+  /// Returns what the streams under way, but for \p except, show of engines.
+  std::vector<endpoints::AnswerSign> SignsBeside(const Passage& except) const;
   /// Lets \p passage wait until there is room for its answer.
   void Enqueue(std::shared_ptr<Passage> passage);
   void ServeQueue();
@@ -126,11 +137,11 @@
   attempts::ArrivalBudget budget;
   Random random;
   EngineCalls calls;
-  std::size_t under_way = 0;
   GatewayCounters counters;
-  std::map<std::string, std::vector<OnReport>> reports_asked;
-  /// The last report of each address, for answers that ask right after it.
-  std::map<std::string, RecentReport> recent_reports;
+  EngineProbe probe;
+  std::function<void()> tell_silent;
+  /// All requests under way.
+  std::set<Passage*> passages;
   std::deque<std::shared_ptr<Passage>> queue;
   http::TimerId queue_timer = 0;
 };
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -38,7 +38,7 @@
         gateway(this->loop, this->client, this->beliefs, this->logger,
                 this->settings, A::Headers(),
                 {A::ReportRequest(), &A::ToReport, &A::RepathRequest,
-                 &A::PathText}),
+                 &A::PathText, &A::ToRepathFault}),
         peers(this->loop, this->client, this->beliefs, this->logger,
               this->settings),
         sync(
@@ -62,6 +62,11 @@
           this->sync.Adopt(revision, text);
         },
         [this] { this->OnChange(); }));
+    this->gateway.OnSilentEngine(
+        [this] { this->peers.AnnounceSilentEngine(); });
+    this->peers.OnSilentEngine([this](const std::string& endpoint) {
+      this->gateway.LeadAround(endpoint);
+    });
     this->sync.Start();
     this->placement.Start();
     this->Register();
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -45,6 +45,13 @@
   /// all others of every change that it has just learned, a change would cost
   /// 7,300 messages.
   void AnnounceChange();
+  /// Tells of an engine that turned out to be silent: everyone in a small
+  /// fleet, in a large one the leader, which tells everyone.
+  void AnnounceSilentEngine();
+  /// Calls \p task with each engine that a peer finds silent.
+  void OnSilentEngine(std::function<void(const std::string&)> task) {
+    this->engine_silent = std::move(task);
+  }
   /// Answers a peer's request on the control address; false if it is none.
   bool HandlePeer(http::Exchange& exchange) const;
   /// Sets the facts to send along while this instance places layers.
@@ -64,6 +71,7 @@
   gossip::Beacon MakeBeacon(TimePoint now) const;
   void OnDatagram(const std::string& sender, std::string_view payload);
   void AdoptLoads(const gossip::Beacon& beacon, TimePoint now);
+  void AdoptSuspicion(const gossip::Suspicion& one, TimePoint now);
   void AdoptFrom(const gossip::Beacon& beacon, TimePoint now);
   void FetchNewer(const gossip::Beacon& beacon);
   void FetchConfiguration(const std::string& control_address);
@@ -78,6 +86,7 @@
   std::unique_ptr<http::DatagramSocket> socket;
   OnConfiguration take_configuration;
   OnEndpoints endpoints_changed;
+  std::function<void(const std::string&)> engine_silent;
   std::vector<gossip::EngineFact> facts;
   gossip::Rotation rotation;
   /// Newest stamp by datagram address.
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -287,6 +287,7 @@
       return;
     }
     known.failed_reports = 0;
+    this->beliefs.loads.HeardFrom(id);
     const auto report = A::ToReport(body);
     if (!report) {
       this->logger.Write(eventlog::Level::kNotable, "report_unreadable",
@@ -315,7 +316,9 @@
     const TimePoint now = this->loop.Now();
     const bool doubted = this->beliefs.loads.Suspected(id, now);
     if (known.failed_reports < kSure && !doubted) return;
-    this->beliefs.loads.Suspect(id, now + this->times.unanswered_pause);
+    const bool news = this->beliefs.loads.SuspectSilent(
+        id, now + this->times.unanswered_pause, now);
+    if (news) this->peers.AnnounceSilentEngine();
   }
 
   void GiveOrders(TimePoint now) {
--- a/include/toucanwharf/placement/path_finder.h
+++ b/include/toucanwharf/placement/path_finder.h
@@ -46,9 +46,10 @@
   double output_tokens = 1;
   /// Ids of engines that must not be used.
   std::set<std::string> excluded;
-  /// For an answer under way that goes around a dead engine: the first stage,
-  /// which stays as it is.
-  std::optional<pipeline::Stage> first;
+  /// For an answer under way that goes around a dead engine: its path so far.
+  /// The first stage stays as it is; other stages that stay keep what they hold
+  /// of the answer, new ones have to read it. Its engines' loads count it.
+  std::vector<pipeline::Stage> current;
 };
 
 struct Path {
@@ -93,6 +94,15 @@
 /// hear of each answer sooner than the next one begins, and look at all.
 inline constexpr std::size_t kEntryChoicesInLargeFleet = 2;
 
+/// How many first engines are looked at for an answer that goes on elsewhere
+/// after it lost an engine.
+///
+/// Load that it answers: fifty answers stop at the same moment and have to be
+/// read anew, and nobody has heard yet where the others went. On the path that
+/// looks best the last of them would be read when its caller's pause is over;
+/// drawn at random they share all paths.
+inline constexpr std::size_t kEntryChoicesForResumed = 1;
+
 /// Part of an engine's room that may be promised in a large fleet, in place of
 /// PathSettings::room_share. What is known of loads there is up to a second old
 /// either way, and engines that refuse for want of memory cost a caller less
--- a/include/toucanwharf/routes/configuration.h
+++ b/include/toucanwharf/routes/configuration.h
@@ -41,6 +41,9 @@
   Duration timeout{std::chrono::seconds(20)};
   /// Time within which an answer, or a stream's first event, is worth most.
   Duration objective{std::chrono::milliseconds(500)};
+  /// Longest pause between two events of a stream with which its answer still
+  /// counts as on time.
+  Duration pause_objective{std::chrono::milliseconds(200)};
   /// 0 is the most urgent.
   int priority = 0;
   std::vector<ServiceShare> services;
--- a/lib/endpoints/load_book.cc
+++ b/lib/endpoints/load_book.cc
@@ -24,6 +24,12 @@
   sum.first_of += sign * load.first_of;
 }
 
+bool Holds(const std::map<std::string, TimePoint>& until,
+           const std::string& endpoint, TimePoint now) {
+  const auto found = until.find(endpoint);
+  return found != until.end() && now < found->second;
+}
+
 }  // namespace
 
 void LoadBook::Began(const gossip::EndpointLoad& load) {
@@ -119,17 +125,34 @@
   known = std::max(known, until);
 }
 
+bool LoadBook::SuspectSilent(const std::string& endpoint, TimePoint until,
+                             TimePoint now) {
+  const bool news = !this->Silent(endpoint, now);
+  TimePoint& known = this->silent_until[endpoint];
+  known = std::max(known, until);
+  return news;
+}
+
+bool LoadBook::Silent(const std::string& endpoint, TimePoint now) const {
+  return Holds(this->silent_until, endpoint, now);
+}
+
+void LoadBook::HeardFrom(const std::string& endpoint) {
+  this->silent_until.erase(endpoint);
+}
+
 bool LoadBook::Suspected(const std::string& endpoint, TimePoint now) const {
-  const auto full = this->full_until.find(endpoint);
-  if (full != this->full_until.end() && now < full->second) return true;
-  const auto found = this->suspected.find(endpoint);
-  return found != this->suspected.end() && now < found->second;
+  return Holds(this->full_until, endpoint, now) ||
+         Holds(this->suspected, endpoint, now) || this->Silent(endpoint, now);
 }
 
 std::vector<gossip::Suspicion> LoadBook::Suspicions(TimePoint now) const {
   std::vector<gossip::Suspicion> holding;
   for (const auto& [endpoint, until] : this->suspected) {
-    if (now < until) holding.push_back({endpoint, until - now});
+    if (now < until) holding.push_back({endpoint, until - now, false});
+  }
+  for (const auto& [endpoint, until] : this->silent_until) {
+    if (now < until) holding.push_back({endpoint, until - now, true});
   }
   return holding;
 }
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -34,7 +34,7 @@
 Json SuspicionsToJson(const std::vector<Suspicion>& suspicions) {
   Json list = Json::array();
   for (const Suspicion& one : suspicions) {
-    list.push_back({one.endpoint, one.remaining.count()});
+    list.push_back({one.endpoint, one.remaining.count(), one.silent});
   }
   return list;
 }
@@ -61,7 +61,8 @@
   std::vector<Suspicion> suspicions;
   for (const Json& one : list) {
     suspicions.push_back({one.at(0).get<std::string>(),
-                          Duration(one.at(1).get<std::int64_t>())});
+                          Duration(one.at(1).get<std::int64_t>()),
+                          one.at(2).get<bool>()});
   }
   return suspicions;
 }
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -417,7 +417,8 @@
            const Request& request, Duration timeout,
            std::function<void(const CallResult&, const ResponseHead&,
                               const std::string&)>
-               done) {
+               done,
+           const CallOptions& options) {
   const auto gathered = std::make_shared<Gathered>();
   CallHandlers handlers;
   handlers.on_head = [gathered](const ResponseHead& head) {
@@ -436,8 +437,7 @@
     result.sent = true;
     done(result, ResponseHead{}, "");
   });
-  gathered->call =
-      client.Start(address, request, CallOptions{}, std::move(handlers));
+  gathered->call = client.Start(address, request, options, std::move(handlers));
 }
 
 }  // namespace toucanwharf::http
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -19,11 +19,9 @@
 /// signal to stop could be cut by the kill; its caller is sent on at once.
 constexpr Duration kTakeAfterStop = std::chrono::milliseconds(2800);
 constexpr double kMicrosPerSecond = 1e6;
-/// An engine answers for its report in a millisecond; one that doesn't within
-/// this is silent. An answer's caller waits meanwhile.
-constexpr Duration kReportTimeout = std::chrono::milliseconds(150);
-/// A report serves all answers that ask within this time.
-constexpr Duration kReportLives = std::chrono::milliseconds(80);
+/// A silent engine gets nothing new for this long; by then the instance that
+/// places layers has asked it as well.
+constexpr Duration kSilentFor = std::chrono::milliseconds(1000);
 /// Between looks at the queue. A hundred answers a second end, so that one
 /// place is free every ten milliseconds on average.
 constexpr Duration kQueueLook = std::chrono::milliseconds(20);
@@ -62,7 +60,9 @@
       names(std::move(header_names)),
       budget(chosen.budget),
       random(HashText(shared_beliefs.instance)),
-      calls(std::move(engine_calls)) {}
+      calls(std::move(engine_calls)),
+      probe(event_loop, http_client, this->calls.report,
+            this->calls.to_report) {}
 
 bool Gateway::TooLateToTake(TimePoint now) const {
   return this->beliefs.stopping_since &&
@@ -121,28 +121,43 @@
       ->Start();
 }
 
-void Gateway::AskReport(const std::string& address, OnReport done) {
-  const auto recent = this->recent_reports.find(address);
-  if (recent != this->recent_reports.end() &&
-      this->loop.Now() - recent->second.at < kReportLives) {
-    this->loop.Post([done, report = recent->second.report] { done(report); });
-    return;
+void Gateway::AskWhetherAlive(const pipeline::Stage& stage, TimePoint since) {
+  this->probe.Ask(stage.address, since,
+                  [this, stage](const ProbeAnswer& answer) {
+                    if (answer.alive) {
+                      this->beliefs.loads.HeardFrom(stage.endpoint);
+                    } else {
+                      this->NoteSilent(stage);
+                    }
+                  });
+}
+
+void Gateway::NoteSilent(const pipeline::Stage& stage) {
+  const TimePoint now = this->loop.Now();
+  const bool news =
+      this->beliefs.loads.SuspectSilent(stage.endpoint, now + kSilentFor, now);
+  if (!news) return;
+  this->logger.Write(Level::kNotable, "engine_silent",
+                     Fields().Text("endpoint", stage.endpoint), now);
+  if (this->tell_silent) this->tell_silent();
+  this->LeadAround(stage.endpoint);
+}
+
+void Gateway::LeadAround(const std::string& endpoint) {
+  // Leading one around may end it, and others with it.
+  std::vector<std::shared_ptr<Passage>> all;
+  for (Passage* one : this->passages) all.push_back(one->shared_from_this());
+  for (const auto& one : all) one->OnEngineSilent(endpoint);
+}
+
+std::vector<endpoints::AnswerSign> Gateway::SignsBeside(
+    const Passage& except) const {
+  std::vector<endpoints::AnswerSign> signs;
+  for (const Passage* one : this->passages) {
+    if (one == &except) continue;
+    if (auto sign = one->Sign()) signs.push_back(std::move(*sign));
   }
-  auto& waiting = this->reports_asked[address];
-  waiting.push_back(std::move(done));
-  if (waiting.size() > 1) return;
-  http::Fetch(
-      this->loop, this->client, address, this->calls.report, kReportTimeout,
-      [this, address](const http::CallResult& result,
-                      const http::ResponseHead& head, const std::string& body) {
-        const bool whole =
-            result.end == http::CallEnd::kComplete && head.status == http::kOk;
-        const auto report = whole ? this->calls.to_report(body) : std::nullopt;
-        this->recent_reports[address] = {this->loop.Now(), report};
-        const auto asked = std::move(this->reports_asked[address]);
-        this->reports_asked.erase(address);
-        for (const OnReport& each : asked) each(report);
-      });
+  return signs;
 }
 
 void Gateway::Enqueue(std::shared_ptr<Passage> passage) {
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -43,9 +43,6 @@
 }
 
 constexpr double kPercent = 100;
-/// An engine that refuses while more than this part of its room is taken, as
-/// far as is known, is taken as full.
-constexpr double kFull = 0.6;
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
@@ -57,7 +54,10 @@
 
 Passage::Passage(Gateway& owner, std::shared_ptr<http::Exchange> caller,
                  Admitted admitted)
-    : gateway(owner), exchange(std::move(caller)), what(std::move(admitted)) {
+    : gateway(owner),
+      exchange(std::move(caller)),
+      what(std::move(admitted)),
+      pace(this->what.route->objective) {
   const http::Headers& headers = this->exchange->Received().headers;
   const HeaderNames& names = this->gateway.names;
   this->request_id = std::string(headers.Get(names.request_id));
@@ -70,14 +70,14 @@
     this->output_tokens =
         hint ? std::min(NumberOf(*hint), most) : kUsualOutputShare * most;
   }
-  ++this->gateway.under_way;
+  this->gateway.passages.insert(this);
 }
 
 Passage::~Passage() {
   this->CancelCall();
   this->ReleaseLoad();
   this->gateway.loop.Cancel(this->deadline_timer);
-  --this->gateway.under_way;
+  this->gateway.passages.erase(this);
 }
 
 void Passage::Start() {
@@ -144,6 +144,7 @@
   this->events.DropPart();
   this->try_began = this->gateway.loop.Now();
   this->last_data = this->try_began;
+  this->pace.Restart();
   this->CountLoad();
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
@@ -234,10 +235,12 @@
   const std::string whole = this->events.TakeWhole();
   if (whole.empty()) return;
   if (!std::exchange(this->any_event, true)) {
-    this->gateway.counters.first_event_latency.Add(this->gateway.loop.Now() -
-                                                   this->what.arrived);
+    this->first_event_after = this->last_data - this->what.arrived;
+    this->gateway.counters.first_event_latency.Add(this->first_event_after);
   }
   this->asked_again = 0;
+  this->refused_changes = 0;
+  this->pace.OnEvent(this->last_data);
   ++this->chunks_written;
   this->exchange->Write(whole);
 }
@@ -461,6 +464,8 @@
           .Count("stages",
                  static_cast<std::int64_t>(this->target.stages.size()))
           .Count("pieces", this->chunks_written)
+          .Millis("first_event_ms", this->first_event_after)
+          .Millis("longest_pause_ms", this->pace.LongestPause())
           .Count("expected_token_us",
                  static_cast<std::int64_t>(this->target.token_millis *
                                            kMicrosPerMilli))
--- a/lib/instance/passage.h
+++ b/lib/instance/passage.h
@@ -9,12 +9,17 @@
 #include <vector>
 
 #include "toucanwharf/attempts/attempt_policy.h"
+#include "toucanwharf/attempts/event_pace.h"
 #include "toucanwharf/http/event_splitter.h"
 #include "toucanwharf/instance/gateway.h"
 #include "toucanwharf/placement/path_finder.h"
 
 namespace toucanwharf::instance {
 
+/// An engine that refuses while more than this part of its room is taken, as
+/// far as is known, is taken as full.
+inline constexpr double kFull = 0.6;
+
 /// What the gateway knows of a request before it is passed on.
 struct Admitted {
   std::shared_ptr<const routes::RouteTable> table;
@@ -44,6 +49,12 @@
   /// Looks for room again. Returns whether this request need not wait any
   /// longer: it was sent, refused, or its caller is gone.
   bool LeaveQueue();
+  /// Looks at once whether \p endpoint, which is silent, has stopped this
+  /// answer.
+  void OnEngineSilent(const std::string& endpoint);
+  /// Returns what the answer shows of the engines that it runs through; nothing
+  /// before its first event from them.
+  std::optional<endpoints::AnswerSign> Sign() const;
 
  private:
   /// Where a try goes.
@@ -62,7 +73,9 @@
   void Try();
   std::optional<Target> Choose();
   std::optional<Target> ChooseAgain(attempts::TryEnd end);
-  std::optional<Target> ChoosePath(const std::optional<pipeline::Stage>& kept);
+  /// \p current is the path of an answer that is led around an engine, else
+  /// empty.
+  std::optional<Target> ChoosePath(const std::vector<pipeline::Stage>& current);
   std::optional<Target> ChoosePlain();
   http::Request BuildRequest(const Target& target) const;
   void Send(const Target& target);
@@ -80,11 +93,19 @@
   void WatchSilence(Duration delay);
   Duration Patience() const;
   void OnSilence();
-  void OnReport(const std::optional<EndpointReport>& report);
+  /// Returns whether an engine of the path is known to be silent.
+  bool HasSilentEngine() const;
+  void AskEngines();
+  void OnFirstEngine(const ProbeAnswer& answer);
+  void GoAround();
+  bool HasPlaceElsewhere();
   void TryElsewhere(std::string_view why);
   void Repath();
-  void OnRepathed(const std::vector<pipeline::Stage>& stages, int status);
-  void SuspectAt(const std::string& address);
+  void OnRepathed(const std::vector<pipeline::Stage>& stages, int status,
+                  const std::string& body);
+  void OnRepathRefused(const std::vector<pipeline::Stage>& stages,
+                       const std::string& fault);
+  void NoteSilentAt(const std::string& address);
   void CountLoad();
   double RoomUsed(const std::string& id) const;
   void AwaitPlace(attempts::TryEnd end, std::string_view why);
@@ -113,10 +134,16 @@
   http::CallId call = 0;
   http::TimerId deadline_timer = 0;
   http::TimerId silence_timer = 0;
-  /// A report, or an order to change the path, is on its way.
+  /// The first engine is being asked for its report.
   bool asking = false;
+  /// An order to change the path is on its way.
+  bool changing_path = false;
   /// Questions since the last event.
   int asked_again = 0;
+  /// Changes of path that were refused since the last event.
+  int refused_changes = 0;
+  attempts::EventPace pace;
+  Duration first_event_after{0};
   TimePoint try_began;
   TimePoint last_data;
 
--- a/lib/instance/passage_silence.cc
+++ b/lib/instance/passage_silence.cc
@@ -11,20 +11,19 @@
 using eventlog::Fields;
 using eventlog::Level;
 
-/// An engine that fell silent gets nothing new for this long; by then it has
-/// been asked for its report, and is left out if it gave none.
-constexpr Duration kBrokenFor = std::chrono::milliseconds(1000);
-/// Silence before an answer's first event after which its engine is asked why:
-/// queueing, prefill and a few steps take 60 ms on a path that works.
-constexpr Duration kFirstEventSilence = std::chrono::milliseconds(400);
-/// Silence between two events. Usual gaps are 30 to 60 ms, and callers count
-/// a pause above 200 ms as late.
-constexpr Duration kEventSilence = std::chrono::milliseconds(150);
 /// An engine's report is some hundred milliseconds old, so the first question
 /// may come too early. Each further one waits twice as long: under overload
 /// every answer is silent for a while, and a question costs the engine a probe.
 constexpr Duration kAskAgain = std::chrono::milliseconds(70);
 constexpr int kMostAskDoublings = 3;
+/// A report serves all answers that ask for it within this time.
+constexpr Duration kReportLives = std::chrono::milliseconds(80);
+/// What other answers showed of an engine counts if it came after this part of
+/// the silence: what it had passed on before it died may still arrive then.
+constexpr int kSignAfterPercent = 60;
+constexpr int kPercent = 100;
+/// Ways around that were refused, after which the answer goes on elsewhere.
+constexpr int kMostRefusedChanges = 2;
 /// An answer that is silent for so long though its engine names nobody is
 /// tried elsewhere: callers leave after two seconds.
 constexpr Duration kLongSilence = std::chrono::milliseconds(1200);
@@ -36,7 +35,7 @@
 constexpr Duration kPlaceLook = std::chrono::milliseconds(60);
 /// An engine answers an order in a millisecond; without an answer the change of
 /// path may not have been taken.
-constexpr Duration kRepathTimeout = std::chrono::milliseconds(200);
+constexpr Duration kRepathTimeout = std::chrono::milliseconds(100);
 /// An idempotent request without any answer for so long is tried elsewhere.
 constexpr Duration kPlainSilence = std::chrono::milliseconds(400);
 
@@ -63,7 +62,35 @@
 
 Duration Passage::Patience() const {
   if (!this->IsStream()) return kPlainSilence;
-  return this->any_event ? kEventSilence : kFirstEventSilence;
+  return this->HasSilentEngine() ? this->pace.PatienceOnceSuspected()
+                                 : this->pace.Patience();
+}
+
+bool Passage::HasSilentEngine() const {
+  const TimePoint now = this->gateway.loop.Now();
+  const auto& stages = this->target.stages;
+  return std::any_of(stages.begin(), stages.end(), [&](const auto& stage) {
+    return this->gateway.beliefs.loads.Silent(stage.endpoint, now);
+  });
+}
+
+std::optional<endpoints::AnswerSign> Passage::Sign() const {
+  const bool shows =
+      this->call != 0 && this->any_event && this->last_data > this->try_began;
+  if (!shows) return std::nullopt;
+  return endpoints::AnswerSign{this->target.stages, this->last_data};
+}
+
+void Passage::OnEngineSilent(const std::string& endpoint) {
+  if (this->finished || this->call == 0) return;
+  const auto& stages = this->target.stages;
+  const bool through = std::any_of(
+      stages.begin(), stages.end(),
+      [&](const auto& stage) { return stage.endpoint == endpoint; });
+  if (!through) return;
+  this->WatchSilence(std::max(
+      Duration(0),
+      this->Patience() - (this->gateway.loop.Now() - this->last_data)));
 }
 
 void Passage::WatchSilence(Duration delay) {
@@ -76,7 +103,7 @@
 }
 
 void Passage::OnSilence() {
-  if (this->finished || this->call == 0 || this->asking) return;
+  if (this->finished || this->call == 0 || this->changing_path) return;
   const Duration silent = this->gateway.loop.Now() - this->last_data;
   const Duration left = this->Patience() - silent;
   if (left > Duration(0)) {
@@ -87,38 +114,58 @@
     this->TryElsewhere("silent");
     return;
   }
+  if (this->HasSilentEngine()) {
+    this->GoAround();
+    return;
+  }
+  this->AskEngines();
+}
+
+/// Asks the first engine why no event comes, and those of the others that may
+/// be the cause whether they live: the first engine's report tells of a silent
+/// one only after some hundred milliseconds.
+void Passage::AskEngines() {
+  if (this->asking) return;
   this->asking = true;
-  this->gateway.AskReport(
-      this->target.address,
-      [self = this->shared_from_this(),
-       asked_of = this->call](const std::optional<EndpointReport>& report) {
-        self->asking = false;
-        const bool same = !self->finished && self->call == asked_of;
-        if (same) self->OnReport(report);
-      });
+  const TimePoint now = this->gateway.loop.Now();
+  this->gateway.probe.Ask(this->target.address, now - kReportLives,
+                          [self = this->shared_from_this(),
+                           asked_of = this->call](const ProbeAnswer& answer) {
+                            self->asking = false;
+                            const bool same =
+                                !self->finished && self->call == asked_of;
+                            if (same) self->OnFirstEngine(answer);
+                          });
+  const TimePoint since =
+      this->last_data + this->Patience() * kSignAfterPercent / kPercent;
+  const auto doubted = endpoints::DoubtedEngines(
+      this->target.stages, since, this->gateway.SignsBeside(*this));
+  for (const pipeline::Stage& stage : doubted) {
+    if (stage.endpoint == this->target.endpoint) continue;
+    this->gateway.AskWhetherAlive(stage, since);
+  }
 }
 
 /// The first engine of the path has said why no event came, or nothing.
-void Passage::OnReport(const std::optional<EndpointReport>& report) {
+void Passage::OnFirstEngine(const ProbeAnswer& answer) {
   const Duration silent = this->gateway.loop.Now() - this->last_data;
   if (silent < this->Patience()) {
     this->WatchSilence(this->Patience() - silent);
     return;
   }
-  if (!report) {
-    ++this->gateway.counters.stalls;
-    this->SuspectAt(this->target.address);
-    this->TryElsewhere("first_engine_silent");
+  if (!answer.alive) {
+    this->NoteSilentAt(this->target.address);
+    this->GoAround();
     return;
   }
-  bool named = false;
-  for (const StalledAnswer& one : report->stalled) {
-    this->SuspectAt(one.address);
-    named = named || one.request_id == this->request_id;
+  if (answer.report) {
+    for (const StalledAnswer& one : answer.report->stalled) {
+      this->NoteSilentAt(one.address);
+    }
   }
-  if (named) {
-    ++this->gateway.counters.stalls;
-    this->Repath();
+  if (this->changing_path) return;
+  if (this->HasSilentEngine()) {
+    this->GoAround();
     return;
   }
   if (silent > kLongSilence) {
@@ -129,36 +176,55 @@
   this->asked_again = std::min(this->asked_again + 1, kMostAskDoublings);
 }
 
-void Passage::SuspectAt(const std::string& address) {
-  const TimePoint until = this->gateway.loop.Now() + kBrokenFor;
-  for (const pipeline::Stage& stage : this->target.stages) {
-    if (stage.address != address) continue;
-    this->gateway.beliefs.loads.Suspect(stage.endpoint, until);
+/// Takes the engine at \p address as silent, which leads the answers around it
+/// that have stopped, this one too.
+void Passage::NoteSilentAt(const std::string& address) {
+  const auto stages = this->target.stages;
+  for (const pipeline::Stage& stage : stages) {
+    if (stage.address == address) this->gateway.NoteSilent(stage);
   }
 }
 
+/// Goes on with the answer without the engine that is silent. It begins anew on
+/// another path where that is allowed: all answers of a path stop together, and
+/// one stand-in would have to read them all, while other paths share the work.
+void Passage::GoAround() {
+  ++this->gateway.counters.stalls;
+  const TimePoint now = this->gateway.loop.Now();
+  const bool first_silent =
+      this->gateway.beliefs.loads.Silent(this->target.endpoint, now);
+  if (first_silent || this->HasPlaceElsewhere()) {
+    this->TryElsewhere("engine_silent");
+    return;
+  }
+  this->Repath();
+}
+
+bool Passage::HasPlaceElsewhere() {
+  return attempts::MayTryAgain(*this->what.route, this->tries,
+                               TryEnd::kUnknown) &&
+         this->Choose().has_value();
+}
+
 /// Ends the try under way if there is another place; a silent endpoint may
 /// still answer, and is better than none.
 void Passage::TryElsewhere(std::string_view why) {
-  const bool place =
-      attempts::MayTryAgain(*this->what.route, this->tries, TryEnd::kUnknown) &&
-      this->Choose().has_value();
-  if (!place) {
+  if (!this->HasPlaceElsewhere()) {
     this->WatchSilence(kPlaceLook);
     return;
   }
   this->EndTry(TryEnd::kUnknown, why);
 }
 
-/// Leads the answer around the engines that are suspected. The engines that
-/// stay keep what they hold of it, so only the new ones read it again.
+/// Leads the answer around the engines that are silent. The engines that stay
+/// keep what they hold of it, so only the new ones read it again.
 void Passage::Repath() {
-  const auto next = this->ChoosePath(this->target.stages.front());
+  const auto next = this->ChoosePath(this->target.stages);
   if (!next) {
     this->TryElsewhere("no_way_around");
     return;
   }
-  this->asking = true;
+  this->changing_path = true;
   http::Request order =
       this->gateway.calls.repath(RepathOrder{this->request_id, next->stages});
   order.headers.Set(this->gateway.names.expected_endpoint,
@@ -168,25 +234,28 @@
               [self = this->shared_from_this(), asked_of = this->call,
                stages = next->stages](const http::CallResult& result,
                                       const http::ResponseHead& head,
-                                      const std::string&) {
-                self->asking = false;
+                                      const std::string& body) {
+                self->changing_path = false;
                 const bool same = !self->finished && self->call == asked_of;
                 const bool whole = result.end == http::CallEnd::kComplete;
-                if (same) self->OnRepathed(stages, whole ? head.status : 0);
+                if (same)
+                  self->OnRepathed(stages, whole ? head.status : 0, body);
               });
 }
 
-void Passage::OnRepathed(const std::vector<pipeline::Stage>& stages,
-                         int status) {
+void Passage::OnRepathed(const std::vector<pipeline::Stage>& stages, int status,
+                         const std::string& body) {
   const TimePoint now = this->gateway.loop.Now();
+  const std::string fault = this->gateway.calls.repath_fault(body);
   this->Log(Level::kNotable, "repathed",
             Fields()
                 .Text("endpoint", this->target.endpoint)
                 .Count("status", status)
+                .Text("at_fault", fault)
                 .Millis("silent_ms", now - this->last_data));
   constexpr int kRefused = 400;
   if (status == 0 || status >= kRefused) {
-    this->TryElsewhere("repath_refused");
+    this->OnRepathRefused(stages, fault);
     return;
   }
   ++this->gateway.counters.repathed;
@@ -194,7 +263,29 @@
   this->target.stages = stages;
   this->CountLoad();
   // The new engines read the answer so far before the next event.
-  this->WatchSilence(kFirstEventSilence);
+  this->WatchSilence(this->what.route->pause_objective);
+}
+
+/// Tries another way around, without the engine that has no room or has lost
+/// its part, while the answer's caller still waits.
+void Passage::OnRepathRefused(const std::vector<pipeline::Stage>& stages,
+                              const std::string& fault) {
+  const TimePoint now = this->gateway.loop.Now();
+  bool named = false;
+  for (const pipeline::Stage& stage : stages) {
+    if (stage.address != fault || stage.endpoint == this->target.endpoint) {
+      continue;
+    }
+    named = true;
+    this->excluded.insert(stage.endpoint);
+    this->gateway.beliefs.loads.OnRefusal(
+        stage.endpoint, this->RoomUsed(stage.endpoint) > kFull, now);
+  }
+  if (named && ++this->refused_changes <= kMostRefusedChanges) {
+    this->Repath();
+    return;
+  }
+  this->TryElsewhere("repath_refused");
 }
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/passage_target.cc
+++ b/lib/instance/passage_target.cc
@@ -11,26 +11,36 @@
 }
 
 std::optional<Passage::Target> Passage::ChoosePath(
-    const std::optional<pipeline::Stage>& kept) {
+    const std::vector<pipeline::Stage>& current) {
   Beliefs& beliefs = this->gateway.beliefs;
   const TimePoint now = this->gateway.loop.Now();
   std::vector<placement::Engine> engines;
   beliefs.endpoints.ForEachReady(
       this->what.service->name, [&](const endpoints::Endpoint& endpoint) {
-        if (beliefs.loads.Suspected(endpoint.id, now)) return;
+        // A full engine can keep what it holds of the answer.
+        const bool held = std::any_of(
+            current.begin(), current.end(),
+            [&](const auto& stage) { return stage.endpoint == endpoint.id; });
+        const bool unfit = held ? beliefs.loads.Silent(endpoint.id, now)
+                                : beliefs.loads.Suspected(endpoint.id, now);
+        if (unfit) return;
         engines.push_back(beliefs.loads.ToEngine(endpoint, now));
       });
   placement::PathQuery query;
   query.failure_domain = this->gateway.settings.failure_domain;
   query.prompt_tokens = this->prompt_tokens;
   query.output_tokens = std::max(this->output_tokens, 1.0);
-  query.first = kept;
-  if (!kept) query.excluded = this->excluded;
+  query.current = current;
+  query.excluded = this->excluded;
   placement::PathSettings settings;
   if (beliefs.peers.Large(now)) {
     settings.entry_choices = placement::kEntryChoicesInLargeFleet;
     settings.room_share = placement::kRoomShareInLargeFleet;
   }
+  // Answers that lost an engine come all at once and from all instances.
+  if (this->tries.answer_begun) {
+    settings.entry_choices = placement::kEntryChoicesForResumed;
+  }
   const placement::PathChoice choice =
       placement::FindPath(*this->what.service->engine, engines, query, settings,
                           this->gateway.random);
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -14,6 +14,7 @@
 using eventlog::Fields;
 using eventlog::Level;
 using Json = nlohmann::json;
+using endpoints::LoadBook;
 
 /// Facts that the placing instance told count for so long without new ones.
 constexpr Duration kFactsFor = std::chrono::seconds(3);
@@ -144,6 +145,18 @@
   if (!by_leader) this->Announce();
 }
 
+void PeerLink::AnnounceSilentEngine() {
+  const TimePoint now = this->loop.Now();
+  const std::string leader = this->beliefs.peers.Leader(now);
+  const bool by_leader =
+      this->beliefs.peers.Large(now) && !this->beliefs.leads && !leader.empty();
+  if (by_leader) {
+    this->SendTo({leader});
+  } else {
+    this->Announce();
+  }
+}
+
 gossip::Beacon PeerLink::MakeBeacon(TimePoint now) const {
   gossip::Beacon beacon;
   beacon.instance = this->beliefs.instance;
@@ -236,8 +249,7 @@
 
 void PeerLink::AdoptFrom(const gossip::Beacon& beacon, TimePoint now) {
   for (const gossip::Suspicion& one : beacon.suspicions) {
-    this->beliefs.loads.Suspect(
-        one.endpoint, now + std::min(one.remaining, kLongestSuspicion));
+    this->AdoptSuspicion(one, now);
   }
   if (beacon.leads) {
     for (const gossip::EngineFact& fact : beacon.facts) {
@@ -258,6 +270,20 @@
   }
 }
 
+void PeerLink::AdoptSuspicion(const gossip::Suspicion& one, TimePoint now) {
+  LoadBook& loads = this->beliefs.loads;
+  const TimePoint until = now + std::min(one.remaining, kLongestSuspicion);
+  if (!one.silent) {
+    loads.Suspect(one.endpoint, until);
+    return;
+  }
+  if (!loads.SuspectSilent(one.endpoint, until, now)) return;
+  this->logger.Write(Level::kNotable, "peer_found_engine_silent",
+                     Fields().Text("endpoint", one.endpoint), now);
+  if (this->beliefs.leads && this->beliefs.peers.Large(now)) this->Announce();
+  if (this->engine_silent) this->engine_silent(one.endpoint);
+}
+
 /// In a small fleet everybody's newest word adds up. In a large one those words
 /// are seconds old, but for the leader's, which has heard all lately.
 void PeerLink::AdoptLoads(const gossip::Beacon& beacon, TimePoint now) {
--- a/lib/placement/path_finder.cc
+++ b/lib/placement/path_finder.cc
@@ -27,6 +27,8 @@
   double room = 0;
   double whole_room = 1;
   double jitter = 1;
+  /// Layers that the answer runs there already.
+  LayerRange held;
 };
 
 /// The best way found to a boundary in a failure domain.
@@ -94,8 +96,9 @@
       this->boundaries.push_back(engine.layers.begin);
       this->boundaries.push_back(engine.layers.end);
     }
-    if (this->query.first) {
-      this->boundaries.push_back(this->query.first->layers.end);
+    for (const pipeline::Stage& stage : this->query.current) {
+      this->boundaries.push_back(stage.layers.begin);
+      this->boundaries.push_back(stage.layers.end);
     }
     std::sort(this->boundaries.begin(), this->boundaries.end());
     const auto last =
@@ -107,9 +110,10 @@
   /// Whether \p at may run the layers from \p begin to \p end, where the query
   /// keeps the first stage.
   bool Allowed(std::size_t at, std::uint32_t begin, std::uint32_t end) const {
-    if (!this->query.first) return begin > 0 || this->MayBegin(at);
-    const bool is_first = this->engines[at].id == this->query.first->endpoint;
-    const LayerRange& kept = this->query.first->layers;
+    if (this->query.current.empty()) return begin > 0 || this->MayBegin(at);
+    const pipeline::Stage& first = this->query.current.front();
+    const bool is_first = this->engines[at].id == first.endpoint;
+    const LayerRange& kept = first.layers;
     if (begin == 0) return is_first && end == kept.end;
     return !is_first;
   }
@@ -128,9 +132,18 @@
     return index;
   }
 
+  /// Returns the layers that the answer runs on \p engine already.
+  LayerRange HeldBy(const Engine& engine) const {
+    for (const pipeline::Stage& stage : this->query.current) {
+      if (stage.endpoint == engine.id) return stage.layers;
+    }
+    return {};
+  }
+
   Rate RateOf(const Engine& engine, const AcceleratorKind& kind) {
     Rate rate;
     const double layers = this->model.layers;
+    rate.held = this->HeldBy(engine);
     const double step =
         this->model.step_millis +
         this->model.step_millis_per_answer * (engine.answers + 1) +
@@ -143,7 +156,9 @@
     rate.whole_room =
         std::max(1.0, TokenLayerRoom(this->model, kind, engine.layers.Count()) *
                           this->settings.room_share);
-    rate.room = rate.whole_room - engine.token_layers;
+    // What the answer itself takes up there is free for it.
+    rate.room = rate.whole_room - engine.token_layers +
+                this->Needed() * rate.held.Count();
     rate.jitter = 1 + this->settings.jitter * (2 * this->random.Unit() - 1);
     return rate;
   }
@@ -203,13 +218,14 @@
       if (this->scope.need_room && this->Needed() * layers > rate.room) break;
       Label label;
       label.token_millis = from.token_millis + hop + rate.token_millis * layers;
-      label.first_millis =
-          from.first_millis + hop + rate.prompt_millis * layers;
+      const bool stays = rate.held == LayerRange{begin, *end};
+      const double read_millis = stays ? 0 : rate.prompt_millis * layers;
+      label.first_millis = from.first_millis + hop + read_millis;
       const double crowding = Crowding(rate, this->Needed() * layers);
       label.cost = from.cost +
                    (hop + rate.token_millis * layers * crowding) * rate.jitter *
                        this->query.output_tokens +
-                   rate.prompt_millis * layers;
+                   read_millis;
       label.engine = at;
       label.begin = begin;
       label.from_domain = domain;
@@ -314,7 +330,7 @@
   };
   // An answer that goes around a dead engine may cross: its caller waits, its
   // first engine is fixed, and there are few of them.
-  const bool goes_around = query.first.has_value();
+  const bool goes_around = !query.current.empty();
   Scope scope;
   scope.may_cross = goes_around;
   if (settings.entry_choices > 0 && !goes_around) {
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -127,13 +127,18 @@
   this->Serve(endpoint, std::move(exchange));
 }
 
+std::string Endpoints::IdAt(const std::string& address) {
+  const Endpoint* endpoint = this->AtAddress(address);
+  return endpoint == nullptr ? "" : endpoint->spec.id;
+}
+
 void Endpoints::HandleReport(const Endpoint& endpoint,
                              http::Exchange& exchange) {
   Json stalled = Json::array();
   for (const auto& stream : this->streams) {
     if (stream->endpoint != endpoint.spec.id) continue;
     const std::string at = this->Hindrance(stream->path);
-    if (at.empty()) continue;
+    if (at.empty() || !this->name_stalls) continue;
     stalled.push_back({{"id", stream->request_id}, {"addr", at}});
   }
   const Json body = {
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -70,11 +70,17 @@
   /// Starts an endpoint and registers it.
   void Add(const EndpointSpec& spec);
   void SetFault(const std::string& id, EndpointFault fault);
+  /// Sets whether engines name a silent engine of their answers' paths in their
+  /// reports.
+  void NameStalls(bool named) { this->name_stalls = named; }
   /// Registers an endpoint as leaving; it goes on serving.
   void Drain(const std::string& id);
   /// Stops listening, and breaks every connection off.
   void Crash(const std::string& id);
 
+  /// Returns the endpoint at \p address; empty if there is none.
+  std::string IdAt(const std::string& address);
+
   const std::vector<Run>& Runs() const { return this->runs; }
   /// Returns what went against the promises: a path that isn't a cover, an
   /// order of too many layers, a request for another endpoint that was run.
@@ -132,6 +138,7 @@
   std::vector<std::string> violations;
   std::uint64_t orders = 0;
   std::uint64_t repaths = 0;
+  bool name_stalls = true;
 };
 
 }  // namespace toucanwharf::standins::fleet
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -52,6 +52,16 @@
   return stream.get();
 }
 
+/// Returns the engine that runs the last part of the path of the answer \p id.
+std::string LastEngineOf(PlatformFleet& fleet, const std::string& id) {
+  const std::string path(fleet.RunsOf(id)[0].headers.Get("X-Hop-Count"));
+  const std::string last = path.substr(path.rfind(',') + 1);
+  std::string engine;
+  fleet.On(
+      [&] { engine = fleet.Endpoints().IdAt(last.substr(0, last.find('='))); });
+  return engine;
+}
+
 // A caller reads, signs and asks the model on a calm day. Every answer is
 // whole and right, the model ran along an exact cover, and the endpoint saw
 // the caller's bytes and the customer's name but not the key.
@@ -112,6 +122,22 @@
   CheckNoViolations(fleet);
 }
 
+// An engine in the middle of a path falls silent, and the first engine's report
+// is too old to tell. Its callers' pause would be over before it does; the
+// router finds the silent engine by asking those of the path.
+BOOST_AUTO_TEST_CASE(SilentEngineIsFoundWithoutTheFirstOnesReport) {
+  PlatformFleet fleet(1);
+  fleet.On([&] { fleet.Endpoints().NameStalls(false); });
+  const EventStream stream = StreamWith(fleet, "unnamed", [&] {
+    const std::string last = LastEngineOf(fleet, "unnamed");
+    BOOST_REQUIRE(last != fleet.RunsOf("unnamed")[0].endpoint);
+    fleet.On([&] { fleet.Endpoints().SetFault(last, EndpointFault::kDark); });
+  });
+  CheckWhole(stream);
+  BOOST_TEST(stream.longest_pause_ms < 1000);
+  CheckNoViolations(fleet);
+}
+
 // The first engine of a path dies. Its connection breaks, and the answer goes
 // on at another engine after the last event that was handed out.
 BOOST_AUTO_TEST_CASE(AnswerGoesOnWhenItsFirstEngineDies) {
--- /dev/null
+++ b/unittests/attempts/event_pace_test.cc
@@ -0,0 +1,57 @@
+#include "toucanwharf/attempts/event_pace.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+
+namespace toucanwharf::attempts {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Duration kObjective = milliseconds(500);
+constexpr Duration kAllowedPause = milliseconds(200);
+
+TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
+
+EventPace PaceWithGaps(int gap_millis) {
+  EventPace pace(kObjective);
+  constexpr int kEvents = 20;
+  for (int at = 0; at < kEvents; ++at) pace.OnEvent(At(at * gap_millis));
+  return pace;
+}
+
+// A caller counts a pause over 200 ms as late. While events come at a usual
+// pace the engines must be asked when half of it is left.
+RC_BOOST_PROP(QuestionLeavesTimeForTheWayAround, ()) {
+  const EventPace pace = PaceWithGaps(*rc::gen::inRange(1, 60));
+  RC_ASSERT(pace.Patience() <= kAllowedPause / 2);
+  RC_ASSERT(pace.PatienceOnceSuspected() <= pace.Patience());
+}
+
+// Where all engines are slow, answers must not turn into questions.
+RC_BOOST_PROP(QuestionsAreRarerThanEvents, ()) {
+  const int gap = *rc::gen::inRange(1, 2000);
+  RC_ASSERT(PaceWithGaps(gap).Patience() > milliseconds(gap));
+}
+
+BOOST_AUTO_TEST_CASE(FastAnswerIsDoubtedSoon) {
+  BOOST_CHECK(PaceWithGaps(20).Patience() == milliseconds(60));
+}
+
+// In an overload events come every 50 ms, and a pause of 70 ms is ordinary.
+BOOST_AUTO_TEST_CASE(SlowAnswerGetsMoreTime) {
+  BOOST_CHECK(PaceWithGaps(50).Patience() > milliseconds(70));
+}
+
+BOOST_AUTO_TEST_CASE(BeforeTheFirstEventTheObjectiveCounts) {
+  EventPace pace(kObjective);
+  BOOST_CHECK(pace.Patience() == milliseconds(200));
+  pace.OnEvent(At(0));
+  BOOST_CHECK(pace.Patience() < milliseconds(200));
+  pace.Restart();
+  BOOST_CHECK(pace.Patience() == milliseconds(200));
+}
+
+}  // namespace
+}  // namespace toucanwharf::attempts
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -108,6 +108,23 @@
   BOOST_TEST(book.Suspicions(At(1000)).empty());
 }
 
+// An engine is dead, and one instance has found out. The others learn which
+// suspicions are of silence, and the news is told once.
+BOOST_AUTO_TEST_CASE(SilenceIsToldApartFromRefusals) {
+  LoadBook book;
+  book.Suspect("refuses", At(1000));
+  BOOST_TEST(book.SuspectSilent("silent", At(1000), At(0)));
+  BOOST_TEST(!book.SuspectSilent("silent", At(1200), At(10)));
+  BOOST_TEST(book.Silent("silent", At(1100)));
+  BOOST_TEST(!book.Silent("refuses", At(10)));
+  BOOST_TEST(book.Suspected("silent", At(10)));
+  for (const gossip::Suspicion& one : book.Suspicions(At(10))) {
+    BOOST_TEST(one.silent == (one.endpoint == "silent"));
+  }
+  book.HeardFrom("silent");
+  BOOST_TEST(!book.Suspected("silent", At(10)));
+}
+
 // A third of the instances are cut off from the others. What they last heard
 // of their loads is from a calm moment, so they send everything to the same
 // engines, which refuse their callers.
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -49,7 +49,7 @@
   beacon.echo = *rc::gen::inRange(0, 1 << 30);
   beacon.echo_of = "receiver";
   beacon.loads = {{"engine", 2, 300, 1}};
-  beacon.suspicions = {{"engine", milliseconds(20)}};
+  beacon.suspicions = {{"engine", milliseconds(20), true}};
   beacon.facts = {{"engine", 7, {0, 26}, 1.5, 4000}};
   beacon.peers = {"10.0.0.1:7"};
   const auto read = Decode(Encode(beacon));
--- a/unittests/placement/path_finder_test.cc
+++ b/unittests/placement/path_finder_test.cc
@@ -81,12 +81,12 @@
   const auto first = FindPath(model, engines, Query(), {}, random);
   BOOST_REQUIRE(first.path.has_value());
   PathQuery around = Query();
-  around.first = first.path->stages.front();
+  around.current = first.path->stages;
   const std::string dead = first.path->stages[2].endpoint;
   std::erase_if(engines, [&](const auto& one) { return one.id == dead; });
   const auto second = FindPath(model, engines, around, {}, random);
   BOOST_REQUIRE(second.path.has_value());
-  BOOST_CHECK(second.path->stages.front() == *around.first);
+  BOOST_CHECK(second.path->stages.front() == around.current.front());
   BOOST_TEST(pipeline::IsExactCover(RangesOf(*second.path), model.layers));
 }
 
@@ -177,6 +177,56 @@
   BOOST_TEST(two < 0.9 * all);
 }
 
+// An engine dies, and the fifty answers of its path go on elsewhere at the same
+// moment, from routers that haven't heard of each other's choices. On one path
+// the last of them would wait until the others' prompts are read.
+BOOST_AUTO_TEST_CASE(AnswersThatLostAnEngineShareTheOtherPaths) {
+  const EngineModel model = LargeModel();
+  auto engines =
+      Idle(Placed(LargeFleet(), PlanLayout(model, LargeFleet(), {})));
+  std::erase_if(engines,
+                [](const auto& one) { return one.failure_domain == "a"; });
+  PathSettings settings;
+  settings.entry_choices = kEntryChoicesForResumed;
+  Random random(5);
+  constexpr int kAnswers = 50;
+  std::map<std::string, int> by_domain;
+  for (int at = 0; at < kAnswers; ++at) {
+    const auto choice = FindPath(model, engines, Query(), settings, random);
+    BOOST_REQUIRE(choice.path.has_value());
+    const std::string& first = choice.path->stages.front().endpoint;
+    ++by_domain[first.substr(0, 1)];
+  }
+  BOOST_TEST(by_domain["b"] > kAnswers / 5);
+  BOOST_TEST(by_domain["c"] > kAnswers / 5);
+}
+
+// An answer goes around a dead engine through engines that are nearly full. Its
+// own share of them is free for it, and stages that stay have nothing to read.
+BOOST_AUTO_TEST_CASE(AnswerKeepsItsOwnRoomOnTheWayAround) {
+  const EngineModel model = LargeModel();
+  std::vector<Accelerator> fleet;
+  AddEngines(fleet, "a", "large", 3);
+  fleet[0].layers = {0, 20};
+  fleet[1].layers = {20, 50};
+  fleet[2].layers = {50, 80};
+  AddEngines(fleet, "b", "large", 1);
+  fleet[3].layers = {50, 80};
+  auto engines = Idle(fleet);
+  PathQuery query = Query();
+  query.current = {{engines[0].id, engines[0].address, {0, 20}},
+                   {engines[1].id, engines[1].address, {20, 50}},
+                   {engines[2].id, engines[2].address, {50, 80}}};
+  engines[1].token_layers =
+      TokenLayerRoom(model, *model.FindKind("large"), 30) *
+      PathSettings().room_share;
+  engines.erase(engines.begin() + 2);
+  Random random(1);
+  const auto choice = FindPath(model, engines, query, {}, random);
+  BOOST_REQUIRE(choice.path.has_value());
+  BOOST_TEST(choice.path->stages[1].endpoint == engines[1].id);
+}
+
 /// Two failure domains, each with two halves of the model.
 std::vector<Engine> TwoHalvesInTwoDomains() {
   std::vector<Accelerator> fleet;
