Large fleets ask only the first engine; a reset is a sign of life; hearsay isn't passed on

Ruled out: the leader asking for all. Change: in a large fleet only the first engine of a path is asked, with time for each instance that may ask; a connection that is reset, or a timer that fires late, doesn't count as silence; what was heard of silent engines isn't passed on but by the leader; an answer of an engine outweighs others' word; an answer is ended for another place only while the budget has an arrival left. Tests: HearsayIsNotPassedOn, OwnAnswerOutweighsOthersWord, and the earlier ones.

--- a/include/toucanwharf/attempts/arrival_budget.h
+++ b/include/toucanwharf/attempts/arrival_budget.h
@@ -51,7 +51,9 @@
   void SetInstances(std::size_t count) { this->instances = count; }
   /// Notes a request for \p service.
   void OnRequest(const std::string& service, TimePoint now);
-  /// Returns whether one more arrival may be caused, and counts it if so.
+  /// Returns whether one more arrival may be caused now.
+  bool HasExtra(const std::string& service, TimePoint now);
+  /// The same, and counts it if so.
   bool TakeExtra(const std::string& service, TimePoint now);
 
  private:
--- a/include/toucanwharf/endpoints/load_book.h
+++ b/include/toucanwharf/endpoints/load_book.h
@@ -55,15 +55,24 @@
   /// Keeps new work from \p endpoint until \p until.
   void Suspect(const std::string& endpoint, TimePoint until);
   bool Suspected(const std::string& endpoint, TimePoint now) const;
-  /// The same for an endpoint that answers nothing at all, so that answers
-  /// under way through it have stopped. Returns whether that is news.
-  bool SuspectSilent(const std::string& endpoint, TimePoint until,
-                     TimePoint now);
+  /// The same for an endpoint that answers nothing at all, as this instance has
+  /// found, so that answers under way through it have stopped. Returns whether
+  /// that is news.
+  bool FoundSilent(const std::string& endpoint, TimePoint until, TimePoint now);
+  /// The same by the word of another instance, which doesn't count beside an
+  /// answer that this one got itself a moment ago.
+  bool HeardSilent(const std::string& endpoint, TimePoint until, TimePoint now);
   bool Silent(const std::string& endpoint, TimePoint now) const;
-  /// Notes that \p endpoint has answered.
-  void HeardFrom(const std::string& endpoint);
-  /// Returns the suspicions that still hold.
-  std::vector<gossip::Suspicion> Suspicions(TimePoint now) const;
+  /// Notes that \p endpoint has answered this instance.
+  void Answered(const std::string& endpoint, TimePoint now);
+  /// Returns the suspicions that still hold. Of silent endpoints those that
+  /// this instance has found, or \p heard_too.
+  ///
+  /// Failure guarded against: instances that pass on what they heard keep a
+  /// suspicion alive among themselves, each message making it a little longer,
+  /// and a whole fleet avoids an engine that has been back for seconds.
+  std::vector<gossip::Suspicion> Suspicions(TimePoint now,
+                                            bool heard_too) const;
 
   /// Notes a report of an engine; it goes before the store's list until
   /// \p until.
@@ -89,7 +98,11 @@
   Loads peers;
   std::size_t unheard = 0;
   std::map<std::string, TimePoint> suspected;
+  /// Silent endpoints, by whose word ever.
   std::map<std::string, TimePoint> silent_until;
+  /// Those that this instance has found.
+  std::map<std::string, TimePoint> found_silent_until;
+  std::map<std::string, TimePoint> answered_at;
   /// Pauses that the other instances aren't told of.
   std::map<std::string, TimePoint> full_until;
   std::map<std::string, Refusals> refusals;
--- a/include/toucanwharf/instance/engine_probe.h
+++ b/include/toucanwharf/instance/engine_probe.h
@@ -38,8 +38,11 @@
               http::Request question, ToReport decode);
 
   /// Asks the engine at \p address, unless it has answered since \p since.
-  /// Those who ask together share one question. \p done is called once, later.
-  void Ask(const std::string& address, TimePoint since, OnAnswer done);
+  /// Those who ask together share one question. \p askers is how many instances
+  /// may ask at the same moment: each new connection costs an engine time, and
+  /// one that has to accept many is not silent. \p done is called once, later.
+  void Ask(const std::string& address, TimePoint since, std::size_t askers,
+           OnAnswer done);
 
  private:
   struct Question {
@@ -47,8 +50,11 @@
     TimePoint asked;
     std::vector<OnAnswer> waiting;
     int under_way = 0;
+    Duration second_after{0};
+    Duration silent_after{0};
     bool second_sent = false;
-    bool repeated = false;
+    /// A part of it ended in a way that only a live engine shows.
+    bool sign_of_life = false;
     http::TimerId second_timer = 0;
   };
   struct Recent {
@@ -60,7 +66,7 @@
   void Send(const std::shared_ptr<Question>& question, Duration timeout,
             http::Reuse reuse);
   void SendSecond(const std::shared_ptr<Question>& question);
-  void OnPart(const std::shared_ptr<Question>& question,
+  void OnPart(const std::shared_ptr<Question>& question, bool timed_out,
               const http::CallResult& result, const http::ResponseHead& head,
               const std::string& body);
   void End(const std::shared_ptr<Question>& question,
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -114,10 +114,21 @@
  private:
   friend class Passage;
 
-  /// Asks an engine whether it lives, unless it has answered since \p since.
+  /// Finds out which of \p engines are silent, unless they have answered since
+  /// \p since. Not in a large fleet.
+  ///
+  /// Load against which a large fleet is spared: all instances lose answers by
+  /// one dead or slow engine, and if each asked all engines of its paths, the
+  /// questions alone would keep healthy engines from answering in time, which
+  /// would be taken as silent too. A leader that asks for all is overrun by the
+  /// doubts of the others. There the first engine's report tells of a silent
+  /// one.
+  void Doubt(const std::vector<pipeline::Stage>& engines, TimePoint since);
   void AskWhetherAlive(const pipeline::Stage& stage, TimePoint since);
-  /// Notes that the engine of \p stage gives no sign of life.
-  void NoteSilent(const pipeline::Stage& stage);
+  /// Returns how many instances may ask an engine at the same moment.
+  std::size_t Askers() const;
+  /// Notes that \p endpoint gives no sign of life.
+  void NoteSilent(const std::string& endpoint);
   /// Returns what the streams under way, but for \p except, show of engines.
   std::vector<endpoints::AnswerSign> SignsBeside(const Passage& except) const;
   /// Lets \p passage wait until there is room for its answer.
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -287,7 +287,7 @@
       return;
     }
     known.failed_reports = 0;
-    this->beliefs.loads.HeardFrom(id);
+    this->beliefs.loads.Answered(id, this->loop.Now());
     const auto report = A::ToReport(body);
     if (!report) {
       this->logger.Write(eventlog::Level::kNotable, "report_unreadable",
@@ -316,7 +316,7 @@
     const TimePoint now = this->loop.Now();
     const bool doubted = this->beliefs.loads.Suspected(id, now);
     if (known.failed_reports < kSure && !doubted) return;
-    const bool news = this->beliefs.loads.SuspectSilent(
+    const bool news = this->beliefs.loads.FoundSilent(
         id, now + this->times.unanswered_pause, now);
     if (news) this->peers.AnnounceSilentEngine();
   }
--- a/lib/attempts/arrival_budget.cc
+++ b/lib/attempts/arrival_budget.cc
@@ -38,8 +38,8 @@
                     this->settings.first_share, this->settings.used_share);
 }
 
-bool ArrivalBudget::TakeExtra(const std::string& service, TimePoint now) {
-  Slice& current = this->Current(service, now);
+bool ArrivalBudget::HasExtra(const std::string& service, TimePoint now) {
+  this->Current(service, now);
   double requests = 0;
   double extras = 0;
   for (const Slice& slice : this->services[service]) {
@@ -50,8 +50,12 @@
       this->settings.slack / static_cast<double>(this->instances);
   const double most =
       this->Share(now) * (this->settings.ratio * requests + slack);
-  if (extras + 1 > most) return false;
-  ++current.extras;
+  return extras + 1 <= most;
+}
+
+bool ArrivalBudget::TakeExtra(const std::string& service, TimePoint now) {
+  if (!this->HasExtra(service, now)) return false;
+  ++this->Current(service, now).extras;
   return true;
 }
 
--- a/lib/endpoints/load_book.cc
+++ b/lib/endpoints/load_book.cc
@@ -14,6 +14,9 @@
 constexpr Duration kRefusalPause = std::chrono::milliseconds(1000);
 /// Up to 4 s: as long as engines that fall over take to be replaced.
 constexpr int kMostPauseDoublings = 2;
+/// An answer of an endpoint outweighs others' word for so long; what they found
+/// before it is told by then.
+constexpr Duration kOwnWordHolds = std::chrono::milliseconds(300);
 /// Without a refusal for so long after a pause the next one is a first again.
 constexpr Duration kRefusalsForgotten = std::chrono::milliseconds(1500);
 
@@ -30,6 +33,12 @@
   return found != until.end() && now < found->second;
 }
 
+void Prolong(std::map<std::string, TimePoint>& until,
+             const std::string& endpoint, TimePoint to) {
+  TimePoint& known = until[endpoint];
+  known = std::max(known, to);
+}
+
 }  // namespace
 
 void LoadBook::Began(const gossip::EndpointLoad& load) {
@@ -121,15 +130,25 @@
 }
 
 void LoadBook::Suspect(const std::string& endpoint, TimePoint until) {
-  TimePoint& known = this->suspected[endpoint];
-  known = std::max(known, until);
+  Prolong(this->suspected, endpoint, until);
+}
+
+bool LoadBook::FoundSilent(const std::string& endpoint, TimePoint until,
+                           TimePoint now) {
+  const bool news = !this->Silent(endpoint, now);
+  Prolong(this->silent_until, endpoint, until);
+  Prolong(this->found_silent_until, endpoint, until);
+  return news;
 }
 
-bool LoadBook::SuspectSilent(const std::string& endpoint, TimePoint until,
-                             TimePoint now) {
+bool LoadBook::HeardSilent(const std::string& endpoint, TimePoint until,
+                           TimePoint now) {
+  const auto answered = this->answered_at.find(endpoint);
+  const bool contradicted = answered != this->answered_at.end() &&
+                            now - answered->second < kOwnWordHolds;
+  if (contradicted) return false;
   const bool news = !this->Silent(endpoint, now);
-  TimePoint& known = this->silent_until[endpoint];
-  known = std::max(known, until);
+  Prolong(this->silent_until, endpoint, until);
   return news;
 }
 
@@ -137,8 +156,10 @@
   return Holds(this->silent_until, endpoint, now);
 }
 
-void LoadBook::HeardFrom(const std::string& endpoint) {
+void LoadBook::Answered(const std::string& endpoint, TimePoint now) {
+  this->answered_at[endpoint] = now;
   this->silent_until.erase(endpoint);
+  this->found_silent_until.erase(endpoint);
 }
 
 bool LoadBook::Suspected(const std::string& endpoint, TimePoint now) const {
@@ -146,12 +167,15 @@
          Holds(this->suspected, endpoint, now) || this->Silent(endpoint, now);
 }
 
-std::vector<gossip::Suspicion> LoadBook::Suspicions(TimePoint now) const {
+std::vector<gossip::Suspicion> LoadBook::Suspicions(TimePoint now,
+                                                    bool heard_too) const {
   std::vector<gossip::Suspicion> holding;
   for (const auto& [endpoint, until] : this->suspected) {
     if (now < until) holding.push_back({endpoint, until - now, false});
   }
-  for (const auto& [endpoint, until] : this->silent_until) {
+  const auto& silent =
+      heard_too ? this->silent_until : this->found_silent_until;
+  for (const auto& [endpoint, until] : silent) {
     if (now < until) holding.push_back({endpoint, until - now, true});
   }
   return holding;
--- a/lib/instance/engine_probe.cc
+++ b/lib/instance/engine_probe.cc
@@ -11,6 +11,9 @@
 constexpr Duration kSecondAfter = std::chrono::milliseconds(12);
 /// Without an answer to the second question either the engine is silent.
 constexpr Duration kSilentAfter = std::chrono::milliseconds(35);
+/// Added to both for each further instance that asks at the same moment: what
+/// it takes an engine to accept a connection.
+constexpr Duration kForEachAsker = std::chrono::microseconds(1000);
 /// A timer that fires so late shows that this process itself stood still, and
 /// that the answers may lie unread.
 constexpr Duration kLateTimer = std::chrono::milliseconds(15);
@@ -27,7 +30,7 @@
       to_report(std::move(decode)) {}
 
 void EngineProbe::Ask(const std::string& address, TimePoint since,
-                      OnAnswer done) {
+                      std::size_t askers, OnAnswer done) {
   const auto known = this->recent.find(address);
   if (known != this->recent.end() && known->second.at >= since) {
     this->loop.Post([done, answer = known->second.answer] { done(answer); });
@@ -41,15 +44,17 @@
   question = std::make_shared<Question>();
   question->address = address;
   question->waiting.push_back(std::move(done));
+  const Duration crowd = kForEachAsker * (askers > 0 ? askers - 1 : 0);
+  question->second_after = kSecondAfter + crowd;
+  question->silent_after = kSilentAfter + 2 * crowd;
   this->Begin(question);
 }
 
 void EngineProbe::Begin(const std::shared_ptr<Question>& question) {
   question->asked = this->loop.Now();
-  question->second_sent = false;
-  this->Send(question, kSilentAfter, http::Reuse::kAllowed);
+  this->Send(question, question->silent_after, http::Reuse::kAllowed);
   question->second_timer = this->loop.After(
-      kSecondAfter, [this, question] { this->SendSecond(question); });
+      question->second_after, [this, question] { this->SendSecond(question); });
 }
 
 void EngineProbe::Send(const std::shared_ptr<Question>& question,
@@ -60,10 +65,11 @@
   options.connect_timeout = timeout;
   http::Fetch(
       this->loop, this->client, question->address, this->request, timeout,
-      [this, question](const http::CallResult& result,
-                       const http::ResponseHead& head,
-                       const std::string& body) {
-        this->OnPart(question, result, head, body);
+      [this, question, ends = this->loop.Now() + timeout](
+          const http::CallResult& result, const http::ResponseHead& head,
+          const std::string& body) {
+        const bool timed_out = this->loop.Now() >= ends;
+        this->OnPart(question, timed_out, result, head, body);
       },
       options);
 }
@@ -73,33 +79,36 @@
     return;
   }
   this->loop.Cancel(question->second_timer);
-  this->Send(question, kSilentAfter - kSecondAfter, http::Reuse::kNever);
+  this->Send(question, question->silent_after - question->second_after,
+             http::Reuse::kNever);
 }
 
 void EngineProbe::OnPart(const std::shared_ptr<Question>& question,
-                         const http::CallResult& result,
+                         bool timed_out, const http::CallResult& result,
                          const http::ResponseHead& head,
                          const std::string& body) {
   --question->under_way;
   if (question->waiting.empty()) return;
+  ProbeAnswer answer;
   if (result.end == http::CallEnd::kComplete) {
-    ProbeAnswer answer;
     answer.alive = true;
     if (head.status == http::kOk) answer.report = this->to_report(body);
     this->End(question, answer);
     return;
   }
+  // An engine with too many connections resets further ones. A kept connection
+  // may have been reset for any reason.
+  const bool reset = result.end != http::CallEnd::kNotConnected && !timed_out;
+  if (reset && !result.reused) question->sign_of_life = true;
   if (!question->second_sent) {
     this->SendSecond(question);
     return;
   }
   if (question->under_way > 0) return;
-  const Duration late = this->loop.Now() - question->asked - kSilentAfter;
-  if (late > kLateTimer && !std::exchange(question->repeated, true)) {
-    this->Begin(question);
-    return;
-  }
-  this->End(question, ProbeAnswer{});
+  const Duration late =
+      this->loop.Now() - question->asked - question->silent_after;
+  answer.alive = question->sign_of_life || late > kLateTimer;
+  this->End(question, answer);
 }
 
 void EngineProbe::End(const std::shared_ptr<Question>& question,
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -121,26 +121,38 @@
       ->Start();
 }
 
+std::size_t Gateway::Askers() const {
+  return this->beliefs.peers.Instances(this->loop.Now());
+}
+
+void Gateway::Doubt(const std::vector<pipeline::Stage>& engines,
+                    TimePoint since) {
+  if (this->beliefs.peers.Large(this->loop.Now())) return;
+  for (const pipeline::Stage& stage : engines) {
+    this->AskWhetherAlive(stage, since);
+  }
+}
+
 void Gateway::AskWhetherAlive(const pipeline::Stage& stage, TimePoint since) {
-  this->probe.Ask(stage.address, since,
-                  [this, stage](const ProbeAnswer& answer) {
+  this->probe.Ask(stage.address, since, this->Askers(),
+                  [this, id = stage.endpoint](const ProbeAnswer& answer) {
                     if (answer.alive) {
-                      this->beliefs.loads.HeardFrom(stage.endpoint);
+                      this->beliefs.loads.Answered(id, this->loop.Now());
                     } else {
-                      this->NoteSilent(stage);
+                      this->NoteSilent(id);
                     }
                   });
 }
 
-void Gateway::NoteSilent(const pipeline::Stage& stage) {
+void Gateway::NoteSilent(const std::string& endpoint) {
   const TimePoint now = this->loop.Now();
   const bool news =
-      this->beliefs.loads.SuspectSilent(stage.endpoint, now + kSilentFor, now);
+      this->beliefs.loads.FoundSilent(endpoint, now + kSilentFor, now);
   if (!news) return;
   this->logger.Write(Level::kNotable, "engine_silent",
-                     Fields().Text("endpoint", stage.endpoint), now);
+                     Fields().Text("endpoint", endpoint), now);
   if (this->tell_silent) this->tell_silent();
-  this->LeadAround(stage.endpoint);
+  this->LeadAround(endpoint);
 }
 
 void Gateway::LeadAround(const std::string& endpoint) {
--- a/lib/instance/passage_silence.cc
+++ b/lib/instance/passage_silence.cc
@@ -128,22 +128,22 @@
   if (this->asking) return;
   this->asking = true;
   const TimePoint now = this->gateway.loop.Now();
-  this->gateway.probe.Ask(this->target.address, now - kReportLives,
-                          [self = this->shared_from_this(),
-                           asked_of = this->call](const ProbeAnswer& answer) {
-                            self->asking = false;
-                            const bool same =
-                                !self->finished && self->call == asked_of;
-                            if (same) self->OnFirstEngine(answer);
-                          });
+  this->gateway.probe.Ask(
+      this->target.address, now - kReportLives, this->gateway.Askers(),
+      [self = this->shared_from_this(),
+       asked_of = this->call](const ProbeAnswer& answer) {
+        self->asking = false;
+        const bool same = !self->finished && self->call == asked_of;
+        if (same) self->OnFirstEngine(answer);
+      });
   const TimePoint since =
       this->last_data + this->Patience() * kSignAfterPercent / kPercent;
-  const auto doubted = endpoints::DoubtedEngines(
-      this->target.stages, since, this->gateway.SignsBeside(*this));
-  for (const pipeline::Stage& stage : doubted) {
-    if (stage.endpoint == this->target.endpoint) continue;
-    this->gateway.AskWhetherAlive(stage, since);
-  }
+  auto doubted = endpoints::DoubtedEngines(this->target.stages, since,
+                                           this->gateway.SignsBeside(*this));
+  std::erase_if(doubted, [this](const pipeline::Stage& stage) {
+    return stage.endpoint == this->target.endpoint;
+  });
+  this->gateway.Doubt(doubted, since);
 }
 
 /// The first engine of the path has said why no event came, or nothing.
@@ -181,7 +181,7 @@
 void Passage::NoteSilentAt(const std::string& address) {
   const auto stages = this->target.stages;
   for (const pipeline::Stage& stage : stages) {
-    if (stage.address == address) this->gateway.NoteSilent(stage);
+    if (stage.address == address) this->gateway.NoteSilent(stage.endpoint);
   }
 }
 
@@ -203,6 +203,8 @@
 bool Passage::HasPlaceElsewhere() {
   return attempts::MayTryAgain(*this->what.route, this->tries,
                                TryEnd::kUnknown) &&
+         this->gateway.budget.HasExtra(this->what.service->name,
+                                       this->gateway.loop.Now()) &&
          this->Choose().has_value();
 }
 
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -175,7 +175,7 @@
   }
   beacon.stamp = now.since_start.count();
   beacon.loads = this->beliefs.loads.Own();
-  beacon.suspicions = this->beliefs.loads.Suspicions(now);
+  beacon.suspicions = this->beliefs.loads.Suspicions(now, this->beliefs.leads);
   if (this->beliefs.leads) {
     beacon.facts = this->facts;
     beacon.fleet_loads = this->beliefs.loads.All();
@@ -277,7 +277,7 @@
     loads.Suspect(one.endpoint, until);
     return;
   }
-  if (!loads.SuspectSilent(one.endpoint, until, now)) return;
+  if (!loads.HeardSilent(one.endpoint, until, now)) return;
   this->logger.Write(Level::kNotable, "peer_found_engine_silent",
                      Fields().Text("endpoint", one.endpoint), now);
   if (this->beliefs.leads && this->beliefs.peers.Large(now)) this->Announce();
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -104,8 +104,8 @@
   book.Suspect("engine", At(500));
   BOOST_TEST(book.Suspected("engine", At(999)));
   BOOST_TEST(!book.Suspected("engine", At(1000)));
-  BOOST_TEST(book.Suspicions(At(400)).size() == 1U);
-  BOOST_TEST(book.Suspicions(At(1000)).empty());
+  BOOST_TEST(book.Suspicions(At(400), false).size() == 1U);
+  BOOST_TEST(book.Suspicions(At(1000), false).empty());
 }
 
 // An engine is dead, and one instance has found out. The others learn which
@@ -113,18 +113,38 @@
 BOOST_AUTO_TEST_CASE(SilenceIsToldApartFromRefusals) {
   LoadBook book;
   book.Suspect("refuses", At(1000));
-  BOOST_TEST(book.SuspectSilent("silent", At(1000), At(0)));
-  BOOST_TEST(!book.SuspectSilent("silent", At(1200), At(10)));
+  BOOST_TEST(book.FoundSilent("silent", At(1000), At(0)));
+  BOOST_TEST(!book.FoundSilent("silent", At(1200), At(10)));
   BOOST_TEST(book.Silent("silent", At(1100)));
   BOOST_TEST(!book.Silent("refuses", At(10)));
   BOOST_TEST(book.Suspected("silent", At(10)));
-  for (const gossip::Suspicion& one : book.Suspicions(At(10))) {
+  for (const gossip::Suspicion& one : book.Suspicions(At(10), false)) {
     BOOST_TEST(one.silent == (one.endpoint == "silent"));
   }
-  book.HeardFrom("silent");
+  book.Answered("silent", At(10));
   BOOST_TEST(!book.Suspected("silent", At(10)));
 }
 
+// An engine was dead for a moment. Instances that passed on what they had heard
+// would keep the word of it going among themselves when it is long back.
+BOOST_AUTO_TEST_CASE(HearsayIsNotPassedOn) {
+  LoadBook book;
+  BOOST_TEST(book.HeardSilent("engine", At(1000), At(0)));
+  BOOST_TEST(book.Silent("engine", At(10)));
+  BOOST_TEST(book.Suspicions(At(10), false).empty());
+  BOOST_TEST(book.Suspicions(At(10), true).size() == 1U);
+}
+
+// An instance asks an engine and gets an answer, while others still tell what
+// they found before.
+BOOST_AUTO_TEST_CASE(OwnAnswerOutweighsOthersWord) {
+  LoadBook book;
+  book.Answered("engine", At(0));
+  BOOST_TEST(!book.HeardSilent("engine", At(1000), At(299)));
+  BOOST_TEST(!book.Silent("engine", At(299)));
+  BOOST_TEST(book.HeardSilent("engine", At(1000), At(300)));
+}
+
 // A third of the instances are cut off from the others. What they last heard
 // of their loads is from a calm moment, so they send everything to the same
 // engines, which refuse their callers.
@@ -159,7 +179,7 @@
   book.OnRefusal("engine", false, At(10));
   BOOST_TEST(book.Suspected("engine", At(999)));
   BOOST_TEST(!book.Suspected("engine", At(1000)));
-  BOOST_TEST(book.Suspicions(At(10)).size() == 1U);
+  BOOST_TEST(book.Suspicions(At(10), false).size() == 1U);
   book.OnRefusal("engine", false, At(1100));
   BOOST_TEST(book.Suspected("engine", At(3099)));
   BOOST_TEST(!book.Suspected("engine", At(3100)));
@@ -174,7 +194,7 @@
   book.OnRefusal("engine", true, At(0));
   BOOST_TEST(book.Suspected("engine", At(399)));
   BOOST_TEST(!book.Suspected("engine", At(400)));
-  BOOST_TEST(book.Suspicions(At(10)).empty());
+  BOOST_TEST(book.Suspicions(At(10), false).empty());
 }
 
 }  // namespace
