Layouts: kinds ranked by time per layer, engines to spare copy any layers

Change: kinds are ranked by the time that a usual answer spends for a layer, the hop included; of kinds within a tenth the larger goes first. Engines without layers copy the run of layers whose copies are worth most, parts of parts too.

--- a/lib/placement/layout.cc
+++ b/lib/placement/layout.cc
@@ -1,7 +1,8 @@
 #include "toucanwharf/placement/layout.h"
 
 #include <algorithm>
-#include <set>
+#include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace toucanwharf::placement {
@@ -10,6 +11,16 @@
 using pipeline::LayerRange;
 using Group = std::vector<const Accelerator*>;
 
+/// Time from one engine to the next inside a failure domain, for each token.
+constexpr double kHopMillis = 0.1;
+/// Kinds whose times for a layer differ by less than this factor are about as
+/// fast.
+constexpr double kAboutAsFast = 1.1;
+/// The sums of two runs that differ by less are equal but for rounding.
+constexpr double kClearlyMore = 1 + 1e-9;
+/// A further copy of a layer is worth so much of the one before.
+constexpr double kFurtherCopy = 0.25;
+
 /// Layers from the first that nobody holds up to the next that somebody does.
 using Gap = LayerRange;
 
@@ -19,6 +30,7 @@
       : model(engine_model), settings(chosen) {}
 
   Layout Plan(const std::vector<Accelerator>& fleet) {
+    this->RankKinds();
     std::map<std::string, Group> domains;
     for (const Accelerator& one : fleet) {
       if (this->model.FindKind(one.kind) == nullptr) continue;
@@ -26,27 +38,73 @@
     }
     Group homeless;
     for (auto& [domain, members] : domains) {
-      this->SortFastestFirst(members);
+      this->SortBestFirst(members);
       if (!this->PlanGroup(members)) {
         homeless.insert(homeless.end(), members.begin(), members.end());
       }
     }
     // What no domain could use alone may make a cover together.
-    this->SortFastestFirst(homeless);
+    this->SortBestFirst(homeless);
     this->PlanGroup(homeless);
     return std::move(this->layout);
   }
 
  private:
-  void SortFastestFirst(Group& members) const {
+  /// By the rank of their kinds, see RankKinds.
+  void SortBestFirst(Group& members) const {
     std::sort(members.begin(), members.end(),
               [this](const Accelerator* left, const Accelerator* right) {
-                const double a = this->model.FindKind(left->kind)->step_factor;
-                const double b = this->model.FindKind(right->kind)->step_factor;
-                return std::pair(a, left->id) < std::pair(b, right->id);
+                const std::size_t a = this->ranks.at(left->kind);
+                const std::size_t b = this->ranks.at(right->kind);
+                return std::tie(a, left->id) < std::tie(b, right->id);
               });
   }
 
+  /// Returns the time that an answer of usual length spends for each layer on
+  /// \p kind, the way to the next engine included.
+  double MillisPerLayer(const AcceleratorKind& kind) const {
+    const double layers = this->model.layers;
+    const std::uint32_t each =
+        LayersFor(this->model, kind, this->settings.wanted_answers);
+    const double hop = each > 0 ? kHopMillis / each : kHopMillis;
+    const double step = this->model.step_millis * kind.step_factor / layers;
+    const double read = this->model.usual_prompt /
+                        this->model.prefill_tokens_per_milli *
+                        kind.prefill_factor / layers;
+    return this->model.usual_answer * (step + hop) + read;
+  }
+
+  /// Orders the kinds, the fastest first. Of kinds that are about as fast,
+  /// those with more memory go first: a cover of fewer engines is hit less
+  /// often when engines die, and leaves more of them to stand by.
+  void RankKinds() {
+    struct Rank {
+      double millis;
+      const AcceleratorKind* kind;
+    };
+    std::vector<Rank> kinds;
+    for (const AcceleratorKind& kind : this->model.kinds) {
+      kinds.push_back({this->MillisPerLayer(kind), &kind});
+    }
+    std::stable_sort(kinds.begin(), kinds.end(),
+                     [](const Rank& left, const Rank& right) {
+                       return left.millis < right.millis;
+                     });
+    for (auto first = kinds.begin(); first != kinds.end();) {
+      const double limit = first->millis * kAboutAsFast;
+      const auto last = std::find_if(first, kinds.end(), [&](const Rank& one) {
+        return one.millis > limit;
+      });
+      std::stable_sort(first, last, [](const Rank& left, const Rank& right) {
+        return left.kind->memory_mb > right.kind->memory_mb;
+      });
+      first = last;
+    }
+    for (const Rank& one : kinds) {
+      this->ranks.emplace(one.kind->name, this->ranks.size());
+    }
+  }
+
   /// Keeps whole covers, mends a broken one, builds new ones, and lets what is
   /// left stand by. Returns false if there is no cover.
   bool PlanGroup(Group members) {
@@ -60,59 +118,67 @@
     return !this->covers.empty();
   }
 
-  /// Gives each engine that is left without layers a copy of neighbouring
-  /// parts of a cover, as many as leave it some room, so that paths go around
-  /// one that dies. Those that hold layers keep them: a path may use any part
+  /// Gives each engine that is left without layers copies of neighbouring ones,
+  /// as many as leave it some room, so that paths go around an engine that dies
+  /// or turns slow. Those that hold layers keep them: a path may use any part
   /// of them, and a load would cost more than a better choice gains.
   void StandBy(const Group& members) {
-    std::set<LayerRange> copied;
+    if (this->covers.empty()) return;
+    std::vector<int> copies(this->model.layers, 0);
     for (const Accelerator* one : members) {
       if (!this->Holds(*one)) continue;
-      copied.insert(one->layers);
+      CountCopies(one->layers, copies);
       this->layout[one->id] = one->layers;
     }
+    const std::vector<double> worths = this->LayerWorths();
     for (const Accelerator* one : members) {
       if (this->Holds(*one)) continue;
-      const LayerRange run = this->BestRun(*one, copied);
+      const LayerRange run = this->BestRun(*one, worths, copies);
       if (run.Count() == 0) continue;
-      copied.insert(run);
+      CountCopies(run, copies);
       this->layout[one->id] = run;
     }
   }
 
-  /// Returns the neighbouring parts that fit on \p one and of which the fewest
-  /// layers are copied already; the most layers first.
-  LayerRange BestRun(const Accelerator& one,
-                     const std::set<LayerRange>& copied) const {
-    const std::uint32_t fit =
-        LayersFor(this->model, *this->model.FindKind(one.kind),
-                  this->settings.standby_answers);
-    LayerRange best;
-    std::int64_t best_gain = 0;
+  static void CountCopies(const LayerRange& run, std::vector<int>& copies) {
+    for (std::uint32_t at = run.begin; at < run.end; ++at) ++copies[at];
+  }
+
+  /// Returns what a copy of each layer is worth. A copied part protects against
+  /// the loss of one engine, whatever its size, so that a layer of a large part
+  /// counts less.
+  std::vector<double> LayerWorths() const {
+    std::vector<double> worths(this->model.layers, 0);
     for (const auto& parts : this->covers) {
-      for (std::size_t from = 0; from < parts.size(); ++from) {
-        for (std::size_t to = from; to < parts.size(); ++to) {
-          const LayerRange run{parts[from].begin, parts[to].end};
-          if (run.Count() > fit) break;
-          const std::int64_t gain = NewLayers(run, copied);
-          if (gain <= best_gain) continue;
-          best = run;
-          best_gain = gain;
+      for (const LayerRange& part : parts) {
+        for (std::uint32_t at = part.begin; at < part.end; ++at) {
+          worths[at] += 1.0 / part.Count();
         }
       }
     }
-    return best;
+    return worths;
   }
 
-  static std::int64_t NewLayers(const LayerRange& run,
-                                const std::set<LayerRange>& copied) {
-    std::int64_t fresh = run.Count();
-    for (const LayerRange& one : copied) {
-      const std::uint32_t begin = std::max(one.begin, run.begin);
-      const std::uint32_t end = std::min(one.end, run.end);
-      if (end > begin) fresh -= end - begin;
+  /// Returns the layers that fit on \p one whose copies are worth most.
+  LayerRange BestRun(const Accelerator& one, const std::vector<double>& worths,
+                     const std::vector<int>& copies) const {
+    const std::uint32_t fit =
+        LayersFor(this->model, *this->model.FindKind(one.kind),
+                  this->settings.standby_answers);
+    if (fit == 0) return {};
+    LayerRange best;
+    double best_worth = 0;
+    for (std::uint32_t begin = 0; begin + fit <= this->model.layers; ++begin) {
+      const LayerRange run{begin, begin + fit};
+      double worth = 0;
+      for (std::uint32_t at = run.begin; at < run.end; ++at) {
+        worth += worths[at] * std::pow(kFurtherCopy, copies[at]);
+      }
+      if (worth <= best_worth * kClearlyMore) continue;
+      best = run;
+      best_worth = worth;
     }
-    return fresh;
+    return best;
   }
 
   void TakeCover(Group& members, const Layout& chosen) {
@@ -302,6 +368,8 @@
 
   const EngineModel& model;
   const LayoutSettings& settings;
+  /// Place of each kind in the order in which kinds are used.
+  std::map<std::string, std::size_t> ranks;
   Layout layout;
   /// The parts of each cover of the group that is planned, in order.
   std::vector<std::vector<LayerRange>> covers;
--- a/unittests/placement/layout_test.cc
+++ b/unittests/placement/layout_test.cc
@@ -100,6 +100,64 @@
   }
 }
 
+/// Two slow kinds that are about as fast, one with half as much memory again.
+EngineModel ModelOfSlowKinds() {
+  EngineModel model = LargeModel();
+  model.token_mb = 0.426;
+  model.kinds = {{"large", 36000, 3.1, 3.2},
+                 {"small", 14400, 15, 15},
+                 {"slow", 21600, 16, 8.2}};
+  return model;
+}
+
+std::vector<Accelerator> OneDomain() {
+  std::vector<Accelerator> fleet;
+  AddEngines(fleet, "a", "large", 2);
+  AddEngines(fleet, "a", "slow", 5);
+  AddEngines(fleet, "a", "small", 8);
+  return fleet;
+}
+
+LayoutSettings RoomForEighty() {
+  LayoutSettings settings;
+  settings.wanted_answers = 80;
+  return settings;
+}
+
+int LayersWithSecondHolder(const EngineModel& model, const Layout& layout) {
+  std::vector<int> holders(model.layers, 0);
+  for (const auto& [id, layers] : layout) {
+    for (std::uint32_t at = layers.begin; at < layers.end; ++at) ++holders[at];
+  }
+  return static_cast<int>(std::count_if(holders.begin(), holders.end(),
+                                        [](int count) { return count > 1; }));
+}
+
+// Five engines of a fleet turn slow at once, each the only one of its failure
+// domain with its layers. Every answer went through a slow one for seconds, and
+// half of the callers left, while engines beside it stood idle.
+BOOST_AUTO_TEST_CASE(EnginesToSpareCopyHalfOfTheLayers) {
+  const EngineModel model = ModelOfSlowKinds();
+  const Layout layout = PlanLayout(model, OneDomain(), RoomForEighty());
+  BOOST_TEST(layout.size() == OneDomain().size());
+  BOOST_TEST(LayersWithSecondHolder(model, layout) >= 40);
+}
+
+// Eleven engines on every path are hit more often than seven, and leave fewer
+// to stand by.
+BOOST_AUTO_TEST_CASE(OfKindsAboutAsFastTheLargerGoesFirst) {
+  const EngineModel model = ModelOfSlowKinds();
+  const auto placed =
+      Placed(OneDomain(), PlanLayout(model, OneDomain(), RoomForEighty()));
+  Random random(1);
+  PathQuery query;
+  query.failure_domain = "a";
+  query.output_tokens = 150;
+  const auto choice = FindPath(model, Idle(placed), query, {}, random);
+  BOOST_REQUIRE(choice.path.has_value());
+  BOOST_TEST(choice.path->stages.size() <= 9U);
+}
+
 // A domain that is too small for a cover gives its engines to one that spans
 // several domains, rather than serving nobody.
 BOOST_AUTO_TEST_CASE(SmallDomainsServeTogether) {
