A cover is planned with room for 100 answers instead of 130

Cause: with room for 130 answers a domain of fifteen engines had five left to copy layers, which held 33 of 80; about 50 answers are under way in each.

--- a/include/toucanwharf/placement/layout.h
+++ b/include/toucanwharf/placement/layout.h
@@ -27,7 +27,7 @@
   /// Answers that each cover should have room for: what one of three covers of
   /// a fleet of forty carries, and half of a lost one's beside. Below the 192
   /// that an engine takes as the first of a path.
-  double wanted_answers = 130;
+  double wanted_answers = 100;
   /// A cover with room for fewer isn't worth its loads: it would be full
   /// within a second, and hold engines that could mend another.
   double least_answers = 30;
