Callers of a start's first moment wait until the configuration is read

Ruled out: listening later; a refused connection costs callers the address. Change: for 250 ms from the start a request waits until configuration, endpoints and keys are known; bytes are bounded, and deadlines count from the arrival. Tests: CallersOfTheFirstMomentWait, WaitingBytesAreBounded; the process test CallersOfTheFirstMomentAreServed passes without the wait too, as the stand-in's store answers at once.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "toucanwharf/attempts/arrival_budget.h"
+#include "toucanwharf/attempts/start_wait.h"
 #include "toucanwharf/endpoints/doubt.h"
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/http/client.h"
@@ -108,12 +109,28 @@
   /// Sets how many instances share the budget of extra arrivals.
   void SetInstances(std::size_t count) { this->budget.SetInstances(count); }
   /// Returns how many requests are under way.
-  std::size_t UnderWay() const { return this->passages.size(); }
+  std::size_t UnderWay() const {
+    return this->passages.size() + this->early.size();
+  }
   const GatewayCounters& Counters() const { return this->counters; }
 
  private:
   friend class Passage;
 
+  /// A request that came before this process knew where to send it.
+  struct Early {
+    std::shared_ptr<http::Exchange> exchange;
+    TimePoint arrived;
+    std::size_t bytes = 0;
+  };
+
+  /// Returns whether requests can be judged: the configuration and the list of
+  /// endpoints are known, and keys may be admitted.
+  bool KnowsEnough(TimePoint now) const;
+  /// Takes a request that arrived at \p arrived.
+  void Take(std::shared_ptr<http::Exchange> exchange, TimePoint arrived);
+  void TakeEarly();
+
   /// Finds out which of \p engines are silent, unless they have answered since
   /// \p since. Not in a large fleet.
   ///
@@ -153,6 +170,8 @@
   std::function<void()> tell_silent;
   /// All requests under way.
   std::set<Passage*> passages;
+  attempts::StartWait start_wait;
+  std::vector<Early> early;
   std::deque<std::shared_ptr<Passage>> queue;
   http::TimerId queue_timer = 0;
 };
--- /dev/null
+++ b/lib/attempts/start_wait.cc
@@ -0,0 +1,12 @@
+#include "toucanwharf/attempts/start_wait.h"
+
+namespace toucanwharf::attempts {
+
+bool StartWait::Enter(std::size_t bytes, TimePoint now) {
+  if (this->Over(now)) return false;
+  if (this->waiting_bytes + bytes > this->settings.most_bytes) return false;
+  this->waiting_bytes += bytes;
+  return true;
+}
+
+}  // namespace toucanwharf::attempts
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -19,6 +19,10 @@
 /// signal to stop could be cut by the kill; its caller is sent on at once.
 constexpr Duration kTakeAfterStop = std::chrono::milliseconds(2800);
 constexpr double kMicrosPerSecond = 1e6;
+/// Between looks whether requests that came early can be taken.
+constexpr Duration kEarlyLook = std::chrono::milliseconds(10);
+/// What a waiting request holds beside its body, about.
+constexpr std::size_t kHeadBytes = 1024;
 /// A silent engine gets nothing new for this long; by then the instance that
 /// places layers has asked it as well.
 constexpr Duration kSilentFor = std::chrono::milliseconds(1000);
@@ -61,17 +65,51 @@
       budget(chosen.budget),
       random(HashText(shared_beliefs.instance)),
       calls(std::move(engine_calls)),
-      probe(event_loop, http_client, this->calls.report,
-            this->calls.to_report) {}
+      probe(event_loop, http_client, this->calls.report, this->calls.to_report),
+      start_wait(event_loop.Now()) {}
 
 bool Gateway::TooLateToTake(TimePoint now) const {
   return this->beliefs.stopping_since &&
          now - *this->beliefs.stopping_since > kTakeAfterStop;
 }
 
+bool Gateway::KnowsEnough(TimePoint now) const {
+  return this->beliefs.table && this->beliefs.endpoints.Revision() > 0 &&
+         this->beliefs.KeysHold(now);
+}
+
 void Gateway::Handle(std::shared_ptr<http::Exchange> exchange) {
   ++this->counters.received;
   const TimePoint now = this->loop.Now();
+  const std::size_t bytes = exchange->Received().body.size() + kHeadBytes;
+  if (this->KnowsEnough(now) || !this->start_wait.Enter(bytes, now)) {
+    this->Take(std::move(exchange), now);
+    return;
+  }
+  this->early.push_back({std::move(exchange), now, bytes});
+  if (this->early.size() > 1) return;
+  this->loop.After(kEarlyLook, [this] { this->TakeEarly(); });
+}
+
+void Gateway::TakeEarly() {
+  const TimePoint now = this->loop.Now();
+  if (!this->KnowsEnough(now) && !this->start_wait.Over(now)) {
+    this->loop.After(kEarlyLook, [this] { this->TakeEarly(); });
+    return;
+  }
+  for (Early& one : std::exchange(this->early, {})) {
+    this->start_wait.Leave(one.bytes);
+    if (one.exchange->Gone()) {
+      ++this->counters.left_by_caller;
+      continue;
+    }
+    this->Take(std::move(one.exchange), one.arrived);
+  }
+}
+
+void Gateway::Take(std::shared_ptr<http::Exchange> exchange,
+                   TimePoint arrived) {
+  const TimePoint now = this->loop.Now();
   const http::Request& request = exchange->Received();
   const auto table = this->beliefs.table;
   if (!table) {
@@ -85,7 +123,7 @@
   }
   Admitted admitted;
   admitted.table = table;
-  admitted.arrived = now;
+  admitted.arrived = arrived;
   admitted.route =
       table->Find(request.headers.Get("Host"), http::PathOf(request.target));
   if (admitted.route == nullptr) {
@@ -115,7 +153,7 @@
     return;
   }
   admitted.deadline =
-      now +
+      arrived +
       DeadlineOf(request.headers.Get(this->names.deadline), route.timeout);
   std::make_shared<Passage>(*this, std::move(exchange), std::move(admitted))
       ->Start();
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -306,6 +306,22 @@
   BOOST_TEST(back);
 }
 
+// A router starts anew, and callers come back in the moment in which it
+// listens, before it has read the configuration. They are served a little
+// later, instead of being sent away with a try less.
+BOOST_AUTO_TEST_CASE(CallersOfTheFirstMomentAreServed) {
+  PlatformFleet fleet(1);
+  fleet.Router(0).Kill();
+  fleet.StartRouter(0);
+  int status = 0;
+  const bool listens = PlatformFleet::Eventually([&] {
+    status = fleet.Plain(0, "/read/x", "first").status;
+    return status != 0;
+  });
+  BOOST_REQUIRE(listens);
+  BOOST_TEST(status == 200);
+}
+
 // An endpoint says that it leaves. Two seconds later nothing new goes to it
 // (I5), through any router.
 BOOST_AUTO_TEST_CASE(DrainingEndpointGetsNothingNew) {
--- /dev/null
+++ b/unittests/attempts/start_wait_test.cc
@@ -0,0 +1,36 @@
+#include "toucanwharf/attempts/start_wait.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace toucanwharf::attempts {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
+
+// A fleet lost its power. Two hundred callers come back in the first moment;
+// all wait, and none after the store has had its time to answer.
+BOOST_AUTO_TEST_CASE(CallersOfTheFirstMomentWait) {
+  StartWait wait(At(1000));
+  constexpr int kCallers = 200;
+  constexpr std::size_t kBytes = 1500;
+  for (int at = 0; at < kCallers; ++at) {
+    BOOST_REQUIRE(wait.Enter(kBytes, At(1005)));
+  }
+  BOOST_TEST(wait.Enter(kBytes, At(1249)));
+  BOOST_TEST(!wait.Enter(kBytes, At(1250)));
+  BOOST_TEST(wait.Over(At(1250)));
+}
+
+// Requests with large bodies must not use up the memory of a small instance.
+BOOST_AUTO_TEST_CASE(WaitingBytesAreBounded) {
+  StartWait wait(At(0), {milliseconds(250), 1000});
+  BOOST_TEST(wait.Enter(600, At(1)));
+  BOOST_TEST(!wait.Enter(600, At(1)));
+  wait.Leave(600);
+  BOOST_TEST(wait.Enter(600, At(1)));
+}
+
+}  // namespace
+}  // namespace toucanwharf::attempts
