Mechanisms can be switched off one by one for measurements (--without)

For the ablation that the users ask for. An unknown name is told with the list of the known ones and the program ends with 2. Tests: NamedMechanismsAreOff, UnknownNameIsNamedWithTheKnownOnes.

--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -68,7 +68,9 @@
         callers_address(chosen.callers_address),
         candidacy(chosen.processor_share, event_loop.Now()),
         lease(LeaseTerms(shared_beliefs.instance),
-              HashText(shared_beliefs.instance)) {}
+              HashText(shared_beliefs.instance)) {
+    this->layout_settings.standby_copies = chosen.mechanisms.standby_copies;
+  }
 
   void Start() {
     this->loop.Every(this->times.step, [this] { this->Step(); });
@@ -195,7 +197,8 @@
     if (!plan.settling.Settled(fleet, now)) return;
     if (fleet == plan.planned_for) return;
     plan.planned_for = fleet;
-    const auto layout = placement::PlanLayout(*service.engine, fleet, {});
+    const auto layout =
+        placement::PlanLayout(*service.engine, fleet, this->layout_settings);
     if (layout == plan.layout) return;
     plan.layout = layout;
     this->logger.Write(
@@ -390,6 +393,7 @@
   PeerLink& peers;
   eventlog::Logger& logger;
   PlacementTimes times;
+  placement::LayoutSettings layout_settings;
   double processor_share;
   std::string callers_address;
   gossip::Candidacy candidacy;
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "toucanwharf/attempts/arrival_budget.h"
+#include "toucanwharf/instance/mechanisms.h"
 #include "toucanwharf/support/clock.h"
 
 /// One router process in front of endpoints that register in a store: it
@@ -47,6 +48,7 @@
   double processor_share = 1;
   Bounds bounds;
   attempts::ArrivalBudgetSettings budget;
+  Mechanisms mechanisms;
 
   friend bool operator==(const InstanceSettings&,
                          const InstanceSettings&) = default;
--- a/include/toucanwharf/placement/layout.h
+++ b/include/toucanwharf/placement/layout.h
@@ -38,6 +38,8 @@
   /// of a dead one only until a load has replaced that, and holds more parts
   /// for it.
   double standby_answers = 40;
+  /// Whether engines that no cover needs hold copies.
+  bool standby_copies = true;
 };
 
 /// Layers by engine id. Engines that aren't named stay as they are.
--- a/include/toucanwharf/placement/path_finder.h
+++ b/include/toucanwharf/placement/path_finder.h
@@ -78,6 +78,9 @@
   /// Of the engines that hold the first layer, only so many drawn at random are
   /// looked at; all of them for 0. See kEntryChoicesInLargeFleet.
   std::size_t entry_choices = 0;
+  /// Whether an engine whose room is taken counts as slower; otherwise the
+  /// fastest engines are filled to the brim.
+  bool crowding_price = true;
   /// Costs vary by this part up and down between choices. Several routers see
   /// the same lagging loads, and would all take the same path until the next
   /// report.
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -82,7 +82,8 @@
   ++this->counters.received;
   const TimePoint now = this->loop.Now();
   const std::size_t bytes = exchange->Received().body.size() + kHeadBytes;
-  if (this->KnowsEnough(now) || !this->start_wait.Enter(bytes, now)) {
+  if (!this->settings.mechanisms.start_wait || this->KnowsEnough(now) ||
+      !this->start_wait.Enter(bytes, now)) {
     this->Take(std::move(exchange), now);
     return;
   }
@@ -165,6 +166,7 @@
 
 void Gateway::Doubt(const std::vector<pipeline::Stage>& engines,
                     TimePoint since) {
+  if (!this->settings.mechanisms.engine_questions) return;
   if (this->beliefs.peers.Large(this->loop.Now())) return;
   for (const pipeline::Stage& stage : engines) {
     this->AskWhetherAlive(stage, since);
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -96,7 +96,8 @@
 }
 
 bool Passage::MayQueue() const {
-  if (!this->IsModel() || this->lack != placement::PathLack::kRoom) {
+  if (!this->IsModel() || this->lack != placement::PathLack::kRoom ||
+      !this->gateway.settings.mechanisms.room_queue) {
     return false;
   }
   const TimePoint until =
@@ -323,6 +324,12 @@
   return room > 0 ? engine.token_layers / room : 1;
 }
 
+void Passage::NoteRefusal(const std::string& endpoint, bool full) {
+  if (!this->gateway.settings.mechanisms.refusal_pauses) return;
+  this->gateway.beliefs.loads.OnRefusal(endpoint, full,
+                                        this->gateway.loop.Now());
+}
+
 /// Ends the try under way and goes on with what the policy says.
 void Passage::EndTry(TryEnd end, std::string_view why) {
   this->CancelCall();
@@ -341,7 +348,7 @@
       this->excluded.erase(this->target.endpoint);
       // How full it was taken to be tells a wrong belief from a full fleet.
       const double used = this->RoomUsed(stage.endpoint);
-      this->gateway.beliefs.loads.OnRefusal(stage.endpoint, used > kFull, now);
+      this->NoteRefusal(stage.endpoint, used > kFull);
       fields.Text("fault", stage.endpoint)
           .Count("fault_layers", stage.layers.Count())
           .Count("fault_room_used_percent",
--- a/lib/instance/passage.h
+++ b/lib/instance/passage.h
@@ -108,6 +108,8 @@
   void NoteSilentAt(const std::string& address);
   void CountLoad();
   double RoomUsed(const std::string& id) const;
+  /// Keeps new work from \p endpoint, which refused, \p full or not.
+  void NoteRefusal(const std::string& endpoint, bool full);
   void AwaitPlace(attempts::TryEnd end, std::string_view why);
   void OnDeadline();
   void OnCallerGone();
--- a/lib/instance/passage_silence.cc
+++ b/lib/instance/passage_silence.cc
@@ -193,7 +193,8 @@
   const TimePoint now = this->gateway.loop.Now();
   const bool first_silent =
       this->gateway.beliefs.loads.Silent(this->target.endpoint, now);
-  if (first_silent || this->HasPlaceElsewhere()) {
+  const bool resume_first = this->gateway.settings.mechanisms.resume_first;
+  if (first_silent || (resume_first && this->HasPlaceElsewhere())) {
     this->TryElsewhere("engine_silent");
     return;
   }
@@ -272,7 +273,6 @@
 /// its part, while the answer's caller still waits.
 void Passage::OnRepathRefused(const std::vector<pipeline::Stage>& stages,
                               const std::string& fault) {
-  const TimePoint now = this->gateway.loop.Now();
   bool named = false;
   for (const pipeline::Stage& stage : stages) {
     if (stage.address != fault || stage.endpoint == this->target.endpoint) {
@@ -280,8 +280,7 @@
     }
     named = true;
     this->excluded.insert(stage.endpoint);
-    this->gateway.beliefs.loads.OnRefusal(
-        stage.endpoint, this->RoomUsed(stage.endpoint) > kFull, now);
+    this->NoteRefusal(stage.endpoint, this->RoomUsed(stage.endpoint) > kFull);
   }
   if (named && ++this->refused_changes <= kMostRefusedChanges) {
     this->Repath();
--- a/lib/instance/passage_target.cc
+++ b/lib/instance/passage_target.cc
@@ -33,12 +33,16 @@
   query.current = current;
   query.excluded = this->excluded;
   placement::PathSettings settings;
+  const Mechanisms& mechanisms = this->gateway.settings.mechanisms;
+  settings.crowding_price = mechanisms.crowding_price;
   if (beliefs.peers.Large(now)) {
-    settings.entry_choices = placement::kEntryChoicesInLargeFleet;
+    if (mechanisms.entry_choices) {
+      settings.entry_choices = placement::kEntryChoicesInLargeFleet;
+    }
     settings.room_share = placement::kRoomShareInLargeFleet;
   }
   // Answers that lost an engine come all at once and from all instances.
-  if (this->tries.answer_begun) {
+  if (this->tries.answer_begun && mechanisms.spread_resumed) {
     settings.entry_choices = placement::kEntryChoicesForResumed;
   }
   const placement::PathChoice choice =
--- a/lib/placement/layout.cc
+++ b/lib/placement/layout.cc
@@ -124,6 +124,7 @@
   /// of them, and a load would cost more than a better choice gains.
   void StandBy(const Group& members) {
     if (this->covers.empty()) return;
+    if (!this->settings.standby_copies) return;
     std::vector<int> copies(this->model.layers, 0);
     for (const Accelerator* one : members) {
       if (!this->Holds(*one)) continue;
--- a/lib/placement/path_finder.cc
+++ b/lib/placement/path_finder.cc
@@ -221,7 +221,9 @@
       const bool stays = rate.held == LayerRange{begin, *end};
       const double read_millis = stays ? 0 : rate.prompt_millis * layers;
       label.first_millis = from.first_millis + hop + read_millis;
-      const double crowding = Crowding(rate, this->Needed() * layers);
+      const double crowding = this->settings.crowding_price
+                                  ? Crowding(rate, this->Needed() * layers)
+                                  : 1;
       label.cost = from.cost +
                    (hop + rate.token_millis * layers * crowding) * rate.jitter *
                        this->query.output_tokens +
--- a/tools/toucanwharfd/main.cc
+++ b/tools/toucanwharfd/main.cc
@@ -53,7 +53,7 @@
 
 /// Runs as one of the users' platform's processes, whose settings file the
 /// environment names.
-int ServePlatform() {
+int ServePlatform(const std::string& without) {
   const char* path =
       std::getenv(toucanwharf::adapter::names::kSettingsVariable);
   const auto text = ReadFile(path == nullptr ? "" : path);
@@ -62,11 +62,17 @@
               << " must name a settings file that can be read\n";
     return kExitBadSettings;
   }
-  const auto parsed = toucanwharf::adapter::ParsePlatformSettings(*text);
+  auto parsed = toucanwharf::adapter::ParsePlatformSettings(*text);
   for (const std::string& problem : parsed.problems) {
     std::cerr << path << ": " << problem << "\n";
   }
+  const auto switched = toucanwharf::instance::WithoutMechanisms(without);
+  for (const std::string& problem : switched.problems) {
+    std::cerr << "toucanwharfd: --without: " << problem << "\n";
+  }
+  if (!switched.problems.empty()) return kExitBadUsage;
   if (!parsed.problems.empty()) return kExitBadSettings;
+  parsed.settings.mechanisms = switched.mechanisms;
   signal(SIGPIPE, SIG_IGN);
   toucanwharf::instance::Instance<toucanwharf::adapter::PlatformAdapter>
       instance(parsed.settings, STDOUT_FILENO);
@@ -116,6 +122,10 @@
                         cxxopts::value<std::string>())(
       "platform",
       "Run on the users' platform, with the settings that it names")(
+      "without",
+      "Mechanisms to switch off, with commas between; for measurements, with "
+      "--platform",
+      cxxopts::value<std::string>()->default_value(""))(
       "check-settings", "Check the settings file and exit")(
       "version", "Print the version")("h,help", "Print this help");
   cxxopts::ParseResult arguments;
@@ -133,7 +143,9 @@
     std::cout << "toucanwharfd " << TOUCANWHARF_VERSION << "\n";
     return kExitOk;
   }
-  if (arguments.count("platform") > 0) return ServePlatform();
+  if (arguments.count("platform") > 0) {
+    return ServePlatform(arguments["without"].as<std::string>());
+  }
   if (arguments.count("settings") == 0) {
     std::cerr << "toucanwharfd: --settings FILE is needed; see --help\n";
     return kExitBadUsage;
