Loads of peers that fell silent don't count after 0.6 s

Engines were empty: the last word of the dead processes counted for 1.5 s. Change: in a small fleet a peer's loads count while its beacons come.

--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -22,6 +22,10 @@
 /// Suspicions that peers tell are cut to this: a peer's link may be at fault.
 constexpr Duration kLongestSuspicion = std::chrono::seconds(3);
 constexpr std::size_t kMostPeersTold = 64;
+/// In a small fleet a peer whose beacons have stopped for so long was probably
+/// killed, and its answers with it: engines are not as full as it last said,
+/// just when its callers come back to the others. Two beacons may be lost.
+constexpr Duration kLoadsCountFor = std::chrono::milliseconds(600);
 
 constexpr std::string_view kConfigurationPath = "/peer/configuration";
 constexpr std::string_view kEndpointsPath = "/peer/endpoints";
@@ -294,6 +298,9 @@
   }
   std::vector<gossip::EndpointLoad> loads;
   for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+    const bool counts = !this->settings.mechanisms.silent_peers ||
+                        now - peer->heard <= kLoadsCountFor;
+    if (!counts) continue;
     const auto& theirs = peer->beacon.loads;
     loads.insert(loads.end(), theirs.begin(), theirs.end());
   }
