A store read begins early enough that its slowest answer comes within the bound

By the code's own figures the case is possible on any deployment: a list read began 0.7 of the bound after the last proof and its call was given up after 0.9 s, 3.1 s in all. Change: reads begin at 0.6 of the bound, calls are given up after 0.6 s.

--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -57,6 +57,10 @@
   friend bool operator==(const EntryQuestion&, const EntryQuestion&) = default;
 };
 
+/// A call of the store without an answer for so long counts as lost. A slow
+/// store takes a quarter of a second.
+inline constexpr Duration kLongestStoreCall = std::chrono::milliseconds(600);
+
 /// The store's calls. Every callback runs once, later, on the loop's thread.
 template <typename S>
 concept ObjectStore = requires(
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -21,7 +21,7 @@
   /// \p configuration is how soon a change must be in force everywhere.
   explicit StoreSyncTimes(Duration configuration)
       : reader_period(configuration * 13 / 40),
-        oldest_proof(configuration * 7 / 10) {}
+        oldest_proof(configuration * 6 / 10) {}
 
   /// The instance that places layers reads this often, and vouches to the
   /// others.
