--- a/lib/instance/passage_silence.cc
+++ b/lib/instance/passage_silence.cc
@@ -241,8 +241,9 @@
                 self->changing_path = false;
                 const bool same = !self->finished && self->call == asked_of;
                 const bool whole = result.end == http::CallEnd::kComplete;
-                if (same)
+                if (same) {
                   self->OnRepathed(stages, whole ? head.status : 0, body);
+                }
               });
 }
 
