--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <csignal>
+#include <cstdint>
 #include <future>
 #include <numeric>
 #include <string>
@@ -313,7 +314,7 @@
   PlatformFleet fleet(1);
   fleet.Router(0).Kill();
   fleet.StartRouter(0);
-  int status = 0;
+  std::int64_t status = 0;
   const bool listens = PlatformFleet::Eventually([&] {
     status = fleet.Plain(0, "/read/x", "first").status;
     return status != 0;
