--- a/include/toucanwharf/placement/layout.h
+++ b/include/toucanwharf/placement/layout.h
@@ -24,9 +24,9 @@
 
 /// Thresholds of the layout, with the reason of each.
 struct LayoutSettings {
-  /// Answers that each cover should have room for: what one of three covers of
-  /// a fleet of forty carries, and half of a lost one's beside. Below the 192
-  /// that an engine takes as the first of a path.
+  /// Answers that each cover should have room for. More room means more engines
+  /// on each path and fewer to stand by; less, that the covers that are left
+  /// can't take the answers of a lost one.
   double wanted_answers = 100;
   /// A cover with room for fewer isn't worth its loads: it would be full
   /// within a second, and hold engines that could mend another.
@@ -48,14 +48,14 @@
 /// Decides which engine holds which layers.
 ///
 /// A cover lies inside one failure domain where it fits: the activations of
-/// every prompt and token cross each boundary between two stages (23 MB for a
-/// prompt of 775 tokens), so covers over two domains fill the link between
-/// them: at 73 answers a second a token took 28 ms instead of 7. Each cover
-/// uses the fastest engines first. The others stand by with copies of
-/// neighbouring parts, so that paths go around a dead engine at once. Covers
-/// that are whole stay as they are, since a load takes seconds and an engine
-/// that moves serves nothing meanwhile. A domain that cannot hold a cover gives
-/// its engines to one over several domains.
+/// every prompt and token cross each boundary between two stages, some 20 MB
+/// for a prompt, so covers over two domains fill the link between them. Each
+/// cover uses the engines first on which an answer spends the least time. The
+/// others stand by with copies of neighbouring layers, so that paths go around
+/// a dead or slow engine at once. Covers that are whole stay as they are, since
+/// a load takes seconds and an engine that moves serves nothing meanwhile. A
+/// domain that cannot hold a cover gives its engines to one over several
+/// domains.
 ///
 /// Never more layers on an engine than fit. Deterministic in \p fleet.
 /// Thread safety: safe.
--- a/include/toucanwharf/placement/path_finder.h
+++ b/include/toucanwharf/placement/path_finder.h
@@ -67,9 +67,7 @@
   /// Part of an engine's room for answers that may be promised. An answer is
   /// counted with all the tokens that it should come to, and holds about half
   /// of its output on average, so a little more than the room can be promised
-  /// before an engine has to put one back. Measured on the heaviest days, as
-  /// the share of the worth served: 0.69 with 0.9, 0.83 with 1.05, 0.73 with
-  /// 1.25, 0.65 with 0.75.
+  /// before an engine has to put one back.
   double room_share = 1.05;
   /// Added for each token at each crossing of a failure domain, beside the
   /// delay: the link between two is shared by all answers, and its use is paid
@@ -109,10 +107,7 @@
 /// Part of an engine's room that may be promised in a large fleet, in place of
 /// PathSettings::room_share. What is known of loads there is up to a second old
 /// either way, and engines that refuse for want of memory cost a caller less
-/// than room that lies idle. Worth of three heavy days, single runs, with 0.8,
-/// 0.95 and 1.1: 0.20, 0.39, 0.48; 0.16, 0.17, 0.34; 0.20, 0.41, 0.47. Not a
-/// clean comparison: the runs with 0.8 shared the machine with others, and two
-/// of those with 0.95 are of code before fewer instances tried for the lease.
+/// than room that lies idle.
 inline constexpr double kRoomShareInLargeFleet = 1.1;
 
 /// Why there is no path.
