--- a/lib/peers/client.cc
+++ b/lib/peers/client.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "callback_queue.h"
 #include "peer.grpc.pb.h"
 #include "toucanwharf/peers/error.h"
 #include "toucanwharf/peers/seal.h"
@@ -64,7 +65,9 @@
 class PeerClient::Impl {
  public:
   Impl(Post post_task, std::string shared_key)
-      : post(std::move(post_task)), key(std::move(shared_key)) {}
+      : post(std::move(post_task)), key(std::move(shared_key)) {
+    KeepCallbackQueue();
+  }
 
   std::unique_ptr<wire::Peer::Stub> StubFor(const std::string& address) {
     const auto found = this->places.find(address);
--- a/lib/peers/server.cc
+++ b/lib/peers/server.cc
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <utility>
 
+#include "callback_queue.h"
 #include "peer.grpc.pb.h"
 #include "toucanwharf/peers/error.h"
 #include "toucanwharf/peers/seal.h"
@@ -128,6 +129,7 @@
         handlers(std::make_shared<const Handlers>(std::move(all))) {}
 
   bool Listen(const std::string& address) {
+    KeepCallbackQueue();
     grpc::ServerBuilder builder;
     builder.AddListeningPort(address, grpc::InsecureServerCredentials(),
                              &this->port);
