--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -75,10 +75,6 @@
                const CallOptions& options, CallHandlers handlers);
   /// Closes the call's connection; a call that has ended, or 0, is ignored.
   void Cancel(CallId id);
-  /// Closes the idle connections to \p address.
-  void Forget(const std::string& address);
-  /// Returns how many connections were opened so far.
-  std::uint64_t Opened() const;
 
   struct State;
 
--- a/include/toucanwharf/http/server.h
+++ b/include/toucanwharf/http/server.h
@@ -75,8 +75,6 @@
   void SetLimits(const ServerLimits& limits);
   /// From now on every response closes its connection.
   void CloseAfterResponses();
-  /// Returns how many connections are open.
-  std::size_t Connections() const;
   /// Returns the port listened on.
   std::uint16_t Port() const;
 
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -73,7 +73,6 @@
   std::map<CallId, std::shared_ptr<Link>> calls;
   std::map<std::string, std::vector<std::shared_ptr<Link>>> idle;
   CallId last_call = 0;
-  std::uint64_t opened = 0;
 };
 
 /// One connection to a peer, with at most one call on it.
@@ -376,7 +375,6 @@
   inner.calls.emplace(id, link);
   link->Begin(id, std::move(text), std::move(handlers), head_only, false);
   const auto peer = ParseAddress(address);
-  ++inner.opened;
   // An address that can't be read fails like one that can't be reached.
   link->Connect(peer.value_or(tcp::endpoint()),
                 peer ? options.connect_timeout : Duration(0));
@@ -391,16 +389,6 @@
   link->Drop();
 }
 
-void Client::Forget(const std::string& address) {
-  const auto found = this->state->idle.find(address);
-  if (found == this->state->idle.end()) return;
-  const auto pool = std::move(found->second);
-  this->state->idle.erase(found);
-  for (const auto& link : pool) link->Close();
-}
-
-std::uint64_t Client::Opened() const { return this->state->opened; }
-
 namespace {
 
 /// What a Fetch gathers until its call has ended.
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -484,10 +484,6 @@
   this->state->close_after_responses = true;
 }
 
-std::size_t Server::Connections() const {
-  return this->state->connections.size();
-}
-
 std::uint16_t Server::Port() const {
   return this->state->acceptor.local_endpoint().port();
 }
