--- a/include/toucanwharf/attempts/event_pace.h
+++ b/include/toucanwharf/attempts/event_pace.h
@@ -12,13 +12,15 @@
   /// Shorter silences are ordinary: an engine reads the prompt of another
   /// answer, or waits for its turn at the processor.
   Duration least = std::chrono::milliseconds(60);
-  /// So many of the answer's own usual gaps are ordinary as well. More would
-  /// leave too little of the callers' pause for the way around.
-  double usual_gaps = 1.6;
+  /// So many mean deviations beyond the usual gap are ordinary, as in a
+  /// retransmission timeout.
+  double deviations = 4;
   /// Part of the time to the first event that goes by before the question.
   double objective_share = 0.4;
-  /// Weight of the newest gap in the usual one.
-  double newest_weight = 0.2;
+  /// Weight of the newest gap in the usual one, and of its deviation in the
+  /// mean deviation.
+  double gap_weight = 0.125;
+  double deviation_weight = 0.25;
 
   friend bool operator==(const EventPaceSettings&,
                          const EventPaceSettings&) = default;
@@ -30,7 +32,8 @@
 /// Load that it answers: an engine in the middle of a path dies, and the first
 /// engine tells of it only when its callers' pause is over. Asked too early, an
 /// overloaded fleet, where every answer pauses now and then, would answer
-/// questions instead of requests; so an answer's own gaps count.
+/// questions instead of requests, and on a calm day questions would outnumber
+/// requests; so an answer's own gaps count, and how much they vary.
 /// Thread safety: none; for one thread.
 class EventPace {
  public:
@@ -51,10 +54,13 @@
   Duration LongestPause() const { return this->longest_pause; }
 
  private:
+  void NoteGap(Duration gap);
+
   EventPaceSettings settings;
   Duration objective;
   std::optional<TimePoint> last_event;
   Duration usual_gap{0};
+  Duration mean_deviation{0};
   /// When the last event came, from whichever endpoint.
   std::optional<TimePoint> last_event_of_all;
   Duration longest_pause{0};
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "toucanwharf/attempts/alarm_restraint.h"
 #include "toucanwharf/attempts/arrival_budget.h"
 #include "toucanwharf/attempts/start_wait.h"
 #include "toucanwharf/endpoints/doubt.h"
@@ -167,6 +168,7 @@
   EngineCalls calls;
   GatewayCounters counters;
   EngineProbe probe;
+  attempts::AlarmRestraint restraint;
   std::function<void()> tell_silent;
   /// All requests under way.
   std::set<Passage*> passages;
--- /dev/null
+++ b/lib/attempts/alarm_restraint.cc
@@ -0,0 +1,27 @@
+#include "toucanwharf/attempts/alarm_restraint.h"
+
+#include <algorithm>
+
+namespace toucanwharf::attempts {
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+
+}  // namespace
+
+void AlarmRestraint::OnFalseAlarm(TimePoint now) {
+  const bool first = this->factor <= 1;
+  if (!first && now - this->last_alarm < this->settings.together) return;
+  this->factor =
+      std::min(this->Factor(now) * this->settings.growth, this->settings.most);
+  this->last_alarm = now;
+}
+
+double AlarmRestraint::Factor(TimePoint now) const {
+  const double seconds =
+      static_cast<double>((now - this->last_alarm).count()) / kMicrosPerSecond;
+  return std::max(1.0,
+                  this->factor - seconds * this->settings.recovery_per_second);
+}
+
+}  // namespace toucanwharf::attempts
--- a/lib/attempts/event_pace.cc
+++ b/lib/attempts/event_pace.cc
@@ -10,6 +10,10 @@
       static_cast<std::int64_t>(static_cast<double>(whole.count()) * share));
 }
 
+Duration Mix(Duration newest, Duration before, double weight) {
+  return Part(newest, weight) + Part(before, 1 - weight);
+}
+
 }  // namespace
 
 void EventPace::OnEvent(TimePoint now) {
@@ -18,28 +22,35 @@
         std::max(this->longest_pause, now - *this->last_event_of_all);
   }
   this->last_event_of_all = now;
-  if (this->last_event) {
-    const Duration gap = now - *this->last_event;
-    const double weight = this->settings.newest_weight;
-    this->usual_gap =
-        this->usual_gap == Duration(0)
-            ? gap
-            : Part(gap, weight) + Part(this->usual_gap, 1 - weight);
-  }
+  if (this->last_event) this->NoteGap(now - *this->last_event);
   this->last_event = now;
 }
 
+void EventPace::NoteGap(Duration gap) {
+  if (this->usual_gap == Duration(0)) {
+    this->usual_gap = gap;
+    this->mean_deviation = gap / 2;
+    return;
+  }
+  const Duration deviation = std::chrono::abs(gap - this->usual_gap);
+  this->mean_deviation =
+      Mix(deviation, this->mean_deviation, this->settings.deviation_weight);
+  this->usual_gap = Mix(gap, this->usual_gap, this->settings.gap_weight);
+}
+
 void EventPace::Restart() {
   this->last_event.reset();
   this->usual_gap = Duration(0);
+  this->mean_deviation = Duration(0);
 }
 
 Duration EventPace::Patience() const {
   if (!this->last_event) {
     return Part(this->objective, this->settings.objective_share);
   }
-  return std::max(this->settings.least,
-                  Part(this->usual_gap, this->settings.usual_gaps));
+  return std::max(
+      this->settings.least,
+      this->usual_gap + Part(this->mean_deviation, this->settings.deviations));
 }
 
 Duration EventPace::PatienceOnceSuspected() const {
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -146,6 +146,7 @@
   this->try_began = this->gateway.loop.Now();
   this->last_data = this->try_began;
   this->pace.Restart();
+  this->asked_again = 0;
   this->CountLoad();
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
@@ -239,7 +240,9 @@
     this->first_event_after = this->last_data - this->what.arrived;
     this->gateway.counters.first_event_latency.Add(this->first_event_after);
   }
-  this->asked_again = 0;
+  if (std::exchange(this->asked_again, 0) > 0) {
+    this->gateway.restraint.OnFalseAlarm(this->last_data);
+  }
   this->refused_changes = 0;
   this->pace.OnEvent(this->last_data);
   ++this->chunks_written;
--- a/lib/instance/passage_silence.cc
+++ b/lib/instance/passage_silence.cc
@@ -22,6 +22,9 @@
 /// the silence: what it had passed on before it died may still arrive then.
 constexpr int kSignAfterPercent = 60;
 constexpr int kPercent = 100;
+/// Questions in vain put further ones off up to here, where callers' pause is
+/// nearly over.
+constexpr Duration kMostRestrained = std::chrono::milliseconds(160);
 /// Ways around that were refused, after which the answer goes on elsewhere.
 constexpr int kMostRefusedChanges = 2;
 /// An answer that is silent for so long though its engine names nobody is
@@ -62,8 +65,13 @@
 
 Duration Passage::Patience() const {
   if (!this->IsStream()) return kPlainSilence;
-  return this->HasSilentEngine() ? this->pace.PatienceOnceSuspected()
-                                 : this->pace.Patience();
+  if (this->HasSilentEngine()) return this->pace.PatienceOnceSuspected();
+  const Duration usual = this->pace.Patience();
+  const double factor =
+      this->gateway.restraint.Factor(this->gateway.loop.Now());
+  const Duration restrained(
+      static_cast<std::int64_t>(static_cast<double>(usual.count()) * factor));
+  return std::max(usual, std::min(restrained, kMostRestrained));
 }
 
 bool Passage::HasSilentEngine() const {
@@ -266,6 +274,7 @@
   this->ReleaseLoad();
   this->target.stages = stages;
   this->CountLoad();
+  this->asked_again = 0;
   // The new engines read the answer so far before the next event.
   this->WatchSilence(this->what.route->pause_objective);
 }
