--- a/include/toucanwharf/placement/layout.h
+++ b/include/toucanwharf/placement/layout.h
@@ -27,7 +27,7 @@
   /// Answers that each cover should have room for. More room means more engines
   /// on each path and fewer to stand by; less, that the covers that are left
   /// can't take the answers of a lost one.
-  double wanted_answers = 100;
+  double wanted_answers = 130;
   /// A cover with room for fewer isn't worth its loads: it would be full
   /// within a second, and hold engines that could mend another.
   double least_answers = 30;
