Sight: lists had from peers, entries kept, and the budget of retries are logged and measured

An instance that took its list of endpoints from a peer wrote nothing, nor that it kept entries which the list lacks; nothing told how many instances an instance takes the budget of retries to be shared by, nor how much of it is left. Change: endpoints_changed names its source and how many entries are kept; try_ended has retries_left and budget_shared_by; metrics extra_arrivals_total, retries_denied_total, budget_instances, endpoints_kept. No decision changes. Ran: the build and the unit tests of eventlog, endpoints, attempts and instance.

--- a/include/toucanwharf/attempts/arrival_budget.h
+++ b/include/toucanwharf/attempts/arrival_budget.h
@@ -51,6 +51,10 @@
   void SetInstances(std::size_t count) { this->instances = count; }
   /// Notes a request for \p service.
   void OnRequest(const std::string& service, TimePoint now);
+  /// Returns how many instances share the slack, as far as is known.
+  std::size_t Instances() const { return this->instances; }
+  /// Returns how many more arrivals may be caused now, less than one for none.
+  double Left(const std::string& service, TimePoint now);
   /// Returns whether one more arrival may be caused now.
   bool HasExtra(const std::string& service, TimePoint now);
   /// The same, and counts it if so.
--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANWHARF_ENDPOINTS_ENDPOINT_TABLE_H_
 #define TOUCANWHARF_ENDPOINTS_ENDPOINT_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -63,6 +64,8 @@
   std::uint64_t Revision() const { return this->last_revision; }
   /// Returns the revision of the list that last changed anything.
   std::uint64_t ChangedAt() const { return this->changed_revision; }
+  /// Returns how many endpoints are kept though the newest list lacks them.
+  std::size_t Kept() const { return this->kept; }
   /// Returns the endpoint \p id, or null.
   const Endpoint* Find(const std::string& id) const;
   /// Calls \p visit for each endpoint of \p service that may get new work.
@@ -78,6 +81,7 @@
   std::uint64_t last_revision = 0;
   std::uint64_t changed_revision = 0;
   std::map<std::string, Endpoint> by_id;
+  std::size_t kept = 0;
 };
 
 }  // namespace toucanwharf::endpoints
--- /dev/null
+++ b/include/toucanwharf/instance/endpoint_list_log.h
@@ -0,0 +1,36 @@
+#ifndef TOUCANWHARF_INSTANCE_ENDPOINT_LIST_LOG_H_
+#define TOUCANWHARF_INSTANCE_ENDPOINT_LIST_LOG_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "toucanwharf/endpoints/endpoint_table.h"
+#include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/support/clock.h"
+
+namespace toucanwharf::instance {
+
+/// Where a list of endpoints was had from.
+enum class ListSource { kStore, kPeer };
+
+/// Logs what this instance believes of the endpoints after a list was taken,
+/// where that has changed.
+/// Thread safety: none; for one thread.
+class EndpointListLog {
+ public:
+  /// Precondition: the logger outlives the object.
+  explicit EndpointListLog(eventlog::Logger& log) : logger(log) {}
+
+  /// Notes that \p table has taken a list, which \p changed it or not, and of
+  /// which \p unreadable entries could not be read.
+  void OnList(const endpoints::EndpointTable& table, ListSource source,
+              bool changed, std::int64_t unreadable, TimePoint now);
+
+ private:
+  eventlog::Logger& logger;
+  std::size_t kept_before = 0;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_ENDPOINT_LIST_LOG_H_
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -78,6 +78,8 @@
   std::uint64_t stalls = 0;
   std::uint64_t repathed = 0;
   std::uint64_t queued = 0;
+  std::uint64_t extra_arrivals = 0;
+  std::uint64_t retries_denied = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
 
@@ -109,6 +111,8 @@
   void Handle(std::shared_ptr<http::Exchange> exchange);
   /// Sets how many instances share the budget of extra arrivals.
   void SetInstances(std::size_t count) { this->budget.SetInstances(count); }
+  /// Returns how many instances it takes the budget to be shared by.
+  std::size_t Instances() const { return this->budget.Instances(); }
   /// Returns how many requests are under way.
   std::size_t UnderWay() const {
     return this->passages.size() + this->early.size();
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -14,6 +14,7 @@
 #include "toucanwharf/http/server.h"
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/endpoint_list_log.h"
 #include "toucanwharf/instance/gateway.h"
 #include "toucanwharf/instance/metrics.h"
 #include "toucanwharf/instance/peer_link.h"
@@ -40,9 +41,9 @@
                 {A::ReportRequest(), &A::ToReport, &A::RepathRequest,
                  &A::PathText, &A::ToRepathFault}),
         peers(this->loop, this->client, this->beliefs, this->logger,
-              this->settings),
+              this->lists, this->settings),
         sync(
-            this->loop, this->store, this->beliefs, this->logger,
+            this->loop, this->store, this->beliefs, this->logger, this->lists,
             [this] { this->OnChange(); },
             StoreSyncTimes(this->settings.bounds.configuration)),
         placement(this->loop, this->client, this->store, this->beliefs,
@@ -150,8 +151,8 @@
     if (target == kMetricsPath) {
       head.headers.Add("Content-Type", "text/plain; version=0.0.4");
       exchange.Respond(
-          head, MetricsText(this->gateway.Counters(), this->gateway.UnderWay(),
-                            this->beliefs, this->logger.Dropped(), now));
+          head, MetricsText(this->gateway, this->beliefs,
+                            this->logger.Dropped(), now));
       return;
     }
     if (this->peers.HandlePeer(exchange)) return;
@@ -291,6 +292,7 @@
   InstanceSettings settings;
   http::Loop loop;
   eventlog::Logger logger;
+  EndpointListLog lists{this->logger};
   Beliefs beliefs;
   Random random{HashText(this->beliefs.instance)};
   http::Client client;
--- a/include/toucanwharf/instance/metrics.h
+++ b/include/toucanwharf/instance/metrics.h
@@ -12,8 +12,7 @@
 
 /// Returns the process's metrics in Prometheus' text format.
 /// Thread safety: only on the loop's thread.
-std::string MetricsText(const GatewayCounters& counters,
-                        std::size_t requests_under_way, const Beliefs& beliefs,
+std::string MetricsText(const Gateway& gateway, const Beliefs& beliefs,
                         std::uint64_t log_lines_dropped, TimePoint now);
 
 }  // namespace toucanwharf::instance
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -13,6 +13,7 @@
 #include "toucanwharf/http/datagram.h"
 #include "toucanwharf/http/server.h"
 #include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/endpoint_list_log.h"
 #include "toucanwharf/instance/settings.h"
 
 namespace toucanwharf::instance {
@@ -31,7 +32,7 @@
   /// Precondition: all references outlive the link.
   PeerLink(http::Loop& event_loop, http::Client& http_client,
            Beliefs& shared_beliefs, eventlog::Logger& log,
-           const InstanceSettings& chosen);
+           EndpointListLog& list_log, const InstanceSettings& chosen);
 
   /// Binds the datagram socket and begins to send.
   Result<void> Start(OnConfiguration on_configuration,
@@ -82,6 +83,7 @@
   http::Client& client;
   Beliefs& beliefs;
   eventlog::Logger& logger;
+  EndpointListLog& lists;
   InstanceSettings settings;
   std::unique_ptr<http::DatagramSocket> socket;
   OnConfiguration take_configuration;
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -13,6 +13,7 @@
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/beliefs.h"
+#include "toucanwharf/instance/endpoint_list_log.h"
 
 namespace toucanwharf::instance {
 
@@ -52,11 +53,13 @@
   /// Precondition: all references outlive the object.
   StoreSync(http::Loop& event_loop, Store& object_store,
             Beliefs& shared_beliefs, eventlog::Logger& log,
-            std::function<void()> on_change, const StoreSyncTimes& chosen)
+            EndpointListLog& list_log, std::function<void()> on_change,
+            const StoreSyncTimes& chosen)
       : loop(event_loop),
         store(object_store),
         beliefs(shared_beliefs),
         logger(log),
+        lists(list_log),
         changed(std::move(on_change)),
         times(chosen) {}
 
@@ -174,17 +177,9 @@
     if (this->beliefs.endpoints.Revision() == list->revision) {
       this->beliefs.endpoints_read = begun;
     }
-    if (!new_list) return;
-    const auto count =
-        static_cast<std::int64_t>(this->beliefs.endpoints.All().size());
-    this->logger.Write(
-        eventlog::Level::kNotable, "endpoints_changed",
-        eventlog::Fields()
-            .Count("revision", static_cast<std::int64_t>(list->revision))
-            .Count("endpoints", count)
-            .Count("unreadable", unreadable),
-        now);
-    this->changed();
+    this->lists.OnList(this->beliefs.endpoints, ListSource::kStore, new_list,
+                       unreadable, now);
+    if (new_list) this->changed();
   }
 
   void NoteStore(bool answered) {
@@ -200,6 +195,7 @@
   Store& store;
   Beliefs& beliefs;
   eventlog::Logger& logger;
+  EndpointListLog& lists;
   std::function<void()> changed;
   StoreSyncTimes times;
   TimePoint configuration_asked;
--- a/lib/attempts/arrival_budget.cc
+++ b/lib/attempts/arrival_budget.cc
@@ -38,7 +38,7 @@
                     this->settings.first_share, this->settings.used_share);
 }
 
-bool ArrivalBudget::HasExtra(const std::string& service, TimePoint now) {
+double ArrivalBudget::Left(const std::string& service, TimePoint now) {
   this->Current(service, now);
   double requests = 0;
   double extras = 0;
@@ -50,7 +50,11 @@
       this->settings.slack / static_cast<double>(this->instances);
   const double most =
       this->Share(now) * (this->settings.ratio * requests + slack);
-  return extras + 1 <= most;
+  return most - extras;
+}
+
+bool ArrivalBudget::HasExtra(const std::string& service, TimePoint now) {
+  return this->Left(service, now) >= 1;
 }
 
 bool ArrivalBudget::TakeExtra(const std::string& service, TimePoint now) {
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -16,9 +16,11 @@
     std::string id = one.id;
     next.emplace(std::move(id), std::move(one));
   }
+  const std::size_t in_list = next.size();
   if (now < this->missing_kept_until) {
     for (const auto& [id, known] : this->by_id) next.emplace(id, known);
   }
+  this->kept = next.size() - in_list;
   if (next == this->by_id && this->changed_revision > 0) return false;
   this->changed_revision = revision;
   this->by_id = std::move(next);
--- /dev/null
+++ b/lib/instance/endpoint_list_log.cc
@@ -0,0 +1,24 @@
+#include "toucanwharf/instance/endpoint_list_log.h"
+
+#include <utility>
+
+namespace toucanwharf::instance {
+
+void EndpointListLog::OnList(const endpoints::EndpointTable& table,
+                             ListSource source, bool changed,
+                             std::int64_t unreadable, TimePoint now) {
+  const std::size_t kept = table.Kept();
+  const bool as_before = std::exchange(this->kept_before, kept) == kept;
+  if (!changed && as_before) return;
+  this->logger.Write(
+      eventlog::Level::kNotable, "endpoints_changed",
+      eventlog::Fields()
+          .Text("source", source == ListSource::kStore ? "store" : "peer")
+          .Count("revision", static_cast<std::int64_t>(table.Revision()))
+          .Count("endpoints", static_cast<std::int64_t>(table.All().size()))
+          .Count("kept", static_cast<std::int64_t>(kept))
+          .Count("unreadable", unreadable),
+      now);
+}
+
+}  // namespace toucanwharf::instance
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -61,9 +61,9 @@
 
 }  // namespace
 
-std::string MetricsText(const GatewayCounters& counters,
-                        std::size_t requests_under_way, const Beliefs& beliefs,
+std::string MetricsText(const Gateway& gateway, const Beliefs& beliefs,
                         std::uint64_t log_lines_dropped, TimePoint now) {
+  const GatewayCounters& counters = gateway.Counters();
   Writer writer;
   writer.Counter("requests", "requests received", counters.received);
   writer.Counter("answered", "requests answered with success",
@@ -84,12 +84,21 @@
                  counters.stalls);
   writer.Counter("repathed", "answers led around an engine", counters.repathed);
   writer.Counter("queued", "requests that waited for room", counters.queued);
+  writer.Counter("extra_arrivals",
+                 "arrivals at endpoints beyond the first of a request",
+                 counters.extra_arrivals);
+  writer.Counter("retries_denied",
+                 "further tries that the budget of extra arrivals forbade",
+                 counters.retries_denied);
   writer.Latencies("plain_seconds", "time to the end of a plain answer",
                    counters.plain_latency);
   writer.Latencies("first_event_seconds", "time to a stream's first event",
                    counters.first_event_latency);
   writer.Gauge("under_way", "requests under way",
-               static_cast<double>(requests_under_way));
+               static_cast<double>(gateway.UnderWay()));
+  writer.Gauge("budget_instances",
+               "instances that the budget of extra arrivals is shared by",
+               static_cast<double>(gateway.Instances()));
   writer.Gauge("configuration_revision",
                "store's revision of the configuration in force",
                static_cast<double>(beliefs.configuration_revision));
@@ -98,6 +107,9 @@
                SecondsOf(beliefs.freshness.Age(now)));
   writer.Gauge("endpoints", "endpoints registered",
                static_cast<double>(beliefs.endpoints.All().size()));
+  writer.Gauge("endpoints_kept",
+               "endpoints in use though the newest list lacks them",
+               static_cast<double>(beliefs.endpoints.Kept()));
   writer.Gauge("peers", "other instances heard of lately",
                static_cast<double>(beliefs.peers.AllLive(now).size()));
   writer.Gauge("ready", "whether callers are sent here",
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -309,6 +309,8 @@
   if (end == TryEnd::kNotSent) return next;
   const bool granted =
       this->gateway.budget.TakeExtra(this->what.service->name, now);
+  ++(granted ? this->gateway.counters.extra_arrivals
+             : this->gateway.counters.retries_denied);
   return granted ? next : std::nullopt;
 }
 
@@ -362,7 +364,12 @@
       .Text("why", why)
       .Count("status", this->has_head ? this->head.status : 0)
       .Text("at_fault", this->head.headers.Get(this->gateway.names.at_fault))
-      .Millis("took_ms", now - this->try_began);
+      .Millis("took_ms", now - this->try_began)
+      .Count("retries_left",
+             static_cast<std::int64_t>(this->gateway.budget.Left(
+                 this->what.service->name, now)))
+      .Count("budget_shared_by", static_cast<std::int64_t>(
+                                     this->gateway.budget.Instances()));
   this->Log(Level::kNotable, "try_ended", fields);
   this->Proceed(end, why);
 }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -92,11 +92,12 @@
 
 PeerLink::PeerLink(http::Loop& event_loop, http::Client& http_client,
                    Beliefs& shared_beliefs, eventlog::Logger& log,
-                   const InstanceSettings& chosen)
+                   EndpointListLog& list_log, const InstanceSettings& chosen)
     : loop(event_loop),
       client(http_client),
       beliefs(shared_beliefs),
       logger(log),
+      lists(list_log),
       settings(chosen) {}
 
 Result<void> PeerLink::Start(OnConfiguration on_configuration,
@@ -346,10 +347,12 @@
         if (!good) return;
         auto listed = EndpointsFromText(body);
         if (!listed) return;
-        if (this->beliefs.endpoints.Replace(
-                std::move(*listed), RevisionOf(head), this->loop.Now())) {
-          this->endpoints_changed();
-        }
+        const TimePoint now = this->loop.Now();
+        const bool new_list = this->beliefs.endpoints.Replace(
+            std::move(*listed), RevisionOf(head), now);
+        this->lists.OnList(this->beliefs.endpoints, ListSource::kPeer, new_list,
+                           0, now);
+        if (new_list) this->endpoints_changed();
       });
 }
 
