The grace for missing entries counts from the store's return, whoever saw it

Callers saw nothing; an endpoint that had left got requests 2.13 s after its entry was removed, 2.0 s allowed (DRAIN, I5), and would have cut them had it gone sooner. Cause: each instance counted the grace from the first list that it took after an outage. Those for which another instance reads took none until the endpoint left, so they kept the entry for two seconds that the reader had already held to be gone. Ruled out: lists that don't arrive (9 to 12 ms), reads that come late (62 ms). Change: a peer's word that its read was answered ends the outage here too; the grace ends with the first proof from after it; instances hand on the store's list and what they keep beside it; lists are compared by the newest revision, so that an own read doesn't shut peers' lists out. Why it holds: every instance hears of the return within a read and a beacon, so the grace is over before the store counts as stable, and what is still missing then is dropped with the next proof. OnStoreAway and Replace take times now, so the table's tests do; each asserts what it did before.

--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,20 @@
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
+/// What one instance knows of the endpoints, for another.
+struct SharedList {
+  /// The store's list.
+  std::vector<Endpoint> endpoints;
+  /// Endpoints that are kept though the list lacks them.
+  std::vector<Endpoint> kept;
+  /// For how much longer.
+  Duration kept_for{0};
+  /// Store's revision of the list that last changed anything.
+  std::uint64_t revision = 0;
+
+  friend bool operator==(const SharedList&, const SharedList&) = default;
+};
+
 /// The endpoints in use.
 ///
 /// Failure guarded against: while the store is away the entries of endpoints
@@ -47,25 +63,45 @@
 /// missing right after an outage are kept for a grace period, in which every
 /// endpoint that lives registers again. An entry that says that its endpoint
 /// drains is believed at once (I5).
+///
+/// The grace period counts from the first proof that the store answers again,
+/// whoever got it. An instance for which others read has no list of its own to
+/// count from: from its first one after the outage it would count anew, and
+/// keep an endpoint that left long after the store's return (I5). It ends with
+/// the first proof from after it, which may be a peer's word that the list is
+/// still the same; until then what is missing here may be back.
 /// Thread safety: none; for one thread.
 class EndpointTable {
  public:
   /// \p grace is how long after the store's return an entry may be missing.
   explicit EndpointTable(Duration grace) : outage_grace(grace) {}
 
-  /// Notes that the store did not answer.
-  void OnStoreAway() { this->away = true; }
-  /// Takes the whole list, read from the store at \p revision. A list older
-  /// than one taken before is ignored. Returns whether anything changed.
+  /// Notes that the store did not answer this instance.
+  void OnStoreAway(TimePoint now) { this->away_since = now; }
+  /// Notes that the store answered a read of the list that began at \p read,
+  /// this instance's or a peer's, and that the list known here is as new. Drops
+  /// the endpoints that were kept if the grace period was over at \p read.
+  /// Returns whether that dropped any.
+  bool Confirm(TimePoint read, TimePoint now);
+  /// Takes the whole list, read from the store at \p revision by a read that
+  /// began at \p read. A list older than one taken before is ignored. Returns
+  /// whether anything changed.
   bool Replace(std::vector<Endpoint> listed, std::uint64_t revision,
-               TimePoint now);
+               TimePoint read, TimePoint now);
+  /// The same for what a peer knows. Its grace period goes on here, unless one
+  /// of this instance's own runs.
+  bool Adopt(SharedList list, TimePoint now);
 
+  /// Returns what is known, for a peer.
+  SharedList Share(TimePoint now) const;
+  /// Returns the newest moment at which what is known was proved current.
+  std::optional<TimePoint> ConfirmedAt() const { return this->confirmed_at; }
   /// Returns the store's revision of the list, 0 before the first.
   std::uint64_t Revision() const { return this->last_revision; }
   /// Returns the revision of the list that last changed anything.
   std::uint64_t ChangedAt() const { return this->changed_revision; }
   /// Returns how many endpoints are kept though the newest list lacks them.
-  std::size_t Kept() const { return this->kept; }
+  std::size_t Kept() const { return this->kept.size(); }
   /// Returns the endpoint \p id, or null.
   const Endpoint* Find(const std::string& id) const;
   /// Calls \p visit for each endpoint of \p service that may get new work.
@@ -75,13 +111,31 @@
   const std::map<std::string, Endpoint>& All() const { return this->by_id; }
 
  private:
+  using ById = std::map<std::string, Endpoint>;
+
+  /// Returns whether entries may be missing of endpoints that live.
+  bool KeepsMissing() const {
+    return this->away_since ||
+           this->confirmed_at.value_or(TimePoint{}) < this->kept_until;
+  }
+  /// Begins the grace period if \p read proves that the store answers again.
+  void NoteRead(TimePoint read, TimePoint now);
+  /// Puts \p next, the list of \p revision, into use, with those of \p known
+  /// that it lacks where they are to be kept. Returns whether anything changed.
+  bool Use(ById next, const ById& known, std::uint64_t revision);
+
   Duration outage_grace;
-  bool away = false;
-  TimePoint missing_kept_until;
+  /// When the store last didn't answer, until it is proved to answer again.
+  std::optional<TimePoint> away_since;
+  TimePoint kept_until;
+  std::optional<TimePoint> confirmed_at;
   std::uint64_t last_revision = 0;
   std::uint64_t changed_revision = 0;
-  std::map<std::string, Endpoint> by_id;
-  std::size_t kept = 0;
+  /// The newest list.
+  ById listed;
+  /// The list and what is kept beside it.
+  ById by_id;
+  std::set<std::string> kept;
 };
 
 }  // namespace toucanwharf::endpoints
--- a/include/toucanwharf/instance/beliefs.h
+++ b/include/toucanwharf/instance/beliefs.h
@@ -29,8 +29,6 @@
   std::string configuration_text;
   routes::Freshness freshness;
   endpoints::EndpointTable endpoints;
-  /// When the list of endpoints was last read, by a read begun then.
-  std::optional<TimePoint> endpoints_read;
   endpoints::LoadBook loads;
   gossip::PeerTable peers;
   /// Whether this process was told to stop, and when.
--- a/include/toucanwharf/instance/endpoint_list_log.h
+++ b/include/toucanwharf/instance/endpoint_list_log.h
@@ -10,19 +10,25 @@
 
 namespace toucanwharf::instance {
 
-/// Where a list of endpoints was had from.
-enum class ListSource { kStore, kPeer };
+/// Why the list of endpoints is looked at.
+enum class ListSource {
+  /// A list was read from the store.
+  kStore,
+  /// A list was had from a peer.
+  kPeer,
+  /// The time is over in which missing entries are kept.
+  kGraceOver,
+};
 
-/// Logs what this instance believes of the endpoints after a list was taken,
-/// where that has changed.
+/// Logs what this instance believes of the endpoints where that has changed.
 /// Thread safety: none; for one thread.
 class EndpointListLog {
  public:
   /// Precondition: the logger outlives the object.
   explicit EndpointListLog(eventlog::Logger& log) : logger(log) {}
 
-  /// Notes that \p table has taken a list, which \p changed it or not, and of
-  /// which \p unreadable entries could not be read.
+  /// Notes that \p table was brought up to date, which \p changed it or not;
+  /// \p unreadable entries of the list could not be read.
   void OnList(const endpoints::EndpointTable& table, ListSource source,
               bool changed, std::int64_t unreadable, TimePoint now);
 
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -150,9 +150,8 @@
     }
     if (target == kMetricsPath) {
       head.headers.Add("Content-Type", "text/plain; version=0.0.4");
-      exchange.Respond(
-          head, MetricsText(this->gateway, this->beliefs,
-                            this->logger.Dropped(), now));
+      exchange.Respond(head, MetricsText(this->gateway, this->beliefs,
+                                         this->logger.Dropped(), now));
       return;
     }
     if (this->peers.HandlePeer(exchange)) return;
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -98,11 +98,11 @@
   bool fetching_endpoints = false;
 };
 
-/// Returns \p listed as text, and back; for one instance to hand to another.
-std::string EndpointsToText(const endpoints::EndpointTable& table);
-/// Thread safety: safe. Nothing for a text that is no such list.
-std::optional<std::vector<endpoints::Endpoint>> EndpointsFromText(
-    const std::string& text);
+/// Returns \p list as text, for one instance to hand to another.
+/// Thread safety: safe.
+std::string EndpointsToText(const endpoints::SharedList& list);
+/// The way back; nothing for a text that is no such list. Thread safety: safe.
+std::optional<endpoints::SharedList> EndpointsFromText(const std::string& text);
 
 }  // namespace toucanwharf::instance
 
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -103,8 +103,8 @@
       this->ReadConfiguration();
     }
     std::optional<Duration> list_age;
-    if (this->beliefs.endpoints_read) {
-      list_age = now - *this->beliefs.endpoints_read;
+    if (const auto confirmed = this->beliefs.endpoints.ConfirmedAt()) {
+      list_age = now - *confirmed;
     }
     // While the store is away one question at a time looks for its return.
     if (this->store_answers &&
@@ -172,18 +172,15 @@
       }
     }
     const TimePoint now = this->loop.Now();
-    const bool new_list =
-        this->beliefs.endpoints.Replace(std::move(read), list->revision, now);
-    if (this->beliefs.endpoints.Revision() == list->revision) {
-      this->beliefs.endpoints_read = begun;
-    }
+    const bool new_list = this->beliefs.endpoints.Replace(
+        std::move(read), list->revision, begun, now);
     this->lists.OnList(this->beliefs.endpoints, ListSource::kStore, new_list,
                        unreadable, now);
     if (new_list) this->changed();
   }
 
   void NoteStore(bool answered) {
-    if (!answered) this->beliefs.endpoints.OnStoreAway();
+    if (!answered) this->beliefs.endpoints.OnStoreAway(this->loop.Now());
     this->failures = answered ? 0 : this->failures + 1;
     if (std::exchange(this->store_answers, answered) == answered) return;
     this->logger.Write(eventlog::Level::kNotable,
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -1,30 +1,85 @@
 #include "toucanwharf/endpoints/endpoint_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace toucanwharf::endpoints {
+namespace {
+
+std::map<std::string, Endpoint> IndexById(std::vector<Endpoint> endpoints) {
+  std::map<std::string, Endpoint> all;
+  for (Endpoint& one : endpoints) {
+    std::string id = one.id;
+    all.emplace(std::move(id), std::move(one));
+  }
+  return all;
+}
+
+}  // namespace
+
+void EndpointTable::NoteRead(TimePoint read, TimePoint now) {
+  this->confirmed_at = std::max(this->confirmed_at.value_or(read), read);
+  if (!this->away_since || read < *this->away_since) return;
+  this->away_since.reset();
+  this->kept_until = now + this->outage_grace;
+}
+
+bool EndpointTable::Confirm(TimePoint read, TimePoint now) {
+  this->NoteRead(read, now);
+  if (this->kept.empty() || this->KeepsMissing()) return false;
+  this->kept.clear();
+  this->by_id = this->listed;
+  return true;
+}
 
 bool EndpointTable::Replace(std::vector<Endpoint> listed,
-                            std::uint64_t revision, TimePoint now) {
+                            std::uint64_t revision, TimePoint read,
+                            TimePoint now) {
+  this->NoteRead(read, now);
   if (revision < this->last_revision) return false;
-  this->last_revision = revision;
-  if (std::exchange(this->away, false)) {
-    this->missing_kept_until = now + this->outage_grace;
-  }
-  std::map<std::string, Endpoint> next;
-  for (Endpoint& one : listed) {
-    std::string id = one.id;
-    next.emplace(std::move(id), std::move(one));
+  return this->Use(IndexById(std::move(listed)), this->by_id, revision);
+}
+
+bool EndpointTable::Adopt(SharedList list, TimePoint now) {
+  if (list.revision < this->last_revision) return false;
+  const bool peer_keeps = list.kept_for > Duration(0);
+  if (peer_keeps && !this->KeepsMissing()) {
+    this->kept_until = now + list.kept_for;
   }
-  const std::size_t in_list = next.size();
-  if (now < this->missing_kept_until) {
-    for (const auto& [id, known] : this->by_id) next.emplace(id, known);
+  auto known = this->by_id;
+  known.merge(IndexById(std::move(list.kept)));
+  return this->Use(IndexById(std::move(list.endpoints)), known, list.revision);
+}
+
+bool EndpointTable::Use(std::map<std::string, Endpoint> next,
+                        const std::map<std::string, Endpoint>& known,
+                        std::uint64_t revision) {
+  const bool new_list = next != this->listed || this->changed_revision == 0;
+  if (new_list) this->changed_revision = revision;
+  this->last_revision = revision;
+  this->listed = next;
+  this->kept.clear();
+  if (this->KeepsMissing()) {
+    for (const auto& [id, one] : known) {
+      if (next.emplace(id, one).second) this->kept.insert(id);
+    }
   }
-  this->kept = next.size() - in_list;
-  if (next == this->by_id && this->changed_revision > 0) return false;
-  this->changed_revision = revision;
+  const bool in_use_changed = next != this->by_id;
   this->by_id = std::move(next);
-  return true;
+  return new_list || in_use_changed;
+}
+
+SharedList EndpointTable::Share(TimePoint now) const {
+  SharedList list;
+  for (const auto& [id, one] : this->by_id) {
+    auto& into = this->kept.contains(id) ? list.kept : list.endpoints;
+    into.push_back(one);
+  }
+  list.kept_for = this->away_since
+                      ? this->outage_grace
+                      : std::max(Duration(0), this->kept_until - now);
+  list.revision = this->changed_revision;
+  return list;
 }
 
 const Endpoint* EndpointTable::Find(const std::string& id) const {
--- a/lib/instance/endpoint_list_log.cc
+++ b/lib/instance/endpoint_list_log.cc
@@ -1,8 +1,24 @@
 #include "toucanwharf/instance/endpoint_list_log.h"
 
+#include <string_view>
 #include <utility>
 
 namespace toucanwharf::instance {
+namespace {
+
+std::string_view NameOf(ListSource source) {
+  switch (source) {
+    case ListSource::kStore:
+      return "store";
+    case ListSource::kPeer:
+      return "peer";
+    case ListSource::kGraceOver:
+      return "grace_over";
+  }
+  return "unknown";
+}
+
+}  // namespace
 
 void EndpointListLog::OnList(const endpoints::EndpointTable& table,
                              ListSource source, bool changed,
@@ -13,7 +29,7 @@
   this->logger.Write(
       eventlog::Level::kNotable, "endpoints_changed",
       eventlog::Fields()
-          .Text("source", source == ListSource::kStore ? "store" : "peer")
+          .Text("source", NameOf(source))
           .Count("revision", static_cast<std::int64_t>(table.Revision()))
           .Count("endpoints", static_cast<std::int64_t>(table.All().size()))
           .Count("kept", static_cast<std::int64_t>(kept))
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -366,10 +366,10 @@
       .Text("at_fault", this->head.headers.Get(this->gateway.names.at_fault))
       .Millis("took_ms", now - this->try_began)
       .Count("retries_left",
-             static_cast<std::int64_t>(this->gateway.budget.Left(
-                 this->what.service->name, now)))
-      .Count("budget_shared_by", static_cast<std::int64_t>(
-                                     this->gateway.budget.Instances()));
+             static_cast<std::int64_t>(
+                 this->gateway.budget.Left(this->what.service->name, now)))
+      .Count("budget_shared_by",
+             static_cast<std::int64_t>(this->gateway.budget.Instances()));
   this->Log(Level::kNotable, "try_ended", fields);
   this->Proceed(end, why);
 }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -46,48 +46,66 @@
   return revision;
 }
 
-}  // namespace
+Json ToJson(const std::vector<endpoints::Endpoint>& all) {
+  Json entries = Json::array();
+  for (const endpoints::Endpoint& one : all) {
+    entries.push_back(
+        {one.id, one.born, one.service, one.address, one.failure_domain,
+         one.slots, one.state == endpoints::EndpointState::kDraining, one.kind,
+         one.layers.begin, one.layers.end, one.sequence});
+  }
+  return entries;
+}
 
-std::string EndpointsToText(const endpoints::EndpointTable& table) {
-  Json list = Json::array();
-  for (const auto& [id, one] : table.All()) {
-    list.push_back({one.id, one.born, one.service, one.address,
-                    one.failure_domain, one.slots,
-                    one.state == endpoints::EndpointState::kDraining, one.kind,
-                    one.layers.begin, one.layers.end, one.sequence});
+/// Precondition: the entries have the shape that ToJson writes; else it throws.
+std::vector<endpoints::Endpoint> FromJson(const Json& entries) {
+  std::vector<endpoints::Endpoint> all;
+  for (const Json& one : entries) {
+    endpoints::Endpoint endpoint;
+    std::size_t at = 0;
+    endpoint.id = one.at(at++).get<std::string>();
+    endpoint.born = one.at(at++).get<std::uint64_t>();
+    endpoint.service = one.at(at++).get<std::string>();
+    endpoint.address = one.at(at++).get<std::string>();
+    endpoint.failure_domain = one.at(at++).get<std::string>();
+    endpoint.slots = one.at(at++).get<std::uint32_t>();
+    endpoint.state = one.at(at++).get<bool>()
+                         ? endpoints::EndpointState::kDraining
+                         : endpoints::EndpointState::kReady;
+    endpoint.kind = one.at(at++).get<std::string>();
+    endpoint.layers.begin = one.at(at++).get<std::uint32_t>();
+    endpoint.layers.end = one.at(at++).get<std::uint32_t>();
+    endpoint.sequence = one.at(at++).get<std::uint64_t>();
+    all.push_back(std::move(endpoint));
   }
-  return list.dump();
+  return all;
 }
 
-std::optional<std::vector<endpoints::Endpoint>> EndpointsFromText(
+}  // namespace
+
+std::string EndpointsToText(const endpoints::SharedList& list) {
+  return Json{{"revision", list.revision},
+              {"kept_for_us", list.kept_for.count()},
+              {"entries", ToJson(list.endpoints)},
+              {"kept", ToJson(list.kept)}}
+      .dump();
+}
+
+std::optional<endpoints::SharedList> EndpointsFromText(
     const std::string& text) {
-  const Json list = Json::parse(text, nullptr, false);
-  if (!list.is_array()) return std::nullopt;
-  std::vector<endpoints::Endpoint> all;
+  const Json json = Json::parse(text, nullptr, false);
+  if (!json.is_object()) return std::nullopt;
   // A peer of another build may write another shape; such a list is none.
   try {
-    for (const Json& one : list) {
-      endpoints::Endpoint endpoint;
-      std::size_t at = 0;
-      endpoint.id = one.at(at++).get<std::string>();
-      endpoint.born = one.at(at++).get<std::uint64_t>();
-      endpoint.service = one.at(at++).get<std::string>();
-      endpoint.address = one.at(at++).get<std::string>();
-      endpoint.failure_domain = one.at(at++).get<std::string>();
-      endpoint.slots = one.at(at++).get<std::uint32_t>();
-      endpoint.state = one.at(at++).get<bool>()
-                           ? endpoints::EndpointState::kDraining
-                           : endpoints::EndpointState::kReady;
-      endpoint.kind = one.at(at++).get<std::string>();
-      endpoint.layers.begin = one.at(at++).get<std::uint32_t>();
-      endpoint.layers.end = one.at(at++).get<std::uint32_t>();
-      endpoint.sequence = one.at(at++).get<std::uint64_t>();
-      all.push_back(std::move(endpoint));
-    }
+    endpoints::SharedList list;
+    list.revision = json.at("revision").get<std::uint64_t>();
+    list.kept_for = Duration(json.at("kept_for_us").get<std::int64_t>());
+    list.endpoints = FromJson(json.at("entries"));
+    list.kept = FromJson(json.at("kept"));
+    return list;
   } catch (const Json::exception&) {
     return std::nullopt;
   }
-  return all;
 }
 
 PeerLink::PeerLink(http::Loop& event_loop, http::Client& http_client,
@@ -175,8 +193,8 @@
   beacon.configuration_revision = this->beliefs.configuration_revision;
   beacon.configuration_age = this->beliefs.freshness.Age(now);
   beacon.endpoints_revision = this->beliefs.endpoints.ChangedAt();
-  if (this->beliefs.endpoints_read) {
-    beacon.endpoints_age = now - *this->beliefs.endpoints_read;
+  if (const auto confirmed = this->beliefs.endpoints.ConfirmedAt()) {
+    beacon.endpoints_age = now - *confirmed;
   }
   beacon.stamp = now.since_start.count();
   beacon.loads = this->beliefs.loads.Own();
@@ -267,12 +285,12 @@
   if (configuration && this->beliefs.table) {
     this->beliefs.freshness.Confirm(*configuration);
   }
-  const auto listed = this->beliefs.peers.EndpointsVouched(
-      this->beliefs.endpoints.ChangedAt(), now);
-  if (listed && this->beliefs.endpoints.ChangedAt() > 0) {
-    this->beliefs.endpoints_read =
-        std::max(this->beliefs.endpoints_read.value_or(*listed), *listed);
-  }
+  const std::uint64_t revision = this->beliefs.endpoints.Revision();
+  const auto listed = this->beliefs.peers.EndpointsVouched(revision, now);
+  if (!listed || revision == 0) return;
+  if (!this->beliefs.endpoints.Confirm(*listed, now)) return;
+  this->lists.OnList(this->beliefs.endpoints, ListSource::kGraceOver, true, 0,
+                     now);
 }
 
 void PeerLink::AdoptSuspicion(const gossip::Suspicion& one, TimePoint now) {
@@ -313,7 +331,7 @@
       !this->fetching_configuration) {
     this->FetchConfiguration(beacon.control_address);
   }
-  if (beacon.endpoints_revision > this->beliefs.endpoints.ChangedAt() &&
+  if (beacon.endpoints_revision > this->beliefs.endpoints.Revision() &&
       !this->fetching_endpoints) {
     this->FetchEndpoints(beacon.control_address);
   }
@@ -337,23 +355,22 @@
   this->fetching_endpoints = true;
   http::Request request;
   request.target = std::string(kEndpointsPath);
-  http::Fetch(
-      this->loop, this->client, control_address, request, kFetchTimeout,
-      [this](const http::CallResult& result, const http::ResponseHead& head,
-             const std::string& body) {
-        this->fetching_endpoints = false;
-        const bool good =
-            result.end == http::CallEnd::kComplete && head.status == http::kOk;
-        if (!good) return;
-        auto listed = EndpointsFromText(body);
-        if (!listed) return;
-        const TimePoint now = this->loop.Now();
-        const bool new_list = this->beliefs.endpoints.Replace(
-            std::move(*listed), RevisionOf(head), now);
-        this->lists.OnList(this->beliefs.endpoints, ListSource::kPeer, new_list,
-                           0, now);
-        if (new_list) this->endpoints_changed();
-      });
+  http::Fetch(this->loop, this->client, control_address, request, kFetchTimeout,
+              [this](const http::CallResult& result,
+                     const http::ResponseHead& head, const std::string& body) {
+                this->fetching_endpoints = false;
+                const bool good = result.end == http::CallEnd::kComplete &&
+                                  head.status == http::kOk;
+                if (!good) return;
+                auto listed = EndpointsFromText(body);
+                if (!listed) return;
+                const TimePoint now = this->loop.Now();
+                const bool new_list =
+                    this->beliefs.endpoints.Adopt(std::move(*listed), now);
+                this->lists.OnList(this->beliefs.endpoints, ListSource::kPeer,
+                                   new_list, 0, now);
+                if (new_list) this->endpoints_changed();
+              });
 }
 
 bool PeerLink::HandlePeer(http::Exchange& exchange) const {
@@ -367,9 +384,8 @@
     return true;
   }
   if (path == kEndpointsPath && this->beliefs.endpoints.ChangedAt() > 0) {
-    head.headers.Add(std::string(kRevisionHeader),
-                     absl::StrCat(this->beliefs.endpoints.ChangedAt()));
-    exchange.Respond(head, EndpointsToText(this->beliefs.endpoints));
+    exchange.Respond(
+        head, EndpointsToText(this->beliefs.endpoints.Share(this->loop.Now())));
     return true;
   }
   return false;
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <utility>
 #include <vector>
 
 #include "toucanwharf/endpoints/endpoint_table.h"
@@ -28,26 +29,125 @@
   return count;
 }
 
+/// Puts the list that a read of \p at shows into \p table.
+bool List(EndpointTable& table, std::vector<Endpoint> listed,
+          std::uint64_t revision, TimePoint at) {
+  return table.Replace(std::move(listed), revision, at, at);
+}
+
 // The store is away for some seconds, and the entries of all endpoints run out
 // meanwhile. When it returns its list is empty. A router that believed it would
 // refuse everything, though every endpoint lives.
 BOOST_AUTO_TEST_CASE(EntriesThatLapsedInAnOutageAreKept) {
   EndpointTable table(kGrace);
-  table.Replace({MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
-  table.OnStoreAway();
-  table.Replace({}, 20, At(5000));
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(1000));
+  List(table, {}, 20, At(5000));
+  BOOST_TEST(Ready(table) == 2U);
+  BOOST_TEST(table.Kept() == 2U);
+  List(table, {MakeEndpoint("one")}, 30, At(6000));
+  BOOST_TEST(Ready(table) == 2U);
+  List(table, {MakeEndpoint("one")}, 31, At(7100));
+  BOOST_TEST(Ready(table) == 1U);
+}
+
+// The same, and nobody hands this instance another list after the first one,
+// but a peer's word that it is still the same: what is missing is gone when the
+// time is over.
+BOOST_AUTO_TEST_CASE(GraceIsOverWithoutANewList) {
+  EndpointTable table(kGrace);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(1000));
+  List(table, {MakeEndpoint("one")}, 20, At(5000));
+  BOOST_TEST(!table.Confirm(At(6900), At(7100)));
   BOOST_TEST(Ready(table) == 2U);
-  table.Replace({MakeEndpoint("one")}, 30, At(6000));
+  BOOST_TEST(table.Confirm(At(7000), At(7200)));
+  BOOST_TEST(Ready(table) == 1U);
+  BOOST_TEST(table.Kept() == 0U);
+}
+
+// An instance reads once right after an outage, when most entries are missing,
+// and goes by its peers' word from then on. Entries that come back are news to
+// the others: or it would drop living endpoints when the time is over.
+BOOST_AUTO_TEST_CASE(EntriesThatComeBackAreAChangeOfTheList) {
+  EndpointTable reader(kGrace);
+  EndpointTable table(kGrace);
+  for (EndpointTable* one : {&reader, &table}) {
+    List(*one, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+    one->OnStoreAway(At(1000));
+    List(*one, {MakeEndpoint("one")}, 20, At(5000));
+  }
+  const auto both = {MakeEndpoint("one"), MakeEndpoint("two")};
+  BOOST_TEST(List(reader, both, 30, At(5600)));
+  BOOST_REQUIRE(reader.ChangedAt() > table.Revision());
+  table.Adopt(reader.Share(At(5700)), At(5700));
+  BOOST_TEST(!table.Confirm(At(7000), At(7200)));
+  BOOST_TEST(Ready(table) == 2U);
+}
+
+// The store is away, and after its return another instance reads for this one,
+// whose list doesn't change. Seconds later an endpoint leaves and its entry is
+// gone. Callers were still led to it for two seconds, because the first list
+// after the outage was taken as the store's return (I5).
+BOOST_AUTO_TEST_CASE(GraceCountsFromTheReturnThatAPeerSaw) {
+  EndpointTable table(kGrace);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(1000));
+  table.Confirm(At(5000), At(5250));
+  table.Confirm(At(7500), At(7700));
+  SharedList list;
+  list.endpoints = {MakeEndpoint("one")};
+  list.revision = 20;
+  BOOST_TEST(table.Adopt(list, At(8000)));
+  BOOST_TEST(Ready(table) == 1U);
+}
+
+// A peer's word from before the outage doesn't end it.
+BOOST_AUTO_TEST_CASE(ProofOfBeforeTheOutageDoesNotBeginTheGrace) {
+  EndpointTable table(kGrace);
+  List(table, {MakeEndpoint("one")}, 10, At(0));
+  table.OnStoreAway(At(1000));
+  table.Confirm(At(900), At(1100));
+  List(table, {}, 20, At(5000));
+  BOOST_TEST(Ready(table) == 1U);
+}
+
+// An instance starts right after an outage and takes its list from a peer that
+// keeps entries. It keeps them as long as the peer, no longer.
+BOOST_AUTO_TEST_CASE(GraceOfAPeerGoesOnHere) {
+  EndpointTable reader(kGrace);
+  List(reader, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  reader.OnStoreAway(At(1000));
+  List(reader, {MakeEndpoint("one")}, 20, At(5000));
+  EndpointTable table(kGrace);
+  table.Adopt(reader.Share(At(5500)), At(5500));
   BOOST_TEST(Ready(table) == 2U);
-  table.Replace({MakeEndpoint("one")}, 31, At(7100));
+  BOOST_TEST(table.Kept() == 1U);
+  BOOST_TEST(!table.Confirm(At(6999), At(7100)));
+  BOOST_TEST(table.Confirm(At(7000), At(7200)));
   BOOST_TEST(Ready(table) == 1U);
 }
 
+// The reader lost its memory in the outage and knows of nobody whose entry has
+// run out. The others must not drop those endpoints with its list.
+BOOST_AUTO_TEST_CASE(ListOfAPeerWithoutMemoryDropsNothingInTheGrace) {
+  EndpointTable table(kGrace);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(1000));
+  table.Confirm(At(5000), At(5100));
+  SharedList list;
+  list.revision = 20;
+  table.Adopt(list, At(5200));
+  BOOST_TEST(Ready(table) == 2U);
+  BOOST_TEST(table.Confirm(At(7100), At(7200)));
+  BOOST_TEST(Ready(table) == 0U);
+}
+
 // Without an outage an entry that is gone is gone at once (I5).
 BOOST_AUTO_TEST_CASE(RemovedEntryIsGone) {
   EndpointTable table(kGrace);
-  table.Replace({MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
-  BOOST_TEST(table.Replace({MakeEndpoint("two")}, 11, At(100)));
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  BOOST_TEST(List(table, {MakeEndpoint("two")}, 11, At(100)));
   BOOST_TEST(Ready(table) == 1U);
 }
 
@@ -55,11 +155,11 @@
 // missing entries only.
 BOOST_AUTO_TEST_CASE(DrainingIsBelievedAtOnce) {
   EndpointTable table(kGrace);
-  table.Replace({MakeEndpoint("one")}, 10, At(0));
-  table.OnStoreAway();
+  List(table, {MakeEndpoint("one")}, 10, At(0));
+  table.OnStoreAway(At(1000));
   Endpoint leaving = MakeEndpoint("one");
   leaving.state = EndpointState::kDraining;
-  table.Replace({leaving}, 20, At(5000));
+  List(table, {leaving}, 20, At(5000));
   BOOST_TEST(Ready(table) == 0U);
 }
 
@@ -67,9 +167,9 @@
 // back that is gone.
 BOOST_AUTO_TEST_CASE(OlderListIsIgnored) {
   EndpointTable table(kGrace);
-  table.Replace({MakeEndpoint("one")}, 10, At(0));
+  List(table, {MakeEndpoint("one")}, 10, At(0));
   BOOST_TEST(
-      !table.Replace({MakeEndpoint("one"), MakeEndpoint("two")}, 9, At(100)));
+      !List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 9, At(100)));
   BOOST_TEST(Ready(table) == 1U);
   BOOST_TEST(table.ChangedAt() == 10U);
 }
