A process that starts anew knows the fleet before it spends its budget of retries

Cause: a new process divided the slack by the instances that it had heard of, 1 or 4 of 86 for 0.7 s, since the entry of its former life kept it from reading the list of instances. Ruled out: arrivals that aren't counted (before the kill all stays below the bound). Also mended, shown by tests of their own: what was spent before a start and after it adds up to more than the bound if the former was spent late, or if instances start anew twice within the window. Change: no slack while the number of instances isn't known; the entry of a former life is overwritten at once; in their first window processes that started lately share 0.075 of the bound, by the uptime that beacons tell; instances of which only the address is known count, also for whether a fleet is large. Why it holds: before the list is read a process spends a part of its own requests' ratio only, and afterwards 1/86; with 0.85 before, two starts of all within a window stay within the bound. The tests of the budget tell it who shares it by SetSharers now, and when processes start; a quiet instance's retry is also tested right after a start of all.

--- a/include/toucanwharf/attempts/arrival_budget.h
+++ b/include/toucanwharf/attempts/arrival_budget.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
 #include <string>
 
 #include "toucanwharf/support/clock.h"
@@ -21,13 +20,25 @@
   /// Part of the bound that is used. The window slides, and instances don't
   /// know each other's counts to the moment.
   double used_share = 0.85;
-  /// Part of the bound that is used right after a start; see ArrivalBudget.
-  double first_share = 0.15;
+  /// Part of the bound that all processes together use in their first window;
+  /// see ArrivalBudget. Beside used_share there is room for it twice, for
+  /// instances that start anew a second time within the window.
+  double first_share = 0.075;
 
   friend bool operator==(const ArrivalBudgetSettings&,
                          const ArrivalBudgetSettings&) = default;
 };
 
+/// What a process knows of those that share the budget.
+struct BudgetSharers {
+  /// Instances, this one included; 0 while that isn't known.
+  std::size_t instances = 0;
+  /// Of these, those that may have started within the last window.
+  std::size_t started_lately = 0;
+
+  friend bool operator==(const BudgetSharers&, const BudgetSharers&) = default;
+};
+
 /// Decides whether a request may be sent to an endpoint once more.
 ///
 /// Pattern of load: endpoints that fail under overload get each request two or
@@ -36,23 +47,27 @@
 /// there are, and the ratio of its own requests, so that the sum holds without
 /// a word between them, also while they cannot reach one another.
 ///
-/// Failure guarded against: all instances lose power and start anew within a
-/// window. Each would have a whole allowance again, beside the one that was
-/// spent before, and the endpoints get nearly twice the bound. The guard: a new
-/// process begins with a small part, which grows to the whole in a window, as
-/// what was spent before leaves it.
+/// Failure guarded against: all instances are killed in an overload and start
+/// anew. Callers come back at once, engines are full of answers that nobody
+/// waits for, and the endpoints get several times the bound: each process would
+/// have a whole allowance again beside the one that was spent before, perhaps
+/// in the last second, and before it has heard of the others it would take the
+/// whole fleet's slack as its own. The guard: a process that doesn't know how
+/// many there are has no slack, and until a window has passed since its start,
+/// when whatever was spent in a former life has left it, the processes that
+/// have started lately share a small part of the bound. A single one that
+/// starts anew among many keeps nearly all of its own.
 /// Thread safety: none; for one thread.
 class ArrivalBudget {
  public:
-  explicit ArrivalBudget(const ArrivalBudgetSettings& chosen)
-      : settings(chosen) {}
+  /// \p process_start is when the process began.
+  ArrivalBudget(const ArrivalBudgetSettings& chosen, TimePoint process_start)
+      : settings(chosen), started(process_start) {}
 
-  /// Sets how many instances share the slack. Precondition: count > 0.
-  void SetInstances(std::size_t count) { this->instances = count; }
+  void SetSharers(const BudgetSharers& known) { this->sharers = known; }
   /// Notes a request for \p service.
   void OnRequest(const std::string& service, TimePoint now);
-  /// Returns how many instances share the slack, as far as is known.
-  std::size_t Instances() const { return this->instances; }
+  const BudgetSharers& Sharers() const { return this->sharers; }
   /// Returns how many more arrivals may be caused now, less than one for none.
   double Left(const std::string& service, TimePoint now);
   /// Returns whether one more arrival may be caused now.
@@ -74,9 +89,8 @@
   Slice& Current(const std::string& service, TimePoint now);
 
   ArrivalBudgetSettings settings;
-  std::size_t instances = 1;
-  /// When the first request came.
-  std::optional<TimePoint> started;
+  TimePoint started;
+  BudgetSharers sharers;
   std::map<std::string, Slices> services;
 };
 
--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -55,6 +55,8 @@
 struct Beacon {
   /// Changes with each start of the process.
   std::string instance;
+  /// How long the process has run.
+  Duration uptime{0};
   std::string failure_domain;
   /// Where callers connect, and where instances ask each other, "IP:PORT".
   std::string callers_address;
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -64,7 +64,13 @@
   /// instance that is cut off from them is still one of a large fleet.
   bool Large(TimePoint now) const;
   /// Returns how many instances there are or lately were, this one included.
+  /// One of which only the address is known counts as well: a process that has
+  /// just started has heard of nobody, and must not take itself for a small
+  /// fleet.
   std::size_t Instances(TimePoint now) const;
+  /// Returns how many of them, this one included, may have started less than
+  /// \p lately ago: all but the live ones that say otherwise.
+  std::size_t StartedWithin(Duration lately, TimePoint now) const;
 
   /// Returns the moment of the own clock at which the configuration of
   /// \p revision is proved current by the peers' words, or nothing. A peer's
@@ -84,6 +90,11 @@
     TimePoint last_sign;
   };
 
+  /// Returns whether \p entry counts as an instance.
+  bool Counts(const Entry& entry, TimePoint now) const {
+    return now - entry.last_sign < this->settings.forgotten_after;
+  }
+
   std::string own;
   PeerSettings settings;
   std::map<std::string, Entry> entries;
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -109,10 +109,14 @@
   void LeadAround(const std::string& endpoint);
   /// Takes a request; its answer may come much later.
   void Handle(std::shared_ptr<http::Exchange> exchange);
-  /// Sets how many instances share the budget of extra arrivals.
-  void SetInstances(std::size_t count) { this->budget.SetInstances(count); }
-  /// Returns how many instances it takes the budget to be shared by.
-  std::size_t Instances() const { return this->budget.Instances(); }
+  /// Sets who shares the budget of extra arrivals.
+  void SetSharers(const attempts::BudgetSharers& known) {
+    this->budget.SetSharers(known);
+  }
+  /// Returns whom it takes to share the budget of extra arrivals.
+  const attempts::BudgetSharers& Sharers() const {
+    return this->budget.Sharers();
+  }
   /// Returns how many requests are under way.
   std::size_t UnderWay() const {
     return this->passages.size() + this->early.size();
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -202,10 +202,12 @@
       this->LearnInstances();
       return;
     }
+    // The entry of an earlier start is overwritten, and at once: until it is,
+    // this process doesn't know how many others there are.
+    const bool earlier_start = write.if_version == 0 && answer.version > 0;
     constexpr Duration kAgain = std::chrono::milliseconds(700);
-    // An entry of an earlier start is overwritten.
     write.if_version = answer.version;
-    this->loop.After(kAgain, [this, write] {
+    this->loop.After(earlier_start ? Duration(0) : kAgain, [this, write] {
       if (this->beliefs.stopping_since) return;
       this->store.Write(write, [this, write](const auto& next) {
         this->OnRegistered(write, next);
@@ -228,16 +230,25 @@
             if (text.size() <= kQuotes || text.front() != '"') continue;
             this->peers.AddInstance(text.substr(1, text.size() - kQuotes));
           }
+          this->knows_instances = true;
+          this->ShareBudget(this->loop.Now());
         });
   }
 
+  /// Tells the gateway who shares the budget of extra arrivals, once that is
+  /// known. If the store has not told it for a whole window, those count that
+  /// were heard of.
+  void ShareBudget(TimePoint now) {
+    const Duration window = this->settings.budget.window;
+    const bool long_enough = now - this->started >= window;
+    if (!this->knows_instances && !long_enough) return;
+    this->gateway.SetSharers({this->beliefs.peers.Instances(now),
+                              this->beliefs.peers.StartedWithin(window, now)});
+  }
+
   void Housekeep() {
     const TimePoint now = this->loop.Now();
-    // Instances that were only read of in the store share the budget as well: a
-    // process that has just started has heard of nobody.
-    this->gateway.SetInstances(
-        std::max(this->beliefs.peers.Instances(now),
-                 this->beliefs.peers.Addresses(now).size() + 1));
+    this->ShareBudget(now);
     this->NoteBeliefs(now);
     if (this->beliefs.stopping_since) this->EndIfDone(now);
     this->logger.Flush();
@@ -300,6 +311,9 @@
   PeerLink peers;
   StoreSync<A> sync;
   PlacementDriver<A> placement;
+  TimePoint started{this->loop.Now()};
+  /// The list of instances was read from the store.
+  bool knows_instances = false;
   bool keys_held = false;
   bool was_ready = false;
   std::unique_ptr<http::Server> front;
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -85,6 +85,7 @@
   eventlog::Logger& logger;
   EndpointListLog& lists;
   InstanceSettings settings;
+  TimePoint started;
   std::unique_ptr<http::DatagramSocket> socket;
   OnConfiguration take_configuration;
   OnEndpoints endpoints_changed;
--- a/lib/attempts/arrival_budget.cc
+++ b/lib/attempts/arrival_budget.cc
@@ -26,16 +26,16 @@
 }
 
 void ArrivalBudget::OnRequest(const std::string& service, TimePoint now) {
-  if (!this->started) this->started = now;
   ++this->Current(service, now).requests;
 }
 
 double ArrivalBudget::Share(TimePoint now) const {
-  const Duration age = now - this->started.value_or(now);
-  const double grown = static_cast<double>(age.count()) /
-                       static_cast<double>(this->settings.window.count());
-  return std::clamp(this->settings.used_share * grown,
-                    this->settings.first_share, this->settings.used_share);
+  const double used = this->settings.used_share;
+  if (now - this->started >= this->settings.window) return used;
+  const auto lately = std::max<std::size_t>(this->sharers.started_lately, 1);
+  const auto all = std::max(this->sharers.instances, lately);
+  const double part = static_cast<double>(lately) / static_cast<double>(all);
+  return std::min(used, this->settings.first_share / part);
 }
 
 double ArrivalBudget::Left(const std::string& service, TimePoint now) {
@@ -46,8 +46,10 @@
     requests += static_cast<double>(slice.requests);
     extras += static_cast<double>(slice.extras);
   }
+  const std::size_t instances = this->sharers.instances;
   const double slack =
-      this->settings.slack / static_cast<double>(this->instances);
+      instances == 0 ? 0
+                     : this->settings.slack / static_cast<double>(instances);
   const double most =
       this->Share(now) * (this->settings.ratio * requests + slack);
   return most - extras;
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -11,7 +11,7 @@
 
 /// Another layout of the message gets another number, and is ignored by
 /// instances that don't know it.
-constexpr std::uint64_t kFormat = 4;
+constexpr std::uint64_t kFormat = 5;
 
 Json AgeOrNull(const std::optional<Duration>& age) {
   return age ? Json(age->count()) : Json();
@@ -83,6 +83,7 @@
 Beacon FromJson(const Json& json) {
   Beacon beacon;
   beacon.instance = json.at("instance").get<std::string>();
+  beacon.uptime = Duration(json.at("uptime").get<std::int64_t>());
   beacon.failure_domain = json.at("domain").get<std::string>();
   beacon.callers_address = json.at("callers").get<std::string>();
   beacon.control_address = json.at("control").get<std::string>();
@@ -108,6 +109,7 @@
 EncodedBeacon::EncodedBeacon(const Beacon& beacon) {
   const Json json = {{"format", kFormat},
                      {"instance", beacon.instance},
+                     {"uptime", beacon.uptime.count()},
                      {"domain", beacon.failure_domain},
                      {"callers", beacon.callers_address},
                      {"control", beacon.control_address},
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -82,9 +82,19 @@
 std::size_t PeerTable::Instances(TimePoint now) const {
   std::size_t count = 1;
   for (const auto& [address, entry] : this->entries) {
-    const bool lately =
-        entry.peer && now - entry.peer->heard < this->settings.forgotten_after;
-    if (lately) ++count;
+    if (this->Counts(entry, now)) ++count;
+  }
+  return count;
+}
+
+std::size_t PeerTable::StartedWithin(Duration lately, TimePoint now) const {
+  std::size_t count = 1;
+  for (const auto& [address, entry] : this->entries) {
+    if (!this->Counts(entry, now)) continue;
+    const Peer* peer = this->Live(address, now);
+    const bool older =
+        peer != nullptr && peer->beacon.uptime + (now - peer->heard) >= lately;
+    if (!older) ++count;
   }
   return count;
 }
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -97,8 +97,9 @@
   writer.Gauge("under_way", "requests under way",
                static_cast<double>(gateway.UnderWay()));
   writer.Gauge("budget_instances",
-               "instances that the budget of extra arrivals is shared by",
-               static_cast<double>(gateway.Instances()));
+               "instances that share the budget of extra arrivals, 0 while "
+               "that isn't known",
+               static_cast<double>(gateway.Sharers().instances));
   writer.Gauge("configuration_revision",
                "store's revision of the configuration in force",
                static_cast<double>(beliefs.configuration_revision));
--- a/lib/instance/passage.cc
+++ b/lib/instance/passage.cc
@@ -368,8 +368,8 @@
       .Count("retries_left",
              static_cast<std::int64_t>(
                  this->gateway.budget.Left(this->what.service->name, now)))
-      .Count("budget_shared_by",
-             static_cast<std::int64_t>(this->gateway.budget.Instances()));
+      .Count("budget_shared_by", static_cast<std::int64_t>(
+                                     this->gateway.budget.Sharers().instances));
   this->Log(Level::kNotable, "try_ended", fields);
   this->Proceed(end, why);
 }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -116,7 +116,8 @@
       beliefs(shared_beliefs),
       logger(log),
       lists(list_log),
-      settings(chosen) {}
+      settings(chosen),
+      started(event_loop.Now()) {}
 
 Result<void> PeerLink::Start(OnConfiguration on_configuration,
                              OnEndpoints on_endpoints) {
@@ -183,6 +184,7 @@
 gossip::Beacon PeerLink::MakeBeacon(TimePoint now) const {
   gossip::Beacon beacon;
   beacon.instance = this->beliefs.instance;
+  beacon.uptime = now - this->started;
   beacon.failure_domain = this->settings.failure_domain;
   beacon.callers_address = this->settings.callers_address;
   beacon.control_address = this->settings.control_address;
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -338,8 +338,8 @@
 // The store is away for seconds. When it is back one router reads for all, and
 // the others go by its word. Seconds later an endpoint leaves and its entry is
 // removed: two seconds after that it still got requests through those others
-// (I5). They counted the grace for missing entries from the first list that they
-// took: of one revision the reader kept no entry, each of them one.
+// (I5). They counted the grace for missing entries from the first list that
+// they took: of one revision the reader kept no entry, each of them one.
 BOOST_AUTO_TEST_CASE(EndpointThatLeavesAfterAnOutageGetsNothingNew) {
   constexpr std::size_t kRouters = 3;
   PlatformFleet fleet(kRouters);
--- a/unittests/attempts/arrival_budget_test.cc
+++ b/unittests/attempts/arrival_budget_test.cc
@@ -36,30 +36,33 @@
 }
 
 /// Times of the extra arrivals that all instances of \p storm together cause.
+/// The first processes have run for a window when the first request comes.
 std::vector<TimePoint> Play(const Storm& storm) {
-  std::vector<ArrivalBudget> budgets;
+  const ArrivalBudgetSettings settings = SettingsOf(storm);
+  std::vector<ArrivalBudget> budgets(storm.instances,
+                                     ArrivalBudget(settings, TimePoint{}));
+  const TimePoint first = TimePoint{} + settings.window;
   TimePoint started;
   std::vector<TimePoint> extras;
   const int requests = storm.requests_per_second * storm.seconds;
   for (int at = 0; at < requests; ++at) {
-    const TimePoint now{milliseconds(1000 * at / storm.requests_per_second)};
-    const bool starts =
-        at == 0 ||
-        std::any_of(storm.restarts.begin(), storm.restarts.end(),
-                    [&](int second) {
-                      return at == second * storm.requests_per_second;
-                    });
-    if (starts) {
-      budgets.assign(storm.instances, ArrivalBudget(SettingsOf(storm)));
+    const TimePoint now =
+        first + milliseconds(1000 * at / storm.requests_per_second);
+    const bool starts_anew = std::any_of(
+        storm.restarts.begin(), storm.restarts.end(),
+        [&](int second) { return at == second * storm.requests_per_second; });
+    if (starts_anew) {
+      budgets.assign(storm.instances, ArrivalBudget(settings, now));
       started = now;
     }
     const std::size_t chosen = static_cast<std::size_t>(at) % storm.instances;
     ArrivalBudget& budget = budgets[chosen];
-    if (now - started >= storm.unaware) budget.SetInstances(storm.instances);
-    budget.OnRequest("service", now);
-    if (now < TimePoint{std::chrono::seconds(storm.fails_from_second)}) {
-      continue;
+    if (now - started >= storm.unaware) {
+      const bool lately = now - started < settings.window;
+      budget.SetSharers({storm.instances, lately ? storm.instances : 0});
     }
+    budget.OnRequest("service", now);
+    if (at < storm.fails_from_second * storm.requests_per_second) continue;
     while (budget.TakeExtra("service", now)) extras.push_back(now);
   }
   return extras;
@@ -104,8 +107,9 @@
 // All instances of a large fleet are killed while its engines are full. Callers
 // come back at once, engines refuse them, and the engines got 1,462 extra
 // arrivals in ten seconds where 1,165 are allowed, 1,500 of them in the first
-// second after the start: each process had heard of no other yet, and took the
-// slack of the whole fleet as its own.
+// second after the start. Cause: each process had heard of no other yet, and
+// took the slack of the whole fleet as its own; what it wrote of refused tries
+// said that the budget was shared by 1, 4 or 5.
 BOOST_AUTO_TEST_CASE(ProcessesThatHaveHeardOfNobodyShareTheSlack) {
   Storm storm;
   storm.instances = 86;
@@ -140,21 +144,42 @@
   }
 }
 
-// A single failure on a quiet day is always made good.
+// A single failure on a quiet day is always made good, also right after all
+// instances have started.
 BOOST_AUTO_TEST_CASE(QuietInstanceMayRetry) {
-  ArrivalBudget budget(SettingsOf({}));
-  budget.SetInstances(kInstances);
-  budget.OnRequest("service", TimePoint{});
-  BOOST_TEST(budget.TakeExtra("service", TimePoint{}));
+  for (const std::size_t started_lately : {1, kInstances}) {
+    ArrivalBudget budget(SettingsOf({}), TimePoint{});
+    budget.SetSharers({kInstances, started_lately});
+    budget.OnRequest("service", TimePoint{});
+    BOOST_TEST(budget.TakeExtra("service", TimePoint{}));
+  }
+}
+
+// One of six instances has just started anew when a dead endpoint breaks its
+// part of a hundred answers. They go on elsewhere: what its former life spent
+// is a small part of the bound.
+BOOST_AUTO_TEST_CASE(InstanceThatStartsAnewAloneKeepsItsRetries) {
+  constexpr int kAnswersOfOne = 16;
+  ArrivalBudget budget(SettingsOf({}), TimePoint{});
+  budget.SetSharers({kInstances, 1});
+  for (int at = 0; at < 30; ++at) {
+    budget.OnRequest("service", TimePoint{milliseconds(at * 66)});
+  }
+  int granted = 0;
+  for (int at = 0; at < kAnswersOfOne; ++at) {
+    if (budget.TakeExtra("service", TimePoint{milliseconds(2000)})) ++granted;
+  }
+  BOOST_TEST(granted == kAnswersOfOne);
 }
 
 // A dead endpoint breaks a hundred answers at once, spread over the instances:
 // all of them may go on elsewhere.
 BOOST_AUTO_TEST_CASE(OneDeadEndpointIsCovered) {
-  std::vector<ArrivalBudget> budgets(kInstances, ArrivalBudget(SettingsOf({})));
+  std::vector<ArrivalBudget> budgets(
+      kInstances, ArrivalBudget(SettingsOf({}), TimePoint{}));
   int granted = 0;
   for (int at = 0; at < 930; ++at) {
-    budgets[at % kInstances].SetInstances(kInstances);
+    budgets[at % kInstances].SetSharers({kInstances, 1});
     budgets[at % kInstances].OnRequest("service",
                                        TimePoint{milliseconds(at * 10)});
   }
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -125,6 +125,33 @@
   BOOST_TEST(table.Addresses(At(70000)).empty());
 }
 
+// A process has just started and has heard of one of the instances that the
+// store told it of. It must not take itself for one of two.
+BOOST_AUTO_TEST_CASE(InstanceIsCountedBeforeItIsHeardOf) {
+  PeerTable table("own");
+  table.AddAddress("10.0.0.1:7", At(0));
+  table.AddAddress("10.0.0.2:7", At(0));
+  table.OnBeacon("10.0.0.1:7", MakeBeacon("peer", 20), At(10));
+  BOOST_TEST(table.Instances(At(20)) == 3U);
+  BOOST_TEST(table.Instances(At(60005)) == 2U);
+}
+
+// Whoever has not said that it has run for long may have started just now: one
+// that isn't heard of, one that fell silent, and one that says so.
+BOOST_AUTO_TEST_CASE(InstancesThatMayHaveStartedLately) {
+  constexpr Duration kLately = milliseconds(10000);
+  PeerTable table("own");
+  BOOST_TEST(table.StartedWithin(kLately, At(0)) == 1U);
+  table.AddAddress("10.0.0.1:7", At(0));
+  BOOST_TEST(table.StartedWithin(kLately, At(0)) == 2U);
+  Beacon beacon = MakeBeacon("peer", 20);
+  beacon.uptime = milliseconds(9500);
+  table.OnBeacon("10.0.0.1:7", beacon, At(0));
+  BOOST_TEST(table.StartedWithin(kLately, At(400)) == 2U);
+  BOOST_TEST(table.StartedWithin(kLately, At(600)) == 1U);
+  BOOST_TEST(table.StartedWithin(kLately, At(3000)) == 2U);
+}
+
 std::vector<std::string> Addresses(int count) {
   std::vector<std::string> addresses;
   for (int at = 0; at < count; ++at) {
