--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -494,8 +494,9 @@
 }
 
 // All routers are killed and start anew. Each took the whole fleet's slack of
-// retries for its own until it had heard of the others, because the entry of
-// its former life kept it from reading the list of routers for 0.7 s.
+// retries for its own until it had heard of the others: the entry of its former
+// life kept it from reading the list of routers for 0.7 s, and its log said
+// until then that the budget was shared by 1 or 4.
 BOOST_AUTO_TEST_CASE(RouterThatStartsAnewKnowsAtOnceHowManyThereAre) {
   constexpr std::size_t kRouters = 2;
   PlatformFleet fleet(kRouters);
--- a/unittests/attempts/arrival_budget_test.cc
+++ b/unittests/attempts/arrival_budget_test.cc
@@ -108,8 +108,8 @@
 // come back at once, engines refuse them, and the engines got 1,462 extra
 // arrivals in ten seconds where 1,165 are allowed, 1,500 of them in the first
 // second after the start. Cause: each process had heard of no other yet, and
-// took the slack of the whole fleet as its own; what it wrote of refused tries
-// said that the budget was shared by 1, 4 or 5.
+// took the slack of the whole fleet as its own. Nearly all tries that engines
+// refused in that second were logged with a budget shared by 1 or by 4.
 BOOST_AUTO_TEST_CASE(ProcessesThatHaveHeardOfNobodyShareTheSlack) {
   Storm storm;
   storm.instances = 86;
