What requests need to know stands once; no signs of answers where nobody asks for them

Left by earlier work, found in its own last reading: Gateway repeated the test of Beliefs::Ready; the search for an engine among a path's stages stood three times; in a large fleet the signs of all answers were gathered for questions that nobody asks. The log member of endpoints_changed is called cause, as it also tells of the grace's end. No decision changes. Ran: unit tests of instance, attempts, endpoints.

--- a/include/toucanwharf/attempts/alarm_restraint.h
+++ b/include/toucanwharf/attempts/alarm_restraint.h
@@ -27,7 +27,8 @@
 /// for a moment without any fault, while an engine reads a long prompt. Asked
 /// at each such pause, engines get more questions than requests. There the
 /// router learns to wait; on a fleet whose answers flow evenly it goes on
-/// asking soon. Thread safety: none; for one thread.
+/// asking soon.
+/// Thread safety: none; for one thread.
 class AlarmRestraint {
  public:
   explicit AlarmRestraint(const AlarmRestraintSettings& chosen = {})
--- a/include/toucanwharf/attempts/arrival_budget.h
+++ b/include/toucanwharf/attempts/arrival_budget.h
@@ -64,9 +64,11 @@
   ArrivalBudget(const ArrivalBudgetSettings& chosen, TimePoint process_start)
       : settings(chosen), started(process_start) {}
 
+  /// Sets who shares the budget, as far as is known now.
   void SetSharers(const BudgetSharers& known) { this->sharers = known; }
   /// Notes a request for \p service.
   void OnRequest(const std::string& service, TimePoint now);
+  /// Returns who shares the budget, as last set.
   const BudgetSharers& Sharers() const { return this->sharers; }
   /// Returns how many more arrivals may be caused now, less than one for none.
   double Left(const std::string& service, TimePoint now);
--- a/include/toucanwharf/instance/beliefs.h
+++ b/include/toucanwharf/instance/beliefs.h
@@ -36,6 +36,9 @@
   /// Whether it holds the placement lease.
   bool leads = false;
 
+  /// Returns whether requests can be judged: the configuration and the list of
+  /// endpoints are known, and keys may be admitted.
+  bool KnowEnough(TimePoint now) const;
   /// Returns whether callers may be sent here.
   bool Ready(TimePoint now) const;
   /// Returns whether keys may be admitted.
--- a/include/toucanwharf/instance/endpoint_list_log.h
+++ b/include/toucanwharf/instance/endpoint_list_log.h
@@ -10,8 +10,8 @@
 
 namespace toucanwharf::instance {
 
-/// Why the list of endpoints is looked at.
-enum class ListSource {
+/// What may have changed the endpoints in use.
+enum class ListCause {
   /// A list was read from the store.
   kStore,
   /// A list was had from a peer.
@@ -27,9 +27,9 @@
   /// Precondition: the logger outlives the object.
   explicit EndpointListLog(eventlog::Logger& log) : logger(log) {}
 
-  /// Notes that \p table was brought up to date, which \p changed it or not;
-  /// \p unreadable entries of the list could not be read.
-  void OnList(const endpoints::EndpointTable& table, ListSource source,
+  /// Notes that \p table was brought up to date for \p cause, which \p changed
+  /// it or not; \p unreadable entries of the list could not be read.
+  void OnList(const endpoints::EndpointTable& table, ListCause cause,
               bool changed, std::int64_t unreadable, TimePoint now);
 
  private:
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -133,15 +133,12 @@
     std::size_t bytes = 0;
   };
 
-  /// Returns whether requests can be judged: the configuration and the list of
-  /// endpoints are known, and keys may be admitted.
-  bool KnowsEnough(TimePoint now) const;
   /// Takes a request that arrived at \p arrived.
   void Take(std::shared_ptr<http::Exchange> exchange, TimePoint arrived);
   void TakeEarly();
 
-  /// Finds out which of \p engines are silent, unless they have answered since
-  /// \p since. Not in a large fleet.
+  /// Returns whether all engines of a path that paused are asked whether they
+  /// live, and not its first one only.
   ///
   /// Load against which a large fleet is spared: all instances lose answers by
   /// one dead or slow engine, and if each asked all engines of its paths, the
@@ -149,6 +146,9 @@
   /// would be taken as silent too. A leader that asks for all is overrun by the
   /// doubts of the others. There the first engine's report tells of a silent
   /// one.
+  bool AsksWholePaths(TimePoint now) const;
+  /// Finds out which of \p engines are silent, unless they have answered since
+  /// \p since.
   void Doubt(const std::vector<pipeline::Stage>& engines, TimePoint since);
   void AskWhetherAlive(const pipeline::Stage& stage, TimePoint since);
   /// Returns how many instances may ask an engine at the same moment.
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -174,7 +174,7 @@
     const TimePoint now = this->loop.Now();
     const bool new_list = this->beliefs.endpoints.Replace(
         std::move(read), list->revision, begun, now);
-    this->lists.OnList(this->beliefs.endpoints, ListSource::kStore, new_list,
+    this->lists.OnList(this->beliefs.endpoints, ListCause::kStore, new_list,
                        unreadable, now);
     if (new_list) this->changed();
   }
--- a/lib/instance/beliefs.cc
+++ b/lib/instance/beliefs.cc
@@ -24,9 +24,12 @@
   return !this->strict_revocation || this->freshness.Holds(now);
 }
 
+bool Beliefs::KnowEnough(TimePoint now) const {
+  return this->table && this->endpoints.Revision() > 0 && this->KeysHold(now);
+}
+
 bool Beliefs::Ready(TimePoint now) const {
-  if (this->stopping_since || !this->table) return false;
-  return this->KeysHold(now) && this->endpoints.Revision() > 0;
+  return !this->stopping_since && this->KnowEnough(now);
 }
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/endpoint_list_log.cc
+++ b/lib/instance/endpoint_list_log.cc
@@ -6,13 +6,13 @@
 namespace toucanwharf::instance {
 namespace {
 
-std::string_view NameOf(ListSource source) {
-  switch (source) {
-    case ListSource::kStore:
+std::string_view NameOf(ListCause cause) {
+  switch (cause) {
+    case ListCause::kStore:
       return "store";
-    case ListSource::kPeer:
+    case ListCause::kPeer:
       return "peer";
-    case ListSource::kGraceOver:
+    case ListCause::kGraceOver:
       return "grace_over";
   }
   return "unknown";
@@ -21,7 +21,7 @@
 }  // namespace
 
 void EndpointListLog::OnList(const endpoints::EndpointTable& table,
-                             ListSource source, bool changed,
+                             ListCause cause, bool changed,
                              std::int64_t unreadable, TimePoint now) {
   const std::size_t kept = table.Kept();
   const bool as_before = std::exchange(this->kept_before, kept) == kept;
@@ -29,7 +29,7 @@
   this->logger.Write(
       eventlog::Level::kNotable, "endpoints_changed",
       eventlog::Fields()
-          .Text("source", NameOf(source))
+          .Text("cause", NameOf(cause))
           .Count("revision", static_cast<std::int64_t>(table.Revision()))
           .Count("endpoints", static_cast<std::int64_t>(table.All().size()))
           .Count("kept", static_cast<std::int64_t>(kept))
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -73,16 +73,11 @@
          now - *this->beliefs.stopping_since > kTakeAfterStop;
 }
 
-bool Gateway::KnowsEnough(TimePoint now) const {
-  return this->beliefs.table && this->beliefs.endpoints.Revision() > 0 &&
-         this->beliefs.KeysHold(now);
-}
-
 void Gateway::Handle(std::shared_ptr<http::Exchange> exchange) {
   ++this->counters.received;
   const TimePoint now = this->loop.Now();
   const std::size_t bytes = exchange->Received().body.size() + kHeadBytes;
-  if (!this->settings.mechanisms.start_wait || this->KnowsEnough(now) ||
+  if (!this->settings.mechanisms.start_wait || this->beliefs.KnowEnough(now) ||
       !this->start_wait.Enter(bytes, now)) {
     this->Take(std::move(exchange), now);
     return;
@@ -94,7 +89,7 @@
 
 void Gateway::TakeEarly() {
   const TimePoint now = this->loop.Now();
-  if (!this->KnowsEnough(now) && !this->start_wait.Over(now)) {
+  if (!this->beliefs.KnowEnough(now) && !this->start_wait.Over(now)) {
     this->loop.After(kEarlyLook, [this] { this->TakeEarly(); });
     return;
   }
@@ -164,10 +159,13 @@
   return this->beliefs.peers.Instances(this->loop.Now());
 }
 
+bool Gateway::AsksWholePaths(TimePoint now) const {
+  return this->settings.mechanisms.engine_questions &&
+         !this->beliefs.peers.Large(now);
+}
+
 void Gateway::Doubt(const std::vector<pipeline::Stage>& engines,
                     TimePoint since) {
-  if (!this->settings.mechanisms.engine_questions) return;
-  if (this->beliefs.peers.Large(this->loop.Now())) return;
   for (const pipeline::Stage& stage : engines) {
     this->AskWhetherAlive(stage, since);
   }
--- a/lib/instance/passage.h
+++ b/lib/instance/passage.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANWHARF_LIB_INSTANCE_PASSAGE_H_
 #define TOUCANWHARF_LIB_INSTANCE_PASSAGE_H_
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <set>
@@ -20,6 +21,14 @@
 /// far as is known, is taken as full.
 inline constexpr double kFull = 0.6;
 
+/// Returns whether \p endpoint runs one of \p stages. Thread safety: safe.
+inline bool RunsThrough(const std::vector<pipeline::Stage>& stages,
+                        const std::string& endpoint) {
+  return std::any_of(
+      stages.begin(), stages.end(),
+      [&](const pipeline::Stage& stage) { return stage.endpoint == endpoint; });
+}
+
 /// What the gateway knows of a request before it is passed on.
 struct Admitted {
   std::shared_ptr<const routes::RouteTable> table;
--- a/lib/instance/passage_silence.cc
+++ b/lib/instance/passage_silence.cc
@@ -91,11 +91,7 @@
 
 void Passage::OnEngineSilent(const std::string& endpoint) {
   if (this->finished || this->call == 0) return;
-  const auto& stages = this->target.stages;
-  const bool through = std::any_of(
-      stages.begin(), stages.end(),
-      [&](const auto& stage) { return stage.endpoint == endpoint; });
-  if (!through) return;
+  if (!RunsThrough(this->target.stages, endpoint)) return;
   this->WatchSilence(std::max(
       Duration(0),
       this->Patience() - (this->gateway.loop.Now() - this->last_data)));
@@ -144,6 +140,7 @@
         const bool same = !self->finished && self->call == asked_of;
         if (same) self->OnFirstEngine(answer);
       });
+  if (!this->gateway.AsksWholePaths(now)) return;
   const TimePoint since =
       this->last_data + this->Patience() * kSignAfterPercent / kPercent;
   auto doubted = endpoints::DoubtedEngines(this->target.stages, since,
--- a/lib/instance/passage_target.cc
+++ b/lib/instance/passage_target.cc
@@ -18,9 +18,7 @@
   beliefs.endpoints.ForEachReady(
       this->what.service->name, [&](const endpoints::Endpoint& endpoint) {
         // A full engine can keep what it holds of the answer.
-        const bool held = std::any_of(
-            current.begin(), current.end(),
-            [&](const auto& stage) { return stage.endpoint == endpoint.id; });
+        const bool held = RunsThrough(current, endpoint.id);
         const bool unfit = held ? beliefs.loads.Silent(endpoint.id, now)
                                 : beliefs.loads.Suspected(endpoint.id, now);
         if (unfit) return;
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -291,7 +291,7 @@
   const auto listed = this->beliefs.peers.EndpointsVouched(revision, now);
   if (!listed || revision == 0) return;
   if (!this->beliefs.endpoints.Confirm(*listed, now)) return;
-  this->lists.OnList(this->beliefs.endpoints, ListSource::kGraceOver, true, 0,
+  this->lists.OnList(this->beliefs.endpoints, ListCause::kGraceOver, true, 0,
                      now);
 }
 
@@ -369,7 +369,7 @@
                 const TimePoint now = this->loop.Now();
                 const bool new_list =
                     this->beliefs.endpoints.Adopt(std::move(*listed), now);
-                this->lists.OnList(this->beliefs.endpoints, ListSource::kPeer,
+                this->lists.OnList(this->beliefs.endpoints, ListCause::kPeer,
                                    new_list, 0, now);
                 if (new_list) this->endpoints_changed();
               });
