One failed read of the store begins no grace for entries that are missing

Callers were led to an endpoint for two seconds after it had left (I5). Cause: an instance that fails one read takes the store to be away, and the next answer begins the grace of two seconds in which entries that are missing are kept. An endpoint whose entry was removed just then is used for the grace and until the proof after it: 2.0 s + a reader's period of 0.98 s at a bound of 3 s, and the way to the others on top.

Ruled out: to end the grace sooner (endpoints register again within two seconds of a real outage); to judge the endpoint again at the send (it is chosen at the send already, also by a request that waited).

Change: entries run out only after three heartbeats without one, so two proofs that are closer than two heartbeats leave nothing to wait for. The heartbeat is the deployment's. Test OneFailedReadKeepsNoEndpointThatLeft fails with the grace begun by any failed read (1 kept, 2 ready instead of 0 and 1).

--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -70,11 +70,19 @@
 /// keep an endpoint that left long after the store's return (I5). It ends with
 /// the first proof from after it, which may be a peer's word that the list is
 /// still the same; until then what is missing here may be back.
+///
+/// One read that fails is no outage: the reader's connection may have gone
+/// silent, or its packets were lost. Had that begun the grace period, an
+/// endpoint whose entry was removed in it would be used past the bound (I5).
+/// Entries run out only when the store has been away for several heartbeats, so
+/// two proofs that are closer than that leave nothing to wait for.
 /// Thread safety: none; for one thread.
 class EndpointTable {
  public:
-  /// \p grace is how long after the store's return an entry may be missing.
-  explicit EndpointTable(Duration grace) : outage_grace(grace) {}
+  /// \p grace is how long after the store's return an entry may be missing;
+  /// \p shortest is how long the store must be away for entries to run out.
+  EndpointTable(Duration grace, Duration shortest)
+      : outage_grace(grace), shortest_outage(shortest) {}
 
   /// Notes that the store did not answer this instance.
   void OnStoreAway(TimePoint now) { this->away_since = now; }
@@ -125,6 +133,7 @@
   bool Use(ById next, const ById& known, std::uint64_t revision);
 
   Duration outage_grace;
+  Duration shortest_outage;
   /// When the store last didn't answer, until it is proved to answer again.
   std::optional<TimePoint> away_since;
   TimePoint kept_until;
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -44,6 +44,8 @@
   /// Control addresses of some instances; may be stale.
   std::vector<std::string> seeds;
   std::string store_address;
+  /// Between two writes of an endpoint to its entry in the store.
+  Duration endpoint_heartbeat{std::chrono::milliseconds(1200)};
   /// Part of a core that the process may use.
   double processor_share = 1;
   Bounds bounds;
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -18,10 +18,12 @@
 }  // namespace
 
 void EndpointTable::NoteRead(TimePoint read, TimePoint now) {
-  this->confirmed_at = std::max(this->confirmed_at.value_or(read), read);
+  const auto before = std::exchange(
+      this->confirmed_at, std::max(this->confirmed_at.value_or(read), read));
   if (!this->away_since || read < *this->away_since) return;
   this->away_since.reset();
-  this->kept_until = now + this->outage_grace;
+  const bool outage = !before || read - *before >= this->shortest_outage;
+  if (outage) this->kept_until = now + this->outage_grace;
 }
 
 bool EndpointTable::Confirm(TimePoint read, TimePoint now) {
--- a/lib/instance/beliefs.cc
+++ b/lib/instance/beliefs.cc
@@ -10,13 +10,17 @@
 constexpr Duration kRevocationMargin = std::chrono::milliseconds(100);
 /// Endpoints register again within two seconds of the store's return.
 constexpr Duration kOutageGrace = std::chrono::milliseconds(2000);
+/// An entry runs out after three heartbeats without one; an endpoint may have
+/// missed one of them by itself.
+constexpr int kHeartbeatsOfAnOutage = 2;
 
 }  // namespace
 
 Beliefs::Beliefs(const InstanceSettings& settings, std::string instance_id)
     : instance(std::move(instance_id)),
       freshness(settings.bounds.revocation, kRevocationMargin),
-      endpoints(kOutageGrace),
+      endpoints(kOutageGrace,
+                kHeartbeatsOfAnOutage * settings.endpoint_heartbeat),
       peers(this->instance),
       strict_revocation(settings.bounds.strict_revocation) {}
 
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -11,6 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr Duration kGrace = milliseconds(2000);
+constexpr Duration kShortestOutage = milliseconds(2400);
 
 TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
 
@@ -39,7 +40,7 @@
 // meanwhile. When it returns its list is empty. A router that believed it would
 // refuse everything, though every endpoint lives.
 BOOST_AUTO_TEST_CASE(EntriesThatLapsedInAnOutageAreKept) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
   table.OnStoreAway(At(1000));
   List(table, {}, 20, At(5000));
@@ -55,7 +56,7 @@
 // but a peer's word that it is still the same: what is missing is gone when the
 // time is over.
 BOOST_AUTO_TEST_CASE(GraceIsOverWithoutANewList) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
   table.OnStoreAway(At(1000));
   List(table, {MakeEndpoint("one")}, 20, At(5000));
@@ -70,8 +71,8 @@
 // and goes by its peers' word from then on. Entries that come back are news to
 // the others: or it would drop living endpoints when the time is over.
 BOOST_AUTO_TEST_CASE(EntriesThatComeBackAreAChangeOfTheList) {
-  EndpointTable reader(kGrace);
-  EndpointTable table(kGrace);
+  EndpointTable reader(kGrace, kShortestOutage);
+  EndpointTable table(kGrace, kShortestOutage);
   for (EndpointTable* one : {&reader, &table}) {
     List(*one, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
     one->OnStoreAway(At(1000));
@@ -90,7 +91,7 @@
 // gone. Callers were still led to it for two seconds, because the first list
 // after the outage was taken as the store's return (I5).
 BOOST_AUTO_TEST_CASE(GraceCountsFromTheReturnThatAPeerSaw) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
   table.OnStoreAway(At(1000));
   table.Confirm(At(5000), At(5250));
@@ -104,7 +105,7 @@
 
 // A peer's word from before the outage doesn't end it.
 BOOST_AUTO_TEST_CASE(ProofOfBeforeTheOutageDoesNotBeginTheGrace) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one")}, 10, At(0));
   table.OnStoreAway(At(1000));
   table.Confirm(At(900), At(1100));
@@ -115,11 +116,11 @@
 // An instance starts right after an outage and takes its list from a peer that
 // keeps entries. It keeps them as long as the peer, no longer.
 BOOST_AUTO_TEST_CASE(GraceOfAPeerGoesOnHere) {
-  EndpointTable reader(kGrace);
+  EndpointTable reader(kGrace, kShortestOutage);
   List(reader, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
   reader.OnStoreAway(At(1000));
   List(reader, {MakeEndpoint("one")}, 20, At(5000));
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   table.Adopt(reader.Share(At(5500)), At(5500));
   BOOST_TEST(Ready(table) == 2U);
   BOOST_TEST(table.Kept() == 1U);
@@ -131,7 +132,7 @@
 // The reader lost its memory in the outage and knows of nobody whose entry has
 // run out. The others must not drop those endpoints with its list.
 BOOST_AUTO_TEST_CASE(ListOfAPeerWithoutMemoryDropsNothingInTheGrace) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
   table.OnStoreAway(At(1000));
   table.Confirm(At(5000), At(5100));
@@ -143,9 +144,20 @@
   BOOST_TEST(Ready(table) == 0U);
 }
 
+// Guards against an endpoint that is used for two seconds after it has left,
+// because a single read failed just before its entry was removed (I5).
+BOOST_AUTO_TEST_CASE(OneFailedReadKeepsNoEndpointThatLeft) {
+  EndpointTable table(kGrace, kShortestOutage);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(1600));
+  BOOST_TEST(List(table, {MakeEndpoint("two")}, 11, At(2300)));
+  BOOST_TEST(Ready(table) == 1U);
+  BOOST_TEST(table.Kept() == 0U);
+}
+
 // Without an outage an entry that is gone is gone at once (I5).
 BOOST_AUTO_TEST_CASE(RemovedEntryIsGone) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
   BOOST_TEST(List(table, {MakeEndpoint("two")}, 11, At(100)));
   BOOST_TEST(Ready(table) == 1U);
@@ -154,7 +166,7 @@
 // An endpoint says that it leaves right after an outage: the grace is for
 // missing entries only.
 BOOST_AUTO_TEST_CASE(DrainingIsBelievedAtOnce) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one")}, 10, At(0));
   table.OnStoreAway(At(1000));
   Endpoint leaving = MakeEndpoint("one");
@@ -166,7 +178,7 @@
 // Two answers overtake each other; the older list must not bring an endpoint
 // back that is gone.
 BOOST_AUTO_TEST_CASE(OlderListIsIgnored) {
-  EndpointTable table(kGrace);
+  EndpointTable table(kGrace, kShortestOutage);
   List(table, {MakeEndpoint("one")}, 10, At(0));
   BOOST_TEST(
       !List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 9, At(100)));
