A reload signal in a process's first moment no longer ends it

The first line of main ignores it; whoever starts the router ignores it for the time before main, which the fixture of the process tests does before it forks.

--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -516,6 +516,23 @@
 }
 
 // Operators read the metrics of an instance on its control address.
+// Guards against a reload signal that ends a process which has just been
+// started, before its handler is there.
+BOOST_AUTO_TEST_CASE(ReloadSignalsInTheFirstMomentEndNothing) {
+  PlatformFleet fleet(2);
+  constexpr int kSignals = 40;
+  constexpr int kStarts = 3;
+  for (int start = 0; start < kStarts; ++start) {
+    fleet.Router(1).Kill();
+    fleet.StartRouter(1);
+    for (int at = 0; at < kSignals; ++at) {
+      fleet.Router(1).Signal(SIGHUP);
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    BOOST_TEST(PlatformFleet::Eventually([&] { return fleet.Ready(1); }));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MetricsTellWhatIsServed) {
   PlatformFleet fleet(1);
   BOOST_TEST(fleet.Plain(0, "/read/x", "read").status == 200);
--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -63,6 +63,9 @@
   int ends[2];
   if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
   const pid_t parent = getpid();
+  // Children inherit it: until the router's first line runs, a reload signal
+  // would end it.
+  signal(SIGHUP, SIG_IGN);
   this->pid = fork();
   if (this->pid < 0) throw std::runtime_error("no process");
   if (this->pid == 0) {
--- a/tools/toucanwharfd/main.cc
+++ b/tools/toucanwharfd/main.cc
@@ -117,6 +117,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // Settings are read at the start only. A reload signal that comes before its
+  // handler is there would end the process.
+  signal(SIGHUP, SIG_IGN);
   cxxopts::Options options("toucanwharfd", "The toucanwharf router.");
   options.add_options()("settings", "Settings file (JSON)",
                         cxxopts::value<std::string>())(
