Copies are no parts of a cover: a rollout leaves covers their room

Callers were refused no_room_in_time during a replacement of engines one after the other, and for long after it. Cause: when an engine of a cover leaves, the planner mended the cover from whatever holds layers in the longest chain, copies included. A copy has room for 40 answers instead of 130; after a few replacements the cover consisted of copies, whole and always full, and since covers that are whole stay, nothing healed it. Beside another whole cover a broken one was not mended at all.

Ruled out: a plan thrown away by the next one (two moves at most for each replacement, before and after); copies counted as room.

Change: chains are made of parts with room for at least half of the wanted answers; broken covers are mended also beside whole ones, by engines that hold nothing, then copies, then parts of other broken covers. Chains of copies come in only where there is no cover without them.

Test EnginesReplacedOneByOneLeaveTheRoomOfTheCovers: each of 38 engines is replaced in turn.

--- a/lib/placement/layout.cc
+++ b/lib/placement/layout.cc
@@ -107,11 +107,21 @@
 
   /// Keeps whole covers, mends a broken one, builds new ones, and lets what is
   /// left stand by. Returns false if there is no cover.
+  ///
+  /// Copies are no parts of a cover while there are parts: they have room for
+  /// few answers, and engines that are replaced one after the other would leave
+  /// a cover of copies in the end, whole and always full.
   bool PlanGroup(Group members) {
     this->covers.clear();
-    while (this->KeepWholeCover(members)) {
+    while (this->KeepWholeCover(members, &Planner::IsPart)) {
+    }
+    while (this->MendCover(members, &Planner::IsPart)) {
+    }
+    if (this->covers.empty()) {
+      while (this->KeepWholeCover(members, &Planner::Holds)) {
+      }
+      if (this->covers.empty()) this->MendCover(members, &Planner::Holds);
     }
-    if (this->covers.empty()) this->MendCover(members);
     while (this->BuildCover(members)) {
     }
     this->StandBy(members);
@@ -195,20 +205,25 @@
     });
   }
 
-  /// Finds engines whose layers follow one another from first to last.
-  bool KeepWholeCover(Group& members) {
-    const Layout chain = this->LongestChain(members).first;
+  /// Says of an engine whether it counts for something.
+  using Test = bool (Planner::*)(const Accelerator&) const;
+
+  /// Finds engines of which \p counts holds and whose layers follow one another
+  /// from first to last.
+  bool KeepWholeCover(Group& members, Test counts) {
+    const Layout chain = this->LongestChain(members, counts).first;
     const bool whole = !chain.empty() && this->Holes(chain).empty();
     if (whole) this->TakeCover(members, chain);
     return whole;
   }
 
-  /// Returns the disjoint holdings that cover most layers between them, and
-  /// how many layers that is.
-  std::pair<Layout, std::uint32_t> LongestChain(const Group& members) const {
+  /// Returns the disjoint holdings that cover most layers between them, of
+  /// engines of which \p counts holds, and how many layers that is.
+  std::pair<Layout, std::uint32_t> LongestChain(const Group& members,
+                                                Test counts) const {
     std::vector<const Accelerator*> holders;
     for (const Accelerator* one : members) {
-      if (this->Holds(*one)) holders.push_back(one);
+      if ((this->*counts)(*one)) holders.push_back(one);
     }
     std::stable_sort(holders.begin(), holders.end(),
                      [](const Accelerator* left, const Accelerator* right) {
@@ -250,6 +265,30 @@
            this->model.layer_mb * one.layers.Count() < kind.memory_mb;
   }
 
+  /// Returns whether \p one holds part of a cover rather than a copy: layers
+  /// that leave it room for about as many answers as a cover should have.
+  bool IsPart(const Accelerator& one) const {
+    constexpr double kPartOfRoom = 0.5;
+    const AcceleratorKind& kind = *this->model.FindKind(one.kind);
+    const std::uint32_t most = LayersFor(
+        this->model, kind, kPartOfRoom * this->settings.wanted_answers);
+    return one.layers.Count() > 0 && one.layers.end <= this->model.layers &&
+           one.layers.Count() <= most;
+  }
+
+  /// Returns \p engines in the order in which a cover takes them to fill its
+  /// holes: those that hold nothing, copies, then parts of other covers that
+  /// are broken.
+  Group LeastNeededFirst(Group engines) const {
+    std::stable_partition(
+        engines.begin(), engines.end(),
+        [this](const Accelerator* one) { return !this->IsPart(*one); });
+    std::stable_partition(
+        engines.begin(), engines.end(),
+        [this](const Accelerator* one) { return !this->Holds(*one); });
+    return engines;
+  }
+
   std::vector<Gap> Holes(const Layout& chain) const {
     std::vector<LayerRange> held;
     for (const auto& [id, layers] : chain) held.push_back(layers);
@@ -265,21 +304,24 @@
   }
 
   /// Fills the holes of what is left of a cover with free engines, if most of
-  /// it is left: then a few loads bring it back.
-  void MendCover(Group& members) {
-    const auto [chain, held] = this->LongestChain(members);
-    if (2 * held < this->model.layers) return;
+  /// it is left: then a few loads bring it back. What is left are engines of
+  /// which \p counts holds. Returns whether it did.
+  bool MendCover(Group& members, Test counts) {
+    const auto [chain, held] = this->LongestChain(members, counts);
+    if (2 * held < this->model.layers) return false;
     Group free;
     for (const Accelerator* one : members) {
       if (!chain.contains(one->id)) free.push_back(one);
     }
+    free = this->LeastNeededFirst(std::move(free));
     for (double answers = this->settings.wanted_answers;
          answers >= this->settings.least_answers; answers /= 2) {
       Layout mended = chain;
       if (!this->Fill(this->Holes(chain), free, answers, mended)) continue;
       this->TakeCover(members, mended);
-      return;
+      return true;
     }
+    return false;
   }
 
   bool Fill(const std::vector<Gap>& holes, const Group& free, double answers,
@@ -376,6 +418,18 @@
   std::vector<std::vector<LayerRange>> covers;
 };
 
+/// Puts \p layout in place on \p fleet. Returns whether that moves any layers.
+bool Place(const Layout& layout, std::vector<Accelerator>& fleet) {
+  bool moved = false;
+  for (Accelerator& one : fleet) {
+    const auto wanted = layout.find(one.id);
+    if (wanted == layout.end() || wanted->second == one.layers) continue;
+    one.layers = wanted->second;
+    moved = true;
+  }
+  return moved;
+}
+
 }  // namespace
 
 std::uint32_t LayersFor(const EngineModel& model, const AcceleratorKind& kind,
@@ -392,7 +446,18 @@
                   const std::vector<Accelerator>& fleet,
                   const LayoutSettings& settings) {
   if (model.layers == 0) return {};
-  return Planner(model, settings).Plan(fleet);
+  // What is planned is planned again as if it were in place, until that moves
+  // nothing: the next plan, by whoever leads then, must not move layers again.
+  constexpr int kMostRounds = 4;
+  Layout layout;
+  std::vector<Accelerator> placed = fleet;
+  for (int round = 0; round < kMostRounds; ++round) {
+    const Layout next = Planner(model, settings).Plan(placed);
+    const bool moved = Place(next, placed);
+    for (const auto& [id, layers] : next) layout[id] = layers;
+    if (!moved) break;
+  }
+  return layout;
 }
 
 }  // namespace toucanwharf::placement
--- a/unittests/placement/layout_test.cc
+++ b/unittests/placement/layout_test.cc
@@ -145,6 +145,60 @@
 
 // Eleven engines on every path are hit more often than seven, and leave fewer
 // to stand by.
+/// Returns for how many answers the path of \p fleet that has most room for
+/// them has room at each of its engines; 0 if no path has all layers.
+double AnswersOfRoomiestPath(const EngineModel& model,
+                             const std::vector<Accelerator>& fleet) {
+  std::vector<double> room_up_to(model.layers + 1, 0);
+  room_up_to[0] = model.slots;
+  for (std::uint32_t at = 0; at < model.layers; ++at) {
+    for (const Accelerator& one : fleet) {
+      if (at < one.layers.begin || at >= one.layers.end) continue;
+      const double each = (model.usual_prompt + model.usual_answer) *
+                          model.token_mb / model.layers * one.layers.Count();
+      const double memory = model.FindKind(one.kind)->memory_mb -
+                            one.layers.Count() * model.layer_mb;
+      const double room = std::min(room_up_to[at], memory / each);
+      for (std::uint32_t to = at + 1; to <= one.layers.end; ++to) {
+        room_up_to[to] = std::max(room_up_to[to], room);
+      }
+    }
+  }
+  return room_up_to[model.layers];
+}
+
+std::vector<Accelerator> InDomain(const std::vector<Accelerator>& fleet,
+                                  const std::string& domain) {
+  std::vector<Accelerator> members;
+  std::copy_if(fleet.begin(), fleet.end(), std::back_inserter(members),
+               [&](const auto& one) { return one.failure_domain == domain; });
+  return members;
+}
+
+// Guards against a rollout that leaves covers of copies, which are whole and
+// always full: callers were refused long after the last engine was replaced.
+BOOST_AUTO_TEST_CASE(EnginesReplacedOneByOneLeaveTheRoomOfTheCovers) {
+  const EngineModel model = LargeModel();
+  const double wanted = LayoutSettings().wanted_answers;
+  auto fleet = Placed(LargeFleet(), PlanLayout(model, LargeFleet(), {}));
+  for (std::size_t at = 0; at < fleet.size(); ++at) {
+    Accelerator replaced = fleet[at];
+    fleet.erase(fleet.begin() + static_cast<std::ptrdiff_t>(at));
+    fleet = Placed(fleet, PlanLayout(model, fleet, {}));
+    replaced.id += "-new";
+    replaced.layers = {};
+    fleet.insert(fleet.begin() + static_cast<std::ptrdiff_t>(at), replaced);
+    const Layout layout = PlanLayout(model, fleet, {});
+    // Only the newcomer, and whoever took the place of the one that left, load.
+    BOOST_TEST(Moves(fleet, layout) <= 2);
+    fleet = Placed(fleet, layout);
+    const auto members = InDomain(fleet, replaced.failure_domain);
+    BOOST_TEST_CONTEXT("after " << replaced.id) {
+      BOOST_TEST(AnswersOfRoomiestPath(model, members) >= wanted / 2);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OfKindsAboutAsFastTheLargerGoesFirst) {
   const EngineModel model = ModelOfSlowKinds();
   const auto placed =
