--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "toucanwharf/pipeline/plan.h"
@@ -41,6 +42,11 @@
   friend bool operator==(const Endpoint&, const Endpoint&) = default;
 };
 
+/// Returns a number that stands for \p endpoint, and no other life of the same
+/// id, in messages between instances. Two of a thousand endpoints share one
+/// with a chance of a ten-thousandth. Thread safety: safe.
+std::uint32_t EndpointKey(const Endpoint& endpoint);
+
 /// What one instance knows of the endpoints, for another.
 struct SharedList {
   /// The store's list.
@@ -112,6 +118,8 @@
   std::size_t Kept() const { return this->kept.size(); }
   /// Returns the endpoint \p id, or null.
   const Endpoint* Find(const std::string& id) const;
+  /// Returns the endpoint whose EndpointKey is \p key, or null.
+  const Endpoint* FindByKey(std::uint32_t key) const;
   /// Calls \p visit for each endpoint of \p service that may get new work.
   void ForEachReady(const std::string& service,
                     const std::function<void(const Endpoint&)>& visit) const;
@@ -126,6 +134,8 @@
     return this->away_since ||
            this->confirmed_at.value_or(TimePoint{}) < this->kept_until;
   }
+  /// Puts \p next into use.
+  void SetInUse(ById next);
   /// Begins the grace period if \p read proves that the store answers again.
   void NoteRead(TimePoint read, TimePoint now);
   /// Puts \p next, the list of \p revision, into use, with those of \p known
@@ -144,6 +154,8 @@
   ById listed;
   /// The list and what is kept beside it.
   ById by_id;
+  /// Ids of these by key.
+  std::unordered_map<std::uint32_t, std::string> ids_by_key;
   std::set<std::string> kept;
 };
 
--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -26,6 +26,18 @@
   friend bool operator==(const EndpointLoad&, const EndpointLoad&) = default;
 };
 
+/// The same as the leader tells it of the whole fleet. The key stands for the
+/// endpoint (see endpoints::EndpointKey): ids would be most of the message.
+struct KeyedLoad {
+  std::uint32_t key = 0;
+  double answers = 0;
+  /// In whole thousands.
+  double token_layers = 0;
+  double first_of = 0;
+
+  friend bool operator==(const KeyedLoad&, const KeyedLoad&) = default;
+};
+
 /// An endpoint that an instance saw fail, and for how much longer it should be
 /// avoided.
 struct Suspicion {
@@ -51,6 +63,18 @@
   friend bool operator==(const EngineFact&, const EngineFact&) = default;
 };
 
+/// The same as the leader tells it to all.
+struct KeyedFact {
+  std::uint32_t key = 0;
+  pipeline::LayerRange layers;
+  /// In whole hundredths.
+  double slowdown = 1;
+  /// In whole thousands.
+  double token_layers = 0;
+
+  friend bool operator==(const KeyedFact&, const KeyedFact&) = default;
+};
+
 /// One instance's state, addressed to one other.
 struct Beacon {
   /// Changes with each start of the process.
@@ -86,10 +110,18 @@
   /// anew, with another clock, since it sent that stamp.
   std::string echo_of;
   std::vector<EndpointLoad> loads;
-  /// From the leader only: what all instances together have under way.
-  std::vector<EndpointLoad> fleet_loads;
+  /// From the leader, or its deputy, only: what all instances together have
+  /// under way.
+  std::vector<KeyedLoad> fleet_loads;
   std::vector<Suspicion> suspicions;
-  std::vector<EngineFact> facts;
+  /// From the leader only.
+  std::vector<KeyedFact> facts;
+  /// From the leader of a large fleet, or its deputy, only: IPv4 addresses, in
+  /// host byte order, of all instances to which callers may be sent.
+  std::vector<std::uint32_t> ready_instances;
+  /// From the leader of a large fleet only: datagram addresses of its deputies
+  /// (see ChooseDeputies).
+  std::vector<std::string> deputies;
   /// Datagram addresses of other instances that the sender knows.
   std::vector<std::string> peers;
 
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -16,6 +16,9 @@
   /// Without a beacon for so long a peer counts as gone: it is not named to
   /// callers. In a large fleet its turn comes less often; see Rotation.
   Duration silent_after = std::chrono::milliseconds(1500);
+  /// The leader tells everyone twice a second; three of its messages may be
+  /// lost.
+  Duration leader_silent_after = std::chrono::milliseconds(1500);
   /// Beacons still go to a silent peer for so long, in case the way between
   /// the two comes back.
   Duration forgotten_after = std::chrono::seconds(60);
@@ -38,13 +41,16 @@
 
   /// Learns that an instance may listen for datagrams at \p address.
   void AddAddress(const std::string& address, TimePoint now);
+  /// Notes that the instance at \p address lives, by the word of another.
+  void NoteSign(const std::string& address, TimePoint now);
   /// Takes a beacon from the datagram address \p sender. Returns false for
   /// one's own and for one older than what is known.
   bool OnBeacon(const std::string& sender, const Beacon& beacon, TimePoint now);
 
   /// Sets after how long without a beacon a peer is silent.
   void SetSilentAfter(Duration length) { this->settings.silent_after = length; }
-  /// Returns the address of the live peer that leads, empty for none.
+  /// Returns the address of the peer that leads, empty for none that was heard
+  /// of within the leader's own, shorter time.
   std::string Leader(TimePoint now) const;
 
   /// Returns how many live peers go before an instance of \p share of a core at
@@ -55,8 +61,20 @@
 
   /// Returns the addresses to send to.
   std::vector<std::string> Addresses(TimePoint now) const;
+  /// Returns those of peers in the failure domain \p domain, and of peers that
+  /// were never heard of, which may be in it.
+  std::vector<std::string> AddressesNear(const std::string& domain,
+                                         TimePoint now) const;
+  /// Returns the others.
+  std::vector<std::string> AddressesFar(const std::string& domain,
+                                        TimePoint now) const;
   /// Returns the peer at \p address if it was heard of lately, or null.
   const Peer* Live(const std::string& address, TimePoint now) const;
+  /// Returns whether the instance at \p address was ever heard of.
+  bool Heard(const std::string& address) const {
+    const auto found = this->entries.find(address);
+    return found != this->entries.end() && found->second.peer.has_value();
+  }
   /// Returns all peers heard of lately.
   std::vector<const Peer*> AllLive(TimePoint now) const;
   /// Returns whether there are so many peers that each is heard of only by
@@ -90,6 +108,20 @@
     TimePoint last_sign;
   };
 
+  /// Returns whether \p entry is in \p domain, or may be.
+  static bool MayBeIn(const Entry& entry, const std::string& domain) {
+    return !entry.peer || entry.peer->beacon.failure_domain == domain;
+  }
+  /// Returns the addresses of entries that \p chosen holds for.
+  template <typename Predicate>
+  std::vector<std::string> AddressesOf(TimePoint now, Predicate chosen) const {
+    std::vector<std::string> addresses;
+    for (const auto& [address, entry] : this->entries) {
+      if (now - entry.last_sign > this->settings.forgotten_after) continue;
+      if (chosen(entry)) addresses.push_back(address);
+    }
+    return addresses;
+  }
   /// Returns whether \p entry counts as an instance.
   bool Counts(const Entry& entry, TimePoint now) const {
     return now - entry.last_sign < this->settings.forgotten_after;
--- a/include/toucanwharf/gossip/rotation.h
+++ b/include/toucanwharf/gossip/rotation.h
@@ -17,11 +17,17 @@
   /// Up to so many peers each gets a beacon in every round: 64 messages a
   /// second, about 1% of a quarter of a core.
   std::size_t everyone_up_to = 16;
-  /// In a larger fleet this many others get one in each round, by turns.
+  /// In a larger fleet this many others of the own failure domain get one in
+  /// each round, by turns.
   std::size_t at_once = 8;
-  /// The leader tells everyone in every second round: what it says of the
+  /// A hub tells everyone in every second round: what it says of the
   /// configuration's age and of all loads is what the others go by.
-  std::size_t leader_every = 2;
+  std::size_t hub_every = 2;
+  /// A deputy hears everyone in every second round: only the leader's sums must
+  /// be as new as can be.
+  std::size_t deputy_every = 2;
+  /// One of another failure domain gets a beacon in every fourth round.
+  std::size_t far_every = 4;
   /// A peer counts as silent after its turn was missed so many times.
   double turns_missed = 2.5;
   /// But not sooner than this: five beacons may be lost.
@@ -31,30 +37,47 @@
                          const RotationSettings&) = default;
 };
 
+/// The peers of an instance, by what it has to tell them.
+struct Audience {
+  /// Datagram addresses of peers in the own failure domain, and of those that
+  /// were never heard of.
+  std::vector<std::string> near;
+  /// Those in other domains.
+  std::vector<std::string> far;
+  /// The leader, empty if none is known, and its deputies; they are among the
+  /// others as well.
+  std::string leader;
+  std::vector<std::string> deputies;
+  /// Whether this instance leads or is a deputy.
+  bool is_hub = false;
+
+  friend bool operator==(const Audience&, const Audience&) = default;
+};
+
 /// Decides which peers get a beacon in a round.
 ///
 /// Load that it answers: if each of N instances told every other four times a
 /// second, each would send and read 8 N messages a second, and a fleet of 86
 /// small instances would spend its processors on talk. Here an instance sends
-/// and reads about 40 a second whatever the size, the leader 2 N.
+/// and reads about 50 a second whatever the size, the leader and its deputies
+/// 2 N. Most stay in the failure domain, whose links are its own.
 /// Thread safety: none; for one thread.
 class Rotation {
  public:
   explicit Rotation(const RotationSettings& chosen = {}) : settings(chosen) {}
 
   Duration Period() const { return this->settings.period; }
-  /// Returns whom to send to in this round. \p leader is the leader's address,
-  /// empty if none is known; \p leads says that it is this instance.
-  std::vector<std::string> Next(const std::vector<std::string>& addresses,
-                                const std::string& leader, bool leads);
-  /// Returns after how long without a beacon a peer is silent, in a fleet of
-  /// \p peers others.
-  Duration SilentAfter(std::size_t peers) const;
+  /// Returns whom to send to in this round.
+  std::vector<std::string> Next(const Audience& audience);
+  /// Returns after how long without a beacon a peer is silent, where each has
+  /// \p near others in its failure domain.
+  Duration SilentAfter(std::size_t near) const;
 
  private:
   RotationSettings settings;
   std::size_t round = 0;
-  std::size_t position = 0;
+  std::size_t next_near = 0;
+  std::size_t next_far = 0;
 };
 
 }  // namespace toucanwharf::gossip
--- a/include/toucanwharf/instance/beliefs.h
+++ b/include/toucanwharf/instance/beliefs.h
@@ -9,6 +9,7 @@
 #include "toucanwharf/endpoints/endpoint_table.h"
 #include "toucanwharf/endpoints/load_book.h"
 #include "toucanwharf/gossip/peer_table.h"
+#include "toucanwharf/gossip/roster.h"
 #include "toucanwharf/instance/settings.h"
 #include "toucanwharf/routes/freshness.h"
 #include "toucanwharf/routes/route_table.h"
@@ -31,6 +32,11 @@
   endpoints::EndpointTable endpoints;
   endpoints::LoadBook loads;
   gossip::PeerTable peers;
+  gossip::Roster roster;
+  /// Datagram addresses of the leader's deputies, in a large fleet, as the
+  /// leader last named them; and whether this instance is one of them.
+  std::vector<std::string> deputies;
+  bool deputy = false;
   /// Whether this process was told to stop, and when.
   std::optional<TimePoint> stopping_since;
   /// Whether it holds the placement lease.
@@ -41,6 +47,10 @@
   bool KnowEnough(TimePoint now) const;
   /// Returns whether callers may be sent here.
   bool Ready(TimePoint now) const;
+  /// Returns where callers may connect to other instances. Ports are the same
+  /// on all instances; \p callers and \p datagrams are this one's addresses.
+  std::vector<std::string> ReadyPeers(TimePoint now, const std::string& callers,
+                                      const std::string& datagrams) const;
   /// Returns whether keys may be admitted.
   bool KeysHold(TimePoint now) const;
 
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -159,16 +159,14 @@
     exchange.Respond(head, "");
   }
 
-  /// Returns where callers may connect: the instances that say they are ready.
+  /// Returns where callers may connect: the instances that are ready, by the
+  /// leader's word or their own.
   std::vector<std::string> Advice(TimePoint now) {
-    std::vector<std::string> addresses;
+    std::vector<std::string> addresses = this->beliefs.ReadyPeers(
+        now, this->settings.callers_address, this->settings.datagram_address);
     if (this->beliefs.Ready(now)) {
       addresses.push_back(this->settings.callers_address);
     }
-    for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
-      if (!peer->beacon.ready) continue;
-      addresses.push_back(peer->beacon.callers_address);
-    }
     // Callers read this many; each instance leaves others out.
     std::shuffle(addresses.begin(), addresses.end(), this->random);
     addresses.resize(std::min(addresses.size(), kMostAdvised));
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -4,8 +4,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/gossip/rotation.h"
@@ -15,6 +17,7 @@
 #include "toucanwharf/instance/beliefs.h"
 #include "toucanwharf/instance/endpoint_list_log.h"
 #include "toucanwharf/instance/settings.h"
+#include "toucanwharf/support/random.h"
 
 namespace toucanwharf::instance {
 
@@ -54,7 +57,7 @@
     this->engine_silent = std::move(task);
   }
   /// Answers a peer's request on the control address; false if it is none.
-  bool HandlePeer(http::Exchange& exchange) const;
+  bool HandlePeer(http::Exchange& exchange);
   /// Sets the facts to send along while this instance places layers.
   void SetFacts(std::vector<gossip::EngineFact> known) {
     this->facts = std::move(known);
@@ -67,16 +70,55 @@
     std::int64_t at = 0;
   };
 
-  void SendTo(const std::vector<std::string>& addresses);
+  /// How much a beacon tells.
+  enum class Content {
+    /// What this instance knows of itself.
+    kOwn,
+    /// Beside it, from the leader, what it knows of the fleet: most of the
+    /// bytes.
+    kFleet,
+  };
+
+  void SendTo(const std::vector<std::string>& addresses, Content content);
+  /// Tells those of \p addresses from \p begin on, a few at a time.
+  ///
+  /// Load that it answers: what the leader tells 300 instances is over a
+  /// megabyte, and a burst of it is dropped by the leader's link or holds up
+  /// the answers on it.
+  void Tell(std::vector<std::string> addresses, std::size_t begin);
   void Tick();
+  gossip::Audience MakeAudience(TimePoint now) const;
   gossip::Beacon MakeBeacon(TimePoint now) const;
+  void AddFleet(gossip::Beacon& beacon, TimePoint now) const;
+  /// Returns the instances that callers may be sent to, this one included.
+  std::vector<std::uint32_t> ReadyInstances(TimePoint now) const;
+  /// Returns the deputies that are neither this instance nor \p leader.
+  std::vector<std::string> OtherDeputies(const std::string& leader) const;
+  bool MayKnowNobody(const std::string& address, TimePoint now) const;
+  /// Returns whether this instance tells the others of the fleet: it leads, or
+  /// it is a deputy and there is no leader.
+  bool SpeaksForFleet(TimePoint now) const;
+  /// Returns whether this instance has led, or been a deputy, for long enough
+  /// to have heard of all that live.
+  bool HearsAll(TimePoint now) const;
+  void AdoptFleet(const gossip::Beacon& beacon, TimePoint now);
+  /// Adds up what the peers have under way.
+  void SumLoads(TimePoint now);
+  /// Takes what peers prove of the configuration and the list of endpoints.
+  void AdoptProofs(TimePoint now);
+  /// Returns an instance that has the configuration, or the list, in a version
+  /// that \p has holds for: one in the own failure domain if there is, else
+  /// the one at \p teller.
+  std::string SourceOf(const std::function<bool(const gossip::Beacon&)>& has,
+                       const std::string& teller, TimePoint now);
+  /// Returns how long to wait before a fetch.
+  Duration FetchDelay(TimePoint now);
   void OnDatagram(const std::string& sender, std::string_view payload);
-  void AdoptLoads(const gossip::Beacon& beacon, TimePoint now);
   void AdoptSuspicion(const gossip::Suspicion& one, TimePoint now);
   void AdoptFrom(const gossip::Beacon& beacon, TimePoint now);
   void FetchNewer(const gossip::Beacon& beacon);
-  void FetchConfiguration(const std::string& control_address);
-  void FetchEndpoints(const std::string& control_address);
+  void FetchConfiguration(std::uint64_t revision, const std::string& teller);
+  void FetchEndpoints(std::uint64_t revision, const std::string& teller);
   void LogPeers(TimePoint now);
 
   http::Loop& loop;
@@ -95,6 +137,16 @@
   /// Newest stamp by datagram address.
   std::map<std::string, Stamp> stamps;
   std::set<std::string> live_before;
+  /// Since when this instance leads or is a deputy.
+  std::optional<TimePoint> hub_since;
+  /// Whether an announcement waits for its turn.
+  bool announcing = false;
+  Random random;
+  /// The list of endpoints as text, and the revision that it is of.
+  std::string endpoints_text;
+  std::uint64_t endpoints_text_revision = 0;
+  /// How many endpoints it says are kept.
+  std::size_t endpoints_text_kept = 0;
   bool fetching_configuration = false;
   bool fetching_endpoints = false;
 };
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -129,10 +129,7 @@
 
   /// Another holder that is heard of makes looking at the lease needless.
   bool AnotherLeads(TimePoint now) const {
-    for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
-      if (peer->beacon.leads) return true;
-    }
-    return false;
+    return !this->beliefs.peers.Leader(now).empty();
   }
 
   std::size_t Ahead(TimePoint now) const {
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,11 +23,34 @@
   /// \p configuration is how soon a change must be in force everywhere.
   explicit StoreSyncTimes(Duration configuration)
       : reader_period(configuration * 13 / 40),
+        reader_period_large(configuration / 8),
+        deputy_proof(configuration * 3 / 10),
         oldest_proof(configuration * 6 / 10) {}
 
+  /// Returns how often the instance that places layers reads, which vouches to
+  /// \p others.
+  Duration ReaderPeriod(bool large) const {
+    return large ? this->reader_period_large : this->reader_period;
+  }
+  /// Returns after how long without an answer of the store an instance that
+  /// hears the leader asks again, one of \p instances: all of them together ask
+  /// forty times a second, however many there are, while the leader asks on and
+  /// tells them of the store's return.
+  Duration FollowerBackoff(std::size_t instances) const {
+    return this->follower_turn * static_cast<std::int64_t>(instances);
+  }
+
   /// The instance that places layers reads this often, and vouches to the
   /// others.
   Duration reader_period;
+  /// The same in a large fleet, whose others hear of it twice a second: two of
+  /// its messages in a row may be lost before they read for themselves.
+  Duration reader_period_large;
+  /// A deputy whose newest proof is older than this reads: the leader has
+  /// probably gone, and the others go by the deputy's word before their own
+  /// proofs get too old.
+  Duration deputy_proof;
+  Duration follower_turn = std::chrono::milliseconds(25);
   /// An instance whose newest proof is older than this reads for itself. The
   /// reader's period and the beacons both ways stay below it; with the read it
   /// stays below the bound also when the reader dies.
@@ -96,10 +120,11 @@
  private:
   void Look() {
     const TimePoint now = this->loop.Now();
-    const Duration period = this->beliefs.leads ? this->times.reader_period
-                                                : this->times.oldest_proof;
+    const bool large = this->beliefs.peers.Large(now);
+    const Duration period = this->Period(large);
     const auto age = this->beliefs.freshness.Age(now);
     if (this->Due(age, period, this->configuration_asked, now)) {
+      this->LogOwnRead("configuration", age, now);
       this->ReadConfiguration();
     }
     std::optional<Duration> list_age;
@@ -109,24 +134,50 @@
     // While the store is away one question at a time looks for its return.
     if (this->store_answers &&
         this->Due(list_age, period, this->endpoints_asked, now)) {
+      this->LogOwnRead("endpoints", list_age, now);
       this->ListEndpoints();
     }
   }
 
+  /// Returns how old the newest proof may be.
+  Duration Period(bool large) const {
+    if (this->beliefs.leads) return this->times.ReaderPeriod(large);
+    const bool deputy = large && this->beliefs.deputy;
+    return deputy ? this->times.deputy_proof : this->times.oldest_proof;
+  }
+
   bool Due(const std::optional<Duration>& age, Duration period, TimePoint asked,
            TimePoint now) const {
-    const Duration pause =
-        this->store_answers ? this->times.away_period : this->Backoff();
+    const bool waits = !this->store_answers || this->no_configuration;
+    const Duration pause = waits ? this->Backoff(now) : this->times.away_period;
     if (now - asked < pause) return false;
     return !age || *age >= period;
   }
 
+  /// Writes that this instance has to read for itself though another reads.
+  void LogOwnRead(std::string_view what, const std::optional<Duration>& age,
+                  TimePoint now) {
+    if (this->beliefs.leads) return;
+    eventlog::Fields fields;
+    fields.Text("what", what);
+    if (age) fields.Millis("proof_age_ms", *age);
+    this->logger.Write(eventlog::Level::kRoutine, "own_read", fields, now);
+  }
+
   /// Grows with each failure up to a bound that leaves a change enough time to
-  /// be in force in time after the store's return.
-  Duration Backoff() const {
+  /// be in force in time after the store's return. In a large fleet those that
+  /// hear the leader leave most of the asking to it.
+  Duration Backoff(TimePoint now) const {
     constexpr int kMostDoublings = 2;
-    return this->times.away_period *
-           (1 << std::min(this->failures, kMostDoublings));
+    const Duration own = this->times.away_period *
+                         (1 << std::min(this->failures, kMostDoublings));
+    const bool told = this->beliefs.roster.Holds(now) ||
+                      !this->beliefs.peers.Leader(now).empty();
+    const bool follows =
+        this->beliefs.peers.Large(now) && !this->beliefs.leads && told;
+    if (!follows) return own;
+    return std::max(
+        own, this->times.FollowerBackoff(this->beliefs.peers.Instances(now)));
   }
 
   void ReadConfiguration() {
@@ -140,6 +191,7 @@
 
   void OnConfiguration(const store::ReadAnswer& answer, TimePoint begun) {
     this->NoteStore(answer.status != store::ReadStatus::kUnknown);
+    this->no_configuration = answer.status == store::ReadStatus::kMissing;
     if (answer.status != store::ReadStatus::kFound) return;
     // An answer that was overtaken by a newer one proves nothing of now.
     if (answer.object.version < this->beliefs.configuration_revision) return;
@@ -198,6 +250,8 @@
   TimePoint configuration_asked;
   TimePoint endpoints_asked;
   bool store_answers = true;
+  /// The operator has not written any yet.
+  bool no_configuration = false;
   int failures = 0;
 };
 
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "toucanwharf/support/random.h"
+
 namespace toucanwharf::endpoints {
 namespace {
 
@@ -17,6 +19,25 @@
 
 }  // namespace
 
+std::uint32_t EndpointKey(const Endpoint& endpoint) {
+  constexpr std::uint64_t kLowHalf = 0xffffffff;
+  return static_cast<std::uint32_t>(
+      MixBits(HashText(endpoint.id) ^ endpoint.born) & kLowHalf);
+}
+
+void EndpointTable::SetInUse(ById next) {
+  this->by_id = std::move(next);
+  this->ids_by_key.clear();
+  for (const auto& [id, one] : this->by_id) {
+    this->ids_by_key.emplace(EndpointKey(one), id);
+  }
+}
+
+const Endpoint* EndpointTable::FindByKey(std::uint32_t key) const {
+  const auto found = this->ids_by_key.find(key);
+  return found == this->ids_by_key.end() ? nullptr : this->Find(found->second);
+}
+
 void EndpointTable::NoteRead(TimePoint read, TimePoint now) {
   const auto before = std::exchange(
       this->confirmed_at, std::max(this->confirmed_at.value_or(read), read));
@@ -30,7 +51,7 @@
   this->NoteRead(read, now);
   if (this->kept.empty() || this->KeepsMissing()) return false;
   this->kept.clear();
-  this->by_id = this->listed;
+  this->SetInUse(this->listed);
   return true;
 }
 
@@ -67,7 +88,7 @@
     }
   }
   const bool in_use_changed = next != this->by_id;
-  this->by_id = std::move(next);
+  this->SetInUse(std::move(next));
   return new_list || in_use_changed;
 }
 
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -1,5 +1,6 @@
 #include "toucanwharf/gossip/beacon.h"
 
+#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "toucanwharf/support/json.h"
@@ -11,7 +12,7 @@
 
 /// Another layout of the message gets another number, and is ignored by
 /// instances that don't know it.
-constexpr std::uint64_t kFormat = 5;
+constexpr std::uint64_t kFormat = 6;
 
 Json AgeOrNull(const std::optional<Duration>& age) {
   return age ? Json(age->count()) : Json();
@@ -22,15 +23,45 @@
   return Duration(json.get<std::int64_t>());
 }
 
+constexpr double kHundredths = 100;
+constexpr double kThousand = 1000;
+
+/// Whole numbers take one to five bytes, others nine.
+std::int64_t Rounded(double value) { return std::llround(value); }
+
 Json LoadsToJson(const std::vector<EndpointLoad>& loads) {
   Json list = Json::array();
   for (const EndpointLoad& load : loads) {
-    list.push_back(
-        {load.endpoint, load.answers, load.token_layers, load.first_of});
+    list.push_back({load.endpoint, Rounded(load.answers),
+                    Rounded(load.token_layers), Rounded(load.first_of)});
+  }
+  return list;
+}
+
+/// One flat array: arrays within it would cost a byte for each entry.
+Json KeyedLoadsToJson(const std::vector<KeyedLoad>& loads) {
+  Json list = Json::array();
+  for (const KeyedLoad& load : loads) {
+    list.push_back(load.key);
+    list.push_back(Rounded(load.answers));
+    list.push_back(Rounded(load.token_layers / kThousand));
+    list.push_back(Rounded(load.first_of));
   }
   return list;
 }
 
+std::vector<KeyedLoad> KeyedLoadsOf(const Json& list) {
+  constexpr std::size_t kMembers = 4;
+  std::vector<KeyedLoad> loads;
+  for (std::size_t at = 0; at < list.size(); at += kMembers) {
+    loads.push_back({list.at(at).get<std::uint32_t>(),
+                     list.at(at + 1).get<double>(),
+                     list.at(at + 2).get<double>() * kThousand,
+                     list.at(at + 3).get<double>()});
+  }
+  return loads;
+}
+
 Json SuspicionsToJson(const std::vector<Suspicion>& suspicions) {
   Json list = Json::array();
   for (const Suspicion& one : suspicions) {
@@ -39,11 +70,14 @@
   return list;
 }
 
-Json FactsToJson(const std::vector<EngineFact>& facts) {
+Json FactsToJson(const std::vector<KeyedFact>& facts) {
   Json list = Json::array();
-  for (const EngineFact& fact : facts) {
-    list.push_back({fact.endpoint, fact.born, fact.layers.begin,
-                    fact.layers.end, fact.slowdown, fact.token_layers});
+  for (const KeyedFact& fact : facts) {
+    list.push_back(fact.key);
+    list.push_back(fact.layers.begin);
+    list.push_back(fact.layers.end);
+    list.push_back(Rounded(fact.slowdown * kHundredths));
+    list.push_back(Rounded(fact.token_layers / kThousand));
   }
   return list;
 }
@@ -67,14 +101,15 @@
   return suspicions;
 }
 
-std::vector<EngineFact> FactsOf(const Json& list) {
-  std::vector<EngineFact> facts;
-  for (const Json& one : list) {
-    facts.push_back({one.at(0).get<std::string>(),
-                     one.at(1).get<std::uint64_t>(),
-                     pipeline::LayerRange{one.at(2).get<std::uint32_t>(),
-                                          one.at(3).get<std::uint32_t>()},
-                     one.at(4).get<double>(), one.at(5).get<double>()});
+std::vector<KeyedFact> FactsOf(const Json& list) {
+  constexpr std::size_t kMembers = 5;
+  std::vector<KeyedFact> facts;
+  for (std::size_t at = 0; at < list.size(); at += kMembers) {
+    facts.push_back({list.at(at).get<std::uint32_t>(),
+                     pipeline::LayerRange{list.at(at + 1).get<std::uint32_t>(),
+                                          list.at(at + 2).get<std::uint32_t>()},
+                     list.at(at + 3).get<double>() / kHundredths,
+                     list.at(at + 4).get<double>() * kThousand});
   }
   return facts;
 }
@@ -82,25 +117,27 @@
 /// Precondition: the JSON has the shape that Encode writes; else it throws.
 Beacon FromJson(const Json& json) {
   Beacon beacon;
-  beacon.instance = json.at("instance").get<std::string>();
-  beacon.uptime = Duration(json.at("uptime").get<std::int64_t>());
-  beacon.failure_domain = json.at("domain").get<std::string>();
-  beacon.callers_address = json.at("callers").get<std::string>();
-  beacon.control_address = json.at("control").get<std::string>();
-  beacon.processor_share = json.at("share").get<double>();
-  beacon.ready = json.at("ready").get<bool>();
-  beacon.stopping = json.at("stopping").get<bool>();
-  beacon.leads = json.at("leads").get<bool>();
-  beacon.configuration_revision = NumberMember(json, "config");
-  beacon.configuration_age = AgeOf(json.at("config_age"));
-  beacon.endpoints_revision = NumberMember(json, "endpoints");
-  beacon.endpoints_age = AgeOf(json.at("endpoints_age"));
-  beacon.stamp = json.at("stamp").get<std::int64_t>();
-  beacon.loads = LoadsOf(json.at("loads"));
-  beacon.fleet_loads = LoadsOf(json.at("fleet_loads"));
-  beacon.suspicions = SuspicionsOf(json.at("suspicions"));
-  beacon.facts = FactsOf(json.at("facts"));
-  beacon.peers = json.at("peers").get<std::vector<std::string>>();
+  beacon.instance = json.at("i").get<std::string>();
+  beacon.uptime = Duration(json.at("u").get<std::int64_t>());
+  beacon.failure_domain = json.at("d").get<std::string>();
+  beacon.callers_address = json.at("a").get<std::string>();
+  beacon.control_address = json.at("b").get<std::string>();
+  beacon.processor_share = json.at("c").get<double>();
+  beacon.ready = json.at("r").get<bool>();
+  beacon.stopping = json.at("s").get<bool>();
+  beacon.leads = json.at("l").get<bool>();
+  beacon.configuration_revision = NumberMember(json, "v");
+  beacon.configuration_age = AgeOf(json.at("va"));
+  beacon.endpoints_revision = NumberMember(json, "e");
+  beacon.endpoints_age = AgeOf(json.at("ea"));
+  beacon.stamp = json.at("t").get<std::int64_t>();
+  beacon.loads = LoadsOf(json.at("o"));
+  beacon.fleet_loads = KeyedLoadsOf(json.at("fo"));
+  beacon.suspicions = SuspicionsOf(json.at("q"));
+  beacon.facts = FactsOf(json.at("f"));
+  beacon.ready_instances = json.at("ri").get<std::vector<std::uint32_t>>();
+  beacon.deputies = json.at("dp").get<std::vector<std::string>>();
+  beacon.peers = json.at("p").get<std::vector<std::string>>();
   return beacon;
 }
 
@@ -108,25 +145,27 @@
 
 EncodedBeacon::EncodedBeacon(const Beacon& beacon) {
   const Json json = {{"format", kFormat},
-                     {"instance", beacon.instance},
-                     {"uptime", beacon.uptime.count()},
-                     {"domain", beacon.failure_domain},
-                     {"callers", beacon.callers_address},
-                     {"control", beacon.control_address},
-                     {"share", beacon.processor_share},
-                     {"ready", beacon.ready},
-                     {"stopping", beacon.stopping},
-                     {"leads", beacon.leads},
-                     {"config", beacon.configuration_revision},
-                     {"config_age", AgeOrNull(beacon.configuration_age)},
-                     {"endpoints", beacon.endpoints_revision},
-                     {"endpoints_age", AgeOrNull(beacon.endpoints_age)},
-                     {"stamp", beacon.stamp},
-                     {"loads", LoadsToJson(beacon.loads)},
-                     {"fleet_loads", LoadsToJson(beacon.fleet_loads)},
-                     {"suspicions", SuspicionsToJson(beacon.suspicions)},
-                     {"facts", FactsToJson(beacon.facts)},
-                     {"peers", beacon.peers}};
+                     {"i", beacon.instance},
+                     {"u", beacon.uptime.count()},
+                     {"d", beacon.failure_domain},
+                     {"a", beacon.callers_address},
+                     {"b", beacon.control_address},
+                     {"c", beacon.processor_share},
+                     {"r", beacon.ready},
+                     {"s", beacon.stopping},
+                     {"l", beacon.leads},
+                     {"v", beacon.configuration_revision},
+                     {"va", AgeOrNull(beacon.configuration_age)},
+                     {"e", beacon.endpoints_revision},
+                     {"ea", AgeOrNull(beacon.endpoints_age)},
+                     {"t", beacon.stamp},
+                     {"o", LoadsToJson(beacon.loads)},
+                     {"fo", KeyedLoadsToJson(beacon.fleet_loads)},
+                     {"q", SuspicionsToJson(beacon.suspicions)},
+                     {"f", FactsToJson(beacon.facts)},
+                     {"ri", beacon.ready_instances},
+                     {"dp", beacon.deputies},
+                     {"p", beacon.peers}};
   Json::to_cbor(json, nlohmann::detail::output_adapter<char>(this->common));
 }
 
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -27,13 +27,25 @@
   return true;
 }
 
+void PeerTable::NoteSign(const std::string& address, TimePoint now) {
+  const auto found = this->entries.find(address);
+  if (found != this->entries.end()) found->second.last_sign = now;
+}
+
 std::vector<std::string> PeerTable::Addresses(TimePoint now) const {
-  std::vector<std::string> addresses;
-  for (const auto& [address, entry] : this->entries) {
-    if (now - entry.last_sign > this->settings.forgotten_after) continue;
-    addresses.push_back(address);
-  }
-  return addresses;
+  return this->AddressesOf(now, [](const Entry&) { return true; });
+}
+
+std::vector<std::string> PeerTable::AddressesNear(const std::string& domain,
+                                                  TimePoint now) const {
+  return this->AddressesOf(
+      now, [&](const Entry& entry) { return MayBeIn(entry, domain); });
+}
+
+std::vector<std::string> PeerTable::AddressesFar(const std::string& domain,
+                                                 TimePoint now) const {
+  return this->AddressesOf(
+      now, [&](const Entry& entry) { return !MayBeIn(entry, domain); });
 }
 
 const Peer* PeerTable::Live(const std::string& address, TimePoint now) const {
@@ -58,8 +70,10 @@
 
 std::string PeerTable::Leader(TimePoint now) const {
   for (const auto& [address, entry] : this->entries) {
-    const Peer* peer = this->Live(address, now);
-    if (peer != nullptr && peer->beacon.leads) return address;
+    if (!entry.peer || !entry.peer->beacon.leads) continue;
+    const bool heard =
+        now - entry.peer->heard <= this->settings.leader_silent_after;
+    if (heard) return address;
   }
   return {};
 }
--- a/lib/instance/beliefs.cc
+++ b/lib/instance/beliefs.cc
@@ -14,6 +14,10 @@
 /// missed one of them by itself.
 constexpr int kHeartbeatsOfAnOutage = 2;
 
+/// A peer of a large fleet, whose turn comes seldom, isn't called silent for
+/// many seconds; callers are not sent to it for so long.
+constexpr Duration kAdvisedFor = std::chrono::milliseconds(3000);
+
 }  // namespace
 
 Beliefs::Beliefs(const InstanceSettings& settings, std::string instance_id)
@@ -32,6 +36,32 @@
   return this->table && this->endpoints.Revision() > 0 && this->KeysHold(now);
 }
 
+std::vector<std::string> Beliefs::ReadyPeers(
+    TimePoint now, const std::string& callers,
+    const std::string& datagrams) const {
+  std::vector<std::string> addresses;
+  if (this->leads || !this->roster.Holds(now)) {
+    for (const gossip::Peer* peer : this->peers.AllLive(now)) {
+      const bool lately = now - peer->heard <= kAdvisedFor;
+      if (!lately || !peer->beacon.ready) continue;
+      addresses.push_back(peer->beacon.callers_address);
+    }
+    return addresses;
+  }
+  const auto own = gossip::IpNumber(callers);
+  for (const std::uint32_t number : this->roster.Ready()) {
+    if (number == own) continue;
+    const gossip::Peer* peer = this->peers.Live(
+        gossip::AddressOf(number, gossip::PortOf(datagrams)), now);
+    // One that has just said that it stops is still in the leader's last word.
+    const bool says_not = peer != nullptr && !peer->beacon.ready &&
+                          now - peer->heard <= gossip::Roster::kHolds;
+    if (says_not) continue;
+    addresses.push_back(gossip::AddressOf(number, gossip::PortOf(callers)));
+  }
+  return addresses;
+}
+
 bool Beliefs::Ready(TimePoint now) const {
   return !this->stopping_since && this->KnowEnough(now);
 }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "toucanwharf/gossip/deputies.h"
 #include "toucanwharf/support/json.h"
 
 namespace toucanwharf::instance {
@@ -15,13 +16,26 @@
 using eventlog::Level;
 using Json = nlohmann::json;
 using endpoints::LoadBook;
+using gossip::PortOf;
 
 /// Facts that the placing instance told count for so long without new ones.
 constexpr Duration kFactsFor = std::chrono::seconds(3);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
 /// Suspicions that peers tell are cut to this: a peer's link may be at fault.
 constexpr Duration kLongestSuspicion = std::chrono::seconds(3);
-constexpr std::size_t kMostPeersTold = 64;
+constexpr std::size_t kMostPeersTold = 16;
+/// The leader tells so many at once, and waits a moment before the next: 30
+/// messages of 6 KB take 8 ms of a link of 200 Mbit/s.
+constexpr std::size_t kToldAtOnce = 30;
+constexpr std::size_t kMostPartsOfRound = 15;
+constexpr Duration kBetweenParts = std::chrono::milliseconds(20);
+/// Within this time all that live have heard of a new leader and told it of
+/// themselves, also when a message each way is lost.
+constexpr Duration kAllHeardAfter = std::chrono::milliseconds(2000);
+/// News of a large fleet that come within this time are told together.
+constexpr Duration kGatherNews = std::chrono::milliseconds(30);
+/// What all instances of a large fleet fetch they fetch within this time.
+constexpr Duration kFetchSpread = std::chrono::milliseconds(250);
 /// In a small fleet a peer whose beacons have stopped for so long was probably
 /// killed, and its answers with it: engines are not as full as it last said,
 /// just when its callers come back to the others. Two beacons may be lost.
@@ -35,10 +49,6 @@
   return address.substr(0, address.rfind(':'));
 }
 
-std::string PortOf(const std::string& address) {
-  return address.substr(address.rfind(':') + 1);
-}
-
 std::uint64_t RevisionOf(const http::ResponseHead& head) {
   const std::string_view text = head.headers.Get(kRevisionHeader);
   std::uint64_t revision = 0;
@@ -117,7 +127,8 @@
       logger(log),
       lists(list_log),
       settings(chosen),
-      started(event_loop.Now()) {}
+      started(event_loop.Now()),
+      random(HashText(shared_beliefs.instance)) {}
 
 Result<void> PeerLink::Start(OnConfiguration on_configuration,
                              OnEndpoints on_endpoints) {
@@ -145,22 +156,89 @@
 
 void PeerLink::Tick() {
   const TimePoint now = this->loop.Now();
-  const bool led = this->beliefs.leads ||
-                   !this->beliefs.peers.Leader(now).empty() ||
-                   !this->beliefs.peers.Large(now);
+  const bool large = this->beliefs.peers.Large(now);
+  const bool leads = this->beliefs.leads;
+  const bool hub = leads || this->beliefs.deputy;
+  if (!hub) this->hub_since.reset();
+  if (hub && !this->hub_since) this->hub_since = now;
+  const bool led = leads || !large || this->beliefs.roster.Holds(now) ||
+                   !this->beliefs.peers.Leader(now).empty();
   this->beliefs.loads.AssumeAlike(led ? 0
                                       : this->beliefs.peers.Instances(now) - 1);
-  const auto addresses = this->beliefs.peers.Addresses(now);
+  const std::size_t near =
+      this->beliefs.peers.AddressesNear(this->settings.failure_domain, now)
+          .size();
   this->beliefs.peers.SetSilentAfter(
-      this->rotation.SilentAfter(addresses.size()));
-  this->SendTo(this->rotation.Next(addresses, this->beliefs.peers.Leader(now),
-                                   this->beliefs.leads));
+      this->HearsAll(now) ? gossip::RotationSettings().least_silence
+                          : this->rotation.SilentAfter(near));
+  this->AdoptProofs(now);
+  if (large && hub) this->SumLoads(now);
+  this->Tell(this->rotation.Next(this->MakeAudience(now)), 0);
   this->LogPeers(now);
   this->loop.After(this->rotation.Period(), [this] { this->Tick(); });
 }
 
+gossip::Audience PeerLink::MakeAudience(TimePoint now) const {
+  const gossip::PeerTable& peers = this->beliefs.peers;
+  gossip::Audience audience;
+  audience.near = peers.AddressesNear(this->settings.failure_domain, now);
+  audience.far = peers.AddressesFar(this->settings.failure_domain, now);
+  audience.leader = peers.Leader(now);
+  audience.deputies = this->OtherDeputies(audience.leader);
+  audience.is_hub = this->beliefs.leads || this->beliefs.deputy;
+  return audience;
+}
+
+std::vector<std::string> PeerLink::OtherDeputies(
+    const std::string& leader) const {
+  std::vector<std::string> others;
+  for (const std::string& one : this->beliefs.deputies) {
+    const bool other = one != this->settings.datagram_address && one != leader;
+    if (other) others.push_back(one);
+  }
+  return others;
+}
+
+/// Two deputies tell the same, and hear the same.
+bool PeerLink::SpeaksForFleet(TimePoint now) const {
+  if (this->beliefs.leads) return true;
+  return this->beliefs.deputy && this->HearsAll(now) &&
+         this->beliefs.peers.Leader(now).empty();
+}
+
+void PeerLink::Tell(std::vector<std::string> addresses, std::size_t begin) {
+  if (begin >= addresses.size()) return;
+  // Made anew for each few: the ages in it must be those of the moment at which
+  // it is sent.
+  const std::size_t count =
+      std::max(kToldAtOnce, addresses.size() / kMostPartsOfRound);
+  const std::size_t end = std::min(addresses.size(), begin + count);
+  this->SendTo({addresses.begin() + static_cast<std::ptrdiff_t>(begin),
+                addresses.begin() + static_cast<std::ptrdiff_t>(end)},
+               Content::kFleet);
+  if (end == addresses.size()) return;
+  this->loop.After(kBetweenParts, [this, rest = std::move(addresses), end] {
+    this->Tell(rest, end);
+  });
+}
+
+bool PeerLink::HearsAll(TimePoint now) const {
+  return this->hub_since && now - *this->hub_since >= kAllHeardAfter;
+}
+
 void PeerLink::Announce() {
-  this->SendTo(this->beliefs.peers.Addresses(this->loop.Now()));
+  // Many things may change in one moment; one message tells of them all.
+  if (this->announcing) return;
+  this->announcing = true;
+  const bool large = this->beliefs.peers.Large(this->loop.Now());
+  const bool at_once = !large || this->beliefs.stopping_since;
+  this->loop.After(at_once ? Duration(0) : kGatherNews, [this] {
+    this->announcing = false;
+    const TimePoint now = this->loop.Now();
+    this->SendTo(
+        this->beliefs.peers.Addresses(now),
+        this->beliefs.peers.Large(now) ? Content::kOwn : Content::kFleet);
+  });
 }
 
 void PeerLink::AnnounceChange() {
@@ -175,7 +253,7 @@
   const bool by_leader =
       this->beliefs.peers.Large(now) && !this->beliefs.leads && !leader.empty();
   if (by_leader) {
-    this->SendTo({leader});
+    this->SendTo({leader}, Content::kOwn);
   } else {
     this->Announce();
   }
@@ -201,44 +279,96 @@
   beacon.stamp = now.since_start.count();
   beacon.loads = this->beliefs.loads.Own();
   beacon.suspicions = this->beliefs.loads.Suspicions(now, this->beliefs.leads);
-  if (this->beliefs.leads) {
-    beacon.facts = this->facts;
-    beacon.fleet_loads = this->beliefs.loads.All();
-  }
   return beacon;
 }
 
-void PeerLink::SendTo(const std::vector<std::string>& addresses) {
+void PeerLink::AddFleet(gossip::Beacon& beacon, TimePoint now) const {
+  if (!this->SpeaksForFleet(now)) return;
+  for (const gossip::EngineFact& fact : this->facts) {
+    const endpoints::Endpoint* endpoint =
+        this->beliefs.endpoints.Find(fact.endpoint);
+    if (endpoint == nullptr || endpoint->born != fact.born) continue;
+    beacon.facts.push_back({endpoints::EndpointKey(*endpoint), fact.layers,
+                            fact.slowdown, fact.token_layers});
+  }
+  for (const gossip::EndpointLoad& load : this->beliefs.loads.All()) {
+    const endpoints::Endpoint* endpoint =
+        this->beliefs.endpoints.Find(load.endpoint);
+    if (endpoint == nullptr) continue;
+    beacon.fleet_loads.push_back({endpoints::EndpointKey(*endpoint),
+                                  load.answers, load.token_layers,
+                                  load.first_of});
+  }
+  const bool tells_all = this->beliefs.peers.Large(now) && this->HearsAll(now);
+  if (tells_all) beacon.ready_instances = this->ReadyInstances(now);
+  if (tells_all && this->beliefs.leads) {
+    beacon.deputies = gossip::ChooseDeputies(
+        this->beliefs.peers, this->settings.failure_domain, now);
+  }
+}
+
+std::vector<std::uint32_t> PeerLink::ReadyInstances(TimePoint now) const {
+  std::vector<std::uint32_t> ready;
+  const auto add = [&](const std::string& address) {
+    if (const auto number = gossip::IpNumber(address)) ready.push_back(*number);
+  };
+  if (this->beliefs.Ready(now)) add(this->settings.callers_address);
+  for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+    if (peer->beacon.ready) add(peer->beacon.callers_address);
+  }
+  return ready;
+}
+
+void PeerLink::SendTo(const std::vector<std::string>& addresses,
+                      Content content) {
   if (addresses.empty()) return;
   const TimePoint now = this->loop.Now();
   gossip::Beacon beacon = this->MakeBeacon(now);
+  if (content == Content::kFleet) this->AddFleet(beacon, now);
   const gossip::EncodedBeacon usual(beacon);
   const std::string leader = this->beliefs.peers.Leader(now);
-  // In a large fleet only the leader adds up what the others have under way,
-  // and tells all of them the sum: the single loads are most of a beacon.
+  const auto deputies = this->OtherDeputies(leader);
+  // In a large fleet only the leader and its deputies add up what the others
+  // have under way, and tell all of them the sum: the single loads are most of
+  // a beacon.
   gossip::Beacon brief = beacon;
   if (this->beliefs.peers.Large(now)) brief.loads.clear();
   const gossip::EncodedBeacon to_followers(brief);
-  // Whoever is not heard of may be new, and knows nobody yet.
-  const auto known = this->beliefs.peers.Addresses(now);
-  const std::size_t told = std::min(known.size(), kMostPeersTold);
-  beacon.peers.assign(known.begin(),
-                      known.begin() + static_cast<std::ptrdiff_t>(told));
-  const gossip::EncodedBeacon introducing(beacon);
+  auto known = this->beliefs.peers.Addresses(now);
+  std::shuffle(known.begin(), known.end(), this->random);
+  known.resize(std::min(known.size(), kMostPeersTold));
+  brief.peers = std::move(known);
+  const gossip::EncodedBeacon introducing(brief);
   for (const std::string& address : addresses) {
     const auto stamp = this->stamps.find(address);
     const Stamp last = stamp == this->stamps.end() ? Stamp{} : stamp->second;
-    const bool live = this->beliefs.peers.Live(address, now) != nullptr;
-    const gossip::EncodedBeacon& known_as =
-        address == leader ? usual : to_followers;
+    const bool introduce = this->MayKnowNobody(address, now);
+    const bool to_hub =
+        address == leader ||
+        std::find(deputies.begin(), deputies.end(), address) != deputies.end();
+    const gossip::EncodedBeacon& known_as = to_hub ? usual : to_followers;
     this->socket->Send(
-        address, (live ? known_as : introducing).For(last.at, last.instance));
+        address,
+        (introduce ? introducing : known_as).For(last.at, last.instance));
   }
 }
 
+/// Whoever is not heard of may be new, and knows nobody yet. In a large fleet
+/// those of other failure domains are seldom heard of, but once is enough.
+bool PeerLink::MayKnowNobody(const std::string& address, TimePoint now) const {
+  const gossip::PeerTable& peers = this->beliefs.peers;
+  return peers.Large(now) ? !peers.Heard(address)
+                          : peers.Live(address, now) == nullptr;
+}
+
 void PeerLink::LogPeers(TimePoint now) {
+  const bool hears_few = this->beliefs.peers.Large(now) && !this->beliefs.leads;
   std::set<std::string> live;
   for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+    // Those of other failure domains are heard of about once a minute.
+    const bool far =
+        peer->beacon.failure_domain != this->settings.failure_domain;
+    if (far && hears_few && !peer->beacon.leads) continue;
     live.insert(peer->beacon.callers_address);
   }
   for (const std::string& one : live) {
@@ -276,12 +406,55 @@
   for (const gossip::Suspicion& one : beacon.suspicions) {
     this->AdoptSuspicion(one, now);
   }
-  if (beacon.leads) {
-    for (const gossip::EngineFact& fact : beacon.facts) {
-      this->beliefs.loads.SetFact(fact, now + kFactsFor);
-    }
+  const bool large = this->beliefs.peers.Large(now);
+  const bool speaks = beacon.leads || !beacon.ready_instances.empty();
+  if (speaks) this->AdoptFleet(beacon, now);
+  if (!large) this->SumLoads(now);
+  // Hundreds of beacons a second come to the leader of a large fleet, and to
+  // look through all peers for each of them is most of its time. The next
+  // round takes what they prove.
+  const bool hears_few = !this->beliefs.leads && !this->beliefs.deputy;
+  if (!large || hears_few) this->AdoptProofs(now);
+}
+
+/// Takes what the leader tells of the fleet. In a large fleet the peers' own
+/// words on their loads are seconds old, but for the leader's, which has heard
+/// all lately.
+void PeerLink::AdoptFleet(const gossip::Beacon& beacon, TimePoint now) {
+  for (const gossip::KeyedFact& fact : beacon.facts) {
+    const endpoints::Endpoint* endpoint =
+        this->beliefs.endpoints.FindByKey(fact.key);
+    if (endpoint == nullptr) continue;
+    this->beliefs.loads.SetFact({endpoint->id, endpoint->born, fact.layers,
+                                 fact.slowdown, fact.token_layers},
+                                now + kFactsFor);
+  }
+  const bool follows = this->beliefs.peers.Large(now) && !this->beliefs.leads;
+  if (!follows) return;
+  this->beliefs.roster.Take(beacon.ready_instances, now);
+  if (!beacon.deputies.empty()) {
+    this->beliefs.deputies = beacon.deputies;
+    this->beliefs.deputy =
+        std::find(beacon.deputies.begin(), beacon.deputies.end(),
+                  this->settings.datagram_address) != beacon.deputies.end();
+  }
+  const std::string port = PortOf(this->settings.datagram_address);
+  for (const std::uint32_t number : beacon.ready_instances) {
+    this->beliefs.peers.NoteSign(gossip::AddressOf(number, port), now);
   }
-  this->AdoptLoads(beacon, now);
+  if (beacon.fleet_loads.empty() || this->beliefs.deputy) return;
+  std::vector<gossip::EndpointLoad> loads;
+  for (const gossip::KeyedLoad& load : beacon.fleet_loads) {
+    const endpoints::Endpoint* endpoint =
+        this->beliefs.endpoints.FindByKey(load.key);
+    if (endpoint == nullptr) continue;
+    loads.push_back(
+        {endpoint->id, load.answers, load.token_layers, load.first_of});
+  }
+  this->beliefs.loads.SetFleet(loads);
+}
+
+void PeerLink::AdoptProofs(TimePoint now) {
   const auto configuration = this->beliefs.peers.ConfigurationVouched(
       this->beliefs.configuration_revision, now);
   if (configuration && this->beliefs.table) {
@@ -309,14 +482,7 @@
   if (this->engine_silent) this->engine_silent(one.endpoint);
 }
 
-/// In a small fleet everybody's newest word adds up. In a large one those words
-/// are seconds old, but for the leader's, which has heard all lately.
-void PeerLink::AdoptLoads(const gossip::Beacon& beacon, TimePoint now) {
-  const bool large = this->beliefs.peers.Large(now);
-  if (large && !this->beliefs.leads) {
-    if (beacon.leads) this->beliefs.loads.SetFleet(beacon.fleet_loads);
-    return;
-  }
+void PeerLink::SumLoads(TimePoint now) {
   std::vector<gossip::EndpointLoad> loads;
   for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
     const bool counts = !this->settings.mechanisms.silent_peers ||
@@ -329,21 +495,62 @@
 }
 
 void PeerLink::FetchNewer(const gossip::Beacon& beacon) {
+  const Duration delay = this->FetchDelay(this->loop.Now());
   if (beacon.configuration_revision > this->beliefs.configuration_revision &&
-      !this->fetching_configuration) {
-    this->FetchConfiguration(beacon.control_address);
+      !std::exchange(this->fetching_configuration, true)) {
+    this->loop.After(delay, [this, revision = beacon.configuration_revision,
+                             teller = beacon.control_address] {
+      this->FetchConfiguration(revision, teller);
+    });
   }
   if (beacon.endpoints_revision > this->beliefs.endpoints.Revision() &&
-      !this->fetching_endpoints) {
-    this->FetchEndpoints(beacon.control_address);
+      !std::exchange(this->fetching_endpoints, true)) {
+    this->loop.After(delay, [this, revision = beacon.endpoints_revision,
+                             teller = beacon.control_address] {
+      this->FetchEndpoints(revision, teller);
+    });
+  }
+}
+
+/// All instances of a large fleet hear of a change from the leader within a
+/// moment. If all fetched it there at once, its link would be full for
+/// seconds; those that come later find it in their own failure domain.
+Duration PeerLink::FetchDelay(TimePoint now) {
+  if (!this->beliefs.peers.Large(now)) return Duration(0);
+  return Duration(static_cast<std::int64_t>(
+      this->random.Unit() * static_cast<double>(kFetchSpread.count())));
+}
+
+std::string PeerLink::SourceOf(
+    const std::function<bool(const gossip::Beacon&)>& has,
+    const std::string& teller, TimePoint now) {
+  if (!this->beliefs.peers.Large(now)) return teller;
+  std::vector<const gossip::Peer*> near;
+  for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
+    const bool domain =
+        peer->beacon.failure_domain == this->settings.failure_domain;
+    // A peer that was heard of long ago may be gone.
+    const bool lately = now - peer->heard <= kFetchSpread * 2;
+    if (domain && lately && has(peer->beacon)) near.push_back(peer);
   }
+  if (near.empty()) return teller;
+  return near[this->random() % near.size()]->beacon.control_address;
 }
 
-void PeerLink::FetchConfiguration(const std::string& control_address) {
-  this->fetching_configuration = true;
+void PeerLink::FetchConfiguration(std::uint64_t revision,
+                                  const std::string& teller) {
+  if (revision <= this->beliefs.configuration_revision) {
+    this->fetching_configuration = false;
+    return;
+  }
   http::Request request;
   request.target = std::string(kConfigurationPath);
-  http::Fetch(this->loop, this->client, control_address, request, kFetchTimeout,
+  const std::string source = this->SourceOf(
+      [revision](const gossip::Beacon& beacon) {
+        return beacon.configuration_revision >= revision;
+      },
+      teller, this->loop.Now());
+  http::Fetch(this->loop, this->client, source, request, kFetchTimeout,
               [this](const http::CallResult& result,
                      const http::ResponseHead& head, const std::string& body) {
                 this->fetching_configuration = false;
@@ -353,11 +560,20 @@
               });
 }
 
-void PeerLink::FetchEndpoints(const std::string& control_address) {
-  this->fetching_endpoints = true;
+void PeerLink::FetchEndpoints(std::uint64_t revision,
+                              const std::string& teller) {
+  if (revision <= this->beliefs.endpoints.Revision()) {
+    this->fetching_endpoints = false;
+    return;
+  }
   http::Request request;
   request.target = std::string(kEndpointsPath);
-  http::Fetch(this->loop, this->client, control_address, request, kFetchTimeout,
+  const std::string source = this->SourceOf(
+      [revision](const gossip::Beacon& beacon) {
+        return beacon.endpoints_revision >= revision;
+      },
+      teller, this->loop.Now());
+  http::Fetch(this->loop, this->client, source, request, kFetchTimeout,
               [this](const http::CallResult& result,
                      const http::ResponseHead& head, const std::string& body) {
                 this->fetching_endpoints = false;
@@ -375,7 +591,7 @@
               });
 }
 
-bool PeerLink::HandlePeer(http::Exchange& exchange) const {
+bool PeerLink::HandlePeer(http::Exchange& exchange) {
   const std::string_view path = http::PathOf(exchange.Received().target);
   http::ResponseHead head;
   head.status = http::kOk;
@@ -386,8 +602,16 @@
     return true;
   }
   if (path == kEndpointsPath && this->beliefs.endpoints.ChangedAt() > 0) {
-    exchange.Respond(
-        head, EndpointsToText(this->beliefs.endpoints.Share(this->loop.Now())));
+    // While endpoints are kept the text tells for how much longer.
+    const endpoints::EndpointTable& table = this->beliefs.endpoints;
+    const bool same = table.Kept() == 0 && this->endpoints_text_kept == 0 &&
+                      this->endpoints_text_revision == table.ChangedAt();
+    if (!same) {
+      this->endpoints_text = EndpointsToText(table.Share(this->loop.Now()));
+      this->endpoints_text_revision = table.ChangedAt();
+      this->endpoints_text_kept = table.Kept();
+    }
+    exchange.Respond(head, this->endpoints_text);
     return true;
   }
   return false;
