Deputies where no leader has named any, which look at the lease all the time

After a power loss of all, a fleet of 295 found a leader only after five seconds (the former one's term, counted from the first look): nobody told of proofs, and each instance read the store twice (590 calls), and asked for the lease by itself. In an outage of the store 295 instances asked for the lease every 0.6 s.

Change: instances register their failure domain and part of a core beside their address; whoever knows no deputies takes the two strongest of the registered ones, which are the same for all. Others try after the deputies, and after a call without an answer wait so long that all together ask forty times a second.

--- a/include/toucanwharf/gossip/deputies.h
+++ b/include/toucanwharf/gossip/deputies.h
@@ -13,9 +13,26 @@
 /// So many deputies: one may fall together with the leader.
 inline constexpr std::size_t kDeputies = 2;
 
-/// Returns the datagram addresses of the live peers that the leader, in the
-/// failure domain \p domain, names as its deputies: the strongest, in other
-/// domains than its own and one another where there are such.
+/// An instance that may be a deputy.
+struct DeputyCandidate {
+  /// Where it takes datagrams.
+  std::string address;
+  std::string failure_domain;
+  /// Part of a core that it may use.
+  double processor_share = 0;
+
+  friend bool operator==(const DeputyCandidate&,
+                         const DeputyCandidate&) = default;
+};
+
+/// Returns the addresses of those of \p candidates that are deputies of a
+/// leader in the failure domain \p domain: the strongest, in other domains than
+/// its own and one another where there are such. All instances that know the
+/// same candidates choose the same. Thread safety: safe.
+std::vector<std::string> ChooseDeputies(std::vector<DeputyCandidate> candidates,
+                                        const std::string& domain);
+
+/// The same, of the live peers.
 ///
 /// Load that it answers: when the leader of a large fleet dies, hundreds of
 /// instances lose their proofs of the configuration, their word of who lives
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -19,6 +19,7 @@
 #include "toucanwharf/instance/metrics.h"
 #include "toucanwharf/instance/peer_link.h"
 #include "toucanwharf/instance/placement_driver.h"
+#include "toucanwharf/instance/registration.h"
 #include "toucanwharf/instance/store_sync.h"
 #include "toucanwharf/support/ids.h"
 
@@ -186,7 +187,9 @@
     store::Write write;
     write.key = {A::InstanceCollection(), this->settings.name};
     write.writer = this->beliefs.instance;
-    write.value = "\"" + this->settings.control_address + "\"";
+    write.value = ToText(Registration{this->settings.control_address,
+                                      this->settings.failure_domain,
+                                      this->settings.processor_share});
     this->store.Write(write, [this, write](const store::WriteAnswer& answer) {
       this->OnRegistered(write, answer);
     });
@@ -222,12 +225,12 @@
             this->loop.After(kAgain, [this] { this->LearnInstances(); });
             return;
           }
+          std::vector<Registration> registered;
           for (const store::Object& object : listing->objects) {
-            const std::string& text = object.value;
-            constexpr std::size_t kQuotes = 2;
-            if (text.size() <= kQuotes || text.front() != '"') continue;
-            this->peers.AddInstance(text.substr(1, text.size() - kQuotes));
+            auto one = RegistrationFromText(object.value);
+            if (one) registered.push_back(std::move(*one));
           }
+          this->peers.AddRegistered(registered);
           this->knows_instances = true;
           this->ShareBudget(this->loop.Now());
         });
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/gossip/deputies.h"
 #include "toucanwharf/gossip/rotation.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/datagram.h"
@@ -42,6 +43,13 @@
                      OnEndpoints on_endpoints);
   /// Learns that an instance has its control address at \p address.
   void AddInstance(const std::string& control_address);
+  /// Learns of the instances that have registered, by their control addresses.
+  ///
+  /// Where no leader has named deputies, the strongest of them are. All
+  /// processes of a large fleet may have started anew; until a leader is found
+  /// nobody would tell them of loads and proofs, and each would read the store
+  /// for itself.
+  void AddRegistered(const std::vector<gossip::DeputyCandidate>& registered);
   /// Sends beacons at once, because something changed that others act on.
   void Announce();
   /// The same for a change of the configuration or the list of endpoints. In a
@@ -102,6 +110,8 @@
   /// to have heard of all that live.
   bool HearsAll(TimePoint now) const;
   void AdoptFleet(const gossip::Beacon& beacon, TimePoint now);
+  void SetDeputies(std::vector<std::string> addresses);
+  std::string DatagramAddressOf(const std::string& control_address) const;
   /// Adds up what the peers have under way.
   void SumLoads(TimePoint now);
   /// Takes what peers prove of the configuration and the list of endpoints.
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -1,6 +1,8 @@
 #ifndef TOUCANWHARF_INSTANCE_PLACEMENT_DRIVER_H_
 #define TOUCANWHARF_INSTANCE_PLACEMENT_DRIVER_H_
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -40,6 +42,9 @@
   Duration unanswered_pause = std::chrono::milliseconds(1500);
   /// After a call on the lease without an answer.
   Duration lease_pause = std::chrono::milliseconds(600);
+  /// The same for each instance of a large fleet: all of them together ask
+  /// forty times a second.
+  Duration lease_turn = std::chrono::milliseconds(25);
   /// What a report told goes before the store's list for so long.
   Duration facts_for = std::chrono::seconds(3);
 };
@@ -132,14 +137,22 @@
     return !this->beliefs.peers.Leader(now).empty();
   }
 
+  /// The deputies, which have heard what the leader heard, go first, and the
+  /// others seconds later.
   std::size_t Ahead(TimePoint now) const {
-    return this->beliefs.peers.Ahead(this->processor_share,
-                                     this->callers_address, now);
+    constexpr std::size_t kBehindDeputies = 24;
+    const std::size_t ahead = this->beliefs.peers.Ahead(
+        this->processor_share, this->callers_address, now);
+    const bool deputies_lead = this->beliefs.roster.Holds(now);
+    return deputies_lead ? ahead + kBehindDeputies : ahead;
   }
 
   void PollLease() {
     const TimePoint now = this->loop.Now();
+    // A deputy looks at the lease all the time: a challenger has to see it
+    // unchanged for a whole term, and that time is over then.
     const bool turn =
+        this->beliefs.deputy ||
         this->candidacy.MayTry(!this->AnotherLeads(now), this->Ahead(now), now);
     // A lease that is given back must be, whoever else leads by now.
     const bool stopping = this->beliefs.stopping_since.has_value();
@@ -170,7 +183,14 @@
   /// be thousands of calls in an outage, from every instance that would lead.
   void NoteLeaseAnswer(bool answered) {
     if (answered) return;
-    this->lease_pause_until = this->loop.Now() + this->times.lease_pause;
+    const TimePoint now = this->loop.Now();
+    const gossip::PeerTable& known = this->beliefs.peers;
+    const bool one_of_many = known.Large(now) && !this->beliefs.deputy;
+    const Duration pause =
+        one_of_many ? this->times.lease_turn *
+                          static_cast<std::int64_t>(known.Instances(now))
+                    : this->times.lease_pause;
+    this->lease_pause_until = now + std::max(pause, this->times.lease_pause);
   }
 
   void Plan(TimePoint now) {
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "toucanwharf/gossip/deputies.h"
 #include "toucanwharf/support/json.h"
 
 namespace toucanwharf::instance {
@@ -146,14 +145,40 @@
   return Success();
 }
 
+/// Ports are the same on all instances.
+std::string PeerLink::DatagramAddressOf(
+    const std::string& control_address) const {
+  return absl::StrCat(IpOf(control_address), ":",
+                      PortOf(this->settings.datagram_address));
+}
+
 void PeerLink::AddInstance(const std::string& control_address) {
-  // Ports are the same on all instances.
-  const std::string address = absl::StrCat(
-      IpOf(control_address), ":", PortOf(this->settings.datagram_address));
+  const std::string address = this->DatagramAddressOf(control_address);
   if (address == this->settings.datagram_address) return;
   this->beliefs.peers.AddAddress(address, this->loop.Now());
 }
 
+void PeerLink::AddRegistered(
+    const std::vector<gossip::DeputyCandidate>& registered) {
+  std::vector<gossip::DeputyCandidate> candidates = registered;
+  for (gossip::DeputyCandidate& one : candidates) {
+    this->AddInstance(one.address);
+    one.address = this->DatagramAddressOf(one.address);
+  }
+  const bool wanted = this->beliefs.peers.Large(this->loop.Now()) &&
+                      this->beliefs.deputies.empty();
+  if (!wanted) return;
+  this->SetDeputies(gossip::ChooseDeputies(std::move(candidates), ""));
+}
+
+void PeerLink::SetDeputies(std::vector<std::string> addresses) {
+  this->beliefs.deputies = std::move(addresses);
+  const auto& all = this->beliefs.deputies;
+  this->beliefs.deputy =
+      std::find(all.begin(), all.end(), this->settings.datagram_address) !=
+      all.end();
+}
+
 void PeerLink::Tick() {
   const TimePoint now = this->loop.Now();
   const bool large = this->beliefs.peers.Large(now);
@@ -432,12 +457,7 @@
   const bool follows = this->beliefs.peers.Large(now) && !this->beliefs.leads;
   if (!follows) return;
   this->beliefs.roster.Take(beacon.ready_instances, now);
-  if (!beacon.deputies.empty()) {
-    this->beliefs.deputies = beacon.deputies;
-    this->beliefs.deputy =
-        std::find(beacon.deputies.begin(), beacon.deputies.end(),
-                  this->settings.datagram_address) != beacon.deputies.end();
-  }
+  if (!beacon.deputies.empty()) this->SetDeputies(beacon.deputies);
   const std::string port = PortOf(this->settings.datagram_address);
   for (const std::uint32_t number : beacon.ready_instances) {
     this->beliefs.peers.NoteSign(gossip::AddressOf(number, port), now);
--- /dev/null
+++ b/lib/instance/registration.cc
@@ -0,0 +1,34 @@
+#include "toucanwharf/instance/registration.h"
+
+#include <nlohmann/json.hpp>
+
+namespace toucanwharf::instance {
+namespace {
+
+using Json = nlohmann::json;
+
+}  // namespace
+
+std::string ToText(const Registration& registration) {
+  return Json{{"address", registration.address},
+              {"domain", registration.failure_domain},
+              {"share", registration.processor_share}}
+      .dump();
+}
+
+std::optional<Registration> RegistrationFromText(const std::string& text) {
+  const Json json = Json::parse(text, nullptr, false);
+  // An instance of an older build writes its address alone.
+  if (json.is_string()) return Registration{json.get<std::string>(), "", 0};
+  if (!json.is_object()) return std::nullopt;
+  // One of another build may leave members out; such a text is none.
+  try {
+    return Registration{json.at("address").get<std::string>(),
+                        json.at("domain").get<std::string>(),
+                        json.at("share").get<double>()};
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace toucanwharf::instance
