A deputy asks engines for their reports while nobody leads

Only the lease's holder gives orders, but reports are wanted sooner: the first deputy that is heard of asks them and tells all, while nobody leads (gossip::ActsForLeader).

--- a/include/toucanwharf/gossip/deputies.h
+++ b/include/toucanwharf/gossip/deputies.h
@@ -43,6 +43,13 @@
                                         const std::string& domain,
                                         TimePoint now);
 
+/// Returns whether the instance whose datagram address is \p own acts for a
+/// leader that there isn't: it is the first of \p deputies that is heard of.
+/// Thread safety: safe.
+bool ActsForLeader(const PeerTable& peers,
+                   const std::vector<std::string>& deputies,
+                   const std::string& own, TimePoint now);
+
 }  // namespace toucanwharf::gossip
 
 #endif  // TOUCANWHARF_GOSSIP_DEPUTIES_H_
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -14,6 +14,7 @@
 #include "toucanwharf/control/lease.h"
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/gossip/candidacy.h"
+#include "toucanwharf/gossip/deputies.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/beliefs.h"
@@ -71,6 +72,7 @@
         logger(log),
         processor_share(chosen.processor_share),
         callers_address(chosen.callers_address),
+        datagram_address(chosen.datagram_address),
         candidacy(chosen.processor_share, event_loop.Now()),
         lease(LeaseTerms(shared_beliefs.instance),
               HashText(shared_beliefs.instance)) {
@@ -112,10 +114,42 @@
     this->PollLease();
     const TimePoint now = this->loop.Now();
     this->NoteLeadership(this->lease.MayAct(now), now);
-    if (!this->beliefs.leads || !this->beliefs.table) return;
-    this->Plan(now);
+    if (!this->beliefs.table) return;
+    if (this->beliefs.leads) {
+      this->Plan(now);
+      this->AskReports(now);
+      this->GiveOrders(now);
+      this->ShareFacts();
+    } else {
+      this->ActForLeader(now);
+    }
+  }
+
+  /// Asks engines for their reports while nobody leads. Only whoever holds the
+  /// lease may give orders; what engines say of themselves is wanted sooner.
+  ///
+  /// Load that it answers: all instances lost power, and the engines go on with
+  /// answers that nobody waits for. Until their reports were known, new answers
+  /// went to full engines for the five seconds that the old lease lasts.
+  void ActForLeader(TimePoint now) {
+    const bool acts =
+        this->beliefs.deputy && this->beliefs.peers.Large(now) &&
+        gossip::ActsForLeader(this->beliefs.peers, this->beliefs.deputies,
+                              this->datagram_address, now);
+    if (!acts) {
+      if (this->engines.empty()) return;
+      this->engines.clear();
+      this->peers.SetFacts({});
+      return;
+    }
+    for (const routes::Service& service : this->beliefs.table->All().services) {
+      if (!service.engine || service.engine->layers == 0) continue;
+      this->beliefs.endpoints.ForEachReady(
+          service.name, [this](const endpoints::Endpoint& endpoint) {
+            this->KnowLifeOf(endpoint);
+          });
+    }
     this->AskReports(now);
-    this->GiveOrders(now);
     this->ShareFacts();
   }
 
@@ -129,6 +163,7 @@
     this->book = placement::OrderBook();
     this->engines.clear();
     this->plans.clear();
+    this->peers.SetFacts({});
     this->peers.Announce();
   }
 
@@ -242,15 +277,19 @@
            known->second.failed_reports >= kLostAfter;
   }
 
+  /// Forgets what was known of an earlier life of \p endpoint.
+  void KnowLifeOf(const endpoints::Endpoint& endpoint) {
+    Known& known = this->engines[endpoint.id];
+    if (known.born == endpoint.born) return;
+    known = Known{};
+    known.born = endpoint.born;
+    this->book.Forget(endpoint.id);
+  }
+
   /// Replaces what the store lists by what was ordered or reported since.
   void TakeNewest(const endpoints::Endpoint& endpoint,
                   placement::Accelerator& one) {
-    auto& known = this->engines[endpoint.id];
-    if (known.born != endpoint.born) {
-      known = Known{};
-      known.born = endpoint.born;
-      this->book.Forget(endpoint.id);
-    }
+    this->KnowLifeOf(endpoint);
     const auto wanted = this->book.Wanted().find(endpoint.id);
     if (wanted != this->book.Wanted().end()) {
       one.layers = wanted->second;
@@ -413,6 +452,7 @@
   placement::LayoutSettings layout_settings;
   double processor_share;
   std::string callers_address;
+  std::string datagram_address;
   gossip::Candidacy candidacy;
   control::Lease lease;
   TimePoint lease_pause_until;
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -166,12 +166,14 @@
 
   /// Grows with each failure up to a bound that leaves a change enough time to
   /// be in force in time after the store's return. In a large fleet those that
-  /// hear the leader leave most of the asking to it.
+  /// hear the leader leave most of the asking to it, and so do all at a first
+  /// start, when the operator has written nothing yet.
   Duration Backoff(TimePoint now) const {
     constexpr int kMostDoublings = 2;
     const Duration own = this->times.away_period *
                          (1 << std::min(this->failures, kMostDoublings));
-    const bool told = this->beliefs.roster.Holds(now) ||
+    const bool told = this->no_configuration ||
+                      this->beliefs.roster.Holds(now) ||
                       !this->beliefs.peers.Leader(now).empty();
     const bool follows =
         this->beliefs.peers.Large(now) && !this->beliefs.leads && told;
--- a/lib/gossip/deputies.cc
+++ b/lib/gossip/deputies.cc
@@ -42,4 +42,15 @@
   return ChooseDeputies(std::move(candidates), domain);
 }
 
+bool ActsForLeader(const PeerTable& peers,
+                   const std::vector<std::string>& deputies,
+                   const std::string& own, TimePoint now) {
+  if (!peers.Leader(now).empty()) return false;
+  const auto first =
+      std::find_if(deputies.begin(), deputies.end(), [&](const auto& one) {
+        return one == own || peers.Live(one, now) != nullptr;
+      });
+  return first != deputies.end() && *first == own;
+}
+
 }  // namespace toucanwharf::gossip
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -308,7 +308,6 @@
 }
 
 void PeerLink::AddFleet(gossip::Beacon& beacon, TimePoint now) const {
-  if (!this->SpeaksForFleet(now)) return;
   for (const gossip::EngineFact& fact : this->facts) {
     const endpoints::Endpoint* endpoint =
         this->beliefs.endpoints.Find(fact.endpoint);
@@ -316,6 +315,7 @@
     beacon.facts.push_back({endpoints::EndpointKey(*endpoint), fact.layers,
                             fact.slowdown, fact.token_layers});
   }
+  if (!this->SpeaksForFleet(now)) return;
   for (const gossip::EndpointLoad& load : this->beliefs.loads.All()) {
     const endpoints::Endpoint* endpoint =
         this->beliefs.endpoints.Find(load.endpoint);
@@ -432,7 +432,8 @@
     this->AdoptSuspicion(one, now);
   }
   const bool large = this->beliefs.peers.Large(now);
-  const bool speaks = beacon.leads || !beacon.ready_instances.empty();
+  const bool speaks =
+      beacon.leads || !beacon.facts.empty() || !beacon.ready_instances.empty();
   if (speaks) this->AdoptFleet(beacon, now);
   if (!large) this->SumLoads(now);
   // Hundreds of beacons a second come to the leader of a large fleet, and to
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -296,6 +296,23 @@
   BOOST_TEST(ChooseDeputies(table, "a", At(9000)).empty());
 }
 
+// Guards against a fleet that knows nothing of its engines while nobody leads,
+// and against several that ask them all.
+BOOST_AUTO_TEST_CASE(FirstLiveDeputyActsForTheLeader) {
+  PeerTable table("own");
+  const std::vector<std::string> deputies = {"10.0.0.1:7", "10.0.0.2:7"};
+  BOOST_TEST(ActsForLeader(table, deputies, "10.0.0.1:7", At(0)));
+  BOOST_TEST(ActsForLeader(table, deputies, "10.0.0.2:7", At(0)));
+  table.OnBeacon("10.0.0.1:7", MakeBeacon("first", 1), At(0));
+  BOOST_TEST(!ActsForLeader(table, deputies, "10.0.0.2:7", At(100)));
+  BOOST_TEST(!ActsForLeader(table, deputies, "10.0.0.3:7", At(100)));
+  BOOST_TEST(ActsForLeader(table, deputies, "10.0.0.2:7", At(9000)));
+  Beacon beacon = MakeBeacon("leader", 1);
+  beacon.leads = true;
+  table.OnBeacon("10.0.0.9:7", beacon, At(9000));
+  BOOST_TEST(!ActsForLeader(table, deputies, "10.0.0.2:7", At(9000)));
+}
+
 // Where there is one failure domain only, deputies are in it too.
 BOOST_AUTO_TEST_CASE(DeputiesOfOneDomain) {
   PeerTable table("own");
