--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -75,8 +75,6 @@
     const auto found = this->entries.find(address);
     return found != this->entries.end() && found->second.peer.has_value();
   }
-  /// Returns whether any peer was heard of in the last \p lately.
-  bool HeardAny(Duration lately, TimePoint now) const;
   /// Returns all peers heard of lately.
   std::vector<const Peer*> AllLive(TimePoint now) const;
   /// Returns whether there are so many peers that each is heard of only by
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -64,14 +64,6 @@
   return live;
 }
 
-bool PeerTable::HeardAny(Duration lately, TimePoint now) const {
-  return std::any_of(this->entries.begin(), this->entries.end(),
-                     [&](const auto& each) {
-                       const Entry& entry = each.second;
-                       return entry.peer && now - entry.peer->heard <= lately;
-                     });
-}
-
 bool PeerTable::Large(TimePoint now) const {
   return this->Instances(now) > 1 + RotationSettings().everyone_up_to;
 }
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -5,7 +5,6 @@
 
 #include "absl/strings/str_format.h"
 #include "passage.h"
-#include "toucanwharf/attempts/outage_return.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -13,8 +12,9 @@
 using eventlog::Fields;
 using eventlog::Level;
 
-/// A peer that was heard of so lately would have vouched for what it knows.
-constexpr Duration kHeardLately = std::chrono::milliseconds(1000);
+/// When to come back to an instance that knows too little: it reads the store
+/// again about once a second.
+constexpr Duration kRetryForBeliefs = std::chrono::milliseconds(500);
 /// Streams last a few seconds. One that arrives later than this after the
 /// signal to stop could be cut by the kill; its caller is sent on at once.
 constexpr Duration kTakeAfterStop = std::chrono::milliseconds(2800);
@@ -109,7 +109,7 @@
   const http::Request& request = exchange->Received();
   const auto table = this->beliefs.table;
   if (!table) {
-    this->Refuse(*exchange, http::kUnavailable, attempts::kReturnElsewhere,
+    this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs,
                  "no_configuration");
     return;
   }
@@ -129,10 +129,7 @@
   const routes::Route& route = *admitted.route;
   if (!route.open && !table->All().customers.empty()) {
     if (!this->beliefs.KeysHold(now)) {
-      this->Refuse(*exchange, http::kUnavailable,
-                   attempts::ReturnAfterOutage(
-                       this->beliefs.freshness.Age(now),
-                       this->beliefs.peers.HeardAny(kHeardLately, now)),
+      this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs,
                    "keys_unconfirmed");
       return;
     }
@@ -148,8 +145,7 @@
   const routes::ServiceShare* share = routes::DrawService(route, this->random);
   if (share != nullptr) admitted.service = table->FindService(share->service);
   if (admitted.service == nullptr) {
-    this->Refuse(*exchange, http::kUnavailable, attempts::kReturnElsewhere,
-                 "no_service");
+    this->Refuse(*exchange, http::kUnavailable, kRetryForBeliefs, "no_service");
     return;
   }
   admitted.deadline =
