An instance whose own reads fail goes on reading while others say the store is up

Now it waits so long only if neither the leader nor a deputy has read within three of the leader's periods. Without any of them heard it reads on by itself. Test HubThatHasReadLatelyShowsThatTheStoreIsUp.

--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -59,6 +59,11 @@
   std::size_t Ahead(double share, const std::string& callers_address,
                     TimePoint now) const;
 
+  /// Returns the age of the newest proof of the configuration that the leader
+  /// and \p deputies say they have, or nothing if none of them is heard of.
+  std::optional<Duration> HubsProofAge(const std::vector<std::string>& deputies,
+                                       TimePoint now) const;
+
   /// Returns the addresses to send to.
   std::vector<std::string> Addresses(TimePoint now) const;
   /// Returns those of peers in the failure domain \p domain, and of peers that
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -172,12 +172,14 @@
     constexpr int kMostDoublings = 2;
     const Duration own = this->times.away_period *
                          (1 << std::min(this->failures, kMostDoublings));
-    const bool told = this->no_configuration ||
-                      this->beliefs.roster.Holds(now) ||
-                      !this->beliefs.peers.Leader(now).empty();
-    const bool follows =
-        this->beliefs.peers.Large(now) && !this->beliefs.leads && told;
-    if (!follows) return own;
+    if (!this->beliefs.peers.Large(now) || this->beliefs.leads) return own;
+    // Where the leader or a deputy has read lately, the store is up, and only
+    // this instance's reads fail: it must go on, or it would use endpoints that
+    // have left (I5).
+    const auto hubs =
+        this->beliefs.peers.HubsProofAge(this->beliefs.deputies, now);
+    const bool outage = hubs && *hubs > this->times.reader_period_large * 3;
+    if (!outage && !this->no_configuration) return own;
     return std::max(
         own, this->times.FollowerBackoff(this->beliefs.peers.Instances(now)));
   }
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -78,6 +78,23 @@
   return {};
 }
 
+std::optional<Duration> PeerTable::HubsProofAge(
+    const std::vector<std::string>& deputies, TimePoint now) const {
+  std::vector<std::string> hubs = deputies;
+  hubs.push_back(this->Leader(now));
+  std::optional<Duration> newest;
+  for (const std::string& address : hubs) {
+    const auto found = this->entries.find(address);
+    if (found == this->entries.end() || !found->second.peer) continue;
+    const Peer& peer = *found->second.peer;
+    if (now - peer.heard > this->settings.leader_silent_after) continue;
+    if (!peer.beacon.configuration_age) continue;
+    const Duration age = *peer.beacon.configuration_age + (now - peer.heard);
+    newest = std::min(newest.value_or(age), age);
+  }
+  return newest;
+}
+
 std::size_t PeerTable::Ahead(double share, const std::string& callers_address,
                              TimePoint now) const {
   const auto live = this->AllLive(now);
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -313,6 +313,23 @@
   BOOST_TEST(!ActsForLeader(table, deputies, "10.0.0.2:7", At(9000)));
 }
 
+// Guards against an instance that takes its own failed reads for an outage of
+// the store, and uses an endpoint for seconds after it has left.
+BOOST_AUTO_TEST_CASE(HubThatHasReadLatelyShowsThatTheStoreIsUp) {
+  PeerTable table("own");
+  BOOST_CHECK(!table.HubsProofAge({"10.0.0.2:7"}, At(0)));
+  Beacon beacon = MakeBeacon("leader", 1);
+  beacon.leads = true;
+  beacon.configuration_age = milliseconds(4000);
+  table.OnBeacon("10.0.0.1:7", beacon, At(0));
+  BOOST_CHECK(table.HubsProofAge({}, At(100)) == milliseconds(4100));
+  beacon = MakeBeacon("deputy", 1);
+  beacon.configuration_age = milliseconds(300);
+  table.OnBeacon("10.0.0.2:7", beacon, At(0));
+  BOOST_CHECK(table.HubsProofAge({"10.0.0.2:7"}, At(100)) == milliseconds(400));
+  BOOST_CHECK(!table.HubsProofAge({"10.0.0.2:7"}, At(1600)));
+}
+
 // Where there is one failure domain only, deputies are in it too.
 BOOST_AUTO_TEST_CASE(DeputiesOfOneDomain) {
   PeerTable table("own");
