A router that has just started is open to a reload signal for a moment only

Cause: a program can't ignore a signal before its first instruction, and 90 shared libraries were loaded before that: gRPC, libcurl, libmicrohttpd and theirs, of which the platform's processes use none.

Change: the own interface and its libraries are a module, which toucanwharfd loads when it serves that interface, after it ignores the signal; on the platform it is never loaded.

The fixture returns when the program has begun, so that signals reach it and not the test's own copy.

--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -78,8 +78,20 @@
   # Boost 1.74's quantile accumulator trips this warning in g++ 12.
   set_source_files_properties(${CMAKE_SOURCE_DIR}/lib/daemon/metrics.cc
     PROPERTIES COMPILE_OPTIONS -Wno-maybe-uninitialized)
-  tw_program(toucanwharfd tools/toucanwharfd DEPS toucanwharf_daemon
-    toucanwharf_adapter)
+  # Loaded by toucanwharfd where it serves its own interface.
+  add_library(toucanwharf_router MODULE tools/toucanwharfd/module/serve.cc)
+  target_link_libraries(toucanwharf_router PRIVATE tw_options
+    toucanwharf_daemon)
+  target_include_directories(toucanwharf_router PRIVATE
+    ${CMAKE_SOURCE_DIR}/tools)
+  # Only its entry point is seen from outside: the program has its own copies of
+  # the libraries that both are linked to.
+  target_link_options(toucanwharf_router PRIVATE -Wl,--exclude-libs,ALL)
+  tw_position_independent(toucanwharf_daemon peers_generated)
+  tw_program(toucanwharfd tools/toucanwharfd DEPS toucanwharf_adapter
+    ${CMAKE_DL_LIBS})
+  target_include_directories(toucanwharfd PRIVATE ${CMAKE_SOURCE_DIR}/tools)
+  set_target_properties(toucanwharfd PROPERTIES BUILD_RPATH "$ORIGIN")
   target_compile_definitions(toucanwharfd PRIVATE
     TOUCANWHARF_VERSION="${PROJECT_VERSION}")
   tw_program(bench_capacity bench/capacity DEPS toucanwharf_support CURL::libcurl)
--- a/test/process/fixture.h
+++ b/test/process/fixture.h
@@ -21,10 +21,13 @@
 /// Thread safety: none; one thread at a time.
 class Process {
  public:
-  /// Starts \p program of the build folder. Its standard error goes to the
-  /// file \p log, or nowhere if that is empty.
+  enum class OutputTo { kTest, kLog };
+
+  /// Starts \p program of the build folder, with default signals, and returns
+  /// when it has begun. Its standard error goes to the file \p log, or nowhere
+  /// if that is empty, and with \p output_to its standard output as well.
   Process(const std::string& program, const std::vector<std::string>& arguments,
-          const std::string& log = "");
+          const std::string& log = "", OutputTo output_to = OutputTo::kTest);
   ~Process();
   Process(const Process&) = delete;
   Process& operator=(const Process&) = delete;
@@ -35,6 +38,8 @@
 
   /// Returns its process id, for what /proc tells of it.
   pid_t Pid() const { return this->pid; }
+  /// Returns how it ended, empty while it runs or once it was reaped.
+  std::string Ended() const;
   /// Sends \p signal_number; without effect once it was reaped.
   void Signal(int signal_number) const;
   /// Kills the process (SIGKILL) and waits for its end.
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <csignal>
 #include <cstdint>
+#include <fstream>
 #include <future>
 #include <numeric>
 #include <string>
@@ -515,16 +516,38 @@
   BOOST_TEST(knows);
 }
 
-// Operators read the metrics of an instance on its control address.
+/// Waits until \p process no longer ends by a reload signal. Returns how much
+/// processor time it had used by then, which says how long it was open to one
+/// on whatever machine.
+std::chrono::nanoseconds OpenToReloads(const Process& process) {
+  const std::string folder = "/proc/" + std::to_string(process.Pid());
+  constexpr int kLooks = 100000;
+  for (int look = 0; look < kLooks; ++look) {
+    std::ifstream status(folder + "/status");
+    std::uint64_t shielded = 0;
+    for (std::string line; std::getline(status, line);) {
+      const bool mask =
+          line.starts_with("SigIgn:") || line.starts_with("SigCgt:");
+      if (mask) shielded |= std::stoull(line.substr(8), nullptr, 16);
+    }
+    if ((shielded & 1U << (SIGHUP - 1)) != 0) break;
+  }
+  std::int64_t used = 0;
+  std::ifstream(folder + "/schedstat") >> used;
+  return std::chrono::nanoseconds(used);
+}
+
 // Guards against a reload signal that ends a process which has just been
-// started, before its handler is there.
+// started: it loads few libraries before it can ignore one.
 BOOST_AUTO_TEST_CASE(ReloadSignalsInTheFirstMomentEndNothing) {
   PlatformFleet fleet(2);
+  constexpr std::chrono::nanoseconds kMostOpen = std::chrono::milliseconds(10);
   constexpr int kSignals = 40;
   constexpr int kStarts = 3;
   for (int start = 0; start < kStarts; ++start) {
     fleet.Router(1).Kill();
     fleet.StartRouter(1);
+    BOOST_TEST(OpenToReloads(fleet.Router(1)).count() <= kMostOpen.count());
     for (int at = 0; at < kSignals; ++at) {
       fleet.Router(1).Signal(SIGHUP);
       std::this_thread::sleep_for(std::chrono::milliseconds(5));
@@ -533,6 +556,7 @@
   }
 }
 
+// Operators read the metrics of an instance on its control address.
 BOOST_AUTO_TEST_CASE(MetricsTellWhatIsServed) {
   PlatformFleet fleet(1);
   BOOST_TEST(fleet.Plain(0, "/read/x", "read").status == 200);
--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -52,7 +52,7 @@
 
 Process::Process(const std::string& program,
                  const std::vector<std::string>& arguments,
-                 const std::string& log) {
+                 const std::string& log, OutputTo output_to) {
   const std::string path = std::string(TOUCANWHARF_BUILD_DIR) + "/" + program;
   std::vector<std::string> words = {path};
   words.insert(words.end(), arguments.begin(), arguments.end());
@@ -61,25 +61,33 @@
   pointers.push_back(nullptr);
   const std::string errors = log.empty() ? kNowhere : log;
   int ends[2];
-  if (pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+  int begins[2];
+  if (pipe2(ends, O_CLOEXEC) != 0 || pipe2(begins, O_CLOEXEC) != 0) {
+    throw std::runtime_error("no pipe");
+  }
   const pid_t parent = getpid();
-  // Children inherit it: until the router's first line runs, a reload signal
-  // would end it.
-  signal(SIGHUP, SIG_IGN);
   this->pid = fork();
   if (this->pid < 0) throw std::runtime_error("no process");
   if (this->pid == 0) {
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    // As the platform starts it, whatever this test ignores.
+    signal(SIGHUP, SIG_DFL);
     if (getppid() != parent) _exit(kExecFailed);
     const int error_file =
         open(errors.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-    dup2(ends[1], STDOUT_FILENO);
+    dup2(output_to == OutputTo::kLog ? error_file : ends[1], STDOUT_FILENO);
     dup2(error_file, STDERR_FILENO);
     execv(path.c_str(), pointers.data());
     _exit(kExecFailed);
   }
   close(ends[1]);
   this->output = ends[0];
+  // The program's own copy of this end closes as the program begins: from then
+  // on signals reach the program and not this test's copy.
+  close(begins[1]);
+  char none = 0;
+  [[maybe_unused]] const ssize_t begun = read(begins[0], &none, 1);
+  close(begins[0]);
 }
 
 Process::~Process() {
@@ -120,6 +128,17 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+std::string Process::Ended() const {
+  if (this->pid <= 0) return "";
+  siginfo_t end{};
+  const bool ended = waitid(P_PID, static_cast<id_t>(this->pid), &end,
+                            WEXITED | WNOHANG | WNOWAIT) == 0 &&
+                     end.si_pid == this->pid;
+  if (!ended) return "";
+  const std::string how = end.si_code == CLD_EXITED ? "exit code " : "signal ";
+  return how + std::to_string(end.si_status);
+}
+
 nlohmann::json Answer::Json() const {
   return nlohmann::json::parse(this->body, nullptr, false);
 }
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -9,8 +9,8 @@
   toucanwharf_support CURL::libcurl)
 target_compile_definitions(tw_process_fixture PUBLIC
   TOUCANWHARF_BUILD_DIR="${CMAKE_BINARY_DIR}")
-add_dependencies(tw_process_fixture toucanwharfd standin_platform
-  standin_engine standin_relay standin_service)
+add_dependencies(tw_process_fixture toucanwharfd toucanwharf_router
+  standin_platform standin_engine standin_relay standin_service)
 
 # tw_process_test(NAME): test/process/NAME_test.cc as ctest's process_NAME.
 function(tw_process_test NAME)
--- a/tools/toucanwharfd/main.cc
+++ b/tools/toucanwharfd/main.cc
@@ -1,6 +1,3 @@
-#include <glog/logging.h>
-#include <pthread.h>
-#include <signal.h>  // NOLINT(modernize-deprecated-headers): sigwait is POSIX
 #include <unistd.h>
 
 #include <csignal>
@@ -11,25 +8,32 @@
 #include <iterator>
 #include <optional>
 #include <string>
-#include <thread>
 
 #include "platform/adapter.h"
 #include "platform/names.h"
 #include "platform/settings.h"
-#include "toucanwharf/daemon/router.h"
 #include "toucanwharf/instance/instance.h"
-#include "toucanwharf/settings/settings.h"
+#include "toucanwharfd/exit_codes.h"
+#include "toucanwharfd/own_interface.h"
 
 namespace {
 
-using toucanwharf::daemon::Router;
-using toucanwharf::settings::ParseSettings;
-using toucanwharf::settings::Settings;
+using toucanwharf::tools::kExitBadSettings;
+using toucanwharf::tools::kExitBadUsage;
+using toucanwharf::tools::kExitCannotListen;
+using toucanwharf::tools::kExitOk;
 
-constexpr int kExitOk = 0;
-constexpr int kExitBadUsage = 2;
-constexpr int kExitBadSettings = 3;
-constexpr int kExitCannotListen = 4;
+/// Settings are read at the start only, and a reload signal that comes before
+/// its handler is there would end the process.
+void IgnoreReloads(int /*count*/, char** /*words*/, char** /*variables*/) {
+  std::signal(SIGHUP, SIG_IGN);
+}
+
+/// The loader calls this first of all, but only after it has loaded the
+/// libraries that the program is linked to: those are few, and the own
+/// interface with its many is loaded later.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kFirst)(int, char**, char**) = &IgnoreReloads;
 
 std::optional<std::string> ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
@@ -37,20 +41,6 @@
   return std::string(std::istreambuf_iterator<char>(file), {});
 }
 
-std::optional<Settings> LoadSettings(const std::string& path) {
-  const auto text = ReadFile(path);
-  if (!text) {
-    std::cerr << path << ": cannot be read; give an existing file\n";
-    return std::nullopt;
-  }
-  const auto parsed = ParseSettings(*text);
-  if (parsed) return parsed.value();
-  for (const auto& problem : parsed.error()) {
-    std::cerr << path << ": " << toucanwharf::schema::ToText(problem) << "\n";
-  }
-  return std::nullopt;
-}
-
 /// Runs as one of the users' platform's processes, whose settings file the
 /// environment names.
 int ServePlatform(const std::string& without) {
@@ -73,7 +63,7 @@
   if (!switched.problems.empty()) return kExitBadUsage;
   if (!parsed.problems.empty()) return kExitBadSettings;
   parsed.settings.mechanisms = switched.mechanisms;
-  signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGPIPE, SIG_IGN);
   toucanwharf::instance::Instance<toucanwharf::adapter::PlatformAdapter>
       instance(parsed.settings, STDOUT_FILENO);
   const auto ended = instance.Run();
@@ -83,43 +73,9 @@
   return kExitCannotListen;
 }
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
-int Serve(const Settings& settings) {
-  // Blocked before any thread starts, so that only the waiting thread below
-  // gets them.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  signal(SIGPIPE, SIG_IGN);
-  auto router = Router::Open(settings);
-  if (!router) {
-    std::cerr << "toucanwharfd: " << router.error().message() << "\n";
-    return kExitCannotListen;
-  }
-  std::thread waiter([&router, &signals] {
-    int signal_number = 0;
-    sigwait(&signals, &signal_number);
-    router.value()->Drain();
-  });
-  router.value()->Run();
-  // Wakes the waiter when the drain was asked for by an operator.
-  kill(getpid(), SIGTERM);
-  waiter.join();
-  return kExitOk;
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
-  // Settings are read at the start only. A reload signal that comes before its
-  // handler is there would end the process.
-  signal(SIGHUP, SIG_IGN);
   cxxopts::Options options("toucanwharfd", "The toucanwharf router.");
   options.add_options()("settings", "Settings file (JSON)",
                         cxxopts::value<std::string>())(
@@ -153,13 +109,7 @@
     std::cerr << "toucanwharfd: --settings FILE is needed; see --help\n";
     return kExitBadUsage;
   }
-  const auto settings = LoadSettings(arguments["settings"].as<std::string>());
-  if (!settings) return kExitBadSettings;
-  if (arguments.count("check-settings") > 0) {
-    std::cout << "settings are right\n";
-    return kExitOk;
-  }
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(argv[0]);
-  return Serve(*settings);
+  return toucanwharf::tools::ServeOwnInterface(
+      argv[0], arguments["settings"].as<std::string>(),
+      arguments.count("check-settings") > 0);
 }
--- /dev/null
+++ b/tools/toucanwharfd/own_interface.cc
@@ -0,0 +1,32 @@
+#include "toucanwharfd/own_interface.h"
+
+#include <dlfcn.h>
+
+#include <iostream>
+
+#include "toucanwharfd/exit_codes.h"
+#include "toucanwharfd/module/serve.h"
+
+namespace toucanwharf::tools {
+namespace {
+
+/// Beside the program, whose run path names its folder.
+constexpr const char* kModule = "libtoucanwharf_router.so";
+
+}  // namespace
+
+int ServeOwnInterface(const char* program, const std::string& settings_file,
+                      bool check_only) {
+  void* const module = dlopen(kModule, RTLD_NOW | RTLD_LOCAL);
+  void* const symbol =
+      module == nullptr ? nullptr : dlsym(module, kServeFunctionName);
+  if (symbol == nullptr) {
+    std::cerr << program << ": " << dlerror() << "; build the target "
+              << "toucanwharf_router and keep it beside this program\n";
+    return kExitNoModule;
+  }
+  const auto serve = reinterpret_cast<ServeFunction>(symbol);
+  return serve(program, settings_file.c_str(), check_only);
+}
+
+}  // namespace toucanwharf::tools
--- a/utils/capacity.sh
+++ b/utils/capacity.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 utils/install_packages.sh
 cmake -S . -B build -G Ninja -Wno-dev >/dev/null
-ninja -C build -j "${JOBS:-$(nproc)}" --quiet bench_capacity toucanwharfd \
+ninja -C build -j "${JOBS:-$(nproc)}" --quiet bench_capacity toucanwharfd toucanwharf_router \
   standin_platform standin_engine standin_relay
 printf 'machine: %s cores, %s MiB; load before: %s\n' "$(nproc)" \
   "$(awk '/MemTotal/ {print int($2 / 1024)}' /proc/meminfo)" \
--- a/utils/demo.sh
+++ b/utils/demo.sh
@@ -216,7 +216,7 @@
 utils/install_packages.sh
 say "build"
 cmake -S . -B "$build" -G Ninja -Wno-dev >/dev/null
-ninja -C "$build" --quiet -j "${JOBS:-$(nproc)}" toucanwharf toucanwharfd \
+ninja -C "$build" --quiet -j "${JOBS:-$(nproc)}" toucanwharf toucanwharfd toucanwharf_router \
   standin_platform standin_engine standin_service
 SECONDS=0
 play atlas casablanca qa-model qa-2026-11 32 lot-records berrechid-release \
--- a/utils/lint.sh
+++ b/utils/lint.sh
@@ -21,7 +21,7 @@
 export build cache
 # The project's files that a source file includes, itself first.
 includes_of() {
-  g++ -std=c++20 -MM -Iinclude -I. -Ilib/peers/generated "$1" |
+  g++ -std=c++20 -MM -Iinclude -I. -Itools -Ilib/peers/generated "$1" |
     tr -d '\\' | tr ' ' '\n' | sed -n '2,$p' | grep -v '^$'
 }
 lint_one() {
