Soak: tells how a router ended and what it wrote; a restart waits for the process before

The soak did not keep what routers write, nor looked how they ended.

Now both are in its report.

Provoked: the fixture started the next process before it killed the one before. Change: the process before is gone when the next one starts, as on the platform.

--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -219,9 +219,15 @@
 
 void PlatformFleet::StartRouter(std::size_t index) {
   setenv("TOUCANWHARF_BOOT", this->WriteSettings(index).c_str(), 1);
+  // The process before may still hold the addresses.
+  this->routers.at(index).reset();
   this->routers.at(index) = std::make_unique<Process>(
       "toucanwharfd", std::vector<std::string>{"--platform"},
-      this->folder + "/router-" + std::to_string(index) + ".log");
+      this->LogOf(index), Process::OutputTo::kLog);
+}
+
+std::string PlatformFleet::LogOf(std::size_t index) const {
+  return this->folder + "/router-" + std::to_string(index) + ".log";
 }
 
 Answer PlatformFleet::Plain(std::size_t index, const std::string& path,
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -58,6 +58,8 @@
   void Configure(const std::vector<std::string>& keys);
   void StartRouter(std::size_t index);
   Process& Router(std::size_t index) { return *this->routers.at(index); }
+  /// Returns the file with all that the starts of router \p index have written.
+  std::string LogOf(std::size_t index) const;
 
   /// Calls the plain service through router \p index; \p path names the route:
   /// "/read/..." may be repeated, "/sign/..." must not, "/open/..." needs no
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <deque>
 #include <fstream>
-#include <iterator>
 #include <set>
 #include <thread>
 #include <utility>
@@ -43,12 +43,16 @@
   return moments;
 }
 
-/// Whether a child ended and waits to be reaped.
-bool HasEnded(const process_test::Process& process) {
-  std::ifstream file("/proc/" + std::to_string(process.Pid()) + "/stat");
-  const std::string text((std::istreambuf_iterator<char>(file)), {});
-  const std::size_t name_end = text.rfind(')');
-  return name_end == std::string::npos || text.substr(name_end, 3) == ") Z";
+/// Returns the last lines of the file \p path.
+std::vector<std::string> LastLines(const std::string& path) {
+  constexpr std::size_t kLines = 12;
+  std::deque<std::string> lines;
+  std::ifstream file(path);
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back(line);
+    if (lines.size() > kLines) lines.pop_front();
+  }
+  return {lines.begin(), lines.end()};
 }
 
 class Soak {
@@ -163,9 +167,13 @@
   void CheckProcesses() {
     for (std::size_t at = 0; at < this->settings.routers; ++at) {
       if (this->ended.contains(at)) continue;
-      if (!HasEnded(this->fleet.Router(at))) continue;
+      const std::string how = this->fleet.Router(at).Ended();
+      if (how.empty()) continue;
       this->broken.push_back("router " + std::to_string(at) +
-                             " ended by itself");
+                             " ended by itself: " + how);
+      for (const std::string& line : LastLines(this->fleet.LogOf(at))) {
+        this->broken.push_back("  its log: " + line);
+      }
       this->fleet.StartRouter(at);
     }
   }
