Reads that fail at one instance begin no grace while the store answers others

The endpoint i-e498cce7c0 says at 28.906 s that it leaves. From 28.93 to its next list are 2.4 s, as long as an entry lasts, so it took that for an outage and began the grace of 2 s in which missing entries are kept: `kept` 8 at 31.43, and 275 of 295 instances took that from it within 0.5 s ("kept" is told to peers). They go back to an endpoint whose entry was removed meanwhile, until 33.5 to 34.9 s: requests at 33.153 and 33.231 s by front-berrechid-42 and front-casa-b-10. The two deputies and others had read the store all the while (own_read at 29.8, 30.6, 30.7 s): it was never away.

Ruled out: an instance that waits for its turn after its own failed read.

Change: an outage is a time in which the store answered nobody. Every beacon tells when the sender, or whoever vouches to it, last had the list from the store; that counts as an answer of the store, whatever list it showed.

Test FailedReadsBesideAnswersToOthersKeepNoEndpoint (failed before: 1 kept), and OutageThatAPeerSawTheEndOfBeginsTheGrace, so that a real outage still begins it.

--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -77,11 +77,12 @@
 /// the first proof from after it, which may be a peer's word that the list is
 /// still the same; until then what is missing here may be back.
 ///
-/// One read that fails is no outage: the reader's connection may have gone
-/// silent, or its packets were lost. Had that begun the grace period, an
-/// endpoint whose entry was removed in it would be used past the bound (I5).
-/// Entries run out only when the store has been away for several heartbeats, so
-/// two proofs that are closer than that leave nothing to wait for.
+/// Reads that fail here are no outage: the connection may have gone silent, or
+/// the own link be crowded, while the store answers others. Had that begun the
+/// grace period, an endpoint whose entry was removed in it would be used past
+/// the bound (I5). Entries run out only when the store has been away for
+/// several heartbeats, so two of its answers, to whomever, that are closer than
+/// that leave nothing to wait for.
 /// Thread safety: none; for one thread.
 class EndpointTable {
  public:
@@ -92,6 +93,9 @@
 
   /// Notes that the store did not answer this instance.
   void OnStoreAway(TimePoint now) { this->away_since = now; }
+  /// Notes that the store answered a read that some instance began at \p read,
+  /// whatever it showed.
+  void OnStoreAnswered(TimePoint read, TimePoint now);
   /// Notes that the store answered a read of the list that began at \p read,
   /// this instance's or a peer's, and that the list known here is as new. Drops
   /// the endpoints that were kept if the grace period was over at \p read.
@@ -136,7 +140,7 @@
   }
   /// Puts \p next into use.
   void SetInUse(ById next);
-  /// Begins the grace period if \p read proves that the store answers again.
+  /// Notes that the list known here is the store's of \p read.
   void NoteRead(TimePoint read, TimePoint now);
   /// Puts \p next, the list of \p revision, into use, with those of \p known
   /// that it lacks where they are to be kept. Returns whether anything changed.
@@ -147,6 +151,8 @@
   /// When the store last didn't answer, until it is proved to answer again.
   std::optional<TimePoint> away_since;
   TimePoint kept_until;
+  /// When the read began that the store is known to have answered last.
+  std::optional<TimePoint> answered_at;
   std::optional<TimePoint> confirmed_at;
   std::uint64_t last_revision = 0;
   std::uint64_t changed_revision = 0;
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -106,6 +106,10 @@
   /// The same for the list of endpoints.
   std::optional<TimePoint> EndpointsVouched(std::uint64_t revision,
                                             TimePoint now) const;
+  /// Returns the newest moment of the own clock at which the store is known to
+  /// have answered a peer's question for the list of endpoints, whatever list
+  /// that was, or nothing.
+  std::optional<TimePoint> StoreAnswered(TimePoint now) const;
 
  private:
   struct Entry {
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -38,15 +38,20 @@
   return found == this->ids_by_key.end() ? nullptr : this->Find(found->second);
 }
 
-void EndpointTable::NoteRead(TimePoint read, TimePoint now) {
+void EndpointTable::OnStoreAnswered(TimePoint read, TimePoint now) {
   const auto before = std::exchange(
-      this->confirmed_at, std::max(this->confirmed_at.value_or(read), read));
+      this->answered_at, std::max(this->answered_at.value_or(read), read));
   if (!this->away_since || read < *this->away_since) return;
   this->away_since.reset();
   const bool outage = !before || read - *before >= this->shortest_outage;
   if (outage) this->kept_until = now + this->outage_grace;
 }
 
+void EndpointTable::NoteRead(TimePoint read, TimePoint now) {
+  this->OnStoreAnswered(read, now);
+  this->confirmed_at = std::max(this->confirmed_at.value_or(read), read);
+}
+
 bool EndpointTable::Confirm(TimePoint read, TimePoint now) {
   this->NoteRead(read, now);
   if (this->kept.empty() || this->KeepsMissing()) return false;
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -173,4 +173,12 @@
   return best;
 }
 
+std::optional<TimePoint> PeerTable::StoreAnswered(TimePoint now) const {
+  std::optional<TimePoint> best;
+  for (const Peer* peer : this->AllLive(now)) {
+    best = Later(best, peer->beacon, this->own, peer->beacon.endpoints_age);
+  }
+  return best;
+}
+
 }  // namespace toucanwharf::gossip
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -481,6 +481,9 @@
   if (configuration && this->beliefs.table) {
     this->beliefs.freshness.Confirm(*configuration);
   }
+  if (const auto answered = this->beliefs.peers.StoreAnswered(now)) {
+    this->beliefs.endpoints.OnStoreAnswered(*answered, now);
+  }
   const std::uint64_t revision = this->beliefs.endpoints.Revision();
   const auto listed = this->beliefs.peers.EndpointsVouched(revision, now);
   if (!listed || revision == 0) return;
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -155,6 +155,35 @@
   BOOST_TEST(table.Kept() == 0U);
 }
 
+// Guards against endpoints that are used for two seconds after they have left,
+// because the reader's own link was crowded for longer than entries last, while
+// the store answered others (I5).
+BOOST_AUTO_TEST_CASE(FailedReadsBesideAnswersToOthersKeepNoEndpoint) {
+  EndpointTable table(kGrace, kShortestOutage);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(1000));
+  table.OnStoreAnswered(At(900), At(1200));
+  table.OnStoreAnswered(At(2100), At(2400));
+  BOOST_TEST(List(table, {MakeEndpoint("two")}, 11, At(3500)));
+  BOOST_TEST(Ready(table) == 1U);
+  BOOST_TEST(table.Kept() == 0U);
+}
+
+// Guards against a peer's word that the store is back from an outage, with a
+// list not known here yet, which takes the grace from the entries missing in
+// it.
+BOOST_AUTO_TEST_CASE(OutageThatAPeerSawTheEndOfBeginsTheGrace) {
+  EndpointTable table(kGrace, kShortestOutage);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(1000));
+  table.OnStoreAnswered(At(500), At(1100));
+  table.OnStoreAnswered(At(5000), At(5200));
+  List(table, {}, 20, At(5600));
+  BOOST_TEST(Ready(table) == 2U);
+  List(table, {}, 21, At(7300));
+  BOOST_TEST(Ready(table) == 0U);
+}
+
 // Without an outage an entry that is gone is gone at once (I5).
 BOOST_AUTO_TEST_CASE(RemovedEntryIsGone) {
   EndpointTable table(kGrace, kShortestOutage);
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -110,6 +110,20 @@
   BOOST_TEST(!table.ConfigurationVouched(5, At(60)).has_value());
 }
 
+// Guards against an outage that only this instance sees: a peer's word shows
+// that the store answers, also with a list that isn't known here.
+BOOST_AUTO_TEST_CASE(PeerWithAnotherListShowsThatTheStoreAnswers) {
+  PeerTable table("me");
+  Beacon beacon = MakeBeacon("peer", 1);
+  beacon.endpoints_revision = 99;
+  beacon.endpoints_age = milliseconds(300);
+  beacon.echo = Duration(milliseconds(1000)).count();
+  beacon.echo_of = "me";
+  table.OnBeacon("10.0.0.1:7", beacon, At(1100));
+  BOOST_TEST((!table.EndpointsVouched(98, At(1200))));
+  BOOST_TEST((table.StoreAnswered(At(1200)) == At(700)));
+}
+
 // A beacon overtaken by a newer one must not bring the past back, but a peer
 // that started anew counts its clock from zero.
 BOOST_AUTO_TEST_CASE(OvertakenBeaconIsDropped) {
