A large configuration no longer fills the links of a large fleet

The leader's own reads failed behind its own answers. A fetch that failed wrote no line.

Change: copies are deflated (zlib, RFC 1950: an eighth of the bytes, tested); an instance hands out three at a time and turns others away with 503 at once; whoever was turned away, or got none, tries again after 50 to 150 ms at an instance that has it by then, and writes why. Peers of an earlier build get and send plain text. Two copies of the fetching code became one (PeerCopies).

Tests on loopback: CopiesUnderWayAreFew, LargeConfigurationTravelsInFewBytes (both have nothing to hold on to in the code before), NewerConfigurationIsFetchedAsItIs.

--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -106,7 +106,7 @@
                                  }));
     this->front = std::move(opened);
     const auto ask = [this](const std::shared_ptr<http::Exchange>& one) {
-      this->HandleQuestion(*one);
+      this->HandleQuestion(one);
     };
     for (const std::string& address :
          {this->settings.ready_address, this->settings.directory_address,
@@ -132,7 +132,8 @@
     return server;
   }
 
-  void HandleQuestion(http::Exchange& exchange) {
+  void HandleQuestion(const std::shared_ptr<http::Exchange>& asked) {
+    http::Exchange& exchange = *asked;
     const std::string& target = exchange.Received().target;
     const TimePoint now = this->loop.Now();
     http::ResponseHead head;
@@ -155,7 +156,7 @@
                                          this->logger.Dropped(), now));
       return;
     }
-    if (this->peers.HandlePeer(exchange)) return;
+    if (this->peers.HandlePeer(asked)) return;
     head.status = http::kNotFound;
     exchange.Respond(head, "");
   }
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -17,6 +17,7 @@
 #include "toucanwharf/http/server.h"
 #include "toucanwharf/instance/beliefs.h"
 #include "toucanwharf/instance/endpoint_list_log.h"
+#include "toucanwharf/instance/peer_copies.h"
 #include "toucanwharf/instance/settings.h"
 #include "toucanwharf/support/random.h"
 
@@ -27,11 +28,8 @@
 /// Thread safety: only on the loop's thread.
 class PeerLink {
  public:
-  /// Called with the store's revision and the text of a newer configuration.
-  using OnConfiguration =
-      std::function<void(std::uint64_t revision, const std::string& text)>;
-  /// Called after the list of endpoints has changed.
-  using OnEndpoints = std::function<void()>;
+  using OnConfiguration = PeerCopies::OnConfiguration;
+  using OnEndpoints = PeerCopies::OnEndpoints;
 
   /// Precondition: all references outlive the link.
   PeerLink(http::Loop& event_loop, http::Client& http_client,
@@ -65,7 +63,9 @@
     this->engine_silent = std::move(task);
   }
   /// Answers a peer's request on the control address; false if it is none.
-  bool HandlePeer(http::Exchange& exchange);
+  bool HandlePeer(const std::shared_ptr<http::Exchange>& exchange) {
+    return this->copies.Handle(exchange);
+  }
   /// Sets the facts to send along while this instance places layers.
   void SetFacts(std::vector<gossip::EngineFact> known) {
     this->facts = std::move(known);
@@ -116,19 +116,9 @@
   void SumLoads(TimePoint now);
   /// Takes what peers prove of the configuration and the list of endpoints.
   void AdoptProofs(TimePoint now);
-  /// Returns an instance that has the configuration, or the list, in a version
-  /// that \p has holds for: one in the own failure domain if there is, else
-  /// the one at \p teller.
-  std::string SourceOf(const std::function<bool(const gossip::Beacon&)>& has,
-                       const std::string& teller, TimePoint now);
-  /// Returns how long to wait before a fetch.
-  Duration FetchDelay(TimePoint now);
   void OnDatagram(const std::string& sender, std::string_view payload);
   void AdoptSuspicion(const gossip::Suspicion& one, TimePoint now);
   void AdoptFrom(const gossip::Beacon& beacon, TimePoint now);
-  void FetchNewer(const gossip::Beacon& beacon);
-  void FetchConfiguration(std::uint64_t revision, const std::string& teller);
-  void FetchEndpoints(std::uint64_t revision, const std::string& teller);
   void LogPeers(TimePoint now);
 
   http::Loop& loop;
@@ -139,8 +129,7 @@
   InstanceSettings settings;
   TimePoint started;
   std::unique_ptr<http::DatagramSocket> socket;
-  OnConfiguration take_configuration;
-  OnEndpoints endpoints_changed;
+  PeerCopies copies;
   std::function<void(const std::string&)> engine_silent;
   std::vector<gossip::EngineFact> facts;
   gossip::Rotation rotation;
@@ -152,21 +141,8 @@
   /// Whether an announcement waits for its turn.
   bool announcing = false;
   Random random;
-  /// The list of endpoints as text, and the revision that it is of.
-  std::string endpoints_text;
-  std::uint64_t endpoints_text_revision = 0;
-  /// How many endpoints it says are kept.
-  std::size_t endpoints_text_kept = 0;
-  bool fetching_configuration = false;
-  bool fetching_endpoints = false;
 };
 
-/// Returns \p list as text, for one instance to hand to another.
-/// Thread safety: safe.
-std::string EndpointsToText(const endpoints::SharedList& list);
-/// The way back; nothing for a text that is no such list. Thread safety: safe.
-std::optional<endpoints::SharedList> EndpointsFromText(const std::string& text);
-
 }  // namespace toucanwharf::instance
 
 #endif  // TOUCANWHARF_INSTANCE_PEER_LINK_H_
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -1,25 +1,20 @@
 #include "toucanwharf/instance/peer_link.h"
 
 #include <algorithm>
-#include <charconv>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "toucanwharf/support/json.h"
 
 namespace toucanwharf::instance {
 namespace {
 
+using endpoints::LoadBook;
 using eventlog::Fields;
 using eventlog::Level;
-using Json = nlohmann::json;
-using endpoints::LoadBook;
 using gossip::PortOf;
 
 /// Facts that the placing instance told count for so long without new ones.
 constexpr Duration kFactsFor = std::chrono::seconds(3);
-constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
 /// Suspicions that peers tell are cut to this: a peer's link may be at fault.
 constexpr Duration kLongestSuspicion = std::chrono::seconds(3);
 constexpr std::size_t kMostPeersTold = 16;
@@ -33,90 +28,17 @@
 constexpr Duration kAllHeardAfter = std::chrono::milliseconds(2000);
 /// News of a large fleet that come within this time are told together.
 constexpr Duration kGatherNews = std::chrono::milliseconds(30);
-/// What all instances of a large fleet fetch they fetch within this time.
-constexpr Duration kFetchSpread = std::chrono::milliseconds(250);
 /// In a small fleet a peer whose beacons have stopped for so long was probably
 /// killed, and its answers with it: engines are not as full as it last said,
 /// just when its callers come back to the others. Two beacons may be lost.
 constexpr Duration kLoadsCountFor = std::chrono::milliseconds(600);
 
-constexpr std::string_view kConfigurationPath = "/peer/configuration";
-constexpr std::string_view kEndpointsPath = "/peer/endpoints";
-constexpr std::string_view kRevisionHeader = "X-Revision";
-
 std::string IpOf(const std::string& address) {
   return address.substr(0, address.rfind(':'));
 }
 
-std::uint64_t RevisionOf(const http::ResponseHead& head) {
-  const std::string_view text = head.headers.Get(kRevisionHeader);
-  std::uint64_t revision = 0;
-  std::from_chars(text.data(), text.data() + text.size(), revision);
-  return revision;
-}
-
-Json ToJson(const std::vector<endpoints::Endpoint>& all) {
-  Json entries = Json::array();
-  for (const endpoints::Endpoint& one : all) {
-    entries.push_back(
-        {one.id, one.born, one.service, one.address, one.failure_domain,
-         one.slots, one.state == endpoints::EndpointState::kDraining, one.kind,
-         one.layers.begin, one.layers.end, one.sequence});
-  }
-  return entries;
-}
-
-/// Precondition: the entries have the shape that ToJson writes; else it throws.
-std::vector<endpoints::Endpoint> FromJson(const Json& entries) {
-  std::vector<endpoints::Endpoint> all;
-  for (const Json& one : entries) {
-    endpoints::Endpoint endpoint;
-    std::size_t at = 0;
-    endpoint.id = one.at(at++).get<std::string>();
-    endpoint.born = one.at(at++).get<std::uint64_t>();
-    endpoint.service = one.at(at++).get<std::string>();
-    endpoint.address = one.at(at++).get<std::string>();
-    endpoint.failure_domain = one.at(at++).get<std::string>();
-    endpoint.slots = one.at(at++).get<std::uint32_t>();
-    endpoint.state = one.at(at++).get<bool>()
-                         ? endpoints::EndpointState::kDraining
-                         : endpoints::EndpointState::kReady;
-    endpoint.kind = one.at(at++).get<std::string>();
-    endpoint.layers.begin = one.at(at++).get<std::uint32_t>();
-    endpoint.layers.end = one.at(at++).get<std::uint32_t>();
-    endpoint.sequence = one.at(at++).get<std::uint64_t>();
-    all.push_back(std::move(endpoint));
-  }
-  return all;
-}
-
 }  // namespace
 
-std::string EndpointsToText(const endpoints::SharedList& list) {
-  return Json{{"revision", list.revision},
-              {"kept_for_us", list.kept_for.count()},
-              {"entries", ToJson(list.endpoints)},
-              {"kept", ToJson(list.kept)}}
-      .dump();
-}
-
-std::optional<endpoints::SharedList> EndpointsFromText(
-    const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
-  if (!json.is_object()) return std::nullopt;
-  // A peer of another build may write another shape; such a list is none.
-  try {
-    endpoints::SharedList list;
-    list.revision = json.at("revision").get<std::uint64_t>();
-    list.kept_for = Duration(json.at("kept_for_us").get<std::int64_t>());
-    list.endpoints = FromJson(json.at("entries"));
-    list.kept = FromJson(json.at("kept"));
-    return list;
-  } catch (const Json::exception&) {
-    return std::nullopt;
-  }
-}
-
 PeerLink::PeerLink(http::Loop& event_loop, http::Client& http_client,
                    Beliefs& shared_beliefs, eventlog::Logger& log,
                    EndpointListLog& list_log, const InstanceSettings& chosen)
@@ -127,12 +49,13 @@
       lists(list_log),
       settings(chosen),
       started(event_loop.Now()),
+      copies(event_loop, http_client, shared_beliefs, log, list_log,
+             chosen.failure_domain),
       random(HashText(shared_beliefs.instance)) {}
 
 Result<void> PeerLink::Start(OnConfiguration on_configuration,
                              OnEndpoints on_endpoints) {
-  this->take_configuration = std::move(on_configuration);
-  this->endpoints_changed = std::move(on_endpoints);
+  this->copies.Start(std::move(on_configuration), std::move(on_endpoints));
   auto bound = http::DatagramSocket::Bind(
       this->loop, this->settings.datagram_address,
       [this](const std::string& sender, std::string_view payload) {
@@ -424,7 +347,7 @@
     this->beliefs.peers.AddAddress(address, now);
   }
   this->AdoptFrom(*beacon, now);
-  this->FetchNewer(*beacon);
+  this->copies.FetchNewer(*beacon);
 }
 
 void PeerLink::AdoptFrom(const gossip::Beacon& beacon, TimePoint now) {
@@ -518,127 +441,4 @@
   this->beliefs.loads.SetPeers(loads);
 }
 
-void PeerLink::FetchNewer(const gossip::Beacon& beacon) {
-  const Duration delay = this->FetchDelay(this->loop.Now());
-  if (beacon.configuration_revision > this->beliefs.configuration_revision &&
-      !std::exchange(this->fetching_configuration, true)) {
-    this->loop.After(delay, [this, revision = beacon.configuration_revision,
-                             teller = beacon.control_address] {
-      this->FetchConfiguration(revision, teller);
-    });
-  }
-  if (beacon.endpoints_revision > this->beliefs.endpoints.Revision() &&
-      !std::exchange(this->fetching_endpoints, true)) {
-    this->loop.After(delay, [this, revision = beacon.endpoints_revision,
-                             teller = beacon.control_address] {
-      this->FetchEndpoints(revision, teller);
-    });
-  }
-}
-
-/// All instances of a large fleet hear of a change from the leader within a
-/// moment. If all fetched it there at once, its link would be full for
-/// seconds; those that come later find it in their own failure domain.
-Duration PeerLink::FetchDelay(TimePoint now) {
-  if (!this->beliefs.peers.Large(now)) return Duration(0);
-  return Duration(static_cast<std::int64_t>(
-      this->random.Unit() * static_cast<double>(kFetchSpread.count())));
-}
-
-std::string PeerLink::SourceOf(
-    const std::function<bool(const gossip::Beacon&)>& has,
-    const std::string& teller, TimePoint now) {
-  if (!this->beliefs.peers.Large(now)) return teller;
-  std::vector<const gossip::Peer*> near;
-  for (const gossip::Peer* peer : this->beliefs.peers.AllLive(now)) {
-    const bool domain =
-        peer->beacon.failure_domain == this->settings.failure_domain;
-    // A peer that was heard of long ago may be gone.
-    const bool lately = now - peer->heard <= kFetchSpread * 2;
-    if (domain && lately && has(peer->beacon)) near.push_back(peer);
-  }
-  if (near.empty()) return teller;
-  return near[this->random() % near.size()]->beacon.control_address;
-}
-
-void PeerLink::FetchConfiguration(std::uint64_t revision,
-                                  const std::string& teller) {
-  if (revision <= this->beliefs.configuration_revision) {
-    this->fetching_configuration = false;
-    return;
-  }
-  http::Request request;
-  request.target = std::string(kConfigurationPath);
-  const std::string source = this->SourceOf(
-      [revision](const gossip::Beacon& beacon) {
-        return beacon.configuration_revision >= revision;
-      },
-      teller, this->loop.Now());
-  http::Fetch(this->loop, this->client, source, request, kFetchTimeout,
-              [this](const http::CallResult& result,
-                     const http::ResponseHead& head, const std::string& body) {
-                this->fetching_configuration = false;
-                const bool good = result.end == http::CallEnd::kComplete &&
-                                  head.status == http::kOk;
-                if (good) this->take_configuration(RevisionOf(head), body);
-              });
-}
-
-void PeerLink::FetchEndpoints(std::uint64_t revision,
-                              const std::string& teller) {
-  if (revision <= this->beliefs.endpoints.Revision()) {
-    this->fetching_endpoints = false;
-    return;
-  }
-  http::Request request;
-  request.target = std::string(kEndpointsPath);
-  const std::string source = this->SourceOf(
-      [revision](const gossip::Beacon& beacon) {
-        return beacon.endpoints_revision >= revision;
-      },
-      teller, this->loop.Now());
-  http::Fetch(this->loop, this->client, source, request, kFetchTimeout,
-              [this](const http::CallResult& result,
-                     const http::ResponseHead& head, const std::string& body) {
-                this->fetching_endpoints = false;
-                const bool good = result.end == http::CallEnd::kComplete &&
-                                  head.status == http::kOk;
-                if (!good) return;
-                auto listed = EndpointsFromText(body);
-                if (!listed) return;
-                const TimePoint now = this->loop.Now();
-                const bool new_list =
-                    this->beliefs.endpoints.Adopt(std::move(*listed), now);
-                this->lists.OnList(this->beliefs.endpoints, ListCause::kPeer,
-                                   new_list, 0, now);
-                if (new_list) this->endpoints_changed();
-              });
-}
-
-bool PeerLink::HandlePeer(http::Exchange& exchange) {
-  const std::string_view path = http::PathOf(exchange.Received().target);
-  http::ResponseHead head;
-  head.status = http::kOk;
-  if (path == kConfigurationPath && this->beliefs.table) {
-    head.headers.Add(std::string(kRevisionHeader),
-                     absl::StrCat(this->beliefs.configuration_revision));
-    exchange.Respond(head, this->beliefs.configuration_text);
-    return true;
-  }
-  if (path == kEndpointsPath && this->beliefs.endpoints.ChangedAt() > 0) {
-    // While endpoints are kept the text tells for how much longer.
-    const endpoints::EndpointTable& table = this->beliefs.endpoints;
-    const bool same = table.Kept() == 0 && this->endpoints_text_kept == 0 &&
-                      this->endpoints_text_revision == table.ChangedAt();
-    if (!same) {
-      this->endpoints_text = EndpointsToText(table.Share(this->loop.Now()));
-      this->endpoints_text_revision = table.ChangedAt();
-      this->endpoints_text_kept = table.Kept();
-    }
-    exchange.Respond(head, this->endpoints_text);
-    return true;
-  }
-  return false;
-}
-
 }  // namespace toucanwharf::instance
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -1,8 +1,7 @@
 # All packages, lowest first. A package may only name packages above its own
 # line.
 tw_package(support DEPS Threads::Threads nlohmann_json::nlohmann_json
-  OpenSSL::Crypto absl::strings
-  absl::str_format absl::hash)
+  OpenSSL::Crypto ZLIB::ZLIB absl::strings absl::str_format absl::hash)
 tw_package(store DEPS toucanwharf_support)
 tw_package(schema DEPS toucanwharf_support)
 tw_package(records DEPS toucanwharf_schema)
