Hundreds of processes that start at once all get the store's answer

Reads were begun every 300 ms, whether or not one was under way, so each instance asked for twice what it could use. An instance that hears neither leader nor deputy then asks on every 0.3 to 1.2 s since, which is right for one that serves; right after a start nobody leads, and all do.

Change: one read of a kind at a time; a call is given up after 600 ms without a byte, not without its end (3 s at most); and a process that has no configuration yet, so that it can't use an endpoint that has left, waits for its turn again after a failure.

--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -82,10 +82,26 @@
   std::shared_ptr<State> state;
 };
 
-/// A call that collects the body, ended by \p timeout. \p done gets the result,
-/// the head and the body; a timeout counts as broken.
+/// How long a call that collects the body may take.
+struct FetchLimits {
+  /// Both are \p timeout.
+  // NOLINTNEXTLINE(google-explicit-constructor): most calls have one figure
+  FetchLimits(Duration timeout) : silence(timeout), whole(timeout) {}
+  FetchLimits(Duration longest_silence, Duration longest)
+      : silence(longest_silence), whole(longest) {}
+
+  /// Without a byte of the answer for so long the peer counts as gone.
+  Duration silence;
+  /// From the start to the answer's end.
+  Duration whole;
+
+  friend bool operator==(const FetchLimits&, const FetchLimits&) = default;
+};
+
+/// A call that collects the body, ended by \p limits. \p done gets the result,
+/// the head and the body; a call that was given up counts as broken.
 void Fetch(Loop& loop, Client& client, const std::string& address,
-           const Request& request, Duration timeout,
+           const Request& request, const FetchLimits& limits,
            std::function<void(const CallResult&, const ResponseHead&,
                               const std::string&)>
                done,
--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -57,9 +57,12 @@
   friend bool operator==(const EntryQuestion&, const EntryQuestion&) = default;
 };
 
-/// A call of the store without an answer for so long counts as lost. A slow
-/// store takes a quarter of a second.
+/// A call of the store without a byte of an answer for so long counts as lost.
+/// A slow store takes a quarter of a second.
 inline constexpr Duration kLongestStoreCall = std::chrono::milliseconds(600);
+/// The same for the whole answer. Where all instances of a large fleet start
+/// anew and read at once, a configuration of 300 KB comes to each in a second.
+inline constexpr Duration kLongestStoreAnswer = std::chrono::milliseconds(3000);
 
 /// The store's calls. Every callback runs once, later, on the loop's thread.
 template <typename S>
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -123,7 +123,8 @@
     const bool large = this->beliefs.peers.Large(now);
     const Duration period = this->Period(large);
     const auto age = this->beliefs.freshness.Age(now);
-    if (this->Due(age, period, this->configuration_asked, now)) {
+    const bool reads = this->reading_configuration;
+    if (!reads && this->Due(age, period, this->configuration_asked, now)) {
       this->LogOwnRead("configuration", age, now);
       this->ReadConfiguration();
     }
@@ -132,7 +133,7 @@
       list_age = now - *confirmed;
     }
     // While the store is away one question at a time looks for its return.
-    if (this->store_answers &&
+    if (this->store_answers && !this->listing_endpoints &&
         this->Due(list_age, period, this->endpoints_asked, now)) {
       this->LogOwnRead("endpoints", list_age, now);
       this->ListEndpoints();
@@ -179,7 +180,11 @@
     const auto hubs =
         this->beliefs.peers.HubsProofAge(this->beliefs.deputies, now);
     const bool outage = hubs && *hubs > this->times.reader_period_large * 3;
-    if (!outage && !this->no_configuration) return own;
+    // A process that has no configuration yet uses no endpoints. Where all have
+    // just started and the store can't serve them at once, hundreds that ask on
+    // would keep it from serving any; whoever gets an answer tells the others.
+    const bool serves = this->beliefs.configuration_revision > 0;
+    if (serves && !outage) return own;
     return std::max(
         own, this->times.FollowerBackoff(this->beliefs.peers.Instances(now)));
   }
@@ -187,6 +192,7 @@
   void ReadConfiguration() {
     const TimePoint begun = this->loop.Now();
     this->configuration_asked = begun;
+    this->reading_configuration = true;
     this->store.Read(A::ConfigurationKey(),
                      [this, begun](const store::ReadAnswer& answer) {
                        this->OnConfiguration(answer, begun);
@@ -194,6 +200,7 @@
   }
 
   void OnConfiguration(const store::ReadAnswer& answer, TimePoint begun) {
+    this->reading_configuration = false;
     this->NoteStore(answer.status != store::ReadStatus::kUnknown);
     this->no_configuration = answer.status == store::ReadStatus::kMissing;
     if (answer.status != store::ReadStatus::kFound) return;
@@ -208,6 +215,7 @@
   void ListEndpoints() {
     const TimePoint begun = this->loop.Now();
     this->endpoints_asked = begun;
+    this->listing_endpoints = true;
     this->store.List(A::EndpointCollection(),
                      [this, begun](const std::optional<store::Listing>& list) {
                        this->OnEndpoints(list, begun);
@@ -215,6 +223,7 @@
   }
 
   void OnEndpoints(const std::optional<store::Listing>& list, TimePoint begun) {
+    this->listing_endpoints = false;
     this->NoteStore(list.has_value());
     if (!list) return;
     std::vector<endpoints::Endpoint> read;
@@ -253,6 +262,10 @@
   StoreSyncTimes times;
   TimePoint configuration_asked;
   TimePoint endpoints_asked;
+  /// A read is under way. A second one beside it would take the bytes that the
+  /// first waits for.
+  bool reading_configuration = false;
+  bool listing_endpoints = false;
   bool store_answers = true;
   /// The operator has not written any yet.
   bool no_configuration = false;
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -391,8 +391,71 @@
 
 namespace {
 
-/// What a Fetch gathers until its call has ended.
-struct Gathered {
+using FetchDone = std::function<void(const CallResult&, const ResponseHead&,
+                                     const std::string&)>;
+
+/// A call that collects the body, until it has ended.
+class Gathering : public std::enable_shared_from_this<Gathering> {
+ public:
+  Gathering(Loop& event_loop, Client& http_client, const FetchLimits& chosen,
+            FetchDone on_done)
+      : loop(event_loop),
+        client(http_client),
+        limits(chosen),
+        done(std::move(on_done)),
+        begun(event_loop.Now()),
+        last_byte(event_loop.Now()) {}
+
+  void Start(const std::string& address, const Request& request,
+             const CallOptions& options) {
+    const auto self = this->shared_from_this();
+    CallHandlers handlers;
+    handlers.on_head = [self](const ResponseHead& got) {
+      self->last_byte = self->loop.Now();
+      self->head = got;
+    };
+    handlers.on_data = [self](std::string_view bytes) {
+      self->last_byte = self->loop.Now();
+      self->body.append(bytes);
+    };
+    handlers.on_done = [self](const CallResult& result) {
+      self->loop.Cancel(self->timer);
+      self->done(result, self->head, self->body);
+    };
+    this->Wait();
+    this->call =
+        this->client.Start(address, request, options, std::move(handlers));
+  }
+
+ private:
+  TimePoint GivenUpAt() const {
+    return std::min(this->begun + this->limits.whole,
+                    this->last_byte + this->limits.silence);
+  }
+
+  void Wait() {
+    this->timer =
+        this->loop.After(this->GivenUpAt() - this->loop.Now(),
+                         [self = this->shared_from_this()] { self->Look(); });
+  }
+
+  void Look() {
+    if (this->loop.Now() < this->GivenUpAt()) {
+      this->Wait();
+      return;
+    }
+    this->client.Cancel(this->call);
+    CallResult result;
+    result.sent = true;
+    this->done(result, ResponseHead{}, "");
+  }
+
+  Loop& loop;
+  Client& client;
+  FetchLimits limits;
+  FetchDone done;
+  TimePoint begun;
+  TimePoint last_byte;
   ResponseHead head;
   std::string body;
   CallId call = 0;
@@ -402,30 +465,10 @@
 }  // namespace
 
 void Fetch(Loop& loop, Client& client, const std::string& address,
-           const Request& request, Duration timeout,
-           std::function<void(const CallResult&, const ResponseHead&,
-                              const std::string&)>
-               done,
+           const Request& request, const FetchLimits& limits, FetchDone done,
            const CallOptions& options) {
-  const auto gathered = std::make_shared<Gathered>();
-  CallHandlers handlers;
-  handlers.on_head = [gathered](const ResponseHead& head) {
-    gathered->head = head;
-  };
-  handlers.on_data = [gathered](std::string_view bytes) {
-    gathered->body.append(bytes);
-  };
-  handlers.on_done = [gathered, &loop, done](const CallResult& result) {
-    loop.Cancel(gathered->timer);
-    done(result, gathered->head, gathered->body);
-  };
-  gathered->timer = loop.After(timeout, [gathered, &client, done] {
-    client.Cancel(gathered->call);
-    CallResult result;
-    result.sent = true;
-    done(result, ResponseHead{}, "");
-  });
-  gathered->call = client.Start(address, request, options, std::move(handlers));
+  std::make_shared<Gathering>(loop, client, limits, std::move(done))
+      ->Start(address, request, options);
 }
 
 }  // namespace toucanwharf::http
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -448,6 +448,63 @@
   BOOST_TEST(!splitter.HasPart());
 }
 
+/// Writes a byte of the body each 50 ms, twelve of them.
+void AnswerSlowly(Loop& loop, const std::shared_ptr<Exchange>& exchange) {
+  constexpr int kBytes = 12;
+  ResponseHead head;
+  head.status = kOk;
+  exchange->Begin(head);
+  for (int at = 1; at <= kBytes; ++at) {
+    loop.After(milliseconds(50) * at, [exchange, last = at == kBytes] {
+      exchange->Write("b");
+      if (last) exchange->End();
+    });
+  }
+}
+
+/// Fetches from \p server within \p limits.
+Fetched FetchWithin(ServerThread& server, const FetchLimits& limits) {
+  const std::string address = "127.0.0.1:" + std::to_string(server.Port());
+  std::promise<Fetched> done;
+  server.On([&] {
+    Request request;
+    request.target = "/";
+    Fetch(server.loop, *server.client, address, request, limits,
+          [&](const CallResult& result, const ResponseHead& head,
+              const std::string& body) {
+            done.set_value({result, head, body, false});
+          });
+  });
+  return done.get_future().get();
+}
+
+// Guards against large answers over a crowded link that are given up on the way
+// and asked for anew, which crowds it more.
+BOOST_AUTO_TEST_CASE(AnswerThatKeepsComingIsNotGivenUp) {
+  ServerThread* running = nullptr;
+  ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+    AnswerSlowly(running->loop, exchange);
+  });
+  running = &server;
+  const Fetched slow =
+      FetchWithin(server, {milliseconds(300), milliseconds(5000)});
+  BOOST_TEST((slow.result.end == CallEnd::kComplete));
+  BOOST_TEST(slow.body == "bbbbbbbbbbbb");
+  const Fetched late = FetchWithin(server, Duration(milliseconds(300)));
+  BOOST_TEST((late.result.end == CallEnd::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(SilentAnswerIsGivenUp) {
+  std::vector<std::shared_ptr<Exchange>> held;
+  ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+    held.push_back(exchange);
+  });
+  const Fetched silent =
+      FetchWithin(server, {milliseconds(100), milliseconds(60000)});
+  BOOST_TEST((silent.result.end == CallEnd::kBroken));
+  server.On([&] { held.clear(); });
+}
+
 BOOST_AUTO_TEST_CASE(DatagramsArrive) {
   Loop loop;
   std::string got;
