The leader tells of thousands of endpoints in parts that fit a datagram

Cause: the leader's word on all endpoints has 26 bytes for each, 78 KB for 2,998; a datagram holds 65,507, so that the kernel refused each, and nobody logged it: nobody heard the leader at all, and all read the store for themselves.

Change: a word is about the endpoints whose keys lie in one range, at most 600 of them (some 16 KB, so that telling hundreds leaves the leader's link room); the ranges come by turns, each stands alone and replaces what was known of its range. Up to 600 endpoints nothing changes. Of very many own loads and suspicions the least are left out. A beacon that can't be sent writes a line.

--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/pipeline/plan.h"
 #include "toucanwharf/support/clock.h"
 
@@ -110,6 +111,9 @@
   /// anew, with another clock, since it sent that stamp.
   std::string echo_of;
   std::vector<EndpointLoad> loads;
+  /// The endpoints that fleet_loads and facts are about: they say nothing of
+  /// others.
+  KeyRange about;
   /// From the leader, or its deputy, only: what all instances together have
   /// under way.
   std::vector<KeyedLoad> fleet_loads;
@@ -128,6 +132,11 @@
   friend bool operator==(const Beacon&, const Beacon&) = default;
 };
 
+/// Leaves out of \p beacon what would make it larger than a datagram: the least
+/// of very many loads, and of very many suspicions those that end soonest.
+/// Thread safety: safe.
+void KeepToDatagram(Beacon& beacon);
+
 /// Returns \p beacon as bytes (CBOR). Thread safety: safe.
 std::string Encode(const Beacon& beacon);
 
--- a/include/toucanwharf/gossip/rotation.h
+++ b/include/toucanwharf/gossip/rotation.h
@@ -67,8 +67,15 @@
   explicit Rotation(const RotationSettings& chosen = {}) : settings(chosen) {}
 
   Duration Period() const { return this->settings.period; }
+  /// Returns how often a hub tells everyone.
+  Duration HubPeriod() const {
+    return this->settings.period *
+           static_cast<std::int64_t>(this->settings.hub_every);
+  }
   /// Returns whom to send to in this round.
   std::vector<std::string> Next(const Audience& audience);
+  /// Returns whether the last round went to everyone.
+  bool WentToEveryone() const { return this->everyone; }
   /// Returns after how long without a beacon a peer is silent, where each has
   /// \p near others in its failure domain.
   Duration SilentAfter(std::size_t near) const;
@@ -76,6 +83,7 @@
  private:
   RotationSettings settings;
   std::size_t round = 0;
+  bool everyone = false;
   std::size_t next_near = 0;
   std::size_t next_far = 0;
 };
--- a/include/toucanwharf/http/datagram.h
+++ b/include/toucanwharf/http/datagram.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <system_error>
 
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/support/result.h"
@@ -27,8 +28,9 @@
   DatagramSocket& operator=(const DatagramSocket&) = delete;
 
   /// Sends \p payload; a datagram that the kernel can't take now is lost, as
-  /// any may be.
-  void Send(const std::string& address, std::string_view payload);
+  /// any may be. Returns why it could not be sent, if it couldn't: more than
+  /// 65,507 bytes never can.
+  std::error_code Send(const std::string& address, std::string_view payload);
 
   struct State;
 
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -7,10 +7,13 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <system_error>
 #include <vector>
 
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/gossip/deputies.h"
+#include "toucanwharf/gossip/fleet_loads.h"
+#include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/gossip/rotation.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/datagram.h"
@@ -116,6 +119,9 @@
   void SumLoads(TimePoint now);
   /// Takes what peers prove of the configuration and the list of endpoints.
   void AdoptProofs(TimePoint now);
+  /// Logs that a beacon of \p size bytes could not be sent, if \p error says
+  /// so.
+  void NoteSend(const std::error_code& error, std::size_t size, TimePoint now);
   void OnDatagram(const std::string& sender, std::string_view payload);
   void AdoptSuspicion(const gossip::Suspicion& one, TimePoint now);
   void AdoptFrom(const gossip::Beacon& beacon, TimePoint now);
@@ -133,6 +139,12 @@
   std::function<void(const std::string&)> engine_silent;
   std::vector<gossip::EngineFact> facts;
   gossip::Rotation rotation;
+  /// The endpoints that this instance, if it is a hub, tells of now.
+  gossip::KeyRanges ranges;
+  gossip::KeyRange about;
+  /// What the leader has told of them.
+  gossip::FleetLoads fleet_loads;
+  TimePoint send_failure_logged{Duration(-1'000'000'000)};
   /// Newest stamp by datagram address.
   std::map<std::string, Stamp> stamps;
   std::set<std::string> live_before;
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -1,5 +1,6 @@
 #include "toucanwharf/gossip/beacon.h"
 
+#include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
 
@@ -12,7 +13,7 @@
 
 /// Another layout of the message gets another number, and is ignored by
 /// instances that don't know it.
-constexpr std::uint64_t kFormat = 6;
+constexpr std::uint64_t kFormat = 7;
 
 Json AgeOrNull(const std::optional<Duration>& age) {
   return age ? Json(age->count()) : Json();
@@ -132,6 +133,8 @@
   beacon.endpoints_age = AgeOf(json.at("ea"));
   beacon.stamp = json.at("t").get<std::int64_t>();
   beacon.loads = LoadsOf(json.at("o"));
+  beacon.about = {json.at("kr").at(0).get<std::uint32_t>(),
+                  json.at("kr").at(1).get<std::uint32_t>()};
   beacon.fleet_loads = KeyedLoadsOf(json.at("fo"));
   beacon.suspicions = SuspicionsOf(json.at("q"));
   beacon.facts = FactsOf(json.at("f"));
@@ -141,8 +144,33 @@
   return beacon;
 }
 
+/// Keeps the first \p most of \p list in the order of \p before.
+template <typename T, typename Order>
+void KeepFirst(std::vector<T>& list, std::size_t most, Order before) {
+  if (list.size() <= most) return;
+  std::nth_element(list.begin(),
+                   list.begin() + static_cast<std::ptrdiff_t>(most), list.end(),
+                   before);
+  list.resize(most);
+}
+
 }  // namespace
 
+void KeepToDatagram(Beacon& beacon) {
+  // Beside one part of what the leader tells, both stay below 64 KB with ids of
+  // 36 bytes.
+  constexpr std::size_t kMostLoads = 500;
+  constexpr std::size_t kMostSuspicions = 200;
+  KeepFirst(beacon.loads, kMostLoads,
+            [](const EndpointLoad& left, const EndpointLoad& right) {
+              return left.token_layers > right.token_layers;
+            });
+  KeepFirst(beacon.suspicions, kMostSuspicions,
+            [](const Suspicion& left, const Suspicion& right) {
+              return left.remaining > right.remaining;
+            });
+}
+
 EncodedBeacon::EncodedBeacon(const Beacon& beacon) {
   const Json json = {{"format", kFormat},
                      {"i", beacon.instance},
@@ -160,6 +188,7 @@
                      {"ea", AgeOrNull(beacon.endpoints_age)},
                      {"t", beacon.stamp},
                      {"o", LoadsToJson(beacon.loads)},
+                     {"kr", {beacon.about.first, beacon.about.last}},
                      {"fo", KeyedLoadsToJson(beacon.fleet_loads)},
                      {"q", SuspicionsToJson(beacon.suspicions)},
                      {"f", FactsToJson(beacon.facts)},
--- /dev/null
+++ b/lib/gossip/fleet_loads.cc
@@ -0,0 +1,20 @@
+#include "toucanwharf/gossip/fleet_loads.h"
+
+namespace toucanwharf::gossip {
+
+void FleetLoads::Take(const KeyRange& about,
+                      const std::vector<KeyedLoad>& loads) {
+  this->by_key.erase(this->by_key.lower_bound(about.first),
+                     this->by_key.upper_bound(about.last));
+  for (const KeyedLoad& load : loads) {
+    if (about.Contains(load.key)) this->by_key[load.key] = load;
+  }
+}
+
+std::vector<KeyedLoad> FleetLoads::All() const {
+  std::vector<KeyedLoad> all;
+  for (const auto& [key, load] : this->by_key) all.push_back(load);
+  return all;
+}
+
+}  // namespace toucanwharf::gossip
--- a/lib/gossip/rotation.cc
+++ b/lib/gossip/rotation.cc
@@ -22,10 +22,11 @@
   const std::size_t all = audience.near.size() + audience.far.size();
   const bool turn =
       audience.is_hub && this->round % this->settings.hub_every == 0;
-  if (all <= this->settings.everyone_up_to || turn) {
-    std::vector<std::string> everyone = audience.near;
-    everyone.insert(everyone.end(), audience.far.begin(), audience.far.end());
-    return everyone;
+  this->everyone = all <= this->settings.everyone_up_to || turn;
+  if (this->everyone) {
+    std::vector<std::string> told = audience.near;
+    told.insert(told.end(), audience.far.begin(), audience.far.end());
+    return told;
   }
   std::vector<std::string> chosen;
   if (!audience.leader.empty()) chosen.push_back(audience.leader);
--- a/lib/http/datagram.cc
+++ b/lib/http/datagram.cc
@@ -76,14 +76,14 @@
   this->state->socket.close(ignored);
 }
 
-void DatagramSocket::Send(const std::string& address,
-                          std::string_view payload) {
+std::error_code DatagramSocket::Send(const std::string& address,
+                                     std::string_view payload) {
   const auto endpoint = ParseUdp(address);
-  if (!endpoint) return;
-  Code ignored;
+  if (!endpoint) return std::make_error_code(std::errc::invalid_argument);
+  Code error;
   this->state->socket.send_to(
-      boost::asio::buffer(payload.data(), payload.size()), *endpoint, 0,
-      ignored);
+      boost::asio::buffer(payload.data(), payload.size()), *endpoint, 0, error);
+  return {error.value(), std::generic_category()};
 }
 
 }  // namespace toucanwharf::http
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -32,6 +32,8 @@
 /// killed, and its answers with it: engines are not as full as it last said,
 /// just when its callers come back to the others. Two beacons may be lost.
 constexpr Duration kLoadsCountFor = std::chrono::milliseconds(600);
+/// Hundreds of beacons that can't be sent are one line.
+constexpr Duration kBetweenSendFailures = std::chrono::seconds(1);
 
 std::string IpOf(const std::string& address) {
   return address.substr(0, address.rfind(':'));
@@ -121,7 +123,11 @@
                           : this->rotation.SilentAfter(near));
   this->AdoptProofs(now);
   if (large && hub) this->SumLoads(now);
-  this->Tell(this->rotation.Next(this->MakeAudience(now)), 0);
+  auto told = this->rotation.Next(this->MakeAudience(now));
+  if (this->rotation.WentToEveryone()) {
+    this->about = this->ranges.Next(this->beliefs.endpoints.All().size());
+  }
+  this->Tell(std::move(told), 0);
   this->LogPeers(now);
   this->loop.After(this->rotation.Period(), [this] { this->Tick(); });
 }
@@ -231,21 +237,25 @@
 }
 
 void PeerLink::AddFleet(gossip::Beacon& beacon, TimePoint now) const {
+  beacon.about = this->about;
   for (const gossip::EngineFact& fact : this->facts) {
     const endpoints::Endpoint* endpoint =
         this->beliefs.endpoints.Find(fact.endpoint);
     if (endpoint == nullptr || endpoint->born != fact.born) continue;
-    beacon.facts.push_back({endpoints::EndpointKey(*endpoint), fact.layers,
-                            fact.slowdown, fact.token_layers});
+    const std::uint32_t key = endpoints::EndpointKey(*endpoint);
+    if (!this->about.Contains(key)) continue;
+    beacon.facts.push_back(
+        {key, fact.layers, fact.slowdown, fact.token_layers});
   }
   if (!this->SpeaksForFleet(now)) return;
   for (const gossip::EndpointLoad& load : this->beliefs.loads.All()) {
     const endpoints::Endpoint* endpoint =
         this->beliefs.endpoints.Find(load.endpoint);
     if (endpoint == nullptr) continue;
-    beacon.fleet_loads.push_back({endpoints::EndpointKey(*endpoint),
-                                  load.answers, load.token_layers,
-                                  load.first_of});
+    const std::uint32_t key = endpoints::EndpointKey(*endpoint);
+    if (!this->about.Contains(key)) continue;
+    beacon.fleet_loads.push_back(
+        {key, load.answers, load.token_layers, load.first_of});
   }
   const bool tells_all = this->beliefs.peers.Large(now) && this->HearsAll(now);
   if (tells_all) beacon.ready_instances = this->ReadyInstances(now);
@@ -272,6 +282,7 @@
   if (addresses.empty()) return;
   const TimePoint now = this->loop.Now();
   gossip::Beacon beacon = this->MakeBeacon(now);
+  gossip::KeepToDatagram(beacon);
   if (content == Content::kFleet) this->AddFleet(beacon, now);
   const gossip::EncodedBeacon usual(beacon);
   const std::string leader = this->beliefs.peers.Leader(now);
@@ -295,12 +306,23 @@
         address == leader ||
         std::find(deputies.begin(), deputies.end(), address) != deputies.end();
     const gossip::EncodedBeacon& known_as = to_hub ? usual : to_followers;
-    this->socket->Send(
-        address,
-        (introduce ? introducing : known_as).For(last.at, last.instance));
+    const std::string bytes =
+        (introduce ? introducing : known_as).For(last.at, last.instance);
+    this->NoteSend(this->socket->Send(address, bytes), bytes.size(), now);
   }
 }
 
+void PeerLink::NoteSend(const std::error_code& error, std::size_t size,
+                        TimePoint now) {
+  if (!error || now - this->send_failure_logged < kBetweenSendFailures) return;
+  this->send_failure_logged = now;
+  this->logger.Write(Level::kNotable, "beacon_not_sent",
+                     Fields()
+                         .Text("error", error.message())
+                         .Count("bytes", static_cast<std::int64_t>(size)),
+                     now);
+}
+
 /// Whoever is not heard of may be new, and knows nobody yet. In a large fleet
 /// those of other failure domains are seldom heard of, but once is enough.
 bool PeerLink::MayKnowNobody(const std::string& address, TimePoint now) const {
@@ -370,13 +392,17 @@
 /// words on their loads are seconds old, but for the leader's, which has heard
 /// all lately.
 void PeerLink::AdoptFleet(const gossip::Beacon& beacon, TimePoint now) {
+  // The turn of a part comes after that of all others.
+  const auto others = static_cast<std::int64_t>(beacon.about.Parts() - 1);
+  const TimePoint facts_until =
+      now + kFactsFor + this->rotation.HubPeriod() * others;
   for (const gossip::KeyedFact& fact : beacon.facts) {
     const endpoints::Endpoint* endpoint =
         this->beliefs.endpoints.FindByKey(fact.key);
     if (endpoint == nullptr) continue;
     this->beliefs.loads.SetFact({endpoint->id, endpoint->born, fact.layers,
                                  fact.slowdown, fact.token_layers},
-                                now + kFactsFor);
+                                facts_until);
   }
   const bool follows = this->beliefs.peers.Large(now) && !this->beliefs.leads;
   if (!follows) return;
@@ -386,9 +412,14 @@
   for (const std::uint32_t number : beacon.ready_instances) {
     this->beliefs.peers.NoteSign(gossip::AddressOf(number, port), now);
   }
-  if (beacon.fleet_loads.empty() || this->beliefs.deputy) return;
+  // Without loads, only one that hears all says that endpoints are idle.
+  const bool tells_loads =
+      !beacon.fleet_loads.empty() || !beacon.ready_instances.empty();
+  // A deputy adds up what it hears itself.
+  if (!tells_loads || this->beliefs.deputy) return;
+  this->fleet_loads.Take(beacon.about, beacon.fleet_loads);
   std::vector<gossip::EndpointLoad> loads;
-  for (const gossip::KeyedLoad& load : beacon.fleet_loads) {
+  for (const gossip::KeyedLoad& load : this->fleet_loads.All()) {
     const endpoints::Endpoint* endpoint =
         this->beliefs.endpoints.FindByKey(load.key);
     if (endpoint == nullptr) continue;
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -8,6 +8,8 @@
 #include "toucanwharf/gossip/beacon.h"
 #include "toucanwharf/gossip/candidacy.h"
 #include "toucanwharf/gossip/deputies.h"
+#include "toucanwharf/gossip/fleet_loads.h"
+#include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/roster.h"
 #include "toucanwharf/gossip/rotation.h"
@@ -53,6 +55,7 @@
   beacon.echo_of = "receiver";
   beacon.loads = {{"engine", 2, 300, 1}};
   beacon.suspicions = {{"engine", milliseconds(20), true}};
+  beacon.about = {5, *rc::gen::inRange<std::uint32_t>(5, 1U << 31)};
   beacon.facts = {{7, {0, 26}, 1.5, 4000}};
   beacon.fleet_loads = {{0xfffffffe, 12, 700000, 3}, {8, 1, 2000, 0}};
   beacon.ready_instances = {0x0a010028};
@@ -63,6 +66,75 @@
   RC_ASSERT(*read == beacon);
 }
 
+/// What a leader that tells of \p endpoints endpoints, all loaded, and has as
+/// much under way itself, sends in one round.
+Beacon WordOn(std::size_t endpoints, KeyRanges& ranges) {
+  constexpr std::uint32_t kSpread = 0x9e3779b1;
+  constexpr std::size_t kInstances = 420;
+  const std::string id(36, 'e');
+  Beacon beacon = MakeBeacon("leader", 1);
+  for (std::size_t at = 0; at < endpoints; ++at) {
+    beacon.loads.push_back({id + std::to_string(at), 190, 70e6, 12});
+    beacon.suspicions.push_back(
+        {id + std::to_string(at), milliseconds(2900), true});
+  }
+  KeepToDatagram(beacon);
+  beacon.about = ranges.Next(endpoints);
+  for (std::uint32_t at = 0; at < endpoints; ++at) {
+    const std::uint32_t key = at * kSpread;
+    if (!beacon.about.Contains(key)) continue;
+    beacon.facts.push_back({key, {1000, 1080}, 12.5, 70e6});
+    beacon.fleet_loads.push_back({key, 190, 70e6, 12});
+  }
+  beacon.ready_instances.assign(kInstances, 0x0a010028);
+  return beacon;
+}
+
+// Guards against a leader of thousands of endpoints that nobody hears, since
+// its word is larger than a datagram.
+BOOST_AUTO_TEST_CASE(WordOnThousandsOfEndpointsFitsADatagram) {
+  constexpr std::size_t kLargestDatagram = 65507;
+  for (const std::size_t endpoints : {800U, 3000U, 10000U}) {
+    KeyRanges ranges;
+    for (int round = 0; round < 20; ++round) {
+      BOOST_TEST(Encode(WordOn(endpoints, ranges)).size() <= kLargestDatagram);
+    }
+  }
+}
+
+// Guards against endpoints of a large fleet that no message is about.
+BOOST_AUTO_TEST_CASE(PartsTellOfAllEndpointsByTurns) {
+  constexpr std::size_t kEndpoints = 3000;
+  KeyRanges ranges;
+  FleetLoads heard;
+  for (int round = 0; round < 5; ++round) {
+    const Beacon word = WordOn(kEndpoints, ranges);
+    BOOST_TEST(word.about.Parts() == 5U);
+    heard.Take(word.about, word.fleet_loads);
+  }
+  BOOST_TEST(heard.All().size() == kEndpoints);
+}
+
+// Guards against a lost message after which the sums of loads are wrong: every
+// part stands alone, and says which endpoints have become idle.
+BOOST_AUTO_TEST_CASE(PartReplacesWhatItIsAboutAndNothingElse) {
+  const KeyRange low{0, 99};
+  const KeyRange high{100, 199};
+  FleetLoads heard;
+  heard.Take(low, {{1, 2, 3000, 1}, {50, 1, 1000, 0}});
+  heard.Take(high, {{150, 4, 5000, 2}});
+  heard.Take(low, {{50, 6, 7000, 3}});
+  const std::vector<KeyedLoad> expected = {{50, 6, 7000, 3}, {150, 4, 5000, 2}};
+  BOOST_TEST((heard.All() == expected));
+}
+
+BOOST_AUTO_TEST_CASE(FewEndpointsAreOnePart) {
+  KeyRanges ranges;
+  for (const std::size_t endpoints : {0U, 1U, 211U, 600U}) {
+    BOOST_TEST((ranges.Next(endpoints) == KeyRange{}));
+  }
+}
+
 // Bytes of another sender, or of another build, are no beacon.
 RC_BOOST_PROP(AnyBytesAreReadSafely, (const std::string& bytes)) {
   const auto read = Decode(bytes);
@@ -244,6 +316,7 @@
   for (int round = 0; round < 10; ++round) {
     const std::size_t told = rotation.Next(audience).size();
     if (told == 85U) ++whole;
+    BOOST_TEST(rotation.WentToEveryone() == (told == 85U));
     BOOST_TEST((told == 85U || told == 1 + audience.deputies.size()));
   }
   BOOST_TEST(whole == 5);
