At a start of all, the strong instances read the store and the others get copies

Change: instances with a fifth of a core or more, of which a large fleet has some in each failure domain, read at once; the others wait for copies (deflated, from peers) and read by turns, forty a second, if none comes within a second. In a fleet of up to 17 everyone reads as before.

Test FewReadWhenAllStartAtOnce: 15 of 300 read at the start (300 before), and less than a quarter in the first two seconds where all strong ones are gone.

--- a/include/toucanwharf/instance/beliefs.h
+++ b/include/toucanwharf/instance/beliefs.h
@@ -41,6 +41,8 @@
   std::optional<TimePoint> stopping_since;
   /// Whether it holds the placement lease.
   bool leads = false;
+  /// Whether the list of instances was read from the store.
+  bool knows_instances = false;
 
   /// Returns whether requests can be judged: the configuration and the list of
   /// endpoints are known, and keys may be admitted.
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -46,7 +46,9 @@
         sync(
             this->loop, this->store, this->beliefs, this->logger, this->lists,
             [this] { this->OnChange(); },
-            StoreSyncTimes(this->settings.bounds.configuration)),
+            StoreSyncTimes(this->settings.bounds.configuration),
+            gossip::FirstRead(this->settings.processor_share, this->loop.Now(),
+                              this->random.Unit())),
         placement(this->loop, this->client, this->store, this->beliefs,
                   this->peers, this->logger, this->settings) {}
 
@@ -232,7 +234,7 @@
             if (one) registered.push_back(std::move(*one));
           }
           this->peers.AddRegistered(registered);
-          this->knows_instances = true;
+          this->beliefs.knows_instances = true;
           this->ShareBudget(this->loop.Now());
         });
   }
@@ -243,7 +245,7 @@
   void ShareBudget(TimePoint now) {
     const Duration window = this->settings.budget.window;
     const bool long_enough = now - this->started >= window;
-    if (!this->knows_instances && !long_enough) return;
+    if (!this->beliefs.knows_instances && !long_enough) return;
     this->gateway.SetSharers({this->beliefs.peers.Instances(now),
                               this->beliefs.peers.StartedWithin(window, now)});
   }
@@ -314,8 +316,6 @@
   StoreSync<A> sync;
   PlacementDriver<A> placement;
   TimePoint started{this->loop.Now()};
-  /// The list of instances was read from the store.
-  bool knows_instances = false;
   bool keys_held = false;
   bool was_ready = false;
   std::unique_ptr<http::Server> front;
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/gossip/first_read.h"
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/beliefs.h"
@@ -78,19 +79,19 @@
   StoreSync(http::Loop& event_loop, Store& object_store,
             Beliefs& shared_beliefs, eventlog::Logger& log,
             EndpointListLog& list_log, std::function<void()> on_change,
-            const StoreSyncTimes& chosen)
+            const StoreSyncTimes& chosen, const gossip::FirstRead& at_start)
       : loop(event_loop),
         store(object_store),
         beliefs(shared_beliefs),
         logger(log),
         lists(list_log),
         changed(std::move(on_change)),
-        times(chosen) {}
+        times(chosen),
+        first_read(at_start) {}
 
   /// Begins to read.
   void Start() {
-    this->ReadConfiguration();
-    this->ListEndpoints();
+    this->Look();
     this->loop.Every(this->times.look_period, [this] { this->Look(); });
   }
 
@@ -123,8 +124,9 @@
     const bool large = this->beliefs.peers.Large(now);
     const Duration period = this->Period(large);
     const auto age = this->beliefs.freshness.Age(now);
-    const bool reads = this->reading_configuration;
-    if (!reads && this->Due(age, period, this->configuration_asked, now)) {
+    const bool may_begin = this->MayReadFirst(now);
+    if (!this->reading_configuration && (age || may_begin) &&
+        this->Due(age, period, this->configuration_asked, now)) {
       this->LogOwnRead("configuration", age, now);
       this->ReadConfiguration();
     }
@@ -134,12 +136,22 @@
     }
     // While the store is away one question at a time looks for its return.
     if (this->store_answers && !this->listing_endpoints &&
+        (list_age || may_begin) &&
         this->Due(list_age, period, this->endpoints_asked, now)) {
       this->LogOwnRead("endpoints", list_age, now);
       this->ListEndpoints();
     }
   }
 
+  /// Returns whether to read what was never proved here.
+  bool MayReadFirst(TimePoint now) const {
+    std::optional<std::size_t> instances;
+    if (this->beliefs.knows_instances) {
+      instances = this->beliefs.peers.Instances(now);
+    }
+    return this->first_read.MayRead(instances, now);
+  }
+
   /// Returns how old the newest proof may be.
   Duration Period(bool large) const {
     if (this->beliefs.leads) return this->times.ReaderPeriod(large);
@@ -260,8 +272,10 @@
   EndpointListLog& lists;
   std::function<void()> changed;
   StoreSyncTimes times;
-  TimePoint configuration_asked;
-  TimePoint endpoints_asked;
+  gossip::FirstRead first_read;
+  /// Long ago: the first reads needn't wait.
+  TimePoint configuration_asked{Duration(-1'000'000'000)};
+  TimePoint endpoints_asked{Duration(-1'000'000'000)};
   /// A read is under way. A second one beside it would take the bytes that the
   /// first waits for.
   bool reading_configuration = false;
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -8,6 +8,7 @@
 #include "toucanwharf/gossip/beacon.h"
 #include "toucanwharf/gossip/candidacy.h"
 #include "toucanwharf/gossip/deputies.h"
+#include "toucanwharf/gossip/first_read.h"
 #include "toucanwharf/gossip/fleet_loads.h"
 #include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/gossip/peer_table.h"
@@ -322,6 +323,35 @@
   BOOST_TEST(whole == 5);
 }
 
+// Guards against a large fleet that serves nothing for seconds after all its
+// processes were killed, since each asks the store for all of its lists: the
+// few strong ones read, and the others only if nobody has told them.
+BOOST_AUTO_TEST_CASE(FewReadWhenAllStartAtOnce) {
+  constexpr std::size_t kInstances = 300;
+  constexpr std::size_t kStrong = 15;
+  const auto reading = [&](TimePoint now) {
+    std::size_t count = 0;
+    for (std::size_t at = 0; at < kInstances; ++at) {
+      const double unit = static_cast<double>(at) / kInstances;
+      const FirstRead one(at < kStrong ? 0.5 : 0.12, At(0), unit);
+      if (one.MayRead(kInstances, now)) ++count;
+    }
+    return count;
+  };
+  BOOST_TEST(reading(At(0)) == kStrong);
+  BOOST_TEST(reading(At(999)) == kStrong);
+  // Where all strong ones are gone, one of the others is soon the first.
+  BOOST_TEST(reading(At(1500)) > kStrong);
+  BOOST_TEST(reading(At(2000)) < kInstances / 4);
+  BOOST_TEST(reading(At(9000)) == kInstances);
+}
+
+BOOST_AUTO_TEST_CASE(InstanceOfASmallFleetReadsAtOnce) {
+  const FirstRead weak(0.12, At(0), 0.9);
+  BOOST_TEST(!weak.MayRead(std::nullopt, At(10)));
+  BOOST_TEST(weak.MayRead(6, At(10)));
+}
+
 // The holder of the lease lost the store, and 86 instances asked for the lease
 // at the same moment: hundreds of calls for one winner. The strongest try
 // first, and the others only if none of them could.
