An instance that the store turns away keeps no endpoint that left

An instance whose own reads fail kept every endpoint that a newer list of its peers lacked, for as long as its newest failure was later than the newest read that a peer vouched for; reads that fail are repeated each 0.3 to 1.2 s, and proofs are about a second old, so that could last all the while. It also told peers that took its list to keep them for two seconds more.

Tests: InstanceThatIsTurnedAwayKeepsNoEndpointThatLeft (2 endpoints kept, 2 s told to peers before), FailureThatEndsAfterThePeersReadHidesNoOutage (2 dropped before).

--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -133,9 +133,16 @@
  private:
   using ById = std::map<std::string, Endpoint>;
 
+  /// Returns whether the store has answered nobody for so long that entries may
+  /// have run out.
+  bool OutageGoesOn() const {
+    return this->away_since &&
+           (!this->answered_at ||
+            *this->away_since - *this->answered_at >= this->shortest_outage);
+  }
   /// Returns whether entries may be missing of endpoints that live.
   bool KeepsMissing() const {
-    return this->away_since ||
+    return this->OutageGoesOn() ||
            this->confirmed_at.value_or(TimePoint{}) < this->kept_until;
   }
   /// Puts \p next into use.
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -41,8 +41,10 @@
 void EndpointTable::OnStoreAnswered(TimePoint read, TimePoint now) {
   const auto before = std::exchange(
       this->answered_at, std::max(this->answered_at.value_or(read), read));
-  if (!this->away_since || read < *this->away_since) return;
-  this->away_since.reset();
+  if (!this->away_since) return;
+  // A read of this instance that failed may have been begun before the one that
+  // was answered, and have ended after it.
+  if (read >= *this->away_since) this->away_since.reset();
   const bool outage = !before || read - *before >= this->shortest_outage;
   if (outage) this->kept_until = now + this->outage_grace;
 }
@@ -103,7 +105,7 @@
     auto& into = this->kept.contains(id) ? list.kept : list.endpoints;
     into.push_back(one);
   }
-  list.kept_for = this->away_since
+  list.kept_for = this->OutageGoesOn()
                       ? this->outage_grace
                       : std::max(Duration(0), this->kept_until - now);
   list.revision = this->changed_revision;
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -169,6 +169,35 @@
   BOOST_TEST(table.Kept() == 0U);
 }
 
+// Guards against endpoints that an instance uses for as long as the store turns
+// it away, though its peers hand it newer lists, and against peers that take
+// that from it (I5).
+BOOST_AUTO_TEST_CASE(InstanceThatIsTurnedAwayKeepsNoEndpointThatLeft) {
+  EndpointTable table(kGrace, kShortestOutage);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  for (int at = 1000; at <= 6000; at += 300) {
+    table.OnStoreAway(At(at));
+    table.OnStoreAnswered(At(at - 1000), At(at));
+  }
+  SharedList list;
+  list.endpoints = {MakeEndpoint("two")};
+  list.revision = 11;
+  BOOST_TEST(table.Adopt(list, At(6100)));
+  BOOST_TEST(Ready(table) == 1U);
+  BOOST_TEST(table.Share(At(6100)).kept_for.count() == 0);
+}
+
+// Guards against an outage whose end a peer saw while the last read of this
+// instance was still failing.
+BOOST_AUTO_TEST_CASE(FailureThatEndsAfterThePeersReadHidesNoOutage) {
+  EndpointTable table(kGrace, kShortestOutage);
+  List(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 10, At(0));
+  table.OnStoreAway(At(5500));
+  table.OnStoreAnswered(At(5100), At(5600));
+  List(table, {}, 20, At(5900));
+  BOOST_TEST(Ready(table) == 2U);
+}
+
 // Guards against a peer's word that the store is back from an outage, with a
 // list not known here yet, which takes the grace from the entries missing in
 // it.
