Who reads first after a start tells its failure domain at once

Now an instance that reads first tells its domain, once, as soon as it has both; and a process that has nothing yet fetches without a delay.

--- a/include/toucanwharf/gossip/first_read.h
+++ b/include/toucanwharf/gossip/first_read.h
@@ -24,6 +24,12 @@
                          const FirstReadSettings&) = default;
 };
 
+/// Returns whether an instance that may use the part \p share of a core reads
+/// at once, and tells the others of its failure domain. Thread safety: safe.
+inline bool ReadsFirst(double share, const FirstReadSettings& settings = {}) {
+  return share >= settings.strong_share;
+}
+
 /// Decides when a process that has just started may read the store for what it
 /// doesn't have yet.
 ///
@@ -40,7 +46,7 @@
   FirstRead(double share, TimePoint start, double unit,
             const FirstReadSettings& chosen = {})
       : settings(chosen),
-        strong(share >= chosen.strong_share),
+        strong(ReadsFirst(share, chosen)),
         started(start),
         drawn(unit) {}
 
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -179,6 +179,7 @@
 
   void OnChange() {
     this->peers.AnnounceChange();
+    this->TellAtStart();
     if (!this->beliefs.table) return;
     const routes::CallerLimits& limits = this->beliefs.table->All().limits;
     this->front->SetLimits({limits.max_header_bytes, limits.max_body_bytes,
@@ -235,10 +236,23 @@
           }
           this->peers.AddRegistered(registered);
           this->beliefs.knows_instances = true;
+          this->TellAtStart();
           this->ShareBudget(this->loop.Now());
         });
   }
 
+  /// Tells the failure domain, once, that this process has what others that
+  /// have just started wait for.
+  void TellAtStart() {
+    const bool reads_first = gossip::ReadsFirst(this->settings.processor_share);
+    const bool has = this->beliefs.knows_instances && this->beliefs.table &&
+                     this->beliefs.endpoints.Revision() > 0;
+    if (!reads_first || !has || std::exchange(this->told_at_start, true)) {
+      return;
+    }
+    this->peers.AnnounceToDomain();
+  }
+
   /// Tells the gateway who shares the budget of extra arrivals, once that is
   /// known. If the store has not told it for a whole window, those count that
   /// were heard of.
@@ -316,6 +330,7 @@
   StoreSync<A> sync;
   PlacementDriver<A> placement;
   TimePoint started{this->loop.Now()};
+  bool told_at_start = false;
   bool keys_held = false;
   bool was_ready = false;
   std::unique_ptr<http::Server> front;
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -58,6 +58,9 @@
   /// all others of every change that it has just learned, a change would cost
   /// 7,300 messages.
   void AnnounceChange();
+  /// Sends beacons at once to the peers of a large fleet in the own failure
+  /// domain.
+  void AnnounceToDomain();
   /// Tells of an engine that turned out to be silent: everyone in a small
   /// fleet, in a large one the leader, which tells everyone.
   void AnnounceSilentEngine();
--- a/lib/instance/peer_copies.cc
+++ b/lib/instance/peer_copies.cc
@@ -150,8 +150,10 @@
     const std::uint64_t revision = RevisionIn(beacon, kind);
     if (revision <= this->KnownHere(kind)) continue;
     if (std::exchange(this->Fetching(kind), true)) continue;
-    const bool large = this->beliefs.peers.Large(this->loop.Now());
-    const Duration delay = large ? this->UpTo(kFetchSpread) : Duration(0);
+    // A process that has none serves nobody until it comes.
+    const bool waits = this->beliefs.peers.Large(this->loop.Now()) &&
+                       this->KnownHere(kind) > 0;
+    const Duration delay = waits ? this->UpTo(kFetchSpread) : Duration(0);
     this->FetchAfter(delay, {kind, revision, beacon.control_address, 0});
   }
 }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -201,6 +201,14 @@
   if (!by_leader) this->Announce();
 }
 
+void PeerLink::AnnounceToDomain() {
+  const TimePoint now = this->loop.Now();
+  const gossip::PeerTable& peers = this->beliefs.peers;
+  if (!peers.Large(now)) return;
+  this->SendTo(peers.AddressesNear(this->settings.failure_domain, now),
+               Content::kOwn);
+}
+
 void PeerLink::AnnounceSilentEngine() {
   const TimePoint now = this->loop.Now();
   const std::string leader = this->beliefs.peers.Leader(now);
