Log what a broken run was: its content, and how far it had come

Cause of this change: the logs could not tell a request that crashes engines from its neighbours or from retries that overload the next engine, as a line has only the id, which changes at each return.

The content is hashed only for a broken run.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -80,6 +80,7 @@
   std::uint64_t queued = 0;
   std::uint64_t extra_arrivals = 0;
   std::uint64_t retries_denied = 0;
+  std::uint64_t broken_runs = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
 
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -90,6 +90,8 @@
   writer.Counter("retries_denied",
                  "further tries that the budget of extra arrivals forbade",
                  counters.retries_denied);
+  writer.Counter("broken_runs", "runs whose connection to the endpoint broke",
+                 counters.broken_runs);
   writer.Latencies("plain_seconds", "time to the end of a plain answer",
                    counters.plain_latency);
   writer.Latencies("first_event_seconds", "time to a stream's first event",
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -178,6 +178,7 @@
   if (this->finished || this->call == 0) return;
   this->has_head = true;
   this->last_data = this->gateway.loop.Now();
+  this->head_at = this->last_data;
   this->head = answer;
   this->ClassifyHead(answer);
 }
@@ -262,6 +263,7 @@
     return;
   }
   if (result.end != http::CallEnd::kComplete) {
+    if (result.sent) this->LogBrokenRun();
     this->EndAttempt(
         result.sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
         "broken");
@@ -287,6 +289,28 @@
   this->Finish("answered", this->head.status);
 }
 
+quarantine::Fingerprint ProxiedRequest::ContentFingerprint() {
+  if (!this->fingerprint) {
+    const http::Request& received = this->exchange->Received();
+    this->fingerprint =
+        quarantine::FingerprintOf({this->admitted.customer, received.method,
+                                   received.target, received.body});
+  }
+  return *this->fingerprint;
+}
+
+void ProxiedRequest::LogBrokenRun() {
+  ++this->gateway.counters.broken_runs;
+  Fields fields;
+  fields.Text("endpoint", this->target.endpoint)
+      .Text("content", quarantine::ToText(this->ContentFingerprint()))
+      .Count("pieces", this->chunks_written);
+  if (this->has_head) {
+    fields.Millis("ran_ms", this->gateway.loop.Now() - this->head_at);
+  }
+  this->Log(Level::kNotable, "run_broken", fields);
+}
+
 void ProxiedRequest::FinishPlain() {
   http::ResponseHead out;
   out.status = this->head.status;
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -14,6 +14,7 @@
 #include "toucanwharf/http/event_splitter.h"
 #include "toucanwharf/instance/gateway.h"
 #include "toucanwharf/placement/path_finder.h"
+#include "toucanwharf/quarantine/fingerprint.h"
 
 namespace toucanwharf::instance {
 
@@ -122,6 +123,11 @@
   /// capacity was in use.
   void RecordRefusal(const std::string& endpoint, bool full);
   void AwaitCapacity(attempts::AttemptOutcome outcome, std::string_view reason);
+  /// Returns what stands for this request's content, whatever its id.
+  quarantine::Fingerprint ContentFingerprint();
+  /// Logs what tells a request that crashes endpoints from one that was only
+  /// there: the same content at several ends, and how far its run had come.
+  void LogBrokenRun();
   void OnDeadline();
   void OnCallerDisconnected();
 
@@ -159,6 +165,9 @@
   Duration first_event_after{0};
   TimePoint attempt_started;
   TimePoint last_data;
+  /// When the response head of the current attempt arrived.
+  TimePoint head_at;
+  std::optional<quarantine::Fingerprint> fingerprint;
 
   http::ResponseHead head;
   bool has_head = false;
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -24,6 +24,8 @@
 tw_package(gossip DEPS toucanwharf_pipeline)
 tw_package(endpoints DEPS toucanwharf_gossip toucanwharf_placement)
 tw_package(eventlog DEPS toucanwharf_support absl::strings)
+tw_package(quarantine DEPS toucanwharf_support absl::strings
+  absl::str_format)
 tw_package(once DEPS toucanwharf_store)
 tw_package(control DEPS toucanwharf_records toucanwharf_store)
 # The stand-ins' computations, as a library for tests and tools.
@@ -40,7 +42,7 @@
     BOOST_ASIO_DISABLE_CONCEPTS BOOST_ALLOW_DEPRECATED_HEADERS)
   tw_package(instance DEPS toucanwharf_http toucanwharf_eventlog
     toucanwharf_endpoints toucanwharf_attempts toucanwharf_control
-    absl::strings absl::str_format)
+    toucanwharf_quarantine     absl::strings absl::str_format)
   file(GLOB adapter_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
   add_library(toucanwharf_adapter STATIC ${adapter_sources})
   target_include_directories(toucanwharf_adapter PUBLIC ${CMAKE_SOURCE_DIR})
