Process tests: programs under test inherit no sockets of the test

Seen: a stand-in endpoint that crashes and starts again could not listen at its address, and a crashed one accepted connections and never answered instead of refusing them. Cause: the routers, forked after the stand-ins listen, inherit the listening sockets, which the kernel keeps open. Every socket is now closed at exec.

--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -78,6 +78,9 @@
     dup2(output_to == OutputTo::kLog ? error_file : output_pipe[1],
          STDOUT_FILENO);
     dup2(error_file, STDERR_FILENO);
+    // Inherited, a listening socket of the test would accept connections after
+    // the test has closed it, and a crashed stand-in would seem to hang.
+    close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     execv(path.c_str(), pointers.data());
     _exit(kExecFailed);
   }
