A failing test: a request that crashes endpoints is sent on and on

The stand-in endpoints crash when they begin to run a request with a certain content, 15 ms after the begin, and are back after 0.8 s under a new id without layers. Three routers get it again and again under new ids for 11 s; later than 3 s after the third crash it may run three times more.

--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -89,6 +89,25 @@
   this->endpoints.erase(found);
 }
 
+void Endpoints::CrashAndRestart(const std::string& id) {
+  const auto found = this->endpoints.find(id);
+  if (found == this->endpoints.end()) return;
+  EndpointSpec spec = found->second.spec;
+  spec.id = absl::StrCat("restarted-", ++this->restarts);
+  this->Crash(id);
+  this->loop.After(kRestartDelay, [this, spec, id] {
+    this->store.Remove("servers", id);
+    this->Add(spec);
+  });
+}
+
+void Endpoints::CrashAfter(const std::string& id,
+                           const http::Request& request) {
+  const std::string_view content = kCrashingContent;
+  if (request.body != content && !request.target.ends_with(content)) return;
+  this->loop.After(kCrashDelay, [this, id] { this->CrashAndRestart(id); });
+}
+
 Endpoints::Endpoint* Endpoints::FindByAddress(const std::string& address) {
   for (auto& [id, endpoint] : this->endpoints) {
     if (endpoint.spec.address == address) return &endpoint;
@@ -194,16 +213,24 @@
   run.body = request.body;
   run.customer = std::string(request.headers.Get("X-Tenant"));
   run.headers = request.headers;
+  run.at = this->loop.Now();
   if (endpoint.spec.kind.empty()) {
     this->runs.push_back(std::move(run));
-    this->ServePlain(endpoint, *exchange);
+    this->CrashAfter(endpoint.spec.id, request);
+    this->ServePlain(endpoint, exchange);
     return;
   }
   this->ServeStream(endpoint, std::move(exchange));
 }
 
-void Endpoints::ServePlain(const Endpoint& endpoint, http::Exchange& exchange) {
+void Endpoints::ServePlain(Endpoint& endpoint,
+                           const std::shared_ptr<http::Exchange>& shared) {
+  http::Exchange& exchange = *shared;
   const http::Request& request = exchange.Received();
+  if (request.target.ends_with(kCrashingContent)) {
+    endpoint.unanswered.push_back(shared);
+    return;
+  }
   if (endpoint.fault == EndpointFault::kLosesAnswers) {
     exchange.Abort();
     return;
@@ -281,7 +308,10 @@
   run.target = request.target;
   run.headers = request.headers;
   run.first_event = last + 1;
+  run.body = request.body;
+  run.at = this->loop.Now();
   this->runs.push_back(run);
+  this->CrashAfter(endpoint.spec.id, request);
   http::ResponseHead head = HeadOf(http::kOk, request);
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -55,6 +55,8 @@
   http::Headers headers;
   /// Id of the first event of a stream.
   int first_event = 0;
+  /// When the endpoint began to run it.
+  TimePoint at;
 };
 
 /// All endpoints of the fleet, served by one event loop.
@@ -64,6 +66,13 @@
   /// Number of events in each streamed answer, and the time between two.
   static constexpr int kEvents = 20;
   static constexpr Duration kEventGap = std::chrono::milliseconds(20);
+  /// A request that has this body, or whose target ends with it, crashes each
+  /// endpoint that begins to run it.
+  static constexpr const char* kCrashingContent = "crash";
+  /// Time from the begin of such a run to the crash, and until the endpoint is
+  /// back, with a new id and no layers.
+  static constexpr Duration kCrashDelay = std::chrono::milliseconds(15);
+  static constexpr Duration kRestartDelay = std::chrono::milliseconds(800);
 
   /// Precondition: \p event_loop and \p registry outlive the object. Models
   /// have \p layer_count layers.
@@ -80,6 +89,10 @@
   /// Removes an endpoint: stops listening and aborts all its connections.
   void Crash(const std::string& id);
 
+  /// Removes an endpoint like Crash; after kRestartDelay another one starts at
+  /// its address.
+  void CrashAndRestart(const std::string& id);
+
   /// Returns the id of the endpoint at \p address; empty if there is none.
   std::string IdAt(const std::string& address);
 
@@ -121,7 +134,10 @@
   void HandleOrder(Endpoint& endpoint, http::Exchange& exchange);
   void HandleReport(const Endpoint& endpoint, http::Exchange& exchange);
   void Serve(Endpoint& endpoint, std::shared_ptr<http::Exchange> exchange);
-  void ServePlain(const Endpoint& endpoint, http::Exchange& exchange);
+  /// Crashes the endpoint \p id shortly if \p request is one that does so.
+  void CrashAfter(const std::string& id, const http::Request& request);
+  void ServePlain(Endpoint& endpoint,
+                  const std::shared_ptr<http::Exchange>& shared);
   void ServeStream(Endpoint& endpoint,
                    std::shared_ptr<http::Exchange> exchange);
   void SendNextEvent(const std::shared_ptr<Stream>& stream);
@@ -141,6 +157,7 @@
   std::vector<std::string> violations;
   std::uint64_t orders = 0;
   std::uint64_t reroutes = 0;
+  std::uint64_t restarts = 0;
   bool report_stalls = true;
 };
 
