--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -9,6 +9,7 @@
 
 #include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/pipeline/plan.h"
+#include "toucanwharf/quarantine/quarantine.h"
 #include "toucanwharf/support/clock.h"
 
 /// State exchange between instances: each sends its whole state, which is
@@ -122,6 +123,8 @@
   /// in flight.
   std::vector<KeyedLoad> fleet_loads;
   std::vector<Suspicion> suspicions;
+  /// Requests that were at crashes of endpoints, seen by any instance.
+  std::vector<quarantine::SuspectReport> suspects;
   /// From the leader only.
   std::vector<KeyedEngineStatus> engine_statuses;
   /// From the leader or a backup leader of a large fleet only: IPv4 addresses,
--- a/include/toucanwharf/instance/engine_probe.h
+++ b/include/toucanwharf/instance/engine_probe.h
@@ -18,6 +18,8 @@
 struct ProbeAnswer {
   /// False if the engine is unresponsive.
   bool alive = false;
+  /// Whether a connection was refused: no process listens at the address.
+  bool refused = false;
   /// The engine's report, if it could be parsed.
   std::optional<EndpointReport> report;
 
@@ -56,6 +58,7 @@
     bool repeated = false;
     /// A call ended in a way that only a live engine causes.
     bool liveness_seen = false;
+    bool refused = false;
     http::TimerId repeat_timer = 0;
   };
   struct Recent {
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -81,6 +81,7 @@
   std::uint64_t extra_arrivals = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t broken_runs = 0;
+  std::uint64_t quarantined = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
 
@@ -101,11 +102,19 @@
           const InstanceSettings& initial_settings, HeaderNames header_names,
           EngineCalls engine_calls);
 
-  /// Calls \p task when this instance finds an engine unresponsive, so that it
-  /// can notify the other instances.
-  void OnUnresponsiveEngine(std::function<void()> task) {
-    this->announce_unresponsive = std::move(task);
+  /// Calls \p task when this instance finds an engine unresponsive, or requests
+  /// at a crash, so that it can notify the other instances.
+  void OnEndpointFailure(std::function<void()> task) {
+    this->announce_failure = std::move(task);
   }
+  /// Calls \p task with a request that has a new crash, so that it can be
+  /// stored.
+  void OnCrash(std::function<void(const quarantine::Fingerprint&)> task) {
+    this->on_crash = std::move(task);
+  }
+  /// Decides from the list of endpoints whether those at which runs broke have
+  /// ended.
+  void ReviewBrokenRuns();
   /// Checks all answers that run through the unresponsive \p endpoint, and
   /// resumes or reroutes those that have stalled, without further probes.
   void RerouteAround(const std::string& endpoint);
@@ -135,6 +144,16 @@
     std::size_t bytes = 0;
   };
 
+  /// Where a run broke.
+  struct BrokenAt {
+    std::string endpoint;
+    std::string address;
+    std::uint32_t key = 0;
+    std::uint64_t start_time_ms = 0;
+    /// Whether the endpoint sends reports.
+    bool is_engine = false;
+  };
+
   /// Admits or refuses a request that arrived at \p arrived.
   void Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived);
   void AdmitEarly();
@@ -165,8 +184,20 @@
   void Enqueue(std::shared_ptr<ProxiedRequest> request);
   void ServeQueue();
 
+  /// Records that a run of \p request broke and finds out whether its endpoint
+  /// has ended.
+  void OnRunBroken(const quarantine::BrokenRun& run, const BrokenAt& at);
+  void OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer);
+  /// Records that the start of an endpoint that \p key stands for has ended.
+  void OnEndpointEnded(std::uint32_t key);
+  /// Records that a run shows that \p request crashes no endpoint.
+  void OnSuccess(const quarantine::Fingerprint& request);
+  /// Refuses \p exchange if \p request is in quarantine. Returns whether it is.
+  bool RefuseQuarantined(http::Exchange& exchange,
+                         const quarantine::Fingerprint& request);
   void Refuse(http::Exchange& exchange, int status, Duration retry_after,
-              std::string_view reason);
+              std::string_view reason,
+              const eventlog::Fields& more = eventlog::Fields());
   bool TooLateToAccept(TimePoint now) const;
 
   http::Loop& loop;
@@ -181,7 +212,8 @@
   GatewayCounters counters;
   EngineProbe probe;
   attempts::ProbeBackoff probe_backoff;
-  std::function<void()> announce_unresponsive;
+  std::function<void()> announce_failure;
+  std::function<void(const quarantine::Fingerprint&)> on_crash;
   /// All requests in flight.
   std::set<ProxiedRequest*> active;
   attempts::StartupWait startup_wait;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -66,8 +66,7 @@
           this->sync.Adopt(revision, text);
         },
         [this] { this->OnChange(); }));
-    this->gateway.OnUnresponsiveEngine(
-        [this] { this->peers.AnnounceUnresponsiveEngine(); });
+    this->gateway.OnEndpointFailure([this] { this->peers.AnnounceToAll(); });
     this->peers.OnUnresponsiveEngine([this](const std::string& endpoint) {
       this->gateway.RerouteAround(endpoint);
     });
@@ -275,6 +274,7 @@
   void RunHousekeeping() {
     const TimePoint now = this->loop.Now();
     this->UpdateBudgetSharers(now);
+    this->gateway.ReviewBrokenRuns();
     this->LogStateChanges(now);
     if (this->state.stopping_since) this->StopIfDone(now);
     this->logger.Flush();
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -11,6 +11,7 @@
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/ready_instance_list.h"
 #include "toucanwharf/instance/settings.h"
+#include "toucanwharf/quarantine/quarantine.h"
 #include "toucanwharf/routes/freshness.h"
 #include "toucanwharf/routes/route_table.h"
 
@@ -35,6 +36,7 @@
   endpoints::LoadTracker loads;
   gossip::PeerTable peers;
   gossip::ReadyInstanceList ready_list;
+  quarantine::Quarantine quarantine;
   /// Datagram addresses of the backup leaders of a large fleet, as last
   /// announced by the leader, or chosen among the registered instances before
   /// that; and whether this instance is one of them.
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -62,9 +62,10 @@
   /// In a large fleet, sends beacons immediately to the peers in this
   /// instance's failure domain.
   void AnnounceToDomain();
-  /// Announces an unresponsive engine: to every peer in a small fleet, and in a
-  /// large one to the leader, which forwards it to all.
-  void AnnounceUnresponsiveEngine();
+  /// Announces what every instance must act on at once, an unresponsive engine
+  /// or a crash: to every peer in a small fleet, and in a large one to the
+  /// leader, which forwards it to all.
+  void AnnounceToAll();
   /// Calls \p task with each engine that a peer reports as unresponsive.
   void OnUnresponsiveEngine(std::function<void(const std::string&)> task) {
     this->on_unresponsive = std::move(task);
@@ -103,7 +104,7 @@
   void SendInBatches(std::vector<std::string> addresses, std::size_t begin);
   void Tick();
   gossip::BeaconTargets MakeTargets(TimePoint now) const;
-  gossip::Beacon MakeBeacon(TimePoint now) const;
+  gossip::Beacon MakeBeacon(TimePoint now);
   void AddFleetState(gossip::Beacon& beacon, TimePoint now) const;
   /// Returns the instances that callers may be directed to, including this one.
   std::vector<std::uint32_t> ReadyInstances(TimePoint now) const;
@@ -129,6 +130,7 @@
                       TimePoint now);
   void OnDatagram(const std::string& sender, std::string_view payload);
   void ApplySuspicion(const gossip::Suspicion& suspicion, TimePoint now);
+  void ApplySuspects(const gossip::Beacon& beacon, TimePoint now);
   void ApplyBeacon(const gossip::Beacon& beacon, TimePoint now);
   void LogPeers(TimePoint now);
 
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -395,7 +395,7 @@
     if (known.failed_reports < kFailuresAsEvidence && !suspected) return;
     const bool newly_found = this->state.loads.MarkUnresponsive(
         id, now + this->times.unanswered_pause, now);
-    if (newly_found) this->peers.AnnounceUnresponsiveEngine();
+    if (newly_found) this->peers.AnnounceToAll();
   }
 
   void SendOrders(TimePoint now) {
--- a/include/toucanwharf/quarantine/fingerprint.h
+++ b/include/toucanwharf/quarantine/fingerprint.h
@@ -3,16 +3,20 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 namespace toucanwharf::quarantine {
 
-/// Stands for the content of a request, whatever its id: the customer, the
-/// method, the target and the body. Cryptographic, so that no caller can make a
-/// request that shares the fingerprint of another customer's.
+/// Stands for a request whatever its id. The content is hashed
+/// cryptographically, so that no caller can make a request with the fingerprint
+/// of another customer's.
 struct Fingerprint {
-  std::uint64_t value = 0;
+  /// Stands for the customer.
+  std::uint32_t customer = 0;
+  /// Stands for the customer, the method, the target and the body.
+  std::uint64_t content = 0;
 
   friend auto operator<=>(const Fingerprint&, const Fingerprint&) = default;
 };
@@ -31,8 +35,12 @@
 /// Precondition: only the body contains line breaks. Thread safety: safe.
 Fingerprint FingerprintOf(const RequestContent& content);
 
-/// Returns \p fingerprint as 16 hexadecimal digits. Thread safety: safe.
-std::string ToText(Fingerprint fingerprint);
+/// Returns \p fingerprint as "CUSTOMER-CONTENT" in hexadecimal digits.
+/// Thread safety: safe.
+std::string ToText(const Fingerprint& fingerprint);
+/// Parses what ToText returns; returns nothing for any other text.
+/// Thread safety: safe.
+std::optional<Fingerprint> FingerprintFromText(std::string_view text);
 
 }  // namespace toucanwharf::quarantine
 
--- /dev/null
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -0,0 +1,216 @@
+#ifndef TOUCANWHARF_QUARANTINE_QUARANTINE_H_
+#define TOUCANWHARF_QUARANTINE_QUARANTINE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "toucanwharf/quarantine/fingerprint.h"
+#include "toucanwharf/support/clock.h"
+
+/// Recognises requests that crash the endpoints that run them (queries of
+/// death), and keeps them from further endpoints.
+namespace toucanwharf::quarantine {
+
+/// One start of an endpoint.
+struct EndpointStart {
+  /// Differs for each start; see endpoints::EndpointKey.
+  std::uint32_t key = 0;
+  /// Stands for the address, which a restarted endpoint keeps.
+  std::uint32_t address = 0;
+
+  friend bool operator==(const EndpointStart&, const EndpointStart&) = default;
+};
+
+/// How far a run had come, as far as can be known.
+enum class RunStage {
+  /// The endpoint had not begun it.
+  kWaiting,
+  /// The endpoint had begun it no longer ago than a crash by a request takes.
+  kBegun,
+  /// It had run too long to be the cause of a crash.
+  kLongBegun,
+  /// It had run for so long that its request crashes no endpoint.
+  kProven,
+};
+
+/// A run whose connection to its endpoint broke before the answer was complete.
+struct BrokenRun {
+  Fingerprint request;
+  EndpointStart endpoint;
+  TimePoint sent_at;
+  RunStage stage = RunStage::kWaiting;
+
+  friend bool operator==(const BrokenRun&, const BrokenRun&) = default;
+};
+
+/// A crash of an endpoint with a request, as instances tell each other.
+struct CrashReport {
+  EndpointStart endpoint;
+  /// Time since the crash.
+  Duration age{0};
+  /// From the send of the request to the crash.
+  Duration ran{0};
+  /// Whether the same request was answered since.
+  bool refuted = false;
+
+  friend bool operator==(const CrashReport&, const CrashReport&) = default;
+};
+
+/// A request with the crashes that it was at.
+struct SuspectReport {
+  Fingerprint request;
+  std::vector<CrashReport> crashes;
+
+  friend bool operator==(const SuspectReport&, const SuspectReport&) = default;
+};
+
+/// Thresholds of the quarantine.
+struct QuarantineSettings {
+  /// Crashes that prove a request guilty, and those that suffice if no other
+  /// request was at the same ones.
+  double certain = 3;
+  double probable = 2;
+  /// Crashes that suffice at a single address; fewer may be a flapping
+  /// endpoint's own.
+  std::size_t at_one_address = 5;
+  /// Weight of a crash beside which endpoints crashed without the request.
+  double joint_weight = 0.5;
+  /// Other endpoints that crash at the same moment, from which on it is joint.
+  std::size_t joint_ends = 2;
+  Duration joint_window = std::chrono::milliseconds(300);
+  /// How long a request is refused after its last crash.
+  Duration certain_block = std::chrono::hours(1);
+  Duration probable_block = std::chrono::seconds(60);
+  /// How long crashes are remembered that prove nothing yet.
+  Duration retention = std::chrono::minutes(10);
+  /// A broken run without evidence of its endpoint's end is forgotten.
+  Duration evidence_timeout = std::chrono::seconds(6);
+  /// Delay of reports between instances, by which their times may be off.
+  Duration clock_skew = std::chrono::milliseconds(20);
+  /// How long a success is remembered; other instances' reports of crashes
+  /// before it have arrived by then.
+  Duration success_memory = std::chrono::minutes(1);
+  std::size_t max_requests = 256;
+  std::size_t max_crashes = 8;
+  /// Requests in a message between instances.
+  std::size_t max_reported = 32;
+
+  friend bool operator==(const QuarantineSettings&,
+                         const QuarantineSettings&) = default;
+};
+
+/// What is decided about a request, and why.
+struct Verdict {
+  /// How much longer it is refused.
+  Duration blocked_for{0};
+  std::size_t crashes = 0;
+  /// Time since the last of them.
+  Duration last_crash_age{0};
+
+  friend bool operator==(const Verdict&, const Verdict&) = default;
+};
+
+/// Remembers which requests were running at endpoints that crashed, from all
+/// instances' reports, and decides which requests are refused.
+///
+/// Load: one request crashes each endpoint that begins to run it, with up to
+/// 200 other answers, and comes back under new ids at any instance. Sent on
+/// each time, it takes all endpoints down.
+///
+/// A crash takes the answers of many innocent requests with it, and several
+/// endpoints may crash at once for a reason of their own. Crashes count against
+/// a request only if
+///   - the endpoint is known to have ended, and not by an order to leave,
+///   - it had just begun to run the request,
+///   - the request was sent there after the crash before: copies of a popular
+///     request at endpoints that crash together are at one crash,
+///   - the same request was not answered since, by any endpoint.
+/// A crash of several endpoints together counts half for a request that was at
+/// one of them. Two crashes suffice only if no other request was at both.
+///
+/// A report is a set of crashes; merging is commutative and idempotent, so that
+/// lost, repeated and reordered messages do no harm.
+/// Thread safety: none; for one thread.
+class Quarantine {
+ public:
+  explicit Quarantine(const QuarantineSettings& chosen = {})
+      : settings(chosen) {}
+
+  /// Records that \p run broke. It counts once its endpoint is known to have
+  /// ended.
+  void OnRunBroken(const BrokenRun& run, TimePoint now);
+  /// Records that the start \p key of an endpoint has ended. Returns the
+  /// requests that have a new crash by it.
+  std::vector<Fingerprint> OnEndpointEnded(std::uint32_t key, TimePoint now);
+  /// Records that the start \p key of an endpoint goes on, or ends by an order:
+  /// the runs that broke there prove nothing.
+  void OnEndpointCleared(std::uint32_t key);
+  /// Returns the starts of endpoints at which runs broke without evidence yet.
+  std::vector<std::uint32_t> Undecided(TimePoint now);
+  /// Records that \p request was answered, or has run for so long that it
+  /// crashes no endpoint. Returns whether it was suspected.
+  bool OnSuccess(const Fingerprint& request, TimePoint now);
+  /// Applies another instance's report. Returns whether it has a new crash.
+  bool Merge(const SuspectReport& report, TimePoint now);
+
+  /// Returns whether no request has crashes.
+  bool Empty() const { return this->suspects.empty(); }
+  /// Returns the requests to report to other instances, the most suspect first.
+  std::vector<SuspectReport> Reports(TimePoint now);
+  /// Returns the report of \p request, without crashes if there are none.
+  SuspectReport ReportOf(const Fingerprint& request, TimePoint now) const;
+  /// Returns why and for how long \p request is refused, or nothing.
+  std::optional<Verdict> Judge(const Fingerprint& request, TimePoint now) const;
+  /// Returns whether \p request may be sent once more after a run of it broke:
+  /// not after a second crash, which would take a third endpoint.
+  bool MayRetry(const Fingerprint& request, TimePoint now) const;
+  /// Returns how many requests have crashes, and how many of them are refused.
+  std::size_t Size() const { return this->suspects.size(); }
+  std::size_t BlockedCount(TimePoint now) const;
+
+ private:
+  struct Crash {
+    EndpointStart endpoint;
+    TimePoint sent_at;
+    TimePoint at;
+    bool refuted = false;
+  };
+  using Crashes = std::vector<Crash>;
+  /// Broken runs at one start of an endpoint.
+  struct BrokenRuns {
+    EndpointStart endpoint;
+    TimePoint at;
+    std::map<Fingerprint, TimePoint> sent_at;
+  };
+  /// The crashes that count against a request.
+  struct Evidence {
+    Crashes chain;
+    double weight = 0;
+    bool several_addresses = false;
+  };
+
+  Evidence Weigh(Crashes crashes) const;
+  bool IsJoint(const Crashes& of_request, const Crash& crash) const;
+  bool OthersShare(const Fingerprint& request, const Crashes& chain) const;
+  bool IsCertain(const Evidence& evidence) const;
+  bool Add(const Fingerprint& request, const Crash& crash, TimePoint now);
+  void Prune(TimePoint now);
+  void EvictOne();
+
+  QuarantineSettings settings;
+  std::map<Fingerprint, Crashes> suspects;
+  /// Broken runs without evidence yet, by the key of the endpoint's start.
+  std::map<std::uint32_t, BrokenRuns> undecided;
+  /// Last successes of requests.
+  std::map<Fingerprint, TimePoint> successes;
+  /// When endpoints crashed, by the key of their start.
+  std::map<std::uint32_t, TimePoint> ends;
+  TimePoint pruned_at;
+};
+
+}  // namespace toucanwharf::quarantine
+
+#endif  // TOUCANWHARF_QUARANTINE_QUARANTINE_H_
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -72,6 +72,45 @@
   return list;
 }
 
+/// Encodes the requests as flat arrays: the customer, the content, and five
+/// numbers for each crash.
+Json SuspectsToJson(const std::vector<quarantine::SuspectReport>& suspects) {
+  Json list = Json::array();
+  for (const quarantine::SuspectReport& suspect : suspects) {
+    Json entry = {suspect.request.customer, suspect.request.content};
+    for (const quarantine::CrashReport& crash : suspect.crashes) {
+      entry.push_back(crash.endpoint.key);
+      entry.push_back(crash.endpoint.address);
+      entry.push_back(crash.age.count());
+      entry.push_back(crash.ran.count());
+      entry.push_back(crash.refuted);
+    }
+    list.push_back(std::move(entry));
+  }
+  return list;
+}
+
+std::vector<quarantine::SuspectReport> SuspectsFromJson(const Json& list) {
+  constexpr std::size_t kRequestMembers = 2;
+  constexpr std::size_t kCrashMembers = 5;
+  std::vector<quarantine::SuspectReport> suspects;
+  for (const Json& entry : list) {
+    quarantine::SuspectReport suspect;
+    suspect.request = {entry.at(0).get<std::uint32_t>(),
+                       entry.at(1).get<std::uint64_t>()};
+    for (std::size_t i = kRequestMembers; i < entry.size();
+         i += kCrashMembers) {
+      suspect.crashes.push_back({{entry.at(i).get<std::uint32_t>(),
+                                  entry.at(i + 1).get<std::uint32_t>()},
+                                 Duration(entry.at(i + 2).get<std::int64_t>()),
+                                 Duration(entry.at(i + 3).get<std::int64_t>()),
+                                 entry.at(i + 4).get<bool>()});
+    }
+    suspects.push_back(std::move(suspect));
+  }
+  return suspects;
+}
+
 Json EngineStatusesToJson(const std::vector<KeyedEngineStatus>& statuses) {
   Json list = Json::array();
   for (const KeyedEngineStatus& status : statuses) {
@@ -140,6 +179,8 @@
                          json.at("kr").at(1).get<std::uint32_t>()};
   beacon.fleet_loads = KeyedLoadsFromJson(json.at("fo"));
   beacon.suspicions = SuspicionsFromJson(json.at("q"));
+  // An instance of an older build sends none.
+  if (json.contains("sr")) beacon.suspects = SuspectsFromJson(json.at("sr"));
   beacon.engine_statuses = EngineStatusesFromJson(json.at("f"));
   beacon.ready_instances = json.at("ri").get<std::vector<std::uint32_t>>();
   beacon.backup_leaders = json.at("dp").get<std::vector<std::string>>();
@@ -195,6 +236,7 @@
       {"kr", {beacon.covered_keys.first, beacon.covered_keys.last}},
       {"fo", KeyedLoadsToJson(beacon.fleet_loads)},
       {"q", SuspicionsToJson(beacon.suspicions)},
+      {"sr", SuspectsToJson(beacon.suspects)},
       {"f", EngineStatusesToJson(beacon.engine_statuses)},
       {"ri", beacon.ready_instances},
       {"dp", beacon.backup_leaders},
--- a/lib/instance/engine_probe.cc
+++ b/lib/instance/engine_probe.cc
@@ -101,6 +101,9 @@
   // connection may have been reset for any reason.
   const bool reset = result.end != http::CallEnd::kNotConnected && !timed_out;
   if (reset && !result.reused) pending->liveness_seen = true;
+  if (result.end == http::CallEnd::kNotConnected && !timed_out) {
+    pending->refused = true;
+  }
   if (!pending->repeated) {
     this->SendRepeat(pending);
     return;
@@ -109,6 +112,7 @@
   const Duration late =
       this->loop.Now() - pending->started - pending->unresponsive_after;
   answer.alive = pending->liveness_seen || late > kMaxTimerDelay;
+  answer.refused = pending->refused;
   this->Complete(pending, answer);
 }
 
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -151,6 +151,13 @@
                  "no_service");
     return;
   }
+  // Hashing is worthwhile only while there are suspects.
+  if (!this->state.quarantine.Empty() &&
+      this->RefuseQuarantined(*exchange, quarantine::FingerprintOf(
+                                             {admitted.customer, request.method,
+                                              request.target, request.body}))) {
+    return;
+  }
   admitted.deadline =
       arrived +
       DeadlineOf(request.headers.Get(this->names.deadline), route.timeout);
@@ -193,7 +200,7 @@
   if (!newly_found) return;
   this->logger.Write(Level::kNotable, "engine_silent",
                      Fields().Text("endpoint", endpoint), now);
-  if (this->announce_unresponsive) this->announce_unresponsive();
+  if (this->announce_failure) this->announce_failure();
   this->RerouteAround(endpoint);
 }
 
@@ -216,6 +223,84 @@
   return evidence;
 }
 
+void Gateway::OnRunBroken(const quarantine::BrokenRun& run,
+                          const BrokenAt& at) {
+  const TimePoint now = this->loop.Now();
+  this->state.quarantine.OnRunBroken(run, now);
+  if (!at.is_engine) return;
+  this->probe.Check(at.address, now, this->ConcurrentProbers(),
+                    [this, at](const ProbeAnswer& answer) {
+                      this->OnEndpointProbed(at, answer);
+                    });
+}
+
+/// An engine that refuses connections has ended, and one that reports another
+/// start has been replaced. One that doesn't respond may be cut off: the list
+/// of endpoints tells.
+void Gateway::OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer) {
+  const bool restarted =
+      answer.report && answer.report->start_time_ms != at.start_time_ms;
+  if (answer.refused || restarted) {
+    this->OnEndpointEnded(at.key);
+    return;
+  }
+  if (answer.alive && answer.report) {
+    this->state.quarantine.OnEndpointCleared(at.key);
+  }
+}
+
+void Gateway::OnEndpointEnded(std::uint32_t key) {
+  const TimePoint now = this->loop.Now();
+  const auto requests = this->state.quarantine.OnEndpointEnded(key, now);
+  if (requests.empty()) return;
+  const endpoints::Endpoint* endpoint = this->state.endpoints.FindByKey(key);
+  for (const quarantine::Fingerprint& request : requests) {
+    const auto report = this->state.quarantine.ReportOf(request, now);
+    this->logger.Write(
+        Level::kNotable, "request_at_crash",
+        Fields()
+            .Text("content", quarantine::ToText(request))
+            .Text("endpoint", endpoint == nullptr ? "" : endpoint->id)
+            .Count("crashes", static_cast<std::int64_t>(report.crashes.size())),
+        now);
+    if (this->on_crash) this->on_crash(request);
+  }
+  if (this->announce_failure) this->announce_failure();
+}
+
+void Gateway::ReviewBrokenRuns() {
+  const TimePoint now = this->loop.Now();
+  for (const std::uint32_t key : this->state.quarantine.Undecided(now)) {
+    const endpoints::Endpoint* endpoint = this->state.endpoints.FindByKey(key);
+    if (endpoint == nullptr) {
+      this->OnEndpointEnded(key);
+    } else if (endpoint->state == endpoints::EndpointState::kDraining) {
+      this->state.quarantine.OnEndpointCleared(key);
+    }
+  }
+}
+
+void Gateway::OnSuccess(const quarantine::Fingerprint& request) {
+  if (!this->state.quarantine.OnSuccess(request, this->loop.Now())) return;
+  this->logger.Write(Level::kNotable, "request_cleared",
+                     Fields().Text("content", quarantine::ToText(request)),
+                     this->loop.Now());
+}
+
+bool Gateway::RefuseQuarantined(http::Exchange& exchange,
+                                const quarantine::Fingerprint& request) {
+  const auto verdict = this->state.quarantine.Judge(request, this->loop.Now());
+  if (!verdict) return false;
+  ++this->counters.quarantined;
+  this->Refuse(
+      exchange, http::kUnavailable, verdict->blocked_for, "quarantined",
+      Fields()
+          .Text("content", quarantine::ToText(request))
+          .Count("crashes", static_cast<std::int64_t>(verdict->crashes))
+          .Millis("last_crash_ms", verdict->last_crash_age));
+  return true;
+}
+
 void Gateway::Enqueue(std::shared_ptr<ProxiedRequest> request) {
   ++this->counters.queued;
   this->queue.push_back(std::move(request));
@@ -239,7 +324,7 @@
 }
 
 void Gateway::Refuse(http::Exchange& exchange, int status, Duration retry_after,
-                     std::string_view reason) {
+                     std::string_view reason, const Fields& more) {
   http::ResponseHead head;
   head.status = status;
   head.headers.Add("Content-Type", "text/plain");
@@ -264,6 +349,7 @@
   if (const auto age = this->state.freshness.Age(now)) {
     fields.Millis("configuration_age_ms", *age);
   }
+  fields.Append(more);
   this->logger.Write(Level::kNotable, "refused", fields, now);
 }
 
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -92,6 +92,8 @@
                  counters.retries_denied);
   writer.Counter("broken_runs", "runs whose connection to the endpoint broke",
                  counters.broken_runs);
+  writer.Counter("quarantined", "requests refused because they crash endpoints",
+                 counters.quarantined);
   writer.Latencies("plain_seconds", "time to the end of a plain answer",
                    counters.plain_latency);
   writer.Latencies("first_event_seconds", "time to a stream's first event",
@@ -115,6 +117,10 @@
                static_cast<double>(state.endpoints.RetainedCount()));
   writer.Gauge("peers", "other instances heard of lately",
                static_cast<double>(state.peers.AllLive(now).size()));
+  writer.Gauge("suspects", "requests that were at a crash of an endpoint",
+               static_cast<double>(state.quarantine.Size()));
+  writer.Gauge("suspects_refused", "suspects that are refused",
+               static_cast<double>(state.quarantine.BlockedCount(now)));
   writer.Gauge("ready", "whether callers are sent here",
                state.Ready(now) ? 1 : 0);
   writer.Gauge("leads", "whether this instance places layers",
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -220,7 +220,7 @@
                Content::kOwn);
 }
 
-void PeerLink::AnnounceUnresponsiveEngine() {
+void PeerLink::AnnounceToAll() {
   const TimePoint now = this->loop.Now();
   const std::string leader = this->state.peers.Leader(now);
   const bool leader_announces = this->state.peers.IsLargeFleet(now) &&
@@ -232,7 +232,7 @@
   }
 }
 
-gossip::Beacon PeerLink::MakeBeacon(TimePoint now) const {
+gossip::Beacon PeerLink::MakeBeacon(TimePoint now) {
   gossip::Beacon beacon;
   beacon.instance = this->state.instance;
   beacon.uptime = now - this->started;
@@ -252,6 +252,7 @@
   beacon.stamp = now.since_start.count();
   beacon.loads = this->state.loads.Local();
   beacon.suspicions = this->state.loads.Suspicions(now, this->state.leads);
+  beacon.suspects = this->state.quarantine.Reports(now);
   return beacon;
 }
 
@@ -402,6 +403,7 @@
   for (const gossip::Suspicion& suspicion : beacon.suspicions) {
     this->ApplySuspicion(suspicion, now);
   }
+  this->ApplySuspects(beacon, now);
   const bool large = this->state.peers.IsLargeFleet(now);
   const bool advertises_fleet = beacon.leads ||
                                 !beacon.engine_statuses.empty() ||
@@ -497,6 +499,24 @@
   if (this->on_unresponsive) this->on_unresponsive(suspicion.endpoint);
 }
 
+void PeerLink::ApplySuspects(const gossip::Beacon& beacon, TimePoint now) {
+  bool learned = false;
+  for (const quarantine::SuspectReport& report : beacon.suspects) {
+    if (!this->state.quarantine.Merge(report, now)) continue;
+    learned = true;
+    this->logger.Write(
+        Level::kNotable, "peer_reported_crash",
+        Fields()
+            .Text("content", quarantine::ToText(report.request))
+            .Text("peer", beacon.callers_address)
+            .Count("crashes", static_cast<std::int64_t>(report.crashes.size())),
+        now);
+  }
+  const bool forwards =
+      this->state.leads && this->state.peers.IsLargeFleet(now);
+  if (learned && forwards) this->Announce();
+}
+
 void PeerLink::SumLoads(TimePoint now) {
   std::vector<gossip::EndpointLoad> loads;
   for (const gossip::Peer* peer : this->state.peers.AllLive(now)) {
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -46,6 +46,12 @@
 constexpr int kFirstSuccess = 200;
 constexpr int kFirstRedirect = 300;
 
+/// An endpoint that a request crashes ends this soon after it began to run the
+/// request: answers that have run longer were only there.
+constexpr Duration kMaxCrashDelay = std::chrono::milliseconds(500);
+/// A run of this length shows that the request crashes no endpoint.
+constexpr Duration kProvenAfter = std::chrono::milliseconds(1000);
+
 bool IsSuccess(int status) {
   return status >= kFirstSuccess && status < kFirstRedirect;
 }
@@ -109,6 +115,10 @@
 
 bool ProxiedRequest::LeaveQueue() {
   if (this->finished) return true;
+  if (!this->MayRun()) {
+    this->Refuse("quarantined");
+    return true;
+  }
   const auto chosen = this->ChooseTarget();
   if (chosen) {
     this->Send(*chosen);
@@ -142,6 +152,7 @@
   ++this->attempt_counts.total;
   ++this->attempt_counts.may_have_run;
   this->has_head = false;
+  this->proven = false;
   this->head_usable = false;
   this->head_outcome.reset();
   this->body.clear();
@@ -247,6 +258,7 @@
   if (std::exchange(this->repeated_probes, 0) > 0) {
     this->gateway.probe_backoff.OnFalseAlarm(this->last_data);
   }
+  if (this->last_data - this->head_at >= kProvenAfter) this->OnRunProven();
   this->refused_reroutes = 0;
   this->detector.OnEvent(this->last_data);
   ++this->chunks_written;
@@ -257,13 +269,16 @@
   this->call = 0;
   if (this->finished) return;
   if (result.end == http::CallEnd::kNotConnected) {
+    this->OnNotConnected();
     this->gateway.state.loads.Suspect(
         this->target.endpoint, this->gateway.loop.Now() + kUnreachablePause);
     this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
     return;
   }
   if (result.end != http::CallEnd::kComplete) {
-    if (result.sent) this->LogBrokenRun();
+    if (result.sent && result.end == http::CallEnd::kBroken) {
+      this->OnRunBroken();
+    }
     this->EndAttempt(
         result.sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
         "broken");
@@ -285,6 +300,7 @@
     return;
   }
   this->exchange->End();
+  this->OnRunProven();
   ++this->gateway.counters.answered;
   this->Finish("answered", this->head.status);
 }
@@ -311,6 +327,65 @@
   this->Log(Level::kNotable, "run_broken", fields);
 }
 
+quarantine::RunStage ProxiedRequest::StageOfRun() const {
+  using quarantine::RunStage;
+  // Of a plain answer only the end is seen.
+  if (!this->IsModel()) return RunStage::kBegun;
+  if (!this->has_head) return RunStage::kWaiting;
+  const Duration ran = this->gateway.loop.Now() - this->head_at;
+  if (ran <= kMaxCrashDelay) return RunStage::kBegun;
+  return ran < kProvenAfter ? RunStage::kLongBegun : RunStage::kProven;
+}
+
+void ProxiedRequest::OnRunBroken() {
+  this->LogBrokenRun();
+  const endpoints::Endpoint* endpoint =
+      this->gateway.state.endpoints.Find(this->target.endpoint);
+  // An endpoint that drains, or has left the list, ends by an order.
+  if (endpoint == nullptr ||
+      endpoint->state == endpoints::EndpointState::kDraining) {
+    return;
+  }
+  const std::uint32_t key = endpoints::EndpointKey(*endpoint);
+  quarantine::BrokenRun run;
+  run.request = this->ContentFingerprint();
+  run.endpoint = {key, static_cast<std::uint32_t>(HashText(endpoint->address))};
+  run.sent_at = this->attempt_started;
+  run.stage = this->StageOfRun();
+  this->gateway.OnRunBroken(run, {endpoint->id, endpoint->address, key,
+                                  endpoint->start_time_ms, this->IsModel()});
+}
+
+void ProxiedRequest::OnRunProven() {
+  if (this->gateway.state.quarantine.Empty()) return;
+  if (std::exchange(this->proven, true)) return;
+  this->gateway.OnSuccess(this->ContentFingerprint());
+}
+
+bool ProxiedRequest::MayRun() {
+  const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
+  if (quarantine.Empty()) return true;
+  return !quarantine.Judge(this->ContentFingerprint(),
+                           this->gateway.loop.Now());
+}
+
+bool ProxiedRequest::MayRunAgain() {
+  const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
+  if (quarantine.Empty()) return true;
+  return quarantine.MayRetry(this->ContentFingerprint(),
+                             this->gateway.loop.Now());
+}
+
+void ProxiedRequest::OnNotConnected() {
+  const TimePoint now = this->gateway.loop.Now();
+  const endpoints::Endpoint* endpoint =
+      this->gateway.state.endpoints.Find(this->target.endpoint);
+  const bool refused = now - this->attempt_started < kConnectTimeout;
+  if (endpoint != nullptr && refused) {
+    this->gateway.OnEndpointEnded(endpoints::EndpointKey(*endpoint));
+  }
+}
+
 void ProxiedRequest::FinishPlain() {
   http::ResponseHead out;
   out.status = this->head.status;
@@ -319,6 +394,7 @@
   this->exchange->Respond(out, this->body);
   const bool success = IsSuccess(this->head.status);
   if (success) {
+    this->OnRunProven();
     this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
                                              this->admitted.arrived);
   }
@@ -331,6 +407,7 @@
     AttemptOutcome outcome) {
   const TimePoint now = this->gateway.loop.Now();
   if (now >= this->admitted.deadline) return std::nullopt;
+  if (!this->MayRunAgain()) return std::nullopt;
   if (!attempts::MayRetry(*this->admitted.route, this->attempt_counts,
                           outcome)) {
     return std::nullopt;
@@ -431,7 +508,8 @@
       return;
     case NextStep::kAbort:
       if (attempts::MayRetry(*this->admitted.route, this->attempt_counts,
-                             outcome)) {
+                             outcome) &&
+          this->MayRunAgain()) {
         this->AwaitCapacity(outcome, reason);
         return;
       }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -128,6 +128,21 @@
   /// Logs what tells a request that crashes endpoints from one that was only
   /// there: the same content at several ends, and how far its run had come.
   void LogBrokenRun();
+  /// Returns how far the current run has come.
+  quarantine::RunStage StageOfRun() const;
+  /// Records that the connection of the current run broke, as a crash of the
+  /// endpoint by this request would break it.
+  void OnRunBroken();
+  /// Records that no connection to the endpoint came about; a refused one shows
+  /// that it has ended.
+  void OnNotConnected();
+  /// Records, if anything is suspected, that this run shows that the request
+  /// crashes no endpoint.
+  void OnRunProven();
+  /// Returns whether the request may be sent to an endpoint.
+  bool MayRun();
+  /// Returns whether it may be sent once more after a run broke.
+  bool MayRunAgain();
   void OnDeadline();
   void OnCallerDisconnected();
 
@@ -167,6 +182,8 @@
   TimePoint last_data;
   /// When the response head of the current attempt arrived.
   TimePoint head_at;
+  /// Whether the current run was recorded as proven.
+  bool proven = false;
   std::optional<quarantine::Fingerprint> fingerprint;
 
   http::ResponseHead head;
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -213,6 +213,7 @@
 bool ProxiedRequest::CanResumeElsewhere() {
   return attempts::MayRetry(*this->admitted.route, this->attempt_counts,
                             AttemptOutcome::kUnknown) &&
+         this->MayRunAgain() &&
          this->gateway.budget.HasExtra(this->admitted.service->name,
                                        this->gateway.loop.Now()) &&
          this->ChooseTarget().has_value();
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -21,11 +21,12 @@
 tw_package(placement DEPS toucanwharf_pipeline)
 tw_package(routes DEPS toucanwharf_placement absl::flat_hash_map absl::strings)
 tw_package(attempts DEPS toucanwharf_routes)
-tw_package(gossip DEPS toucanwharf_pipeline)
-tw_package(endpoints DEPS toucanwharf_gossip toucanwharf_placement)
-tw_package(eventlog DEPS toucanwharf_support absl::strings)
+# Requests that crash the endpoints that run them.
 tw_package(quarantine DEPS toucanwharf_support absl::strings
   absl::str_format)
+tw_package(gossip DEPS toucanwharf_pipeline toucanwharf_quarantine)
+tw_package(endpoints DEPS toucanwharf_gossip toucanwharf_placement)
+tw_package(eventlog DEPS toucanwharf_support absl::strings)
 tw_package(once DEPS toucanwharf_store)
 tw_package(control DEPS toucanwharf_records toucanwharf_store)
 # The stand-ins' computations, as a library for tests and tools.
--- /dev/null
+++ b/lib/quarantine/quarantine.cc
@@ -0,0 +1,311 @@
+#include "toucanwharf/quarantine/quarantine.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace toucanwharf::quarantine {
+namespace {
+
+constexpr Duration kPrunePeriod = std::chrono::seconds(1);
+
+Duration Distance(TimePoint left, TimePoint right) {
+  return left < right ? right - left : left - right;
+}
+
+template <typename Crashes>
+bool Contains(const Crashes& crashes, std::uint32_t key) {
+  return std::any_of(crashes.begin(), crashes.end(), [key](const auto& crash) {
+    return crash.endpoint.key == key;
+  });
+}
+
+template <typename Crashes>
+std::size_t CountUnrefuted(const Crashes& crashes) {
+  return static_cast<std::size_t>(
+      std::count_if(crashes.begin(), crashes.end(),
+                    [](const auto& crash) { return !crash.refuted; }));
+}
+
+}  // namespace
+
+void Quarantine::OnRunBroken(const BrokenRun& run, TimePoint now) {
+  this->Prune(now);
+  BrokenRuns& runs = this->undecided[run.endpoint.key];
+  if (runs.sent_at.empty()) runs = {run.endpoint, now, {}};
+  if (run.stage == RunStage::kBegun) {
+    runs.sent_at.emplace(run.request, run.sent_at);
+  }
+  if (run.stage == RunStage::kProven) this->OnSuccess(run.request, now);
+}
+
+std::vector<Fingerprint> Quarantine::OnEndpointEnded(std::uint32_t key,
+                                                     TimePoint now) {
+  std::vector<Fingerprint> added;
+  const auto found = this->undecided.find(key);
+  if (found == this->undecided.end()) return added;
+  const BrokenRuns runs = std::move(found->second);
+  this->undecided.erase(found);
+  this->ends.emplace(key, runs.at);
+  for (const auto& [request, sent_at] : runs.sent_at) {
+    if (this->Add(request, {runs.endpoint, sent_at, runs.at, false}, now)) {
+      added.push_back(request);
+    }
+  }
+  return added;
+}
+
+void Quarantine::OnEndpointCleared(std::uint32_t key) {
+  this->undecided.erase(key);
+}
+
+std::vector<std::uint32_t> Quarantine::Undecided(TimePoint now) {
+  this->Prune(now);
+  std::vector<std::uint32_t> keys;
+  for (const auto& [key, runs] : this->undecided) keys.push_back(key);
+  return keys;
+}
+
+bool Quarantine::OnSuccess(const Fingerprint& request, TimePoint now) {
+  this->successes[request] = now;
+  for (auto& [key, runs] : this->undecided) runs.sent_at.erase(request);
+  const auto found = this->suspects.find(request);
+  if (found == this->suspects.end()) return false;
+  const bool suspected = CountUnrefuted(found->second) > 0;
+  for (Crash& crash : found->second) crash.refuted = true;
+  return suspected;
+}
+
+bool Quarantine::Merge(const SuspectReport& report, TimePoint now) {
+  bool learned = false;
+  for (const CrashReport& crash : report.crashes) {
+    const TimePoint at = now - crash.age;
+    if (crash.age > this->settings.certain_block) continue;
+    this->ends.emplace(crash.endpoint.key, at);
+    const bool added =
+        this->Add(report.request,
+                  {crash.endpoint, at - crash.ran, at, crash.refuted}, now);
+    learned = learned || (added && !crash.refuted);
+  }
+  return learned;
+}
+
+/// Returns whether the crash was not known.
+bool Quarantine::Add(const Fingerprint& request, const Crash& crash,
+                     TimePoint now) {
+  this->Prune(now);
+  Crashes& crashes = this->suspects[request];
+  const auto known =
+      std::find_if(crashes.begin(), crashes.end(), [&](const Crash& other) {
+        return other.endpoint.key == crash.endpoint.key;
+      });
+  if (known != crashes.end()) {
+    known->refuted = known->refuted || crash.refuted;
+    return false;
+  }
+  crashes.push_back(crash);
+  // Copies of a request at one crash break in any order, and at any instance.
+  const auto success = this->successes.find(request);
+  if (success != this->successes.end() &&
+      crash.at <= success->second + this->settings.joint_window) {
+    crashes.back().refuted = true;
+  }
+  if (crashes.size() > this->settings.max_crashes) {
+    crashes.erase(std::min_element(
+        crashes.begin(), crashes.end(),
+        [](const Crash& lhs, const Crash& rhs) { return lhs.at < rhs.at; }));
+  }
+  if (this->suspects.size() > this->settings.max_requests) this->EvictOne();
+  return true;
+}
+
+/// Removes a request of the customer that has the most, so that no customer can
+/// push out the entries of another: one that was answered since, or else one
+/// with the fewest and oldest crashes.
+void Quarantine::EvictOne() {
+  std::map<std::uint32_t, std::size_t> per_customer;
+  for (const auto& [request, crashes] : this->suspects) {
+    ++per_customer[request.customer];
+  }
+  const auto importance = [](const auto& entry) {
+    const Crashes& crashes = entry.second;
+    return std::pair(CountUnrefuted(crashes), crashes.back().at);
+  };
+  const std::uint32_t most =
+      std::max_element(per_customer.begin(), per_customer.end(),
+                       [](const auto& lhs, const auto& rhs) {
+                         return lhs.second < rhs.second;
+                       })
+          ->first;
+  auto victim = this->suspects.end();
+  for (auto entry = this->suspects.begin(); entry != this->suspects.end();
+       ++entry) {
+    if (entry->first.customer != most) continue;
+    const bool lesser = victim == this->suspects.end() ||
+                        importance(*entry) < importance(*victim);
+    if (lesser) victim = entry;
+  }
+  this->suspects.erase(victim);
+}
+
+void Quarantine::Prune(TimePoint now) {
+  if (now - this->pruned_at < kPrunePeriod) return;
+  this->pruned_at = now;
+  std::erase_if(this->undecided, [&](const auto& entry) {
+    return now - entry.second.at > this->settings.evidence_timeout;
+  });
+  std::erase_if(this->successes, [&](const auto& entry) {
+    return now - entry.second > this->settings.success_memory;
+  });
+  std::erase_if(this->ends, [&](const auto& entry) {
+    return now - entry.second > this->settings.certain_block;
+  });
+  std::erase_if(this->suspects, [&](const auto& entry) {
+    const Evidence evidence = this->Weigh(entry.second);
+    const Duration kept = this->IsCertain(evidence)
+                              ? this->settings.certain_block
+                              : this->settings.retention;
+    return std::all_of(
+        entry.second.begin(), entry.second.end(),
+        [&](const Crash& crash) { return now - crash.at > kept; });
+  });
+}
+
+/// Returns whether other endpoints crashed at the same moment without
+/// the request.
+bool Quarantine::IsJoint(const Crashes& of_request, const Crash& crash) const {
+  std::size_t others = 0;
+  for (const auto& [key, at] : this->ends) {
+    if (Distance(at, crash.at) > this->settings.joint_window) continue;
+    if (!Contains(of_request, key)) ++others;
+  }
+  return others >= this->settings.joint_ends;
+}
+
+/// Returns the longest sequence of crashes of which each run was sent after the
+/// crash before.
+Quarantine::Evidence Quarantine::Weigh(Crashes crashes) const {
+  std::sort(crashes.begin(), crashes.end(),
+            [](const Crash& lhs, const Crash& rhs) { return lhs.at < rhs.at; });
+  Evidence evidence;
+  for (const Crash& crash : crashes) {
+    if (crash.refuted) continue;
+    const bool follows =
+        evidence.chain.empty() ||
+        crash.sent_at + this->settings.clock_skew >= evidence.chain.back().at;
+    if (!follows) continue;
+    evidence.weight +=
+        this->IsJoint(crashes, crash) ? this->settings.joint_weight : 1;
+    if (!evidence.chain.empty() &&
+        evidence.chain.front().endpoint.address != crash.endpoint.address) {
+      evidence.several_addresses = true;
+    }
+    evidence.chain.push_back(crash);
+  }
+  return evidence;
+}
+
+bool Quarantine::IsCertain(const Evidence& evidence) const {
+  return evidence.weight >= this->settings.certain &&
+         (evidence.several_addresses ||
+          evidence.chain.size() >= this->settings.at_one_address);
+}
+
+/// Returns whether another request was at two of these crashes as well.
+bool Quarantine::OthersShare(const Fingerprint& request,
+                             const Crashes& chain) const {
+  constexpr std::size_t kShared = 2;
+  return std::any_of(
+      this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
+        if (entry.first == request) return false;
+        const auto shared = std::count_if(
+            entry.second.begin(), entry.second.end(), [&](const Crash& crash) {
+              return !crash.refuted && Contains(chain, crash.endpoint.key);
+            });
+        return static_cast<std::size_t>(shared) >= kShared;
+      });
+}
+
+std::optional<Verdict> Quarantine::Judge(const Fingerprint& request,
+                                         TimePoint now) const {
+  const auto found = this->suspects.find(request);
+  if (found == this->suspects.end()) return std::nullopt;
+  const Evidence evidence = this->Weigh(found->second);
+  if (evidence.chain.empty()) return std::nullopt;
+  Verdict verdict;
+  verdict.crashes = evidence.chain.size();
+  verdict.last_crash_age = now - evidence.chain.back().at;
+  const bool probable = evidence.weight >= this->settings.probable &&
+                        evidence.several_addresses &&
+                        !this->OthersShare(request, evidence.chain);
+  Duration block{0};
+  if (probable) block = this->settings.probable_block;
+  if (this->IsCertain(evidence)) block = this->settings.certain_block;
+  verdict.blocked_for = block - verdict.last_crash_age;
+  if (verdict.blocked_for <= Duration(0)) return std::nullopt;
+  return verdict;
+}
+
+bool Quarantine::MayRetry(const Fingerprint& request, TimePoint now) const {
+  if (this->Judge(request, now)) return false;
+  // The newest broken run counts as well: its evidence comes a moment later.
+  const BrokenRuns* newest = nullptr;
+  for (const auto& [key, runs] : this->undecided) {
+    if (!runs.sent_at.contains(request)) continue;
+    if (newest == nullptr || runs.at > newest->at) newest = &runs;
+  }
+  Crashes crashes;
+  const auto found = this->suspects.find(request);
+  if (found != this->suspects.end()) crashes = found->second;
+  if (newest != nullptr) {
+    crashes.push_back(
+        {newest->endpoint, newest->sent_at.at(request), newest->at, false});
+  }
+  constexpr std::size_t kEnough = 2;
+  return this->Weigh(crashes).chain.size() < kEnough;
+}
+
+SuspectReport Quarantine::ReportOf(const Fingerprint& request,
+                                   TimePoint now) const {
+  SuspectReport report;
+  report.request = request;
+  const auto found = this->suspects.find(request);
+  if (found == this->suspects.end()) return report;
+  for (const Crash& crash : found->second) {
+    report.crashes.push_back({crash.endpoint, now - crash.at,
+                              crash.at - crash.sent_at, crash.refuted});
+  }
+  return report;
+}
+
+std::vector<SuspectReport> Quarantine::Reports(TimePoint now) {
+  this->Prune(now);
+  std::vector<SuspectReport> reports;
+  for (const auto& [request, crashes] : this->suspects) {
+    reports.push_back(this->ReportOf(request, now));
+  }
+  if (reports.size() <= this->settings.max_reported) return reports;
+  const auto rank = [](const SuspectReport& report) {
+    return std::tuple(CountUnrefuted(report.crashes),
+                      -report.crashes.back().age);
+  };
+  std::partial_sort(
+      reports.begin(),
+      reports.begin() +
+          static_cast<std::ptrdiff_t>(this->settings.max_reported),
+      reports.end(), [&](const SuspectReport& lhs, const SuspectReport& rhs) {
+        return rank(lhs) > rank(rhs);
+      });
+  reports.resize(this->settings.max_reported);
+  return reports;
+}
+
+std::size_t Quarantine::BlockedCount(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
+        return this->Judge(entry.first, now).has_value();
+      }));
+}
+
+}  // namespace toucanwharf::quarantine
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -25,6 +25,11 @@
   return head;
 }
 
+bool Crashes(const http::Request& request) {
+  const std::string_view content = Endpoints::kCrashingContent;
+  return request.body == content || request.target.ends_with(content);
+}
+
 std::string EventText(int number) {
   return absl::StrCat("id: ", number, "\ndata: piece ", number, "\n\n");
 }
@@ -103,8 +108,7 @@
 
 void Endpoints::CrashAfter(const std::string& id,
                            const http::Request& request) {
-  const std::string_view content = kCrashingContent;
-  if (request.body != content && !request.target.ends_with(content)) return;
+  if (!Crashes(request)) return;
   this->loop.After(kCrashDelay, [this, id] { this->CrashAndRestart(id); });
 }
 
@@ -227,7 +231,7 @@
                            const std::shared_ptr<http::Exchange>& shared) {
   http::Exchange& exchange = *shared;
   const http::Request& request = exchange.Received();
-  if (request.target.ends_with(kCrashingContent)) {
+  if (Crashes(request)) {
     endpoint.unanswered.push_back(shared);
     return;
   }
--- a/test/process/crashing_request_test.cc
+++ b/test/process/crashing_request_test.cc
@@ -79,8 +79,9 @@
 BOOST_AUTO_TEST_CASE(RequestThatCrashesPlainEndpointsIsNotSentOnAndOn) {
   PlatformFleet fleet(kRouters);
   SendRepeatedly(45, 250, [&](int number) {
-    fleet.Plain(static_cast<std::size_t>(number) % kRouters, "/sign/crash",
-                "crashing-" + std::to_string(number));
+    fleet.Plain(static_cast<std::size_t>(number) % kRouters, "/sign/x",
+                "crashing-" + std::to_string(number), PlatformFleet::kKey,
+                Endpoints::kCrashingContent);
   });
   BOOST_TEST(LateRuns(fleet) <= kMaxLateRuns);
 }
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -231,14 +231,16 @@
 }
 
 Answer PlatformFleet::Plain(std::size_t index, const std::string& path,
-                            const std::string& id, const std::string& key) {
+                            const std::string& id, const std::string& key,
+                            const std::string& body) {
   Call call;
   call.method = path.starts_with("/sign/") ? "POST" : "GET";
   call.url = this->CallersAddress(index) + path;
   call.headers = {std::string("Host: ") + kHost, "X-Request-Id: " + id,
                   "X-Deadline-Ms: 4000"};
   if (!key.empty()) call.headers.push_back("Authorization: Token " + key);
-  if (call.method == "POST") call.body = "the body of " + id;
+  call.body = body;
+  if (call.method == "POST" && body.empty()) call.body = "the body of " + id;
   return Send(call);
 }
 
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -67,9 +67,10 @@
 
   /// Calls the plain service through router \p index. \p path selects the
   /// route: "/read/..." may be retried, "/sign/..." must not be, "/open/..."
-  /// needs no key.
+  /// needs no key. A "/sign/..." without a \p body gets one with the id.
   Answer Plain(std::size_t index, const std::string& path,
-               const std::string& id, const std::string& key = kKey);
+               const std::string& id, const std::string& key = kKey,
+               const std::string& body = "");
   /// Streams an answer of the model through router \p index. The caller
   /// disconnects after \p disconnect_after events, or never if that is 0.
   EventStream Stream(std::size_t index, const std::string& id,
--- a/unittests/quarantine/fingerprint_test.cc
+++ b/unittests/quarantine/fingerprint_test.cc
@@ -10,7 +10,16 @@
 BOOST_AUTO_TEST_CASE(RepeatsShareAFingerprint) {
   const RequestContent repeat = kContent;
   BOOST_TEST((FingerprintOf(repeat) == FingerprintOf(kContent)));
-  BOOST_TEST(ToText(FingerprintOf(kContent)).size() == 16U);
+  const std::string text = ToText(FingerprintOf(kContent));
+  BOOST_TEST((FingerprintFromText(text) == FingerprintOf(kContent)));
+}
+
+BOOST_AUTO_TEST_CASE(MalformedTextsAreNoFingerprints) {
+  for (const char* text :
+       {"", "12345678-123456789abcdef", "12345678_123456789abcdef0",
+        "+2345678-123456789abcdef0", "0x345678-123456789abcdef0"}) {
+    BOOST_TEST(!FingerprintFromText(text).has_value(), text);
+  }
 }
 
 BOOST_AUTO_TEST_CASE(EveryPartDistinguishesRequests) {
--- /dev/null
+++ b/unittests/quarantine/quarantine_test.cc
@@ -0,0 +1,244 @@
+#include "toucanwharf/quarantine/quarantine.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace toucanwharf::quarantine {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr Fingerprint kCulprit{1, 100};
+constexpr Fingerprint kSound{1, 200};
+/// Long after the process began, so that ages never precede it.
+constexpr TimePoint kStart{std::chrono::hours(2)};
+
+EndpointStart StartOf(std::uint32_t number) { return {number, number}; }
+
+/// Lets \p request crash \p endpoint at \p at, 50 ms after it was sent there.
+void Crash(Quarantine& quarantine, const Fingerprint& request,
+           EndpointStart endpoint, TimePoint at) {
+  quarantine.OnRunBroken(
+      {request, endpoint, at - milliseconds(50), RunStage::kBegun}, at);
+  quarantine.OnEndpointEnded(endpoint.key, at);
+}
+
+/// Lets the endpoints \p first to \p last crash at \p at with \p request
+/// running at the first of them only.
+void CrashTogether(Quarantine& quarantine, const Fingerprint& request,
+                   std::uint32_t first, std::uint32_t last, TimePoint at) {
+  for (std::uint32_t number = first; number <= last; ++number) {
+    const Fingerprint running =
+        number == first
+            ? request
+            : Fingerprint{9, at.since_start.count() + 0ULL + number};
+    quarantine.OnRunBroken(
+        {running, StartOf(number), at - milliseconds(50), RunStage::kBegun},
+        at);
+  }
+  for (std::uint32_t number = first; number <= last; ++number) {
+    quarantine.OnEndpointEnded(number, at);
+  }
+}
+
+bool IsBlocked(const Quarantine& quarantine, const Fingerprint& request,
+               TimePoint now) {
+  return quarantine.Judge(request, now).has_value();
+}
+
+// Guards against a request that crashes one endpoint after another.
+BOOST_AUTO_TEST_CASE(TwoCrashesOfItsOwnAreEnough) {
+  Quarantine quarantine;
+  Crash(quarantine, kCulprit, StartOf(1), kStart);
+  BOOST_TEST(quarantine.MayRetry(kCulprit, kStart));
+  Crash(quarantine, kCulprit, StartOf(2), kStart + seconds(1));
+  BOOST_TEST(!quarantine.MayRetry(kCulprit, kStart + seconds(1)));
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + seconds(2)));
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(2)));
+}
+
+// Guards against a sound request that is refused because it was at two crashes
+// beside the culprit.
+BOOST_AUTO_TEST_CASE(NeighbourOfTheCulpritIsNotRefused) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 2; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    quarantine.OnRunBroken(
+        {kSound, StartOf(number), at - milliseconds(80), RunStage::kBegun}, at);
+    Crash(quarantine, kCulprit, StartOf(number), at);
+  }
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(3)));
+  Crash(quarantine, kCulprit, StartOf(3), kStart + seconds(4));
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + seconds(5)));
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(5)));
+}
+
+// Guards against a popular request that is refused because copies of it ran at
+// endpoints that crashed at the same moment.
+BOOST_AUTO_TEST_CASE(CopiesAtCrashesOfOneMomentAreAtOneCrash) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 6; ++number) {
+    const TimePoint at = kStart + milliseconds(number * 5);
+    Crash(quarantine, kSound, StartOf(number), at);
+  }
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(1)));
+}
+
+// Guards against a popular request that is refused because some copies of it
+// had just begun whenever an engine crashed, while others had run for long.
+BOOST_AUTO_TEST_CASE(CopyThatRanForLongSpeaksForAll) {
+  Quarantine quarantine;
+  Quarantine other_instance;
+  for (std::uint32_t number = 1; number <= 4; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    quarantine.OnRunBroken(
+        {kSound, StartOf(number), at - seconds(2), RunStage::kProven}, at);
+    Crash(quarantine, kSound, StartOf(number), at + milliseconds(1));
+    Crash(other_instance, kSound, StartOf(number), at + milliseconds(2));
+    quarantine.Merge(other_instance.ReportOf(kSound, at + milliseconds(9)),
+                     at + milliseconds(9));
+    BOOST_TEST(!IsBlocked(quarantine, kSound, at + milliseconds(500)));
+  }
+}
+
+// Guards against the refusal of requests after crashes of many endpoints at
+// once, three times in a row.
+BOOST_AUTO_TEST_CASE(CrashesOfManyEndpointsTogetherProveLittle) {
+  Quarantine quarantine;
+  for (std::uint32_t round = 0; round < 3; ++round) {
+    CrashTogether(quarantine, kSound, 10 * round + 1, 10 * round + 6,
+                  kStart + seconds(3 * round));
+  }
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(8)));
+}
+
+// Guards against a popular request that collects crashes of months.
+BOOST_AUTO_TEST_CASE(AnAnswerRefutesTheCrashesBefore) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 9; ++number) {
+    const TimePoint at = kStart + seconds(10 * number);
+    Crash(quarantine, kSound, StartOf(number), at);
+    BOOST_TEST(quarantine.OnSuccess(kSound, at));
+    BOOST_TEST(!IsBlocked(quarantine, kSound, at + seconds(1)));
+  }
+}
+
+// Guards against an endpoint that crashes again and again by itself.
+BOOST_AUTO_TEST_CASE(FlappingEndpointProvesLittle) {
+  Quarantine quarantine;
+  for (std::uint32_t start = 1; start <= 4; ++start) {
+    Crash(quarantine, kSound, {start, 7}, kStart + seconds(2 * start));
+  }
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(9)));
+}
+
+// Guards against the refusal of requests whose answers broke off, or whose
+// endpoint was cut off or told to leave.
+BOOST_AUTO_TEST_CASE(BrokenRunsWithoutAnEndOfTheEndpointProveNothing) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 5; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    quarantine.OnRunBroken({kSound, StartOf(number), at, RunStage::kBegun}, at);
+    if (number % 2 == 0) quarantine.OnEndpointCleared(number);
+  }
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(6)));
+  const TimePoint late = kStart + minutes(1);
+  BOOST_TEST(quarantine.Undecided(late).empty());
+  BOOST_TEST(quarantine.OnEndpointEnded(1, late).empty());
+}
+
+// Guards against answers that ran for long, and were only there.
+BOOST_AUTO_TEST_CASE(LongRunsProveNothing) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 5; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    quarantine.OnRunBroken({kSound, StartOf(number), at, RunStage::kLongBegun},
+                           at);
+    BOOST_TEST(quarantine.OnEndpointEnded(number, at).empty());
+  }
+}
+
+// Guards against an instance that learns of a crash and cannot act on it: the
+// crashes of one request are seen by three instances.
+BOOST_AUTO_TEST_CASE(ReportsOfOtherInstancesCount) {
+  Quarantine first;
+  Quarantine second;
+  Quarantine third;
+  Crash(first, kCulprit, StartOf(1), kStart);
+  Crash(second, kCulprit, StartOf(2), kStart + seconds(1));
+  const TimePoint later = kStart + seconds(2);
+  for (const Quarantine* from : {&first, &second}) {
+    BOOST_TEST(third.Merge(from->ReportOf(kCulprit, later), later));
+    BOOST_TEST(!third.Merge(from->ReportOf(kCulprit, later), later));
+  }
+  BOOST_TEST(IsBlocked(third, kCulprit, later));
+  // An answer at any instance lifts it everywhere.
+  first.OnSuccess(kCulprit, later);
+  second.OnSuccess(kCulprit, later);
+  third.Merge(first.ReportOf(kCulprit, later), later);
+  third.Merge(second.ReportOf(kCulprit, later), later);
+  BOOST_TEST(!IsBlocked(third, kCulprit, later));
+}
+
+BOOST_AUTO_TEST_CASE(QuarantineEnds) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    Crash(quarantine, kCulprit, StartOf(number), kStart + seconds(number));
+  }
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + minutes(59)));
+  BOOST_TEST(!IsBlocked(quarantine, kCulprit, kStart + minutes(61)));
+  BOOST_TEST(quarantine.Reports(kStart + minutes(61)).empty());
+}
+
+// Guards against one customer's requests pushing out another's.
+BOOST_AUTO_TEST_CASE(FullTableKeepsOtherCustomersEntries) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    Crash(quarantine, kCulprit, StartOf(number), kStart + seconds(number));
+  }
+  constexpr std::uint32_t kFlood = 2000;
+  for (std::uint32_t number = 0; number < kFlood; ++number) {
+    Crash(quarantine, {2, number}, StartOf(1000 + number), kStart + seconds(9));
+  }
+  BOOST_TEST(quarantine.Size() == QuarantineSettings().max_requests);
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + seconds(10)));
+  BOOST_TEST(quarantine.Reports(kStart + seconds(10)).size() ==
+             QuarantineSettings().max_reported);
+}
+
+RC_BOOST_PROP(ReportsMergeInAnyOrderAndRepeatedly, ()) {
+  std::vector<SuspectReport> reports;
+  const auto count = *rc::gen::inRange(1, 6);
+  for (int i = 0; i < count; ++i) {
+    const auto key = *rc::gen::inRange<std::uint32_t>(0, 4);
+    const auto age = *rc::gen::inRange(0, 5000);
+    reports.push_back({kCulprit,
+                       {{StartOf(key), milliseconds(age), milliseconds(50),
+                         *rc::gen::arbitrary<bool>()}}});
+  }
+  Quarantine straight;
+  Quarantine shuffled;
+  for (const SuspectReport& report : reports) straight.Merge(report, kStart);
+  auto order = reports;
+  std::reverse(order.begin(), order.end());
+  for (int twice = 0; twice < 2; ++twice) {
+    for (const SuspectReport& report : order) shuffled.Merge(report, kStart);
+  }
+  const auto refuted = [](const Quarantine& quarantine) {
+    std::map<std::uint32_t, bool> by_key;
+    for (const CrashReport& crash :
+         quarantine.ReportOf(kCulprit, kStart).crashes) {
+      by_key[crash.endpoint.key] = crash.refuted;
+    }
+    return by_key;
+  };
+  RC_ASSERT(refuted(straight) == refuted(shuffled));
+}
+
+}  // namespace
+}  // namespace toucanwharf::quarantine
