Quarantine: kept in the store, so that it outlives a restart of all instances

Callers would see: after a power loss of all instances the request that was in quarantine crashes three more engines before it is known again. Cause: the crashes were only in the instances' memory.

Clocks of processes can't be compared, so the last crash counts as of the read. While there are entries the leader reads them every 10 s: an object that an operator removed lifts the quarantine everywhere, and one that has ended is removed.

--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -96,6 +96,7 @@
   { A::ConfigurationKey() } -> std::same_as<store::ObjectKey>;
   { A::EndpointCollection() } -> std::same_as<std::string>;
   { A::InstanceCollection() } -> std::same_as<std::string>;
+  { A::QuarantineCollection() } -> std::same_as<std::string>;
   {
     A::ToConfiguration(text)
     } -> std::same_as<std::optional<routes::Configuration>>;
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -112,6 +112,10 @@
   void OnCrash(std::function<void(const quarantine::Fingerprint&)> task) {
     this->on_crash = std::move(task);
   }
+  /// Calls \p task with a request that was suspected and then answered.
+  void OnCleared(std::function<void(const quarantine::Fingerprint&)> task) {
+    this->on_cleared = std::move(task);
+  }
   /// Decides from the list of endpoints whether those at which runs broke have
   /// ended.
   void ReviewBrokenRuns();
@@ -154,6 +158,10 @@
     bool is_engine = false;
   };
 
+  /// Returns whether requests can be admitted without waiting for what a
+  /// starting process reads. The quarantine is worth the wait, but an unread
+  /// one doesn't keep the process from serving.
+  bool KnowsEnoughToAdmit(TimePoint now) const;
   /// Admits or refuses a request that arrived at \p arrived.
   void Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived);
   void AdmitEarly();
@@ -214,6 +222,7 @@
   attempts::ProbeBackoff probe_backoff;
   std::function<void()> announce_failure;
   std::function<void(const quarantine::Fingerprint&)> on_crash;
+  std::function<void(const quarantine::Fingerprint&)> on_cleared;
   /// All requests in flight.
   std::set<ProxiedRequest*> active;
   attempts::StartupWait startup_wait;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -19,6 +19,7 @@
 #include "toucanwharf/instance/metrics.h"
 #include "toucanwharf/instance/peer_link.h"
 #include "toucanwharf/instance/placement_driver.h"
+#include "toucanwharf/instance/quarantine_sync.h"
 #include "toucanwharf/instance/registration.h"
 #include "toucanwharf/instance/store_sync.h"
 #include "toucanwharf/support/ids.h"
@@ -50,7 +51,9 @@
             gossip::InitialReadPolicy(this->settings.processor_share,
                                       this->loop.Now(), this->random.Unit())),
         placement(this->loop, this->client, this->store, this->state,
-                  this->peers, this->logger, this->settings) {}
+                  this->peers, this->logger, this->settings),
+        quarantine_sync(this->loop, this->store, this->state, this->logger,
+                        this->settings.name) {}
 
   /// Listens and serves until told to stop. Returns an error if it cannot
   /// listen.
@@ -66,6 +69,12 @@
           this->sync.Adopt(revision, text);
         },
         [this] { this->OnChange(); }));
+    this->gateway.OnCrash([this](const quarantine::Fingerprint& request) {
+      this->quarantine_sync.OnCrash(request);
+    });
+    this->gateway.OnCleared([this](const quarantine::Fingerprint& request) {
+      this->quarantine_sync.OnCleared(request);
+    });
     this->gateway.OnEndpointFailure([this] { this->peers.AnnounceToAll(); });
     this->peers.OnUnresponsiveEngine([this](const std::string& endpoint) {
       this->gateway.RerouteAround(endpoint);
@@ -242,6 +251,7 @@
           this->state.instances_known = true;
           this->AnnounceStartupData();
           this->UpdateBudgetSharers(this->loop.Now());
+          this->quarantine_sync.Start();
         });
   }
 
@@ -338,6 +348,7 @@
   PeerLink peers;
   StoreSync<A> sync;
   PlacementDriver<A> placement;
+  QuarantineSync<A> quarantine_sync;
   TimePoint started{this->loop.Now()};
   bool startup_announced = false;
   bool keys_accepted = false;
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -48,6 +48,8 @@
   bool leads = false;
   /// Whether the list of instances has been read from the store.
   bool instances_known = false;
+  /// Whether the stored requests in quarantine have been read.
+  bool quarantine_known = false;
 
   /// Returns whether requests can be admitted or refused: the configuration and
   /// the list of endpoints are known, and keys may be accepted.
--- /dev/null
+++ b/include/toucanwharf/instance/quarantine_sync.h
@@ -0,0 +1,193 @@
+#ifndef TOUCANWHARF_INSTANCE_QUARANTINE_SYNC_H_
+#define TOUCANWHARF_INSTANCE_QUARANTINE_SYNC_H_
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "toucanwharf/eventlog/logger.h"
+#include "toucanwharf/http/loop.h"
+#include "toucanwharf/instance/adapter.h"
+#include "toucanwharf/instance/instance_state.h"
+#include "toucanwharf/instance/suspect_record.h"
+
+namespace toucanwharf::instance {
+
+/// Keeps the requests in quarantine in the store, so that they stay refused
+/// when all instances restart, and so that operators can see them and lift the
+/// quarantine by removing an object. Owned by Instance.
+///
+/// Load: every instance reads the collection once, at its start. Only requests
+/// with two crashes are written, by the instance that saw the second or by the
+/// leader, and only the leader reads again, while there are any.
+/// Thread safety: only on the loop's thread.
+template <Adapter A>
+class QuarantineSync {
+ public:
+  using Store = typename A::Store;
+
+  /// Precondition: all references outlive the object.
+  QuarantineSync(http::Loop& event_loop, Store& object_store,
+                 InstanceState& shared_state, eventlog::Logger& log,
+                 std::string instance_name)
+      : loop(event_loop),
+        store(object_store),
+        state(shared_state),
+        logger(log),
+        name(std::move(instance_name)) {}
+
+  /// Reads the collection, and begins to follow it while this instance leads.
+  void Start() {
+    this->ReadInitially();
+    this->loop.Every(kFollowPeriod, [this] { this->Follow(); });
+  }
+
+  /// Stores \p request if it is refused since its last crash.
+  void OnCrash(const quarantine::Fingerprint& request) {
+    if (this->IsRefused(request)) this->Write(request);
+  }
+
+  /// Removes \p request, which was answered, from the store.
+  void OnCleared(const quarantine::Fingerprint& request) {
+    if (this->stored.erase(request) > 0) this->store.Remove(KeyOf(request));
+  }
+
+ private:
+  static constexpr Duration kFollowPeriod = std::chrono::seconds(10);
+  static constexpr Duration kRetryDelay = std::chrono::seconds(1);
+
+  static store::ObjectKey KeyOf(const quarantine::Fingerprint& request) {
+    return {A::QuarantineCollection(), quarantine::ToText(request)};
+  }
+
+  bool IsRefused(const quarantine::Fingerprint& request) const {
+    return this->state.quarantine.Judge(request, this->loop.Now()).has_value();
+  }
+
+  void ReadInitially() {
+    this->Read([this](const std::optional<store::Listing>& listing) {
+      if (listing) {
+        this->state.quarantine_known = true;
+        return;
+      }
+      this->loop.After(kRetryDelay, [this] { this->ReadInitially(); });
+    });
+  }
+
+  /// Writes the refused requests that are not stored yet, and lifts the
+  /// quarantine of those that an operator has removed.
+  void Follow() {
+    const bool idle = this->state.quarantine.Empty() && this->stored.empty();
+    if (!this->state.leads || idle) return;
+    this->Read([this](const std::optional<store::Listing>& listing) {
+      if (!listing) return;
+      this->LiftRemoved(*listing);
+      this->RemoveExpired();
+      this->WriteMissing();
+    });
+  }
+
+  void Read(std::function<void(const std::optional<store::Listing>&)> done) {
+    this->store.List(
+        A::QuarantineCollection(),
+        [this, done](const std::optional<store::Listing>& listing) {
+          if (listing) this->Apply(*listing);
+          done(listing);
+        });
+  }
+
+  void Apply(const store::Listing& listing) {
+    const TimePoint now = this->loop.Now();
+    for (const store::Object& object : listing.objects) {
+      const auto report = SuspectRecordFromText(object.key.name, object.value);
+      if (!report) {
+        this->Log("quarantine_unreadable", object.key.name);
+        continue;
+      }
+      if (!this->stored.insert(report->request).second) continue;
+      if (this->state.quarantine.Merge(*report, now)) {
+        this->Log("quarantine_read", object.key.name);
+      }
+    }
+  }
+
+  void LiftRemoved(const store::Listing& listing) {
+    std::set<std::string> names;
+    for (const store::Object& object : listing.objects) {
+      names.insert(object.key.name);
+    }
+    std::erase_if(this->stored, [&](const quarantine::Fingerprint& request) {
+      const std::string text = quarantine::ToText(request);
+      if (names.contains(text) || this->writing.contains(request)) return false;
+      this->state.quarantine.OnSuccess(request, this->loop.Now());
+      this->Log("quarantine_lifted", text);
+      return true;
+    });
+  }
+
+  void RemoveExpired() {
+    const TimePoint now = this->loop.Now();
+    std::erase_if(this->stored, [&](const quarantine::Fingerprint& request) {
+      const bool expired =
+          this->state.quarantine.ReportOf(request, now).crashes.empty();
+      if (expired) this->store.Remove(KeyOf(request));
+      return expired;
+    });
+  }
+
+  void WriteMissing() {
+    for (const auto& report :
+         this->state.quarantine.Reports(this->loop.Now())) {
+      const bool missing = !this->stored.contains(report.request);
+      if (missing && this->IsRefused(report.request)) {
+        this->Write(report.request);
+      }
+    }
+  }
+
+  void Write(const quarantine::Fingerprint& request) {
+    if (!this->writing.insert(request).second) return;
+    store::Write write;
+    write.key = KeyOf(request);
+    write.writer = this->state.instance;
+    write.value = SuspectRecordToText(
+        this->state.quarantine.ReportOf(request, this->loop.Now()), this->name);
+    this->store.Write(write, [this, request](const store::WriteAnswer& answer) {
+      this->writing.erase(request);
+      this->OnWritten(request, answer);
+    });
+  }
+
+  void OnWritten(const quarantine::Fingerprint& request,
+                 const store::WriteAnswer& answer) {
+    if (answer.status != store::WriteStatus::kUnknown) {
+      // In a conflict another instance has stored it.
+      this->stored.insert(request);
+      return;
+    }
+    this->Log("quarantine_not_written", quarantine::ToText(request));
+    this->loop.After(kRetryDelay, [this, request] { this->OnCrash(request); });
+  }
+
+  void Log(std::string_view event, const std::string& content) {
+    this->logger.Write(eventlog::Level::kNotable, event,
+                       eventlog::Fields().Text("content", content),
+                       this->loop.Now());
+  }
+
+  http::Loop& loop;
+  Store& store;
+  InstanceState& state;
+  eventlog::Logger& logger;
+  std::string name;
+  /// Requests that are known to be in the store.
+  std::set<quarantine::Fingerprint> stored;
+  /// Requests with a write in flight.
+  std::set<quarantine::Fingerprint> writing;
+};
+
+}  // namespace toucanwharf::instance
+
+#endif  // TOUCANWHARF_INSTANCE_QUARANTINE_SYNC_H_
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -74,13 +74,16 @@
          now - *this->state.stopping_since > kAcceptAfterStop;
 }
 
+bool Gateway::KnowsEnoughToAdmit(TimePoint now) const {
+  return this->state.CanAdmitRequests(now) && this->state.quarantine_known;
+}
+
 void Gateway::Handle(std::shared_ptr<http::Exchange> exchange) {
   ++this->counters.received;
   const TimePoint now = this->loop.Now();
   const std::size_t bytes = exchange->Received().body.size() + kHeadBytes;
   if (!this->settings.mechanisms.startup_wait ||
-      this->state.CanAdmitRequests(now) ||
-      !this->startup_wait.Enter(bytes, now)) {
+      this->KnowsEnoughToAdmit(now) || !this->startup_wait.Enter(bytes, now)) {
     this->Admit(std::move(exchange), now);
     return;
   }
@@ -91,7 +94,7 @@
 
 void Gateway::AdmitEarly() {
   const TimePoint now = this->loop.Now();
-  if (!this->state.CanAdmitRequests(now) && !this->startup_wait.Expired(now)) {
+  if (!this->KnowsEnoughToAdmit(now) && !this->startup_wait.Expired(now)) {
     this->loop.After(kEarlyPollPeriod, [this] { this->AdmitEarly(); });
     return;
   }
@@ -285,6 +288,7 @@
   this->logger.Write(Level::kNotable, "request_cleared",
                      Fields().Text("content", quarantine::ToText(request)),
                      this->loop.Now());
+  if (this->on_cleared) this->on_cleared(request);
 }
 
 bool Gateway::RefuseQuarantined(http::Exchange& exchange,
--- /dev/null
+++ b/lib/instance/suspect_record.cc
@@ -0,0 +1,68 @@
+#include "toucanwharf/instance/suspect_record.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace toucanwharf::instance {
+namespace {
+
+using Json = nlohmann::json;
+using quarantine::CrashReport;
+
+std::int64_t ToMillis(Duration length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(length).count();
+}
+
+Duration FromMillis(const Json& json) {
+  return std::chrono::milliseconds(json.get<std::int64_t>());
+}
+
+CrashReport CrashFromJson(const Json& json) {
+  return {{json.at("endpoint").get<std::uint32_t>(),
+           json.at("address").get<std::uint32_t>()},
+          FromMillis(json.at("before_last_ms")),
+          FromMillis(json.at("ran_ms")),
+          json.at("refuted").get<bool>()};
+}
+
+}  // namespace
+
+std::string SuspectRecordToText(const quarantine::SuspectReport& report,
+                                const std::string& written_by) {
+  Duration last = Duration::max();
+  for (const CrashReport& crash : report.crashes) {
+    last = std::min(last, crash.age);
+  }
+  Json crashes = Json::array();
+  for (const CrashReport& crash : report.crashes) {
+    crashes.push_back({{"endpoint", crash.endpoint.key},
+                       {"address", crash.endpoint.address},
+                       {"before_last_ms", ToMillis(crash.age - last)},
+                       {"ran_ms", ToMillis(crash.ran)},
+                       {"refuted", crash.refuted}});
+  }
+  return Json{{"crashes", crashes},
+              {"written_by", written_by},
+              {"written_at_ms", WallMillis()}}
+      .dump();
+}
+
+std::optional<quarantine::SuspectReport> SuspectRecordFromText(
+    const std::string& name, const std::string& text) {
+  const auto request = quarantine::FingerprintFromText(name);
+  const Json json = Json::parse(text, nullptr, false);
+  if (!request || !json.is_object()) return std::nullopt;
+  // An instance of another build, or another writer, may omit members.
+  try {
+    quarantine::SuspectReport report;
+    report.request = *request;
+    for (const Json& crash : json.at("crashes")) {
+      report.crashes.push_back(CrashFromJson(crash));
+    }
+    return report;
+  } catch (const Json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace toucanwharf::instance
--- a/standins/fleet/store.cc
+++ b/standins/fleet/store.cc
@@ -43,6 +43,14 @@
   return found == objects->second.end() ? Json() : found->second.spec;
 }
 
+std::vector<std::string> Store::Names(const std::string& kind) const {
+  std::vector<std::string> names;
+  const auto objects = this->kinds.find(kind);
+  if (objects == this->kinds.end()) return names;
+  for (const auto& [name, object] : objects->second) names.push_back(name);
+  return names;
+}
+
 void Store::SetFault(std::size_t address, StoreFault fault) {
   this->faults.at(address) = fault;
 }
--- a/standins/fleet/store.h
+++ b/standins/fleet/store.h
@@ -47,6 +47,8 @@
   void Remove(const std::string& kind, const std::string& name);
   /// Returns an object's spec, null if there is none.
   nlohmann::json Spec(const std::string& kind, const std::string& name) const;
+  /// Returns the names of all objects of \p kind.
+  std::vector<std::string> Names(const std::string& kind) const;
   /// Sets the fault of the address with index \p address.
   void SetFault(std::size_t address, StoreFault fault);
   /// Returns the number of calls received.
