Quarantine: successes of a moment ago speak for a request, too; soak with requests that crash endpoints

Cause: answers were remembered only while anything was suspected, so that before the first crash nothing spoke for it.

Each instance now remembers for 15 to 30 s which contents were answered, in two bounded sets; a crash of one of them counts as refuted.

The soak checks that routers without a fault run a crashing request at most three times later than 3 s after the third crash, and that no other request is refused as quarantined.

--- a/include/toucanwharf/quarantine/fingerprint.h
+++ b/include/toucanwharf/quarantine/fingerprint.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace toucanwharf::quarantine {
 
@@ -19,6 +20,11 @@
   std::uint64_t content = 0;
 
   friend auto operator<=>(const Fingerprint&, const Fingerprint&) = default;
+  /// Hashes for absl's containers.
+  template <typename H>
+  friend H AbslHashValue(H state, const Fingerprint& fingerprint) {
+    return H::combine(std::move(state), fingerprint.content);
+  }
 };
 
 /// Parts of a request that a repeat of it has in common.
--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "toucanwharf/quarantine/fingerprint.h"
+#include "toucanwharf/quarantine/recent_successes.h"
 #include "toucanwharf/support/clock.h"
 
 /// Recognises requests that crash the endpoints that run them (queries of
@@ -90,9 +91,6 @@
   Duration evidence_timeout = std::chrono::seconds(6);
   /// Delay of reports between instances, by which their times may be off.
   Duration clock_skew = std::chrono::milliseconds(20);
-  /// How long a success is remembered; other instances' reports of crashes
-  /// before it have arrived by then.
-  Duration success_memory = std::chrono::minutes(1);
   std::size_t max_requests = 256;
   std::size_t max_crashes = 8;
   /// Requests in a message between instances.
@@ -127,7 +125,8 @@
 ///   - it had just begun to run the request,
 ///   - the request was sent there after the crash before: copies of a popular
 ///     request at endpoints that crash together are at one crash,
-///   - the same request was not answered since, by any endpoint.
+///   - the same request was not answered since, by any endpoint, or a short
+///     time before.
 /// A crash of several endpoints together counts half for a request that was at
 /// one of them. Two crashes suffice only if no other request was at both.
 ///
@@ -204,8 +203,7 @@
   std::map<Fingerprint, Crashes> suspects;
   /// Broken runs without evidence yet, by the key of the endpoint's start.
   std::map<std::uint32_t, BrokenRuns> undecided;
-  /// Last successes of requests.
-  std::map<Fingerprint, TimePoint> successes;
+  RecentSuccesses successes;
   /// When endpoints crashed, by the key of their start.
   std::map<std::uint32_t, TimePoint> ends;
   TimePoint pruned_at;
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -357,7 +357,6 @@
 }
 
 void ProxiedRequest::OnRunProven() {
-  if (this->gateway.state.quarantine.Empty()) return;
   if (std::exchange(this->proven, true)) return;
   this->gateway.OnSuccess(this->ContentFingerprint());
 }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -136,8 +136,7 @@
   /// Records that no connection to the endpoint came about; a refused one shows
   /// that it has ended.
   void OnNotConnected();
-  /// Records, if anything is suspected, that this run shows that the request
-  /// crashes no endpoint.
+  /// Records that this run shows that the request crashes no endpoint.
   void OnRunProven();
   /// Returns whether the request may be sent to an endpoint.
   bool MayRun();
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -23,7 +23,7 @@
 tw_package(attempts DEPS toucanwharf_routes)
 # Requests that crash the endpoints that run them.
 tw_package(quarantine DEPS toucanwharf_support absl::strings
-  absl::str_format)
+  absl::str_format absl::flat_hash_set)
 tw_package(gossip DEPS toucanwharf_pipeline toucanwharf_quarantine)
 tw_package(endpoints DEPS toucanwharf_gossip toucanwharf_placement)
 tw_package(eventlog DEPS toucanwharf_support absl::strings)
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -68,7 +68,7 @@
 }
 
 bool Quarantine::OnSuccess(const Fingerprint& request, TimePoint now) {
-  this->successes[request] = now;
+  this->successes.Add(request, now);
   for (auto& [key, runs] : this->undecided) runs.sent_at.erase(request);
   const auto found = this->suspects.find(request);
   if (found == this->suspects.end()) return false;
@@ -105,12 +105,9 @@
     return false;
   }
   crashes.push_back(crash);
-  // Copies of a request at one crash break in any order, and at any instance.
-  const auto success = this->successes.find(request);
-  if (success != this->successes.end() &&
-      crash.at <= success->second + this->settings.joint_window) {
-    crashes.back().refuted = true;
-  }
+  // A request that crashes endpoints is never answered. Another copy may have
+  // been answered a moment ago, or have run for long at the same crash.
+  if (this->successes.Contains(request, now)) crashes.back().refuted = true;
   if (crashes.size() > this->settings.max_crashes) {
     crashes.erase(std::min_element(
         crashes.begin(), crashes.end(),
@@ -155,9 +152,6 @@
   std::erase_if(this->undecided, [&](const auto& entry) {
     return now - entry.second.at > this->settings.evidence_timeout;
   });
-  std::erase_if(this->successes, [&](const auto& entry) {
-    return now - entry.second > this->settings.success_memory;
-  });
   std::erase_if(this->ends, [&](const auto& entry) {
     return now - entry.second > this->settings.certain_block;
   });
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -73,7 +73,8 @@
 }
 
 void Endpoints::SetFault(const std::string& id, EndpointFault fault) {
-  this->endpoints.at(id).fault = fault;
+  const auto found = this->endpoints.find(id);
+  if (found != this->endpoints.end()) found->second.fault = fault;
 }
 
 void Endpoints::Drain(const std::string& id) {
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -80,6 +80,7 @@
 
   /// Starts an endpoint and registers it.
   void Add(const EndpointSpec& spec);
+  /// Sets the fault of an endpoint; one that is not running has none.
   void SetFault(const std::string& id, EndpointFault fault);
   /// Sets whether engines report which engine of an answer's path is
   /// unresponsive.
--- a/test/process/soak_checks_test.cc
+++ b/test/process/soak_checks_test.cc
@@ -74,5 +74,28 @@
   BOOST_TEST(FindViolations({read}, Runs("x", 1), {early}).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(CrashingRequestThatRunsOnIsSeen) {
+  constexpr TimePoint kStart{std::chrono::hours(1)};
+  std::vector<standins::fleet::Run> runs;
+  for (std::uint64_t number = 0; number < 7; ++number) {
+    standins::fleet::Run run;
+    run.request_id = CrashingId(number, 2);
+    run.at = kStart + std::chrono::seconds(4) * number;
+    runs.push_back(run);
+  }
+  BOOST_TEST(FindCrashViolations(runs, {}).size() == 1U);
+  const RouterFaultPeriod other{1, kStart, kStart + std::chrono::minutes(1)};
+  BOOST_TEST(FindCrashViolations(runs, {other}).size() == 1U);
+  const RouterFaultPeriod same{2, runs[5].at, runs[5].at};
+  BOOST_TEST(FindCrashViolations(runs, {same}).empty());
+}
+
+BOOST_AUTO_TEST_CASE(SoundRequestInQuarantineIsSeen) {
+  ObservedRequest read = Answered("x", RequestKind::kRead);
+  read.answer.status = 503;
+  read.answer.body = "not run: quarantined\n";
+  BOOST_TEST(FindViolations({read}, {}, {}).size() == 1U);
+}
+
 }  // namespace
 }  // namespace toucanwharf::soak
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -10,8 +10,21 @@
 using process_test::EventStream;
 using process_test::PlatformFleet;
 
+constexpr std::string_view kCrashingPrefix = "crashing-";
+constexpr std::chrono::milliseconds kCrashingPeriod{100};
+
 }  // namespace
 
+std::string CrashingId(std::uint64_t number, std::size_t router) {
+  return std::string(kCrashingPrefix) + std::to_string(router) + "-" +
+         std::to_string(number);
+}
+
+std::optional<std::size_t> RouterOfCrashing(const std::string& id) {
+  if (!id.starts_with(kCrashingPrefix)) return std::nullopt;
+  return std::stoul(id.substr(kCrashingPrefix.size()));
+}
+
 Callers::Callers(PlatformFleet& called, const SoakSettings& settings)
     : fleet(called) {
   for (std::size_t number = 0; number < settings.callers; ++number) {
@@ -19,6 +32,21 @@
       this->Run(number, MixBits(settings.seed) + number, settings.routers);
     });
   }
+  this->threads.emplace_back([this, &settings] {
+    this->RunCrashing(MixBits(settings.seed) + settings.callers,
+                      settings.routers);
+  });
+}
+
+void Callers::RunCrashing(std::uint64_t seed, std::size_t routers) {
+  Random random(seed);
+  for (std::uint64_t count = 0; !this->stopping; ++count) {
+    std::this_thread::sleep_for(kCrashingPeriod);
+    if (!this->crashing) continue;
+    const std::size_t router = random.Below(routers);
+    this->fleet.Stream(router, CrashingId(count, router), "/chat/one", 0,
+                       standins::fleet::Endpoints::kCrashingContent);
+  }
 }
 
 void Callers::Join() {
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -31,6 +32,11 @@
   bool disconnected = false;
 };
 
+/// Returns the id of the crashing request \p number that is sent to \p router.
+std::string CrashingId(std::uint64_t number, std::size_t router);
+/// Returns the router of an id of CrashingId; nothing for other ids.
+std::optional<std::size_t> RouterOfCrashing(const std::string& id);
+
 /// Callers that send requests to random routers, each in its own thread, until
 /// they are stopped. They also call routers that are stopping or down.
 /// Thread safety: none; one thread.
@@ -42,17 +48,22 @@
   Callers(const Callers&) = delete;
   Callers& operator=(const Callers&) = delete;
 
-  /// Waits for the requests in flight and returns all requests.
+  /// Sets whether a further caller sends the request that crashes endpoints.
+  void SendCrashing(bool active) { this->crashing = active; }
+  /// Waits for the requests in flight and returns all requests, but those that
+  /// crash endpoints.
   std::vector<ObservedRequest> Stop();
 
  private:
   void Join();
   void Run(std::size_t number, std::uint64_t seed, std::size_t routers);
+  void RunCrashing(std::uint64_t seed, std::size_t routers);
   ObservedRequest CallOnce(const std::string& id, std::uint64_t draw,
                            std::size_t router);
 
   process_test::PlatformFleet& fleet;
   std::atomic<bool> stopping{false};
+  std::atomic<bool> crashing{false};
   std::mutex mutex;
   std::vector<ObservedRequest> observed;
   std::vector<std::thread> threads;
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -1,5 +1,6 @@
 #include "test/soak/checks.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -45,8 +46,38 @@
   return false;
 }
 
+bool HadFault(std::size_t router, TimePoint at,
+              const std::vector<RouterFaultPeriod>& faults) {
+  return std::any_of(faults.begin(), faults.end(),
+                     [&](const RouterFaultPeriod& period) {
+                       return period.router == router && at >= period.from &&
+                              at <= period.until + kCrashesKnownAfter;
+                     });
+}
+
 }  // namespace
 
+std::vector<std::string> FindCrashViolations(
+    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<RouterFaultPeriod>& faults) {
+  std::size_t crashes = 0;
+  std::size_t late = 0;
+  TimePoint known_from;
+  constexpr std::size_t kThird = 3;
+  for (const auto& run : runs) {
+    const auto router = RouterOfCrashing(run.request_id);
+    if (!router) continue;
+    if (++crashes == kThird) known_from = run.at + kCrashesKnownAfter;
+    const bool counts = crashes > kThird && run.at > known_from &&
+                        !HadFault(*router, run.at, faults);
+    if (counts) ++late;
+  }
+  if (late <= kMaxRunsAfterCrashes) return {};
+  return {"a request that crashes endpoints ran " + std::to_string(late) +
+          " times after all knew of it, " + std::to_string(crashes) +
+          " in all"};
+}
+
 std::vector<std::string> FindViolations(
     const std::vector<ObservedRequest>& observed,
     const std::vector<standins::fleet::Run>& runs,
@@ -67,6 +98,9 @@
     if (unsafe && times > 1) add(call, "ran more than once (I4)");
     if (unsafe && not_run && times > 0) add(call, "ran though refused (I3)");
     if (IsSuccess(call) && times == 0) add(call, "answered without a run (I2)");
+    if (call.answer.body.find("quarantined") != std::string::npos) {
+      add(call, "refused as if it crashed endpoints");
+    }
     if (!AnswerIsItsOwn(call)) add(call, "not its own answer (I2)");
     if (!EventsAreRight(call)) add(call, "events missing or repeated (I1, I2)");
     const bool second = call.kind == RequestKind::kSecondCustomer;
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -20,6 +20,25 @@
 /// Equals `bounds.revoke_ms` in the settings of the fleet's routers.
 inline constexpr std::chrono::milliseconds kRevocationBound{2500};
 
+/// Period in which a router is down, suspended or without the store, and may
+/// not learn what the others know.
+struct RouterFaultPeriod {
+  std::size_t router = 0;
+  TimePoint from;
+  TimePoint until;
+};
+
+/// How long after the third crash by a request routers may not know of it, and
+/// how often they may send it on after that.
+inline constexpr Duration kCrashesKnownAfter = std::chrono::seconds(3);
+inline constexpr std::size_t kMaxRunsAfterCrashes = 3;
+
+/// Returns a line if a request that crashes endpoints was sent on and on by
+/// routers without a fault. Thread safety: safe.
+std::vector<std::string> FindCrashViolations(
+    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<RouterFaultPeriod>& faults);
+
 /// Returns a line for each violation of the router's guarantees in what callers
 /// and endpoints observed.
 /// Thread safety: safe.
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -33,6 +33,8 @@
   kEndpoint,
   /// The second customer's key is revoked, and restored.
   kRevocation,
+  /// A caller sends a request that crashes endpoints, again and again.
+  kCrashingRequest,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -59,6 +61,9 @@
   /// Mean time between the starts of two faults. It is shorter than most
   /// faults, so several overlap.
   std::int64_t mean_fault_interval_ms = 500;
+  /// Whether callers also send a request that crashes endpoints. The other
+  /// faults of a seed stay the same.
+  bool crashing_requests = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -56,6 +56,9 @@
   beacon.echo_of = "receiver";
   beacon.loads = {{"engine", 2, 300, 1}};
   beacon.suspicions = {{"engine", milliseconds(20), true}};
+  beacon.suspects = {{{7, *rc::gen::arbitrary<std::uint64_t>()},
+                      {{{1, 2}, milliseconds(900), milliseconds(60), false},
+                       {{3, 4}, milliseconds(20), milliseconds(50), true}}}};
   beacon.covered_keys = {5, *rc::gen::inRange<std::uint32_t>(5, 1U << 31)};
   beacon.engine_statuses = {{7, {0, 26}, 1.5, 4000}};
   beacon.fleet_loads = {{0xfffffffe, 12, 700000, 3}, {8, 1, 2000, 0}};
@@ -74,6 +77,10 @@
   constexpr std::size_t kInstances = 420;
   const std::string id(36, 'e');
   Beacon beacon = MakeBeacon("leader", 1);
+  const quarantine::QuarantineSettings limits;
+  const std::vector<quarantine::CrashReport> crashes(
+      limits.max_crashes, {{~0U, ~0U}, std::chrono::hours(1), milliseconds(9)});
+  beacon.suspects.resize(limits.max_reported, {{~0U, ~0ULL}, crashes});
   for (std::size_t i = 0; i < endpoints; ++i) {
     beacon.loads.push_back({id + std::to_string(i), 190, 70e6, 12});
     beacon.suspicions.push_back(
