Log and count the limits that endpoints state

The logs could not tell whether nobody reads an endpoint's limit or each instance keeps it for itself: no line had it.

endpoint_limit, endpoint_limit_ended and limit_unreadable name the endpoint and the value, endpoints_limited and limits_unreadable_total count. No decision uses it yet.

--- a/include/toucanwharf/http/message.h
+++ b/include/toucanwharf/http/message.h
@@ -44,6 +44,8 @@
   void Remove(std::string_view name);
   /// Returns the first value of \p name, or nothing.
   std::optional<std::string_view> Find(std::string_view name) const;
+  /// Returns all values of \p name, in the order received.
+  std::vector<std::string_view> FindAll(std::string_view name) const;
   /// Returns the first value of \p name, or an empty string.
   std::string_view Get(std::string_view name) const {
     return this->Find(name).value_or(std::string_view());
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -82,6 +82,7 @@
   std::uint64_t retries_denied = 0;
   std::uint64_t broken_runs = 0;
   std::uint64_t quarantined = 0;
+  std::uint64_t limits_unreadable = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
 
@@ -200,6 +201,11 @@
   void OnEndpointEnded(std::uint32_t key);
   /// Records that a run shows that \p request crashes no endpoint.
   void OnSuccess(const quarantine::Fingerprint& request);
+  /// Applies the limit that \p endpoint states, or doesn't, in the \p head of
+  /// its answer to a request sent at \p sent.
+  void OnStatedLimit(const std::string& endpoint, TimePoint sent,
+                     const http::ResponseHead& head);
+  void OnUnreadableLimit(const std::string& endpoint, std::string_view value);
   /// Refuses \p exchange if \p request is in quarantine. Returns whether it is.
   bool RefuseQuarantined(http::Exchange& exchange,
                          const quarantine::Fingerprint& request);
@@ -218,6 +224,7 @@
   Random random;
   EngineCalls calls;
   GatewayCounters counters;
+  TimePoint unreadable_limit_logged{Duration(-1'000'000'000)};
   EngineProbe probe;
   attempts::ProbeBackoff probe_backoff;
   std::function<void()> announce_failure;
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -11,6 +11,7 @@
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/ready_instance_list.h"
 #include "toucanwharf/instance/settings.h"
+#include "toucanwharf/limits/stated_limits.h"
 #include "toucanwharf/quarantine/quarantine.h"
 #include "toucanwharf/routes/freshness.h"
 #include "toucanwharf/routes/route_table.h"
@@ -37,6 +38,7 @@
   gossip::PeerTable peers;
   gossip::ReadyInstanceList ready_list;
   quarantine::Quarantine quarantine;
+  limits::StatedLimits limits;
   /// Datagram addresses of the backup leaders of a large fleet, as last
   /// announced by the leader, or chosen among the registered instances before
   /// that; and whether this instance is one of them.
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -78,6 +78,8 @@
   /// Scheme name before the key in the authorization.
   std::string key_scheme;
   std::string last_event_id;
+  /// Requests per second that an endpoint in need takes from all instances.
+  std::string limit;
 
   friend bool operator==(const HeaderNames&, const HeaderNames&) = default;
 };
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -80,6 +80,14 @@
   return std::nullopt;
 }
 
+std::vector<std::string_view> Headers::FindAll(std::string_view name) const {
+  std::vector<std::string_view> values;
+  for (const auto& [field, value] : this->fields) {
+    if (EqualIgnoringCase(field, name)) values.emplace_back(value);
+  }
+  return values;
+}
+
 Headers EndToEnd(const Headers& headers) {
   const auto named = ConnectionOptions(headers);
   Headers end_to_end;
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -31,6 +31,9 @@
 /// capacity is freed every ten milliseconds on average.
 constexpr Duration kQueuePollPeriod = std::chrono::milliseconds(20);
 
+/// Every answer of an endpoint may carry the same unreadable limit.
+constexpr Duration kUnreadableLimitLogPeriod = std::chrono::seconds(10);
+
 std::string_view KeyOf(std::string_view authorization,
                        std::string_view scheme) {
   if (authorization.size() <= scheme.size()) return {};
@@ -291,6 +294,43 @@
   if (this->on_cleared) this->on_cleared(request);
 }
 
+void Gateway::OnStatedLimit(const std::string& endpoint, TimePoint sent,
+                            const http::ResponseHead& head) {
+  const auto values = head.headers.FindAll(this->names.limit);
+  const endpoints::Endpoint* known = this->state.endpoints.Find(endpoint);
+  const bool says_nothing = values.empty() && this->state.limits.Empty();
+  if (known == nullptr || says_nothing) return;
+  std::optional<double> limit;
+  if (values.size() == 1) limit = limits::ParseRate(values.front());
+  if (!values.empty() && !limit) {
+    this->OnUnreadableLimit(endpoint, values.front());
+    return;
+  }
+  const TimePoint now = this->loop.Now();
+  const std::uint32_t key = endpoints::EndpointKey(*known);
+  if (!this->state.limits.OnAnswer(key, limit, sent, now)) return;
+  Fields fields;
+  fields.Text("endpoint", endpoint);
+  if (limit) fields.Text("per_second", absl::StrFormat("%.3f", *limit));
+  this->logger.Write(Level::kNotable,
+                     limit ? "endpoint_limit" : "endpoint_limit_ended", fields,
+                     now);
+}
+
+void Gateway::OnUnreadableLimit(const std::string& endpoint,
+                                std::string_view value) {
+  ++this->counters.limits_unreadable;
+  const TimePoint now = this->loop.Now();
+  if (now - this->unreadable_limit_logged < kUnreadableLimitLogPeriod) return;
+  this->unreadable_limit_logged = now;
+  constexpr std::size_t kShown = 40;
+  this->logger.Write(Level::kNotable, "limit_unreadable",
+                     Fields()
+                         .Text("endpoint", endpoint)
+                         .Text("value", value.substr(0, kShown)),
+                     now);
+}
+
 bool Gateway::RefuseQuarantined(http::Exchange& exchange,
                                 const quarantine::Fingerprint& request) {
   const auto verdict = this->state.quarantine.Judge(request, this->loop.Now());
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -94,6 +94,8 @@
                  counters.broken_runs);
   writer.Counter("quarantined", "requests refused because they crash endpoints",
                  counters.quarantined);
+  writer.Counter("limits_unreadable", "limits of endpoints that say nothing",
+                 counters.limits_unreadable);
   writer.Latencies("plain_seconds", "time to the end of a plain answer",
                    counters.plain_latency);
   writer.Latencies("first_event_seconds", "time to a stream's first event",
@@ -117,6 +119,8 @@
                static_cast<double>(state.endpoints.RetainedCount()));
   writer.Gauge("peers", "other instances heard of lately",
                static_cast<double>(state.peers.AllLive(now).size()));
+  writer.Gauge("endpoints_limited", "endpoints that state a limit",
+               static_cast<double>(state.limits.Count(now)));
   writer.Gauge("suspects", "requests that were at a crash of an endpoint",
                static_cast<double>(state.quarantine.Size()));
   writer.Gauge("suspects_refused", "suspects that are refused",
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -191,6 +191,8 @@
   this->last_data = this->gateway.loop.Now();
   this->head_at = this->last_data;
   this->head = answer;
+  this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
+                              answer);
   this->ClassifyHead(answer);
 }
 
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -21,6 +21,7 @@
 tw_package(placement DEPS toucanwharf_pipeline)
 tw_package(routes DEPS toucanwharf_placement absl::flat_hash_map absl::strings)
 tw_package(attempts DEPS toucanwharf_routes)
+tw_package(limits DEPS toucanwharf_support absl::strings)
 # Requests that crash the endpoints that run them.
 tw_package(quarantine DEPS toucanwharf_support absl::strings
   absl::str_format absl::flat_hash_set)
@@ -43,7 +44,7 @@
     BOOST_ASIO_DISABLE_CONCEPTS BOOST_ALLOW_DEPRECATED_HEADERS)
   tw_package(instance DEPS toucanwharf_http toucanwharf_eventlog
     toucanwharf_endpoints toucanwharf_attempts toucanwharf_control
-    toucanwharf_quarantine     absl::strings absl::str_format)
+    toucanwharf_limits toucanwharf_quarantine     absl::strings absl::str_format)
   file(GLOB adapter_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
   add_library(toucanwharf_adapter STATIC ${adapter_sources})
   target_include_directories(toucanwharf_adapter PUBLIC ${CMAKE_SOURCE_DIR})
