--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -77,6 +77,12 @@
   if (found != this->endpoints.end()) found->second.fault = fault;
 }
 
+void Endpoints::SetLimit(const std::string& id,
+                         std::optional<double> per_second) {
+  const auto found = this->endpoints.find(id);
+  if (found != this->endpoints.end()) found->second.limit = per_second;
+}
+
 void Endpoints::Drain(const std::string& id) {
   Endpoint& endpoint = this->endpoints.at(id);
   endpoint.state = "draining";
@@ -247,6 +253,9 @@
     head.headers.Set("X-Request-Id", "of-another-request");
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
+  if (endpoint.limit) {
+    head.headers.Add("Server-Limit", absl::StrCat(*endpoint.limit));
+  }
   exchange.Respond(head, "ran at " + endpoint.spec.id);
 }
 
@@ -320,6 +329,9 @@
   http::ResponseHead head = HeadOf(http::kOk, request);
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
+  if (endpoint.limit) {
+    head.headers.Add("Server-Limit", absl::StrCat(*endpoint.limit));
+  }
   auto stream = std::make_shared<Stream>(
       Stream{endpoint.spec.id, run.request_id, path, exchange, last + 1});
   this->streams.insert(stream);
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -82,6 +83,9 @@
   void Add(const EndpointSpec& spec);
   /// Sets the fault of an endpoint; one that is not running has none.
   void SetFault(const std::string& id, EndpointFault fault);
+  /// Sets the requests per second that an endpoint states in its answers;
+  /// nothing for no limit. It serves more all the same.
+  void SetLimit(const std::string& id, std::optional<double> per_second);
   /// Sets whether engines report which engine of an answer's path is
   /// unresponsive.
   void ReportStalls(bool named) { this->report_stalls = named; }
@@ -117,6 +121,7 @@
     EndpointSpec spec;
     std::unique_ptr<http::Server> server;
     EndpointFault fault = EndpointFault::kNone;
+    std::optional<double> limit;
     pipeline::LayerRange layers;
     std::uint64_t sequence = 0;
     std::string state = "ready";
