An answer of which the caller has a part outlasts refusals by engines

Cause: an answer is sent on at once to engines that seem to have capacity; four of them refused within 7 ms, the same one up to three times, and the bound on attempts that did not run ended the answer. Its caller would have waited 2 s for the next event, and waiting for capacity was there, but not after that bound. Class: a bound by number where time decides.

Change: the bound ends only requests of which nothing was relayed. A started answer pauses 200 ms before each further attempt, which the budget of extra arrivals bounds as before, until its caller leaves or its deadline passes.

Test: StartedAnswerOutlastsRefusals (10 checks fail with the old bound).

--- a/include/toucanwharf/attempts/attempt_policy.h
+++ b/include/toucanwharf/attempts/attempt_policy.h
@@ -48,7 +48,8 @@
 /// Attempts beyond the route's limit that are allowed for attempts that
 /// certainly did not run. Those don't count as runs, but each costs time and an
 /// arrival; after so many the service refuses for a reason that another attempt
-/// won't change.
+/// won't change. An answer of which the caller has a part pauses then instead
+/// of ending, because its caller waits for the rest.
 inline constexpr int kMaxNotRunAttempts = 3;
 
 /// Returns the step after an attempt that ended with \p outcome, the last of
@@ -59,6 +60,11 @@
 NextStep NextStepAfter(const routes::Route& route, const AttemptCounts& counts,
                        AttemptOutcome outcome, bool budget_left);
 
+/// Returns whether the next attempt must wait for a moment, as so many were
+/// refused already.
+/// Thread safety: safe.
+bool PausesBeforeRetry(const routes::Route& route, const AttemptCounts& counts);
+
 /// Returns whether NextStepAfter returns kRetry if the budget allows it.
 /// Thread safety: safe.
 bool MayRetry(const routes::Route& route, const AttemptCounts& counts,
--- a/lib/attempts/attempt_policy.cc
+++ b/lib/attempts/attempt_policy.cc
@@ -8,11 +8,20 @@
          outcome == AttemptOutcome::kNotRun;
 }
 
+bool MaxNotRunReached(const routes::Route& route, const AttemptCounts& counts) {
+  return counts.total >= route.max_attempts + kMaxNotRunAttempts;
+}
+
 }  // namespace
 
+bool PausesBeforeRetry(const routes::Route& route,
+                       const AttemptCounts& counts) {
+  return counts.answer_started && MaxNotRunReached(route, counts);
+}
+
 bool MayRetry(const routes::Route& route, const AttemptCounts& counts,
               AttemptOutcome outcome) {
-  if (counts.total >= route.max_attempts + kMaxNotRunAttempts) return false;
+  if (!counts.answer_started && MaxNotRunReached(route, counts)) return false;
   if (counts.may_have_run >= route.max_attempts) return false;
   return counts.may_have_run == 0
              ? CertainlyNotRun(outcome) || route.Repeatable()
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -34,6 +34,10 @@
 /// caller gives no hint.
 constexpr double kTypicalOutputShare = 0.6;
 
+/// Pause of an answer that lost its path, after engines that seemed to have
+/// capacity refused several times.
+constexpr Duration kRefusedPause = std::chrono::milliseconds(200);
+
 constexpr double kMicrosPerMilli = 1000;
 
 double ParseNumber(std::string_view text) {
@@ -406,16 +410,18 @@
   this->Finish(success ? "answered" : "failure_relayed", this->head.status);
 }
 
+bool ProxiedRequest::MayRetry(AttemptOutcome outcome) {
+  return attempts::MayRetry(*this->admitted.route, this->attempt_counts,
+                            outcome) &&
+         this->MayRunAgain();
+}
+
 /// Returns where to retry, if that is allowed and an endpoint is available.
 std::optional<ProxiedRequest::Target> ProxiedRequest::ChooseForRetry(
     AttemptOutcome outcome) {
   const TimePoint now = this->gateway.loop.Now();
   if (now >= this->admitted.deadline) return std::nullopt;
-  if (!this->MayRunAgain()) return std::nullopt;
-  if (!attempts::MayRetry(*this->admitted.route, this->attempt_counts,
-                          outcome)) {
-    return std::nullopt;
-  }
+  if (!this->MayRetry(outcome)) return std::nullopt;
   auto next = this->ChooseTarget();
   if (!next) return std::nullopt;
   // An attempt without a connection caused no arrival.
@@ -493,6 +499,17 @@
     this->Finish("left_by_caller", 0);
     return;
   }
+  const bool pauses =
+      attempts::PausesBeforeRetry(*this->admitted.route, this->attempt_counts);
+  if (pauses && this->MayRetry(outcome)) {
+    this->AwaitCapacity(kRefusedPause, outcome, reason);
+    return;
+  }
+  this->TakeNextStep(outcome, reason);
+}
+
+void ProxiedRequest::TakeNextStep(AttemptOutcome outcome,
+                                  std::string_view reason) {
   const auto next = this->ChooseForRetry(outcome);
   switch (attempts::NextStepAfter(*this->admitted.route, this->attempt_counts,
                                   outcome, next.has_value())) {
@@ -511,10 +528,8 @@
       this->FinishPlain();
       return;
     case NextStep::kAbort:
-      if (attempts::MayRetry(*this->admitted.route, this->attempt_counts,
-                             outcome) &&
-          this->MayRunAgain()) {
-        this->AwaitCapacity(outcome, reason);
+      if (this->MayRetry(outcome)) {
+        this->AwaitCapacity(kCapacityPollPeriod, outcome, reason);
         return;
       }
       ++this->gateway.counters.aborted;
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -22,6 +22,9 @@
 /// to be in use counts as full.
 inline constexpr double kFullShare = 0.6;
 
+/// Between checks for capacity for an answer that lost its path.
+inline constexpr Duration kCapacityPollPeriod = std::chrono::milliseconds(60);
+
 /// Returns whether \p endpoint runs one of \p stages. Thread safety: safe.
 inline bool RunsThrough(const std::vector<pipeline::Stage>& stages,
                         const std::string& endpoint) {
@@ -99,6 +102,8 @@
   void FinishPlain();
   void EndAttempt(attempts::AttemptOutcome outcome, std::string_view reason);
   void Proceed(attempts::AttemptOutcome outcome, std::string_view reason);
+  /// Takes the next step after an attempt, at once or after a pause.
+  void TakeNextStep(attempts::AttemptOutcome outcome, std::string_view reason);
 
   bool MayQueue() const;
   void WatchStall(Duration delay);
@@ -127,7 +132,10 @@
   /// Pauses new work for \p endpoint, which refused; \p full says whether its
   /// capacity was in use.
   void RecordRefusal(const std::string& endpoint, bool full);
-  void AwaitCapacity(attempts::AttemptOutcome outcome, std::string_view reason);
+  /// Returns whether the request may be sent once more after \p outcome.
+  bool MayRetry(attempts::AttemptOutcome outcome);
+  void AwaitCapacity(Duration pause, attempts::AttemptOutcome outcome,
+                     std::string_view reason);
   /// Returns what stands for this request's content, whatever its id.
   quarantine::Fingerprint ContentFingerprint();
   /// Logs what tells a request that crashes endpoints from one that was only
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -34,8 +34,6 @@
 /// the objective is long. Until then an answer that lost its path may find
 /// another, and the client's disconnect ends the wait.
 constexpr Duration kClientIdleTimeout = std::chrono::seconds(4);
-/// Between checks for capacity for an answer that lost its path.
-constexpr Duration kCapacityPollPeriod = std::chrono::milliseconds(60);
 /// An engine answers an order in a millisecond; without an answer the reroute
 /// may not have been applied.
 constexpr Duration kRerouteTimeout = std::chrono::milliseconds(100);
@@ -47,7 +45,7 @@
 /// Part of the answer has been relayed, and no endpoint has capacity for the
 /// rest yet. The caller waits for the next event anyway, so the answer is
 /// aborted only after the client idle timeout.
-void ProxiedRequest::AwaitCapacity(AttemptOutcome outcome,
+void ProxiedRequest::AwaitCapacity(Duration pause, AttemptOutcome outcome,
                                    std::string_view reason) {
   const TimePoint now = this->gateway.loop.Now();
   if (now - this->last_data > kClientIdleTimeout) {
@@ -57,10 +55,10 @@
     return;
   }
   this->gateway.loop.Cancel(this->stall_timer);
-  this->stall_timer = this->gateway.loop.After(
-      kCapacityPollPeriod, [self = this->shared_from_this(), outcome,
-                            reason_text = std::string(reason)] {
-        if (!self->finished) self->Proceed(outcome, reason_text);
+  this->stall_timer =
+      this->gateway.loop.After(pause, [self = this->shared_from_this(), outcome,
+                                       reason_text = std::string(reason)] {
+        if (!self->finished) self->TakeNextStep(outcome, reason_text);
       });
 }
 
@@ -211,9 +209,7 @@
 }
 
 bool ProxiedRequest::CanResumeElsewhere() {
-  return attempts::MayRetry(*this->admitted.route, this->attempt_counts,
-                            AttemptOutcome::kUnknown) &&
-         this->MayRunAgain() &&
+  return this->MayRetry(AttemptOutcome::kUnknown) &&
          this->gateway.budget.HasExtra(this->admitted.service->name,
                                        this->gateway.loop.Now()) &&
          this->ChooseTarget().has_value();
--- a/unittests/attempts/attempt_policy_test.cc
+++ b/unittests/attempts/attempt_policy_test.cc
@@ -88,5 +88,26 @@
                             false) == NextStep::kAbort);
 }
 
+// Guards against answers that are broken off within milliseconds, because the
+// engines that could continue them refuse at the moment: their callers wait for
+// the next event anyway.
+BOOST_AUTO_TEST_CASE(StartedAnswerOutlastsRefusals) {
+  const auto route = MakeRoute(RequestKind::kStream, true, 2);
+  AttemptCounts counts{1, 1 + kMaxNotRunAttempts, true};
+  BOOST_TEST(!PausesBeforeRetry(route, counts));
+  for (int refusals = 0; refusals < 10; ++refusals) {
+    ++counts.total;
+    BOOST_CHECK(NextStepAfter(route, counts, AttemptOutcome::kNotRun, true) ==
+                NextStep::kRetry);
+    BOOST_TEST(PausesBeforeRetry(route, counts));
+  }
+  counts.answer_started = false;
+  BOOST_CHECK(NextStepAfter(route, counts, AttemptOutcome::kNotRun, true) !=
+              NextStep::kRetry);
+  counts = {2, 9, true};
+  BOOST_CHECK(NextStepAfter(route, counts, AttemptOutcome::kUnknown, true) ==
+              NextStep::kAbort);
+}
+
 }  // namespace
 }  // namespace toucanwharf::attempts
