--- /dev/null
+++ b/lib/instance/gateway_evidence.cc
@@ -0,0 +1,133 @@
+#include "absl/strings/str_format.h"
+#include "toucanwharf/instance/gateway.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using eventlog::Fields;
+using eventlog::Level;
+
+/// Every answer of an endpoint may carry the same unreadable limit.
+constexpr Duration kUnreadableLimitLogPeriod = std::chrono::seconds(10);
+
+}  // namespace
+
+void Gateway::OnRunBroken(const quarantine::BrokenRun& run,
+                          const BrokenAt& at) {
+  const TimePoint now = this->loop.Now();
+  this->state.quarantine.OnRunBroken(run, now);
+  if (!at.is_engine) return;
+  this->probe.Check(at.address, now, this->ConcurrentProbers(),
+                    [this, at](const ProbeAnswer& answer) {
+                      this->OnEndpointProbed(at, answer);
+                    });
+}
+
+/// An engine that refuses connections has ended, and one that reports another
+/// start has been replaced. One that doesn't respond may be cut off: the list
+/// of endpoints tells.
+void Gateway::OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer) {
+  const bool restarted =
+      answer.report && answer.report->start_time_ms != at.start_time_ms;
+  if (answer.refused || restarted) {
+    this->OnEndpointEnded(at.key);
+    return;
+  }
+  if (answer.alive && answer.report) {
+    this->state.quarantine.OnEndpointCleared(at.key);
+  }
+}
+
+void Gateway::OnEndpointEnded(std::uint32_t key) {
+  const TimePoint now = this->loop.Now();
+  const auto requests = this->state.quarantine.OnEndpointEnded(key, now);
+  if (requests.empty()) return;
+  const endpoints::Endpoint* endpoint = this->state.endpoints.FindByKey(key);
+  for (const quarantine::Fingerprint& request : requests) {
+    const auto report = this->state.quarantine.ReportOf(request, now);
+    this->logger.Write(
+        Level::kNotable, "request_at_crash",
+        Fields()
+            .Text("content", quarantine::ToText(request))
+            .Text("endpoint", endpoint == nullptr ? "" : endpoint->id)
+            .Count("crashes", static_cast<std::int64_t>(report.crashes.size())),
+        now);
+    if (this->on_crash) this->on_crash(request);
+  }
+  if (this->announce_news) this->announce_news();
+}
+
+void Gateway::ReviewBrokenRuns() {
+  const TimePoint now = this->loop.Now();
+  for (const std::uint32_t key : this->state.quarantine.Undecided(now)) {
+    const endpoints::Endpoint* endpoint = this->state.endpoints.FindByKey(key);
+    if (endpoint == nullptr) {
+      this->OnEndpointEnded(key);
+    } else if (endpoint->state == endpoints::EndpointState::kDraining) {
+      this->state.quarantine.OnEndpointCleared(key);
+    }
+  }
+}
+
+void Gateway::OnSuccess(const quarantine::Fingerprint& request) {
+  if (!this->state.quarantine.OnSuccess(request, this->loop.Now())) return;
+  this->logger.Write(Level::kNotable, "request_cleared",
+                     Fields().Text("content", quarantine::ToText(request)),
+                     this->loop.Now());
+  if (this->on_cleared) this->on_cleared(request);
+}
+
+bool Gateway::RefuseQuarantined(http::Exchange& exchange,
+                                const quarantine::Fingerprint& request) {
+  const auto verdict = this->state.quarantine.Judge(request, this->loop.Now());
+  if (!verdict) return false;
+  ++this->counters.quarantined;
+  this->Refuse(
+      exchange, http::kUnavailable, verdict->blocked_for, "quarantined",
+      Fields()
+          .Text("content", quarantine::ToText(request))
+          .Count("crashes", static_cast<std::int64_t>(verdict->crashes))
+          .Millis("last_crash_ms", verdict->last_crash_age));
+  return true;
+}
+
+void Gateway::OnStatedLimit(const std::string& endpoint, TimePoint sent,
+                            const http::ResponseHead& head) {
+  const auto values = head.headers.FindAll(this->names.limit);
+  const endpoints::Endpoint* known = this->state.endpoints.Find(endpoint);
+  const bool says_nothing = values.empty() && this->state.limits.Empty();
+  if (known == nullptr || says_nothing) return;
+  std::optional<double> limit;
+  if (values.size() == 1) limit = limits::ParseRate(values.front());
+  if (!values.empty() && !limit) {
+    this->OnUnreadableLimit(endpoint, values.front());
+    return;
+  }
+  const TimePoint now = this->loop.Now();
+  const std::uint32_t key = endpoints::EndpointKey(*known);
+  if (!this->state.limits.OnAnswer(key, limit, sent, now)) return;
+  this->state.ShareLimits(this->settings.datagram_address, now);
+  if (this->announce_news) this->announce_news();
+  Fields fields;
+  fields.Text("endpoint", endpoint);
+  if (limit) fields.Text("per_second", absl::StrFormat("%.3f", *limit));
+  this->logger.Write(Level::kNotable,
+                     limit ? "endpoint_limit" : "endpoint_limit_ended", fields,
+                     now);
+}
+
+void Gateway::OnUnreadableLimit(const std::string& endpoint,
+                                std::string_view value) {
+  ++this->counters.limits_unreadable;
+  const TimePoint now = this->loop.Now();
+  if (now - this->unreadable_limit_logged < kUnreadableLimitLogPeriod) return;
+  this->unreadable_limit_logged = now;
+  constexpr std::size_t kShown = 40;
+  this->logger.Write(Level::kNotable, "limit_unreadable",
+                     Fields()
+                         .Text("endpoint", endpoint)
+                         .Text("value", value.substr(0, kShown)),
+                     now);
+}
+
+}  // namespace toucanwharf::instance
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -22,6 +22,8 @@
 /// to be in use counts as full.
 inline constexpr double kFullShare = 0.6;
 
+/// A connection within a region takes a millisecond.
+inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 /// Between checks for capacity for an answer that lost its path.
 inline constexpr Duration kCapacityPollPeriod = std::chrono::milliseconds(60);
 
@@ -50,8 +52,8 @@
 /// pending callbacks. proxied_request.cc has the lifecycle from the first
 /// attempt to the end, proxied_request_target.cc the choice of endpoints and
 /// the request sent there, proxied_request_stall.cc the handling of
-/// unresponsive endpoints.
-/// Thread safety: only on the loop's thread.
+/// unresponsive endpoints, proxied_request_evidence.cc what its runs show of
+/// the request itself. Thread safety: only on the loop's thread.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
  public:
   ProxiedRequest(Gateway& owner, std::shared_ptr<http::Exchange> caller,
@@ -149,6 +151,8 @@
   /// Records that no connection to the endpoint came about; a refused one shows
   /// that it has ended.
   void OnNotConnected();
+  /// Records an event of the current run.
+  void OnProgress();
   /// Records that this run shows that the request crashes no endpoint.
   void OnRunProven();
   /// Returns whether the request may be sent to an endpoint.
--- /dev/null
+++ b/lib/instance/proxied_request_evidence.cc
@@ -0,0 +1,104 @@
+#include <utility>
+
+#include "proxied_request.h"
+#include "toucanwharf/support/random.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using eventlog::Fields;
+using eventlog::Level;
+
+/// An endpoint that a request crashes ends this soon after it began to run the
+/// request: answers that have run longer were only there.
+constexpr Duration kMaxCrashDelay = std::chrono::milliseconds(500);
+/// A run of this length shows that the request crashes no endpoint.
+constexpr Duration kProvenAfter = std::chrono::milliseconds(1000);
+
+}  // namespace
+
+quarantine::Fingerprint ProxiedRequest::ContentFingerprint() {
+  if (!this->fingerprint) {
+    const http::Request& received = this->exchange->Received();
+    this->fingerprint =
+        quarantine::FingerprintOf({this->admitted.customer, received.method,
+                                   received.target, received.body});
+  }
+  return *this->fingerprint;
+}
+
+void ProxiedRequest::LogBrokenRun() {
+  ++this->gateway.counters.broken_runs;
+  Fields fields;
+  fields.Text("endpoint", this->target.endpoint)
+      .Text("content", quarantine::ToText(this->ContentFingerprint()))
+      .Count("pieces", this->chunks_written);
+  if (this->has_head) {
+    fields.Millis("ran_ms", this->gateway.loop.Now() - this->head_at);
+  }
+  this->Log(Level::kNotable, "run_broken", fields);
+}
+
+quarantine::RunStage ProxiedRequest::StageOfRun() const {
+  using quarantine::RunStage;
+  // Of a plain answer only the end is seen.
+  if (!this->IsModel()) return RunStage::kBegun;
+  if (!this->has_head) return RunStage::kWaiting;
+  const Duration ran = this->gateway.loop.Now() - this->head_at;
+  if (ran <= kMaxCrashDelay) return RunStage::kBegun;
+  return ran < kProvenAfter ? RunStage::kLongBegun : RunStage::kProven;
+}
+
+void ProxiedRequest::OnRunBroken() {
+  this->LogBrokenRun();
+  const endpoints::Endpoint* endpoint =
+      this->gateway.state.endpoints.Find(this->target.endpoint);
+  // An endpoint that drains, or has left the list, ends by an order.
+  if (endpoint == nullptr ||
+      endpoint->state == endpoints::EndpointState::kDraining) {
+    return;
+  }
+  const std::uint32_t key = endpoints::EndpointKey(*endpoint);
+  quarantine::BrokenRun run;
+  run.request = this->ContentFingerprint();
+  run.endpoint = {key, static_cast<std::uint32_t>(HashText(endpoint->address))};
+  run.sent_at = this->attempt_started;
+  run.stage = this->StageOfRun();
+  this->gateway.OnRunBroken(run, {endpoint->id, endpoint->address, key,
+                                  endpoint->start_time_ms, this->IsModel()});
+}
+
+void ProxiedRequest::OnNotConnected() {
+  const TimePoint now = this->gateway.loop.Now();
+  const endpoints::Endpoint* endpoint =
+      this->gateway.state.endpoints.Find(this->target.endpoint);
+  const bool refused = now - this->attempt_started < kConnectTimeout;
+  if (endpoint != nullptr && refused) {
+    this->gateway.OnEndpointEnded(endpoints::EndpointKey(*endpoint));
+  }
+}
+
+void ProxiedRequest::OnProgress() {
+  if (this->last_data - this->head_at >= kProvenAfter) this->OnRunProven();
+}
+
+void ProxiedRequest::OnRunProven() {
+  if (std::exchange(this->proven, true)) return;
+  this->gateway.OnSuccess(this->ContentFingerprint());
+}
+
+bool ProxiedRequest::MayRun() {
+  const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
+  if (quarantine.Empty()) return true;
+  return !quarantine.Judge(this->ContentFingerprint(),
+                           this->gateway.loop.Now());
+}
+
+bool ProxiedRequest::MayRunAgain() {
+  const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
+  if (quarantine.Empty()) return true;
+  return quarantine.MayRetry(this->ContentFingerprint(),
+                             this->gateway.loop.Now());
+}
+
+}  // namespace toucanwharf::instance
