Quarantine: a request refused from the queue says so like any other; idle demands leave the beacon

A request that waited for capacity when its quarantine began was refused as quarantined without its content, crashes and time to come back in the log and the answer. Services without requests stayed in the beacons' demands for ever.

--- a/include/toucanwharf/limits/demand_meter.h
+++ b/include/toucanwharf/limits/demand_meter.h
@@ -25,6 +25,8 @@
  public:
   /// Time after which a change of demand is known to about two thirds.
   static constexpr Duration kMemory = std::chrono::seconds(2);
+  /// Less is no demand.
+  static constexpr double kLeastPerSecond = 0.01;
 
   /// Records a request for \p service.
   void OnRequest(std::uint32_t service, TimePoint now) {
@@ -37,9 +39,12 @@
     return found == this->levels.end() ? 0 : Rate(found->second, now);
   }
 
-  /// Returns the demand for each service.
-  std::vector<ServiceDemand> All(TimePoint now) const {
+  /// Returns the demand for each service that has any, and forgets the others.
+  std::vector<ServiceDemand> All(TimePoint now) {
     std::vector<ServiceDemand> demands;
+    std::erase_if(this->levels, [now](const auto& entry) {
+      return Rate(entry.second, now) < kLeastPerSecond;
+    });
     for (const auto& [service, level] : this->levels) {
       demands.push_back({service, Rate(level, now)});
     }
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -113,10 +113,7 @@
 
 bool ProxiedRequest::LeaveQueue() {
   if (this->finished) return true;
-  if (!this->MayRun()) {
-    this->Refuse("quarantined");
-    return true;
-  }
+  if (this->RefuseQuarantined()) return true;
   const auto chosen = this->ChooseTarget();
   if (chosen) {
     this->Send(*chosen);
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -155,8 +155,9 @@
   void OnProgress();
   /// Records that this run shows that the request crashes no endpoint.
   void OnRunProven();
-  /// Returns whether the request may be sent to an endpoint.
-  bool MayRun();
+  /// Refuses the request, which was not sent yet, if it is in quarantine.
+  /// Returns whether it is.
+  bool RefuseQuarantined();
   /// Returns whether it may be sent once more after a run broke.
   bool MayRunAgain();
   void OnDeadline();
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -87,11 +87,12 @@
   this->gateway.OnSuccess(this->ContentFingerprint());
 }
 
-bool ProxiedRequest::MayRun() {
-  const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
-  if (quarantine.Empty()) return true;
-  return !quarantine.Judge(this->ContentFingerprint(),
-                           this->gateway.loop.Now());
+bool ProxiedRequest::RefuseQuarantined() {
+  if (this->gateway.state.quarantine.Empty()) return false;
+  const bool refused = this->gateway.RefuseQuarantined(
+      *this->exchange, this->ContentFingerprint());
+  if (refused) this->Finish("refused", http::kUnavailable);
+  return refused;
 }
 
 bool ProxiedRequest::MayRunAgain() {
