Quarantine: a crash older than those kept is no news each time

Seen in reading: an instance keeps the newest eight crashes of a request; a peer that keeps an older one reports it in every beacon, and each was taken for new, logged and, by the leader of a large fleet, announced to all. Callers would see nothing but a full log. The crash that is dropped at once is no news now. Test: OldestCrashOfManyIsNewsOnlyOnce, failed before.

--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -109,12 +109,16 @@
   // been answered a moment ago, or have run for long at the same crash.
   if (this->successes.Contains(request, now)) crashes.back().refuted = true;
   if (crashes.size() > this->settings.max_crashes) {
-    crashes.erase(std::min_element(
+    const auto oldest = std::min_element(
         crashes.begin(), crashes.end(),
-        [](const Crash& lhs, const Crash& rhs) { return lhs.at < rhs.at; }));
+        [](const Crash& lhs, const Crash& rhs) { return lhs.at < rhs.at; });
+    const bool is_oldest = oldest->endpoint == crash.endpoint;
+    crashes.erase(oldest);
+    // Other instances may keep it and report it again and again.
+    if (is_oldest) return false;
   }
   if (this->suspects.size() > this->settings.max_requests) this->EvictOne();
-  return true;
+  return this->suspects.contains(request);
 }
 
 /// Removes a request of the customer that has the most, so that no customer can
--- a/unittests/quarantine/quarantine_test.cc
+++ b/unittests/quarantine/quarantine_test.cc
@@ -202,6 +202,21 @@
   BOOST_TEST(!IsBlocked(third, kCulprit, later));
 }
 
+// Guards against instances that report a crash to each other without end,
+// because one of them keeps only newer ones.
+BOOST_AUTO_TEST_CASE(OldestCrashOfManyIsNewsOnlyOnce) {
+  Quarantine quarantine;
+  Quarantine peer;
+  Crash(peer, kSound, StartOf(100), kStart);
+  for (std::uint32_t number = 1; number <= 12; ++number) {
+    Crash(quarantine, kSound, StartOf(number), kStart + seconds(number));
+  }
+  const TimePoint later = kStart + seconds(20);
+  BOOST_TEST(!quarantine.Merge(peer.ReportOf(kSound, later), later));
+  BOOST_TEST(quarantine.ReportOf(kSound, later).crashes.size() ==
+             QuarantineSettings().max_crashes);
+}
+
 BOOST_AUTO_TEST_CASE(QuarantineEnds) {
   Quarantine quarantine;
   for (std::uint32_t number = 1; number <= 3; ++number) {
