Quarantine: a request that was answered leaves the store, whoever saw the answer

Seen in reading: the instance that saw the answer removed the object only if it had stored it itself; otherwise it stayed, and after a restart of all instances callers of a sound request would be refused for a minute. The leader, which follows the collection while it has entries, now removes objects whose crashes are all refuted. Tests: StoredQuarantineIsReadAndEndsWithAnAnswer (failed before), LeaderStoresAndLifts.

--- a/include/toucanwharf/instance/quarantine_sync.h
+++ b/include/toucanwharf/instance/quarantine_sync.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANWHARF_INSTANCE_QUARANTINE_SYNC_H_
 #define TOUCANWHARF_INSTANCE_QUARANTINE_SYNC_H_
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <set>
@@ -31,17 +32,19 @@
   /// Precondition: all references outlive the object.
   QuarantineSync(http::Loop& event_loop, Store& object_store,
                  InstanceState& shared_state, eventlog::Logger& log,
-                 std::string instance_name)
+                 std::string instance_name,
+                 Duration period_of_leader = kFollowPeriod)
       : loop(event_loop),
         store(object_store),
         state(shared_state),
         logger(log),
-        name(std::move(instance_name)) {}
+        name(std::move(instance_name)),
+        follow_period(period_of_leader) {}
 
   /// Reads the collection, and begins to follow it while this instance leads.
   void Start() {
     this->ReadInitially();
-    this->loop.Every(kFollowPeriod, [this] { this->Follow(); });
+    this->loop.Every(this->follow_period, [this] { this->Follow(); });
   }
 
   /// Stores \p request if it is refused since its last crash.
@@ -84,7 +87,7 @@
     this->Read([this](const std::optional<store::Listing>& listing) {
       if (!listing) return;
       this->LiftRemoved(*listing);
-      this->RemoveExpired();
+      this->RemoveEnded();
       this->WriteMissing();
     });
   }
@@ -127,13 +130,17 @@
     });
   }
 
-  void RemoveExpired() {
+  /// Removes the objects of requests whose crashes are forgotten or refuted;
+  /// the instance that refuted them may not know of the object.
+  void RemoveEnded() {
     const TimePoint now = this->loop.Now();
     std::erase_if(this->stored, [&](const quarantine::Fingerprint& request) {
-      const bool expired =
-          this->state.quarantine.ReportOf(request, now).crashes.empty();
-      if (expired) this->store.Remove(KeyOf(request));
-      return expired;
+      const auto report = this->state.quarantine.ReportOf(request, now);
+      const bool ended = std::all_of(
+          report.crashes.begin(), report.crashes.end(),
+          [](const quarantine::CrashReport& crash) { return crash.refuted; });
+      if (ended) this->store.Remove(KeyOf(request));
+      return ended;
     });
   }
 
@@ -182,6 +189,7 @@
   InstanceState& state;
   eventlog::Logger& logger;
   std::string name;
+  Duration follow_period;
   /// Requests that are known to be in the store.
   std::set<quarantine::Fingerprint> stored;
   /// Requests with a write in flight.
--- /dev/null
+++ b/unittests/adapter/quarantine_sync_test.cc
@@ -0,0 +1,116 @@
+#include "toucanwharf/instance/quarantine_sync.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "platform/adapter.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using std::chrono::milliseconds;
+
+const quarantine::SuspectReport kReport{
+    {7, 0x1234},
+    {{{1, 11}, std::chrono::seconds(9), milliseconds(60), false},
+     {{2, 12}, std::chrono::seconds(4), milliseconds(50), false}}};
+
+/// A store that answers at once.
+class MemoryStore {
+ public:
+  void Read(const store::ObjectKey& /*key*/,
+            const std::function<void(store::ReadAnswer)>& done) {
+    done({});
+  }
+  void List(const std::string& collection,
+            const std::function<void(std::optional<store::Listing>)>& done) {
+    store::Listing listing;
+    for (const auto& [key, value] : this->objects) {
+      if (key.collection != collection) continue;
+      listing.objects.push_back({key, 1, "", value});
+    }
+    done(listing);
+  }
+  void Write(const store::Write& write,
+             const std::function<void(store::WriteAnswer)>& done) {
+    this->objects[write.key] = write.value;
+    done({store::WriteStatus::kWritten, 1});
+  }
+  void Remove(const store::ObjectKey& key) { this->objects.erase(key); }
+
+  std::map<store::ObjectKey, std::string> objects;
+};
+
+struct MemoryAdapter : adapter::PlatformAdapter {
+  using Store = MemoryStore;
+};
+
+/// An instance that leads, with its store.
+struct Leader {
+  Leader() { this->state.leads = true; }
+
+  /// Runs \p steps one after another with time for the leader in between.
+  void Run(const std::vector<std::function<void()>>& steps) {
+    Duration at{0};
+    for (const auto& step : steps) {
+      this->loop.After(at += milliseconds(30), step);
+    }
+    this->loop.After(at + milliseconds(1), [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+  bool Refuses() {
+    return this->state.quarantine.Judge(kReport.request, this->loop.Now())
+        .has_value();
+  }
+
+  http::Loop loop;
+  MemoryStore store;
+  eventlog::Logger logger{open("/dev/null", O_WRONLY | O_CLOEXEC), "leader"};
+  InstanceState state{InstanceSettings{}, "leader"};
+  QuarantineSync<MemoryAdapter> sync{this->loop,  this->store,
+                                     this->state, this->logger,
+                                     "leader",    milliseconds(5)};
+};
+
+// Guards against a quarantine that a restart forgets, and one that comes back
+// with a restart although its request was answered.
+BOOST_AUTO_TEST_CASE(StoredQuarantineIsReadAndEndsWithAnAnswer) {
+  Leader leader;
+  const std::string name = quarantine::ToText(kReport.request);
+  leader.store.objects[{MemoryAdapter::QuarantineCollection(), name}] =
+      SuspectRecordToText(kReport, "another");
+  leader.store.objects[{MemoryAdapter::QuarantineCollection(), "odd"}] = "7";
+  leader.sync.Start();
+  leader.Run({[&] {
+                BOOST_TEST(leader.Refuses());
+                BOOST_TEST(leader.state.quarantine_known);
+                leader.state.quarantine.OnSuccess(kReport.request,
+                                                  leader.loop.Now());
+              },
+              [&] {
+                BOOST_TEST(!leader.Refuses());
+                BOOST_TEST(leader.store.objects.size() == 1U);
+              }});
+}
+
+// Guards against a request that is refused by one instance's memory only, and
+// against one that an operator can't lift.
+BOOST_AUTO_TEST_CASE(LeaderStoresAndLifts) {
+  Leader leader;
+  leader.sync.Start();
+  leader.state.quarantine.Merge(kReport, leader.loop.Now());
+  leader.Run({[&] { BOOST_TEST(leader.store.objects.size() == 1U); },
+              [&] { leader.store.objects.clear(); },
+              [&] {
+                BOOST_TEST(!leader.Refuses());
+                BOOST_TEST(leader.store.objects.empty());
+              }});
+}
+
+}  // namespace
+}  // namespace toucanwharf::instance
