--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -19,6 +19,7 @@
 #include "toucanwharf/instance/metrics.h"
 #include "toucanwharf/instance/peer_link.h"
 #include "toucanwharf/instance/placement_driver.h"
+#include "toucanwharf/instance/quarantine_sync.h"
 #include "toucanwharf/instance/registration.h"
 #include "toucanwharf/instance/store_sync.h"
 #include "toucanwharf/support/ids.h"
@@ -50,7 +51,9 @@
             gossip::InitialReadPolicy(this->settings.processor_share,
                                       this->loop.Now(), this->random.Unit())),
         placement(this->loop, this->client, this->store, this->state,
-                  this->peers, this->logger, this->settings) {}
+                  this->peers, this->logger, this->settings),
+        quarantine_sync(this->loop, this->store, this->state, this->logger,
+                        this->settings.name) {}
 
   /// Listens and serves until told to stop. Returns an error if it cannot
   /// listen.
@@ -66,8 +69,13 @@
           this->sync.Adopt(revision, text);
         },
         [this] { this->OnChange(); }));
-    this->gateway.OnUnresponsiveEngine(
-        [this] { this->peers.AnnounceUnresponsiveEngine(); });
+    this->gateway.OnCrash([this](const quarantine::Fingerprint& request) {
+      this->quarantine_sync.OnCrash(request);
+    });
+    this->gateway.OnCleared([this](const quarantine::Fingerprint& request) {
+      this->quarantine_sync.OnCleared(request);
+    });
+    this->gateway.OnEndpointNews([this] { this->peers.AnnounceToAll(); });
     this->peers.OnUnresponsiveEngine([this](const std::string& endpoint) {
       this->gateway.RerouteAround(endpoint);
     });
@@ -243,6 +251,7 @@
           this->state.instances_known = true;
           this->AnnounceStartupData();
           this->UpdateBudgetSharers(this->loop.Now());
+          this->quarantine_sync.Start();
         });
   }
 
@@ -275,6 +284,8 @@
   void RunHousekeeping() {
     const TimePoint now = this->loop.Now();
     this->UpdateBudgetSharers(now);
+    this->gateway.ReviewBrokenRuns();
+    this->state.ShareLimits(this->settings.datagram_address, now);
     this->LogStateChanges(now);
     if (this->state.stopping_since) this->StopIfDone(now);
     this->logger.Flush();
@@ -338,6 +349,7 @@
   PeerLink peers;
   StoreSync<A> sync;
   PlacementDriver<A> placement;
+  QuarantineSync<A> quarantine_sync;
   TimePoint started{this->loop.Now()};
   bool startup_announced = false;
   bool keys_accepted = false;
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -74,13 +74,16 @@
          now - *this->state.stopping_since > kAcceptAfterStop;
 }
 
+bool Gateway::KnowsEnoughToAdmit(TimePoint now) const {
+  return this->state.CanAdmitRequests(now) && this->state.quarantine_known;
+}
+
 void Gateway::Handle(std::shared_ptr<http::Exchange> exchange) {
   ++this->counters.received;
   const TimePoint now = this->loop.Now();
   const std::size_t bytes = exchange->Received().body.size() + kHeadBytes;
   if (!this->settings.mechanisms.startup_wait ||
-      this->state.CanAdmitRequests(now) ||
-      !this->startup_wait.Enter(bytes, now)) {
+      this->KnowsEnoughToAdmit(now) || !this->startup_wait.Enter(bytes, now)) {
     this->Admit(std::move(exchange), now);
     return;
   }
@@ -91,7 +94,7 @@
 
 void Gateway::AdmitEarly() {
   const TimePoint now = this->loop.Now();
-  if (!this->state.CanAdmitRequests(now) && !this->startup_wait.Expired(now)) {
+  if (!this->KnowsEnoughToAdmit(now) && !this->startup_wait.Expired(now)) {
     this->loop.After(kEarlyPollPeriod, [this] { this->AdmitEarly(); });
     return;
   }
@@ -151,6 +154,13 @@
                  "no_service");
     return;
   }
+  // Hashing is worthwhile only while there are suspects.
+  if (!this->state.quarantine.Empty() &&
+      this->RefuseQuarantined(*exchange, quarantine::FingerprintOf(
+                                             {admitted.customer, request.method,
+                                              request.target, request.body}))) {
+    return;
+  }
   admitted.deadline =
       arrived +
       DeadlineOf(request.headers.Get(this->names.deadline), route.timeout);
@@ -193,7 +203,7 @@
   if (!newly_found) return;
   this->logger.Write(Level::kNotable, "engine_silent",
                      Fields().Text("endpoint", endpoint), now);
-  if (this->announce_unresponsive) this->announce_unresponsive();
+  if (this->announce_news) this->announce_news();
   this->RerouteAround(endpoint);
 }
 
@@ -239,7 +249,7 @@
 }
 
 void Gateway::Refuse(http::Exchange& exchange, int status, Duration retry_after,
-                     std::string_view reason) {
+                     std::string_view reason, const Fields& more) {
   http::ResponseHead head;
   head.status = status;
   head.headers.Add("Content-Type", "text/plain");
@@ -264,6 +274,7 @@
   if (const auto age = this->state.freshness.Age(now)) {
     fields.Millis("configuration_age_ms", *age);
   }
+  fields.Append(more);
   this->logger.Write(Level::kNotable, "refused", fields, now);
 }
 
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -28,12 +28,14 @@
 /// A request waits for capacity only until this much of its objective is left:
 /// the first event takes about as long after the send.
 constexpr Duration kReservedAfterQueue = std::chrono::milliseconds(200);
-/// A connection within a region takes a millisecond.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 /// Typical share of the maximum output tokens that an answer has, used if the
 /// caller gives no hint.
 constexpr double kTypicalOutputShare = 0.6;
 
+/// Pause of an answer that lost its path, after engines that seemed to have
+/// capacity refused several times.
+constexpr Duration kRefusedPause = std::chrono::milliseconds(200);
+
 constexpr double kMicrosPerMilli = 1000;
 
 double ParseNumber(std::string_view text) {
@@ -89,6 +91,8 @@
       this->admitted.deadline - now,
       [self = this->shared_from_this()] { self->OnDeadline(); });
   this->gateway.budget.OnRequest(this->admitted.service->name, now);
+  this->gateway.state.demand.OnRequest(ServiceKey(this->admitted.service->name),
+                                       now);
   if (const auto from = this->exchange->Received().headers.Find(
           this->gateway.names.last_event_id)) {
     this->events.SetLastId(std::string(*from));
@@ -109,6 +113,7 @@
 
 bool ProxiedRequest::LeaveQueue() {
   if (this->finished) return true;
+  if (this->RefuseQuarantined()) return true;
   const auto chosen = this->ChooseTarget();
   if (chosen) {
     this->Send(*chosen);
@@ -142,6 +147,7 @@
   ++this->attempt_counts.total;
   ++this->attempt_counts.may_have_run;
   this->has_head = false;
+  this->proven = false;
   this->head_usable = false;
   this->head_outcome.reset();
   this->body.clear();
@@ -151,6 +157,7 @@
   this->detector.Restart();
   this->repeated_probes = 0;
   this->CountLoad();
+  this->CountAgainstLimit();
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   if (!this->admitted.route->Repeatable()) options.reuse = http::Reuse::kNever;
@@ -178,7 +185,10 @@
   if (this->finished || this->call == 0) return;
   this->has_head = true;
   this->last_data = this->gateway.loop.Now();
+  this->head_at = this->last_data;
   this->head = answer;
+  this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
+                              answer);
   this->ClassifyHead(answer);
 }
 
@@ -246,6 +256,7 @@
   if (std::exchange(this->repeated_probes, 0) > 0) {
     this->gateway.probe_backoff.OnFalseAlarm(this->last_data);
   }
+  this->OnProgress();
   this->refused_reroutes = 0;
   this->detector.OnEvent(this->last_data);
   ++this->chunks_written;
@@ -256,12 +267,16 @@
   this->call = 0;
   if (this->finished) return;
   if (result.end == http::CallEnd::kNotConnected) {
+    this->OnNotConnected();
     this->gateway.state.loads.Suspect(
         this->target.endpoint, this->gateway.loop.Now() + kUnreachablePause);
     this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
     return;
   }
   if (result.end != http::CallEnd::kComplete) {
+    if (result.sent && result.end == http::CallEnd::kBroken) {
+      this->OnRunBroken();
+    }
     this->EndAttempt(
         result.sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
         "broken");
@@ -283,6 +298,7 @@
     return;
   }
   this->exchange->End();
+  this->OnRunProven();
   ++this->gateway.counters.answered;
   this->Finish("answered", this->head.status);
 }
@@ -295,6 +311,7 @@
   this->exchange->Respond(out, this->body);
   const bool success = IsSuccess(this->head.status);
   if (success) {
+    this->OnRunProven();
     this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
                                              this->admitted.arrived);
   }
@@ -302,15 +319,18 @@
   this->Finish(success ? "answered" : "failure_relayed", this->head.status);
 }
 
+bool ProxiedRequest::MayRetry(AttemptOutcome outcome) {
+  return attempts::MayRetry(*this->admitted.route, this->attempt_counts,
+                            outcome) &&
+         this->MayRunAgain();
+}
+
 /// Returns where to retry, if that is allowed and an endpoint is available.
 std::optional<ProxiedRequest::Target> ProxiedRequest::ChooseForRetry(
     AttemptOutcome outcome) {
   const TimePoint now = this->gateway.loop.Now();
   if (now >= this->admitted.deadline) return std::nullopt;
-  if (!attempts::MayRetry(*this->admitted.route, this->attempt_counts,
-                          outcome)) {
-    return std::nullopt;
-  }
+  if (!this->MayRetry(outcome)) return std::nullopt;
   auto next = this->ChooseTarget();
   if (!next) return std::nullopt;
   // An attempt without a connection caused no arrival.
@@ -388,6 +408,17 @@
     this->Finish("left_by_caller", 0);
     return;
   }
+  const bool pauses =
+      attempts::PausesBeforeRetry(*this->admitted.route, this->attempt_counts);
+  if (pauses && this->MayRetry(outcome)) {
+    this->AwaitCapacity(kRefusedPause, outcome, reason);
+    return;
+  }
+  this->TakeNextStep(outcome, reason);
+}
+
+void ProxiedRequest::TakeNextStep(AttemptOutcome outcome,
+                                  std::string_view reason) {
   const auto next = this->ChooseForRetry(outcome);
   switch (attempts::NextStepAfter(*this->admitted.route, this->attempt_counts,
                                   outcome, next.has_value())) {
@@ -406,9 +437,8 @@
       this->FinishPlain();
       return;
     case NextStep::kAbort:
-      if (attempts::MayRetry(*this->admitted.route, this->attempt_counts,
-                             outcome)) {
-        this->AwaitCapacity(outcome, reason);
+      if (this->MayRetry(outcome)) {
+        this->AwaitCapacity(kCapacityPollPeriod, outcome, reason);
         return;
       }
       ++this->gateway.counters.aborted;
@@ -453,10 +483,14 @@
     this->Fail(http::kBadGateway, reason);
     return;
   }
-  const Duration wait =
+  Duration wait =
       this->no_path_reason == placement::NoPathReason::kMissingLayers
           ? kRetryForLayers
           : kRetryForCapacity;
+  // All that could serve it have taken what they asked for.
+  if (this->limit_wait && !this->found_unlimited) {
+    wait = std::max(wait, *this->limit_wait);
+  }
   this->gateway.Refuse(*this->exchange, http::kUnavailable, wait, reason);
   this->Finish("refused", http::kUnavailable);
 }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -14,6 +14,7 @@
 #include "toucanwharf/http/event_splitter.h"
 #include "toucanwharf/instance/gateway.h"
 #include "toucanwharf/placement/path_finder.h"
+#include "toucanwharf/quarantine/fingerprint.h"
 
 namespace toucanwharf::instance {
 
@@ -21,6 +22,11 @@
 /// to be in use counts as full.
 inline constexpr double kFullShare = 0.6;
 
+/// A connection within a region takes a millisecond.
+inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
+/// Between checks for capacity for an answer that lost its path.
+inline constexpr Duration kCapacityPollPeriod = std::chrono::milliseconds(60);
+
 /// Returns whether \p endpoint runs one of \p stages. Thread safety: safe.
 inline bool RunsThrough(const std::vector<pipeline::Stage>& stages,
                         const std::string& endpoint) {
@@ -46,8 +52,8 @@
 /// pending callbacks. proxied_request.cc has the lifecycle from the first
 /// attempt to the end, proxied_request_target.cc the choice of endpoints and
 /// the request sent there, proxied_request_stall.cc the handling of
-/// unresponsive endpoints.
-/// Thread safety: only on the loop's thread.
+/// unresponsive endpoints, proxied_request_evidence.cc what its runs show of
+/// the request itself. Thread safety: only on the loop's thread.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
  public:
   ProxiedRequest(Gateway& owner, std::shared_ptr<http::Exchange> caller,
@@ -98,6 +104,8 @@
   void FinishPlain();
   void EndAttempt(attempts::AttemptOutcome outcome, std::string_view reason);
   void Proceed(attempts::AttemptOutcome outcome, std::string_view reason);
+  /// Takes the next step after an attempt, at once or after a pause.
+  void TakeNextStep(attempts::AttemptOutcome outcome, std::string_view reason);
 
   bool MayQueue() const;
   void WatchStall(Duration delay);
@@ -117,11 +125,41 @@
                         const std::string& fault);
   void SetUnresponsiveAt(const std::string& address);
   void CountLoad();
+  /// Counts the request that is sent now against the limit of its endpoint.
+  void CountAgainstLimit();
+  /// Returns whether the limit of \p endpoint allows a request now, and records
+  /// how long it takes if not.
+  bool LimitAllows(const endpoints::Endpoint& endpoint, TimePoint now);
   double CapacityUsed(const std::string& id) const;
   /// Pauses new work for \p endpoint, which refused; \p full says whether its
   /// capacity was in use.
   void RecordRefusal(const std::string& endpoint, bool full);
-  void AwaitCapacity(attempts::AttemptOutcome outcome, std::string_view reason);
+  /// Returns whether the request may be sent once more after \p outcome.
+  bool MayRetry(attempts::AttemptOutcome outcome);
+  void AwaitCapacity(Duration pause, attempts::AttemptOutcome outcome,
+                     std::string_view reason);
+  /// Returns what stands for this request's content, whatever its id.
+  quarantine::Fingerprint ContentFingerprint();
+  /// Logs what tells a request that crashes endpoints from one that was only
+  /// there: the same content at several ends, and how far its run had come.
+  void LogBrokenRun();
+  /// Returns how far the current run has come.
+  quarantine::RunStage StageOfRun() const;
+  /// Records that the connection of the current run broke, as a crash of the
+  /// endpoint by this request would break it.
+  void OnRunBroken();
+  /// Records that no connection to the endpoint came about; a refused one shows
+  /// that it has ended.
+  void OnNotConnected();
+  /// Records an event of the current run.
+  void OnProgress();
+  /// Records that this run shows that the request crashes no endpoint.
+  void OnRunProven();
+  /// Refuses the request, which was not sent yet, if it is in quarantine.
+  /// Returns whether it is.
+  bool RefuseQuarantined();
+  /// Returns whether it may be sent once more after a run broke.
+  bool MayRunAgain();
   void OnDeadline();
   void OnCallerDisconnected();
 
@@ -159,6 +197,11 @@
   Duration first_event_after{0};
   TimePoint attempt_started;
   TimePoint last_data;
+  /// When the response head of the current attempt arrived.
+  TimePoint head_at;
+  /// Whether the current run was recorded as proven.
+  bool proven = false;
+  std::optional<quarantine::Fingerprint> fingerprint;
 
   http::ResponseHead head;
   bool has_head = false;
@@ -173,6 +216,11 @@
   bool finished = false;
   /// The caller has disconnected, but the work continues.
   bool abandoned = false;
+  /// Shortest wait for an endpoint whose limit was in the way of the last
+  /// choice.
+  std::optional<Duration> limit_wait;
+  /// Whether an endpoint was considered whose limit was not.
+  bool found_unlimited = false;
   placement::NoPathReason no_path_reason = placement::NoPathReason::kNone;
 };
 
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -25,6 +25,11 @@
   return head;
 }
 
+bool Crashes(const http::Request& request) {
+  const std::string_view content = Endpoints::kCrashingContent;
+  return request.body == content || request.target.ends_with(content);
+}
+
 std::string EventText(int number) {
   return absl::StrCat("id: ", number, "\ndata: piece ", number, "\n\n");
 }
@@ -68,7 +73,14 @@
 }
 
 void Endpoints::SetFault(const std::string& id, EndpointFault fault) {
-  this->endpoints.at(id).fault = fault;
+  const auto found = this->endpoints.find(id);
+  if (found != this->endpoints.end()) found->second.fault = fault;
+}
+
+void Endpoints::SetLimit(const std::string& id,
+                         std::optional<double> per_second) {
+  const auto found = this->endpoints.find(id);
+  if (found != this->endpoints.end()) found->second.limit = per_second;
 }
 
 void Endpoints::Drain(const std::string& id) {
@@ -89,6 +101,24 @@
   this->endpoints.erase(found);
 }
 
+void Endpoints::CrashAndRestart(const std::string& id) {
+  const auto found = this->endpoints.find(id);
+  if (found == this->endpoints.end()) return;
+  EndpointSpec spec = found->second.spec;
+  spec.id = absl::StrCat("restarted-", ++this->restarts);
+  this->Crash(id);
+  this->loop.After(kRestartDelay, [this, spec, id] {
+    this->store.Remove("servers", id);
+    this->Add(spec);
+  });
+}
+
+void Endpoints::CrashAfter(const std::string& id,
+                           const http::Request& request) {
+  if (!Crashes(request)) return;
+  this->loop.After(kCrashDelay, [this, id] { this->CrashAndRestart(id); });
+}
+
 Endpoints::Endpoint* Endpoints::FindByAddress(const std::string& address) {
   for (auto& [id, endpoint] : this->endpoints) {
     if (endpoint.spec.address == address) return &endpoint;
@@ -194,16 +224,24 @@
   run.body = request.body;
   run.customer = std::string(request.headers.Get("X-Tenant"));
   run.headers = request.headers;
+  run.at = this->loop.Now();
   if (endpoint.spec.kind.empty()) {
     this->runs.push_back(std::move(run));
-    this->ServePlain(endpoint, *exchange);
+    this->CrashAfter(endpoint.spec.id, request);
+    this->ServePlain(endpoint, exchange);
     return;
   }
   this->ServeStream(endpoint, std::move(exchange));
 }
 
-void Endpoints::ServePlain(const Endpoint& endpoint, http::Exchange& exchange) {
+void Endpoints::ServePlain(Endpoint& endpoint,
+                           const std::shared_ptr<http::Exchange>& shared) {
+  http::Exchange& exchange = *shared;
   const http::Request& request = exchange.Received();
+  if (Crashes(request)) {
+    endpoint.unanswered.push_back(shared);
+    return;
+  }
   if (endpoint.fault == EndpointFault::kLosesAnswers) {
     exchange.Abort();
     return;
@@ -215,6 +253,9 @@
     head.headers.Set("X-Request-Id", "of-another-request");
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
+  if (endpoint.limit) {
+    head.headers.Add("Server-Limit", absl::StrCat(*endpoint.limit));
+  }
   exchange.Respond(head, "ran at " + endpoint.spec.id);
 }
 
@@ -281,10 +322,16 @@
   run.target = request.target;
   run.headers = request.headers;
   run.first_event = last + 1;
+  run.body = request.body;
+  run.at = this->loop.Now();
   this->runs.push_back(run);
+  this->CrashAfter(endpoint.spec.id, request);
   http::ResponseHead head = HeadOf(http::kOk, request);
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
+  if (endpoint.limit) {
+    head.headers.Add("Server-Limit", absl::StrCat(*endpoint.limit));
+  }
   auto stream = std::make_shared<Stream>(
       Stream{endpoint.spec.id, run.request_id, path, exchange, last + 1});
   this->streams.insert(stream);
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -231,20 +231,23 @@
 }
 
 Answer PlatformFleet::Plain(std::size_t index, const std::string& path,
-                            const std::string& id, const std::string& key) {
+                            const std::string& id, const std::string& key,
+                            const std::string& body) {
   Call call;
   call.method = path.starts_with("/sign/") ? "POST" : "GET";
   call.url = this->CallersAddress(index) + path;
   call.headers = {std::string("Host: ") + kHost, "X-Request-Id: " + id,
                   "X-Deadline-Ms: 4000"};
   if (!key.empty()) call.headers.push_back("Authorization: Token " + key);
-  if (call.method == "POST") call.body = "the body of " + id;
+  call.body = body;
+  if (call.method == "POST" && body.empty()) call.body = "the body of " + id;
   return Send(call);
 }
 
 EventStream PlatformFleet::Stream(std::size_t index, const std::string& id,
                                   const std::string& path,
-                                  std::size_t disconnect_after) {
+                                  std::size_t disconnect_after,
+                                  const std::string& body) {
   EventStream stream;
   std::string text;
   auto last = Clock::now();
@@ -254,7 +257,7 @@
   call.headers = {std::string("Host: ") + kHost, "X-Request-Id: " + id,
                   "X-Deadline-Ms: 5000", "X-Token-Counts: 100,100",
                   std::string("Authorization: Token ") + kKey};
-  call.body = "a prompt";
+  call.body = body;
   call.on_data = [&](const std::string& bytes) {
     text += bytes;
     const auto now = Clock::now();
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -1,5 +1,6 @@
 #include "test/soak/checks.h"
 
+#include <algorithm>
 #include <map>
 #include <set>
 
@@ -45,8 +46,76 @@
   return false;
 }
 
+bool HadFault(std::size_t router, TimePoint at,
+              const std::vector<RouterFaultPeriod>& faults) {
+  return std::any_of(faults.begin(), faults.end(),
+                     [&](const RouterFaultPeriod& period) {
+                       return period.router == router && at >= period.from &&
+                              at <= period.until + kCrashesKnownAfter;
+                     });
+}
+
 }  // namespace
 
+std::vector<std::string> FindCrashViolations(
+    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<RouterFaultPeriod>& faults) {
+  std::size_t crashes = 0;
+  std::size_t late = 0;
+  TimePoint known_from;
+  constexpr std::size_t kThird = 3;
+  for (const auto& run : runs) {
+    const auto router = RouterOfCrashing(run.request_id);
+    if (!router) continue;
+    if (++crashes == kThird) known_from = run.at + kCrashesKnownAfter;
+    const bool counts = crashes > kThird && run.at > known_from &&
+                        !HadFault(*router, run.at, faults);
+    if (counts) ++late;
+  }
+  if (late <= kMaxRunsAfterCrashes) return {};
+  return {"a request that crashes endpoints ran " + std::to_string(late) +
+          " times after all knew of it, " + std::to_string(crashes) +
+          " in all"};
+}
+
+std::vector<std::string> FindLimitViolations(
+    const std::vector<ObservedRequest>& observed,
+    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<LimitPeriod>& limits,
+    const std::vector<RouterFaultPeriod>& faults) {
+  std::map<std::string, std::size_t> router_of;
+  for (const ObservedRequest& call : observed) router_of[call.id] = call.router;
+  std::vector<std::string> violations;
+  for (const LimitPeriod& period : limits) {
+    std::vector<TimePoint> times;
+    for (const auto& run : runs) {
+      const auto router = router_of.find(run.request_id);
+      const bool counts = run.endpoint == period.endpoint &&
+                          run.at >= period.from && run.at <= period.until &&
+                          router != router_of.end() &&
+                          !HadFault(router->second, run.at, faults);
+      if (counts) times.push_back(run.at);
+    }
+    const double allowed =
+        kLimitTolerance * period.per_second *
+            std::chrono::duration<double>(kLimitWindow).count() +
+        kLimitSlack;
+    std::ptrdiff_t most = 0;
+    for (const TimePoint end : times) {
+      if (end < period.from + kLimitKnownAfter) continue;
+      most = std::max(
+          most, std::count_if(times.begin(), times.end(), [end](TimePoint at) {
+            return at > end - kLimitWindow && at <= end;
+          }));
+    }
+    if (static_cast<double>(most) <= allowed) continue;
+    violations.push_back(period.endpoint + " got " + std::to_string(most) +
+                         " requests in 4 s, limit " +
+                         std::to_string(period.per_second));
+  }
+  return violations;
+}
+
 std::vector<std::string> FindViolations(
     const std::vector<ObservedRequest>& observed,
     const std::vector<standins::fleet::Run>& runs,
@@ -67,6 +136,9 @@
     if (unsafe && times > 1) add(call, "ran more than once (I4)");
     if (unsafe && not_run && times > 0) add(call, "ran though refused (I3)");
     if (IsSuccess(call) && times == 0) add(call, "answered without a run (I2)");
+    if (call.answer.body.find("quarantined") != std::string::npos) {
+      add(call, "refused as if it crashed endpoints");
+    }
     if (!AnswerIsItsOwn(call)) add(call, "not its own answer (I2)");
     if (!EventsAreRight(call)) add(call, "events missing or repeated (I1, I2)");
     const bool second = call.kind == RequestKind::kSecondCustomer;
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -32,16 +32,42 @@
                                    "domain-a-4", "domain-b-0", "domain-b-3",
                                    "plain-0",    "plain-1"};
 
-constexpr std::array kNames = {"kill",       "suspend",         "stop",
-                               "reload",     "store",           "link delayed",
-                               "link reset", "link blackholed", "endpoint",
-                               "revocation"};
+constexpr std::array kNames = {"kill",
+                               "suspend",
+                               "stop",
+                               "reload",
+                               "store",
+                               "link delayed",
+                               "link reset",
+                               "link blackholed",
+                               "endpoint",
+                               "revocation",
+                               "crashing request",
+                               "endpoint limit"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
   return from[random.Below(from.size())];
 }
 
+/// Adds faults of \p kind, drawn apart from the others, so that a seed without
+/// them keeps its faults.
+void AddApart(FaultKind kind, const SoakSettings& settings,
+              std::vector<Fault>& faults) {
+  constexpr int kCount = 2;
+  Random random(MixBits(settings.seed + static_cast<std::uint64_t>(kind)));
+  for (int i = 0; i < kCount; ++i) {
+    Fault fault;
+    fault.kind = kind;
+    fault.at_ms = static_cast<std::int64_t>(
+        random.Below(static_cast<std::uint64_t>(settings.duration_ms)));
+    fault.duration_ms = 2000 + static_cast<std::int64_t>(random.Below(6000));
+    fault.endpoint = Draw(kEndpoints, random);
+    fault.limit = 0.5 + static_cast<double>(random.Below(8));
+    faults.push_back(fault);
+  }
+}
+
 }  // namespace
 
 std::vector<Fault> PlanFaults(const SoakSettings& settings) {
@@ -64,6 +90,12 @@
         static_cast<std::uint64_t>(settings.mean_fault_interval_ms);
     if (!together) time_ms += static_cast<std::int64_t>(random.Below(2 * mean));
   }
+  if (settings.crashing_requests) {
+    AddApart(FaultKind::kCrashingRequest, settings, faults);
+  }
+  if (settings.endpoint_limits) {
+    AddApart(FaultKind::kEndpointLimit, settings, faults);
+  }
   return faults;
 }
 
@@ -75,7 +107,12 @@
     return text + " " + fault.endpoint + " fault " +
            std::to_string(static_cast<int>(fault.endpoint_fault));
   }
-  if (fault.kind == FaultKind::kRevocation) return text;
+  if (fault.kind == FaultKind::kEndpointLimit) {
+    return text + " " + fault.endpoint + " " + std::to_string(fault.limit);
+  }
+  const bool of_no_router = fault.kind == FaultKind::kRevocation ||
+                            fault.kind == FaultKind::kCrashingRequest;
+  if (of_no_router) return text;
   text += " router " + std::to_string(fault.router);
   if (fault.kind == FaultKind::kStore) {
     text += " fault " + std::to_string(static_cast<int>(fault.store));
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -33,6 +33,10 @@
   kEndpoint,
   /// The second customer's key is revoked, and restored.
   kRevocation,
+  /// A caller sends a request that crashes endpoints, again and again.
+  kCrashingRequest,
+  /// An endpoint states a limit in its answers.
+  kEndpointLimit,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -46,6 +50,8 @@
   standins::fleet::EndpointFault endpoint_fault =
       standins::fleet::EndpointFault::kNone;
   std::string endpoint;
+  /// Requests per second that the endpoint states.
+  double limit = 0;
 
   friend bool operator==(const Fault&, const Fault&) = default;
 };
@@ -59,6 +65,11 @@
   /// Mean time between the starts of two faults. It is shorter than most
   /// faults, so several overlap.
   std::int64_t mean_fault_interval_ms = 500;
+  /// Whether callers also send a request that crashes endpoints. The other
+  /// faults of a seed stay the same.
+  bool crashing_requests = false;
+  /// Whether endpoints also state limits; the same holds.
+  bool endpoint_limits = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
