Layout after losses: wait or restore by value, then improve in steps

Cause, from the orders of all instances: PlanLayout keeps what is complete. Made from the engines that were left, a layout is complete and slow, and the engines that come back hold copies. Making it pulls layers from engines that served, and all domains load at the same time.

Change. layout_improvement decides for each failure domain: - idle engines fill the gaps of a cover at once; - otherwise it waits for engines that are expected back (expected_returns: how soon others came back, none that left by an order), or makes the layout anew, whichever serves more until the horizon; - a domain that serves moves engines that no path needs, and the others only if nothing is lost by one, or all at once if the gain pays. capacity judges a layout (paths taken from each domain, the fastest first). layout_planner holds the state; the plan depends on the fleet only, but for what is expected back. The log line "layout" tells reason, moves, capacity and time a token now and expected. Engines whose reports can't be true take no part.

Why it works: an engine that is back within three seconds needs 4.6 s to load 26 layers, and then everything is as before; a layout without it is ready after three to five seconds, serves half as much, and answers that run through it delay its replacement by ten.

--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -1,8 +1,12 @@
 #ifndef TOUCANWHARF_INSTANCE_PLACEMENT_DRIVER_H_
 #define TOUCANWHARF_INSTANCE_PLACEMENT_DRIVER_H_
 
+#include <chrono>
+#include <cmath>
+#include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -17,8 +21,8 @@
 #include "toucanwharf/instance/peer_link.h"
 #include "toucanwharf/instance/placement_lease.h"
 #include "toucanwharf/placement/layout.h"
+#include "toucanwharf/placement/layout_planner.h"
 #include "toucanwharf/placement/order_tracker.h"
-#include "toucanwharf/placement/stabilization_window.h"
 
 namespace toucanwharf::instance {
 
@@ -109,7 +113,8 @@
         now);
     this->order_tracker = placement::OrderTracker();
     this->reports.Clear();
-    this->plans.clear();
+    this->planners.clear();
+    this->targets.clear();
     this->peers.Announce();
   }
 
@@ -132,26 +137,68 @@
           this->ApplyNewestLayers(endpoint, accelerator);
           fleet.push_back(std::move(accelerator));
         });
-    ServicePlan& plan = this->plans[service.name];
-    if (!plan.stabilization.IsStable(fleet, now)) return;
-    if (fleet == plan.planned_for) return;
-    plan.planned_for = fleet;
-    const auto layout =
-        placement::PlanLayout(*service.engine, fleet, this->layout_settings);
-    if (layout == plan.layout) return;
-    plan.layout = layout;
+    placement::LayoutPlanner& planner =
+        this->planners.try_emplace(service.name, this->layout_settings)
+            .first->second;
+    const auto change = planner.Plan(*service.engine, std::move(fleet),
+                                     this->Departing(service.name), now);
+    this->LogDropped(service.name, planner.Dropped(), now);
+    if (!change) return;
+    this->LogChange(service.name, *change, now);
+    this->targets[service.name] = change->target;
+    placement::Layout all;
+    for (const auto& [name, target] : this->targets) {
+      all.insert(target.begin(), target.end());
+    }
+    this->order_tracker.SetTargetLayout(std::move(all));
+  }
+
+  /// Logs each change of how many engines report what they can't hold.
+  void LogDropped(const std::string& service, std::size_t dropped,
+                  TimePoint now) {
+    std::size_t& known = this->dropped[service];
+    if (std::exchange(known, dropped) == dropped) return;
     this->logger.Write(
-        eventlog::Level::kNotable, "layout",
+        eventlog::Level::kNotable, "engines_left_out",
         eventlog::Fields()
-            .Text("service", service.name)
-            .Count("engines", static_cast<std::int64_t>(fleet.size()))
-            .Count("used", static_cast<std::int64_t>(layout.size())),
+            .Text("service", service)
+            .Count("engines", static_cast<std::int64_t>(dropped)),
         now);
-    placement::Layout all;
-    for (const auto& [name, planned] : this->plans) {
-      all.insert(planned.layout.begin(), planned.layout.end());
+  }
+
+  /// Returns the engines of \p service that leave by an order.
+  std::set<std::string> Departing(const std::string& service) const {
+    std::set<std::string> departing;
+    for (const auto& [id, endpoint] : this->state.endpoints.All()) {
+      const bool leaves = endpoint.state != endpoints::EndpointState::kReady;
+      if (endpoint.service == service && leaves) departing.insert(id);
     }
-    this->order_tracker.SetTargetLayout(std::move(all));
+    return departing;
+  }
+
+  static eventlog::Fields CapacityFields(const std::string& prefix,
+                                         const placement::Capacity& capacity) {
+    const std::chrono::duration<double, std::milli> token(
+        capacity.token_millis);
+    return eventlog::Fields()
+        .Count(prefix + "answers_per_second",
+               std::llround(capacity.answers_per_second))
+        .Millis(prefix + "token_ms",
+                std::chrono::duration_cast<Duration>(token));
+  }
+
+  void LogChange(const std::string& service,
+                 const placement::LayoutChange& change, TimePoint now) {
+    this->logger.Write(
+        eventlog::Level::kNotable, "layout",
+        eventlog::Fields()
+            .Text("service", service)
+            .Text("why", placement::ToText(change.reason))
+            .Count("moves", static_cast<std::int64_t>(change.moves))
+            .Count("used", static_cast<std::int64_t>(change.target.size()))
+            .Append(CapacityFields("", change.present))
+            .Append(CapacityFields("expected_", change.expected)),
+        now);
   }
 
   /// Replaces the layers that the store lists by those ordered or reported
@@ -159,23 +206,21 @@
   void ApplyNewestLayers(const endpoints::Endpoint& endpoint,
                          placement::Accelerator& accelerator) {
     this->reports.Track(endpoint);
-    const auto target = this->order_tracker.TargetLayout().find(endpoint.id);
-    if (target != this->order_tracker.TargetLayout().end()) {
-      accelerator.layers = target->second;
-      return;
-    }
     const placement::EngineReport* report =
         this->order_tracker.Report(endpoint.id);
-    if (report != nullptr) accelerator.layers = report->layers;
+    if (report != nullptr) {
+      accelerator.layers = report->layers;
+      if (report->busy) accelerator.loading = report->layers;
+    }
+    const auto target = this->order_tracker.TargetLayout().find(endpoint.id);
+    if (target == this->order_tracker.TargetLayout().end()) return;
+    if (accelerator.layers != target->second) {
+      accelerator.loading =
+          pipeline::Intersection(accelerator.layers, target->second);
+    }
+    accelerator.layers = target->second;
   }
 
-  /// The plan for the engines of one service.
-  struct ServicePlan {
-    std::vector<placement::Accelerator> planned_for;
-    placement::Layout layout;
-    placement::StabilizationWindow stabilization;
-  };
-
   /// Between checks of engines that do not hold their target layers.
   static constexpr Duration kStepPeriod = std::chrono::milliseconds(200);
 
@@ -190,7 +235,9 @@
   EngineReports<A> reports;
   EngineOrders<A> orders;
   /// By service.
-  std::map<std::string, ServicePlan> plans;
+  std::map<std::string, placement::LayoutPlanner> planners;
+  std::map<std::string, placement::Layout> targets;
+  std::map<std::string, std::size_t> dropped;
 };
 
 }  // namespace toucanwharf::instance
--- a/include/toucanwharf/pipeline/plan.h
+++ b/include/toucanwharf/pipeline/plan.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANWHARF_PIPELINE_PLAN_H_
 #define TOUCANWHARF_PIPELINE_PLAN_H_
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <map>
@@ -26,6 +27,13 @@
   friend auto operator<=>(const LayerRange&, const LayerRange&) = default;
 };
 
+/// Returns the layers in both \p left and \p right. Thread safety: safe.
+inline LayerRange Intersection(const LayerRange& left,
+                               const LayerRange& right) {
+  const std::uint32_t begin = std::max(left.begin, right.begin);
+  return {begin, std::max(begin, std::min(left.end, right.end))};
+}
+
 /// The weights that all tokens of one answer must come from.
 struct PinnedModel {
   std::string model;
--- a/include/toucanwharf/placement/layout.h
+++ b/include/toucanwharf/placement/layout.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,13 @@
   std::string kind;
   /// Layers that it holds, or is loading on an earlier order.
   pipeline::LayerRange layers;
+  /// While it loads: the layers that it serves meanwhile.
+  std::optional<pipeline::LayerRange> loading = std::nullopt;
+
+  /// Returns the layers that it serves now. Thread safety: safe.
+  pipeline::LayerRange Serves() const {
+    return this->loading.value_or(this->layers);
+  }
 
   friend bool operator==(const Accelerator&, const Accelerator&) = default;
 };
@@ -64,6 +72,19 @@
                   const std::vector<Accelerator>& fleet,
                   const LayoutSettings& settings);
 
+/// Returns a cover that contains \p kept, with other engines of \p members for
+/// the remaining layers, the fastest or the slowest kind first; empty if there
+/// is none. Precondition: the ranges in \p kept are disjoint. Thread safety:
+/// safe.
+Layout CoverAround(const EngineModel& model,
+                   const std::vector<Accelerator>& members, const Layout& kept,
+                   bool fastest_first, const LayoutSettings& settings);
+
+/// Returns \p fleet with the layers that \p layout assigns.
+/// Thread safety: safe.
+std::vector<Accelerator> Placed(std::vector<Accelerator> fleet,
+                                const Layout& layout);
+
 /// Returns how many layers an engine of \p kind can hold with capacity for
 /// \p answers of mean length; at most those of the model.
 /// Thread safety: safe.
--- a/lib/placement/layout.cc
+++ b/lib/placement/layout.cc
@@ -49,6 +49,26 @@
     return std::move(this->layout);
   }
 
+  Layout CoverAround(const std::vector<Accelerator>& members,
+                     const Layout& kept, bool fastest_first) {
+    this->RankKinds();
+    Group free;
+    for (const Accelerator& engine : members) {
+      const bool usable = this->model.FindKind(engine.kind) != nullptr;
+      if (usable && !kept.contains(engine.id)) free.push_back(&engine);
+    }
+    this->SortBestFirst(free);
+    if (!fastest_first) std::reverse(free.begin(), free.end());
+    const std::vector<Gap> gaps = this->FindGaps(kept);
+    for (double answers = this->settings.target_answers;
+         answers >= this->settings.min_answers;
+         answers *= this->settings.answers_step) {
+      Layout cover = kept;
+      if (this->Fill(gaps, free, answers, cover)) return cover;
+    }
+    return {};
+  }
+
  private:
   /// Sorts by the rank of the kinds, see RankKinds.
   void SortBestFirst(Group& members) const {
@@ -428,20 +448,23 @@
   std::vector<std::vector<LayerRange>> covers;
 };
 
-/// Applies \p layout to \p fleet. Returns whether any layers changed.
-bool Apply(const Layout& layout, std::vector<Accelerator>& fleet) {
-  bool moved = false;
+}  // namespace
+
+Layout CoverAround(const EngineModel& model,
+                   const std::vector<Accelerator>& members, const Layout& kept,
+                   bool fastest_first, const LayoutSettings& settings) {
+  return Planner(model, settings).CoverAround(members, kept, fastest_first);
+}
+
+std::vector<Accelerator> Placed(std::vector<Accelerator> fleet,
+                                const Layout& layout) {
   for (Accelerator& engine : fleet) {
     const auto target = layout.find(engine.id);
-    if (target == layout.end() || target->second == engine.layers) continue;
-    engine.layers = target->second;
-    moved = true;
+    if (target != layout.end()) engine.layers = target->second;
   }
-  return moved;
+  return fleet;
 }
 
-}  // namespace
-
 std::uint32_t LayersFor(const EngineModel& model, const AcceleratorKind& kind,
                         double answers) {
   const double tokens =
@@ -464,9 +487,10 @@
   std::vector<Accelerator> placed = fleet;
   for (int round = 0; round < kMaxRounds; ++round) {
     const Layout next = Planner(model, settings).Plan(placed);
-    const bool moved = Apply(next, placed);
     for (const auto& [id, layers] : next) layout[id] = layers;
-    if (!moved) break;
+    std::vector<Accelerator> moved = Placed(placed, next);
+    if (moved == placed) break;
+    placed = std::move(moved);
   }
   return layout;
 }
--- a/unittests/placement/models.h
+++ b/unittests/placement/models.h
@@ -70,16 +70,6 @@
   return fleet;
 }
 
-/// Returns \p fleet with the layers that \p layout gives.
-inline std::vector<Accelerator> Placed(std::vector<Accelerator> fleet,
-                                       const Layout& layout) {
-  for (Accelerator& accelerator : fleet) {
-    const auto found = layout.find(accelerator.id);
-    if (found != layout.end()) accelerator.layers = found->second;
-  }
-  return fleet;
-}
-
 /// Returns \p fleet as idle engines for the path finder.
 inline std::vector<Engine> Idle(const std::vector<Accelerator>& fleet) {
   std::vector<Engine> engines;
