--- a/include/toucanwharf/admission/queue.h
+++ b/include/toucanwharf/admission/queue.h
@@ -59,7 +59,7 @@
   /// Returns the rate in tokens per second; 0 if unknown or stalled.
   double Rate(TimePoint now) const;
 
-  /// Returns whether a rate was measured or set.
+  /// Returns whether the rate is known.
   bool HasRate() const { return this->has_rate; }
 
  private:
--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -39,6 +39,9 @@
   /// Whether the connection had served an earlier call; its loss before any
   /// response then says little about the peer.
   bool reused = false;
+  /// Whether the peer refused the connection: nothing listens at its address. A
+  /// failure of this process, or of the network, is not a refusal.
+  bool refused = false;
 
   friend bool operator==(const CallResult&, const CallResult&) = default;
 };
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -14,6 +13,7 @@
 #include <vector>
 
 #include "toucanwharf/attempts/arrival_budget.h"
+#include "toucanwharf/attempts/capacity_queue.h"
 #include "toucanwharf/attempts/probe_backoff.h"
 #include "toucanwharf/attempts/startup_wait.h"
 #include "toucanwharf/endpoints/liveness_evidence.h"
@@ -190,8 +190,9 @@
   /// that of \p except.
   std::vector<endpoints::LivenessEvidence> EvidenceExcept(
       const ProxiedRequest& except) const;
-  /// Queues \p request until there is capacity for its answer.
-  void Enqueue(std::shared_ptr<ProxiedRequest> request);
+  /// Queues \p request for \p service until there is capacity for its answer.
+  void Enqueue(const std::string& service,
+               std::shared_ptr<ProxiedRequest> request);
   void ServeQueue();
 
   /// Records that a run of \p request broke and finds out whether its endpoint
@@ -200,6 +201,9 @@
   void OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer);
   /// Records that the start of an endpoint that \p key stands for has ended.
   void OnEndpointEnded(std::uint32_t key);
+  /// Records that \p endpoint answered a request sent at \p sent, so that it
+  /// had not ended before.
+  void OnEndpointAnswered(const std::string& endpoint, TimePoint sent);
   /// Records that a run shows that \p request crashes no endpoint.
   void OnSuccess(const quarantine::Fingerprint& request);
   /// Applies the limit that \p endpoint states, or doesn't, in the \p head of
@@ -235,7 +239,7 @@
   std::set<ProxiedRequest*> active;
   attempts::StartupWait startup_wait;
   std::vector<EarlyRequest> early_requests;
-  std::deque<std::shared_ptr<ProxiedRequest>> queue;
+  attempts::CapacityQueue<std::shared_ptr<ProxiedRequest>> queue;
   http::TimerId queue_timer = 0;
 };
 
--- a/include/toucanwharf/instance/quarantine_sync.h
+++ b/include/toucanwharf/instance/quarantine_sync.h
@@ -21,7 +21,7 @@
 /// quarantine by removing an object. Owned by Instance.
 ///
 /// Load: every instance reads the collection once, at its start. Only requests
-/// with two crashes are written, by the instance that saw the second or by the
+/// that are refused are written, by the instance that saw the crash or by the
 /// leader, and only the leader reads again, while there are any.
 /// Thread safety: only on the loop's thread.
 template <Adapter A>
@@ -83,7 +83,11 @@
   /// quarantine of those that an operator has removed.
   void Follow() {
     const bool idle = this->state.quarantine.Empty() && this->stored.empty();
-    if (!this->state.leads || idle) return;
+    if (idle) return;
+    if (!this->state.leads) {
+      this->ForgetExpired();
+      return;
+    }
     this->Read([this](const std::optional<store::Listing>& listing) {
       if (!listing) return;
       this->LiftRemoved(*listing);
@@ -124,12 +128,21 @@
     std::erase_if(this->stored, [&](const quarantine::Fingerprint& request) {
       const std::string text = quarantine::ToText(request);
       if (names.contains(text) || this->writing.contains(request)) return false;
-      this->state.quarantine.OnSuccess(request, this->loop.Now());
-      this->Log("quarantine_lifted", text);
+      if (this->state.quarantine.OnSuccess(request, this->loop.Now())) {
+        this->Log("quarantine_lifted", text);
+      }
       return true;
     });
   }
 
+  /// Forgets objects that the leader has removed long ago.
+  void ForgetExpired() {
+    const TimePoint now = this->loop.Now();
+    std::erase_if(this->stored, [&](const quarantine::Fingerprint& request) {
+      return this->state.quarantine.ReportOf(request, now).crashes.empty();
+    });
+  }
+
   /// Removes the objects of requests whose crashes are forgotten or refuted;
   /// the instance that refuted them may not know of the object.
   void RemoveEnded() {
@@ -156,21 +169,34 @@
 
   void Write(const quarantine::Fingerprint& request) {
     if (!this->writing.insert(request).second) return;
+    this->WriteOver(request, 0);
+  }
+
+  /// Writes \p request over the object of \p version, 0 for none.
+  void WriteOver(const quarantine::Fingerprint& request,
+                 std::uint64_t version) {
     store::Write write;
     write.key = KeyOf(request);
     write.writer = this->state.instance;
+    write.if_version = version;
     write.value = SuspectRecordToText(
         this->state.quarantine.ReportOf(request, this->loop.Now()), this->name);
-    this->store.Write(write, [this, request](const store::WriteAnswer& answer) {
-      this->writing.erase(request);
-      this->OnWritten(request, answer);
+    this->store.Write(write, [this, request, version](const auto& answer) {
+      this->OnWritten(request, version, answer);
     });
   }
 
-  void OnWritten(const quarantine::Fingerprint& request,
+  void OnWritten(const quarantine::Fingerprint& request, std::uint64_t version,
                  const store::WriteAnswer& answer) {
+    const bool conflict = answer.status == store::WriteStatus::kConflict;
+    if (conflict && version == 0 && answer.version > 0) {
+      // An object with earlier crashes. After a second conflict it is one that
+      // another instance has just written.
+      this->WriteOver(request, answer.version);
+      return;
+    }
+    this->writing.erase(request);
     if (answer.status != store::WriteStatus::kUnknown) {
-      // In a conflict another instance has stored it.
       this->stored.insert(request);
       return;
     }
--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -89,10 +89,15 @@
   Duration retention = std::chrono::minutes(10);
   /// A broken run without evidence of its endpoint's end is forgotten.
   Duration evidence_timeout = std::chrono::seconds(6);
+  /// An endpoint that ended is back no sooner. An answer within this time of
+  /// its supposed end comes from the same start.
+  Duration min_downtime = std::chrono::seconds(1);
   /// Delay of reports between instances, by which their times may be off.
   Duration clock_skew = std::chrono::milliseconds(20);
   std::size_t max_requests = 256;
   std::size_t max_crashes = 8;
+  /// Ends of endpoints that are remembered.
+  std::size_t max_ends = 512;
   /// Requests in a message between instances.
   std::size_t max_reported = 32;
 
@@ -128,7 +133,9 @@
 ///   - the same request was not answered since, by any endpoint, or a short
 ///     time before.
 /// A crash of several endpoints together counts half for a request that was at
-/// one of them. Two crashes suffice only if no other request was at both.
+/// one of them. Two crashes suffice only if no other request was at both, and
+/// those at which a more suspect request was as well don't count: it explains
+/// them.
 ///
 /// A report is a set of crashes; merging is commutative and idempotent, so that
 /// lost, repeated and reordered messages do no harm.
@@ -147,6 +154,15 @@
   /// Records that the start \p key of an endpoint goes on, or ends by an order:
   /// the runs that broke there prove nothing.
   void OnEndpointCleared(std::uint32_t key);
+  /// Records that the start \p key of an endpoint answered, at \p now, a
+  /// request sent at \p sent_at. An end of it right before is refuted: the link
+  /// to an instance was cut. Returns the requests that have a crash less by it.
+  std::vector<Fingerprint> OnEndpointAnswered(std::uint32_t key,
+                                              TimePoint sent_at, TimePoint now);
+  /// Returns whether OnEndpointAnswered may have an effect.
+  bool HasEnds() const {
+    return !this->ends.empty() || !this->undecided.empty();
+  }
   /// Returns the starts of endpoints at which runs broke without evidence yet.
   std::vector<std::uint32_t> Undecided(TimePoint now);
   /// Records that \p request was answered, or has run for so long that it
@@ -168,6 +184,8 @@
   bool MayRetry(const Fingerprint& request, TimePoint now) const;
   /// Returns how many requests have crashes, and how many of them are refused.
   std::size_t Size() const { return this->suspects.size(); }
+  /// Returns how many ends of endpoints are remembered.
+  std::size_t EndCount() const { return this->ends.size(); }
   std::size_t BlockedCount(TimePoint now) const;
 
  private:
@@ -178,11 +196,16 @@
     bool refuted = false;
   };
   using Crashes = std::vector<Crash>;
+  struct BegunRun {
+    TimePoint sent_at;
+    TimePoint broke_at;
+  };
   /// Broken runs at one start of an endpoint.
   struct BrokenRuns {
     EndpointStart endpoint;
-    TimePoint at;
-    std::map<Fingerprint, TimePoint> sent_at;
+    /// When the last of them broke.
+    TimePoint last_at;
+    std::map<Fingerprint, BegunRun> begun;
   };
   /// The crashes that count against a request.
   struct Evidence {
@@ -190,12 +213,23 @@
     double weight = 0;
     bool several_addresses = false;
   };
+  /// What other requests' crashes say about those of one request.
+  struct Comparison {
+    /// Another one was at two of them.
+    bool shared = false;
+    /// Another one was at all of them, and is as suspect.
+    bool tied = false;
+    /// Another one was at all of them, and is more suspect.
+    bool explained = false;
+  };
 
   Evidence Weigh(Crashes crashes) const;
   bool IsJoint(const Crashes& of_request, const Crash& crash) const;
-  bool OthersShare(const Fingerprint& request, const Crashes& chain) const;
+  Comparison Compare(const Fingerprint& request,
+                     const Evidence& evidence) const;
   bool IsCertain(const Evidence& evidence) const;
   bool Add(const Fingerprint& request, const Crash& crash, TimePoint now);
+  void RecordEnd(std::uint32_t key, TimePoint at);
   void Prune(TimePoint now);
   void EvictOne();
 
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -148,6 +148,8 @@
     if (this->closed || this->id == 0) return;
     this->loop.Cancel(this->timer);
     if (error) {
+      this->result.refused = error == boost::asio::error::connection_refused ||
+                             error == boost::asio::error::connection_reset;
       this->Finish(CallEnd::kNotConnected);
       return;
     }
--- a/lib/instance/engine_probe.cc
+++ b/lib/instance/engine_probe.cc
@@ -101,9 +101,7 @@
   // connection may have been reset for any reason.
   const bool reset = result.end != http::CallEnd::kNotConnected && !timed_out;
   if (reset && !result.reused) pending->liveness_seen = true;
-  if (result.end == http::CallEnd::kNotConnected && !timed_out) {
-    pending->refused = true;
-  }
+  if (result.refused) pending->refused = true;
   if (!pending->repeated) {
     this->SendRepeat(pending);
     return;
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -226,9 +226,10 @@
   return evidence;
 }
 
-void Gateway::Enqueue(std::shared_ptr<ProxiedRequest> request) {
+void Gateway::Enqueue(const std::string& service,
+                      std::shared_ptr<ProxiedRequest> request) {
   ++this->counters.queued;
-  this->queue.push_back(std::move(request));
+  this->queue.Push(service, std::move(request));
   if (this->queue_timer != 0) return;
   this->queue_timer =
       this->loop.After(kQueuePollPeriod, [this] { this->ServeQueue(); });
@@ -236,14 +237,10 @@
 
 void Gateway::ServeQueue() {
   this->queue_timer = 0;
-  // In order of arrival; a request without capacity blocks those behind it, or
-  // a long answer would never be placed.
-  while (!this->queue.empty()) {
-    const auto first = this->queue.front();
-    if (!first->LeaveQueue()) break;
-    this->queue.pop_front();
-  }
-  if (this->queue.empty()) return;
+  this->queue.Serve([](const std::shared_ptr<ProxiedRequest>& request) {
+    return request->LeaveQueue();
+  });
+  if (this->queue.Empty() || this->queue_timer != 0) return;
   this->queue_timer =
       this->loop.After(kQueuePollPeriod, [this] { this->ServeQueue(); });
 }
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -57,6 +57,22 @@
   if (this->announce_news) this->announce_news();
 }
 
+void Gateway::OnEndpointAnswered(const std::string& endpoint, TimePoint sent) {
+  if (!this->state.quarantine.HasEnds()) return;
+  const endpoints::Endpoint* known = this->state.endpoints.Find(endpoint);
+  if (known == nullptr) return;
+  const TimePoint now = this->loop.Now();
+  for (const quarantine::Fingerprint& request :
+       this->state.quarantine.OnEndpointAnswered(endpoints::EndpointKey(*known),
+                                                 sent, now)) {
+    this->logger.Write(Level::kNotable, "crash_refuted",
+                       Fields()
+                           .Text("content", quarantine::ToText(request))
+                           .Text("endpoint", endpoint),
+                       now);
+  }
+}
+
 void Gateway::ReviewBrokenRuns() {
   const TimePoint now = this->loop.Now();
   for (const std::uint32_t key : this->state.quarantine.Undecided(now)) {
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -92,11 +92,12 @@
     }
     auto sharers = this->peers.Sharers(service, own.demand, now);
     sharers.push_back(own);
-    // Until the list of instances is known, others may send as well.
+    // Until the list of instances is known, others may send as well; and they
+    // have taken over the part of an instance that stops.
+    const bool has_part = this->instances_known && !this->stopping_since;
     const double share =
-        this->instances_known
-            ? limits::RateShare(report.endpoint, *limit, sharers, self)
-            : 0;
+        has_part ? limits::RateShare(report.endpoint, *limit, sharers, self)
+                 : 0;
     this->pacer.SetRate(report.endpoint, share, now);
     limited.insert(report.endpoint);
   }
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -28,6 +28,8 @@
 /// A request waits for capacity only until this much of its objective is left:
 /// the first event takes about as long after the send.
 constexpr Duration kReservedAfterQueue = std::chrono::milliseconds(200);
+/// A connection within a region takes a millisecond.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 /// Typical share of the maximum output tokens that an answer has, used if the
 /// caller gives no hint.
 constexpr double kTypicalOutputShare = 0.6;
@@ -125,12 +127,13 @@
 }
 
 void ProxiedRequest::StartAttempt() {
-  // Requests are served in order of arrival.
-  const bool must_queue = this->IsModel() && !this->gateway.queue.empty();
+  // Requests for a service are served in order of arrival.
+  const std::string& service = this->admitted.service->name;
+  const bool must_queue = this->IsModel() && this->gateway.queue.Waits(service);
   const auto chosen = must_queue ? std::nullopt : this->ChooseTarget();
   if (must_queue) this->no_path_reason = placement::NoPathReason::kNoCapacity;
   if (!chosen && this->MayQueue()) {
-    this->gateway.Enqueue(this->shared_from_this());
+    this->gateway.Enqueue(service, this->shared_from_this());
     return;
   }
   if (!chosen) {
@@ -187,8 +190,6 @@
   this->last_data = this->gateway.loop.Now();
   this->head_at = this->last_data;
   this->head = answer;
-  this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
-                              answer);
   this->ClassifyHead(answer);
 }
 
@@ -202,6 +203,13 @@
     this->EndAttempt(AttemptOutcome::kUnknown, "answer_of_another_request");
     return;
   }
+  // Another endpoint at the address says nothing about the one expected.
+  if (answer.status != http::kMisdirected) {
+    this->gateway.OnEndpointAnswered(this->target.endpoint,
+                                     this->attempt_started);
+    this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
+                                answer);
+  }
   const bool not_run = answer.headers.Find(names.not_run).has_value() ||
                        answer.status == http::kMisdirected;
   if (not_run) {
@@ -225,6 +233,7 @@
   out.status = answer.status;
   out.reason = answer.reason;
   out.headers = http::EndToEnd(answer.headers);
+  this->last_relayed = this->last_data;
   this->exchange->Begin(out);
 }
 
@@ -241,6 +250,7 @@
       this->exchange->Begin(out);
     }
     if (this->attempt_counts.answer_started) {
+      this->last_relayed = this->last_data;
       this->exchange->Write(this->body);
       this->body.clear();
     }
@@ -260,6 +270,7 @@
   this->refused_reroutes = 0;
   this->detector.OnEvent(this->last_data);
   ++this->chunks_written;
+  this->last_relayed = this->last_data;
   this->exchange->Write(complete);
 }
 
@@ -267,7 +278,7 @@
   this->call = 0;
   if (this->finished) return;
   if (result.end == http::CallEnd::kNotConnected) {
-    this->OnNotConnected();
+    if (result.refused) this->OnConnectionRefused();
     this->gateway.state.loads.Suspect(
         this->target.endpoint, this->gateway.loop.Now() + kUnreachablePause);
     this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -22,8 +22,6 @@
 /// to be in use counts as full.
 inline constexpr double kFullShare = 0.6;
 
-/// A connection within a region takes a millisecond.
-inline constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 /// Between checks for capacity for an answer that lost its path.
 inline constexpr Duration kCapacityPollPeriod = std::chrono::milliseconds(60);
 
@@ -148,9 +146,8 @@
   /// Records that the connection of the current run broke, as a crash of the
   /// endpoint by this request would break it.
   void OnRunBroken();
-  /// Records that no connection to the endpoint came about; a refused one shows
-  /// that it has ended.
-  void OnNotConnected();
+  /// Records that nothing listens at the endpoint's address: it has ended.
+  void OnConnectionRefused();
   /// Records an event of the current run.
   void OnProgress();
   /// Records that this run shows that the request crashes no endpoint.
@@ -197,6 +194,8 @@
   Duration first_event_after{0};
   TimePoint attempt_started;
   TimePoint last_data;
+  /// When the caller last got a part of the answer.
+  TimePoint last_relayed;
   /// When the response head of the current attempt arrived.
   TimePoint head_at;
   /// Whether the current run was recorded as proven.
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -68,14 +68,11 @@
                                   endpoint->start_time_ms, this->IsModel()});
 }
 
-void ProxiedRequest::OnNotConnected() {
-  const TimePoint now = this->gateway.loop.Now();
+void ProxiedRequest::OnConnectionRefused() {
   const endpoints::Endpoint* endpoint =
       this->gateway.state.endpoints.Find(this->target.endpoint);
-  const bool refused = now - this->attempt_started < kConnectTimeout;
-  if (endpoint != nullptr && refused) {
-    this->gateway.OnEndpointEnded(endpoints::EndpointKey(*endpoint));
-  }
+  if (endpoint == nullptr) return;
+  this->gateway.OnEndpointEnded(endpoints::EndpointKey(*endpoint));
 }
 
 void ProxiedRequest::OnProgress() {
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -48,7 +48,7 @@
 void ProxiedRequest::AwaitCapacity(Duration pause, AttemptOutcome outcome,
                                    std::string_view reason) {
   const TimePoint now = this->gateway.loop.Now();
-  if (now - this->last_data > kClientIdleTimeout) {
+  if (now - this->last_relayed > kClientIdleTimeout) {
     ++this->gateway.counters.aborted;
     this->exchange->Abort();
     this->Finish("broken_off", 0);
--- a/lib/limits/stated_limits.cc
+++ b/lib/limits/stated_limits.cc
@@ -15,7 +15,7 @@
 /// It holds at least until so many requests may have been sent.
 constexpr double kMinRequests = 4;
 constexpr Duration kMaxValidity = std::chrono::minutes(10);
-/// What an endpoint stated to this instance is reported for this long.
+/// That a limit has ended is reported for this long.
 constexpr Duration kReported = std::chrono::seconds(10);
 constexpr double kMicrosPerSecond = 1e6;
 
@@ -90,9 +90,7 @@
   });
   std::vector<LimitReport> reports;
   for (const auto& [endpoint, statement] : this->statements) {
-    const bool reported = include_heard || (statement.first_hand &&
-                                            now - statement.at <= kReported);
-    if (!reported) continue;
+    if (!statement.first_hand && !include_heard) continue;
     reports.push_back({endpoint, statement.per_second, now - statement.at});
   }
   return reports;
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -33,9 +33,10 @@
 void Quarantine::OnRunBroken(const BrokenRun& run, TimePoint now) {
   this->Prune(now);
   BrokenRuns& runs = this->undecided[run.endpoint.key];
-  if (runs.sent_at.empty()) runs = {run.endpoint, now, {}};
+  runs.endpoint = run.endpoint;
+  runs.last_at = now;
   if (run.stage == RunStage::kBegun) {
-    runs.sent_at.emplace(run.request, run.sent_at);
+    runs.begun.insert_or_assign(run.request, BegunRun{run.sent_at, now});
   }
   if (run.stage == RunStage::kProven) this->OnSuccess(run.request, now);
 }
@@ -47,15 +48,51 @@
   if (found == this->undecided.end()) return added;
   const BrokenRuns runs = std::move(found->second);
   this->undecided.erase(found);
-  this->ends.emplace(key, runs.at);
-  for (const auto& [request, sent_at] : runs.sent_at) {
-    if (this->Add(request, {runs.endpoint, sent_at, runs.at, false}, now)) {
-      added.push_back(request);
-    }
+  this->RecordEnd(key, runs.last_at);
+  for (const auto& [request, run] : runs.begun) {
+    // An end breaks all runs at one moment; those before broke off.
+    const bool at_end =
+        runs.last_at - run.broke_at <= this->settings.joint_window;
+    const Crash crash{runs.endpoint, run.sent_at, runs.last_at, false};
+    if (at_end && this->Add(request, crash, now)) added.push_back(request);
   }
   return added;
 }
 
+void Quarantine::RecordEnd(std::uint32_t key, TimePoint at) {
+  this->ends.emplace(key, at);
+  if (this->ends.size() <= this->settings.max_ends) return;
+  this->ends.erase(std::min_element(this->ends.begin(), this->ends.end(),
+                                    [](const auto& lhs, const auto& rhs) {
+                                      return lhs.second < rhs.second;
+                                    }));
+}
+
+std::vector<Fingerprint> Quarantine::OnEndpointAnswered(std::uint32_t key,
+                                                        TimePoint sent_at,
+                                                        TimePoint now) {
+  const auto goes_on = [&](TimePoint supposed_end) {
+    return sent_at > supposed_end + this->settings.clock_skew &&
+           now - supposed_end <= this->settings.min_downtime;
+  };
+  const auto broken = this->undecided.find(key);
+  if (broken != this->undecided.end() && goes_on(broken->second.last_at)) {
+    this->undecided.erase(broken);
+  }
+  std::vector<Fingerprint> cleared;
+  const auto end = this->ends.find(key);
+  if (end == this->ends.end() || !goes_on(end->second)) return cleared;
+  this->ends.erase(end);
+  for (auto& [request, crashes] : this->suspects) {
+    for (Crash& crash : crashes) {
+      if (crash.endpoint.key != key || crash.refuted) continue;
+      crash.refuted = true;
+      cleared.push_back(request);
+    }
+  }
+  return cleared;
+}
+
 void Quarantine::OnEndpointCleared(std::uint32_t key) {
   this->undecided.erase(key);
 }
@@ -69,7 +106,7 @@
 
 bool Quarantine::OnSuccess(const Fingerprint& request, TimePoint now) {
   this->successes.Add(request, now);
-  for (auto& [key, runs] : this->undecided) runs.sent_at.erase(request);
+  for (auto& [key, runs] : this->undecided) runs.begun.erase(request);
   const auto found = this->suspects.find(request);
   if (found == this->suspects.end()) return false;
   const bool suspected = CountUnrefuted(found->second) > 0;
@@ -82,7 +119,7 @@
   for (const CrashReport& crash : report.crashes) {
     const TimePoint at = now - crash.age;
     if (crash.age > this->settings.certain_block) continue;
-    this->ends.emplace(crash.endpoint.key, at);
+    this->RecordEnd(crash.endpoint.key, at);
     const bool added =
         this->Add(report.request,
                   {crash.endpoint, at - crash.ran, at, crash.refuted}, now);
@@ -154,7 +191,7 @@
   if (now - this->pruned_at < kPrunePeriod) return;
   this->pruned_at = now;
   std::erase_if(this->undecided, [&](const auto& entry) {
-    return now - entry.second.at > this->settings.evidence_timeout;
+    return now - entry.second.last_at > this->settings.evidence_timeout;
   });
   std::erase_if(this->ends, [&](const auto& entry) {
     return now - entry.second > this->settings.certain_block;
@@ -210,19 +247,23 @@
           evidence.chain.size() >= this->settings.at_one_address);
 }
 
-/// Returns whether another request was at two of these crashes as well.
-bool Quarantine::OthersShare(const Fingerprint& request,
-                             const Crashes& chain) const {
+Quarantine::Comparison Quarantine::Compare(const Fingerprint& request,
+                                           const Evidence& evidence) const {
   constexpr std::size_t kShared = 2;
-  return std::any_of(
-      this->suspects.begin(), this->suspects.end(), [&](const auto& entry) {
-        if (entry.first == request) return false;
-        const auto shared = std::count_if(
-            entry.second.begin(), entry.second.end(), [&](const Crash& crash) {
-              return !crash.refuted && Contains(chain, crash.endpoint.key);
-            });
-        return static_cast<std::size_t>(shared) >= kShared;
-      });
+  Comparison comparison;
+  for (const auto& [other, crashes] : this->suspects) {
+    if (other == request) continue;
+    const auto shared = static_cast<std::size_t>(
+        std::count_if(crashes.begin(), crashes.end(), [&](const Crash& crash) {
+          return !crash.refuted && Contains(evidence.chain, crash.endpoint.key);
+        }));
+    if (shared < kShared) continue;
+    comparison.shared = true;
+    if (shared < evidence.chain.size()) continue;
+    const bool more = this->Weigh(crashes).weight > evidence.weight;
+    (more ? comparison.explained : comparison.tied) = true;
+  }
+  return comparison;
 }
 
 std::optional<Verdict> Quarantine::Judge(const Fingerprint& request,
@@ -230,16 +271,21 @@
   const auto found = this->suspects.find(request);
   if (found == this->suspects.end()) return std::nullopt;
   const Evidence evidence = this->Weigh(found->second);
-  if (evidence.chain.empty()) return std::nullopt;
+  const bool probable =
+      evidence.weight >= this->settings.probable && evidence.several_addresses;
+  const bool certain = this->IsCertain(evidence);
+  if (!probable && !certain) return std::nullopt;
+  const Comparison others = this->Compare(request, evidence);
+  if (others.explained) return std::nullopt;
+  Duration block{0};
+  if (!others.shared) block = this->settings.probable_block;
+  if (certain) {
+    block = others.tied ? this->settings.probable_block
+                        : this->settings.certain_block;
+  }
   Verdict verdict;
   verdict.crashes = evidence.chain.size();
   verdict.last_crash_age = now - evidence.chain.back().at;
-  const bool probable = evidence.weight >= this->settings.probable &&
-                        evidence.several_addresses &&
-                        !this->OthersShare(request, evidence.chain);
-  Duration block{0};
-  if (probable) block = this->settings.probable_block;
-  if (this->IsCertain(evidence)) block = this->settings.certain_block;
   verdict.blocked_for = block - verdict.last_crash_age;
   if (verdict.blocked_for <= Duration(0)) return std::nullopt;
   return verdict;
@@ -248,20 +294,19 @@
 bool Quarantine::MayRetry(const Fingerprint& request, TimePoint now) const {
   if (this->Judge(request, now)) return false;
   // The newest broken run counts as well: its evidence comes a moment later.
-  const BrokenRuns* newest = nullptr;
+  std::optional<Crash> newest;
   for (const auto& [key, runs] : this->undecided) {
-    if (!runs.sent_at.contains(request)) continue;
-    if (newest == nullptr || runs.at > newest->at) newest = &runs;
+    const auto run = runs.begun.find(request);
+    if (run == runs.begun.end()) continue;
+    const auto& [sent_at, broke_at] = run->second;
+    if (newest && newest->at >= broke_at) continue;
+    newest = Crash{runs.endpoint, sent_at, broke_at, false};
   }
   Crashes crashes;
   const auto found = this->suspects.find(request);
   if (found != this->suspects.end()) crashes = found->second;
-  if (newest != nullptr) {
-    crashes.push_back(
-        {newest->endpoint, newest->sent_at.at(request), newest->at, false});
-  }
-  constexpr std::size_t kEnough = 2;
-  return this->Weigh(crashes).chain.size() < kEnough;
+  if (newest) crashes.push_back(*newest);
+  return this->Weigh(crashes).weight < this->settings.probable;
 }
 
 SuspectReport Quarantine::ReportOf(const Fingerprint& request,
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -30,6 +30,12 @@
   return request.body == content || request.target.ends_with(content);
 }
 
+void AddLimit(http::ResponseHead& head,
+              const std::optional<double>& per_second) {
+  if (!per_second) return;
+  head.headers.Add("Server-Limit", absl::StrCat(*per_second));
+}
+
 std::string EventText(int number) {
   return absl::StrCat("id: ", number, "\ndata: piece ", number, "\n\n");
 }
@@ -139,8 +145,11 @@
     return;
   }
   const auto expected = request.headers.Find("X-Expect-Instance");
-  if (expected && *expected != id) {
-    exchange->Respond(HeadOf(http::kMisdirected, request), "");
+  const bool misdirected = endpoint.fault == EndpointFault::kMisdirects;
+  if (misdirected || (expected && *expected != id)) {
+    http::ResponseHead head = HeadOf(http::kMisdirected, request);
+    AddLimit(head, endpoint.limit);
+    exchange->Respond(head, "");
     return;
   }
   if (request.target == "/toucanwharf/order") {
@@ -253,9 +262,7 @@
     head.headers.Set("X-Request-Id", "of-another-request");
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
-  if (endpoint.limit) {
-    head.headers.Add("Server-Limit", absl::StrCat(*endpoint.limit));
-  }
+  AddLimit(head, endpoint.limit);
   exchange.Respond(head, "ran at " + endpoint.spec.id);
 }
 
@@ -329,9 +336,7 @@
   http::ResponseHead head = HeadOf(http::kOk, request);
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
-  if (endpoint.limit) {
-    head.headers.Add("Server-Limit", absl::StrCat(*endpoint.limit));
-  }
+  AddLimit(head, endpoint.limit);
   auto stream = std::make_shared<Stream>(
       Stream{endpoint.spec.id, run.request_id, path, exchange, last + 1});
   this->streams.insert(stream);
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -44,6 +44,8 @@
   kTruncatesEvent,
   /// Refuses to reroute a running answer.
   kRefusesReroute,
+  /// Answers every request as another endpoint at its address would.
+  kMisdirects,
 };
 
 /// One execution of a request at an endpoint.
--- a/test/process/endpoint_limit_test.cc
+++ b/test/process/endpoint_limit_test.cc
@@ -12,6 +12,7 @@
 namespace toucanwharf::process_test {
 namespace {
 
+using standins::fleet::EndpointFault;
 using standins::fleet::Run;
 
 constexpr std::size_t kRouters = 3;
@@ -115,5 +116,31 @@
   }
 }
 
+// Guards against the limit of an endpoint that has taken over an address and is
+// held against the one that had it before.
+BOOST_AUTO_TEST_CASE(LimitOfAnotherEndpointAtTheAddressDoesNotCount) {
+  constexpr double kLimit = 0.001;
+  constexpr int kReads = 12;
+  PlatformFleet fleet(1);
+  const auto read_some = [&](const std::string& id) {
+    for (int number = 0; number < kReads; ++number) {
+      const auto answer =
+          fleet.Plain(0, "/read/x", id + std::to_string(number));
+      BOOST_TEST(answer.status == http::kOk);
+    }
+  };
+  fleet.RunOnLoop([&] {
+    fleet.Endpoints().SetLimit("plain-0", kLimit);
+    fleet.Endpoints().SetFault("plain-0", EndpointFault::kMisdirects);
+  });
+  read_some("during-");
+  fleet.RunOnLoop([&] {
+    fleet.Endpoints().SetLimit("plain-0", std::nullopt);
+    fleet.Endpoints().SetFault("plain-0", EndpointFault::kNone);
+  });
+  read_some("after-");
+  BOOST_TEST(!RunsAt(fleet, "plain-0").empty());
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -172,6 +172,32 @@
   CheckNoViolations(fleet);
 }
 
+// The engine of an answer crashes, and all others refuse for good. Guards
+// against attempts that go on until the deadline, and spend what other requests
+// may be sent again: the answer ends after its caller's patience.
+BOOST_AUTO_TEST_CASE(AnswerThatAllEnginesRefuseEndsBeforeItsDeadline) {
+  constexpr auto kPatience = std::chrono::milliseconds(4000);
+  constexpr auto kMargin = std::chrono::milliseconds(600);
+  PlatformFleet fleet(1);
+  std::chrono::steady_clock::time_point crashed;
+  const EventStream stream = StreamWith(fleet, "refused", [&] {
+    const std::string first = fleet.RunsOf("refused")[0].endpoint;
+    fleet.RunOnLoop([&] {
+      for (const char* domain : {"domain-a-", "domain-b-"}) {
+        for (int i = 0; i < 5; ++i) {
+          fleet.Endpoints().SetFault(domain + std::to_string(i),
+                                     EndpointFault::kFull);
+        }
+      }
+      fleet.Endpoints().Crash(first);
+    });
+    crashed = std::chrono::steady_clock::now();
+  });
+  const auto waited = std::chrono::steady_clock::now() - crashed;
+  BOOST_TEST(!stream.answer.complete);
+  BOOST_TEST((waited < kPatience + kMargin));
+}
+
 // An engine aborts in the middle of an event. The truncated event is dropped,
 // and the next engine sends it completely.
 BOOST_AUTO_TEST_CASE(TruncatedEventIsDropped) {
--- a/unittests/adapter/quarantine_sync_test.cc
+++ b/unittests/adapter/quarantine_sync_test.cc
@@ -32,18 +32,25 @@
     store::Listing listing;
     for (const auto& [key, value] : this->objects) {
       if (key.collection != collection) continue;
-      listing.objects.push_back({key, 1, "", value});
+      listing.objects.push_back({key, this->versions[key], "", value});
     }
     done(listing);
   }
   void Write(const store::Write& write,
              const std::function<void(store::WriteAnswer)>& done) {
+    const bool exists = this->objects.contains(write.key);
+    std::uint64_t& version = this->versions[write.key];
+    if (write.if_version != (exists ? version : 0)) {
+      done({store::WriteStatus::kConflict, version});
+      return;
+    }
     this->objects[write.key] = write.value;
-    done({store::WriteStatus::kWritten, 1});
+    done({store::WriteStatus::kWritten, ++version});
   }
   void Remove(const store::ObjectKey& key) { this->objects.erase(key); }
 
   std::map<store::ObjectKey, std::string> objects;
+  std::map<store::ObjectKey, std::uint64_t> versions;
 };
 
 struct MemoryAdapter : adapter::PlatformAdapter {
@@ -112,5 +119,23 @@
               }});
 }
 
+// Guards against a restart of all instances after which a request with three
+// crashes is refused for a minute only, because the store has the first two.
+BOOST_AUTO_TEST_CASE(LaterCrashesAreStoredToo) {
+  Leader leader;
+  leader.state.quarantine.Merge(kReport, leader.loop.Now());
+  leader.sync.OnCrash(kReport.request);
+  quarantine::SuspectReport later = kReport;
+  later.crashes.push_back(
+      {{3, 13}, std::chrono::seconds(1), milliseconds(40), false});
+  leader.state.quarantine.Merge(later, leader.loop.Now());
+  leader.sync.OnCrash(kReport.request);
+  BOOST_REQUIRE(leader.store.objects.size() == 1U);
+  const auto& [key, value] = *leader.store.objects.begin();
+  const auto stored = SuspectRecordFromText(key.name, value);
+  BOOST_REQUIRE(stored.has_value());
+  BOOST_TEST(stored->crashes.size() == 3U);
+}
+
 }  // namespace
 }  // namespace toucanwharf::instance
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -387,9 +387,18 @@
   const Fetched fetched = Call("127.0.0.1:1", {});
   BOOST_CHECK(fetched.result.end == CallEnd::kNotConnected);
   BOOST_TEST(!fetched.result.sent);
+  BOOST_TEST(fetched.result.refused);
   BOOST_CHECK(Call("no address", {}).result.end == CallEnd::kNotConnected);
 }
 
+// Guards against a failure of this machine that is taken for an ended peer.
+BOOST_AUTO_TEST_CASE(LocalFailureIsNoRefusal) {
+  // The kernel allows no stream to the broadcast address.
+  const Fetched fetched = Call("255.255.255.255:1", {});
+  BOOST_CHECK(fetched.result.end == CallEnd::kNotConnected);
+  BOOST_TEST(!fetched.result.refused);
+}
+
 // A peer sends a second response right after a complete one. The next request
 // on that connection would receive it as its own (I2), so the connection must
 // not be reused.
--- a/unittests/limits/stated_limits_test.cc
+++ b/unittests/limits/stated_limits_test.cc
@@ -79,6 +79,20 @@
   BOOST_TEST(!told.Find(kEngine, last).has_value());
 }
 
+// Guards against an instance that starts between two answers of an endpoint
+// that takes a request in many seconds, and is told nothing.
+BOOST_AUTO_TEST_CASE(LimitIsReportedAsLongAsItHolds) {
+  StatedLimits limits;
+  limits.OnAnswer(kEngine, 0.05, kStart, kStart);
+  BOOST_TEST(limits.Reports(kStart + seconds(60), false).size() == 1U);
+  BOOST_TEST(limits.Reports(kStart + seconds(81), false).empty());
+  limits.OnAnswer(kEngine, 0.05, kStart, kStart + seconds(90));
+  limits.OnAnswer(kEngine, std::nullopt, kStart + seconds(91),
+                  kStart + seconds(92));
+  BOOST_TEST(limits.Reports(kStart + seconds(101), false).size() == 1U);
+  BOOST_TEST(limits.Reports(kStart + seconds(103), false).empty());
+}
+
 // Guards against instances that keep a limit alive among themselves.
 BOOST_AUTO_TEST_CASE(OnlyTheLeaderForwardsWhatItHeard) {
   StatedLimits limits;
--- a/unittests/quarantine/quarantine_test.cc
+++ b/unittests/quarantine/quarantine_test.cc
@@ -78,6 +78,99 @@
   BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(5)));
 }
 
+// Guards against a sound request that is refused because it shared an endpoint
+// with the culprit each time: the culprit was at more crashes.
+BOOST_AUTO_TEST_CASE(CrashesOfAMoreSuspectRequestAreExplained) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 4; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    if (number < 4) {
+      quarantine.OnRunBroken(
+          {kSound, StartOf(number), at - milliseconds(80), RunStage::kBegun},
+          at);
+    }
+    Crash(quarantine, kCulprit, StartOf(number), at);
+  }
+  const TimePoint later = kStart + seconds(5);
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, later));
+  BOOST_TEST(!IsBlocked(quarantine, kSound, later));
+}
+
+// Guards against a sound request that is refused for long because it was at all
+// crashes of the culprit, and nothing tells them apart.
+BOOST_AUTO_TEST_CASE(RequestsAtTheSameCrashesAreNotRefusedForLong) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    quarantine.OnRunBroken(
+        {kSound, StartOf(number), at - milliseconds(80), RunStage::kBegun}, at);
+    Crash(quarantine, kCulprit, StartOf(number), at);
+  }
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + seconds(4)));
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(64)));
+  Crash(quarantine, kCulprit, StartOf(4), kStart + seconds(65));
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + minutes(30)));
+  BOOST_TEST(!IsBlocked(quarantine, kSound, kStart + seconds(66)));
+}
+
+// Guards against a request that counts as being at a crash because its answer
+// broke off there long before.
+BOOST_AUTO_TEST_CASE(RunThatBrokeOffBeforeTheEndProvesNothing) {
+  Quarantine quarantine;
+  const auto broken = [&](const Fingerprint& request, TimePoint at) {
+    quarantine.OnRunBroken(
+        {request, StartOf(1), at - milliseconds(50), RunStage::kBegun}, at);
+  };
+  broken(kSound, kStart);
+  broken(kCulprit, kStart + seconds(5));
+  // The evidence of the later run must not be forgotten with the earlier one.
+  const TimePoint known = kStart + seconds(9);
+  BOOST_TEST(quarantine.Undecided(known).size() == 1U);
+  const auto at_crash = quarantine.OnEndpointEnded(1, known);
+  BOOST_REQUIRE(at_crash.size() == 1U);
+  BOOST_TEST((at_crash.front() == kCulprit));
+}
+
+// Guards against a cut link that refuses connections and is taken for crashes:
+// the endpoint answers others, who tell so.
+BOOST_AUTO_TEST_CASE(EndpointThatAnswersDidNotCrash) {
+  Quarantine cut_off;
+  Quarantine peer;
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    const TimePoint at = kStart + seconds(2 * number);
+    Crash(cut_off, kSound, StartOf(number), at);
+    peer.Merge(cut_off.ReportOf(kSound, at), at);
+    peer.OnEndpointAnswered(number, at + milliseconds(300),
+                            at + milliseconds(350));
+    cut_off.Merge(peer.ReportOf(kSound, at + milliseconds(400)),
+                  at + milliseconds(400));
+  }
+  BOOST_TEST(!IsBlocked(cut_off, kSound, kStart + seconds(8)));
+  BOOST_TEST(!IsBlocked(peer, kSound, kStart + seconds(8)));
+}
+
+// Guards against a crash that is forgotten because of an answer from before it,
+// or from a later start under the same name.
+BOOST_AUTO_TEST_CASE(OnlyAnswersRightAfterACrashRefuteIt) {
+  Quarantine quarantine;
+  Crash(quarantine, kCulprit, StartOf(1), kStart);
+  quarantine.OnEndpointAnswered(1, kStart - milliseconds(5),
+                                kStart + milliseconds(5));
+  quarantine.OnEndpointAnswered(1, kStart + seconds(2),
+                                kStart + seconds(2) + milliseconds(9));
+  Crash(quarantine, kCulprit, StartOf(2), kStart + seconds(3));
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + seconds(4)));
+}
+
+// Guards against a request that loses its last attempt in a crash of many
+// endpoints, of which it was at two.
+BOOST_AUTO_TEST_CASE(CrashesOfManyEndpointsLeaveARetry) {
+  Quarantine quarantine;
+  CrashTogether(quarantine, kSound, 1, 5, kStart);
+  CrashTogether(quarantine, kSound, 11, 15, kStart + milliseconds(200));
+  BOOST_TEST(quarantine.MayRetry(kSound, kStart + milliseconds(200)));
+}
+
 // Guards against a popular request that is refused because copies of it ran at
 // endpoints that crashed at the same moment.
 BOOST_AUTO_TEST_CASE(CopiesAtCrashesOfOneMomentAreAtOneCrash) {
@@ -217,6 +310,15 @@
              QuarantineSettings().max_crashes);
 }
 
+// Guards against a table of ends that grows with every crash.
+BOOST_AUTO_TEST_CASE(EndsAreBounded) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 0; number < 2000; ++number) {
+    Crash(quarantine, kSound, StartOf(number), kStart + milliseconds(number));
+  }
+  BOOST_TEST(quarantine.EndCount() == QuarantineSettings().max_ends);
+}
+
 BOOST_AUTO_TEST_CASE(QuarantineEnds) {
   Quarantine quarantine;
   for (std::uint32_t number = 1; number <= 3; ++number) {
