Metric and log fields of the layout's capacity

An operator could not see a fleet that stays slow. Two gauges at the leader: capacity of the layout, and of the best layout known for the same engines.

--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -55,6 +55,10 @@
   std::optional<TimePoint> stopping_since;
   /// Whether this instance holds the placement lease.
   bool leads = false;
+  /// Answers per second that the layouts serve, and that the best ones known
+  /// for the same engines would; 0 unless this instance leads.
+  double layout_rate = 0;
+  double best_layout_rate = 0;
   /// Whether the list of instances has been read from the store.
   bool instances_known = false;
   /// Whether the stored requests in quarantine have been read.
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -115,6 +115,7 @@
     this->reports.Clear();
     this->planners.clear();
     this->targets.clear();
+    this->UpdateLayoutRates();
     this->peers.Announce();
   }
 
@@ -124,6 +125,16 @@
       if (!service.engine || service.engine->layers == 0) continue;
       this->PlanService(service, now);
     }
+    this->UpdateLayoutRates();
+  }
+
+  void UpdateLayoutRates() {
+    this->state.layout_rate = 0;
+    this->state.best_layout_rate = 0;
+    for (const auto& [name, planner] : this->planners) {
+      this->state.layout_rate += planner.PresentRate();
+      this->state.best_layout_rate += planner.BestRate();
+    }
   }
 
   void PlanService(const routes::Service& service, TimePoint now) {
@@ -140,11 +151,12 @@
     placement::LayoutPlanner& planner =
         this->planners.try_emplace(service.name, this->layout_settings)
             .first->second;
+    const std::size_t engines = fleet.size();
     const auto change = planner.Plan(*service.engine, std::move(fleet),
                                      this->Departing(service.name), now);
     this->LogDropped(service.name, planner.Dropped(), now);
     if (!change) return;
-    this->LogChange(service.name, *change, now);
+    this->LogChange(service.name, engines, *change, now);
     this->targets[service.name] = change->target;
     placement::Layout all;
     for (const auto& [name, target] : this->targets) {
@@ -187,13 +199,14 @@
                 std::chrono::duration_cast<Duration>(token));
   }
 
-  void LogChange(const std::string& service,
+  void LogChange(const std::string& service, std::size_t engines,
                  const placement::LayoutChange& change, TimePoint now) {
     this->logger.Write(
         eventlog::Level::kNotable, "layout",
         eventlog::Fields()
             .Text("service", service)
             .Text("why", placement::ToText(change.reason))
+            .Count("engines", static_cast<std::int64_t>(engines))
             .Count("moves", static_cast<std::int64_t>(change.moves))
             .Count("used", static_cast<std::int64_t>(change.target.size()))
             .Append(CapacityFields("", change.present))
--- a/include/toucanwharf/placement/layout_planner.h
+++ b/include/toucanwharf/placement/layout_planner.h
@@ -68,12 +68,18 @@
 
   /// Returns how many engines of the last call took no part.
   std::size_t Dropped() const { return this->dropped; }
+  /// Returns the answers per second of the fleet as it was at the last plan.
+  double PresentRate() const { return this->present_rate; }
+  /// Returns the same with the best layout known for these engines.
+  double BestRate() const { return this->best_rate; }
 
  private:
   LayoutSettings layout_settings;
   ImprovementSettings improvement_settings;
   StabilizationWindow stabilization;
   std::size_t dropped = 0;
+  double present_rate = 0;
+  double best_rate = 0;
   ExpectedReturns returns;
   std::vector<Accelerator> planned_for;
   std::vector<ExpectedEngine> planned_with;
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -129,6 +129,12 @@
                state.Ready(now) ? 1 : 0);
   writer.Gauge("leads", "whether this instance places layers",
                state.leads ? 1 : 0);
+  writer.Gauge("layout_answers_per_second",
+               "capacity of the layout, 0 unless this instance leads",
+               state.layout_rate);
+  writer.Gauge("layout_best_answers_per_second",
+               "the same of the best layout known for these engines",
+               state.best_layout_rate);
   writer.Counter("log_lines_dropped", "log lines dropped", log_lines_dropped);
   return writer.Take();
 }
--- a/lib/placement/layout_planner.cc
+++ b/lib/placement/layout_planner.cc
@@ -88,6 +88,8 @@
     const Improvement improvement =
         ImproveLayout(model, fleet, this->planned_with, this->layout_settings,
                       this->improvement_settings);
+    this->present_rate = improvement.present.answers_per_second;
+    this->best_rate = improvement.best.answers_per_second;
     change.present = improvement.present;
     change.expected = improvement.expected;
     change.reason = improvement.ordered.answers > 0 ? LayoutReason::kImproved
--- a/unittests/placement/layout_planner_test.cc
+++ b/unittests/placement/layout_planner_test.cc
@@ -158,6 +158,8 @@
     BOOST_TEST(!change->target.contains(id), id);
   }
   BOOST_TEST(planner.Dropped() == 4U);
+  BOOST_TEST(planner.PresentRate() > 0);
+  BOOST_TEST(planner.PresentRate() <= planner.BestRate());
 }
 
 std::vector<Crash> AnyCrashes(const std::vector<Accelerator>& engines) {
