--- a/unittests/placement/expected_returns_test.cc
+++ b/unittests/placement/expected_returns_test.cc
@@ -4,14 +4,11 @@
 #include <string>
 #include <vector>
 
+#include "models.h"
+
 namespace toucanwharf::placement {
 namespace {
 
-TimePoint At(double seconds) {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds)));
-}
-
 Accelerator Engine(const std::string& id) {
   return {id, "a", "large", {0, 26}};
 }
--- a/unittests/placement/layout_planner_test.cc
+++ b/unittests/placement/layout_planner_test.cc
@@ -44,8 +44,7 @@
   void RunUntil(double end_seconds) {
     for (; this->seconds < end_seconds; this->seconds += kStepSeconds) {
       this->CrashAndReturn();
-      const TimePoint now{std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(this->seconds))};
+      const TimePoint now = At(this->seconds);
       const auto change =
           this->planner.Plan(this->model, this->fleet.Reports(), {}, now);
       if (change) this->target = change->target;
@@ -135,11 +134,6 @@
   BOOST_TEST(day.Orders() == orders);
 }
 
-TimePoint At(double seconds) {
-  return TimePoint(std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(seconds)));
-}
-
 // Guards against a layout that relies on what a broken engine reports: layers
 // that don't exist or don't fit, or an unknown kind.
 BOOST_AUTO_TEST_CASE(EnginesWithImpossibleReportsTakeNoPart) {
--- a/unittests/placement/models.h
+++ b/unittests/placement/models.h
@@ -1,15 +1,23 @@
 #ifndef TOUCANWHARF_UNITTESTS_PLACEMENT_MODELS_H_
 #define TOUCANWHARF_UNITTESTS_PLACEMENT_MODELS_H_
 
+#include <chrono>
 #include <string>
 #include <vector>
 
 #include "toucanwharf/placement/engine_model.h"
 #include "toucanwharf/placement/layout.h"
 #include "toucanwharf/placement/path_finder.h"
+#include "toucanwharf/support/clock.h"
 
 namespace toucanwharf::placement {
 
+/// Returns the point \p seconds after the start of a test.
+inline TimePoint At(double seconds) {
+  return TimePoint{std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds))};
+}
+
 /// A model of 80 layers on three kinds of accelerator, at production scale.
 inline EngineModel LargeModel() {
   EngineModel model;
