--- a/unittests/placement/models.h
+++ b/unittests/placement/models.h
@@ -1,15 +1,23 @@
 #ifndef TOUCANWHARF_UNITTESTS_PLACEMENT_MODELS_H_
 #define TOUCANWHARF_UNITTESTS_PLACEMENT_MODELS_H_
 
+#include <chrono>
 #include <string>
 #include <vector>
 
 #include "toucanwharf/placement/engine_model.h"
 #include "toucanwharf/placement/layout.h"
 #include "toucanwharf/placement/path_finder.h"
+#include "toucanwharf/support/clock.h"
 
 namespace toucanwharf::placement {
 
+/// Returns the point \p seconds after the start of a test.
+inline TimePoint At(double seconds) {
+  return TimePoint{std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds))};
+}
+
 /// A model of 80 layers on three kinds of accelerator, at production scale.
 inline EngineModel LargeModel() {
   EngineModel model;
@@ -70,16 +78,6 @@
   return fleet;
 }
 
-/// Returns \p fleet with the layers that \p layout gives.
-inline std::vector<Accelerator> Placed(std::vector<Accelerator> fleet,
-                                       const Layout& layout) {
-  for (Accelerator& accelerator : fleet) {
-    const auto found = layout.find(accelerator.id);
-    if (found != layout.end()) accelerator.layers = found->second;
-  }
-  return fleet;
-}
-
 /// Returns \p fleet as idle engines for the path finder.
 inline std::vector<Engine> Idle(const std::vector<Accelerator>& fleet) {
   std::vector<Engine> engines;
