Log lines and a metric of suspicions: who found an endpoint unusable, and who believed it

A refusal without an endpoint could not be told from one of a full fleet, nor could one see whether it went back to another instance's word.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -184,6 +184,9 @@
   void ProbeEngine(const pipeline::Stage& stage, TimePoint since);
   /// Returns how many instances may probe an engine at the same moment.
   std::size_t ConcurrentProbers() const;
+  /// Keeps new work from \p endpoint for the time \p pause.
+  void Suspect(const std::string& endpoint, std::string_view reason,
+               Duration pause);
   /// Records that \p endpoint did not respond to a liveness probe.
   void SetUnresponsive(const std::string& endpoint);
   /// Returns the evidence of live engines from the streams in flight, except
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -129,7 +129,8 @@
   void LogSendFailure(const std::error_code& error, std::size_t size,
                       TimePoint now);
   void OnDatagram(const std::string& sender, std::string_view payload);
-  void ApplySuspicion(const gossip::Suspicion& suspicion, TimePoint now);
+  void ApplySuspicion(const gossip::Suspicion& suspicion,
+                      const std::string& peer, TimePoint now);
   void ApplySuspects(const gossip::Beacon& beacon, TimePoint now);
   void ApplyLimits(const gossip::Beacon& beacon, TimePoint now);
   void ApplyBeacon(const gossip::Beacon& beacon, TimePoint now);
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -196,6 +196,17 @@
                     });
 }
 
+void Gateway::Suspect(const std::string& endpoint, std::string_view reason,
+                      Duration pause) {
+  const TimePoint now = this->loop.Now();
+  const bool newly_suspected = !this->state.loads.IsSuspected(endpoint, now);
+  this->state.loads.Suspect(endpoint, now + pause);
+  if (!newly_suspected) return;
+  this->logger.Write(Level::kNotable, "endpoint_suspected",
+                     Fields().Text("endpoint", endpoint).Text("why", reason),
+                     now);
+}
+
 void Gateway::SetUnresponsive(const std::string& endpoint) {
   const TimePoint now = this->loop.Now();
   const bool newly_found = this->state.loads.MarkUnresponsive(
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -1,5 +1,7 @@
 #include "toucanwharf/instance/metrics.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -59,6 +61,13 @@
   return static_cast<double>(age->count()) / kMicrosPerSecond;
 }
 
+std::ptrdiff_t SuspectedCount(const InstanceState& state, TimePoint now) {
+  const auto& all = state.endpoints.All();
+  return std::count_if(all.begin(), all.end(), [&](const auto& entry) {
+    return state.loads.IsSuspected(entry.first, now);
+  });
+}
+
 }  // namespace
 
 std::string MetricsText(const Gateway& gateway, const InstanceState& state,
@@ -117,6 +126,10 @@
   writer.Gauge("endpoints_kept",
                "endpoints in use though the newest list lacks them",
                static_cast<double>(state.endpoints.RetainedCount()));
+  writer.Gauge("endpoints_suspected",
+               "endpoints that get no new work, by own findings or by the word "
+               "of other instances",
+               static_cast<double>(SuspectedCount(state, now)));
   writer.Gauge("peers", "other instances heard of lately",
                static_cast<double>(state.peers.AllLive(now).size()));
   writer.Gauge("endpoints_limited", "endpoints that state a limit",
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -406,7 +406,7 @@
 
 void PeerLink::ApplyBeacon(const gossip::Beacon& beacon, TimePoint now) {
   for (const gossip::Suspicion& suspicion : beacon.suspicions) {
-    this->ApplySuspicion(suspicion, now);
+    this->ApplySuspicion(suspicion, beacon.callers_address, now);
   }
   this->ApplySuspects(beacon, now);
   this->ApplyLimits(beacon, now);
@@ -489,16 +489,22 @@
 }
 
 void PeerLink::ApplySuspicion(const gossip::Suspicion& suspicion,
-                              TimePoint now) {
+                              const std::string& peer, TimePoint now) {
   LoadTracker& loads = this->state.loads;
   const TimePoint until = now + std::min(suspicion.remaining, kMaxSuspicion);
   if (!suspicion.unresponsive) {
+    const bool newly_suspected = !loads.IsSuspected(suspicion.endpoint, now);
     loads.Suspect(suspicion.endpoint, until);
+    if (!newly_suspected) return;
+    this->logger.Write(
+        Level::kNotable, "peer_suspects_endpoint",
+        Fields().Text("endpoint", suspicion.endpoint).Text("peer", peer), now);
     return;
   }
   if (!loads.MarkReportedUnresponsive(suspicion.endpoint, until, now)) return;
-  this->logger.Write(Level::kNotable, "peer_found_engine_silent",
-                     Fields().Text("endpoint", suspicion.endpoint), now);
+  this->logger.Write(
+      Level::kNotable, "peer_found_engine_silent",
+      Fields().Text("endpoint", suspicion.endpoint).Text("peer", peer), now);
   if (this->state.leads && this->state.peers.IsLargeFleet(now)) {
     this->Announce();
   }
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -279,8 +279,8 @@
   if (this->finished) return;
   if (result.end == http::CallEnd::kNotConnected) {
     if (result.refused) this->OnConnectionRefused();
-    this->gateway.state.loads.Suspect(
-        this->target.endpoint, this->gateway.loop.Now() + kUnreachablePause);
+    this->gateway.Suspect(this->target.endpoint, "not_connected",
+                          kUnreachablePause);
     this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
     return;
   }
@@ -370,7 +370,16 @@
 
 void ProxiedRequest::RecordRefusal(const std::string& endpoint, bool full) {
   if (!this->gateway.settings.mechanisms.refusal_pauses) return;
-  this->gateway.state.loads.OnRefusal(endpoint, full, this->gateway.loop.Now());
+  const TimePoint now = this->gateway.loop.Now();
+  endpoints::LoadTracker& loads = this->gateway.state.loads;
+  const bool newly_suspected = !loads.IsSuspected(endpoint, now);
+  loads.OnRefusal(endpoint, full, now);
+  if (!newly_suspected) return;
+  this->gateway.logger.Write(Level::kNotable, "endpoint_suspected",
+                             Fields()
+                                 .Text("endpoint", endpoint)
+                                 .Text("why", full ? "full" : "refused"),
+                             now);
 }
 
 /// Ends the current attempt and continues as the policy says.
@@ -502,7 +511,11 @@
   if (this->limit_wait && !this->found_unlimited) {
     wait = std::max(wait, *this->limit_wait);
   }
-  this->gateway.Refuse(*this->exchange, http::kUnavailable, wait, reason);
+  this->gateway.Refuse(
+      *this->exchange, http::kUnavailable, wait, reason,
+      Fields()
+          .Count("endpoints", this->candidates.ready)
+          .Count("endpoints_suspected", this->candidates.suspected));
   this->Finish("refused", http::kUnavailable);
 }
 
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -80,6 +80,13 @@
     double token_millis = 0;
   };
 
+  /// Endpoints that a choice considered.
+  struct Candidates {
+    std::int64_t ready = 0;
+    /// Of these, those that are avoided as suspected.
+    std::int64_t suspected = 0;
+  };
+
   bool IsStream() const {
     return this->admitted.route->kind == routes::RequestKind::kStream;
   }
@@ -218,6 +225,8 @@
   /// Shortest wait for an endpoint whose limit was in the way of the last
   /// choice.
   std::optional<Duration> limit_wait;
+  /// Endpoints considered in the last choice.
+  Candidates candidates;
   /// Whether an endpoint was considered whose limit was not.
   bool found_unlimited = false;
   placement::NoPathReason no_path_reason = placement::NoPathReason::kNone;
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -9,6 +9,7 @@
 std::optional<ProxiedRequest::Target> ProxiedRequest::ChooseTarget() {
   this->limit_wait.reset();
   this->found_unlimited = false;
+  this->candidates = Candidates{};
   return this->IsModel() ? this->ChoosePath({}) : this->ChoosePlain();
 }
 
@@ -24,6 +25,8 @@
         const bool unusable = on_path
                                   ? state.loads.IsUnresponsive(endpoint.id, now)
                                   : state.loads.IsSuspected(endpoint.id, now);
+        ++this->candidates.ready;
+        if (unusable) ++this->candidates.suspected;
         if (unusable) return;
         engines.push_back(state.loads.ToEngine(endpoint, now));
         // An answer costs only its first engine a request.
@@ -73,9 +76,12 @@
         const gossip::EndpointLoad load = state.loads.Total(endpoint.id);
         // Suspected endpoints are used only if there is no other.
         constexpr double kSuspectedCost = 1000;
+        const bool suspected = state.loads.IsSuspected(endpoint.id, now);
+        ++this->candidates.ready;
+        if (suspected) ++this->candidates.suspected;
         const double cost =
             (load.answers + this->gateway.random.Unit()) / endpoint.slots +
-            (state.loads.IsSuspected(endpoint.id, now) ? kSuspectedCost : 0);
+            (suspected ? kSuspectedCost : 0);
         if (best && cost >= lowest_cost) return;
         lowest_cost = cost;
         best = Target{endpoint.id, endpoint.address, {}, 0};
