Failing test: routers without a path to endpoints fail their callers and silence the others

Stand-ins can now cut the links of one router: packets from its address are dropped at the sockets of the endpoints (a classic packet filter on each), or its connections are reset. For that a router's calls can come from a chosen address of its host (calls_from), which is also of use on hosts with several.

--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -67,8 +67,9 @@
 /// Thread safety: only on the loop's thread.
 class Client {
  public:
-  /// Precondition: \p loop outlives the client.
-  explicit Client(Loop& loop);
+  /// Connections come from the address \p source_ip of this host; empty lets
+  /// the system choose. Precondition: \p loop outlives the client.
+  explicit Client(Loop& loop, const std::string& source_ip = "");
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -36,7 +36,7 @@
       : settings(std::move(initial_settings)),
         logger(log_descriptor, this->settings.name),
         state(this->settings, NewId()),
-        client(this->loop),
+        client(this->loop, this->settings.source_ip),
         store(this->loop, this->client, this->settings.store_address),
         gateway(this->loop, this->client, this->state, this->logger,
                 this->settings, A::Headers(),
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -44,6 +44,9 @@
   /// Control addresses of some instances; may be outdated.
   std::vector<std::string> seeds;
   std::string store_address;
+  /// Address of this host that calls to endpoints, the store and other
+  /// instances come from; empty lets the system choose.
+  std::string source_ip;
   /// Period at which an endpoint rewrites its entry in the store.
   Duration endpoint_heartbeat{std::chrono::milliseconds(1200)};
   /// Share of a core that the process may use.
--- a/lib/http/address.cc
+++ b/lib/http/address.cc
@@ -41,6 +41,19 @@
   return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+boost::system::error_code BindSource(
+    boost::asio::ip::tcp::socket& socket,
+    const boost::asio::ip::tcp::endpoint& source) {
+  using NoPort =
+      boost::asio::detail::socket_option::boolean<IPPROTO_IP,
+                                                  IP_BIND_ADDRESS_NO_PORT>;
+  boost::system::error_code error;
+  socket.open(boost::asio::ip::tcp::v4(), error);
+  if (!error) socket.set_option(NoPort(true), error);
+  if (!error) socket.bind(source, error);
+  return error;
+}
+
 void EnableKeepAlive(boost::asio::ip::tcp::socket& socket) {
   // A socket without these options still works; the timeouts of its users then
   // detect an unresponsive peer later.
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cstdio>
 #include <limits>
 #include <map>
 #include <optional>
@@ -68,9 +69,12 @@
 class ClientConnection;
 
 struct Client::State {
-  explicit State(Loop& event_loop) : loop(event_loop) {}
+  State(Loop& event_loop, const std::string& source_ip)
+      : loop(event_loop), source(ParseAddress(source_ip + ":0")) {}
 
   Loop& loop;
+  /// Where connections come from; the system chooses if there is none.
+  std::optional<tcp::endpoint> source;
   std::map<CallId, std::shared_ptr<ClientConnection>> calls;
   std::map<std::string, std::vector<std::shared_ptr<ClientConnection>>> idle;
   CallId last_call = 0;
@@ -111,7 +115,9 @@
     };
   }
 
-  void Connect(const tcp::endpoint& peer, Duration timeout) {
+  void Connect(const tcp::endpoint& peer,
+               const std::optional<tcp::endpoint>& source, Duration timeout) {
+    this->Bind(source);
     const auto weak = this->weak_from_this();
     this->timer = this->loop.After(timeout, [weak] {
       if (const auto self = weak.lock()) self->Finish(CallEnd::kNotConnected);
@@ -144,6 +150,17 @@
   }
 
  private:
+  void Bind(const std::optional<tcp::endpoint>& source) {
+    if (!source) return;
+    const Code error = BindSource(this->socket, *source);
+    if (!error) return;
+    std::fprintf(stderr,
+                 "calls cannot come from %s: %s; name an address of this "
+                 "host\n",
+                 source->address().to_string().c_str(),
+                 error.message().c_str());
+  }
+
   void OnConnected(const Code& error) {
     if (this->closed || this->id == 0) return;
     this->loop.Cancel(this->timer);
@@ -352,7 +369,8 @@
   if (found->second.empty()) state->idle.erase(found);
 }
 
-Client::Client(Loop& loop) : state(std::make_shared<State>(loop)) {}
+Client::Client(Loop& loop, const std::string& source_ip)
+    : state(std::make_shared<State>(loop, source_ip)) {}
 
 Client::~Client() {
   for (const auto& [id, connection] : this->state->calls) connection->Abandon();
@@ -385,7 +403,7 @@
                           false);
   const auto peer = ParseAddress(address);
   // A malformed address fails like an unreachable one.
-  connection->Connect(peer.value_or(tcp::endpoint()),
+  connection->Connect(peer.value_or(tcp::endpoint()), inner.source,
                       peer ? options.connect_timeout : Duration(0));
   return id;
 }
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -25,6 +25,7 @@
 /// Four engines hold the cover of a domain, one is a spare.
 constexpr int kEnginesPerDomain = 5;
 constexpr int kPlainEndpoints = 2;
+constexpr const char* kEndpointIpPrefix = "127.0.2.";
 
 int PortOf(const std::string& address) {
   return std::stoi(address.substr(address.rfind(':') + 1));
@@ -90,6 +91,8 @@
                                                          this->store_addresses);
   this->endpoints = std::make_unique<standins::fleet::Endpoints>(
       *this->loop, *this->store, kLayers);
+  this->links = std::make_unique<standins::fleet::LinkFilter>(
+      *this->loop, kEndpointIpPrefix);
   for (std::size_t index = 0; store_links && index < count; ++index) {
     std::string& address = this->store_addresses[index];
     auto relay = std::make_unique<standins::Relay>(PortOf(address));
@@ -126,6 +129,7 @@
 PlatformFleet::~PlatformFleet() {
   this->Shutdown();
   this->endpoints.reset();
+  this->links.reset();
   this->store.reset();
   this->loop.reset();
   std::filesystem::remove_all(this->directory);
@@ -134,7 +138,7 @@
 void PlatformFleet::AddEndpoints() {
   int number = 0;
   const auto address = [this, &number] {
-    return "127.0.2." + std::to_string(++number) + ":" +
+    return kEndpointIpPrefix + std::to_string(++number) + ":" +
            std::to_string(this->ports.service);
   };
   for (const char* domain : kDomains) {
@@ -162,6 +166,15 @@
   done.get_future().get();
 }
 
+void PlatformFleet::CutLinks(std::size_t index,
+                             standins::fleet::LinkFault how) {
+  this->RunOnLoop([&] { this->links->Cut(this->RouterIp(index), how); });
+}
+
+void PlatformFleet::HealLinks(std::size_t index) {
+  this->RunOnLoop([&] { this->links->Heal(this->RouterIp(index)); });
+}
+
 void PlatformFleet::Configure(const std::vector<std::string>& keys) {
   Json customers = Json::array();
   for (const std::string& key : keys) {
@@ -203,6 +216,7 @@
   file << "node_name=router-" << index << "\n"
        << "zone=" << kDomains[index % 2] << "\n"
        << "ip=" << ip << "\n"
+       << "calls_from=" << ip << "\n"
        << "listen.front=" << listen(this->ports.callers) << "\n"
        << "listen.ready=" << listen(this->ports.ready) << "\n"
        << "listen.control=" << listen(this->ports.control) << "\n"
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "standins/fleet/endpoints.h"
+#include "standins/fleet/link_filter.h"
 #include "standins/fleet/store.h"
 #include "standins/relay/relay.h"
 #include "test/process/fixture.h"
@@ -60,6 +61,9 @@
   /// \p keys.
   void Configure(const std::vector<std::string>& keys);
   void StartRouter(std::size_t index);
+  /// Cuts the links from router \p index to all endpoints.
+  void CutLinks(std::size_t index, standins::fleet::LinkFault how);
+  void HealLinks(std::size_t index);
   Process& Router(std::size_t index) { return *this->routers.at(index); }
   /// Returns the path of the log file that all runs of router \p index append
   /// to.
@@ -112,6 +116,7 @@
   std::unique_ptr<http::Loop> loop;
   std::unique_ptr<standins::fleet::Store> store;
   std::unique_ptr<standins::fleet::Endpoints> endpoints;
+  std::unique_ptr<standins::fleet::LinkFilter> links;
   /// Address at which each router reaches the store.
   std::vector<std::string> store_addresses;
   /// Never destroyed, since their detached threads outlive the fleet.
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -44,6 +44,11 @@
 target_link_libraries(process_endpoint_limit PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(partition)
+target_sources(process_partition PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_partition PRIVATE standin_fleet
+  standin_relay_parts)
+
 # Faults at random on real routers; CI plays two short seeds, and each seed
 # that ever showed a fault (test/soak/seeds.txt).
 tw_program(soak test/soak DEPS tw_process_fixture standin_fleet
