Reports of an instance whose own links are cut no longer silence the fleet

Cause: an instance takes each connection that fails for the death of the endpoint, tells all, and they avoid it for 1.5 s without a look of their own. Two engines, those on which answers begin, are enough to stop a fleet. Class: a failure of one's own taken for a failure of the world, and passed on.

Change: the first new connection that fails puts this instance's own paths in doubt (endpoints::Reachability): it checks other engines, one after the other, until one answers; three failures with two checks among them and it is isolated. In doubt or isolated it reports nothing. Whoever hears a report checks it, unless an answer in flight shows the engine alive; in a large fleet the leader checks for all. A refusal is still believed: the endpoint did answer.

--- a/include/toucanwharf/endpoints/load_tracker.h
+++ b/include/toucanwharf/endpoints/load_tracker.h
@@ -67,6 +67,9 @@
   bool MarkReportedUnresponsive(const std::string& endpoint, TimePoint until,
                                 TimePoint now);
   bool IsUnresponsive(const std::string& endpoint, TimePoint now) const;
+  /// Forgets which endpoints were found unresponsive, because this instance's
+  /// own links were at fault.
+  void ForgetUnresponsive();
   /// Records that \p endpoint has responded to this instance.
   void OnResponse(const std::string& endpoint, TimePoint now);
   /// Returns the suspicions that still hold: of unresponsive endpoints those
--- /dev/null
+++ b/include/toucanwharf/endpoints/reachability.h
@@ -0,0 +1,84 @@
+#ifndef TOUCANWHARF_ENDPOINTS_REACHABILITY_H_
+#define TOUCANWHARF_ENDPOINTS_REACHABILITY_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "toucanwharf/support/clock.h"
+#include "toucanwharf/support/random.h"
+
+namespace toucanwharf::endpoints {
+
+/// What this instance's own connections show about its paths to the endpoints:
+/// which one it can't reach, and whether it can reach any.
+///
+/// Only new connections count: while a path is cut, established connections may
+/// live on, or hang, long after new ones fail.
+///
+/// Failure guarded against: an instance whose own links are cut finds one
+/// endpoint after the other dead, and tells the others, who avoid sound
+/// endpoints. So the first failure puts this instance's own links in doubt: it
+/// checks other endpoints, one after the other, until one answers. If none of
+/// several does, the instance is isolated and its findings mean nothing.
+/// Thread safety: none; for one thread.
+class Reachability {
+ public:
+  /// Records that \p endpoint answered on a connection that was new.
+  void OnAnswered(const std::string& endpoint, TimePoint now);
+  /// Records that a new connection to \p endpoint was refused, reset before an
+  /// answer, or stayed silent; \p endpoints is how many there are, or a large
+  /// number if none of them can be checked.
+  void OnFailure(const std::string& endpoint, std::size_t endpoints,
+                 TimePoint now);
+
+  /// Returns whether \p endpoint can't be reached from here, as far as is
+  /// known. For a while only: what fails isn't checked for ever.
+  bool IsUnreachable(const std::string& endpoint, TimePoint now) const;
+  /// Returns the endpoints that can't be reached from here.
+  std::vector<std::string> Unreachable(TimePoint now) const;
+  /// Returns whether any check may be due.
+  bool HasFailures() const { return !this->failures.empty(); }
+  /// Returns whether endpoints failed and none has answered since.
+  bool InDoubt() const { return !this->failed_since_answer.empty(); }
+  /// Returns whether this instance can't reach any endpoint.
+  bool IsIsolated() const { return this->isolated; }
+
+  /// Returns which of \p candidates to check now, and counts it as being
+  /// checked; nothing if no check is due. Each check ends with OnAnswered or
+  /// OnFailure, and then OnCheckDone.
+  std::optional<std::string> NextCheck(
+      const std::vector<std::string>& candidates, TimePoint now,
+      Random& random);
+  void OnCheckDone() { this->checking = false; }
+
+ private:
+  struct Failure {
+    TimePoint at;
+    TimePoint checked_at;
+  };
+
+  std::optional<std::string> ChooseCheck(
+      const std::vector<std::string>& candidates, TimePoint now,
+      Random& random);
+
+  /// The last failure of each endpoint that hasn't answered since.
+  std::map<std::string, Failure> failures;
+  /// The endpoints that failed since any endpoint answered.
+  std::set<std::string> failed_since_answer;
+  /// How many of these were checks.
+  std::size_t failed_checks = 0;
+  std::string last_checked;
+  TimePoint next_check_at;
+  bool checking = false;
+  bool isolated = false;
+  /// Whether a check has succeeded since the last that failed, while isolated.
+  bool recovering = false;
+};
+
+}  // namespace toucanwharf::endpoints
+
+#endif  // TOUCANWHARF_ENDPOINTS_REACHABILITY_H_
--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -56,6 +56,8 @@
 /// Callbacks of one call; none runs after on_done or Cancel, and none inside
 /// Start.
 struct CallHandlers {
+  /// A new connection was established; not called on one that is reused.
+  std::function<void()> on_connected;
   std::function<void(const ResponseHead&)> on_head;
   std::function<void(std::string_view)> on_data;
   std::function<void(const CallResult&)> on_done;
--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -1,7 +1,9 @@
 #ifndef TOUCANWHARF_INSTANCE_ENGINE_REPORTS_H_
 #define TOUCANWHARF_INSTANCE_ENGINE_REPORTS_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -59,10 +61,9 @@
     for (auto& [id, known] : this->engines) {
       const endpoints::Endpoint* endpoint = this->state.endpoints.Find(id);
       if (endpoint == nullptr || known.report_in_flight) continue;
-      const bool due = this->order_tracker.NeedsReport(id) ||
-                       known.failed_reports > 0 ||
-                       this->state.loads.IsSuspected(id, now) ||
-                       now - known.requested_at >= period;
+      const bool due =
+          this->order_tracker.NeedsReport(id) || known.failed_reports > 0 ||
+          this->state.IsAvoided(id, now) || now - known.requested_at >= period;
       if (due) this->RequestReport(*endpoint, now);
     }
   }
@@ -134,6 +135,10 @@
     known.report_in_flight = false;
     if (result.end != http::CallEnd::kComplete || head.status != http::kOk) {
       ++known.failed_reports;
+      // Each connection that is reused may have been cut on its own, so this is
+      // one more endpoint that doesn't answer, and no check of the paths.
+      this->state.paths.OnFailure(id, std::numeric_limits<std::size_t>::max(),
+                                  this->loop.Now());
       this->SuspectUnresponsive(id, known);
       return;
     }
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -23,7 +23,9 @@
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/engine_probe.h"
 #include "toucanwharf/instance/instance_state.h"
+#include "toucanwharf/instance/path_monitor.h"
 #include "toucanwharf/instance/settings.h"
+#include "toucanwharf/instance/unresponsive_report.h"
 #include "toucanwharf/support/random.h"
 
 namespace toucanwharf::instance {
@@ -124,6 +126,14 @@
   /// Checks all answers that run through the unresponsive \p endpoint, and
   /// resumes or reroutes those that have stalled, without further probes.
   void RerouteAround(const std::string& endpoint);
+  /// Handles a peer's report that an endpoint is unresponsive: believes it only
+  /// if the endpoint shows no sign of life here either.
+  ///
+  /// Failure guarded against: the peer's own link to the endpoint is cut, and
+  /// one report of it makes the whole fleet avoid a sound endpoint.
+  void OnPeerReport(const UnresponsiveReport& report);
+  /// Makes the check of this instance's own paths that is due, if any.
+  void CheckPaths();
   /// Accepts a request; its answer may be sent much later.
   void Handle(std::shared_ptr<http::Exchange> exchange);
   /// Sets which instances share the budget of extra arrivals.
@@ -184,11 +194,15 @@
   void ProbeEngine(const pipeline::Stage& stage, TimePoint since);
   /// Returns how many instances may probe an engine at the same moment.
   std::size_t ConcurrentProbers() const;
-  /// Keeps new work from \p endpoint for the time \p pause.
-  void Suspect(const std::string& endpoint, std::string_view reason,
-               Duration pause);
   /// Records that \p endpoint did not respond to a liveness probe.
   void SetUnresponsive(const std::string& endpoint);
+  void AnnounceNews();
+  void OnReportChecked(const UnresponsiveReport& report,
+                       const ProbeAnswer& answer);
+  void ApplyReport(const UnresponsiveReport& report);
+  /// Returns whether an answer in flight shows that \p endpoint was alive at
+  /// \p since or later.
+  bool ShowsLife(const std::string& endpoint, TimePoint since) const;
   /// Returns the evidence of live engines from the streams in flight, except
   /// that of \p except.
   std::vector<endpoints::LivenessEvidence> EvidenceExcept(
@@ -235,6 +249,7 @@
   TimePoint unreadable_limit_logged{Duration(-1'000'000'000)};
   EngineProbe probe;
   attempts::ProbeBackoff probe_backoff;
+  PathMonitor path_monitor;
   std::function<void()> announce_news;
   std::function<void(const quarantine::Fingerprint&)> on_crash;
   std::function<void(const quarantine::Fingerprint&)> on_cleared;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -76,9 +76,10 @@
       this->quarantine_sync.OnCleared(request);
     });
     this->gateway.OnEndpointNews([this] { this->peers.AnnounceToAll(); });
-    this->peers.OnUnresponsiveEngine([this](const std::string& endpoint) {
-      this->gateway.RerouteAround(endpoint);
-    });
+    this->peers.OnUnresponsiveEndpoint(
+        [this](const UnresponsiveReport& report) {
+          this->gateway.OnPeerReport(report);
+        });
     this->sync.Start();
     this->placement.Start();
     this->Register();
@@ -285,6 +286,7 @@
     const TimePoint now = this->loop.Now();
     this->UpdateBudgetSharers(now);
     this->gateway.ReviewBrokenRuns();
+    this->gateway.CheckPaths();
     this->state.ShareLimits(this->settings.datagram_address, now);
     this->LogStateChanges(now);
     if (this->state.stopping_since) this->StopIfDone(now);
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -8,6 +8,7 @@
 
 #include "toucanwharf/endpoints/endpoint_table.h"
 #include "toucanwharf/endpoints/load_tracker.h"
+#include "toucanwharf/endpoints/reachability.h"
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/ready_instance_list.h"
 #include "toucanwharf/instance/settings.h"
@@ -37,6 +38,7 @@
   routes::Freshness freshness;
   endpoints::EndpointTable endpoints;
   endpoints::LoadTracker loads;
+  endpoints::Reachability paths;
   gossip::PeerTable peers;
   gossip::ReadyInstanceList ready_list;
   quarantine::Quarantine quarantine;
@@ -74,6 +76,17 @@
   /// instance's addresses.
   std::vector<std::string> ReadyPeers(TimePoint now, const std::string& callers,
                                       const std::string& datagrams) const;
+  /// Returns whether \p endpoint gets no new work, by any finding.
+  bool IsAvoided(const std::string& endpoint, TimePoint now) const {
+    return this->loads.IsSuspected(endpoint, now) ||
+           this->paths.IsUnreachable(endpoint, now);
+  }
+  /// Returns what this instance found of endpoints and others should act on.
+  ///
+  /// Failure guarded against: an instance whose own links are cut finds all
+  /// endpoints dead, and the others, who believe it, avoid sound ones. While no
+  /// endpoint has answered since the last failure, nothing is reported.
+  std::vector<gossip::Suspicion> Suspicions(TimePoint now) const;
   /// Returns whether keys may be accepted.
   bool MayAcceptKeys(TimePoint now) const;
 
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -22,6 +22,7 @@
 #include "toucanwharf/instance/instance_state.h"
 #include "toucanwharf/instance/settings.h"
 #include "toucanwharf/instance/snapshot_exchange.h"
+#include "toucanwharf/instance/unresponsive_report.h"
 #include "toucanwharf/support/random.h"
 
 namespace toucanwharf::instance {
@@ -66,8 +67,10 @@
   /// engine, a crash or a limit: to every peer in a small fleet, and in a large
   /// one to the leader, which forwards it to all.
   void AnnounceToAll();
-  /// Calls \p task with each engine that a peer reports as unresponsive.
-  void OnUnresponsiveEngine(std::function<void(const std::string&)> task) {
+  /// Calls \p task with each report of a peer that an endpoint is
+  /// unresponsive.
+  void OnUnresponsiveEndpoint(
+      std::function<void(const UnresponsiveReport&)> task) {
     this->on_unresponsive = std::move(task);
   }
   /// Handles a peer's request on the control address. Returns false if it is
@@ -130,7 +133,11 @@
                       TimePoint now);
   void OnDatagram(const std::string& sender, std::string_view payload);
   void ApplySuspicion(const gossip::Suspicion& suspicion,
-                      const std::string& peer, TimePoint now);
+                      const gossip::Beacon& beacon, TimePoint now);
+  void ApplyRefusal(const std::string& endpoint, const std::string& peer,
+                    TimePoint until, TimePoint now);
+  /// Returns whether the sender of \p beacon is the leader or a backup leader.
+  bool IsCoordinator(const gossip::Beacon& beacon) const;
   void ApplySuspects(const gossip::Beacon& beacon, TimePoint now);
   void ApplyLimits(const gossip::Beacon& beacon, TimePoint now);
   void ApplyBeacon(const gossip::Beacon& beacon, TimePoint now);
@@ -145,7 +152,7 @@
   TimePoint started;
   std::unique_ptr<http::DatagramSocket> socket;
   SnapshotExchange snapshots;
-  std::function<void(const std::string&)> on_unresponsive;
+  std::function<void(const UnresponsiveReport&)> on_unresponsive;
   std::vector<gossip::EngineStatus> engine_statuses;
   gossip::BeaconSchedule schedule;
   /// The endpoints that this instance advertises in this round, if it is a
--- a/lib/endpoints/load_tracker.cc
+++ b/lib/endpoints/load_tracker.cc
@@ -154,6 +154,11 @@
   return newly_unresponsive;
 }
 
+void LoadTracker::ForgetUnresponsive() {
+  this->unresponsive_until.clear();
+  this->found_unresponsive_until.clear();
+}
+
 bool LoadTracker::IsUnresponsive(const std::string& endpoint,
                                  TimePoint now) const {
   return IsBeforeDeadline(this->unresponsive_until, endpoint, now);
--- /dev/null
+++ b/lib/endpoints/reachability.cc
@@ -0,0 +1,107 @@
+#include "toucanwharf/endpoints/reachability.h"
+
+namespace toucanwharf::endpoints {
+namespace {
+
+/// An instance is isolated if at least so many endpoints failed in a row, and
+/// so many of them in checks: the others may be the endpoints of one service
+/// that is gone.
+constexpr std::size_t kMinFailed = 3;
+constexpr std::size_t kMinFailedChecks = 2;
+/// Between checks whether a path is back.
+constexpr Duration kRecoveryCheckPeriod = std::chrono::milliseconds(250);
+constexpr Duration kRecheckPeriod = std::chrono::milliseconds(1000);
+/// An endpoint that failed is tried again after this long. A restart takes
+/// longer, and each attempt costs a caller the connect timeout.
+constexpr Duration kUnreachableFor = std::chrono::milliseconds(1500);
+
+}  // namespace
+
+void Reachability::OnAnswered(const std::string& endpoint, TimePoint now) {
+  this->failures.erase(endpoint);
+  if (this->isolated && !this->recovering) {
+    // A single answer may have slipped through a link that comes and goes.
+    this->recovering = true;
+    this->next_check_at = now;
+    return;
+  }
+  this->failed_since_answer.clear();
+  this->failed_checks = 0;
+  if (!this->isolated) return;
+  this->isolated = false;
+  this->recovering = false;
+  this->failures.clear();
+}
+
+void Reachability::OnFailure(const std::string& endpoint, std::size_t endpoints,
+                             TimePoint now) {
+  const bool checked = this->checking && endpoint == this->last_checked;
+  const auto [known, added] =
+      this->failures.try_emplace(endpoint, Failure{now, now});
+  known->second.at = now;
+  this->recovering = false;
+  this->failed_since_answer.insert(endpoint);
+  if (checked) ++this->failed_checks;
+  const std::size_t failed = this->failed_since_answer.size();
+  const bool enough =
+      failed >= kMinFailed && this->failed_checks >= kMinFailedChecks;
+  if (this->isolated || (!enough && failed < endpoints)) return;
+  this->isolated = true;
+  this->next_check_at = now + kRecoveryCheckPeriod;
+}
+
+bool Reachability::IsUnreachable(const std::string& endpoint,
+                                 TimePoint now) const {
+  const auto found = this->failures.find(endpoint);
+  return found != this->failures.end() &&
+         now - found->second.at < kUnreachableFor;
+}
+
+std::vector<std::string> Reachability::Unreachable(TimePoint now) const {
+  std::vector<std::string> all;
+  for (const auto& [id, failure] : this->failures) {
+    if (this->IsUnreachable(id, now)) all.push_back(id);
+  }
+  return all;
+}
+
+std::optional<std::string> Reachability::NextCheck(
+    const std::vector<std::string>& candidates, TimePoint now, Random& random) {
+  if (this->checking || candidates.empty()) return std::nullopt;
+  auto chosen = this->ChooseCheck(candidates, now, random);
+  if (!chosen) return std::nullopt;
+  this->checking = true;
+  this->last_checked = *chosen;
+  return chosen;
+}
+
+std::optional<std::string> Reachability::ChooseCheck(
+    const std::vector<std::string>& candidates, TimePoint now, Random& random) {
+  const auto draw = [&](const std::vector<std::string>& from) {
+    return from[random.Below(from.size())];
+  };
+  if (this->isolated) {
+    if (now < this->next_check_at) return std::nullopt;
+    this->next_check_at = now + kRecoveryCheckPeriod;
+    std::vector<std::string> others;
+    for (const std::string& id : candidates) {
+      if (id != this->last_checked) others.push_back(id);
+    }
+    return draw(others.empty() ? candidates : others);
+  }
+  std::vector<std::string> untried;
+  std::vector<std::string> due;
+  for (const std::string& id : candidates) {
+    if (!this->failed_since_answer.contains(id)) untried.push_back(id);
+    const auto failed = this->failures.find(id);
+    if (failed == this->failures.end()) continue;
+    if (now - failed->second.checked_at >= kRecheckPeriod) due.push_back(id);
+  }
+  if (this->InDoubt() && !untried.empty()) return draw(untried);
+  if (due.empty()) return std::nullopt;
+  const std::string chosen = draw(due);
+  this->failures[chosen].checked_at = now;
+  return chosen;
+}
+
+}  // namespace toucanwharf::endpoints
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -174,6 +174,8 @@
     this->socket.set_option(tcp::no_delay(true), ignored);
     this->socket.non_blocking(true, ignored);
     EnableKeepAlive(this->socket);
+    if (const auto on_connected = this->handlers.on_connected) on_connected();
+    if (this->closed || this->id == 0) return;
     this->SendRequest();
     this->Read();
   }
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -24,9 +24,6 @@
 constexpr Duration kEarlyPollPeriod = std::chrono::milliseconds(10);
 /// Approximate memory of a waiting request besides its body.
 constexpr std::size_t kHeadBytes = 1024;
-/// No new work goes to an unresponsive engine for this long; by then the leader
-/// has probed it as well.
-constexpr Duration kUnresponsivePause = std::chrono::milliseconds(1000);
 /// Between checks of the queue. A hundred answers end each second, so that
 /// capacity is freed every ten milliseconds on average.
 constexpr Duration kQueuePollPeriod = std::chrono::milliseconds(20);
@@ -67,7 +64,11 @@
       random(HashText(shared_state.instance)),
       calls(std::move(engine_calls)),
       probe(event_loop, http_client, this->calls.report, this->calls.to_report),
-      startup_wait(event_loop.Now()) {}
+      path_monitor(event_loop, http_client, shared_state, log,
+                   this->calls.report),
+      startup_wait(event_loop.Now()) {
+  this->path_monitor.OnChange([this] { this->AnnounceNews(); });
+}
 
 bool Gateway::TooLateToAccept(TimePoint now) const {
   return this->state.stopping_since &&
@@ -169,74 +170,6 @@
       ->Start();
 }
 
-std::size_t Gateway::ConcurrentProbers() const {
-  return this->state.peers.InstanceCount(this->loop.Now());
-}
-
-bool Gateway::ProbesWholePaths(TimePoint now) const {
-  return this->settings.mechanisms.engine_probes &&
-         !this->state.peers.IsLargeFleet(now);
-}
-
-void Gateway::ProbeEngines(const std::vector<pipeline::Stage>& engines,
-                           TimePoint since) {
-  for (const pipeline::Stage& stage : engines) {
-    this->ProbeEngine(stage, since);
-  }
-}
-
-void Gateway::ProbeEngine(const pipeline::Stage& stage, TimePoint since) {
-  this->probe.Check(stage.address, since, this->ConcurrentProbers(),
-                    [this, id = stage.endpoint](const ProbeAnswer& answer) {
-                      if (answer.alive) {
-                        this->state.loads.OnResponse(id, this->loop.Now());
-                      } else {
-                        this->SetUnresponsive(id);
-                      }
-                    });
-}
-
-void Gateway::Suspect(const std::string& endpoint, std::string_view reason,
-                      Duration pause) {
-  const TimePoint now = this->loop.Now();
-  const bool newly_suspected = !this->state.loads.IsSuspected(endpoint, now);
-  this->state.loads.Suspect(endpoint, now + pause);
-  if (!newly_suspected) return;
-  this->logger.Write(Level::kNotable, "endpoint_suspected",
-                     Fields().Text("endpoint", endpoint).Text("why", reason),
-                     now);
-}
-
-void Gateway::SetUnresponsive(const std::string& endpoint) {
-  const TimePoint now = this->loop.Now();
-  const bool newly_found = this->state.loads.MarkUnresponsive(
-      endpoint, now + kUnresponsivePause, now);
-  if (!newly_found) return;
-  this->logger.Write(Level::kNotable, "engine_silent",
-                     Fields().Text("endpoint", endpoint), now);
-  if (this->announce_news) this->announce_news();
-  this->RerouteAround(endpoint);
-}
-
-void Gateway::RerouteAround(const std::string& endpoint) {
-  // Rerouting one request may end it, and others with it.
-  std::vector<std::shared_ptr<ProxiedRequest>> all;
-  for (ProxiedRequest* request : this->active) {
-    all.push_back(request->shared_from_this());
-  }
-  for (const auto& request : all) request->OnEngineUnresponsive(endpoint);
-}
-
-std::vector<endpoints::LivenessEvidence> Gateway::EvidenceExcept(
-    const ProxiedRequest& except) const {
-  std::vector<endpoints::LivenessEvidence> evidence;
-  for (const ProxiedRequest* request : this->active) {
-    if (request == &except) continue;
-    if (auto shown = request->Liveness()) evidence.push_back(std::move(*shown));
-  }
-  return evidence;
-}
-
 void Gateway::Enqueue(const std::string& service,
                       std::shared_ptr<ProxiedRequest> request) {
   ++this->counters.queued;
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -54,7 +54,7 @@
         now);
     if (this->on_crash) this->on_crash(request);
   }
-  if (this->announce_news) this->announce_news();
+  this->AnnounceNews();
 }
 
 void Gateway::OnEndpointAnswered(const std::string& endpoint, TimePoint sent) {
@@ -123,7 +123,7 @@
   const std::uint32_t key = endpoints::EndpointKey(*known);
   if (!this->state.limits.OnAnswer(key, limit, sent, now)) return;
   this->state.ShareLimits(this->settings.datagram_address, now);
-  if (this->announce_news) this->announce_news();
+  this->AnnounceNews();
   Fields fields;
   fields.Text("endpoint", endpoint);
   if (limit) fields.Text("per_second", absl::StrFormat("%.3f", *limit));
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -24,6 +24,10 @@
 /// last beacon.
 constexpr Duration kAdvisedAfterBeacon = std::chrono::milliseconds(3000);
 
+/// Lifetime of a report that an endpoint can't be reached; it is repeated in
+/// each beacon.
+constexpr Duration kUnreachableReportLifetime = std::chrono::milliseconds(1000);
+
 }  // namespace
 
 InstanceState::InstanceState(const InstanceSettings& settings,
@@ -72,6 +76,16 @@
   return addresses;
 }
 
+std::vector<gossip::Suspicion> InstanceState::Suspicions(TimePoint now) const {
+  if (this->paths.InDoubt()) return {};
+  auto suspicions = this->loads.Suspicions(now, this->leads);
+  for (const std::string& id : this->paths.Unreachable(now)) {
+    if (this->loads.IsUnresponsive(id, now)) continue;
+    suspicions.push_back({id, kUnreachableReportLifetime, true});
+  }
+  return suspicions;
+}
+
 std::uint32_t ServiceKey(const std::string& service) {
   return static_cast<std::uint32_t>(HashText(service));
 }
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -64,7 +64,7 @@
 std::ptrdiff_t SuspectedCount(const InstanceState& state, TimePoint now) {
   const auto& all = state.endpoints.All();
   return std::count_if(all.begin(), all.end(), [&](const auto& entry) {
-    return state.loads.IsSuspected(entry.first, now);
+    return state.IsAvoided(entry.first, now);
   });
 }
 
@@ -130,6 +130,8 @@
                "endpoints that get no new work, by own findings or by the word "
                "of other instances",
                static_cast<double>(SuspectedCount(state, now)));
+  writer.Gauge("isolated", "whether no endpoint can be reached from here",
+               state.paths.IsIsolated() ? 1 : 0);
   writer.Gauge("peers", "other instances heard of lately",
                static_cast<double>(state.peers.AllLive(now).size()));
   writer.Gauge("endpoints_limited", "endpoints that state a limit",
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -8,16 +8,12 @@
 namespace toucanwharf::instance {
 namespace {
 
-using endpoints::LoadTracker;
 using eventlog::Fields;
 using eventlog::Level;
 using gossip::PortOf;
 
 /// Lifetime of the engine statuses that the leader sent.
 constexpr Duration kStatusLifetime = std::chrono::seconds(3);
-/// Suspicions reported by peers are limited to this: the peer's link may be at
-/// fault.
-constexpr Duration kMaxSuspicion = std::chrono::seconds(3);
 constexpr std::size_t kMaxIntroducedPeers = 16;
 /// The leader sends this many beacons in a row and pauses before the next
 /// batch: 30 messages of 6 KB take 8 ms on a link of 200 Mbit/s.
@@ -251,7 +247,7 @@
   }
   beacon.stamp = now.since_start.count();
   beacon.loads = this->state.loads.Local();
-  beacon.suspicions = this->state.loads.Suspicions(now, this->state.leads);
+  beacon.suspicions = this->state.Suspicions(now);
   beacon.suspects = this->state.quarantine.Reports(now);
   const bool forwards =
       this->state.leads && this->state.peers.IsLargeFleet(now);
@@ -406,7 +402,7 @@
 
 void PeerLink::ApplyBeacon(const gossip::Beacon& beacon, TimePoint now) {
   for (const gossip::Suspicion& suspicion : beacon.suspicions) {
-    this->ApplySuspicion(suspicion, beacon.callers_address, now);
+    this->ApplySuspicion(suspicion, beacon, now);
   }
   this->ApplySuspects(beacon, now);
   this->ApplyLimits(beacon, now);
@@ -488,69 +484,6 @@
                             0, now);
 }
 
-void PeerLink::ApplySuspicion(const gossip::Suspicion& suspicion,
-                              const std::string& peer, TimePoint now) {
-  LoadTracker& loads = this->state.loads;
-  const TimePoint until = now + std::min(suspicion.remaining, kMaxSuspicion);
-  if (!suspicion.unresponsive) {
-    const bool newly_suspected = !loads.IsSuspected(suspicion.endpoint, now);
-    loads.Suspect(suspicion.endpoint, until);
-    if (!newly_suspected) return;
-    this->logger.Write(
-        Level::kNotable, "peer_suspects_endpoint",
-        Fields().Text("endpoint", suspicion.endpoint).Text("peer", peer), now);
-    return;
-  }
-  if (!loads.MarkReportedUnresponsive(suspicion.endpoint, until, now)) return;
-  this->logger.Write(
-      Level::kNotable, "peer_found_engine_silent",
-      Fields().Text("endpoint", suspicion.endpoint).Text("peer", peer), now);
-  if (this->state.leads && this->state.peers.IsLargeFleet(now)) {
-    this->Announce();
-  }
-  if (this->on_unresponsive) this->on_unresponsive(suspicion.endpoint);
-}
-
-void PeerLink::ApplySuspects(const gossip::Beacon& beacon, TimePoint now) {
-  bool learned = false;
-  for (const quarantine::SuspectReport& report : beacon.suspects) {
-    if (!this->state.quarantine.Merge(report, now)) continue;
-    learned = true;
-    this->logger.Write(
-        Level::kNotable, "peer_reported_crash",
-        Fields()
-            .Text("content", quarantine::ToText(report.request))
-            .Text("peer", beacon.callers_address)
-            .Count("crashes", static_cast<std::int64_t>(report.crashes.size())),
-        now);
-  }
-  const bool forwards =
-      this->state.leads && this->state.peers.IsLargeFleet(now);
-  if (learned && forwards) this->Announce();
-}
-
-void PeerLink::ApplyLimits(const gossip::Beacon& beacon, TimePoint now) {
-  bool changed = false;
-  for (const limits::LimitReport& report : beacon.limits) {
-    if (!this->state.limits.Merge(report, now)) continue;
-    changed = true;
-    const endpoints::Endpoint* endpoint =
-        this->state.endpoints.FindByKey(report.endpoint);
-    Fields fields;
-    fields.Text("endpoint", endpoint == nullptr ? "" : endpoint->id)
-        .Text("peer", beacon.callers_address);
-    if (report.per_second) {
-      fields.Text("per_second", absl::StrCat(*report.per_second));
-    }
-    this->logger.Write(Level::kNotable, "peer_reported_limit", fields, now);
-  }
-  if (!changed) return;
-  this->state.ShareLimits(this->settings.datagram_address, now);
-  const bool forwards =
-      this->state.leads && this->state.peers.IsLargeFleet(now);
-  if (forwards) this->Announce();
-}
-
 void PeerLink::SumLoads(TimePoint now) {
   std::vector<gossip::EndpointLoad> loads;
   for (const gossip::Peer* peer : this->state.peers.AllLive(now)) {
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -14,9 +14,6 @@
 using eventlog::Fields;
 using eventlog::Level;
 
-/// An endpoint that cannot be connected to gets no new work for this long. A
-/// restart takes longer, and each attempt costs a caller the connect timeout.
-constexpr Duration kUnreachablePause = std::chrono::milliseconds(1500);
 /// A plain answer up to this size is relayed only when it is complete, so that
 /// another endpoint can replace one that breaks.
 constexpr std::size_t kMaxHeldBackBytes = 256UL * 1024;
@@ -164,7 +161,11 @@
   http::CallOptions options;
   options.connect_timeout = kConnectTimeout;
   if (!this->admitted.route->Repeatable()) options.reuse = http::Reuse::kNever;
+  this->is_new_connection = false;
   http::CallHandlers handlers;
+  handlers.on_connected = [self = this->shared_from_this()] {
+    self->is_new_connection = true;
+  };
   handlers.on_head = [self = this->shared_from_this()](const auto& answer) {
     self->OnHead(answer);
   };
@@ -187,6 +188,9 @@
 void ProxiedRequest::OnHead(const http::ResponseHead& answer) {
   if (this->finished || this->call == 0) return;
   this->has_head = true;
+  if (this->is_new_connection) {
+    this->gateway.path_monitor.OnAnswered(this->target.endpoint);
+  }
   this->last_data = this->gateway.loop.Now();
   this->head_at = this->last_data;
   this->head = answer;
@@ -279,12 +283,15 @@
   if (this->finished) return;
   if (result.end == http::CallEnd::kNotConnected) {
     if (result.refused) this->OnConnectionRefused();
-    this->gateway.Suspect(this->target.endpoint, "not_connected",
-                          kUnreachablePause);
+    this->gateway.path_monitor.OnFailure(this->target.endpoint,
+                                         "not_connected");
     this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
     return;
   }
   if (result.end != http::CallEnd::kComplete) {
+    if (this->is_new_connection && !this->has_head) {
+      this->gateway.path_monitor.OnFailure(this->target.endpoint, "reset");
+    }
     if (result.sent && result.end == http::CallEnd::kBroken) {
       this->OnRunBroken();
     }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -187,6 +187,8 @@
   Target target;
   std::vector<gossip::EndpointLoad> counted_loads;
   http::CallId call = 0;
+  /// Whether the call established a connection of its own.
+  bool is_new_connection = false;
   http::TimerId deadline_timer = 0;
   http::TimerId stall_timer = 0;
   /// A probe of the first engine is in flight.
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -24,7 +24,7 @@
         const bool on_path = RunsThrough(current, endpoint.id);
         const bool unusable = on_path
                                   ? state.loads.IsUnresponsive(endpoint.id, now)
-                                  : state.loads.IsSuspected(endpoint.id, now);
+                                  : state.IsAvoided(endpoint.id, now);
         ++this->candidates.ready;
         if (unusable) ++this->candidates.suspected;
         if (unusable) return;
@@ -76,7 +76,7 @@
         const gossip::EndpointLoad load = state.loads.Total(endpoint.id);
         // Suspected endpoints are used only if there is no other.
         constexpr double kSuspectedCost = 1000;
-        const bool suspected = state.loads.IsSuspected(endpoint.id, now);
+        const bool suspected = state.IsAvoided(endpoint.id, now);
         ++this->candidates.ready;
         if (suspected) ++this->candidates.suspected;
         const double cost =
--- /dev/null
+++ b/unittests/endpoints/reachability_test.cc
@@ -0,0 +1,119 @@
+#include "toucanwharf/endpoints/reachability.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace toucanwharf::endpoints {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
+
+const std::vector<std::string> kEngines = {"a", "b", "c", "d", "e", "f"};
+constexpr std::size_t kEndpoints = 9;
+
+/// Plays checks until none is due; those of \p dead fail. Returns how many.
+int PlayChecks(Reachability& paths, const std::vector<std::string>& dead,
+               int now) {
+  Random random(1);
+  int checks = 0;
+  while (const auto id = paths.NextCheck(kEngines, At(now), random)) {
+    ++checks;
+    const bool fails = std::find(dead.begin(), dead.end(), *id) != dead.end();
+    if (fails) {
+      paths.OnFailure(*id, kEndpoints, At(now));
+    } else {
+      paths.OnAnswered(*id, At(now));
+    }
+    paths.OnCheckDone();
+  }
+  return checks;
+}
+
+// Guards against an instance that takes its own cut for the death of endpoints.
+BOOST_AUTO_TEST_CASE(InstanceThatReachesNoneOfSeveralIsIsolated) {
+  Reachability paths;
+  paths.OnFailure("a", kEndpoints, At(0));
+  BOOST_TEST(paths.InDoubt());
+  BOOST_TEST(!paths.IsIsolated());
+  BOOST_TEST(PlayChecks(paths, kEngines, 1) == 2);
+  BOOST_TEST(paths.IsIsolated());
+}
+
+// Guards against the death of one endpoint that is taken for a cut.
+BOOST_AUTO_TEST_CASE(OneCheckClearsTheDoubtWhenOneEndpointIsDead) {
+  Reachability paths;
+  paths.OnFailure("a", kEndpoints, At(0));
+  BOOST_TEST(PlayChecks(paths, {"a"}, 1) == 1);
+  BOOST_TEST(!paths.InDoubt());
+  BOOST_TEST(paths.IsUnreachable("a", At(1)));
+  BOOST_TEST(!paths.IsUnreachable("b", At(1)));
+}
+
+// Guards against the loss of a whole service, whose endpoints one request tries
+// within a moment, that is taken for a cut.
+BOOST_AUTO_TEST_CASE(LossOfAWholeServiceIsNoIsolation) {
+  Reachability paths;
+  for (const char* id : {"plain-1", "plain-2", "plain-3"}) {
+    paths.OnFailure(id, kEndpoints, At(0));
+  }
+  BOOST_TEST(!paths.IsIsolated());
+  PlayChecks(paths, {}, 1);
+  BOOST_TEST(!paths.InDoubt());
+}
+
+// Guards against a link that comes and goes, on which each single answer would
+// bring the callers back.
+BOOST_AUTO_TEST_CASE(OneAnswerDoesNotEndTheIsolation) {
+  Reachability paths;
+  paths.OnFailure("a", kEndpoints, At(0));
+  PlayChecks(paths, kEngines, 0);
+  paths.OnAnswered("b", At(100));
+  BOOST_TEST(paths.IsIsolated());
+  paths.OnFailure("c", kEndpoints, At(110));
+  paths.OnAnswered("d", At(400));
+  BOOST_TEST(paths.IsIsolated());
+  paths.OnAnswered("e", At(410));
+  BOOST_TEST(!paths.IsIsolated());
+  BOOST_TEST(!paths.IsUnreachable("a", At(410)));
+}
+
+// Guards against paths that are back and not used: a check is due soon, and the
+// next one follows at once.
+BOOST_AUTO_TEST_CASE(IsolationEndsWithinASecondOfTheReturn) {
+  Reachability paths;
+  paths.OnFailure("a", kEndpoints, At(0));
+  PlayChecks(paths, kEngines, 0);
+  BOOST_TEST(PlayChecks(paths, kEngines, 10) == 0);
+  BOOST_TEST(PlayChecks(paths, kEngines, 300) == 1);
+  BOOST_TEST(PlayChecks(paths, {}, 600) == 2);
+  BOOST_TEST(!paths.IsIsolated());
+}
+
+// Guards against a fleet of few endpoints, all cut off, that is never found
+// out.
+BOOST_AUTO_TEST_CASE(FewEndpointsThatAllFailAreEnough) {
+  Reachability paths;
+  paths.OnFailure("a", 2, At(0));
+  paths.OnFailure("b", 2, At(1));
+  BOOST_TEST(paths.IsIsolated());
+}
+
+// Guards against an endpoint that is left out for ever after one failure, and
+// against a flood of checks of one that is dead.
+BOOST_AUTO_TEST_CASE(DeadEndpointIsCheckedOnceASecond) {
+  Reachability paths;
+  paths.OnFailure("a", kEndpoints, At(0));
+  PlayChecks(paths, {"a"}, 1);
+  BOOST_TEST(PlayChecks(paths, {"a"}, 900) == 0);
+  BOOST_TEST(PlayChecks(paths, {"a"}, 1000) == 2);
+  BOOST_TEST(paths.IsUnreachable("a", At(2400)));
+  PlayChecks(paths, {}, 2400);
+  BOOST_TEST(!paths.IsUnreachable("a", At(2400)));
+}
+
+}  // namespace
+}  // namespace toucanwharf::endpoints
