Requests of callers at an instance without a path to endpoints are forwarded to one that has

What callers saw: at instances whose links to all endpoints were cut, first tries were served 0 of 66, while others could have served them.

Cause: an instance sends requests to endpoints itself or not at all, and counts as ready whenever it knows the configuration and the list of endpoints. Class: being able to decide is taken for being able to act.

Change: an isolated instance forwards requests over a peer's control address (instance::ForwardedRequest), once at most: the peer admits them like a caller's, with key, time that is left, runs so far, Last-Event-Id and the revision of the configuration, and refuses what it can't take; a refusal says whether another peer may serve. Answers under way go on by the same way. Beside that the instance is not ready and leaves the entry advice, as long as a peer reaches endpoints. Without such a peer it refuses at once.

--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -101,6 +101,9 @@
   bool stopping = false;
   /// Whether the instance holds the placement lease.
   bool leads = false;
+  /// Whether it reaches endpoints, so that requests can be forwarded to it;
+  /// nothing from a build that takes none.
+  std::optional<bool> reaches_endpoints;
   /// Store's revision of the configuration in force, 0 for none.
   std::uint64_t configuration_revision = 0;
   /// Age of the configuration's last confirmation when the beacon was made.
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -82,6 +82,9 @@
     const auto found = this->entries.find(address);
     return found != this->entries.end() && found->second.peer.has_value();
   }
+  /// Returns whether a beacon of the process \p instance was the last one from
+  /// its address.
+  bool KnowsInstance(const std::string& instance) const;
   /// Returns all live peers.
   std::vector<const Peer*> AllLive(TimePoint now) const;
   /// Returns whether there are so many peers that each sends a beacon only in
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -22,6 +22,7 @@
 #include "toucanwharf/http/server.h"
 #include "toucanwharf/instance/adapter.h"
 #include "toucanwharf/instance/engine_probe.h"
+#include "toucanwharf/instance/forwarding.h"
 #include "toucanwharf/instance/instance_state.h"
 #include "toucanwharf/instance/path_monitor.h"
 #include "toucanwharf/instance/settings.h"
@@ -85,6 +86,9 @@
   std::uint64_t broken_runs = 0;
   std::uint64_t quarantined = 0;
   std::uint64_t limits_unreadable = 0;
+  std::uint64_t forwarded = 0;
+  std::uint64_t forwarded_here = 0;
+  std::uint64_t forwards_rejected = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
 
@@ -111,6 +115,11 @@
   void OnEndpointNews(std::function<void()> task) {
     this->announce_news = std::move(task);
   }
+  /// Calls \p task when this instance becomes isolated from all endpoints, or
+  /// no longer is.
+  void OnIsolationChange(std::function<void()> task) {
+    this->isolation_changed = std::move(task);
+  }
   /// Calls \p task with a request that has a new crash, so that it can be
   /// stored.
   void OnCrash(std::function<void(const quarantine::Fingerprint&)> task) {
@@ -136,6 +145,9 @@
   void CheckPaths();
   /// Accepts a request; its answer may be sent much later.
   void Handle(std::shared_ptr<http::Exchange> exchange);
+  /// Accepts a request that another instance forwards because it can't reach
+  /// the endpoints. It is served from here or refused, never forwarded again.
+  void HandleForwarded(std::shared_ptr<http::Exchange> exchange);
   /// Sets which instances share the budget of extra arrivals.
   void SetSharers(const attempts::BudgetSharers& known) {
     this->budget.SetSharers(known);
@@ -175,7 +187,8 @@
   /// one doesn't keep the process from serving.
   bool KnowsEnoughToAdmit(TimePoint now) const;
   /// Admits or refuses a request that arrived at \p arrived.
-  void Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived);
+  void Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived,
+             const std::optional<ForwardedRequest>& forwarded = std::nullopt);
   void AdmitEarly();
 
   /// Returns whether to probe every engine of a stalled path instead of only
@@ -235,6 +248,11 @@
               std::string_view reason,
               const eventlog::Fields& more = eventlog::Fields());
   bool TooLateToAccept(TimePoint now) const;
+  /// Returns why a forwarded request can't be taken; empty if it can.
+  std::string_view ForwardProblem(
+      const std::optional<ForwardedRequest>& forwarded, TimePoint now) const;
+  void RejectForwarded(http::Exchange& exchange, std::string_view problem,
+                       TimePoint now);
 
   http::Loop& loop;
   http::Client& client;
@@ -247,10 +265,12 @@
   EngineCalls calls;
   GatewayCounters counters;
   TimePoint unreadable_limit_logged{Duration(-1'000'000'000)};
+  TimePoint invalid_forward_logged{Duration(-1'000'000'000)};
   EngineProbe probe;
   attempts::ProbeBackoff probe_backoff;
   PathMonitor path_monitor;
   std::function<void()> announce_news;
+  std::function<void()> isolation_changed;
   std::function<void(const quarantine::Fingerprint&)> on_crash;
   std::function<void(const quarantine::Fingerprint&)> on_cleared;
   /// All requests in flight.
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -76,6 +76,7 @@
       this->quarantine_sync.OnCleared(request);
     });
     this->gateway.OnEndpointNews([this] { this->peers.AnnounceToAll(); });
+    this->gateway.OnIsolationChange([this] { this->peers.AnnounceToFleet(); });
     this->peers.OnUnresponsiveEndpoint(
         [this](const UnresponsiveReport& report) {
           this->gateway.OnPeerReport(report);
@@ -108,6 +109,7 @@
   static constexpr Duration kKillMargin = std::chrono::milliseconds(400);
   static constexpr Duration kAdviceLifetime = std::chrono::seconds(2);
   static constexpr std::size_t kMaxAdvisedInstances = 64;
+  static constexpr std::uint32_t kForwardingHeaderBytes = 1024;
   static constexpr const char* kMetricsPath = "/metrics";
 
   Result<void> Listen() {
@@ -147,6 +149,10 @@
 
   void HandleControlRequest(
       const std::shared_ptr<http::Exchange>& shared_exchange) {
+    if (ClaimsForwarding(shared_exchange->Received())) {
+      this->gateway.HandleForwarded(shared_exchange);
+      return;
+    }
     http::Exchange& exchange = *shared_exchange;
     const std::string& target = exchange.Received().target;
     const TimePoint now = this->loop.Now();
@@ -194,9 +200,16 @@
     this->AnnounceStartupData();
     if (!this->state.route_table) return;
     const routes::CallerLimits& limits = this->state.route_table->All().limits;
-    this->caller_server->SetLimits(
-        {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
-         limits.idle_timeout});
+    const http::ServerLimits of_callers{
+        limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
+        limits.idle_timeout};
+    this->caller_server->SetLimits(of_callers);
+    // Peers forward callers' requests with some fields of their own.
+    http::ServerLimits of_peers = of_callers;
+    of_peers.max_header_bytes += kForwardingHeaderBytes;
+    for (const auto& server : this->control_servers) {
+      server->SetLimits(of_peers);
+    }
   }
 
   /// Writes this instance's address to the store, then reads those of the
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -9,6 +9,7 @@
 #include "toucanwharf/endpoints/endpoint_table.h"
 #include "toucanwharf/endpoints/load_tracker.h"
 #include "toucanwharf/endpoints/reachability.h"
+#include "toucanwharf/gossip/forward_choice.h"
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/ready_instance_list.h"
 #include "toucanwharf/instance/settings.h"
@@ -76,6 +77,12 @@
   /// instance's addresses.
   std::vector<std::string> ReadyPeers(TimePoint now, const std::string& callers,
                                       const std::string& datagrams) const;
+  /// Returns the peers that requests can be forwarded to: those that reach
+  /// endpoints and have this instance's configuration.
+  std::vector<gossip::ForwardCandidate> ForwardCandidates(TimePoint now) const;
+  /// Returns whether callers are better served elsewhere, because no endpoint
+  /// can be reached from here, but from another instance.
+  bool Withdraws(TimePoint now) const;
   /// Returns whether \p endpoint gets no new work, by any finding.
   bool IsAvoided(const std::string& endpoint, TimePoint now) const {
     return this->loads.IsSuspected(endpoint, now) ||
@@ -95,6 +102,9 @@
   void ShareLimits(const std::string& own_address, TimePoint now);
 
   bool strict_revocation;
+  /// See Mechanisms::withdrawal.
+  bool withdraws_when_isolated;
+  std::string failure_domain;
 };
 
 /// Returns the number that stands for \p service in messages between instances.
--- a/include/toucanwharf/instance/mechanisms.h
+++ b/include/toucanwharf/instance/mechanisms.h
@@ -30,6 +30,10 @@
   bool entry_choices = true;
   /// Loads last reported by unresponsive peers are ignored.
   bool ignore_unresponsive_peers = true;
+  /// An instance that can't reach endpoints forwards requests to one that can.
+  bool forwarding = true;
+  /// Such an instance isn't named to callers.
+  bool withdrawal = true;
 
   friend bool operator==(const Mechanisms&, const Mechanisms&) = default;
 };
--- a/include/toucanwharf/instance/path_monitor.h
+++ b/include/toucanwharf/instance/path_monitor.h
@@ -25,9 +25,11 @@
               http::Request report_request);
 
   /// Calls \p task when the other instances should hear of a change: this
-  /// instance became isolated or no longer is, or its findings are no longer in
-  /// doubt.
-  void OnChange(std::function<void()> task) { this->changed = std::move(task); }
+  /// instance became isolated or no longer is (true), or its findings are no
+  /// longer in doubt (false).
+  void OnChange(std::function<void(bool)> task) {
+    this->changed = std::move(task);
+  }
 
   /// Records that \p endpoint answered on a new connection.
   void OnAnswered(const std::string& endpoint);
@@ -56,7 +58,7 @@
   InstanceState& state;
   eventlog::Logger& logger;
   http::Request request;
-  std::function<void()> changed;
+  std::function<void(bool)> changed;
   Status status;
   Random random;
 };
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -67,6 +67,9 @@
   /// engine, a crash or a limit: to every peer in a small fleet, and in a large
   /// one to the leader, which forwards it to all.
   void AnnounceToAll();
+  /// Sends a beacon to every instance, also of a large fleet. For a change that
+  /// is rare and concerns all: whether this instance reaches endpoints.
+  void AnnounceToFleet();
   /// Calls \p task with each report of a peer that an endpoint is
   /// unresponsive.
   void OnUnresponsiveEndpoint(
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -223,6 +223,7 @@
   beacon.fleet_loads = KeyedLoadsFromJson(json.at("fo"));
   beacon.suspicions = SuspicionsFromJson(json.at("q"));
   // An instance of an older build sends none of these.
+  if (json.contains("re")) beacon.reaches_endpoints = json["re"].get<bool>();
   if (json.contains("el")) beacon.limits = LimitsFromJson(json.at("el"));
   if (json.contains("sd")) beacon.demands = DemandsFromJson(json.at("sd"));
   if (json.contains("sr")) beacon.suspects = SuspectsFromJson(json.at("sr"));
@@ -261,33 +262,33 @@
 }
 
 EncodedBeacon::EncodedBeacon(const Beacon& beacon) {
-  const Json json = {
-      {"format", kFormat},
-      {"i", beacon.instance},
-      {"u", beacon.uptime.count()},
-      {"d", beacon.failure_domain},
-      {"a", beacon.callers_address},
-      {"b", beacon.control_address},
-      {"c", beacon.processor_share},
-      {"r", beacon.ready},
-      {"s", beacon.stopping},
-      {"l", beacon.leads},
-      {"v", beacon.configuration_revision},
-      {"va", AgeOrNull(beacon.configuration_age)},
-      {"e", beacon.endpoints_revision},
-      {"ea", AgeOrNull(beacon.endpoints_age)},
-      {"t", beacon.stamp},
-      {"o", LoadsToJson(beacon.loads)},
-      {"kr", {beacon.covered_keys.first, beacon.covered_keys.last}},
-      {"fo", KeyedLoadsToJson(beacon.fleet_loads)},
-      {"q", SuspicionsToJson(beacon.suspicions)},
-      {"el", LimitsToJson(beacon.limits)},
-      {"sd", DemandsToJson(beacon.demands)},
-      {"sr", SuspectsToJson(beacon.suspects)},
-      {"f", EngineStatusesToJson(beacon.engine_statuses)},
-      {"ri", beacon.ready_instances},
-      {"dp", beacon.backup_leaders},
-      {"p", beacon.peers}};
+  Json json = {{"format", kFormat},
+               {"i", beacon.instance},
+               {"u", beacon.uptime.count()},
+               {"d", beacon.failure_domain},
+               {"a", beacon.callers_address},
+               {"b", beacon.control_address},
+               {"c", beacon.processor_share},
+               {"r", beacon.ready},
+               {"s", beacon.stopping},
+               {"l", beacon.leads},
+               {"v", beacon.configuration_revision},
+               {"va", AgeOrNull(beacon.configuration_age)},
+               {"e", beacon.endpoints_revision},
+               {"ea", AgeOrNull(beacon.endpoints_age)},
+               {"t", beacon.stamp},
+               {"o", LoadsToJson(beacon.loads)},
+               {"kr", {beacon.covered_keys.first, beacon.covered_keys.last}},
+               {"fo", KeyedLoadsToJson(beacon.fleet_loads)},
+               {"q", SuspicionsToJson(beacon.suspicions)},
+               {"el", LimitsToJson(beacon.limits)},
+               {"sd", DemandsToJson(beacon.demands)},
+               {"sr", SuspectsToJson(beacon.suspects)},
+               {"f", EngineStatusesToJson(beacon.engine_statuses)},
+               {"ri", beacon.ready_instances},
+               {"dp", beacon.backup_leaders},
+               {"p", beacon.peers}};
+  if (beacon.reaches_endpoints) json["re"] = *beacon.reaches_endpoints;
   Json::to_cbor(json, nlohmann::detail::output_adapter<char>(this->common));
 }
 
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -57,6 +57,14 @@
                                                                  : &peer;
 }
 
+bool PeerTable::KnowsInstance(const std::string& instance) const {
+  return std::any_of(this->entries.begin(), this->entries.end(),
+                     [&](const auto& entry) {
+                       const auto& peer = entry.second.peer;
+                       return peer && peer->beacon.instance == instance;
+                     });
+}
+
 std::vector<const Peer*> PeerTable::AllLive(TimePoint now) const {
   std::vector<const Peer*> live;
   for (const auto& [address, entry] : this->entries) {
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -67,7 +67,13 @@
       path_monitor(event_loop, http_client, shared_state, log,
                    this->calls.report),
       startup_wait(event_loop.Now()) {
-  this->path_monitor.OnChange([this] { this->AnnounceNews(); });
+  this->path_monitor.OnChange([this](bool isolation_changed) {
+    if (isolation_changed && this->isolation_changed) {
+      this->isolation_changed();
+    } else {
+      this->AnnounceNews();
+    }
+  });
 }
 
 bool Gateway::TooLateToAccept(TimePoint now) const {
@@ -109,8 +115,8 @@
   }
 }
 
-void Gateway::Admit(std::shared_ptr<http::Exchange> exchange,
-                    TimePoint arrived) {
+void Gateway::Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived,
+                    const std::optional<ForwardedRequest>& forwarded) {
   const TimePoint now = this->loop.Now();
   const http::Request& request = exchange->Received();
   const auto table = this->state.route_table;
@@ -126,6 +132,7 @@
   Admitted admitted;
   admitted.table = table;
   admitted.arrived = arrived;
+  admitted.forwarded = forwarded;
   admitted.route =
       table->Find(request.headers.Get("Host"), http::PathOf(request.target));
   if (admitted.route == nullptr) {
@@ -162,9 +169,11 @@
                                               request.target, request.body}))) {
     return;
   }
-  admitted.deadline =
-      arrived +
-      DeadlineOf(request.headers.Get(this->names.deadline), route.timeout);
+  // What is left to a forwarded request is counted from now on.
+  admitted.deadline = std::min(
+      arrived + route.timeout,
+      (forwarded ? now : arrived) +
+          DeadlineOf(request.headers.Get(this->names.deadline), route.timeout));
   std::make_shared<ProxiedRequest>(*this, std::move(exchange),
                                    std::move(admitted))
       ->Start();
@@ -200,6 +209,9 @@
         static_cast<double>(retry_after.count()) / kMicrosPerSecond * spread;
     head.headers.Add("Retry-After", absl::StrFormat("%.3f", seconds));
   }
+  if (ClaimsForwarding(exchange.Received())) {
+    SetRefusal(head.headers, RefusalFor(reason));
+  }
   std::string body = "not run: ";
   body.append(reason).append("\n");
   exchange.Respond(head, body);
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -37,7 +37,9 @@
       endpoints(kOutageGrace,
                 kMissedHeartbeatsInOutage * settings.endpoint_heartbeat),
       peers(this->instance),
-      strict_revocation(settings.bounds.strict_revocation) {}
+      strict_revocation(settings.bounds.strict_revocation),
+      withdraws_when_isolated(settings.mechanisms.withdrawal),
+      failure_domain(settings.failure_domain) {}
 
 bool InstanceState::MayAcceptKeys(TimePoint now) const {
   return !this->strict_revocation || this->freshness.Holds(now);
@@ -76,6 +78,32 @@
   return addresses;
 }
 
+std::vector<gossip::ForwardCandidate> InstanceState::ForwardCandidates(
+    TimePoint now) const {
+  std::vector<gossip::ForwardCandidate> candidates;
+  for (const gossip::Peer* peer : this->peers.AllLive(now)) {
+    const gossip::Beacon& beacon = peer->beacon;
+    const bool serves = beacon.reaches_endpoints.value_or(false) &&
+                        !beacon.stopping &&
+                        now - peer->last_beacon_at <= kAdvisedAfterBeacon;
+    if (!serves) continue;
+    gossip::ForwardCandidate candidate;
+    candidate.control_address = beacon.control_address;
+    candidate.same_domain = beacon.failure_domain == this->failure_domain;
+    candidate.processor_share = beacon.processor_share;
+    for (const gossip::EndpointLoad& load : beacon.loads) {
+      candidate.answers += load.first_stage_answers;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+bool InstanceState::Withdraws(TimePoint now) const {
+  return this->withdraws_when_isolated && this->paths.IsIsolated() &&
+         !this->ForwardCandidates(now).empty();
+}
+
 std::vector<gossip::Suspicion> InstanceState::Suspicions(TimePoint now) const {
   if (this->paths.InDoubt()) return {};
   auto suspicions = this->loads.Suspicions(now, this->leads);
@@ -119,7 +147,8 @@
 }
 
 bool InstanceState::Ready(TimePoint now) const {
-  return !this->stopping_since && this->CanAdmitRequests(now);
+  return !this->stopping_since && this->CanAdmitRequests(now) &&
+         !this->Withdraws(now);
 }
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/mechanisms.cc
+++ b/lib/instance/mechanisms.cc
@@ -26,7 +26,9 @@
     Switch{"crowding-price", &Mechanisms::price_congestion},
     Switch{"refusal-pauses", &Mechanisms::refusal_pauses},
     Switch{"entry-choices", &Mechanisms::entry_choices},
-    Switch{"silent-peers", &Mechanisms::ignore_unresponsive_peers}};
+    Switch{"silent-peers", &Mechanisms::ignore_unresponsive_peers},
+    Switch{"forwarding", &Mechanisms::forwarding},
+    Switch{"withdrawal", &Mechanisms::withdrawal}};
 
 std::string KnownNames() {
   return absl::StrJoin(
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -105,6 +105,13 @@
                  counters.quarantined);
   writer.Counter("limits_unreadable", "limits of endpoints that say nothing",
                  counters.limits_unreadable);
+  writer.Counter("forwarded", "requests forwarded to another instance",
+                 counters.forwarded);
+  writer.Counter("forwarded_here", "requests forwarded by other instances",
+                 counters.forwarded_here);
+  writer.Counter("forwards_rejected",
+                 "requests of other instances that were not taken",
+                 counters.forwards_rejected);
   writer.Latencies("plain_seconds", "time to the end of a plain answer",
                    counters.plain_latency);
   writer.Latencies("first_event_seconds", "time to a stream's first event",
--- a/lib/instance/path_monitor.cc
+++ b/lib/instance/path_monitor.cc
@@ -113,8 +113,9 @@
     if (!now_status.isolated) this->state.loads.ForgetUnresponsive();
   }
   const bool doubt_ended = before.in_doubt && !now_status.in_doubt;
-  const bool tells = before.isolated != now_status.isolated || doubt_ended;
-  if (tells && this->changed) this->changed();
+  const bool isolation_changed = before.isolated != now_status.isolated;
+  const bool tells = isolation_changed || doubt_ended;
+  if (tells && this->changed) this->changed(isolation_changed);
 }
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -216,6 +216,10 @@
                Content::kOwn);
 }
 
+void PeerLink::AnnounceToFleet() {
+  this->SendTo(this->state.peers.Addresses(this->loop.Now()), Content::kOwn);
+}
+
 void PeerLink::AnnounceToAll() {
   const TimePoint now = this->loop.Now();
   const std::string leader = this->state.peers.Leader(now);
@@ -239,6 +243,7 @@
   beacon.ready = this->state.Ready(now);
   beacon.stopping = this->state.stopping_since.has_value();
   beacon.leads = this->state.leads;
+  beacon.reaches_endpoints = !this->state.paths.IsIsolated();
   beacon.configuration_revision = this->state.configuration_revision;
   beacon.configuration_age = this->state.freshness.Age(now);
   beacon.endpoints_revision = this->state.endpoints.ChangedRevision();
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -17,11 +17,6 @@
 /// A plain answer up to this size is relayed only when it is complete, so that
 /// another endpoint can replace one that breaks.
 constexpr std::size_t kMaxHeldBackBytes = 256UL * 1024;
-/// Retry-After of refusals. Capacity is freed as soon as one of the answers in
-/// flight ends, many times a second; a lost layer is loaded again in one to two
-/// seconds.
-constexpr Duration kRetryForCapacity = std::chrono::milliseconds(400);
-constexpr Duration kRetryForLayers = std::chrono::milliseconds(1500);
 /// A request waits for capacity only until this much of its objective is left:
 /// the first event takes about as long after the send.
 constexpr Duration kReservedAfterQueue = std::chrono::milliseconds(200);
@@ -35,8 +30,6 @@
 /// capacity refused several times.
 constexpr Duration kRefusedPause = std::chrono::milliseconds(200);
 
-constexpr double kMicrosPerMilli = 1000;
-
 double ParseNumber(std::string_view text) {
   double value = 0;
   std::from_chars(text.data(), text.data() + text.size(), value);
@@ -44,13 +37,6 @@
 }
 
 constexpr double kPercent = 100;
-constexpr int kFirstSuccess = 200;
-constexpr int kFirstRedirect = 300;
-
-bool IsSuccess(int status) {
-  return status >= kFirstSuccess && status < kFirstRedirect;
-}
-
 }  // namespace
 
 ProxiedRequest::ProxiedRequest(Gateway& owner,
@@ -72,6 +58,10 @@
     this->output_tokens = hint ? std::min(ParseNumber(*hint), max_output)
                                : kTypicalOutputShare * max_output;
   }
+  if (this->admitted.forwarded) {
+    this->attempt_counts.may_have_run = this->admitted.forwarded->runs;
+    this->attempt_counts.total = this->admitted.forwarded->runs;
+  }
   this->gateway.active.insert(this);
 }
 
@@ -89,9 +79,7 @@
   this->deadline_timer = this->gateway.loop.After(
       this->admitted.deadline - now,
       [self = this->shared_from_this()] { self->OnDeadline(); });
-  this->gateway.budget.OnRequest(this->admitted.service->name, now);
-  this->gateway.state.demand.OnRequest(ServiceKey(this->admitted.service->name),
-                                       now);
+  this->CountRequest();
   if (const auto from = this->exchange->Received().headers.Find(
           this->gateway.names.last_event_id)) {
     this->events.SetLastId(std::string(*from));
@@ -126,7 +114,9 @@
 void ProxiedRequest::StartAttempt() {
   // Requests for a service are served in order of arrival.
   const std::string& service = this->admitted.service->name;
-  const bool must_queue = this->IsModel() && this->gateway.queue.Waits(service);
+  const bool must_queue = this->IsModel() &&
+                          this->gateway.queue.Waits(service) &&
+                          !this->MustForward();
   const auto chosen = must_queue ? std::nullopt : this->ChooseTarget();
   if (must_queue) this->no_path_reason = placement::NoPathReason::kNoCapacity;
   if (!chosen && this->MayQueue()) {
@@ -134,18 +124,24 @@
     return;
   }
   if (!chosen) {
-    this->Refuse(this->no_path_reason == placement::NoPathReason::kNoCapacity
-                     ? "no_room"
-                     : "no_endpoint");
+    this->Refuse(this->ReasonWithoutTarget());
     return;
   }
   this->Send(*chosen);
 }
 
+std::string_view ProxiedRequest::ReasonWithoutTarget() const {
+  if (this->gateway.state.paths.IsIsolated()) return "isolated";
+  return this->no_path_reason == placement::NoPathReason::kNoCapacity
+             ? "no_room"
+             : "no_endpoint";
+}
+
 void ProxiedRequest::Send(const Target& to) {
   this->target = to;
   ++this->attempt_counts.total;
   ++this->attempt_counts.may_have_run;
+  if (to.is_peer) ++this->gateway.counters.forwarded;
   this->has_head = false;
   this->proven = false;
   this->head_usable = false;
@@ -177,7 +173,8 @@
   };
   this->call = this->gateway.client.Start(to.address, this->BuildRequest(to),
                                           options, std::move(handlers));
-  this->Log(Level::kRoutine, "sent",
+  this->Log(to.is_peer ? Level::kNotable : Level::kRoutine,
+            to.is_peer ? "forwarded" : "sent",
             Fields()
                 .Text("endpoint", to.endpoint)
                 .Count("try", this->attempt_counts.total)
@@ -188,7 +185,7 @@
 void ProxiedRequest::OnHead(const http::ResponseHead& answer) {
   if (this->finished || this->call == 0) return;
   this->has_head = true;
-  if (this->is_new_connection) {
+  if (this->is_new_connection && !this->target.is_peer) {
     this->gateway.path_monitor.OnAnswered(this->target.endpoint);
   }
   this->last_data = this->gateway.loop.Now();
@@ -198,6 +195,10 @@
 }
 
 void ProxiedRequest::ClassifyHead(const http::ResponseHead& answer) {
+  if (this->target.is_peer) {
+    this->ClassifyForwarded(answer);
+    return;
+  }
   const HeaderNames& names = this->gateway.names;
   const auto id = answer.headers.Find(names.request_id);
   const bool of_another = id && *id != this->request_id;
@@ -233,12 +234,8 @@
 void ProxiedRequest::BeginStream(const http::ResponseHead& answer) {
   if (this->attempt_counts.answer_started) return;
   this->attempt_counts.answer_started = true;
-  http::ResponseHead out;
-  out.status = answer.status;
-  out.reason = answer.reason;
-  out.headers = http::EndToEnd(answer.headers);
   this->last_relayed = this->last_data;
-  this->exchange->Begin(out);
+  this->exchange->Begin(this->ToRelay(answer));
 }
 
 void ProxiedRequest::OnData(std::string_view bytes) {
@@ -248,8 +245,8 @@
     this->body.append(bytes);
     if (this->body.size() > kMaxHeldBackBytes && this->head_usable &&
         !this->attempt_counts.answer_started) {
-      http::ResponseHead out = this->head;
-      out.headers = http::EndToEnd(this->head.headers);
+      http::ResponseHead out = this->ToRelay(this->head);
+      out.length = this->head.length;
       this->attempt_counts.answer_started = true;
       this->exchange->Begin(out);
     }
@@ -282,17 +279,16 @@
   this->call = 0;
   if (this->finished) return;
   if (result.end == http::CallEnd::kNotConnected) {
-    if (result.refused) this->OnConnectionRefused();
-    this->gateway.path_monitor.OnFailure(this->target.endpoint,
-                                         "not_connected");
+    this->OnNotConnected(result);
     this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
     return;
   }
   if (result.end != http::CallEnd::kComplete) {
-    if (this->is_new_connection && !this->has_head) {
+    const bool by_endpoint = !this->target.is_peer;
+    if (by_endpoint && this->is_new_connection && !this->has_head) {
       this->gateway.path_monitor.OnFailure(this->target.endpoint, "reset");
     }
-    if (result.sent && result.end == http::CallEnd::kBroken) {
+    if (by_endpoint && result.sent && result.end == http::CallEnd::kBroken) {
       this->OnRunBroken();
     }
     this->EndAttempt(
@@ -300,6 +296,12 @@
         "broken");
     return;
   }
+  if (this->target.is_peer) {
+    if (const auto refusal = RefusalOf(this->head)) {
+      this->OnForwardRefused(*refusal);
+      return;
+    }
+  }
   if (this->head_outcome) {
     this->EndAttempt(*this->head_outcome,
                      *this->head_outcome == AttemptOutcome::kNotRun
@@ -321,22 +323,6 @@
   this->Finish("answered", this->head.status);
 }
 
-void ProxiedRequest::FinishPlain() {
-  http::ResponseHead out;
-  out.status = this->head.status;
-  out.reason = this->head.reason;
-  out.headers = http::EndToEnd(this->head.headers);
-  this->exchange->Respond(out, this->body);
-  const bool success = IsSuccess(this->head.status);
-  if (success) {
-    this->OnRunProven();
-    this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
-                                             this->admitted.arrived);
-  }
-  ++(success ? this->gateway.counters.answered : this->gateway.counters.failed);
-  this->Finish(success ? "answered" : "failure_relayed", this->head.status);
-}
-
 bool ProxiedRequest::MayRetry(AttemptOutcome outcome) {
   return attempts::MayRetry(*this->admitted.route, this->attempt_counts,
                             outcome) &&
@@ -475,116 +461,4 @@
   }
 }
 
-void ProxiedRequest::OnDeadline() {
-  if (this->finished) return;
-  ++this->gateway.counters.timed_out;
-  if (this->attempt_counts.answer_started) {
-    this->exchange->Abort();
-    this->Finish("deadline_in_answer", 0);
-    return;
-  }
-  this->Fail(http::kGatewayTimeout, "deadline");
-}
-
-void ProxiedRequest::OnCallerDisconnected() {
-  if (this->finished) return;
-  ++this->gateway.counters.caller_disconnected;
-  if (this->admitted.route->kind == routes::RequestKind::kNonIdempotent &&
-      this->call != 0) {
-    // Work that must not run twice continues once it was sent: its progress is
-    // unknown, and cancelling would interrupt the endpoint in the middle of it.
-    this->abandoned = true;
-    return;
-  }
-  this->Finish("left_by_caller", 0);
-}
-
-void ProxiedRequest::Refuse(std::string_view reason) {
-  if (this->attempt_counts.answer_started) {
-    ++this->gateway.counters.aborted;
-    this->exchange->Abort();
-    this->Finish("broken_off", 0);
-    return;
-  }
-  if (this->attempt_counts.may_have_run > 0) {
-    this->Fail(http::kBadGateway, reason);
-    return;
-  }
-  Duration wait =
-      this->no_path_reason == placement::NoPathReason::kMissingLayers
-          ? kRetryForLayers
-          : kRetryForCapacity;
-  // All that could serve it have taken what they asked for.
-  if (this->limit_wait && !this->found_unlimited) {
-    wait = std::max(wait, *this->limit_wait);
-  }
-  this->gateway.Refuse(
-      *this->exchange, http::kUnavailable, wait, reason,
-      Fields()
-          .Count("endpoints", this->candidates.ready)
-          .Count("endpoints_suspected", this->candidates.suspected));
-  this->Finish("refused", http::kUnavailable);
-}
-
-void ProxiedRequest::Fail(int status, std::string_view reason) {
-  http::ResponseHead out;
-  out.status = status;
-  out.headers.Add("Content-Type", "text/plain");
-  this->exchange->Respond(
-      out, absl::StrCat("the request may have run: ",
-                        absl::string_view(reason.data(), reason.size()), "\n"));
-  ++this->gateway.counters.failed;
-  this->Log(Level::kNotable, "failed",
-            Fields().Text("why", reason).Count("status", status));
-  this->Finish("failed", status);
-}
-
-void ProxiedRequest::Finish(std::string_view outcome, int status) {
-  if (std::exchange(this->finished, true)) return;
-  this->CancelCall();
-  this->ReleaseLoad();
-  this->gateway.loop.Cancel(this->deadline_timer);
-  this->gateway.loop.Cancel(this->stall_timer);
-  this->exchange->OnDisconnect(nullptr);
-  const Level level = outcome == "answered" ? Level::kRoutine : Level::kNotable;
-  this->Log(level, "finished",
-            Fields()
-                .Text("outcome", outcome)
-                .Count("status", status)
-                .Count("tries", this->attempt_counts.total)
-                .Text("endpoint", this->target.endpoint)
-                .Count("stages",
-                       static_cast<std::int64_t>(this->target.stages.size()))
-                .Count("pieces", this->chunks_written)
-                .Millis("first_event_ms", this->first_event_after)
-                .Millis("longest_pause_ms", this->detector.LongestPause())
-                .Count("expected_token_us",
-                       static_cast<std::int64_t>(this->target.token_millis *
-                                                 kMicrosPerMilli))
-                .Millis("took_ms",
-                        this->gateway.loop.Now() - this->admitted.arrived));
-}
-
-void ProxiedRequest::CancelCall() {
-  const http::CallId open = std::exchange(this->call, 0);
-  if (open == 0) return;
-  this->gateway.client.Cancel(open);
-}
-
-void ProxiedRequest::ReleaseLoad() {
-  for (const auto& load : this->counted_loads) {
-    this->gateway.state.loads.RemoveInFlight(load);
-  }
-  this->counted_loads.clear();
-}
-
-void ProxiedRequest::Log(Level level, std::string_view event,
-                         const Fields& more) const {
-  Fields fields;
-  fields.Text("request", this->request_id)
-      .Text("route", this->admitted.route->name);
-  fields.Append(more);
-  this->gateway.logger.Write(level, event, fields, this->gateway.loop.Now());
-}
-
 }  // namespace toucanwharf::instance
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -12,6 +12,7 @@
 #include "toucanwharf/attempts/attempt_policy.h"
 #include "toucanwharf/attempts/stall_detector.h"
 #include "toucanwharf/http/event_splitter.h"
+#include "toucanwharf/instance/forwarding.h"
 #include "toucanwharf/instance/gateway.h"
 #include "toucanwharf/placement/path_finder.h"
 #include "toucanwharf/quarantine/fingerprint.h"
@@ -25,6 +26,13 @@
 /// Between checks for capacity for an answer that lost its path.
 inline constexpr Duration kCapacityPollPeriod = std::chrono::milliseconds(60);
 
+/// Returns whether an answer with \p status is a success. Thread safety: safe.
+inline bool IsSuccess(int status) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  return status >= kFirstSuccess && status < kFirstRedirect;
+}
+
 /// Returns whether \p endpoint runs one of \p stages. Thread safety: safe.
 inline bool RunsThrough(const std::vector<pipeline::Stage>& stages,
                         const std::string& endpoint) {
@@ -43,15 +51,19 @@
   TimePoint arrived;
   /// When the final answer is due.
   TimePoint deadline;
+  /// What the forwarding instance told; nothing for a caller's request.
+  std::optional<ForwardedRequest> forwarded;
 };
 
 /// One request: sends it to endpoints in one or more attempts, relays the
 /// answer, and resumes it at another endpoint when one fails. Kept alive by its
 /// pending callbacks. proxied_request.cc has the lifecycle from the first
-/// attempt to the end, proxied_request_target.cc the choice of endpoints and
-/// the request sent there, proxied_request_stall.cc the handling of
-/// unresponsive endpoints, proxied_request_evidence.cc what its runs show of
-/// the request itself. Thread safety: only on the loop's thread.
+/// attempt to its last one, proxied_request_end.cc the end,
+/// proxied_request_target.cc the choice of endpoints and the request sent
+/// there, proxied_request_stall.cc the handling of unresponsive endpoints,
+/// proxied_request_evidence.cc what its runs show of the request itself,
+/// proxied_request_forwarding.cc the way by another instance. Thread safety:
+/// only on the loop's thread.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
  public:
   ProxiedRequest(Gateway& owner, std::shared_ptr<http::Exchange> caller,
@@ -74,10 +86,14 @@
  private:
   /// Where an attempt is sent.
   struct Target {
+    /// Id of the endpoint, or of a peer that the request is forwarded to its
+    /// control address.
     std::string endpoint;
     std::string address;
     std::vector<pipeline::Stage> stages;
     double token_millis = 0;
+    /// Whether this is a peer, which chooses the endpoint.
+    bool is_peer = false;
   };
 
   /// Endpoints that a choice considered.
@@ -98,13 +114,32 @@
   /// \p current is the path of an answer that is being rerouted, else empty.
   std::optional<Target> ChoosePath(const std::vector<pipeline::Stage>& current);
   std::optional<Target> ChoosePlain();
+  /// Returns a peer that reaches endpoints, if the request may be forwarded.
+  std::optional<Target> ChoosePeer();
+  /// Returns whether this instance can't reach any endpoint and the request may
+  /// be forwarded.
+  bool MustForward() const;
+  /// Returns whether the request may be forwarded and a peer could take it.
+  bool MayForward() const;
   http::Request BuildRequest(const Target& target) const;
+  /// Returns the request as a peer gets it.
+  http::Request BuildForwarded() const;
   void Send(const Target& target);
 
   void OnHead(const http::ResponseHead& head);
   void OnData(std::string_view bytes);
   void OnDone(const http::CallResult& result);
   void ClassifyHead(const http::ResponseHead& head);
+  /// The same for the answer of a peer.
+  void ClassifyForwarded(const http::ResponseHead& head);
+  void OnForwardRefused(ForwardRefusal refusal);
+  /// Records that this request's call could not reach its endpoint.
+  void OnNotConnected(const http::CallResult& result);
+  /// Returns the head of an answer as the caller gets it.
+  http::ResponseHead ToRelay(const http::ResponseHead& answer) const;
+  /// Counts the request for the budget of extra arrivals and the demand,
+  /// unless the forwarding instance has.
+  void CountRequest();
   void BeginStream(const http::ResponseHead& head);
   void FinishPlain();
   void EndAttempt(attempts::AttemptOutcome outcome, std::string_view reason);
@@ -113,6 +148,8 @@
   void TakeNextStep(attempts::AttemptOutcome outcome, std::string_view reason);
 
   bool MayQueue() const;
+  /// Returns why a request without any target is refused.
+  std::string_view ReasonWithoutTarget() const;
   void WatchStall(Duration delay);
   Duration StallTimeout() const;
   void OnStall();
@@ -129,6 +166,8 @@
   void OnRerouteRefused(const std::vector<pipeline::Stage>& stages,
                         const std::string& fault);
   void SetUnresponsiveAt(const std::string& address);
+  /// Returns the time left, as endpoints and peers are told.
+  std::string RemainingMillis() const;
   void CountLoad();
   /// Counts the request that is sent now against the limit of its endpoint.
   void CountAgainstLimit();
@@ -168,6 +207,8 @@
   void OnCallerDisconnected();
 
   void Refuse(std::string_view reason);
+  /// Returns when a caller that is refused should come back.
+  Duration RetryAfter() const;
   void Fail(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
   void CancelCall();
@@ -227,6 +268,8 @@
   /// Shortest wait for an endpoint whose limit was in the way of the last
   /// choice.
   std::optional<Duration> limit_wait;
+  /// Retry-After of the peer that refused the forwarded request for good.
+  std::optional<Duration> peer_retry_after;
   /// Endpoints considered in the last choice.
   Candidates candidates;
   /// Whether an endpoint was considered whose limit was not.
--- /dev/null
+++ b/lib/instance/proxied_request_end.cc
@@ -0,0 +1,153 @@
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "proxied_request.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using eventlog::Fields;
+using eventlog::Level;
+
+/// Retry-After of refusals. Capacity is freed as soon as one of the answers in
+/// flight ends, many times a second; a lost layer is loaded again in one to two
+/// seconds.
+constexpr Duration kRetryForCapacity = std::chrono::milliseconds(400);
+constexpr Duration kRetryForLayers = std::chrono::milliseconds(1500);
+/// The same while no endpoint can be reached: paths are checked several times a
+/// second.
+constexpr Duration kRetryForPath = std::chrono::milliseconds(800);
+constexpr double kMicrosPerMilli = 1000;
+
+}  // namespace
+
+void ProxiedRequest::FinishPlain() {
+  this->exchange->Respond(this->ToRelay(this->head), this->body);
+  const bool success = IsSuccess(this->head.status);
+  if (success) {
+    this->OnRunProven();
+    this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
+                                             this->admitted.arrived);
+  }
+  ++(success ? this->gateway.counters.answered : this->gateway.counters.failed);
+  this->Finish(success ? "answered" : "failure_relayed", this->head.status);
+}
+
+void ProxiedRequest::OnDeadline() {
+  if (this->finished) return;
+  ++this->gateway.counters.timed_out;
+  if (this->attempt_counts.answer_started) {
+    this->exchange->Abort();
+    this->Finish("deadline_in_answer", 0);
+    return;
+  }
+  this->Fail(http::kGatewayTimeout, "deadline");
+}
+
+void ProxiedRequest::OnCallerDisconnected() {
+  if (this->finished) return;
+  ++this->gateway.counters.caller_disconnected;
+  if (this->admitted.route->kind == routes::RequestKind::kNonIdempotent &&
+      this->call != 0) {
+    // Work that must not run twice continues once it was sent: its progress is
+    // unknown, and cancelling would interrupt the endpoint in the middle of it.
+    this->abandoned = true;
+    return;
+  }
+  this->Finish("left_by_caller", 0);
+}
+
+void ProxiedRequest::Refuse(std::string_view reason) {
+  if (this->attempt_counts.answer_started) {
+    ++this->gateway.counters.aborted;
+    this->exchange->Abort();
+    this->Finish("broken_off", 0);
+    return;
+  }
+  if (this->attempt_counts.may_have_run > 0) {
+    this->Fail(http::kBadGateway, reason);
+    return;
+  }
+  this->gateway.Refuse(
+      *this->exchange, http::kUnavailable, this->RetryAfter(), reason,
+      Fields()
+          .Count("endpoints", this->candidates.ready)
+          .Count("endpoints_suspected", this->candidates.suspected));
+  this->Finish("refused", http::kUnavailable);
+}
+
+Duration ProxiedRequest::RetryAfter() const {
+  if (this->peer_retry_after) return *this->peer_retry_after;
+  if (this->gateway.state.paths.IsIsolated()) return kRetryForPath;
+  const Duration wait =
+      this->no_path_reason == placement::NoPathReason::kMissingLayers
+          ? kRetryForLayers
+          : kRetryForCapacity;
+  // All that could serve it have taken what they asked for.
+  const bool limited = this->limit_wait && !this->found_unlimited;
+  return limited ? std::max(wait, *this->limit_wait) : wait;
+}
+
+void ProxiedRequest::Fail(int status, std::string_view reason) {
+  http::ResponseHead out;
+  out.status = status;
+  out.headers.Add("Content-Type", "text/plain");
+  this->exchange->Respond(
+      out, absl::StrCat("the request may have run: ",
+                        absl::string_view(reason.data(), reason.size()), "\n"));
+  ++this->gateway.counters.failed;
+  this->Log(Level::kNotable, "failed",
+            Fields().Text("why", reason).Count("status", status));
+  this->Finish("failed", status);
+}
+
+void ProxiedRequest::Finish(std::string_view outcome, int status) {
+  if (std::exchange(this->finished, true)) return;
+  this->CancelCall();
+  this->ReleaseLoad();
+  this->gateway.loop.Cancel(this->deadline_timer);
+  this->gateway.loop.Cancel(this->stall_timer);
+  this->exchange->OnDisconnect(nullptr);
+  const Level level = outcome == "answered" ? Level::kRoutine : Level::kNotable;
+  this->Log(level, "finished",
+            Fields()
+                .Text("outcome", outcome)
+                .Count("status", status)
+                .Count("tries", this->attempt_counts.total)
+                .Text("endpoint", this->target.endpoint)
+                .Count("stages",
+                       static_cast<std::int64_t>(this->target.stages.size()))
+                .Count("pieces", this->chunks_written)
+                .Millis("first_event_ms", this->first_event_after)
+                .Millis("longest_pause_ms", this->detector.LongestPause())
+                .Count("expected_token_us",
+                       static_cast<std::int64_t>(this->target.token_millis *
+                                                 kMicrosPerMilli))
+                .Millis("took_ms",
+                        this->gateway.loop.Now() - this->admitted.arrived));
+}
+
+void ProxiedRequest::CancelCall() {
+  const http::CallId open = std::exchange(this->call, 0);
+  if (open == 0) return;
+  this->gateway.client.Cancel(open);
+}
+
+void ProxiedRequest::ReleaseLoad() {
+  for (const auto& load : this->counted_loads) {
+    this->gateway.state.loads.RemoveInFlight(load);
+  }
+  this->counted_loads.clear();
+}
+
+void ProxiedRequest::Log(Level level, std::string_view event,
+                         const Fields& more) const {
+  Fields fields;
+  fields.Text("request", this->request_id)
+      .Text("route", this->admitted.route->name);
+  fields.Append(more);
+  this->gateway.logger.Write(level, event, fields, this->gateway.loop.Now());
+}
+
+}  // namespace toucanwharf::instance
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -63,6 +63,8 @@
 }
 
 Duration ProxiedRequest::StallTimeout() const {
+  // The peer handles what stalls at endpoints.
+  if (this->target.is_peer) return kLongStall;
   if (!this->IsStream()) return kPlainTimeout;
   if (this->HasFailedEngine()) return this->detector.SuspectedStallTimeout();
   const Duration base = this->detector.StallTimeout();
@@ -113,6 +115,10 @@
     this->WatchStall(remaining);
     return;
   }
+  if (this->target.is_peer) {
+    this->ResumeElsewhere("peer_silent");
+    return;
+  }
   if (!this->IsModel()) {
     this->ResumeElsewhere("silent");
     return;
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -10,6 +10,7 @@
   this->limit_wait.reset();
   this->found_unlimited = false;
   this->candidates = Candidates{};
+  if (this->MustForward()) return this->ChoosePeer();
   return this->IsModel() ? this->ChoosePath({}) : this->ChoosePlain();
 }
 
@@ -114,6 +115,7 @@
 }
 
 http::Request ProxiedRequest::BuildRequest(const Target& to) const {
+  if (to.is_peer) return this->BuildForwarded();
   const HeaderNames& names = this->gateway.names;
   const http::Request& received = this->exchange->Received();
   http::Request request;
@@ -128,10 +130,8 @@
   if (!this->admitted.customer.empty()) {
     request.headers.Set(names.customer, this->admitted.customer);
   }
-  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
-      this->admitted.deadline - this->gateway.loop.Now());
-  request.headers.Set(names.deadline, absl::StrCat(std::max<std::int64_t>(
-                                          remaining.count(), 1)));
+  request.headers.Set(names.deadline, this->RemainingMillis());
+  if (this->admitted.forwarded) RemoveForwarding(request.headers);
   request.headers.Set(names.expected_endpoint, to.endpoint);
   request.headers.Remove(names.path);
   if (!to.stages.empty()) {
@@ -143,7 +143,15 @@
   return request;
 }
 
+std::string ProxiedRequest::RemainingMillis() const {
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+      this->admitted.deadline - this->gateway.loop.Now());
+  return absl::StrCat(std::max<std::int64_t>(remaining.count(), 1));
+}
+
 void ProxiedRequest::CountLoad() {
+  // A peer counts what it sends to endpoints.
+  if (this->target.is_peer) return;
   const double tokens = this->prompt_tokens + this->output_tokens;
   const Target& to = this->target;
   if (to.stages.empty()) {
