--- a/include/toucanwharf/endpoints/reachability.h
+++ b/include/toucanwharf/endpoints/reachability.h
@@ -27,8 +27,11 @@
 /// Thread safety: none; for one thread.
 class Reachability {
  public:
-  /// Records that \p endpoint answered on a connection that was new.
-  void OnAnswered(const std::string& endpoint, TimePoint now);
+  /// Records that \p endpoint answered on a connection that was begun at
+  /// \p connected_at. One from before a failure says nothing about the path
+  /// since.
+  void OnAnswered(const std::string& endpoint, TimePoint connected_at,
+                  TimePoint now);
   /// Records that a new connection to \p endpoint was refused, reset before an
   /// answer, or stayed silent; \p endpoints is how many there are, or a large
   /// number if none of them can be checked.
@@ -73,6 +76,8 @@
   std::size_t failed_checks = 0;
   std::string last_checked;
   TimePoint next_check_at;
+  /// The first failure since any endpoint answered.
+  TimePoint doubt_since;
   bool checking = false;
   bool isolated = false;
   /// Whether a check has succeeded since the last that failed, while isolated.
--- a/include/toucanwharf/instance/path_monitor.h
+++ b/include/toucanwharf/instance/path_monitor.h
@@ -31,8 +31,9 @@
     this->changed = std::move(task);
   }
 
-  /// Records that \p endpoint answered on a new connection.
-  void OnAnswered(const std::string& endpoint);
+  /// Records that \p endpoint answered on a new connection, begun at
+  /// \p connected_at.
+  void OnAnswered(const std::string& endpoint, TimePoint connected_at);
   /// Records that a new connection to \p endpoint failed for \p reason.
   void OnFailure(const std::string& endpoint, std::string_view reason);
   /// Makes the check that is due, if any.
--- a/lib/endpoints/reachability.cc
+++ b/lib/endpoints/reachability.cc
@@ -17,8 +17,13 @@
 
 }  // namespace
 
-void Reachability::OnAnswered(const std::string& endpoint, TimePoint now) {
-  this->failures.erase(endpoint);
+void Reachability::OnAnswered(const std::string& endpoint,
+                              TimePoint connected_at, TimePoint now) {
+  const auto failed = this->failures.find(endpoint);
+  const bool newer =
+      failed != this->failures.end() && connected_at >= failed->second.at;
+  if (newer) this->failures.erase(failed);
+  if (!this->InDoubt() || connected_at < this->doubt_since) return;
   if (this->isolated && !this->recovering) {
     // A single answer may have slipped through a link that comes and goes.
     this->recovering = true;
@@ -40,6 +45,7 @@
       this->failures.try_emplace(endpoint, Failure{now, now});
   known->second.at = now;
   this->recovering = false;
+  if (!this->InDoubt()) this->doubt_since = now;
   this->failed_since_answer.insert(endpoint);
   if (checked) ++this->failed_checks;
   const std::size_t failed = this->failed_since_answer.size();
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -210,7 +210,10 @@
     head.headers.Add("Retry-After", absl::StrFormat("%.3f", seconds));
   }
   if (ClaimsForwarding(exchange.Received())) {
-    SetRefusal(head.headers, RefusalFor(reason));
+    // An instance in doubt may be isolated itself and not know it yet.
+    SetRefusal(head.headers, this->state.paths.InDoubt()
+                                 ? ForwardRefusal::kElsewhere
+                                 : RefusalFor(reason));
   }
   std::string body = "not run: ";
   body.append(reason).append("\n");
--- a/lib/instance/path_monitor.cc
+++ b/lib/instance/path_monitor.cc
@@ -28,9 +28,10 @@
       request(std::move(report_request)),
       random(HashText(shared_state.instance)) {}
 
-void PathMonitor::OnAnswered(const std::string& endpoint) {
+void PathMonitor::OnAnswered(const std::string& endpoint,
+                             TimePoint connected_at) {
   if (!this->state.paths.HasFailures()) return;
-  this->state.paths.OnAnswered(endpoint, this->loop.Now());
+  this->state.paths.OnAnswered(endpoint, connected_at, this->loop.Now());
   this->ApplyStatus();
   this->Poll();
 }
@@ -91,7 +92,7 @@
   const bool was_stalled = now - started > kCheckTimeout + kMaxTimerDelay;
   const bool answered = result.end == http::CallEnd::kComplete;
   if (answered) {
-    this->OnAnswered(endpoint);
+    this->OnAnswered(endpoint, started);
   } else if (!was_stalled) {
     this->OnFailure(endpoint, "check_failed");
   }
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -186,7 +186,8 @@
   if (this->finished || this->call == 0) return;
   this->has_head = true;
   if (this->is_new_connection && !this->target.is_peer) {
-    this->gateway.path_monitor.OnAnswered(this->target.endpoint);
+    this->gateway.path_monitor.OnAnswered(this->target.endpoint,
+                                          this->attempt_started);
   }
   this->last_data = this->gateway.loop.Now();
   this->head_at = this->last_data;
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -65,7 +65,10 @@
     this->Finish("broken_off", 0);
     return;
   }
-  if (this->attempt_counts.may_have_run > 0) {
+  // The forwarding instance knows of its own runs.
+  const auto& forwarded = this->admitted.forwarded;
+  const int runs_elsewhere = forwarded ? forwarded->runs : 0;
+  if (this->attempt_counts.may_have_run > runs_elsewhere) {
     this->Fail(http::kBadGateway, reason);
     return;
   }
--- a/unittests/endpoints/reachability_test.cc
+++ b/unittests/endpoints/reachability_test.cc
@@ -26,7 +26,7 @@
     if (fails) {
       paths.OnFailure(*id, kEndpoints, At(now));
     } else {
-      paths.OnAnswered(*id, At(now));
+      paths.OnAnswered(*id, At(now), At(now));
     }
     paths.OnCheckDone();
   }
@@ -71,16 +71,29 @@
   Reachability paths;
   paths.OnFailure("a", kEndpoints, At(0));
   PlayChecks(paths, kEngines, 0);
-  paths.OnAnswered("b", At(100));
+  paths.OnAnswered("b", At(100), At(100));
   BOOST_TEST(paths.IsIsolated());
   paths.OnFailure("c", kEndpoints, At(110));
-  paths.OnAnswered("d", At(400));
+  paths.OnAnswered("d", At(400), At(400));
   BOOST_TEST(paths.IsIsolated());
-  paths.OnAnswered("e", At(410));
+  paths.OnAnswered("e", At(410), At(410));
   BOOST_TEST(!paths.IsIsolated());
   BOOST_TEST(!paths.IsUnreachable("a", At(410)));
 }
 
+// Guards against answers on connections from before the cut, which go on while
+// new ones fail, that end the isolation.
+BOOST_AUTO_TEST_CASE(AnswersOnOlderConnectionsShowNothing) {
+  Reachability paths;
+  paths.OnFailure("a", kEndpoints, At(100));
+  paths.OnAnswered("b", At(90), At(101));
+  BOOST_TEST(paths.InDoubt());
+  PlayChecks(paths, kEngines, 110);
+  paths.OnAnswered("b", At(90), At(120));
+  paths.OnAnswered("c", At(95), At(130));
+  BOOST_TEST(paths.IsIsolated());
+}
+
 // Guards against paths that are back and not used: a check is due soon, and the
 // next one follows at once.
 BOOST_AUTO_TEST_CASE(IsolationEndsWithinASecondOfTheReturn) {
