A leader that can't reach engines hands the lease over and leaves the layout alone

An isolated instance now yields the lease while another reaches endpoints, and competes for it again afterwards. While its own paths are in doubt it plans no layout, and what failed meanwhile doesn't count against the engines.

process_partition, LeaderThatCannotReachEnginesHandsOverAndLeavesTheLayout: failed before (nobody else led within 4 s), holds now.

--- a/include/toucanwharf/control/lease.h
+++ b/include/toucanwharf/control/lease.h
@@ -86,6 +86,8 @@
   /// Releases the role: the term ends immediately, and a write announces it to
   /// the challengers.
   void Release();
+  /// Competes for the role again after Release.
+  void Compete() { this->released = false; }
 
  private:
   struct Attempt {
--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -38,7 +38,9 @@
   /// Returns whether \p endpoint has failed to answer several reports in a row.
   /// Its entry in the store remains for seconds after it died. A refusal by a
   /// busy engine, or a single lost packet, must not move layers.
+  /// While this instance's own paths are in doubt, nothing is lost.
   bool IsLost(const endpoints::Endpoint& endpoint) const {
+    if (this->state.paths.InDoubt()) return false;
     const auto known = this->engines.find(endpoint.id);
     return known != this->engines.end() &&
            known->second.start_time_ms == endpoint.start_time_ms &&
@@ -56,6 +58,12 @@
 
   /// Requests the reports that are due.
   void RequestDue(TimePoint now) {
+    // What failed meanwhile says nothing about the engines once they can be
+    // reached again.
+    if (this->state.paths.IsIsolated()) {
+      for (auto& [id, known] : this->engines) known.failed_reports = 0;
+      return;
+    }
     const Duration period =
         this->state.peers.IsLargeFleet(now) ? kPeriodLarge : kPeriod;
     for (auto& [id, known] : this->engines) {
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -80,9 +80,9 @@
   /// Returns the peers that requests can be forwarded to: those that reach
   /// endpoints and have this instance's configuration.
   std::vector<gossip::ForwardCandidate> ForwardCandidates(TimePoint now) const;
-  /// Returns whether callers are better served elsewhere, because no endpoint
-  /// can be reached from here, but from another instance.
-  bool Withdraws(TimePoint now) const;
+  /// Returns whether no endpoint can be reached from here, but from another
+  /// instance.
+  bool OnlyOthersReachEndpoints(TimePoint now) const;
   /// Returns whether \p endpoint gets no new work, by any finding.
   bool IsAvoided(const std::string& endpoint, TimePoint now) const {
     return this->loads.IsSuspected(endpoint, now) ||
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -68,7 +68,8 @@
     this->UpdateLeadership(this->lease.MayAct(now), now);
     if (!this->state.route_table) return;
     if (this->state.leads) {
-      this->Plan(now);
+      // Engines that this instance can't reach are not gone.
+      if (!this->state.paths.InDoubt()) this->Plan(now);
       this->reports.RequestDue(now);
       this->orders.SendDue(now);
       this->reports.Share();
--- a/include/toucanwharf/instance/placement_lease.h
+++ b/include/toucanwharf/instance/placement_lease.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
 
 #include "toucanwharf/control/lease.h"
@@ -59,7 +60,8 @@
                                          this->CandidatesAhead(now), now);
     // The release of a lease must complete, whoever else leads by now.
     const bool stopping = this->state.stopping_since.has_value();
-    if (!this->state.leads && !may_attempt && !stopping) return;
+    const bool yields = this->YieldIfIsolated(now);
+    if (!this->state.leads && !may_attempt && !stopping && !yields) return;
     if (now < this->pause_until) return;
     auto call = this->lease.Poll(now);
     if (!call) return;
@@ -83,6 +85,22 @@
   }
 
  private:
+  /// Releases the lease while other instances reach endpoints and this one
+  /// doesn't. Returns whether that is so.
+  ///
+  /// Failure guarded against: the holder can't reach any engine, gives orders
+  /// that nobody gets, and nobody else may.
+  bool YieldIfIsolated(TimePoint now) {
+    const bool yields = this->state.OnlyOthersReachEndpoints(now);
+    if (std::exchange(this->yielding, yields) == yields) return yields;
+    if (yields) {
+      this->lease.Release();
+    } else if (!this->state.stopping_since) {
+      this->lease.Compete();
+    }
+    return yields;
+  }
+
   /// Between calls after one without an answer.
   static constexpr Duration kPause = std::chrono::milliseconds(600);
   /// Per instance of a large fleet: all together make forty calls a second.
@@ -141,6 +159,7 @@
   gossip::ElectionPolicy election_policy;
   control::Lease lease;
   TimePoint pause_until;
+  bool yielding = false;
 };
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -99,9 +99,8 @@
   return candidates;
 }
 
-bool InstanceState::Withdraws(TimePoint now) const {
-  return this->withdraws_when_isolated && this->paths.IsIsolated() &&
-         !this->ForwardCandidates(now).empty();
+bool InstanceState::OnlyOthersReachEndpoints(TimePoint now) const {
+  return this->paths.IsIsolated() && !this->ForwardCandidates(now).empty();
 }
 
 std::vector<gossip::Suspicion> InstanceState::Suspicions(TimePoint now) const {
@@ -147,8 +146,10 @@
 }
 
 bool InstanceState::Ready(TimePoint now) const {
-  return !this->stopping_since && this->CanAdmitRequests(now) &&
-         !this->Withdraws(now);
+  // Callers are better served elsewhere.
+  const bool withdraws =
+      this->withdraws_when_isolated && this->OnlyOthersReachEndpoints(now);
+  return !this->stopping_since && this->CanAdmitRequests(now) && !withdraws;
 }
 
 }  // namespace toucanwharf::instance
--- a/test/process/partition_test.cc
+++ b/test/process/partition_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <thread>
 #include <vector>
@@ -167,5 +168,71 @@
   CutFleet(3, LinkFault::kReset).CheckCut();
 }
 
+bool Leads(PlatformFleet& fleet, std::size_t router) {
+  return fleet.Metrics(router).find("\ntoucanwharf_leads 1\n") !=
+         std::string::npos;
+}
+
+std::uint64_t Orders(PlatformFleet& fleet) {
+  std::uint64_t orders = 0;
+  fleet.RunOnLoop([&] { orders = fleet.Endpoints().Orders(); });
+  return orders;
+}
+
+// Guards against a leader without a path to engines that keeps the others from
+// placing layers, and has all layers loaded anew when its path is back.
+BOOST_AUTO_TEST_CASE(LeaderThatCannotReachEnginesHandsOverAndLeavesTheLayout) {
+  PlatformFleet fleet(3);
+  std::size_t leader = 0;
+  BOOST_REQUIRE(PlatformFleet::Eventually([&] {
+    while (leader < 2 && !Leads(fleet, leader)) ++leader;
+    return Leads(fleet, leader);
+  }));
+  const std::uint64_t orders = Orders(fleet);
+  fleet.CutLinks(leader, LinkFault::kSilent);
+  const bool handed_over = PlatformFleet::Eventually(
+      [&] {
+        for (std::size_t router = 0; router < 3; ++router) {
+          if (router != leader && Leads(fleet, router)) return true;
+        }
+        return false;
+      },
+      4000);
+  BOOST_TEST(handed_over);
+  BOOST_TEST(!Leads(fleet, leader));
+  // The old leader would count the engines as lost by now.
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  fleet.HealLinks(leader);
+  std::this_thread::sleep_for(std::chrono::seconds(4));
+  BOOST_TEST(Orders(fleet) == orders);
+  BOOST_TEST(fleet.Stream(leader, "after").answer.status == http::kOk);
+}
+
+// Guards against callers that go on by way of other routers, or are sent
+// nowhere, after the path is back.
+BOOST_AUTO_TEST_CASE(RouterServesItselfWithinASecondOfTheReturnOfItsPath) {
+  PlatformFleet fleet(2);
+  fleet.CutLinks(0, LinkFault::kSilent);
+  const bool found_out = PlatformFleet::Eventually(
+      [&] {
+        fleet.Plain(0, "/read/x", "finds-out");
+        return !fleet.Ready(0);
+      },
+      3000);
+  BOOST_TEST(found_out);
+  BOOST_TEST(fleet.Advice(1).size() == 1U);
+  fleet.HealLinks(0);
+  BOOST_TEST(PlatformFleet::Eventually([&] { return fleet.Ready(0); }, 1000));
+  BOOST_TEST(PlatformFleet::Eventually(
+      [&] { return fleet.Advice(1).size() == 2U; }, 1000));
+  const std::string before = fleet.Metrics(0);
+  BOOST_TEST(fleet.Stream(0, "direct").answer.status == http::kOk);
+  const auto forwarded = [](const std::string& metrics) {
+    const std::string name = "\ntoucanwharf_forwarded_total ";
+    return std::stoi(metrics.substr(metrics.find(name) + name.size()));
+  };
+  BOOST_TEST(forwarded(fleet.Metrics(0)) == forwarded(before));
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
--- a/unittests/control/lease_test.cc
+++ b/unittests/control/lease_test.cc
@@ -132,6 +132,23 @@
 
 // The lease object is deleted. The next holder's number still rises, so that an
 // order of the previous holder stays recognisable as old.
+// Guards against a holder that released the role for a while and never holds it
+// again, though nobody else does.
+BOOST_AUTO_TEST_CASE(ReleasedRoleCanBeHeldAgain) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  Run(actors[0], map, now, 3 * kSecond);
+  const std::uint64_t fence = actors[0].lease.Fence();
+  actors[0].lease.Release();
+  Run(actors[0], map, now, 10 * kSecond);
+  BOOST_TEST(!actors[0].lease.MayAct(LocalNow(actors[0], now)));
+  actors[0].lease.Compete();
+  Run(actors[0], map, now, 10 * kSecond);
+  BOOST_TEST(actors[0].lease.MayAct(LocalNow(actors[0], now)));
+  BOOST_TEST(actors[0].lease.Fence() == fence + 1);
+}
+
 BOOST_AUTO_TEST_CASE(FenceRisesAcrossADeletion) {
   ObjectMap map;
   std::vector<Actor> actors = MakeActors();
