Reset links of an instance are no longer counted as crashes of endpoints

A refused connection counted as the end of the endpoint at once. Now it waits until this instance's own paths are out of doubt (a few milliseconds where connections are refused), and means nothing if they are not. Own test: RefusedConnectionsMeanACrashOnlyIfOthersAnswer (the stand-ins can't refuse connections from one source, only reset them, so that no process test shows it).

--- a/include/toucanwharf/endpoints/reachability.h
+++ b/include/toucanwharf/endpoints/reachability.h
@@ -13,6 +13,16 @@
 
 namespace toucanwharf::endpoints {
 
+/// What it means that an endpoint refuses connections.
+enum class RefusalMeaning {
+  /// Nothing listens at its address: it has ended.
+  kEnded,
+  /// Unknown until this instance's own paths have been checked.
+  kUnknownYet,
+  /// Nothing: this instance's own links refuse connections to all endpoints.
+  kNothing,
+};
+
 /// What this instance's own connections show about its paths to the endpoints:
 /// which one it can't reach, and whether it can reach any.
 ///
@@ -50,6 +60,14 @@
   /// Returns whether this instance can't reach any endpoint.
   bool IsIsolated() const { return this->isolated; }
 
+  /// Returns what it means that an endpoint refuses connections, of which a
+  /// failure was recorded.
+  ///
+  /// Failure guarded against: the links of an instance are reset, it takes all
+  /// endpoints for ended, and the requests that it had sent there are
+  /// quarantined in the whole fleet as if they crashed endpoints.
+  RefusalMeaning MeaningOfRefusal() const;
+
   /// Returns which of \p candidates to check now, and counts it as being
   /// checked; nothing if no check is due. Each check ends with OnAnswered or
   /// OnFailure, and then OnCheckDone.
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -229,6 +229,9 @@
   /// has ended.
   void OnRunBroken(const quarantine::BrokenRun& run, const BrokenAt& at);
   void OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer);
+  /// Records that the endpoint that \p key stands for refuses connections, and
+  /// finds out what that means.
+  void OnEndpointRefused(std::uint32_t key);
   /// Records that the start of an endpoint that \p key stands for has ended.
   void OnEndpointEnded(std::uint32_t key);
   /// Records that \p endpoint answered a request sent at \p sent, so that it
--- a/lib/endpoints/reachability.cc
+++ b/lib/endpoints/reachability.cc
@@ -71,6 +71,11 @@
   return all;
 }
 
+RefusalMeaning Reachability::MeaningOfRefusal() const {
+  if (this->isolated) return RefusalMeaning::kNothing;
+  return this->InDoubt() ? RefusalMeaning::kUnknownYet : RefusalMeaning::kEnded;
+}
+
 std::optional<std::string> Reachability::NextCheck(
     const std::vector<std::string>& candidates, TimePoint now, Random& random) {
   if (this->checking || candidates.empty()) return std::nullopt;
--- a/lib/instance/forwarding.cc
+++ b/lib/instance/forwarding.cc
@@ -24,8 +24,8 @@
 
 /// Reasons of refusals that hold at one instance only.
 constexpr std::array<std::string_view, 8> kReasonsOfOneInstance = {
-    "no_configuration", "keys_unconfirmed", "stopping",
-    "isolated",         "not_connected",    "forward_invalid",
+    "no_configuration", "keys_unconfirmed",        "stopping",
+    "isolated",         "not_connected",           "forward_invalid",
     "forward_behind",   "forward_unknown_instance"};
 
 /// Returns the only value of \p name, a number up to \p max.
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -7,6 +7,9 @@
 using eventlog::Fields;
 using eventlog::Level;
 
+/// A check of this instance's own paths takes a few milliseconds where
+/// connections are refused.
+constexpr Duration kDoubtPollPeriod = std::chrono::milliseconds(2);
 /// Every answer of an endpoint may carry the same unreadable limit.
 constexpr Duration kUnreadableLimitLogPeriod = std::chrono::seconds(10);
 
@@ -29,15 +32,35 @@
 void Gateway::OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer) {
   const bool restarted =
       answer.report && answer.report->start_time_ms != at.start_time_ms;
-  if (answer.refused || restarted) {
+  if (restarted) {
     this->OnEndpointEnded(at.key);
     return;
   }
+  if (answer.refused) {
+    this->path_monitor.OnFailure(at.endpoint, "refused");
+    this->OnEndpointRefused(at.key);
+    return;
+  }
   if (answer.alive && answer.report) {
     this->state.quarantine.OnEndpointCleared(at.key);
   }
 }
 
+void Gateway::OnEndpointRefused(std::uint32_t key) {
+  switch (this->state.paths.MeaningOfRefusal()) {
+    case endpoints::RefusalMeaning::kEnded:
+      this->OnEndpointEnded(key);
+      return;
+    case endpoints::RefusalMeaning::kUnknownYet:
+      this->loop.After(kDoubtPollPeriod,
+                       [this, key] { this->OnEndpointRefused(key); });
+      return;
+    case endpoints::RefusalMeaning::kNothing:
+      // The list of endpoints tells later which of them have ended.
+      return;
+  }
+}
+
 void Gateway::OnEndpointEnded(std::uint32_t key) {
   const TimePoint now = this->loop.Now();
   const auto requests = this->state.quarantine.OnEndpointEnded(key, now);
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -105,8 +105,8 @@
 
 void ProxiedRequest::OnNotConnected(const http::CallResult& result) {
   if (this->target.is_peer) return;
-  if (result.refused) this->OnConnectionRefused();
   this->gateway.path_monitor.OnFailure(this->target.endpoint, "not_connected");
+  if (result.refused) this->OnConnectionRefused();
 }
 
 http::ResponseHead ProxiedRequest::ToRelay(
--- a/unittests/endpoints/reachability_test.cc
+++ b/unittests/endpoints/reachability_test.cc
@@ -106,6 +106,20 @@
   BOOST_TEST(!paths.IsIsolated());
 }
 
+// Guards against reset links that are taken for crashes of all endpoints, and
+// against crashes that are not seen because of the guard.
+BOOST_AUTO_TEST_CASE(RefusedConnectionsMeanACrashOnlyIfOthersAnswer) {
+  Reachability crash;
+  crash.OnFailure("a", kEndpoints, At(0));
+  BOOST_TEST((crash.MeaningOfRefusal() == RefusalMeaning::kUnknownYet));
+  PlayChecks(crash, {"a"}, 1);
+  BOOST_TEST((crash.MeaningOfRefusal() == RefusalMeaning::kEnded));
+  Reachability cut;
+  cut.OnFailure("a", kEndpoints, At(0));
+  PlayChecks(cut, kEngines, 1);
+  BOOST_TEST((cut.MeaningOfRefusal() == RefusalMeaning::kNothing));
+}
+
 // Guards against a fleet of few endpoints, all cut off, that is never found
 // out.
 BOOST_AUTO_TEST_CASE(FewEndpointsThatAllFailAreEnough) {
