--- a/include/toucanwharf/endpoints/reachability.h
+++ b/include/toucanwharf/endpoints/reachability.h
@@ -59,6 +59,10 @@
   bool InDoubt() const { return !this->failed_since_answer.empty(); }
   /// Returns whether this instance can't reach any endpoint.
   bool IsIsolated() const { return this->isolated; }
+  /// Returns whether that has been so for \p length.
+  bool IsIsolatedFor(Duration length, TimePoint now) const {
+    return this->isolated && now - this->isolated_at >= length;
+  }
 
   /// Returns what it means that an endpoint refuses connections, of which a
   /// failure was recorded.
@@ -96,6 +100,7 @@
   TimePoint next_check_at;
   /// The first failure since any endpoint answered.
   TimePoint doubt_since;
+  TimePoint isolated_at;
   bool checking = false;
   bool isolated = false;
   /// Whether a check has succeeded since the last that failed, while isolated.
--- a/include/toucanwharf/instance/placement_lease.h
+++ b/include/toucanwharf/instance/placement_lease.h
@@ -91,7 +91,8 @@
   /// Failure guarded against: the holder can't reach any engine, gives orders
   /// that nobody gets, and nobody else may.
   bool YieldIfIsolated(TimePoint now) {
-    const bool yields = this->state.OnlyOthersReachEndpoints(now);
+    const bool yields = this->state.paths.IsIsolatedFor(kYieldAfter, now) &&
+                        this->state.OnlyOthersReachEndpoints(now);
     if (std::exchange(this->yielding, yields) == yields) return yields;
     if (yields) {
       this->lease.Release();
@@ -101,6 +102,9 @@
     return yields;
   }
 
+  /// A new holder asks all engines anew; a link that comes and goes isn't worth
+  /// it.
+  static constexpr Duration kYieldAfter = std::chrono::milliseconds(700);
   /// Between calls after one without an answer.
   static constexpr Duration kPause = std::chrono::milliseconds(600);
   /// Per instance of a large fleet: all together make forty calls a second.
--- a/lib/endpoints/reachability.cc
+++ b/lib/endpoints/reachability.cc
@@ -3,17 +3,20 @@
 namespace toucanwharf::endpoints {
 namespace {
 
-/// An instance is isolated if at least so many endpoints failed in a row, and
-/// so many of them in checks: the others may be the endpoints of one service
-/// that is gone.
-constexpr std::size_t kMinFailed = 3;
-constexpr std::size_t kMinFailedChecks = 2;
+/// An instance is isolated if at least so many endpoints failed in a row that
+/// were not known to be unreachable, and so many of them in checks: the others
+/// may be the endpoints of one service that is gone. Where a third of the
+/// endpoints is out of reach, so many checks in a row fail once in eighty
+/// times.
+constexpr std::size_t kMinFailed = 5;
+constexpr std::size_t kMinFailedChecks = 4;
 /// Between checks whether a path is back.
 constexpr Duration kRecoveryCheckPeriod = std::chrono::milliseconds(250);
 constexpr Duration kRecheckPeriod = std::chrono::milliseconds(1000);
 /// An endpoint that failed is tried again after this long. A restart takes
 /// longer, and each attempt costs a caller the connect timeout.
 constexpr Duration kUnreachableFor = std::chrono::milliseconds(1500);
+constexpr Duration kForgottenAfter = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -40,19 +43,28 @@
 
 void Reachability::OnFailure(const std::string& endpoint, std::size_t endpoints,
                              TimePoint now) {
+  // Endpoints that are gone are not checked any more.
+  std::erase_if(this->failures, [now](const auto& entry) {
+    return now - entry.second.at > kForgottenAfter;
+  });
   const bool checked = this->checking && endpoint == this->last_checked;
   const auto [known, added] =
       this->failures.try_emplace(endpoint, Failure{now, now});
+  const bool was_known = !added && now - known->second.at < kUnreachableFor;
   known->second.at = now;
   this->recovering = false;
+  const bool is_news =
+      !was_known || this->failed_since_answer.contains(endpoint);
+  if (!is_news) return;
   if (!this->InDoubt()) this->doubt_since = now;
   this->failed_since_answer.insert(endpoint);
   if (checked) ++this->failed_checks;
   const std::size_t failed = this->failed_since_answer.size();
   const bool enough =
       failed >= kMinFailed && this->failed_checks >= kMinFailedChecks;
-  if (this->isolated || (!enough && failed < endpoints)) return;
+  if (this->isolated || (!enough && this->failures.size() < endpoints)) return;
   this->isolated = true;
+  this->isolated_at = now;
   this->next_check_at = now + kRecoveryCheckPeriod;
 }
 
--- a/lib/instance/path_monitor.cc
+++ b/lib/instance/path_monitor.cc
@@ -11,7 +11,7 @@
 
 /// An engine answers a report within a few milliseconds, also while others
 /// connect to it.
-constexpr Duration kCheckTimeout = std::chrono::milliseconds(100);
+constexpr Duration kCheckTimeout = std::chrono::milliseconds(60);
 /// A timeout that is noticed so late shows that this process itself was
 /// stalled, and the answer may not have been read yet.
 constexpr Duration kMaxTimerDelay = std::chrono::milliseconds(20);
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -100,6 +100,10 @@
   /// its address.
   void CrashAndRestart(const std::string& id);
 
+  /// Returns the address of the running endpoint \p id.
+  std::string AddressOf(const std::string& id) const {
+    return this->endpoints.at(id).spec.address;
+  }
   /// Returns the id of the endpoint at \p address; empty if there is none.
   std::string IdAt(const std::string& address);
 
--- a/test/process/partition_test.cc
+++ b/test/process/partition_test.cc
@@ -208,6 +208,25 @@
   BOOST_TEST(fleet.Stream(leader, "after").answer.status == http::kOk);
 }
 
+const std::vector<std::string> kFirstDomain = {
+    "domain-a-0", "domain-a-1", "domain-a-2", "domain-a-3", "domain-a-4"};
+
+// Guards against a leader that takes the engines which it alone can't reach for
+// lost, and moves the layers of the fleet.
+BOOST_AUTO_TEST_CASE(LeaderWithoutAPathToADomainLeavesTheLayoutAlone) {
+  PlatformFleet fleet(3);
+  std::size_t leader = 0;
+  BOOST_REQUIRE(PlatformFleet::Eventually([&] {
+    while (leader < 2 && !Leads(fleet, leader)) ++leader;
+    return Leads(fleet, leader);
+  }));
+  const std::uint64_t orders = Orders(fleet);
+  fleet.CutLinks(leader, LinkFault::kSilent, kFirstDomain);
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  BOOST_TEST(Orders(fleet) == orders);
+  BOOST_TEST(fleet.Stream(leader, "during").answer.status == http::kOk);
+}
+
 // Guards against callers that go on by way of other routers, or are sent
 // nowhere, after the path is back.
 BOOST_AUTO_TEST_CASE(RouterServesItselfWithinASecondOfTheReturnOfItsPath) {
