Endpoints behind a cut path: other instances prove them alive, and serve what can't be sent from here

Who can't reach an endpoint reports it; who does reach it says so in its beacons for a second (endpoints::LifeProofs). A proven endpoint is no beginning of a path and gets no plain request from there, but runs later stages; it isn't lost for the layout. Where only such endpoints are left, the request is forwarded. Old builds say nothing, which leaves it as it was.

Own test CallersOfAServiceThatOneRouterCannotReachAreServed: 0 of reads and signatures before, holds now.

--- a/include/toucanwharf/endpoints/load_tracker.h
+++ b/include/toucanwharf/endpoints/load_tracker.h
@@ -70,6 +70,11 @@
   /// Forgets which endpoints were found unresponsive, because this instance's
   /// own links were at fault.
   void ForgetUnresponsive();
+  /// The same for one endpoint that others prove to be alive.
+  void ForgetUnresponsive(const std::string& endpoint);
+  /// Returns whether \p endpoint has responded to this instance at \p since or
+  /// later.
+  bool HasRespondedSince(const std::string& endpoint, TimePoint since) const;
   /// Records that \p endpoint has responded to this instance.
   void OnResponse(const std::string& endpoint, TimePoint now);
   /// Returns the suspicions that still hold: of unresponsive endpoints those
--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -128,6 +128,9 @@
   /// in flight.
   std::vector<KeyedLoad> fleet_loads;
   std::vector<Suspicion> suspicions;
+  /// Keys of endpoints that some instance can't reach and the sender knows to
+  /// be alive.
+  std::vector<std::uint32_t> alive;
   /// Limits that endpoints state, and the demand for the services.
   std::vector<limits::LimitReport> limits;
   std::vector<limits::ServiceDemand> demands;
--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -38,9 +38,13 @@
   /// Returns whether \p endpoint has failed to answer several reports in a row.
   /// Its entry in the store remains for seconds after it died. A refusal by a
   /// busy engine, or a single lost packet, must not move layers.
-  /// While this instance's own paths are in doubt, nothing is lost.
+  /// While this instance's own paths are in doubt, nothing is lost, nor is what
+  /// other instances reach.
   bool IsLost(const endpoints::Endpoint& endpoint) const {
     if (this->state.paths.InDoubt()) return false;
+    if (this->state.proofs.IsProven(endpoint.id, this->loop.Now())) {
+      return false;
+    }
     const auto known = this->engines.find(endpoint.id);
     return known != this->engines.end() &&
            known->second.start_time_ms == endpoint.start_time_ms &&
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "toucanwharf/endpoints/endpoint_table.h"
+#include "toucanwharf/endpoints/life_proofs.h"
 #include "toucanwharf/endpoints/load_tracker.h"
 #include "toucanwharf/endpoints/reachability.h"
 #include "toucanwharf/gossip/forward_choice.h"
@@ -40,6 +41,7 @@
   endpoints::EndpointTable endpoints;
   endpoints::LoadTracker loads;
   endpoints::Reachability paths;
+  endpoints::LifeProofs proofs;
   gossip::PeerTable peers;
   gossip::ReadyInstanceList ready_list;
   quarantine::Quarantine quarantine;
@@ -85,9 +87,18 @@
   bool OnlyOthersReachEndpoints(TimePoint now) const;
   /// Returns whether \p endpoint gets no new work, by any finding.
   bool IsAvoided(const std::string& endpoint, TimePoint now) const {
-    return this->loads.IsSuspected(endpoint, now) ||
-           this->paths.IsUnreachable(endpoint, now);
+    const bool may_have_ended = this->paths.IsUnreachable(endpoint, now) &&
+                                !this->proofs.IsProven(endpoint, now);
+    return this->loads.IsSuspected(endpoint, now) || may_have_ended;
   }
+  /// Returns whether \p endpoint is alive and only the path from here is cut:
+  /// other endpoints and instances can still use it.
+  bool IsBehindCut(const std::string& endpoint, TimePoint now) const {
+    return this->paths.IsUnreachable(endpoint, now) &&
+           this->proofs.IsProven(endpoint, now);
+  }
+  /// Returns the keys of the endpoints that this instance proves to be alive.
+  std::vector<std::uint32_t> ProvenAlive(TimePoint now);
   /// Returns what this instance found of endpoints and others should act on.
   ///
   /// Failure guarded against: an instance whose own links are cut finds all
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -137,6 +137,7 @@
   void OnDatagram(const std::string& sender, std::string_view payload);
   void ApplySuspicion(const gossip::Suspicion& suspicion,
                       const gossip::Beacon& beacon, TimePoint now);
+  void ApplyProofs(const gossip::Beacon& beacon, TimePoint now);
   void ApplyRefusal(const std::string& endpoint, const std::string& peer,
                     TimePoint until, TimePoint now);
   /// Returns whether the sender of \p beacon is the leader or a backup leader.
--- a/lib/endpoints/load_tracker.cc
+++ b/lib/endpoints/load_tracker.cc
@@ -159,6 +159,17 @@
   this->found_unresponsive_until.clear();
 }
 
+void LoadTracker::ForgetUnresponsive(const std::string& endpoint) {
+  this->unresponsive_until.erase(endpoint);
+  this->found_unresponsive_until.erase(endpoint);
+}
+
+bool LoadTracker::HasRespondedSince(const std::string& endpoint,
+                                    TimePoint since) const {
+  const auto found = this->answered_at.find(endpoint);
+  return found != this->answered_at.end() && found->second >= since;
+}
+
 bool LoadTracker::IsUnresponsive(const std::string& endpoint,
                                  TimePoint now) const {
   return IsBeforeDeadline(this->unresponsive_until, endpoint, now);
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -224,6 +224,9 @@
   beacon.suspicions = SuspicionsFromJson(json.at("q"));
   // An instance of an older build sends none of these.
   if (json.contains("re")) beacon.reaches_endpoints = json["re"].get<bool>();
+  if (json.contains("al")) {
+    beacon.alive = json["al"].get<std::vector<std::uint32_t>>();
+  }
   if (json.contains("el")) beacon.limits = LimitsFromJson(json.at("el"));
   if (json.contains("sd")) beacon.demands = DemandsFromJson(json.at("sd"));
   if (json.contains("sr")) beacon.suspects = SuspectsFromJson(json.at("sr"));
@@ -288,6 +291,7 @@
                {"ri", beacon.ready_instances},
                {"dp", beacon.backup_leaders},
                {"p", beacon.peers}};
+  if (!beacon.alive.empty()) json["al"] = beacon.alive;
   if (beacon.reaches_endpoints) json["re"] = *beacon.reaches_endpoints;
   Json::to_cbor(json, nlohmann::detail::output_adapter<char>(this->common));
 }
--- a/lib/instance/gateway_liveness.cc
+++ b/lib/instance/gateway_liveness.cc
@@ -16,6 +16,8 @@
 /// A sign of life contradicts a peer's report if it is newer than this: peers
 /// report only after an engine was silent for longer.
 constexpr Duration kSignOfLifeAge = std::chrono::milliseconds(80);
+/// The same for endpoints of plain services, which get fewer requests.
+constexpr Duration kPlainSignOfLifeAge = std::chrono::milliseconds(2000);
 /// Several peers report at the same moment; one check answers all of them.
 constexpr Duration kCheckedAge = std::chrono::milliseconds(300);
 
@@ -77,16 +79,24 @@
 
 void Gateway::OnPeerReport(const UnresponsiveReport& report) {
   const TimePoint now = this->loop.Now();
-  const endpoints::Endpoint* endpoint =
-      this->state.endpoints.Find(report.endpoint);
-  // Endpoints of a plain service send no reports that could be asked for.
-  const bool is_engine = endpoint != nullptr && !endpoint->kind.empty();
-  if (!is_engine || this->state.loads.IsUnresponsive(report.endpoint, now)) {
+  const std::string& id = report.endpoint;
+  const endpoints::Endpoint* endpoint = this->state.endpoints.Find(id);
+  if (endpoint == nullptr) return;
+  if (this->state.proofs.IsDisputed(id, now)) return;
+  if (this->ShowsLife(id, now - kSignOfLifeAge)) {
+    this->state.proofs.Dispute(id, now);
     return;
   }
-  if (this->ShowsLife(report.endpoint, now - kSignOfLifeAge)) return;
+  // An endpoint of a plain service sends no report that could be asked for.
+  if (endpoint->kind.empty()) {
+    if (this->state.loads.HasRespondedSince(id, now - kPlainSignOfLifeAge)) {
+      this->state.proofs.Dispute(id, now);
+    }
+    return;
+  }
+  if (this->state.loads.IsUnresponsive(id, now)) return;
   if (report.verified) {
-    this->ApplyReport(report);
+    if (!this->state.proofs.IsProven(id, now)) this->ApplyReport(report);
     return;
   }
   this->probe.Check(endpoint->address, now - kCheckedAge,
@@ -98,10 +108,13 @@
 
 void Gateway::OnReportChecked(const UnresponsiveReport& report,
                               const ProbeAnswer& answer) {
+  const TimePoint now = this->loop.Now();
   if (answer.alive) {
-    this->state.loads.OnResponse(report.endpoint, this->loop.Now());
+    this->state.loads.OnResponse(report.endpoint, now);
+    this->state.proofs.Dispute(report.endpoint, now);
     return;
   }
+  if (this->state.proofs.IsProven(report.endpoint, now)) return;
   this->path_monitor.OnFailure(report.endpoint, "silent");
   this->ApplyReport(report);
 }
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -103,6 +103,16 @@
   return this->paths.IsIsolated() && !this->ForwardCandidates(now).empty();
 }
 
+std::vector<std::uint32_t> InstanceState::ProvenAlive(TimePoint now) {
+  std::vector<std::uint32_t> keys;
+  for (const std::string& id : this->proofs.Disputed(now)) {
+    const endpoints::Endpoint* endpoint = this->endpoints.Find(id);
+    if (endpoint == nullptr) continue;
+    keys.push_back(endpoints::EndpointKey(*endpoint));
+  }
+  return keys;
+}
+
 std::vector<gossip::Suspicion> InstanceState::Suspicions(TimePoint now) const {
   if (this->paths.InDoubt()) return {};
   auto suspicions = this->loads.Suspicions(now, this->leads);
--- a/lib/instance/path_monitor.cc
+++ b/lib/instance/path_monitor.cc
@@ -39,7 +39,9 @@
 void PathMonitor::OnFailure(const std::string& endpoint,
                             std::string_view reason) {
   const TimePoint now = this->loop.Now();
-  if (!this->state.IsAvoided(endpoint, now)) {
+  const bool is_news = !this->state.IsAvoided(endpoint, now) &&
+                       !this->state.paths.IsUnreachable(endpoint, now);
+  if (is_news) {
     this->logger.Write(Level::kNotable, "endpoint_suspected",
                        Fields().Text("endpoint", endpoint).Text("why", reason),
                        now);
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -253,6 +253,7 @@
   beacon.stamp = now.since_start.count();
   beacon.loads = this->state.loads.Local();
   beacon.suspicions = this->state.Suspicions(now);
+  beacon.alive = this->state.ProvenAlive(now);
   beacon.suspects = this->state.quarantine.Reports(now);
   const bool forwards =
       this->state.leads && this->state.peers.IsLargeFleet(now);
@@ -409,6 +410,7 @@
   for (const gossip::Suspicion& suspicion : beacon.suspicions) {
     this->ApplySuspicion(suspicion, beacon, now);
   }
+  this->ApplyProofs(beacon, now);
   this->ApplySuspects(beacon, now);
   this->ApplyLimits(beacon, now);
   const bool large = this->state.peers.IsLargeFleet(now);
--- a/lib/instance/peer_news.cc
+++ b/lib/instance/peer_news.cc
@@ -55,6 +55,24 @@
                      now);
 }
 
+void PeerLink::ApplyProofs(const gossip::Beacon& beacon, TimePoint now) {
+  for (const std::uint32_t key : beacon.alive) {
+    const endpoints::Endpoint* endpoint = this->state.endpoints.FindByKey(key);
+    if (endpoint == nullptr) continue;
+    const bool is_news = !this->state.IsBehindCut(endpoint->id, now);
+    this->state.proofs.OnPeerProof(endpoint->id, now);
+    if (!this->state.paths.IsUnreachable(endpoint->id, now)) continue;
+    // Only the path from here is cut.
+    this->state.loads.ForgetUnresponsive(endpoint->id);
+    if (!is_news) continue;
+    this->logger.Write(Level::kNotable, "peer_reaches_endpoint",
+                       Fields()
+                           .Text("endpoint", endpoint->id)
+                           .Text("peer", beacon.callers_address),
+                       now);
+  }
+}
+
 void PeerLink::ApplySuspects(const gossip::Beacon& beacon, TimePoint now) {
   bool learned = false;
   for (const quarantine::SuspectReport& report : beacon.suspects) {
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -190,6 +190,10 @@
                                           this->attempt_started);
   }
   this->last_data = this->gateway.loop.Now();
+  if (!this->target.is_peer) {
+    this->gateway.state.loads.OnResponse(this->target.endpoint,
+                                         this->last_data);
+  }
   this->head_at = this->last_data;
   this->head = answer;
   this->ClassifyHead(answer);
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -101,6 +101,8 @@
     std::int64_t ready = 0;
     /// Of these, those that are avoided as suspected.
     std::int64_t suspected = 0;
+    /// Endpoints that could be used if the path from here were not cut.
+    std::int64_t behind_cut = 0;
   };
 
   bool IsStream() const {
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -11,7 +11,9 @@
   this->found_unlimited = false;
   this->candidates = Candidates{};
   if (this->MustForward()) return this->ChoosePeer();
-  return this->IsModel() ? this->ChoosePath({}) : this->ChoosePlain();
+  auto chosen = this->IsModel() ? this->ChoosePath({}) : this->ChoosePlain();
+  const bool has_local = chosen || this->candidates.behind_cut == 0;
+  return has_local ? chosen : this->ChoosePeer();
 }
 
 std::optional<ProxiedRequest::Target> ProxiedRequest::ChoosePath(
@@ -32,7 +34,10 @@
         engines.push_back(state.loads.ToEngine(endpoint, now));
         // An answer costs only its first engine a request.
         if (engines.back().layers.begin == 0) {
-          engines.back().may_begin = this->LimitAllows(endpoint, now);
+          const bool behind_cut = state.IsBehindCut(endpoint.id, now);
+          if (behind_cut) ++this->candidates.behind_cut;
+          engines.back().may_begin =
+              !behind_cut && this->LimitAllows(endpoint, now);
         }
       });
   placement::PathQuery query;
@@ -72,6 +77,10 @@
   double lowest_cost = 0;
   state.endpoints.ForEachReady(
       this->admitted.service->name, [&](const endpoints::Endpoint& endpoint) {
+        if (state.IsBehindCut(endpoint.id, now)) {
+          ++this->candidates.behind_cut;
+          return;
+        }
         if (this->excluded.contains(endpoint.id)) return;
         if (!this->LimitAllows(endpoint, now)) return;
         const gossip::EndpointLoad load = state.loads.Total(endpoint.id);
--- a/test/process/partition_test.cc
+++ b/test/process/partition_test.cc
@@ -85,10 +85,12 @@
 /// A fleet of which the links of the first routers are cut.
 class CutFleet {
  public:
-  CutFleet(std::size_t cut_routers, LinkFault how)
+  /// Cuts the links to the endpoints \p ids, or to all if there are none.
+  CutFleet(std::size_t cut_routers, LinkFault how,
+           const std::vector<std::string>& ids = {})
       : fleet(kRouters), cut(cut_routers) {
     for (std::size_t router = 0; router < this->cut; ++router) {
-      this->fleet.CutLinks(router, how);
+      this->fleet.CutLinks(router, how, ids);
     }
     this->CallDuringDetection();
     CallAll(this->fleet, this->observed);
@@ -168,6 +170,12 @@
   CutFleet(3, LinkFault::kReset).CheckCut();
 }
 
+// Guards against callers that are refused at a router which reaches the engines
+// and none of the endpoints of another service, while others reach them.
+BOOST_AUTO_TEST_CASE(CallersOfAServiceThatOneRouterCannotReachAreServed) {
+  CutFleet(1, LinkFault::kSilent, {"plain-0", "plain-1"}).CheckCut();
+}
+
 bool Leads(PlatformFleet& fleet, std::size_t router) {
   return fleet.Metrics(router).find("\ntoucanwharf_leads 1\n") !=
          std::string::npos;
