Failing test: endpoints that ask for rest, or say that they leave, get as much as before

Stand-ins of endpoints can turn requests away with a Retry-After, and say in their answers that they leave. The library class of what endpoints ask, limits::RequestedPauses, is not used yet.

--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -89,6 +89,35 @@
   if (found != this->endpoints.end()) found->second.limit = per_second;
 }
 
+void Endpoints::SetShedding(const std::string& id,
+                            std::optional<std::string> retry_after) {
+  const auto found = this->endpoints.find(id);
+  if (found == this->endpoints.end()) return;
+  found->second.shedding = std::move(retry_after);
+}
+
+void Endpoints::SetLeaving(const std::string& id) {
+  const auto found = this->endpoints.find(id);
+  if (found != this->endpoints.end()) found->second.leaving = true;
+}
+
+void Endpoints::AddNotices(http::ResponseHead& head, const Endpoint& endpoint) {
+  AddLimit(head, endpoint.limit);
+  if (!endpoint.leaving) return;
+  head.headers.Add("Server-Leaving", "1");
+  this->notices[endpoint.spec.id].push_back(this->loop.Now());
+}
+
+bool Endpoints::Shed(const Endpoint& endpoint, http::Exchange& exchange) {
+  if (!endpoint.shedding) return false;
+  this->notices[endpoint.spec.id].push_back(this->loop.Now());
+  http::ResponseHead head = HeadOf(http::kUnavailable, exchange.Received());
+  head.headers.Add("X-Not-Run", "1");
+  head.headers.Add("Retry-After", *endpoint.shedding);
+  exchange.Respond(head, "");
+  return true;
+}
+
 void Endpoints::Drain(const std::string& id) {
   Endpoint& endpoint = this->endpoints.at(id);
   endpoint.state = "draining";
@@ -156,6 +185,7 @@
     this->HandleOrder(endpoint, *exchange);
     return;
   }
+  if (this->Shed(endpoint, *exchange)) return;
   if (endpoint.fault == EndpointFault::kFull) {
     http::ResponseHead head = HeadOf(http::kUnavailable, request);
     head.headers.Add("X-Not-Run", "1");
@@ -262,7 +292,7 @@
     head.headers.Set("X-Request-Id", "of-another-request");
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
-  AddLimit(head, endpoint.limit);
+  this->AddNotices(head, endpoint);
   exchange.Respond(head, "ran at " + endpoint.spec.id);
 }
 
@@ -336,7 +366,7 @@
   http::ResponseHead head = HeadOf(http::kOk, request);
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
-  AddLimit(head, endpoint.limit);
+  this->AddNotices(head, endpoint);
   auto stream = std::make_shared<Stream>(
       Stream{endpoint.spec.id, run.request_id, path, exchange, last + 1});
   this->streams.insert(stream);
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -88,6 +88,18 @@
   /// Sets the requests per second that an endpoint states in its answers;
   /// nothing for no limit. It serves more all the same.
   void SetLimit(const std::string& id, std::optional<double> per_second);
+  /// Makes an endpoint turn away all requests with 503 and \p retry_after as
+  /// the value of Retry-After; nothing ends it.
+  void SetShedding(const std::string& id,
+                   std::optional<std::string> retry_after);
+  /// Makes an endpoint say in its answers that it leaves; its registration
+  /// stays.
+  void SetLeaving(const std::string& id);
+  /// Returns when the endpoint \p id turned requests away, or answered them
+  /// while leaving.
+  const std::vector<TimePoint>& NoticesOf(const std::string& id) {
+    return this->notices[id];
+  }
   /// Sets whether engines report which engine of an answer's path is
   /// unresponsive.
   void ReportStalls(bool named) { this->report_stalls = named; }
@@ -128,6 +140,8 @@
     std::unique_ptr<http::Server> server;
     EndpointFault fault = EndpointFault::kNone;
     std::optional<double> limit;
+    std::optional<std::string> shedding;
+    bool leaving = false;
     pipeline::LayerRange layers;
     std::uint64_t sequence = 0;
     std::string state = "ready";
@@ -143,6 +157,9 @@
 
   void Register(const Endpoint& endpoint);
   void Handle(const std::string& id, std::shared_ptr<http::Exchange> exchange);
+  /// Turns \p exchange away if \p endpoint sheds; returns whether it does.
+  bool Shed(const Endpoint& endpoint, http::Exchange& exchange);
+  void AddNotices(http::ResponseHead& head, const Endpoint& endpoint);
   void HandleOrder(Endpoint& endpoint, http::Exchange& exchange);
   void HandleReport(const Endpoint& endpoint, http::Exchange& exchange);
   void Serve(Endpoint& endpoint, std::shared_ptr<http::Exchange> exchange);
@@ -167,6 +184,7 @@
   std::set<std::shared_ptr<Stream>> streams;
   std::vector<Run> runs;
   std::vector<std::string> violations;
+  std::map<std::string, std::vector<TimePoint>> notices;
   std::uint64_t orders = 0;
   std::uint64_t reroutes = 0;
   std::uint64_t restarts = 0;
--- /dev/null
+++ b/unittests/limits/requested_pauses_test.cc
@@ -0,0 +1,71 @@
+#include "toucanwharf/limits/requested_pauses.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace toucanwharf::limits {
+namespace {
+
+constexpr std::uint32_t kEndpoint = 7;
+constexpr Duration kSecond = std::chrono::seconds(1);
+
+TimePoint At(int millis) {
+  return TimePoint{std::chrono::milliseconds(millis)};
+}
+
+BOOST_AUTO_TEST_CASE(SecondsMayHaveFractions) {
+  BOOST_TEST((ParseRetryAfter("3") == 3 * kSecond));
+  BOOST_TEST((ParseRetryAfter("0.25") == kSecond / 4));
+  BOOST_TEST((ParseRetryAfter("0") == Duration(0)));
+}
+
+// Guards against bad input that makes an endpoint unusable, or for ever.
+BOOST_AUTO_TEST_CASE(AnyOtherTextAsksForNothing) {
+  for (const std::string& text :
+       {std::string(""), std::string("-3"), std::string("nan"),
+        std::string("inf"), std::string("1e308"), std::string("3, 4"),
+        std::string("Fri, 31 Dec 2027 23:59:59 GMT"), std::string(5000, '9')}) {
+    BOOST_TEST(!ParseRetryAfter(text).has_value(), text.substr(0, 30));
+  }
+  BOOST_TEST((ParseRetryAfter("99999999999") == RequestedPauses::kMaxPause));
+}
+
+// Guards against an endpoint that is asked again before its pause is over.
+BOOST_AUTO_TEST_CASE(NothingIsSentUntilThePauseIsOver) {
+  RequestedPauses pauses;
+  BOOST_TEST(pauses.Empty());
+  pauses.OnPause(kEndpoint, 3 * kSecond, At(0), At(10));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(10)) == 3 * kSecond));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(3009)) > Duration(0)));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(3010)) == Duration(0)));
+  BOOST_TEST((pauses.Wait(kEndpoint + 1, At(10)) == Duration(0)));
+  BOOST_TEST(pauses.Count(At(10)) == 1U);
+  BOOST_TEST(pauses.Count(At(3010)) == 0U);
+}
+
+// Guards against answers that overtake each other: the oldest would win.
+BOOST_AUTO_TEST_CASE(AnswerToTheNewestRequestCounts) {
+  RequestedPauses pauses;
+  pauses.OnPause(kEndpoint, 1 * kSecond, At(5), At(20));
+  pauses.OnPause(kEndpoint, 9 * kSecond, At(0), At(30));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(20)) == kSecond));
+  pauses.OnPause(kEndpoint, 5 * kSecond, At(6), At(40));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(40)) == 5 * kSecond));
+}
+
+// Guards against an endpoint that starts anew, or another one at its address,
+// and is never used.
+BOOST_AUTO_TEST_CASE(EndpointsThatAreGoneAreForgotten) {
+  RequestedPauses pauses;
+  pauses.OnPause(kEndpoint, 3 * kSecond, At(0), At(0));
+  BOOST_TEST(pauses.OnLeaving(kEndpoint));
+  BOOST_TEST(!pauses.OnLeaving(kEndpoint));
+  pauses.RetainOnly({kEndpoint}, At(100));
+  BOOST_TEST(pauses.IsLeaving(kEndpoint));
+  BOOST_TEST(!pauses.IsLeaving(kEndpoint + 1));
+  pauses.RetainOnly({kEndpoint + 1}, At(100));
+  BOOST_TEST(pauses.Empty());
+}
+
+}  // namespace
+}  // namespace toucanwharf::limits
