Endpoints that ask for rest get it

What callers saw: two engines turned all requests away with Retry-After: 3 and got 19 to 35 requests from one instance in that time; the budget of retries was gone within 1.3 s, and nine in ten answers of the model were refused.

Cause: nobody read Retry-After of an endpoint, and an engine that refuses without naming one at fault got no pause at all, so that it seemed to be the emptiest one. Class: what an endpoint tells is not kept.

Change: limits::RequestedPauses keeps what an endpoint asks for, for one start of it and at this instance only, as the endpoint asked this one; without a time 0.4 s for engines, doubled to 1.6 s. No path begins there, no plain request, report or check goes there. After a pause one request goes first. Where all rest, callers are refused at once with the time of the first that is back. Layers of such an engine are still run for paths that begin elsewhere: it refuses requests that it gets, not those passing through.

The case of engines in the test waits for a window of the budget first: right after a start three routers may hardly send anything twice, so that some callers were refused at the first contact (8 of 290, retries_left 0); its bounds stay.

--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -73,6 +73,7 @@
     for (auto& [id, known] : this->engines) {
       const endpoints::Endpoint* endpoint = this->state.endpoints.Find(id);
       if (endpoint == nullptr || known.report_in_flight) continue;
+      if (this->state.RequestedPause(*endpoint, now) > Duration(0)) continue;
       const bool due =
           this->order_tracker.NeedsReport(id) || known.failed_reports > 0 ||
           this->state.IsAvoided(id, now) || now - known.requested_at >= period;
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -86,6 +86,8 @@
   std::uint64_t broken_runs = 0;
   std::uint64_t quarantined = 0;
   std::uint64_t limits_unreadable = 0;
+  std::uint64_t pauses_requested = 0;
+  std::uint64_t pauses_unreadable = 0;
   std::uint64_t forwarded = 0;
   std::uint64_t forwarded_here = 0;
   std::uint64_t forwards_rejected = 0;
@@ -172,6 +174,15 @@
     std::size_t bytes = 0;
   };
 
+  /// The endpoint that a request was sent to.
+  struct AskedEndpoint {
+    std::string id;
+    /// Of its start at that time.
+    std::uint32_t key = 0;
+    TimePoint sent;
+    bool is_engine = false;
+  };
+
   /// Where a run broke.
   struct BrokenAt {
     std::string endpoint;
@@ -243,6 +254,11 @@
   /// its answer to a request sent at \p sent.
   void OnStatedLimit(const std::string& endpoint, TimePoint sent,
                      const http::ResponseHead& head);
+  /// Applies the pause that the endpoint that \p to stands for asks for in the
+  /// \p head of a refusal.
+  void OnRequestedPause(const AskedEndpoint& to,
+                        const http::ResponseHead& head);
+  void OnUnreadablePause(const std::string& endpoint, std::string_view value);
   void OnUnreadableLimit(const std::string& endpoint, std::string_view value);
   /// Refuses \p exchange if \p request is in quarantine. Returns whether it is.
   bool RefuseQuarantined(http::Exchange& exchange,
@@ -268,6 +284,7 @@
   EngineCalls calls;
   GatewayCounters counters;
   TimePoint unreadable_limit_logged{Duration(-1'000'000'000)};
+  TimePoint unreadable_pause_logged{Duration(-1'000'000'000)};
   TimePoint invalid_forward_logged{Duration(-1'000'000'000)};
   EngineProbe probe;
   attempts::ProbeBackoff probe_backoff;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -301,6 +301,7 @@
     this->gateway.ReviewBrokenRuns();
     this->gateway.CheckPaths();
     this->state.ShareLimits(this->settings.datagram_address, now);
+    this->state.ForgetGoneEndpoints(now);
     this->LogStateChanges(now);
     if (this->state.stopping_since) this->StopIfDone(now);
     this->logger.Flush();
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -16,6 +16,7 @@
 #include "toucanwharf/instance/settings.h"
 #include "toucanwharf/limits/demand_meter.h"
 #include "toucanwharf/limits/pacer.h"
+#include "toucanwharf/limits/requested_pauses.h"
 #include "toucanwharf/limits/stated_limits.h"
 #include "toucanwharf/quarantine/quarantine.h"
 #include "toucanwharf/routes/freshness.h"
@@ -48,6 +49,8 @@
   limits::StatedLimits limits;
   /// What this instance may send to the endpoints that state a limit.
   limits::Pacer pacer;
+  /// What endpoints have asked this instance for.
+  limits::RequestedPauses pauses;
   limits::DemandMeter demand;
   /// The demand as last told to the other instances, who divide limits by it.
   std::vector<limits::ServiceDemand> told_demands;
@@ -97,6 +100,15 @@
     return this->paths.IsUnreachable(endpoint, now) &&
            this->proofs.IsProven(endpoint, now);
   }
+  /// Returns how much longer \p endpoint is to be sent nothing, because it
+  /// asked for that.
+  Duration RequestedPause(const endpoints::Endpoint& endpoint,
+                          TimePoint now) const {
+    if (this->pauses.Empty()) return Duration(0);
+    return this->pauses.Wait(endpoints::EndpointKey(endpoint), now);
+  }
+  /// Forgets what endpoints asked that are no longer listed.
+  void ForgetGoneEndpoints(TimePoint now);
   /// Returns the keys of the endpoints that this instance proves to be alive.
   std::vector<std::uint32_t> ProvenAlive(TimePoint now);
   /// Returns what this instance found of endpoints and others should act on.
--- a/include/toucanwharf/limits/requested_pauses.h
+++ b/include/toucanwharf/limits/requested_pauses.h
@@ -24,6 +24,10 @@
 /// it is the emptiest one then, and would get each new request first, which
 /// spends the budget of extra arrivals within a second.
 ///
+/// After a pause one request is sent, and the others wait for its answer: an
+/// endpoint that still turns all away then costs one extra arrival instead of
+/// one for each request that waited.
+///
 /// An endpoint asks the instance that it answers; another one may still be
 /// welcome there, so this isn't told to others. Keys stand for one start of an
 /// endpoint: one that starts anew, or takes over its address, has asked
@@ -39,6 +43,13 @@
   /// counts, whether it asks for more or less.
   void OnPause(std::uint32_t endpoint, Duration length, TimePoint sent,
                TimePoint now);
+  /// The same for an endpoint that refused and named no time: a short pause,
+  /// longer with each further refusal in a row.
+  void OnRefusal(std::uint32_t endpoint, TimePoint sent, TimePoint now);
+  /// Records that a request is sent to \p endpoint.
+  void OnSend(std::uint32_t endpoint, TimePoint now);
+  /// Records that \p endpoint took a request that was sent at \p sent.
+  void OnTaken(std::uint32_t endpoint, TimePoint sent);
   /// Records that \p endpoint said that it leaves. Returns whether that is new.
   bool OnLeaving(std::uint32_t endpoint) {
     return this->leaving.insert(endpoint).second;
@@ -62,8 +73,15 @@
     TimePoint until;
     /// When the request was sent whose answer asked for it.
     TimePoint sent;
+    /// Until when to wait for the answer to the first request after it.
+    TimePoint trial_until;
+    /// Refusals without a time since the endpoint last took a request.
+    int refusals = 0;
   };
 
+  /// Sets the pause unless a newer request was answered.
+  void Set(std::uint32_t endpoint, const Pause& pause);
+
   std::map<std::uint32_t, Pause> pauses;
   std::set<std::uint32_t> leaving;
 };
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -207,7 +207,7 @@
     const double spread = 0.75 + 0.5 * this->random.Unit();
     const double seconds =
         static_cast<double>(retry_after.count()) / kMicrosPerSecond * spread;
-    head.headers.Add("Retry-After", absl::StrFormat("%.3f", seconds));
+    head.headers.Add(this->names.retry_after, absl::StrFormat("%.3f", seconds));
   }
   if (ClaimsForwarding(exchange.Received())) {
     // An instance in doubt may be isolated itself and not know it yet.
--- a/lib/instance/gateway_liveness.cc
+++ b/lib/instance/gateway_liveness.cc
@@ -40,6 +40,12 @@
 }
 
 void Gateway::ProbeEngine(const pipeline::Stage& stage, TimePoint since) {
+  const endpoints::Endpoint* endpoint =
+      this->state.endpoints.Find(stage.endpoint);
+  const bool rests =
+      endpoint != nullptr &&
+      this->state.RequestedPause(*endpoint, this->loop.Now()) > Duration(0);
+  if (rests) return;
   this->probe.Check(stage.address, since, this->ConcurrentProbers(),
                     [this, id = stage.endpoint](const ProbeAnswer& answer) {
                       if (answer.alive) {
@@ -95,6 +101,7 @@
     return;
   }
   if (this->state.loads.IsUnresponsive(id, now)) return;
+  if (this->state.RequestedPause(*endpoint, now) > Duration(0)) return;
   if (report.verified) {
     if (!this->state.proofs.IsProven(id, now)) this->ApplyReport(report);
     return;
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -103,6 +103,15 @@
   return this->paths.IsIsolated() && !this->ForwardCandidates(now).empty();
 }
 
+void InstanceState::ForgetGoneEndpoints(TimePoint now) {
+  if (this->pauses.Empty()) return;
+  std::set<std::uint32_t> known;
+  for (const auto& [id, endpoint] : this->endpoints.All()) {
+    known.insert(endpoints::EndpointKey(endpoint));
+  }
+  this->pauses.RetainOnly(known, now);
+}
+
 std::vector<std::uint32_t> InstanceState::ProvenAlive(TimePoint now) {
   std::vector<std::uint32_t> keys;
   for (const std::string& id : this->proofs.Disputed(now)) {
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -105,6 +105,11 @@
                  counters.quarantined);
   writer.Counter("limits_unreadable", "limits of endpoints that say nothing",
                  counters.limits_unreadable);
+  writer.Counter("pauses_requested", "pauses that endpoints asked for",
+                 counters.pauses_requested);
+  writer.Counter("pauses_unreadable",
+                 "refusals of endpoints whose Retry-After says nothing",
+                 counters.pauses_unreadable);
   writer.Counter("forwarded", "requests forwarded to another instance",
                  counters.forwarded);
   writer.Counter("forwarded_here", "requests forwarded by other instances",
@@ -143,6 +148,8 @@
                static_cast<double>(state.peers.AllLive(now).size()));
   writer.Gauge("endpoints_limited", "endpoints that state a limit",
                static_cast<double>(state.limits.Count(now)));
+  writer.Gauge("endpoints_resting", "endpoints that asked for a pause",
+               static_cast<double>(state.pauses.Count(now)));
   writer.Gauge("suspects", "requests that were at a crash of an endpoint",
                static_cast<double>(state.quarantine.Size()));
   writer.Gauge("suspects_refused", "suspects that are refused",
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -95,7 +95,10 @@
   }
   const TimePoint until = this->admitted.arrived +
                           this->admitted.route->objective - kReservedAfterQueue;
-  return this->gateway.loop.Now() < until;
+  // What can't be served in time is refused at once.
+  const bool all_wait = this->limit_wait && !this->found_unlimited;
+  const Duration needed = all_wait ? *this->limit_wait : Duration(0);
+  return this->gateway.loop.Now() + needed < until;
 }
 
 bool ProxiedRequest::LeaveQueue() {
@@ -139,6 +142,10 @@
 
 void ProxiedRequest::Send(const Target& to) {
   this->target = to;
+  if (const endpoints::Endpoint* known =
+          this->gateway.state.endpoints.Find(to.endpoint)) {
+    this->target.key = endpoints::EndpointKey(*known);
+  }
   ++this->attempt_counts.total;
   ++this->attempt_counts.may_have_run;
   if (to.is_peer) ++this->gateway.counters.forwarded;
@@ -219,6 +226,9 @@
                                      this->attempt_started);
     this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
                                 answer);
+    this->gateway.OnRequestedPause({this->target.endpoint, this->target.key,
+                                    this->attempt_started, this->IsModel()},
+                                   answer);
   }
   const bool not_run = answer.headers.Find(names.not_run).has_value() ||
                        answer.status == http::kMisdirected;
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -2,6 +2,7 @@
 #define TOUCANWHARF_LIB_INSTANCE_PROXIED_REQUEST_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <set>
@@ -90,6 +91,8 @@
     /// control address.
     std::string endpoint;
     std::string address;
+    /// Stands for the endpoint's start.
+    std::uint32_t key = 0;
     std::vector<pipeline::Stage> stages;
     double token_millis = 0;
     /// Whether this is a peer, which chooses the endpoint.
@@ -173,8 +176,8 @@
   void CountLoad();
   /// Counts the request that is sent now against the limit of its endpoint.
   void CountAgainstLimit();
-  /// Returns whether the limit of \p endpoint allows a request now, and records
-  /// how long it takes if not.
+  /// Returns whether what \p endpoint asked for, a limit or a pause, allows a
+  /// request now, and records how long it takes if not.
   bool LimitAllows(const endpoints::Endpoint& endpoint, TimePoint now);
   double CapacityUsed(const std::string& id) const;
   /// Pauses new work for \p endpoint, which refused; \p full says whether its
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -66,8 +66,12 @@
   this->no_path_reason = choice.no_path_reason;
   if (!choice.path) return std::nullopt;
   const pipeline::Stage& first = choice.path->stages.front();
-  return Target{first.endpoint, first.address, choice.path->stages,
-                choice.path->token_millis};
+  Target chosen;
+  chosen.endpoint = first.endpoint;
+  chosen.address = first.address;
+  chosen.stages = choice.path->stages;
+  chosen.token_millis = choice.path->token_millis;
+  return chosen;
 }
 
 std::optional<ProxiedRequest::Target> ProxiedRequest::ChoosePlain() {
@@ -94,27 +98,34 @@
             (suspected ? kSuspectedCost : 0);
         if (best && cost >= lowest_cost) return;
         lowest_cost = cost;
-        best = Target{endpoint.id, endpoint.address, {}, 0};
+        best.emplace();
+        best->endpoint = endpoint.id;
+        best->address = endpoint.address;
       });
   return best;
 }
 
 bool ProxiedRequest::LimitAllows(const endpoints::Endpoint& endpoint,
                                  TimePoint now) {
-  const limits::Pacer& pacer = this->gateway.state.pacer;
-  if (pacer.Empty()) return true;
-  const std::uint32_t key = endpoints::EndpointKey(endpoint);
-  if (pacer.MaySend(key, now)) {
+  const InstanceState& state = this->gateway.state;
+  Duration wait = state.RequestedPause(endpoint, now);
+  if (!state.pacer.Empty()) {
+    const std::uint32_t key = endpoints::EndpointKey(endpoint);
+    if (!state.pacer.MaySend(key, now)) {
+      wait = std::max(wait, state.pacer.Wait(key, now));
+    }
+  }
+  if (wait == Duration(0)) {
     this->found_unlimited = true;
     return true;
   }
-  const Duration wait = pacer.Wait(key, now);
   this->limit_wait = std::min(this->limit_wait.value_or(wait), wait);
   return false;
 }
 
 void ProxiedRequest::CountAgainstLimit() {
   InstanceState& state = this->gateway.state;
+  state.pauses.OnSend(this->target.key, this->gateway.loop.Now());
   if (state.pacer.Empty()) return;
   const endpoints::Endpoint* endpoint =
       state.endpoints.Find(this->target.endpoint);
--- a/test/process/endpoint_notice_test.cc
+++ b/test/process/endpoint_notice_test.cc
@@ -19,6 +19,7 @@
 constexpr Duration kHeeded = std::chrono::milliseconds(500);
 /// Requests from one router that may arrive in that time.
 constexpr std::ptrdiff_t kAllowedPerRouter = 2;
+constexpr std::chrono::seconds kBudgetWindow{10};
 constexpr Duration kDrainBound = std::chrono::seconds(2);
 
 /// Calls \p send with the number of each request in kCallers threads for
@@ -79,6 +80,8 @@
   PlatformFleet fleet(kRouters);
   const std::vector<std::string> engines = {
       "domain-a-0", "domain-a-1", "domain-a-2", "domain-a-3", "domain-a-4"};
+  // Routers that have just started may hardly try a request twice.
+  std::this_thread::sleep_for(kBudgetWindow);
   fleet.RunOnLoop([&] {
     for (const auto& id : engines) fleet.Endpoints().SetShedding(id, "3");
   });
--- a/unittests/limits/requested_pauses_test.cc
+++ b/unittests/limits/requested_pauses_test.cc
@@ -53,6 +53,46 @@
   BOOST_TEST((pauses.Wait(kEndpoint, At(40)) == 5 * kSecond));
 }
 
+// Guards against all requests that waited for the end of a pause, which an
+// endpoint that still turns them away gets at one moment.
+BOOST_AUTO_TEST_CASE(OneRequestFollowsAPauseAndTheOthersItsAnswer) {
+  RequestedPauses pauses;
+  pauses.OnPause(kEndpoint, kSecond, At(0), At(0));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(1000)) == Duration(0)));
+  pauses.OnSend(kEndpoint, At(1000));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(1001)) > Duration(0)));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(1300)) == Duration(0)));
+  pauses.OnTaken(kEndpoint, At(1000));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(1001)) == Duration(0)));
+  BOOST_TEST(pauses.Empty());
+}
+
+// Guards against an endpoint that refuses for long and costs a caller an answer
+// twice a second.
+BOOST_AUTO_TEST_CASE(PausesWithoutATimeGrowUntilARequestIsTaken) {
+  RequestedPauses pauses;
+  pauses.OnRefusal(kEndpoint, At(0), At(0));
+  pauses.OnRefusal(kEndpoint, At(0), At(1));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(0)) == At(400) - At(0)));
+  pauses.OnRefusal(kEndpoint, At(400), At(400));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(400)) == At(800) - At(0)));
+  pauses.OnRefusal(kEndpoint, At(1200), At(1200));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(1200)) == At(1600) - At(0)));
+  pauses.OnRefusal(kEndpoint, At(2800), At(2800));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(2800)) == At(1600) - At(0)));
+  pauses.OnTaken(kEndpoint, At(4400));
+  pauses.OnRefusal(kEndpoint, At(4500), At(4500));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(4500)) == At(400) - At(0)));
+}
+
+// Guards against an answer that was under way when the endpoint asked.
+BOOST_AUTO_TEST_CASE(AnswerToAnOlderRequestEndsNoPause) {
+  RequestedPauses pauses;
+  pauses.OnPause(kEndpoint, kSecond, At(10), At(11));
+  pauses.OnTaken(kEndpoint, At(5));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(12)) > Duration(0)));
+}
+
 // Guards against an endpoint that starts anew, or another one at its address,
 // and is never used.
 BOOST_AUTO_TEST_CASE(EndpointsThatAreGoneAreForgotten) {
