Endpoints that say in their answers that they leave get nothing new

An endpoint marks all its answers when it leaves (Server-Leaving), often before the store's list says so and in some cases without the list ever saying it. Class: what an endpoint tells is not kept.

An instance that has read the mark sends nothing new there and begins no path that runs through it; what is under way goes on.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -86,6 +86,7 @@
   std::uint64_t broken_runs = 0;
   std::uint64_t quarantined = 0;
   std::uint64_t limits_unreadable = 0;
+  std::uint64_t endpoints_leaving = 0;
   std::uint64_t pauses_requested = 0;
   std::uint64_t pauses_unreadable = 0;
   std::uint64_t forwarded = 0;
@@ -258,6 +259,9 @@
   /// \p head of a refusal.
   void OnRequestedPause(const AskedEndpoint& to,
                         const http::ResponseHead& head);
+  /// Records that the endpoint that \p to stands for leaves, if \p head says
+  /// so.
+  void OnLeavingNotice(const AskedEndpoint& to, const http::ResponseHead& head);
   void OnUnreadablePause(const std::string& endpoint, std::string_view value);
   void OnUnreadableLimit(const std::string& endpoint, std::string_view value);
   /// Refuses \p exchange if \p request is in quarantine. Returns whether it is.
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -107,6 +107,14 @@
     if (this->pauses.Empty()) return Duration(0);
     return this->pauses.Wait(endpoints::EndpointKey(endpoint), now);
   }
+  /// Returns whether \p endpoint has said in an answer that it leaves.
+  ///
+  /// Failure guarded against: the store's list says so later than the endpoint
+  /// itself, or never, and requests go there until it ends (I5).
+  bool IsLeaving(const endpoints::Endpoint& endpoint) const {
+    return !this->pauses.Empty() &&
+           this->pauses.IsLeaving(endpoints::EndpointKey(endpoint));
+  }
   /// Forgets what endpoints asked that are no longer listed.
   void ForgetGoneEndpoints(TimePoint now);
   /// Returns the keys of the endpoints that this instance proves to be alive.
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -83,6 +83,8 @@
   std::string last_event_id;
   /// Requests per second that an endpoint in need takes from all instances.
   std::string limit;
+  /// Set in all its answers by an endpoint that leaves.
+  std::string leaving;
   /// When to come back, in seconds; of refusals of endpoints and our own.
   std::string retry_after;
 
--- a/lib/instance/gateway_notices.cc
+++ b/lib/instance/gateway_notices.cc
@@ -44,6 +44,15 @@
       now);
 }
 
+void Gateway::OnLeavingNotice(const AskedEndpoint& to,
+                              const http::ResponseHead& head) {
+  if (head.headers.Get(this->names.leaving) != "1") return;
+  if (!this->state.pauses.OnLeaving(to.key)) return;
+  ++this->counters.endpoints_leaving;
+  this->logger.Write(Level::kNotable, "endpoint_leaves",
+                     Fields().Text("endpoint", to.id), this->loop.Now());
+}
+
 void Gateway::OnUnreadablePause(const std::string& endpoint,
                                 std::string_view value) {
   ++this->counters.pauses_unreadable;
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -105,6 +105,9 @@
                  counters.quarantined);
   writer.Counter("limits_unreadable", "limits of endpoints that say nothing",
                  counters.limits_unreadable);
+  writer.Counter("endpoints_leaving",
+                 "endpoints that said in an answer that they leave",
+                 counters.endpoints_leaving);
   writer.Counter("pauses_requested", "pauses that endpoints asked for",
                  counters.pauses_requested);
   writer.Counter("pauses_unreadable",
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -226,9 +226,10 @@
                                      this->attempt_started);
     this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
                                 answer);
-    this->gateway.OnRequestedPause({this->target.endpoint, this->target.key,
-                                    this->attempt_started, this->IsModel()},
-                                   answer);
+    const Gateway::AskedEndpoint to{this->target.endpoint, this->target.key,
+                                    this->attempt_started, this->IsModel()};
+    this->gateway.OnRequestedPause(to, answer);
+    this->gateway.OnLeavingNotice(to, answer);
   }
   const bool not_run = answer.headers.Find(names.not_run).has_value() ||
                        answer.status == http::kMisdirected;
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -25,6 +25,7 @@
       this->admitted.service->name, [&](const endpoints::Endpoint& endpoint) {
         // A full engine can keep the state that it holds of the answer.
         const bool on_path = RunsThrough(current, endpoint.id);
+        if (!on_path && state.IsLeaving(endpoint)) return;
         const bool unusable = on_path
                                   ? state.loads.IsUnresponsive(endpoint.id, now)
                                   : state.IsAvoided(endpoint.id, now);
@@ -81,6 +82,7 @@
   double lowest_cost = 0;
   state.endpoints.ForEachReady(
       this->admitted.service->name, [&](const endpoints::Endpoint& endpoint) {
+        if (state.IsLeaving(endpoint)) return;
         if (state.IsBehindCut(endpoint.id, now)) {
           ++this->candidates.behind_cut;
           return;
