The text of a refusal is no part of an answer that was begun

Its first instance to forward to was killed, the next one refused the rest, and the text of that refusal ("not run: ...") went to the caller between two events (I2).

Cause: once any part of an answer had been relayed, the body of a failure was relayed too, instead of being held for the decision what to do next. An endpoint that refuses with a body had the same effect without any forwarding, so this was there before. The body of a failure is now only kept.

--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -254,23 +254,32 @@
   this->exchange->Begin(this->ToRelay(answer));
 }
 
+void ProxiedRequest::OnPlainData(std::string_view bytes) {
+  this->body.append(bytes);
+  const bool begun = this->attempt_counts.answer_started;
+  if (!begun && this->body.size() <= kMaxHeldBackBytes) return;
+  if (!begun) {
+    http::ResponseHead out = this->ToRelay(this->head);
+    out.length = this->head.length;
+    this->attempt_counts.answer_started = true;
+    this->exchange->Begin(out);
+  }
+  this->last_relayed = this->last_data;
+  this->exchange->Write(this->body);
+  this->body.clear();
+}
+
 void ProxiedRequest::OnData(std::string_view bytes) {
   if (this->finished || this->call == 0) return;
   this->last_data = this->gateway.loop.Now();
-  if (!this->head_usable || !this->IsStream()) {
+  if (!this->head_usable) {
+    // The body of a failure, which is no part of an answer that was begun by an
+    // earlier attempt.
     this->body.append(bytes);
-    if (this->body.size() > kMaxHeldBackBytes && this->head_usable &&
-        !this->attempt_counts.answer_started) {
-      http::ResponseHead out = this->ToRelay(this->head);
-      out.length = this->head.length;
-      this->attempt_counts.answer_started = true;
-      this->exchange->Begin(out);
-    }
-    if (this->attempt_counts.answer_started) {
-      this->last_relayed = this->last_data;
-      this->exchange->Write(this->body);
-      this->body.clear();
-    }
+    return;
+  }
+  if (!this->IsStream()) {
+    this->OnPlainData(bytes);
     return;
   }
   this->events.Feed(bytes);
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -133,6 +133,8 @@
 
   void OnHead(const http::ResponseHead& head);
   void OnData(std::string_view bytes);
+  /// Holds back the body of a plain answer, or relays it if it is long.
+  void OnPlainData(std::string_view bytes);
   void OnDone(const http::CallResult& result);
   void ClassifyHead(const http::ResponseHead& head);
   /// The same for the answer of a peer.
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -8,8 +8,6 @@
 namespace {
 
 using attempts::AttemptOutcome;
-using eventlog::Fields;
-using eventlog::Level;
 
 constexpr double kMicrosPerSecond = 1e6;
 /// Retry-After of a peer that gave none that can be read.
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -114,7 +114,7 @@
   http::ResponseHead head = HeadOf(http::kUnavailable, exchange.Received());
   head.headers.Add("X-Not-Run", "1");
   head.headers.Add("Retry-After", *endpoint.shedding);
-  exchange.Respond(head, "");
+  exchange.Respond(head, "turned away\n");
   return true;
 }
 
--- a/standins/fleet/link_filter.cc
+++ b/standins/fleet/link_filter.cc
@@ -92,7 +92,8 @@
 void Reset(int socket) {
   sockaddr none{};
   none.sa_family = AF_UNSPEC;
-  connect(socket, &none, sizeof(none));
+  // A connection that is gone already needs no reset.
+  (void)connect(socket, &none, sizeof(none));
 }
 
 std::vector<int> OpenDescriptors() {
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -28,6 +28,12 @@
   return !whole || call.events.size() == Endpoints::kEvents;
 }
 
+std::string EventsOf(const ObservedRequest& call) {
+  std::string text;
+  for (const int event : call.events) text += std::to_string(event) + " ";
+  return text;
+}
+
 bool AnswerIsItsOwn(const ObservedRequest& call) {
   if (!IsSuccess(call) || !call.answer.complete) return true;
   const auto id = call.answer.headers.find("x-request-id");
@@ -140,7 +146,9 @@
       add(call, "refused as if it crashed endpoints");
     }
     if (!AnswerIsItsOwn(call)) add(call, "not its own answer (I2)");
-    if (!EventsAreRight(call)) add(call, "events missing or repeated (I1, I2)");
+    if (!EventsAreRight(call)) {
+      add(call, "events missing or repeated (I1, I2): " + EventsOf(call));
+    }
     const bool second = call.kind == RequestKind::kSecondCustomer;
     if (second && times > 0 && WasRevoked(call, revoked)) {
       add(call, "ran with a revoked key (I7)");
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -30,6 +30,8 @@
   settings.duration_ms = options["seconds"].as<int>() * std::int64_t{1000};
   settings.crashing_requests = options.count("crashing-requests") > 0;
   settings.endpoint_limits = options.count("endpoint-limits") > 0;
+  settings.cut_paths = options.count("cut-paths") > 0;
+  settings.endpoint_pauses = options.count("endpoint-pauses") > 0;
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
        options["seeds"].as<std::vector<std::uint64_t>>()) {
@@ -52,7 +54,9 @@
       "routers", "number of routers",
       cxxopts::value<std::size_t>()->default_value("4"))(
       "crashing-requests", "send requests that crash endpoints, too")(
-      "endpoint-limits", "let endpoints state limits, too");
+      "endpoint-limits", "let endpoints state limits, too")(
+      "cut-paths", "cut links from routers to endpoints, too")(
+      "endpoint-pauses", "let endpoints ask for pauses, too");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -43,7 +43,10 @@
                                "endpoint",
                                "revocation",
                                "crashing request",
-                               "endpoint limit"};
+                               "endpoint limit",
+                               "paths silent",
+                               "paths reset",
+                               "endpoint pause"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
@@ -63,6 +66,7 @@
         random.Below(static_cast<std::uint64_t>(settings.duration_ms)));
     fault.duration_ms = 2000 + static_cast<std::int64_t>(random.Below(6000));
     fault.endpoint = Draw(kEndpoints, random);
+    fault.router = random.Below(settings.routers);
     fault.limit = 0.5 + static_cast<double>(random.Below(8));
     faults.push_back(fault);
   }
@@ -96,6 +100,13 @@
   if (settings.endpoint_limits) {
     AddApart(FaultKind::kEndpointLimit, settings, faults);
   }
+  if (settings.cut_paths) {
+    AddApart(FaultKind::kPathsSilent, settings, faults);
+    AddApart(FaultKind::kPathsReset, settings, faults);
+  }
+  if (settings.endpoint_pauses) {
+    AddApart(FaultKind::kEndpointPause, settings, faults);
+  }
   return faults;
 }
 
@@ -103,6 +114,9 @@
   std::string text = std::to_string(fault.at_ms) + " ms, for " +
                      std::to_string(fault.duration_ms) +
                      " ms: " + kNames[static_cast<std::size_t>(fault.kind)];
+  if (fault.kind == FaultKind::kEndpointPause) {
+    return text + " " + fault.endpoint;
+  }
   if (fault.kind == FaultKind::kEndpoint) {
     return text + " " + fault.endpoint + " fault " +
            std::to_string(static_cast<int>(fault.endpoint_fault));
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -37,6 +37,11 @@
   kCrashingRequest,
   /// An endpoint states a limit in its answers.
   kEndpointLimit,
+  /// The links from one router to all endpoints are cut, silently or by resets.
+  kPathsSilent,
+  kPathsReset,
+  /// An endpoint turns all requests away and asks for a pause.
+  kEndpointPause,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -70,6 +75,10 @@
   bool crashing_requests = false;
   /// Whether endpoints also state limits; the same holds.
   bool endpoint_limits = false;
+  /// Whether the links from routers to endpoints are also cut; the same holds.
+  bool cut_paths = false;
+  /// Whether endpoints also ask for pauses; the same holds.
+  bool endpoint_pauses = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <deque>
 #include <fstream>
+#include <optional>
 #include <set>
 #include <thread>
 #include <utility>
@@ -22,6 +23,8 @@
 
 /// Time within which a router must serve again after the last fault.
 constexpr int kRecoveryTimeoutMs = 12000;
+/// Seconds that an endpoint asks for.
+constexpr const char* kRequestedPause = "1.5";
 
 /// The begin or the end of a fault.
 struct FaultEvent {
@@ -117,6 +120,15 @@
       case FaultKind::kEndpointLimit:
         this->SetLimit(fault);
         return;
+      case FaultKind::kPathsSilent:
+        this->fleet.CutLinks(fault.router, standins::fleet::LinkFault::kSilent);
+        return;
+      case FaultKind::kPathsReset:
+        this->fleet.CutLinks(fault.router, standins::fleet::LinkFault::kReset);
+        return;
+      case FaultKind::kEndpointPause:
+        this->SetShedding(fault.endpoint, kRequestedPause);
+        return;
       case FaultKind::kCrashingRequest:
         return;
     }
@@ -150,12 +162,25 @@
       case FaultKind::kEndpointLimit:
         this->EndLimit(fault);
         return;
+      case FaultKind::kPathsSilent:
+      case FaultKind::kPathsReset:
+        this->fleet.HealLinks(fault.router);
+        return;
+      case FaultKind::kEndpointPause:
+        this->SetShedding(fault.endpoint, std::nullopt);
+        return;
       case FaultKind::kReload:
       case FaultKind::kCrashingRequest:
         return;
     }
   }
 
+  void SetShedding(const std::string& endpoint,
+                   const std::optional<std::string>& retry_after) {
+    this->fleet.RunOnLoop(
+        [&] { this->fleet.Endpoints().SetShedding(endpoint, retry_after); });
+  }
+
   void SetLimit(const Fault& fault) {
     this->fleet.RunOnLoop(
         [&] { this->fleet.Endpoints().SetLimit(fault.endpoint, fault.limit); });
@@ -187,6 +212,7 @@
     const bool of_a_router = event.fault.kind != FaultKind::kReload &&
                              event.fault.kind != FaultKind::kEndpoint &&
                              event.fault.kind != FaultKind::kEndpointLimit &&
+                             event.fault.kind != FaultKind::kEndpointPause &&
                              event.fault.kind != FaultKind::kRevocation;
     if (!of_a_router) return;
     const TimePoint now = BootClock().Now();
