--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -148,8 +148,7 @@
     known.report_in_flight = false;
     if (result.end != http::CallEnd::kComplete || head.status != http::kOk) {
       ++known.failed_reports;
-      // Each connection that is reused may have been cut on its own, so this is
-      // one more endpoint that doesn't answer, and no check of the paths.
+      // The paths from here may be cut; the next poll of the paths checks.
       this->state.paths.OnFailure(id, std::numeric_limits<std::size_t>::max(),
                                   this->loop.Now());
       this->SuspectUnresponsive(id, known);
--- a/lib/eventlog/explain.cc
+++ b/lib/eventlog/explain.cc
@@ -15,7 +15,7 @@
 
 /// Explanation of each reason that an attempt or a request ended, and the log
 /// lines to check.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 18>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 22>
     kCauses = {{
         {"no_configuration",
          "the instance had just started and had no configuration; see its "
@@ -49,6 +49,16 @@
         {"first_engine_silent", "the first engine of the path fell silent"},
         {"no_way_around",
          "an engine of the path fell silent, and no path around it had room"},
+        {"isolated",
+         "the instance could reach no endpoint, and knew of no other that "
+         "could; see isolated_from_endpoints and endpoints_regained"},
+        {"refused_by_peer",
+         "the instance could not reach the endpoints and forwarded it; the "
+         "other one refused, see the refused line there"},
+        {"peer_silent",
+         "the instance that it was forwarded to gave no sign of life"},
+        {"forward_behind",
+         "the instance that it was forwarded to had an older configuration"},
         {"deadline", "its time was over before an answer came"},
     }};
 
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -60,6 +60,10 @@
   beacon.suspicions = {{"engine", milliseconds(20), true}};
   beacon.limits = {{7, 4.6, milliseconds(20)}, {8, std::nullopt, Duration(1)}};
   beacon.demands = {{3, 12.5}};
+  beacon.alive = {9, 0xfffffffe};
+  if (*rc::gen::arbitrary<bool>()) {
+    beacon.reaches_endpoints = *rc::gen::arbitrary<bool>();
+  }
   beacon.suspects = {{{7, *rc::gen::arbitrary<std::uint64_t>()},
                       {{{1, 2}, milliseconds(900), milliseconds(60), false},
                        {{3, 4}, milliseconds(20), milliseconds(50), true}}}};
