--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -82,8 +82,8 @@
   /// instance's addresses.
   std::vector<std::string> ReadyPeers(TimePoint now, const std::string& callers,
                                       const std::string& datagrams) const;
-  /// Returns the peers that requests can be forwarded to: those that reach
-  /// endpoints and have this instance's configuration.
+  /// Returns the peers that requests can be forwarded to: those that were heard
+  /// of lately and reach endpoints. One with an older configuration refuses.
   std::vector<gossip::ForwardCandidate> ForwardCandidates(TimePoint now) const;
   /// Returns whether no endpoint can be reached from here, but from another
   /// instance.
