--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -49,6 +49,12 @@
 target_link_libraries(process_partition PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(leader_partition)
+target_sources(process_leader_partition PRIVATE
+  test/process/platform_fleet.cc)
+target_link_libraries(process_leader_partition PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(endpoint_notice)
 target_sources(process_endpoint_notice PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_endpoint_notice PRIVATE standin_fleet
