A leader all of whose reports fail at one moment finds out that it is isolated

Without callers a leader notices by its reports; if all of them fail before a check was made, no engine was left that had not failed, none was checked, and without failed checks there is no isolation. They are now checked again, every 50 ms.

--- a/lib/endpoints/reachability.cc
+++ b/lib/endpoints/reachability.cc
@@ -16,6 +16,7 @@
 /// An endpoint that failed is tried again after this long. A restart takes
 /// longer, and each attempt costs a caller the connect timeout.
 constexpr Duration kUnreachableFor = std::chrono::milliseconds(1500);
+constexpr Duration kRepeatedCheckPeriod = std::chrono::milliseconds(50);
 constexpr Duration kForgottenAfter = std::chrono::seconds(5);
 
 }  // namespace
@@ -121,6 +122,12 @@
     if (now - failed->second.checked_at >= kRecheckPeriod) due.push_back(id);
   }
   if (this->InDoubt() && !untried.empty()) return draw(untried);
+  if (this->InDoubt()) {
+    // All have failed, but not in checks.
+    if (now < this->next_check_at) return std::nullopt;
+    this->next_check_at = now + kRepeatedCheckPeriod;
+    return draw(candidates);
+  }
   if (due.empty()) return std::nullopt;
   const std::string chosen = draw(due);
   this->failures[chosen].checked_at = now;
--- a/unittests/endpoints/reachability_test.cc
+++ b/unittests/endpoints/reachability_test.cc
@@ -138,6 +138,18 @@
   }
 }
 
+// Guards against a leader whose reports all fail at one moment, which leaves no
+// engine to check, and which never finds out that it is isolated.
+BOOST_AUTO_TEST_CASE(EnginesThatAllFailedAtOnceAreCheckedAgain) {
+  constexpr std::size_t kUncheckable = 1000;
+  Reachability paths;
+  for (const std::string& id : kEngines) {
+    paths.OnFailure(id, kUncheckable, At(0));
+  }
+  for (int now = 0; now < 400; now += 50) PlayChecks(paths, kEngines, now);
+  BOOST_TEST(paths.IsIsolated());
+}
+
 // Guards against a fleet of few endpoints, all cut off, that is never found
 // out.
 BOOST_AUTO_TEST_CASE(FewEndpointsThatAllFailAreEnough) {
