A pause isn't ended by an answer to a request that was under way when it began

Only a request sent after the end of the pause counts now. Unit test AnswerToARequestSentBeforeTheEndOfAPauseEndsNone failed before.

--- a/include/toucanwharf/limits/requested_pauses.h
+++ b/include/toucanwharf/limits/requested_pauses.h
@@ -48,7 +48,9 @@
   void OnRefusal(std::uint32_t endpoint, TimePoint sent, TimePoint now);
   /// Records that a request is sent to \p endpoint.
   void OnSend(std::uint32_t endpoint, TimePoint now);
-  /// Records that \p endpoint took a request that was sent at \p sent.
+  /// Records that \p endpoint took a request that was sent at \p sent. One that
+  /// was sent before the end of a pause says nothing: an endpoint may turn only
+  /// some requests away.
   void OnTaken(std::uint32_t endpoint, TimePoint sent);
   /// Records that \p endpoint said that it leaves. Returns whether that is new.
   bool OnLeaving(std::uint32_t endpoint) {
--- a/lib/limits/requested_pauses.cc
+++ b/lib/limits/requested_pauses.cc
@@ -60,7 +60,7 @@
 
 void RequestedPauses::OnTaken(std::uint32_t endpoint, TimePoint sent) {
   const auto found = this->pauses.find(endpoint);
-  if (found == this->pauses.end() || sent <= found->second.sent) return;
+  if (found == this->pauses.end() || sent < found->second.until) return;
   this->pauses.erase(found);
 }
 
--- a/unittests/limits/requested_pauses_test.cc
+++ b/unittests/limits/requested_pauses_test.cc
@@ -67,6 +67,17 @@
   BOOST_TEST(pauses.Empty());
 }
 
+// Guards against an endpoint that turns some requests away: the next one, sent
+// before the refusal came, is taken and must not end the pause.
+BOOST_AUTO_TEST_CASE(AnswerToARequestSentBeforeTheEndOfAPauseEndsNone) {
+  RequestedPauses pauses;
+  pauses.OnPause(kEndpoint, 3 * kSecond, At(0), At(5));
+  pauses.OnTaken(kEndpoint, At(2));
+  BOOST_TEST((pauses.Wait(kEndpoint, At(6)) > Duration(0)));
+  pauses.OnTaken(kEndpoint, At(3005));
+  BOOST_TEST(pauses.Empty());
+}
+
 // Guards against an endpoint that refuses for long and costs a caller an answer
 // twice a second.
 BOOST_AUTO_TEST_CASE(PausesWithoutATimeGrowUntilARequestIsTaken) {
