A sound endpoint that was silent for a moment is used again as soon as it goes on

The kind of the failure is kept now: an unresponsive endpoint is left out for 1.0 s, and until it sends anything.

Where no engine is left that could be checked (all rest, or are gone), an isolated instance never found out that endpoints are back; it forgets its failures then, and requests find out.

Unit tests EndpointThatGoesOnIsUsedAgain and ResetLetsRequestsFindOut; the functions that they call did not exist.

--- a/include/toucanwharf/endpoints/reachability.h
+++ b/include/toucanwharf/endpoints/reachability.h
@@ -13,6 +13,15 @@
 
 namespace toucanwharf::endpoints {
 
+/// How a new connection to an endpoint failed.
+enum class ConnectionFailure {
+  /// Not established, or reset before an answer.
+  kNotConnected,
+  /// Established, or in the making, and silent. An endpoint that was only slow
+  /// goes on.
+  kUnresponsive,
+};
+
 /// What it means that an endpoint refuses connections.
 enum class RefusalMeaning {
   /// Nothing listens at its address: it has ended.
@@ -42,11 +51,16 @@
   /// since.
   void OnAnswered(const std::string& endpoint, TimePoint connected_at,
                   TimePoint now);
-  /// Records that a new connection to \p endpoint was refused, reset before an
-  /// answer, or stayed silent; \p endpoints is how many there are, or a large
-  /// number if none of them can be checked.
-  void OnFailure(const std::string& endpoint, std::size_t endpoints,
-                 TimePoint now);
+  /// Records that a new connection to \p endpoint failed; \p endpoints is how
+  /// many there are, or a large number if none of them can be checked.
+  void OnFailure(const std::string& endpoint, ConnectionFailure kind,
+                 std::size_t endpoints, TimePoint now);
+  /// Records that \p endpoint sent something on a connection of any age: if it
+  /// was only unresponsive, that is over.
+  void OnData(const std::string& endpoint);
+  /// Forgets all failures, because no endpoint is left that could be checked
+  /// and only requests can find out.
+  void Reset();
 
   /// Returns whether \p endpoint can't be reached from here, as far as is
   /// known. For a while only: what fails isn't checked for ever.
@@ -84,8 +98,11 @@
   struct Failure {
     TimePoint at;
     TimePoint checked_at;
+    ConnectionFailure kind = ConnectionFailure::kNotConnected;
   };
 
+  static bool Holds(const Failure& failure, TimePoint now);
+
   std::optional<std::string> ChooseCheck(
       const std::vector<std::string>& candidates, TimePoint now,
       Random& random);
--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -149,8 +149,9 @@
     if (result.end != http::CallEnd::kComplete || head.status != http::kOk) {
       ++known.failed_reports;
       // The paths from here may be cut; the next poll of the paths checks.
-      this->state.paths.OnFailure(id, std::numeric_limits<std::size_t>::max(),
-                                  this->loop.Now());
+      this->state.paths.OnFailure(
+          id, endpoints::ConnectionFailure::kUnresponsive,
+          std::numeric_limits<std::size_t>::max(), this->loop.Now());
       this->SuspectUnresponsive(id, known);
       return;
     }
--- a/include/toucanwharf/instance/path_monitor.h
+++ b/include/toucanwharf/instance/path_monitor.h
@@ -35,7 +35,10 @@
   /// \p connected_at.
   void OnAnswered(const std::string& endpoint, TimePoint connected_at);
   /// Records that a new connection to \p endpoint failed for \p reason.
-  void OnFailure(const std::string& endpoint, std::string_view reason);
+  void OnFailure(const std::string& endpoint, endpoints::ConnectionFailure kind,
+                 std::string_view reason);
+  /// Records that \p endpoint sent something on any connection.
+  void OnData(const std::string& endpoint);
   /// Makes the check that is due, if any.
   void Poll();
 
--- a/lib/endpoints/reachability.cc
+++ b/lib/endpoints/reachability.cc
@@ -15,7 +15,8 @@
 constexpr Duration kRecheckPeriod = std::chrono::milliseconds(1000);
 /// An endpoint that failed is tried again after this long. A restart takes
 /// longer, and each attempt costs a caller the connect timeout.
-constexpr Duration kUnreachableFor = std::chrono::milliseconds(1500);
+constexpr Duration kNotConnectedFor = std::chrono::milliseconds(1500);
+constexpr Duration kUnresponsiveFor = std::chrono::milliseconds(1000);
 constexpr Duration kRepeatedCheckPeriod = std::chrono::milliseconds(50);
 constexpr Duration kForgottenAfter = std::chrono::seconds(5);
 
@@ -42,7 +43,31 @@
   this->failures.clear();
 }
 
-void Reachability::OnFailure(const std::string& endpoint, std::size_t endpoints,
+void Reachability::OnData(const std::string& endpoint) {
+  const auto found = this->failures.find(endpoint);
+  const bool was_slow = found != this->failures.end() &&
+                        found->second.kind == ConnectionFailure::kUnresponsive;
+  if (!was_slow || this->isolated) return;
+  this->failures.erase(found);
+  this->failed_since_answer.erase(endpoint);
+  if (!this->InDoubt()) this->failed_checks = 0;
+}
+
+void Reachability::Reset() {
+  this->failures.clear();
+  this->failed_since_answer.clear();
+  this->failed_checks = 0;
+  this->isolated = false;
+  this->recovering = false;
+}
+
+bool Reachability::Holds(const Failure& failure, TimePoint now) {
+  const bool connected = failure.kind == ConnectionFailure::kUnresponsive;
+  return now - failure.at < (connected ? kUnresponsiveFor : kNotConnectedFor);
+}
+
+void Reachability::OnFailure(const std::string& endpoint,
+                             ConnectionFailure kind, std::size_t endpoints,
                              TimePoint now) {
   // Endpoints that are gone are not checked any more.
   std::erase_if(this->failures, [now](const auto& entry) {
@@ -50,9 +75,10 @@
   });
   const bool checked = this->checking && endpoint == this->last_checked;
   const auto [known, added] =
-      this->failures.try_emplace(endpoint, Failure{now, now});
-  const bool was_known = !added && now - known->second.at < kUnreachableFor;
+      this->failures.try_emplace(endpoint, Failure{now, now, kind});
+  const bool was_known = !added && Holds(known->second, now);
   known->second.at = now;
+  known->second.kind = kind;
   this->recovering = false;
   const bool is_news =
       !was_known || this->failed_since_answer.contains(endpoint);
@@ -72,8 +98,7 @@
 bool Reachability::IsUnreachable(const std::string& endpoint,
                                  TimePoint now) const {
   const auto found = this->failures.find(endpoint);
-  return found != this->failures.end() &&
-         now - found->second.at < kUnreachableFor;
+  return found != this->failures.end() && Holds(found->second, now);
 }
 
 std::vector<std::string> Reachability::Unreachable(TimePoint now) const {
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -37,7 +37,8 @@
     return;
   }
   if (answer.refused) {
-    this->path_monitor.OnFailure(at.endpoint, "refused");
+    this->path_monitor.OnFailure(
+        at.endpoint, endpoints::ConnectionFailure::kNotConnected, "refused");
     this->OnEndpointRefused(at.key);
     return;
   }
--- a/lib/instance/gateway_liveness.cc
+++ b/lib/instance/gateway_liveness.cc
@@ -51,7 +51,9 @@
                       if (answer.alive) {
                         this->state.loads.OnResponse(id, this->loop.Now());
                       } else {
-                        this->path_monitor.OnFailure(id, "silent");
+                        this->path_monitor.OnFailure(
+                            id, endpoints::ConnectionFailure::kUnresponsive,
+                            "silent");
                         this->SetUnresponsive(id);
                       }
                     });
@@ -122,7 +124,8 @@
     return;
   }
   if (this->state.proofs.IsProven(report.endpoint, now)) return;
-  this->path_monitor.OnFailure(report.endpoint, "silent");
+  this->path_monitor.OnFailure(
+      report.endpoint, endpoints::ConnectionFailure::kUnresponsive, "silent");
   this->ApplyReport(report);
 }
 
--- a/lib/instance/path_monitor.cc
+++ b/lib/instance/path_monitor.cc
@@ -6,6 +6,7 @@
 namespace toucanwharf::instance {
 namespace {
 
+using endpoints::ConnectionFailure;
 using eventlog::Fields;
 using eventlog::Level;
 
@@ -36,7 +37,14 @@
   this->Poll();
 }
 
+void PathMonitor::OnData(const std::string& endpoint) {
+  if (!this->state.paths.HasFailures()) return;
+  this->state.paths.OnData(endpoint);
+  this->ApplyStatus();
+}
+
 void PathMonitor::OnFailure(const std::string& endpoint,
+                            endpoints::ConnectionFailure kind,
                             std::string_view reason) {
   const TimePoint now = this->loop.Now();
   const bool is_news = !this->state.IsAvoided(endpoint, now) &&
@@ -49,7 +57,7 @@
   const std::size_t endpoints = this->Checkable().empty()
                                     ? std::numeric_limits<std::size_t>::max()
                                     : this->state.endpoints.All().size();
-  this->state.paths.OnFailure(endpoint, endpoints, now);
+  this->state.paths.OnFailure(endpoint, kind, endpoints, now);
   this->ApplyStatus();
   this->Poll();
 }
@@ -57,9 +65,10 @@
 void PathMonitor::Poll() {
   endpoints::Reachability& paths = this->state.paths;
   if (!paths.HasFailures() && !paths.IsIsolated()) return;
+  const std::vector<std::string> engines = this->Checkable();
+  if (paths.IsIsolated() && engines.empty()) paths.Reset();
   this->ApplyStatus();
-  const auto id =
-      paths.NextCheck(this->Checkable(), this->loop.Now(), this->random);
+  const auto id = paths.NextCheck(engines, this->loop.Now(), this->random);
   if (!id) return;
   this->Check(*this->state.endpoints.Find(*id));
 }
@@ -98,7 +107,11 @@
   if (answered) {
     this->OnAnswered(endpoint, started);
   } else if (!was_stalled) {
-    this->OnFailure(endpoint, "check_failed");
+    const bool connected = result.end != http::CallEnd::kNotConnected;
+    this->OnFailure(endpoint,
+                    connected ? ConnectionFailure::kUnresponsive
+                              : ConnectionFailure::kNotConnected,
+                    "check_failed");
   }
   this->state.paths.OnCheckDone();
   this->Poll();
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -272,6 +272,9 @@
 void ProxiedRequest::OnData(std::string_view bytes) {
   if (this->finished || this->call == 0) return;
   this->last_data = this->gateway.loop.Now();
+  if (!this->target.is_peer) {
+    this->gateway.path_monitor.OnData(this->target.endpoint);
+  }
   if (!this->head_usable) {
     // The body of a failure, which is no part of an answer that was begun by an
     // earlier attempt.
@@ -311,7 +314,9 @@
   if (result.end != http::CallEnd::kComplete) {
     const bool by_endpoint = !this->target.is_peer;
     if (by_endpoint && this->is_new_connection && !this->has_head) {
-      this->gateway.path_monitor.OnFailure(this->target.endpoint, "reset");
+      this->gateway.path_monitor.OnFailure(
+          this->target.endpoint, endpoints::ConnectionFailure::kNotConnected,
+          "reset");
     }
     if (by_endpoint && result.sent && result.end == http::CallEnd::kBroken) {
       this->OnRunBroken();
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -103,7 +103,9 @@
 
 void ProxiedRequest::OnNotConnected(const http::CallResult& result) {
   if (this->target.is_peer) return;
-  this->gateway.path_monitor.OnFailure(this->target.endpoint, "not_connected");
+  this->gateway.path_monitor.OnFailure(
+      this->target.endpoint, endpoints::ConnectionFailure::kNotConnected,
+      "not_connected");
   if (result.refused) this->OnConnectionRefused();
 }
 
--- a/unittests/endpoints/reachability_test.cc
+++ b/unittests/endpoints/reachability_test.cc
@@ -14,6 +14,8 @@
 
 const std::vector<std::string> kEngines = {"a", "b", "c", "d", "e", "f"};
 constexpr std::size_t kEndpoints = 9;
+constexpr auto kNotConnected = ConnectionFailure::kNotConnected;
+constexpr auto kUnresponsive = ConnectionFailure::kUnresponsive;
 
 /// Plays checks until none is due; those of \p dead fail. Returns how many.
 int PlayChecks(Reachability& paths, const std::vector<std::string>& dead,
@@ -24,7 +26,7 @@
     ++checks;
     const bool fails = std::find(dead.begin(), dead.end(), *id) != dead.end();
     if (fails) {
-      paths.OnFailure(*id, kEndpoints, At(now));
+      paths.OnFailure(*id, kNotConnected, kEndpoints, At(now));
     } else {
       paths.OnAnswered(*id, At(now), At(now));
     }
@@ -36,7 +38,7 @@
 // Guards against an instance that takes its own cut for the death of endpoints.
 BOOST_AUTO_TEST_CASE(InstanceThatReachesNoneOfSeveralIsIsolated) {
   Reachability paths;
-  paths.OnFailure("a", kEndpoints, At(0));
+  paths.OnFailure("a", kNotConnected, kEndpoints, At(0));
   BOOST_TEST(paths.InDoubt());
   BOOST_TEST(!paths.IsIsolated());
   BOOST_TEST(PlayChecks(paths, kEngines, 1) == 4);
@@ -48,7 +50,7 @@
 // Guards against the death of one endpoint that is taken for a cut.
 BOOST_AUTO_TEST_CASE(OneCheckClearsTheDoubtWhenOneEndpointIsDead) {
   Reachability paths;
-  paths.OnFailure("a", kEndpoints, At(0));
+  paths.OnFailure("a", kNotConnected, kEndpoints, At(0));
   BOOST_TEST(PlayChecks(paths, {"a"}, 1) == 1);
   BOOST_TEST(!paths.InDoubt());
   BOOST_TEST(paths.IsUnreachable("a", At(1)));
@@ -60,7 +62,7 @@
 BOOST_AUTO_TEST_CASE(LossOfAWholeServiceIsNoIsolation) {
   Reachability paths;
   for (const char* id : {"plain-1", "plain-2", "plain-3"}) {
-    paths.OnFailure(id, kEndpoints, At(0));
+    paths.OnFailure(id, kNotConnected, kEndpoints, At(0));
   }
   BOOST_TEST(!paths.IsIsolated());
   PlayChecks(paths, {}, 1);
@@ -71,11 +73,11 @@
 // bring the callers back.
 BOOST_AUTO_TEST_CASE(OneAnswerDoesNotEndTheIsolation) {
   Reachability paths;
-  paths.OnFailure("a", kEndpoints, At(0));
+  paths.OnFailure("a", kNotConnected, kEndpoints, At(0));
   PlayChecks(paths, kEngines, 0);
   paths.OnAnswered("b", At(100), At(100));
   BOOST_TEST(paths.IsIsolated());
-  paths.OnFailure("c", kEndpoints, At(110));
+  paths.OnFailure("c", kNotConnected, kEndpoints, At(110));
   paths.OnAnswered("d", At(400), At(400));
   BOOST_TEST(paths.IsIsolated());
   paths.OnAnswered("e", At(410), At(410));
@@ -87,7 +89,7 @@
 // new ones fail, that end the isolation.
 BOOST_AUTO_TEST_CASE(AnswersOnOlderConnectionsShowNothing) {
   Reachability paths;
-  paths.OnFailure("a", kEndpoints, At(100));
+  paths.OnFailure("a", kNotConnected, kEndpoints, At(100));
   paths.OnAnswered("b", At(90), At(101));
   BOOST_TEST(paths.InDoubt());
   PlayChecks(paths, kEngines, 110);
@@ -100,7 +102,7 @@
 // next one follows at once.
 BOOST_AUTO_TEST_CASE(IsolationEndsWithinASecondOfTheReturn) {
   Reachability paths;
-  paths.OnFailure("a", kEndpoints, At(0));
+  paths.OnFailure("a", kNotConnected, kEndpoints, At(0));
   PlayChecks(paths, kEngines, 0);
   BOOST_TEST(PlayChecks(paths, kEngines, 10) == 0);
   BOOST_TEST(PlayChecks(paths, kEngines, 300) == 1);
@@ -112,12 +114,12 @@
 // against crashes that are not seen because of the guard.
 BOOST_AUTO_TEST_CASE(RefusedConnectionsMeanACrashOnlyIfOthersAnswer) {
   Reachability crash;
-  crash.OnFailure("a", kEndpoints, At(0));
+  crash.OnFailure("a", kNotConnected, kEndpoints, At(0));
   BOOST_TEST((crash.MeaningOfRefusal() == RefusalMeaning::kUnknownYet));
   PlayChecks(crash, {"a"}, 1);
   BOOST_TEST((crash.MeaningOfRefusal() == RefusalMeaning::kEnded));
   Reachability cut;
-  cut.OnFailure("a", kEndpoints, At(0));
+  cut.OnFailure("a", kNotConnected, kEndpoints, At(0));
   PlayChecks(cut, kEngines, 1);
   BOOST_TEST((cut.MeaningOfRefusal() == RefusalMeaning::kNothing));
 }
@@ -128,7 +130,7 @@
   const std::vector<std::string> dead = {"a", "b", "c", "d", "e"};
   Reachability paths;
   for (const std::string& id : dead) {
-    paths.OnFailure(id, kEndpoints, At(0));
+    paths.OnFailure(id, kNotConnected, kEndpoints, At(0));
     paths.OnAnswered("f", At(0), At(0));
   }
   for (int now = 1000; now < 10000; now += 1000) {
@@ -144,18 +146,46 @@
   constexpr std::size_t kUncheckable = 1000;
   Reachability paths;
   for (const std::string& id : kEngines) {
-    paths.OnFailure(id, kUncheckable, At(0));
+    paths.OnFailure(id, kNotConnected, kUncheckable, At(0));
   }
   for (int now = 0; now < 400; now += 50) PlayChecks(paths, kEngines, now);
   BOOST_TEST(paths.IsIsolated());
 }
 
+// Guards against a sound endpoint that fell silent for a moment and is left out
+// long after it has gone on.
+BOOST_AUTO_TEST_CASE(EndpointThatGoesOnIsUsedAgain) {
+  Reachability paths;
+  paths.OnFailure("a", kUnresponsive, kEndpoints, At(0));
+  paths.OnFailure("b", kNotConnected, kEndpoints, At(0));
+  paths.OnData("a");
+  paths.OnData("b");
+  BOOST_TEST(!paths.IsUnreachable("a", At(1)));
+  BOOST_TEST(paths.IsUnreachable("b", At(1)));
+  paths.OnFailure("c", kUnresponsive, kEndpoints, At(0));
+  BOOST_TEST(paths.IsUnreachable("c", At(999)));
+  BOOST_TEST(!paths.IsUnreachable("c", At(1000)));
+}
+
+// Guards against an isolation that never ends, as no endpoint is left that
+// could be checked.
+BOOST_AUTO_TEST_CASE(ResetLetsRequestsFindOut) {
+  Reachability paths;
+  paths.OnFailure("a", kNotConnected, kEndpoints, At(0));
+  PlayChecks(paths, kEngines, 0);
+  BOOST_TEST(paths.IsIsolated());
+  paths.Reset();
+  BOOST_TEST(!paths.IsIsolated());
+  BOOST_TEST(!paths.InDoubt());
+  BOOST_TEST(!paths.IsUnreachable("a", At(1)));
+}
+
 // Guards against a fleet of few endpoints, all cut off, that is never found
 // out.
 BOOST_AUTO_TEST_CASE(FewEndpointsThatAllFailAreEnough) {
   Reachability paths;
-  paths.OnFailure("a", 2, At(0));
-  paths.OnFailure("b", 2, At(1));
+  paths.OnFailure("a", kNotConnected, 2, At(0));
+  paths.OnFailure("b", kNotConnected, 2, At(1));
   BOOST_TEST(paths.IsIsolated());
 }
 
@@ -163,7 +193,7 @@
 // against a flood of checks of one that is dead.
 BOOST_AUTO_TEST_CASE(DeadEndpointIsCheckedOnceASecond) {
   Reachability paths;
-  paths.OnFailure("a", kEndpoints, At(0));
+  paths.OnFailure("a", kNotConnected, kEndpoints, At(0));
   PlayChecks(paths, {"a"}, 1);
   BOOST_TEST(PlayChecks(paths, {"a"}, 900) == 0);
   BOOST_TEST(PlayChecks(paths, {"a"}, 1000) == 1);
