An engine that refuses a report can be reached

Only a report without an answer counts now. No test: the class is a template over the adapter without a harness of its own.

--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -148,10 +148,13 @@
     known.report_in_flight = false;
     if (result.end != http::CallEnd::kComplete || head.status != http::kOk) {
       ++known.failed_reports;
-      // The paths from here may be cut; the next poll of the paths checks.
-      this->state.paths.OnFailure(
-          id, endpoints::ConnectionFailure::kUnresponsive,
-          std::numeric_limits<std::size_t>::max(), this->loop.Now());
+      // The paths from here may be cut; the next poll of the paths checks. A
+      // busy engine that refuses the report can be reached.
+      if (result.end != http::CallEnd::kComplete) {
+        this->state.paths.OnFailure(
+            id, endpoints::ConnectionFailure::kUnresponsive,
+            std::numeric_limits<std::size_t>::max(), this->loop.Now());
+      }
       this->SuspectUnresponsive(id, known);
       return;
     }
