The wait for the meaning of a refused connection ends

Found by reading the change again: each refused connection polled every 2 ms until the paths were out of doubt, which never comes where nothing can be checked; with all plain endpoints down each request added such a poll. It ends after 0.5 s; the list of endpoints tells then.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -243,7 +243,9 @@
   void OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer);
   /// Records that the endpoint that \p key stands for refuses connections, and
   /// finds out what that means.
-  void OnEndpointRefused(std::uint32_t key);
+  void OnConnectionRefused(std::uint32_t key);
+  /// The same, if the paths are out of doubt before \p until.
+  void OnEndpointRefused(std::uint32_t key, TimePoint until);
   /// Records that the start of an endpoint that \p key stands for has ended.
   void OnEndpointEnded(std::uint32_t key);
   /// Records that \p endpoint answered a request sent at \p sent, so that it
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -10,6 +10,9 @@
 /// A check of this instance's own paths takes a few milliseconds where
 /// connections are refused.
 constexpr Duration kDoubtPollPeriod = std::chrono::milliseconds(2);
+/// Checks have ended by then. Where nothing can be checked, the list of
+/// endpoints tells later whether the endpoint has ended.
+constexpr Duration kMaxDoubt = std::chrono::milliseconds(500);
 /// Every answer of an endpoint may carry the same unreadable limit.
 constexpr Duration kUnreadableLimitLogPeriod = std::chrono::seconds(10);
 
@@ -39,7 +42,7 @@
   if (answer.refused) {
     this->path_monitor.OnFailure(
         at.endpoint, endpoints::ConnectionFailure::kNotConnected, "refused");
-    this->OnEndpointRefused(at.key);
+    this->OnConnectionRefused(at.key);
     return;
   }
   if (answer.alive && answer.report) {
@@ -47,14 +50,20 @@
   }
 }
 
-void Gateway::OnEndpointRefused(std::uint32_t key) {
+void Gateway::OnConnectionRefused(std::uint32_t key) {
+  this->OnEndpointRefused(key, this->loop.Now() + kMaxDoubt);
+}
+
+void Gateway::OnEndpointRefused(std::uint32_t key, TimePoint until) {
   switch (this->state.paths.MeaningOfRefusal()) {
     case endpoints::RefusalMeaning::kEnded:
       this->OnEndpointEnded(key);
       return;
     case endpoints::RefusalMeaning::kUnknownYet:
-      this->loop.After(kDoubtPollPeriod,
-                       [this, key] { this->OnEndpointRefused(key); });
+      if (this->loop.Now() >= until) return;
+      this->loop.After(kDoubtPollPeriod, [this, key, until] {
+        this->OnEndpointRefused(key, until);
+      });
       return;
     case endpoints::RefusalMeaning::kNothing:
       // The list of endpoints tells later which of them have ended.
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -72,7 +72,7 @@
   const endpoints::Endpoint* endpoint =
       this->gateway.state.endpoints.Find(this->target.endpoint);
   if (endpoint == nullptr) return;
-  this->gateway.OnEndpointRefused(endpoints::EndpointKey(*endpoint));
+  this->gateway.OnConnectionRefused(endpoints::EndpointKey(*endpoint));
 }
 
 void ProxiedRequest::OnProgress() {
