A forwarded request waits for a peer that is slow

Found by reading the change again: after 1.2 s without a byte a forwarded request was taken from its peer and sent to another one, or ended as unknown where there was none, though the peer was alive and handles what stalls at endpoints. With one peer left, slow answers were lost, and with several they ran twice. It goes on elsewhere now only if the peer is gone, stops, or can't reach endpoints itself. SlowAnswerByWayOfTheOnlyOtherRouterIsAwaited failed before (502).

--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -139,6 +139,9 @@
   void ClassifyHead(const http::ResponseHead& head);
   /// The same for the answer of a peer.
   void ClassifyForwarded(const http::ResponseHead& head);
+  /// Waits for a peer that is slow, as it handles what stalls at endpoints;
+  /// goes on elsewhere if it is gone or can't reach endpoints itself.
+  void OnPeerStall();
   void OnForwardRefused(ForwardRefusal refusal);
   /// Records that this request's call could not reach its endpoint.
   void OnNotConnected(const http::CallResult& result);
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -101,6 +102,21 @@
   this->Refuse("refused_by_peer");
 }
 
+void ProxiedRequest::OnPeerStall() {
+  const auto candidates =
+      this->gateway.state.ForwardCandidates(this->gateway.loop.Now());
+  const bool still_serves =
+      std::any_of(candidates.begin(), candidates.end(),
+                  [this](const gossip::ForwardCandidate& candidate) {
+                    return candidate.control_address == this->target.address;
+                  });
+  if (still_serves) {
+    this->WatchStall(kCapacityPollPeriod);
+    return;
+  }
+  this->ResumeElsewhere("peer_silent");
+}
+
 void ProxiedRequest::OnNotConnected(const http::CallResult& result) {
   if (this->target.is_peer) return;
   this->gateway.path_monitor.OnFailure(
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -116,7 +116,7 @@
     return;
   }
   if (this->target.is_peer) {
-    this->ResumeElsewhere("peer_silent");
+    this->OnPeerStall();
     return;
   }
   if (!this->IsModel()) {
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -193,7 +193,15 @@
     exchange->Respond(head, "");
     return;
   }
-  this->Serve(endpoint, std::move(exchange));
+  if (endpoint.fault != EndpointFault::kSlow) {
+    this->Serve(endpoint, std::move(exchange));
+    return;
+  }
+  this->loop.After(kSlowDelay, [this, id, exchange] {
+    const auto found = this->endpoints.find(id);
+    if (found == this->endpoints.end() || exchange->IsDisconnected()) return;
+    this->Serve(found->second, exchange);
+  });
 }
 
 std::string Endpoints::IdAt(const std::string& address) {
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -46,6 +46,8 @@
   kRefusesReroute,
   /// Answers every request as another endpoint at its address would.
   kMisdirects,
+  /// Begins to run each request only after kSlowDelay.
+  kSlow,
 };
 
 /// One execution of a request at an endpoint.
@@ -69,6 +71,7 @@
   /// Number of events in each streamed answer, and the time between two.
   static constexpr int kEvents = 20;
   static constexpr Duration kEventGap = std::chrono::milliseconds(20);
+  static constexpr Duration kSlowDelay = std::chrono::milliseconds(1800);
   /// A request that has this body, or whose target ends with it, crashes each
   /// endpoint that begins to run it.
   static constexpr const char* kCrashingContent = "crash";
--- a/test/process/partition_test.cc
+++ b/test/process/partition_test.cc
@@ -175,6 +175,25 @@
   CutFleet(1, LinkFault::kSilent, {"plain-0", "plain-1"}).CheckCut();
 }
 
+// Guards against a request that is given up because the only router that could
+// serve it takes long.
+BOOST_AUTO_TEST_CASE(SlowAnswerByWayOfTheOnlyOtherRouterIsAwaited) {
+  PlatformFleet fleet(2);
+  fleet.CutLinks(0, LinkFault::kSilent);
+  BOOST_REQUIRE(PlatformFleet::Eventually(
+      [&] {
+        fleet.Plain(0, "/read/x", "finds-out");
+        return !fleet.Ready(0);
+      },
+      3000));
+  fleet.RunOnLoop([&] {
+    for (const char* id : {"plain-0", "plain-1"}) {
+      fleet.Endpoints().SetFault(id, standins::fleet::EndpointFault::kSlow);
+    }
+  });
+  BOOST_TEST(fleet.Plain(0, "/read/x", "slow").status == http::kOk);
+}
+
 // Guards against callers that go on by way of other routers, or are sent
 // nowhere, after the path is back.
 BOOST_AUTO_TEST_CASE(RouterServesItselfWithinASecondOfTheReturnOfItsPath) {
