An answer of another endpoint at an address proves no life of the one before

No test: the time in which it could matter is that between the end of an endpoint and the end of its entry.

--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -197,10 +197,6 @@
                                           this->attempt_started);
   }
   this->last_data = this->gateway.loop.Now();
-  if (!this->target.is_peer) {
-    this->gateway.state.loads.OnResponse(this->target.endpoint,
-                                         this->last_data);
-  }
   this->head_at = this->last_data;
   this->head = answer;
   this->ClassifyHead(answer);
@@ -222,6 +218,8 @@
   }
   // Another endpoint at the address says nothing about the one expected.
   if (answer.status != http::kMisdirected) {
+    this->gateway.state.loads.OnResponse(this->target.endpoint,
+                                         this->last_data);
     this->gateway.OnEndpointAnswered(this->target.endpoint,
                                      this->attempt_started);
     this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
