Probes, checks after broken runs and orders heed an endpoint's pause, too

Found by reading the change again: an engine that had asked for a pause still got a report request for each answer of its that stalled, one for each run that broke there, and orders of the layout. A stalled answer now takes it for alive and goes on elsewhere after the long stall; the list tells whether it has ended; orders wait. Retry-After is parsed in one place, and the metric is named endpoints_paused. process_endpoint_notice holds as before; no test counts the probes, since the stand-ins answer reports apart from requests.

--- a/include/toucanwharf/instance/engine_orders.h
+++ b/include/toucanwharf/instance/engine_orders.h
@@ -36,6 +36,7 @@
     for (const auto& [id, layers] : this->order_tracker.TargetLayout()) {
       const endpoints::Endpoint* endpoint = this->state.endpoints.Find(id);
       if (endpoint == nullptr) continue;
+      if (this->state.RequestedPause(*endpoint, now) > Duration(0)) continue;
       // Checked right before the send: a holder that was suspended must not act
       // on a lease that another holds by now.
       if (!this->lease.MayAct(this->loop.Now())) return;
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -217,6 +217,9 @@
   void ProbeEngines(const std::vector<pipeline::Stage>& engines,
                     TimePoint since);
   void ProbeEngine(const pipeline::Stage& stage, TimePoint since);
+  /// Returns whether \p endpoint has asked this instance for a pause that isn't
+  /// over.
+  bool IsPaused(const std::string& endpoint) const;
   /// Returns how many instances may probe an engine at the same moment.
   std::size_t ConcurrentProbers() const;
   /// Records that \p endpoint did not respond to a liveness probe.
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -22,7 +22,8 @@
                           const BrokenAt& at) {
   const TimePoint now = this->loop.Now();
   this->state.quarantine.OnRunBroken(run, now);
-  if (!at.is_engine) return;
+  // Without a probe the list of endpoints tells whether it has ended.
+  if (!at.is_engine || this->IsPaused(at.endpoint)) return;
   this->probe.Check(at.address, now, this->ConcurrentProbers(),
                     [this, at](const ProbeAnswer& answer) {
                       this->OnEndpointProbed(at, answer);
--- a/lib/instance/gateway_liveness.cc
+++ b/lib/instance/gateway_liveness.cc
@@ -27,6 +27,12 @@
   return this->state.peers.InstanceCount(this->loop.Now());
 }
 
+bool Gateway::IsPaused(const std::string& endpoint) const {
+  const endpoints::Endpoint* known = this->state.endpoints.Find(endpoint);
+  return known != nullptr &&
+         this->state.RequestedPause(*known, this->loop.Now()) > Duration(0);
+}
+
 bool Gateway::ProbesWholePaths(TimePoint now) const {
   return this->settings.mechanisms.engine_probes &&
          !this->state.peers.IsLargeFleet(now);
@@ -40,12 +46,7 @@
 }
 
 void Gateway::ProbeEngine(const pipeline::Stage& stage, TimePoint since) {
-  const endpoints::Endpoint* endpoint =
-      this->state.endpoints.Find(stage.endpoint);
-  const bool rests =
-      endpoint != nullptr &&
-      this->state.RequestedPause(*endpoint, this->loop.Now()) > Duration(0);
-  if (rests) return;
+  if (this->IsPaused(stage.endpoint)) return;
   this->probe.Check(stage.address, since, this->ConcurrentProbers(),
                     [this, id = stage.endpoint](const ProbeAnswer& answer) {
                       if (answer.alive) {
@@ -103,7 +104,7 @@
     return;
   }
   if (this->state.loads.IsUnresponsive(id, now)) return;
-  if (this->state.RequestedPause(*endpoint, now) > Duration(0)) return;
+  if (this->IsPaused(id)) return;
   if (report.verified) {
     if (!this->state.proofs.IsProven(id, now)) this->ApplyReport(report);
     return;
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -151,7 +151,7 @@
                static_cast<double>(state.peers.AllLive(now).size()));
   writer.Gauge("endpoints_limited", "endpoints that state a limit",
                static_cast<double>(state.limits.Count(now)));
-  writer.Gauge("endpoints_resting", "endpoints that asked for a pause",
+  writer.Gauge("endpoints_paused", "endpoints that asked for a pause",
                static_cast<double>(state.pauses.Count(now)));
   writer.Gauge("suspects", "requests that were at a crash of an endpoint",
                static_cast<double>(state.quarantine.Size()));
--- a/lib/instance/path_monitor.cc
+++ b/lib/instance/path_monitor.cc
@@ -77,9 +77,9 @@
   std::vector<std::string> engines;
   for (const auto& [id, endpoint] : this->state.endpoints.All()) {
     const bool ready = endpoint.state == endpoints::EndpointState::kReady;
-    const bool rests =
+    const bool paused =
         this->state.RequestedPause(endpoint, this->loop.Now()) > Duration(0);
-    if (ready && !rests && !endpoint.kind.empty()) engines.push_back(id);
+    if (ready && !paused && !endpoint.kind.empty()) engines.push_back(id);
   }
   return engines;
 }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -166,6 +166,8 @@
   /// Returns whether an engine of the path is known to be unresponsive.
   bool HasFailedEngine() const;
   void ProbePath();
+  void ProbeFirstEngine(TimePoint now);
+  void ProbeOtherEngines();
   void OnFirstEngineProbed(const ProbeAnswer& answer);
   void Recover();
   bool CanResumeElsewhere();
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -1,29 +1,17 @@
 #include <algorithm>
 #include <utility>
 
-#include "absl/strings/numbers.h"
 #include "proxied_request.h"
 #include "toucanwharf/gossip/forward_choice.h"
+#include "toucanwharf/limits/requested_pauses.h"
 
 namespace toucanwharf::instance {
 namespace {
 
 using attempts::AttemptOutcome;
 
-constexpr double kMicrosPerSecond = 1e6;
 /// Retry-After of a peer that gave none that can be read.
 constexpr Duration kDefaultRetryAfter = std::chrono::milliseconds(400);
-/// A peer's own Retry-After values are shorter.
-constexpr double kMaxRetryAfterSeconds = 60;
-
-Duration RetryAfterOf(const http::ResponseHead& answer) {
-  double seconds = 0;
-  const std::string text(answer.headers.Get("Retry-After"));
-  const bool readable = absl::SimpleAtod(text, &seconds) && seconds >= 0 &&
-                        seconds <= kMaxRetryAfterSeconds;
-  if (!readable) return kDefaultRetryAfter;
-  return Duration(static_cast<std::int64_t>(seconds * kMicrosPerSecond));
-}
 
 }  // namespace
 
@@ -98,7 +86,10 @@
     return;
   }
   --this->attempt_counts.may_have_run;
-  this->peer_retry_after = RetryAfterOf(this->head);
+  this->peer_retry_after =
+      limits::ParseRetryAfter(
+          this->head.headers.Get(this->gateway.names.retry_after))
+          .value_or(kDefaultRetryAfter);
   this->Refuse("refused_by_peer");
 }
 
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -135,8 +135,33 @@
 /// unresponsive one only after some hundred milliseconds.
 void ProxiedRequest::ProbePath() {
   if (this->probing) return;
-  this->probing = true;
   const TimePoint now = this->gateway.loop.Now();
+  if (this->gateway.ProbesWholePaths(now)) this->ProbeOtherEngines();
+  // Last, since it may end the attempt.
+  this->ProbeFirstEngine(now);
+}
+
+void ProxiedRequest::ProbeOtherEngines() {
+  const TimePoint since =
+      this->last_data + this->StallTimeout() * kEvidenceAfterPercent / kPercent;
+  auto suspects = endpoints::EnginesWithoutEvidence(
+      this->target.stages, since, this->gateway.EvidenceExcept(*this));
+  std::erase_if(suspects, [this](const pipeline::Stage& stage) {
+    return stage.endpoint == this->target.endpoint;
+  });
+  this->gateway.ProbeEngines(suspects, since);
+}
+
+/// An engine that asked for a pause isn't asked for a report: as long as
+/// nothing else shows that it is dead, it counts as alive.
+void ProxiedRequest::ProbeFirstEngine(TimePoint now) {
+  if (this->gateway.IsPaused(this->target.endpoint)) {
+    ProbeAnswer assumed;
+    assumed.alive = true;
+    this->OnFirstEngineProbed(assumed);
+    return;
+  }
+  this->probing = true;
   this->gateway.probe.Check(
       this->target.address, now - kMaxReportAge,
       this->gateway.ConcurrentProbers(),
@@ -146,15 +171,6 @@
         const bool current = !self->finished && self->call == probed_call;
         if (current) self->OnFirstEngineProbed(answer);
       });
-  if (!this->gateway.ProbesWholePaths(now)) return;
-  const TimePoint since =
-      this->last_data + this->StallTimeout() * kEvidenceAfterPercent / kPercent;
-  auto suspects = endpoints::EnginesWithoutEvidence(
-      this->target.stages, since, this->gateway.EvidenceExcept(*this));
-  std::erase_if(suspects, [this](const pipeline::Stage& stage) {
-    return stage.endpoint == this->target.endpoint;
-  });
-  this->gateway.ProbeEngines(suspects, since);
 }
 
 /// Handles the result of probing the first engine of the path.
