--- a/include/toucanwharf/attempts/attempt_policy.h
+++ b/include/toucanwharf/attempts/attempt_policy.h
@@ -41,6 +41,9 @@
   int total = 0;
   /// Whether part of an answer was sent to the caller.
   bool answer_started = false;
+  /// Those of may_have_run that another instance made, which forwarded the
+  /// request here and decides itself what they mean for the caller.
+  int may_have_run_elsewhere = 0;
 
   friend bool operator==(const AttemptCounts&, const AttemptCounts&) = default;
 };
--- a/lib/attempts/attempt_policy.cc
+++ b/lib/attempts/attempt_policy.cc
@@ -33,7 +33,9 @@
   if (budget_left && MayRetry(route, counts, outcome)) return NextStep::kRetry;
   if (counts.answer_started) return NextStep::kAbort;
   if (outcome == AttemptOutcome::kFailed) return NextStep::kRelayFailure;
-  if (counts.may_have_run == 0) return NextStep::kRefuse;
+  if (counts.may_have_run <= counts.may_have_run_elsewhere) {
+    return NextStep::kRefuse;
+  }
   return NextStep::kUnknownOutcome;
 }
 
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -60,6 +60,8 @@
   }
   if (this->admitted.forwarded) {
     this->attempt_counts.may_have_run = this->admitted.forwarded->runs;
+    this->attempt_counts.may_have_run_elsewhere =
+        this->admitted.forwarded->runs;
     this->attempt_counts.total = this->admitted.forwarded->runs;
   }
   this->gateway.active.insert(this);
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -65,10 +65,8 @@
     this->Finish("broken_off", 0);
     return;
   }
-  // The forwarding instance knows of its own runs.
-  const auto& forwarded = this->admitted.forwarded;
-  const int runs_elsewhere = forwarded ? forwarded->runs : 0;
-  if (this->attempt_counts.may_have_run > runs_elsewhere) {
+  if (this->attempt_counts.may_have_run >
+      this->attempt_counts.may_have_run_elsewhere) {
     this->Fail(http::kBadGateway, reason);
     return;
   }
--- a/unittests/attempts/attempt_policy_test.cc
+++ b/unittests/attempts/attempt_policy_test.cc
@@ -88,6 +88,19 @@
                             false) == NextStep::kAbort);
 }
 
+// Guards against an answer that ends as unknown because the instance that it
+// was forwarded to counts a run of the forwarding one as its own: nothing ran
+// there, and a third instance may go on.
+BOOST_AUTO_TEST_CASE(RunsOfTheForwardingInstanceDoNotMakeARefusalUnknown) {
+  const auto route = MakeRoute(RequestKind::kStream, true, 2);
+  AttemptCounts counts{1, 2, false, 1};
+  BOOST_CHECK(NextStepAfter(route, counts, AttemptOutcome::kNotSent, false) ==
+              NextStep::kRefuse);
+  counts.may_have_run = 2;
+  BOOST_CHECK(NextStepAfter(route, counts, AttemptOutcome::kUnknown, false) ==
+              NextStep::kUnknownOutcome);
+}
+
 // Guards against answers that are broken off within milliseconds, because the
 // engines that could continue them refuse at the moment: their callers wait for
 // the next event anyway.
