Logs and metrics: answers of the store that are older than what is known

The timeline of the incident could not tell whether answers were dropped, and which revision keys were confirmed by: neither left a line. store_answer_older, older_store_answers_total, and the revision in keys_confirmed do. No logic is changed.

--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -315,6 +315,9 @@
     if (std::exchange(this->keys_accepted, keys) != keys) {
       eventlog::Fields fields;
       if (age) fields.Millis("configuration_age_ms", *age);
+      fields.Count(
+          "revision",
+          static_cast<std::int64_t>(this->state.configuration_revision));
       this->logger.Write(eventlog::Level::kNotable,
                          keys ? "keys_confirmed" : "keys_unconfirmed", fields,
                          now);
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -67,6 +67,8 @@
   /// for the same engines would; 0 unless this instance leads.
   double layout_rate = 0;
   double best_layout_rate = 0;
+  /// Number of the store's answers that were older than what was known.
+  std::uint64_t older_store_answers = 0;
   /// Whether the list of instances has been read from the store.
   bool instances_known = false;
   /// Whether the stored requests in quarantine have been read.
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -226,7 +226,12 @@
     this->no_configuration = answer.status == store::ReadStatus::kMissing;
     if (answer.status != store::ReadStatus::kFound) return;
     // An answer that arrives after a newer one confirms nothing.
-    if (answer.object.version < this->state.configuration_revision) return;
+    const bool older =
+        answer.object.version < this->state.configuration_revision;
+    this->LogIfOlder("configuration", answer.object.version,
+                     this->state.configuration_revision,
+                     this->older_configuration);
+    if (older) return;
     this->Adopt(answer.object.version, answer.object.value);
     if (this->state.configuration_revision == answer.object.version) {
       this->state.freshness.Confirm(begun);
@@ -258,6 +263,8 @@
       }
     }
     const TimePoint now = this->loop.Now();
+    this->LogIfOlder("endpoints", list->revision,
+                     this->state.endpoints.Revision(), this->older_endpoints);
     const bool new_list = this->state.endpoints.Replace(
         std::move(read), list->revision, begun, now);
     this->endpoint_log.OnList(this->state.endpoints, ListCause::kStore,
@@ -265,6 +272,22 @@
     if (new_list) this->changed();
   }
 
+  /// Counts an answer of \p revision if it is older than \p known, the newest
+  /// state known of \p subject, and logs the first of several in a row.
+  void LogIfOlder(std::string_view subject, std::uint64_t revision,
+                  std::uint64_t known, bool& older_before) {
+    const bool older = revision < known;
+    if (older) ++this->state.older_store_answers;
+    if (std::exchange(older_before, older) || !older) return;
+    this->logger.Write(
+        eventlog::Level::kNotable, "store_answer_older",
+        eventlog::Fields()
+            .Text("what", subject)
+            .Count("revision", static_cast<std::int64_t>(revision))
+            .Count("known", static_cast<std::int64_t>(known)),
+        this->loop.Now());
+  }
+
   void RecordStoreAnswer(bool answered) {
     if (!answered) this->state.endpoints.OnStoreUnavailable(this->loop.Now());
     this->failures = answered ? 0 : this->failures + 1;
@@ -293,6 +316,9 @@
   /// The operator has not written a configuration yet.
   bool no_configuration = false;
   int failures = 0;
+  /// Whether the last answer was older than the state known here.
+  bool older_configuration = false;
+  bool older_endpoints = false;
 };
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -136,6 +136,9 @@
   writer.Gauge("configuration_age_seconds",
                "age of the proof that it is current, -1 for none",
                SecondsOf(state.freshness.Age(now)));
+  writer.Counter("older_store_answers",
+                 "answers of the store that were older than what was known",
+                 state.older_store_answers);
   writer.Gauge("endpoints", "endpoints registered",
                static_cast<double>(state.endpoints.All().size()));
   writer.Gauge("endpoints_kept",
