Failing test: the store comes back from an older copy

The stand-in store keeps a copy and returns from it: what was written since is lost, its revisions are given out again, the era in all its answers rises, and the operator and the endpoints write again what was lost.

Nine cases on three real routers.

--- a/standins/fleet/store.cc
+++ b/standins/fleet/store.cc
@@ -1,5 +1,6 @@
 #include "standins/fleet/store.h"
 
+#include <array>
 #include <stdexcept>
 #include <utility>
 
@@ -11,6 +12,9 @@
 constexpr std::string_view kPrefix = "/toucanwharf/objects/";
 /// Objects per page; small, so that callers have to fetch several pages.
 constexpr std::size_t kPageSize = 5;
+/// Kinds whose writers, the operator and the endpoints, keep what they wrote.
+constexpr std::array<const char*, 2> kKindsWrittenAgain = {"config", "servers"};
+constexpr const char* kEraHeader = "Store-Era";
 
 }  // namespace
 
@@ -51,6 +55,44 @@
   return names;
 }
 
+std::vector<LostWrite> Store::ReturnFromCopy() {
+  std::vector<LostWrite> lost;
+  for (const std::string kind : kKindsWrittenAgain) {
+    for (const auto& [name, object] : this->kinds[kind]) {
+      const auto kept = this->copy.kinds[kind].find(name);
+      const bool same = kept != this->copy.kinds[kind].end() &&
+                        kept->second.revision == object.revision;
+      if (!same) lost.push_back({kind, name, object.spec});
+    }
+    for (const auto& [name, object] : this->copy.kinds[kind]) {
+      if (!this->kinds[kind].contains(name)) lost.push_back({kind, name, {}});
+    }
+  }
+  this->kinds = this->copy.kinds;
+  this->revision = this->copy.revision;
+  ++this->era;
+  return lost;
+}
+
+void Store::WriteAgain(const std::vector<LostWrite>& lost) {
+  for (const LostWrite& write : lost) {
+    const Kind& copied = this->copy.kinds[write.kind];
+    const Kind& now = this->kinds[write.kind];
+    const auto before = copied.find(write.name);
+    const auto found = now.find(write.name);
+    const std::uint64_t old_revision =
+        before == copied.end() ? 0 : before->second.revision;
+    const std::uint64_t new_revision =
+        found == now.end() ? 0 : found->second.revision;
+    if (new_revision != old_revision) continue;
+    if (write.spec.is_null()) {
+      this->Remove(write.kind, write.name);
+    } else {
+      this->Put(write.kind, write.name, write.spec);
+    }
+  }
+}
+
 void Store::SetFault(std::size_t address, StoreFault fault) {
   this->faults.at(address) = fault;
 }
@@ -59,6 +101,7 @@
                    std::shared_ptr<http::Exchange> exchange) {
   ++this->calls;
   http::ResponseHead head;
+  head.headers.Add(kEraHeader, std::to_string(this->era));
   switch (this->faults[address]) {
     case StoreFault::kBusy:
       head.status = http::kUnavailable;
@@ -92,6 +135,7 @@
 void Store::Answer(http::Exchange& exchange) {
   const Reply reply = this->Execute(exchange.Received());
   http::ResponseHead head;
+  head.headers.Add(kEraHeader, std::to_string(this->era));
   head.status = reply.status;
   head.headers.Add("Content-Type", "application/json");
   exchange.Respond(head, reply.body.dump());
--- a/standins/fleet/store.h
+++ b/standins/fleet/store.h
@@ -31,6 +31,14 @@
   kSlowWrites,
 };
 
+/// An object that a return of the store from a copy lost, or brought back.
+struct LostWrite {
+  std::string kind;
+  std::string name;
+  /// Null if the object had been removed.
+  nlohmann::json spec;
+};
+
 /// The store: objects by kind and name, with revisions and conditional writes.
 /// Thread safety: only on the loop's thread.
 class Store {
@@ -53,6 +61,17 @@
   void SetFault(std::size_t address, StoreFault fault);
   /// Returns the number of calls received.
   std::uint64_t Calls() const { return this->calls; }
+  /// Returns how often the store has returned from a copy, plus one.
+  std::uint64_t Era() const { return this->era; }
+
+  /// Keeps a copy of all objects, in place of an earlier one.
+  void KeepCopy() { this->copy = Contents{this->kinds, this->revision}; }
+  /// Returns from the last copy, or an empty one: what was written since is
+  /// lost, and its revisions are given out again. Returns what was lost, which
+  /// its writers write again.
+  std::vector<LostWrite> ReturnFromCopy();
+  /// Writes again what was lost, unless it was written meanwhile.
+  void WriteAgain(const std::vector<LostWrite>& lost);
 
  private:
   struct Object {
@@ -60,6 +79,10 @@
     nlohmann::json spec;
   };
   using Kind = std::map<std::string, Object>;
+  struct Contents {
+    std::map<std::string, Kind> kinds;
+    std::uint64_t revision = 0;
+  };
   struct Reply {
     int status = 0;
     nlohmann::json body;
@@ -81,6 +104,8 @@
   std::vector<std::shared_ptr<http::Exchange>> unanswered;
   std::map<std::string, Kind> kinds;
   std::uint64_t revision = 0;
+  std::uint64_t era = 1;
+  Contents copy;
   std::uint64_t calls = 0;
 };
 
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -60,6 +60,11 @@
 target_link_libraries(process_endpoint_notice PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(store_return)
+target_sources(process_store_return PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_store_return PRIVATE standin_fleet
+  standin_relay_parts)
+
 # Faults at random on real routers; CI plays two short seeds, and each seed
 # that ever showed a fault (test/soak/seeds.txt).
 tw_program(soak test/soak DEPS tw_process_fixture standin_fleet
