--- a/bench/once/main.cc
+++ b/bench/once/main.cc
@@ -138,7 +138,7 @@
   const auto arrive = [&](std::uint64_t number) {
     const std::string name = "k" + std::to_string(number);
     const TimePoint start = scheduler.Now();
-    const store::Write claim{{"once", name}, "c" + name, 0, "{}"};
+    const store::Write claim{{"once", name}, "c" + name, {}, "{}"};
     store.Write(claim, [&, name, start](const store::WriteAnswer& answer) {
       const Duration wait = scheduler.Now() - start;
       if (wait > kCallerTimeout) {
--- a/include/toucanwharf/control/config_follower.h
+++ b/include/toucanwharf/control/config_follower.h
@@ -30,9 +30,10 @@
   std::uint64_t Target() const { return this->head.generation; }
   /// Returns whether Current() is the newest known generation.
   bool UpToDate() const { return this->Target() <= this->config.generation; }
-  /// Returns the newest known head, and the version of its object, 0 if none.
+  /// Returns the newest known head, and the version of its object, not set if
+  /// none.
   const Head& KnownHead() const { return this->head; }
-  std::uint64_t HeadVersion() const { return this->head_version; }
+  store::Revision HeadVersion() const { return this->head_version; }
 
   /// Handles the object `config/head` from a read or a watch.
   void OnHead(const store::Object& object);
@@ -61,7 +62,7 @@
 
   Config config;
   Head head;
-  std::uint64_t head_version = 0;
+  store::Revision head_version;
   /// Deltas between config and head, by generation.
   std::map<std::uint64_t, Delta> chain;
   std::map<std::uint64_t, RecordMap> chunks;
--- a/include/toucanwharf/control/lease.h
+++ b/include/toucanwharf/control/lease.h
@@ -109,7 +109,7 @@
   bool object_was_read = false;
   bool released = false;
   LeaseValue observed;
-  std::uint64_t observed_version = 0;
+  store::Revision observed_version;
   TimePoint observed_at;
   TimePoint next_read_at;
   TimePoint valid_until;
--- a/include/toucanwharf/control/publisher.h
+++ b/include/toucanwharf/control/publisher.h
@@ -49,7 +49,7 @@
   std::optional<store::Object> OnWrite(const store::WriteAnswer& answer);
 
  private:
-  void Add(const std::string& name, std::uint64_t if_version,
+  void Add(const std::string& name, const store::Revision& if_version,
            std::string value);
   SnapshotName AddSnapshot(const Config& config, const ChangeMap& changes,
                            std::uint64_t generation, const std::string& suffix);
--- a/include/toucanwharf/control/review.h
+++ b/include/toucanwharf/control/review.h
@@ -119,7 +119,7 @@
     proposed[name] = object.value;
     Inspection inspection = this->inspector.Inspect(proposed, name);
     RecordStatus& status = this->review.statuses[name];
-    status = RecordStatus{RecordState::kAccepted, object.version, {}};
+    status = RecordStatus{RecordState::kAccepted, object.version.number, {}};
     if (!inspection.problems.empty()) {
       status.state = RecordState::kRejected;
       status.reasons = std::move(inspection.problems);
--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "toucanwharf/pipeline/plan.h"
+#include "toucanwharf/store/revision.h"
 #include "toucanwharf/support/clock.h"
 
 /// The known endpoints, from their registrations in the store.
@@ -58,7 +59,7 @@
   /// How much longer they are retained.
   Duration retained_for{0};
   /// Store's revision of the list that last changed anything.
-  std::uint64_t revision = 0;
+  store::Revision revision;
 
   friend bool operator==(const EndpointListSnapshot&,
                          const EndpointListSnapshot&) = default;
@@ -108,7 +109,7 @@
   /// Applies the whole list, read from the store at \p revision by a read that
   /// began at \p read. Ignores a list older than one applied before. Returns
   /// whether anything changed.
-  bool Replace(std::vector<Endpoint> listed, std::uint64_t revision,
+  bool Replace(std::vector<Endpoint> listed, const store::Revision& revision,
                TimePoint read, TimePoint now);
   /// The same for a peer's snapshot. Its grace period continues here, unless
   /// one of this instance's own is running.
@@ -118,10 +119,12 @@
   EndpointListSnapshot Share(TimePoint now) const;
   /// Returns the newest moment at which the list was confirmed to be current.
   std::optional<TimePoint> ConfirmedAt() const { return this->confirmed_at; }
-  /// Returns the store's revision of the list, 0 before the first.
-  std::uint64_t Revision() const { return this->last_revision; }
+  /// Returns the store's revision of the list, not set before the first.
+  const store::Revision& Revision() const { return this->last_revision; }
   /// Returns the revision of the list that last changed anything.
-  std::uint64_t ChangedRevision() const { return this->changed_revision; }
+  const store::Revision& ChangedRevision() const {
+    return this->changed_revision;
+  }
   /// Returns how many endpoints are retained though the newest list lacks them.
   std::size_t RetainedCount() const { return this->retained.size(); }
   /// Returns the endpoint \p id, or null.
@@ -157,7 +160,7 @@
   /// Replaces the endpoints in use by \p next, the list of \p revision, and
   /// those of \p known that it lacks and that are to be retained. Returns
   /// whether anything changed.
-  bool ApplyList(ById next, const ById& known, std::uint64_t revision);
+  bool ApplyList(ById next, const ById& known, const store::Revision& revision);
 
   Duration outage_grace;
   Duration min_outage;
@@ -168,8 +171,8 @@
   /// Start of the latest read that the store is known to have answered.
   std::optional<TimePoint> answered_at;
   std::optional<TimePoint> confirmed_at;
-  std::uint64_t last_revision = 0;
-  std::uint64_t changed_revision = 0;
+  store::Revision last_revision;
+  store::Revision changed_revision;
   /// The newest list.
   ById listed;
   /// The list and the retained endpoints.
--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -12,6 +12,7 @@
 #include "toucanwharf/limits/stated_limits.h"
 #include "toucanwharf/pipeline/plan.h"
 #include "toucanwharf/quarantine/quarantine.h"
+#include "toucanwharf/store/revision.h"
 #include "toucanwharf/support/clock.h"
 
 /// State exchange between instances: each sends its whole state, which is
@@ -104,12 +105,12 @@
   /// Whether it reaches endpoints, so that requests can be forwarded to it;
   /// nothing from a build that takes none.
   std::optional<bool> reaches_endpoints;
-  /// Store's revision of the configuration in force, 0 for none.
-  std::uint64_t configuration_revision = 0;
+  /// Store's revision of the configuration in force, not set for none.
+  store::Revision configuration_revision;
   /// Age of the configuration's last confirmation when the beacon was made.
   std::optional<Duration> configuration_age;
   /// Store's revision of the list of endpoints.
-  std::uint64_t endpoints_revision = 0;
+  store::Revision endpoints_revision;
   /// Age of the last confirmation of that list.
   std::optional<Duration> endpoints_age;
   /// Sender's clock when the beacon was made; comparable only on the sender.
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -113,10 +113,10 @@
   /// before the peer made its own: network delay makes the confirmation older,
   /// never younger. A peer that had seen an older revision at that moment
   /// confirms as well, since anything newer came later.
-  std::optional<TimePoint> ConfigurationConfirmedAt(std::uint64_t revision,
-                                                    TimePoint now) const;
+  std::optional<TimePoint> ConfigurationConfirmedAt(
+      const store::Revision& revision, TimePoint now) const;
   /// The same for the list of endpoints.
-  std::optional<TimePoint> EndpointsConfirmedAt(std::uint64_t revision,
+  std::optional<TimePoint> EndpointsConfirmedAt(const store::Revision& revision,
                                                 TimePoint now) const;
   /// Returns the newest moment of the local clock at which the store is known
   /// to have answered a peer's read of the list of endpoints, whichever list
--- a/include/toucanwharf/instance/forwarding.h
+++ b/include/toucanwharf/instance/forwarding.h
@@ -17,8 +17,8 @@
 struct ForwardedRequest {
   /// Id of the forwarding process.
   std::string instance;
-  /// Revision of the configuration that it admitted the request by.
-  std::uint64_t configuration_revision = 0;
+  /// Version of the configuration that it admitted the request by.
+  std::uint64_t configuration_version = 0;
   /// Runs of the request that may have begun.
   int runs = 0;
   /// Time since the caller's request arrived.
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -65,7 +65,7 @@
                        this->loop.Now());
     BOOST_OUTCOME_TRYV(this->Listen());
     BOOST_OUTCOME_TRYV(this->peers.Start(
-        [this](std::uint64_t revision, const std::string& text) {
+        [this](const store::Revision& revision, const std::string& text) {
           this->sync.Adopt(revision, text);
         },
         [this] { this->OnChange(); }));
@@ -236,7 +236,8 @@
     }
     // An entry of an earlier start is overwritten immediately: until then this
     // process does not know how many others there are.
-    const bool earlier_start = write.if_version == 0 && answer.version > 0;
+    const bool earlier_start =
+        !write.if_version.IsSet() && answer.version.IsSet();
     constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
     write.if_version = answer.version;
     this->loop.After(earlier_start ? Duration(0) : kRetryDelay, [this, write] {
@@ -276,7 +277,7 @@
         gossip::ReadsImmediately(this->settings.processor_share);
     const bool has_data = this->state.instances_known &&
                           this->state.route_table &&
-                          this->state.endpoints.Revision() > 0;
+                          this->state.endpoints.Revision().IsSet();
     if (!reads_immediately || !has_data ||
         std::exchange(this->startup_announced, true)) {
       return;
@@ -315,9 +316,8 @@
     if (std::exchange(this->keys_accepted, keys) != keys) {
       eventlog::Fields fields;
       if (age) fields.Millis("configuration_age_ms", *age);
-      fields.Count(
-          "revision",
-          static_cast<std::int64_t>(this->state.configuration_revision));
+      fields.Count("revision", static_cast<std::int64_t>(
+                                   this->state.configuration_revision.number));
       this->logger.Write(eventlog::Level::kNotable,
                          keys ? "keys_confirmed" : "keys_unconfirmed", fields,
                          now);
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -36,7 +36,7 @@
   /// The configuration in force, or null before the first one.
   std::shared_ptr<const routes::RouteTable> route_table;
   /// Its revision in the store, and its text.
-  std::uint64_t configuration_revision = 0;
+  store::Revision configuration_revision;
   std::string configuration_text;
   routes::Freshness freshness;
   endpoints::EndpointTable endpoints;
@@ -74,6 +74,10 @@
   /// Whether the stored requests in quarantine have been read.
   bool quarantine_known = false;
 
+  /// Returns the version of the configuration in force, 0 before the first.
+  std::uint64_t ConfigurationVersion() const {
+    return this->route_table ? this->route_table->All().version : 0;
+  }
   /// Returns whether requests can be admitted or refused: the configuration and
   /// the list of endpoints are known, and keys may be accepted.
   bool CanAdmitRequests(TimePoint now) const;
--- a/include/toucanwharf/instance/quarantine_sync.h
+++ b/include/toucanwharf/instance/quarantine_sync.h
@@ -169,12 +169,12 @@
 
   void Write(const quarantine::Fingerprint& request) {
     if (!this->writing.insert(request).second) return;
-    this->WriteOver(request, 0);
+    this->WriteOver(request, {});
   }
 
-  /// Writes \p request over the object of \p version, 0 for none.
+  /// Writes \p request over the object of \p version, if that is set.
   void WriteOver(const quarantine::Fingerprint& request,
-                 std::uint64_t version) {
+                 const store::Revision& version) {
     store::Write write;
     write.key = KeyOf(request);
     write.writer = this->state.instance;
@@ -186,10 +186,11 @@
     });
   }
 
-  void OnWritten(const quarantine::Fingerprint& request, std::uint64_t version,
+  void OnWritten(const quarantine::Fingerprint& request,
+                 const store::Revision& version,
                  const store::WriteAnswer& answer) {
     const bool conflict = answer.status == store::WriteStatus::kConflict;
-    if (conflict && version == 0 && answer.version > 0) {
+    if (conflict && !version.IsSet() && answer.version.IsSet()) {
       // An object with earlier crashes. After a second conflict it is one that
       // another instance has just written.
       this->WriteOver(request, answer.version);
--- a/include/toucanwharf/instance/snapshot_exchange.h
+++ b/include/toucanwharf/instance/snapshot_exchange.h
@@ -35,8 +35,8 @@
 class SnapshotExchange {
  public:
   /// Called with the store's revision and the text of a newer configuration.
-  using OnConfiguration =
-      std::function<void(std::uint64_t revision, const std::string& text)>;
+  using OnConfiguration = std::function<void(const store::Revision& revision,
+                                             const std::string& text)>;
   /// Called after a change of the list of endpoints.
   using OnEndpoints = std::function<void()>;
 
@@ -58,7 +58,7 @@
   /// A snapshot to fetch, and the peer that announced it.
   struct WantedSnapshot {
     Kind kind = Kind::kConfiguration;
-    std::uint64_t revision = 0;
+    store::Revision revision;
     /// Control address.
     std::string announcer;
     int attempts = 0;
@@ -68,15 +68,16 @@
   struct Snapshot {
     std::string text;
     std::string deflated;
-    std::uint64_t revision = 0;
+    store::Revision revision;
     /// Number of retained endpoints in it, whose remaining time it states.
     std::size_t retained = 0;
   };
 
   static std::string PathOf(Kind kind);
-  static std::uint64_t RevisionIn(const gossip::Beacon& beacon, Kind kind);
+  static const store::Revision& RevisionIn(const gossip::Beacon& beacon,
+                                           Kind kind);
   /// Returns the revision that this instance has.
-  std::uint64_t LocalRevision(Kind kind) const;
+  const store::Revision& LocalRevision(Kind kind) const;
   bool& Fetching(Kind kind) {
     return kind == Kind::kConfiguration ? this->fetching_configuration
                                         : this->fetching_endpoints;
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -100,11 +100,11 @@
 
   /// Puts \p text of the store's \p revision into force unless the
   /// configuration in force is as new. Drops a text that cannot be parsed.
-  void Adopt(std::uint64_t revision, const std::string& text) {
+  void Adopt(const store::Revision& revision, const std::string& text) {
     if (revision <= this->state.configuration_revision) return;
     const TimePoint now = this->loop.Now();
     eventlog::Fields fields;
-    fields.Count("revision", static_cast<std::int64_t>(revision));
+    fields.Count("revision", static_cast<std::int64_t>(revision.number));
     auto read = A::ToConfiguration(text);
     if (!read) {
       this->logger.Write(eventlog::Level::kNotable, "configuration_unreadable",
@@ -204,7 +204,7 @@
     // started and the store cannot serve them concurrently, hundreds of retries
     // would keep it from serving any; an instance that gets an answer announces
     // it to the others.
-    const bool has_configuration = this->state.configuration_revision > 0;
+    const bool has_configuration = this->state.configuration_revision.IsSet();
     if (has_configuration && !outage) return base;
     return std::max(base, this->times.FollowerBackoff(
                               this->state.peers.InstanceCount(now)));
@@ -274,8 +274,8 @@
 
   /// Counts an answer of \p revision if it is older than \p known, the newest
   /// state known of \p subject, and logs the first of several in a row.
-  void LogIfOlder(std::string_view subject, std::uint64_t revision,
-                  std::uint64_t known, bool& older_before) {
+  void LogIfOlder(std::string_view subject, const store::Revision& revision,
+                  const store::Revision& known, bool& older_before) {
     const bool older = revision < known;
     if (older) ++this->state.older_store_answers;
     if (std::exchange(older_before, older) || !older) return;
@@ -283,8 +283,8 @@
         eventlog::Level::kNotable, "store_answer_older",
         eventlog::Fields()
             .Text("what", subject)
-            .Count("revision", static_cast<std::int64_t>(revision))
-            .Count("known", static_cast<std::int64_t>(known)),
+            .Count("revision", static_cast<std::int64_t>(revision.number))
+            .Count("known", static_cast<std::int64_t>(known.number)),
         this->loop.Now());
   }
 
--- a/include/toucanwharf/once/ring_loader.h
+++ b/include/toucanwharf/once/ring_loader.h
@@ -34,7 +34,7 @@
  private:
   struct SegmentCopy {
     Segment segment;
-    std::uint64_t version = 0;
+    store::Revision version;
   };
 
   /// Returns the last slot whose copy is missing, unsealed or of another
--- a/include/toucanwharf/once/shard.h
+++ b/include/toucanwharf/once/shard.h
@@ -140,7 +140,7 @@
   bool outstanding = false;
   RingLoader loader;
   ShardView view;
-  std::uint64_t next_slot_version = 0;
+  store::Revision next_slot_version;
   std::uint64_t next_slot_newest_millis = 0;
   TimePoint next_commit;
   TimePoint next_refresh;
--- a/include/toucanwharf/once/shard_view.h
+++ b/include/toucanwharf/once/shard_view.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "toucanwharf/once/segment.h"
+#include "toucanwharf/store/revision.h"
 
 namespace toucanwharf::once {
 
@@ -34,7 +35,7 @@
   bool Empty() const { return this->segments.empty(); }
   /// Properties of the last segment. Precondition: not Empty().
   std::uint64_t TailIndex() const { return this->segments.back().index; }
-  std::uint64_t TailVersion() const { return this->segments.back().version; }
+  store::Revision TailVersion() const { return this->segments.back().version; }
   std::uint64_t TailNewestMillis() const {
     return this->segments.back().newest_millis;
   }
@@ -49,22 +50,22 @@
 
   /// Applies a newer copy of the last segment, or the segment after it.
   /// Precondition: segment.index is TailIndex() or one more, or Empty().
-  void ApplyCopy(const Segment& segment, std::uint64_t version);
+  void ApplyCopy(const Segment& segment, const store::Revision& version);
   /// Applies a commit of this process: as ApplyCopy, but segment.entries
   /// contains only the entries that the commit added.
-  void ApplyCommit(const Segment& segment, std::uint64_t version);
+  void ApplyCommit(const Segment& segment, const store::Revision& version);
 
  private:
   struct SegmentInfo {
     std::uint64_t index = 0;
-    std::uint64_t version = 0;
+    store::Revision version;
     std::uint64_t newest_millis = 0;
     bool sealed = false;
     std::size_t entries = 0;
     std::vector<std::string> keys;
   };
 
-  void Advance(const Segment& segment, std::uint64_t version);
+  void Advance(const Segment& segment, const store::Revision& version);
   void ApplyEntry(const Entry& entry);
   void EvictOldest();
 
--- a/include/toucanwharf/platform/client.h
+++ b/include/toucanwharf/platform/client.h
@@ -22,7 +22,7 @@
 struct WatchAnswer {
   WatchStatus status = WatchStatus::kUnknown;
   /// Revision of the collection after the events.
-  std::uint64_t revision = 0;
+  store::Revision revision;
   std::vector<store::Event> events;
 
   friend bool operator==(const WatchAnswer&, const WatchAnswer&) = default;
@@ -51,8 +51,8 @@
   void List(const std::string& collection,
             std::function<void(std::optional<store::Listing>)> done);
   /// Waits up to \p wait for changes after revision \p after.
-  void Watch(const std::string& collection, std::uint64_t after, Duration wait,
-             std::function<void(WatchAnswer)> done);
+  void Watch(const std::string& collection, const store::Revision& after,
+             Duration wait, std::function<void(WatchAnswer)> done);
 
   /// Returns the number of calls sent so far.
   std::uint64_t Calls() const { return this->calls; }
--- a/include/toucanwharf/platform/config_service.h
+++ b/include/toucanwharf/platform/config_service.h
@@ -62,7 +62,7 @@
 
  private:
   void ReadHead();
-  void WatchHead(std::uint64_t after);
+  void WatchHead(const store::Revision& after);
   void ApplyEvents(const WatchAnswer& answer);
   void FetchNext();
   void OnAdopted();
--- a/include/toucanwharf/store/conditional_write.h
+++ b/include/toucanwharf/store/conditional_write.h
@@ -1,7 +1,6 @@
 #ifndef TOUCANWHARF_STORE_CONDITIONAL_WRITE_H_
 #define TOUCANWHARF_STORE_CONDITIONAL_WRITE_H_
 
-#include <cstdint>
 #include <optional>
 
 #include "toucanwharf/store/object.h"
@@ -41,7 +40,7 @@
   void OnRead(const ReadAnswer& answer);
 
   /// Returns the version that the write made. Precondition: Next() is kApplied.
-  std::uint64_t AppliedVersion() const { return this->applied_version; }
+  Revision AppliedVersion() const { return this->applied_version; }
   /// Returns the object that the write conflicts with, or nothing if the object
   /// was deleted. It may have been written on top of this write: a caller to
   /// which that matters checks the value. Precondition: Next() is kConflict.
@@ -51,12 +50,12 @@
 
  private:
   bool Done() const;
-  void Apply(std::uint64_t version);
+  void Apply(const Revision& version);
 
   Write write;
   Step step = Step::kWrite;
-  std::uint64_t seen_version = 0;
-  std::uint64_t applied_version = 0;
+  Revision seen_version;
+  Revision applied_version;
   std::optional<Object> conflicting_object;
 };
 
--- a/include/toucanwharf/store/mirror.h
+++ b/include/toucanwharf/store/mirror.h
@@ -25,7 +25,7 @@
   /// The next call to make: a listing, or a watch after a revision.
   struct Call {
     bool list = true;
-    std::uint64_t after = 0;
+    store::Revision after;
 
     friend bool operator==(const Call&, const Call&) = default;
   };
@@ -37,7 +37,8 @@
   std::vector<Event> OnListing(const Listing& listing);
   /// Applies the events of a watch that was started after \p after and reached
   /// the revision \p reached; returns those that changed the copy.
-  std::vector<Event> OnEvents(std::uint64_t after, std::uint64_t reached,
+  std::vector<Event> OnEvents(const store::Revision& after,
+                              const store::Revision& reached,
                               const std::vector<Event>& events);
   /// Handles a 410 of the platform: the next call is a listing.
   void OnGone() { this->must_list = true; }
@@ -45,7 +46,7 @@
   /// Returns the objects by name.
   const std::map<std::string, Object>& Objects() const { return this->objects; }
   /// Returns the revision of the store that the copy shows.
-  std::uint64_t Revision() const { return this->revision; }
+  store::Revision Revision() const { return this->revision; }
   /// Returns whether any listing has been applied.
   bool Filled() const { return this->filled; }
 
@@ -53,7 +54,7 @@
   bool Apply(const Event& event);
 
   std::map<std::string, Object> objects;
-  std::uint64_t revision = 0;
+  store::Revision revision;
   bool must_list = true;
   bool filled = false;
 };
--- a/include/toucanwharf/store/object.h
+++ b/include/toucanwharf/store/object.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "toucanwharf/store/revision.h"
+
 /// Calls to the platform's object API and their answers, as values. The core
 /// decides on the calls, the transport makes them.
 namespace toucanwharf::store {
@@ -26,8 +28,8 @@
 /// One object as the platform returned it.
 struct Object {
   ObjectKey key;
-  /// Revision of the store at the object's last write; 0 for no object.
-  std::uint64_t version = 0;
+  /// State of the store at the object's last write; not set for no object.
+  Revision version;
   /// Token of the last writer.
   std::string writer;
   /// JSON text.
@@ -36,12 +38,13 @@
   friend bool operator==(const Object&, const Object&) = default;
 };
 
-/// A conditional write. `if_version` 0 means that the object must not exist.
+/// A conditional write. An `if_version` that is not set means that the object
+/// must not exist.
 struct Write {
   ObjectKey key;
   /// Unique for each logical write, and the same for each attempt of it.
   std::string writer;
-  std::uint64_t if_version = 0;
+  Revision if_version;
   /// JSON text.
   std::string value;
 
@@ -58,17 +61,18 @@
 };
 
 /// Answer to a Write; `version` is the new one, or in a conflict the current
-/// one.
+/// one. Its epoch is that of the answer, also if there is no object.
 struct WriteAnswer {
   WriteStatus status = WriteStatus::kUnknown;
-  std::uint64_t version = 0;
+  Revision version;
 
   friend bool operator==(const WriteAnswer&, const WriteAnswer&) = default;
 };
 
 enum class ReadStatus { kFound, kMissing, kUnknown };
 
-/// Answer to a read; `object` is set only if found. It may be stale.
+/// Answer to a read; `object` is set only if found, but for the epoch of its
+/// version, which is that of the answer. It may be stale.
 struct ReadAnswer {
   ReadStatus status = ReadStatus::kUnknown;
   Object object;
@@ -78,7 +82,7 @@
 
 /// All objects of a collection at one revision of the store.
 struct Listing {
-  std::uint64_t revision = 0;
+  Revision revision;
   std::vector<Object> objects;
 
   friend bool operator==(const Listing&, const Listing&) = default;
--- a/lib/command/expected_answer.cc
+++ b/lib/command/expected_answer.cc
@@ -15,7 +15,7 @@
     const auto parsed = records::ParseRecord(object.value);
     if (parsed) parsed_records.push_back(parsed.assume_value().record);
   }
-  return records::BuildCatalog(listing.revision, parsed_records);
+  return records::BuildCatalog(listing.revision.number, parsed_records);
 }
 
 Result<std::vector<std::string>> ExpectedAnswer(const records::Catalog& catalog,
--- a/lib/command/platform.cc
+++ b/lib/command/platform.cc
@@ -62,7 +62,7 @@
 store::Object ObjectOf(const json& value) {
   store::Object object;
   object.key = {TextMember(value, "collection"), TextMember(value, "name")};
-  object.version = CountMemberOrZero(value, "version");
+  object.version.number = CountMemberOrZero(value, "version");
   object.writer = TextMember(value, "writer");
   if (value.contains("value")) object.value = value["value"].dump();
   return object;
@@ -83,7 +83,7 @@
     const json body = json::parse(outcome.body, nullptr, false);
     if (!body.is_object() || !body.contains("items")) continue;
     store::Listing listing;
-    listing.revision = CountMemberOrZero(body, "revision");
+    listing.revision.number = CountMemberOrZero(body, "revision");
     for (const json& item : body["items"]) {
       listing.objects.push_back(ObjectOf(item));
     }
@@ -109,7 +109,7 @@
   call.reuse = transport::Reuse::kNever;
   call.body = json{{"writer", write.writer},
                    {"value", json::parse(write.value)},
-                   {"if_version", write.if_version}}
+                   {"if_version", write.if_version.number}}
                   .dump();
   const HttpOutcome outcome = Fetch(std::move(call));
   if (Answered(outcome, kOk)) {
@@ -137,7 +137,8 @@
 
 Result<std::uint64_t> Platform::Write(const ObjectKey& key, const json& value,
                                       std::uint64_t if_version) const {
-  ConditionalWrite write(store::Write{key, NewId(), if_version, value.dump()});
+  ConditionalWrite write(
+      store::Write{key, NewId(), {0, if_version}, value.dump()});
   RetryBackoff retry_backoff(this->timeout);
   do {
     if (write.Next() == ConditionalWrite::Step::kWrite) {
@@ -147,7 +148,7 @@
       write.OnRead(this->AttemptRead(key));
     }
     if (write.Next() == ConditionalWrite::Step::kApplied) {
-      return write.AppliedVersion();
+      return write.AppliedVersion().number;
     }
     if (write.Next() == ConditionalWrite::Step::kConflict) {
       return CommandError::kConflict;
--- a/lib/command/records_subcommands.cc
+++ b/lib/command/records_subcommands.cc
@@ -83,7 +83,7 @@
   const bool missing =
       current.has_error() && current.error() == CommandError::kNotFound;
   if (current.has_error() && !missing) return current.error();
-  const std::uint64_t version = missing ? 0 : current.value().version;
+  const std::uint64_t version = missing ? 0 : current.value().version.number;
   const bool unchanged =
       !missing && json::parse(current.value().value) == record.document;
   if (unchanged) return RecordOutcome{key, "unchanged", version};
@@ -182,7 +182,8 @@
     const auto object = platform.value().Read({kCollection, name});
     if (!object) return Fail(streams, object.error(), name);
     streams.out << json::parse(object.value().value).dump(2) << "\n";
-    streams.err << name << " has version " << object.value().version << "\n";
+    streams.err << name << " has version " << object.value().version.number
+                << "\n";
   }
   return kExitOk;
 }
@@ -199,7 +200,7 @@
     if (version == 0) {
       const auto object = platform.value().Read(key);
       if (!object) return Fail(streams, object.error(), name);
-      version = object.value().version;
+      version = object.value().version.number;
     }
     const auto deleted = platform.value().Delete(key, version);
     if (!deleted) return Fail(streams, deleted.error(), name);
--- a/lib/control/lease.cc
+++ b/lib/control/lease.cc
@@ -157,7 +157,7 @@
   }
   // The object was deleted. The fencing number must not start again.
   this->observed = LeaseValue{"", this->observed.fence};
-  this->observed_version = 0;
+  this->observed_version = {};
 }
 
 void Lease::Release() {
--- a/lib/control/publisher.cc
+++ b/lib/control/publisher.cc
@@ -16,7 +16,7 @@
 
 Publisher::Publisher(std::string writer_id) : writer(std::move(writer_id)) {}
 
-void Publisher::Add(const std::string& name, std::uint64_t if_version,
+void Publisher::Add(const std::string& name, const store::Revision& if_version,
                     std::string value) {
   const std::string token = this->writer + "-" + std::to_string(++this->tokens);
   this->writes.emplace_back(
@@ -39,7 +39,7 @@
   SnapshotName snapshot{generation, "snapshot-" + suffix, 0};
   for (std::string& chunk : EncodeChunks(records)) {
     const std::string number = std::to_string(snapshot.chunks);
-    this->Add(snapshot.name + "-" + number, 0, std::move(chunk));
+    this->Add(snapshot.name + "-" + number, {}, std::move(chunk));
     ++snapshot.chunks;
   }
   return snapshot;
@@ -66,7 +66,7 @@
   }
   const Delta delta{head.generation, head.delta, changes};
   head.delta = "delta-" + suffix;
-  this->Add(head.delta, 0, Encode(delta));
+  this->Add(head.delta, {}, Encode(delta));
   this->Add(kHeadName, base.HeadVersion(), Encode(head));
   return true;
 }
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -63,7 +63,7 @@
 }
 
 bool EndpointTable::Replace(std::vector<Endpoint> listed,
-                            std::uint64_t revision, TimePoint read,
+                            const store::Revision& revision, TimePoint read,
                             TimePoint now) {
   this->RecordRead(read, now);
   if (revision < this->last_revision) return false;
@@ -84,8 +84,8 @@
 
 bool EndpointTable::ApplyList(std::map<std::string, Endpoint> next,
                               const std::map<std::string, Endpoint>& known,
-                              std::uint64_t revision) {
-  const bool new_list = next != this->listed || this->changed_revision == 0;
+                              const store::Revision& revision) {
+  const bool new_list = next != this->listed || !this->changed_revision.IsSet();
   if (new_list) this->changed_revision = revision;
   this->last_revision = revision;
   this->listed = next;
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -12,7 +12,7 @@
 using Json = nlohmann::json;
 
 /// Version of the message layout. Instances ignore messages of another version.
-constexpr std::uint64_t kFormat = 7;
+constexpr std::uint64_t kFormat = 8;
 
 Json AgeOrNull(const std::optional<Duration>& age) {
   return age ? Json(age->count()) : Json();
@@ -23,6 +23,14 @@
   return Duration(json.get<std::int64_t>());
 }
 
+Json RevisionToJson(const store::Revision& revision) {
+  return {revision.epoch, revision.number};
+}
+
+store::Revision RevisionFromJson(const Json& json) {
+  return {json.at(0).get<std::uint64_t>(), json.at(1).get<std::uint64_t>()};
+}
+
 constexpr double kHundredths = 100;
 constexpr double kThousand = 1000;
 
@@ -212,9 +220,9 @@
   beacon.ready = json.at("r").get<bool>();
   beacon.stopping = json.at("s").get<bool>();
   beacon.leads = json.at("l").get<bool>();
-  beacon.configuration_revision = CountMemberOrZero(json, "v");
+  beacon.configuration_revision = RevisionFromJson(json.at("v"));
   beacon.configuration_age = AgeFromJson(json.at("va"));
-  beacon.endpoints_revision = CountMemberOrZero(json, "e");
+  beacon.endpoints_revision = RevisionFromJson(json.at("e"));
   beacon.endpoints_age = AgeFromJson(json.at("ea"));
   beacon.stamp = json.at("t").get<std::int64_t>();
   beacon.loads = LoadsFromJson(json.at("o"));
@@ -275,9 +283,9 @@
                {"r", beacon.ready},
                {"s", beacon.stopping},
                {"l", beacon.leads},
-               {"v", beacon.configuration_revision},
+               {"v", RevisionToJson(beacon.configuration_revision)},
                {"va", AgeOrNull(beacon.configuration_age)},
-               {"e", beacon.endpoints_revision},
+               {"e", RevisionToJson(beacon.endpoints_revision)},
                {"ea", AgeOrNull(beacon.endpoints_age)},
                {"t", beacon.stamp},
                {"o", LoadsToJson(beacon.loads)},
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -186,7 +186,7 @@
 }  // namespace
 
 std::optional<TimePoint> PeerTable::ConfigurationConfirmedAt(
-    std::uint64_t revision, TimePoint now) const {
+    const store::Revision& revision, TimePoint now) const {
   std::optional<TimePoint> best;
   for (const Peer* peer : this->AllLive(now)) {
     const Beacon& beacon = peer->beacon;
@@ -197,8 +197,8 @@
   return best;
 }
 
-std::optional<TimePoint> PeerTable::EndpointsConfirmedAt(std::uint64_t revision,
-                                                         TimePoint now) const {
+std::optional<TimePoint> PeerTable::EndpointsConfirmedAt(
+    const store::Revision& revision, TimePoint now) const {
   std::optional<TimePoint> best;
   for (const Peer* peer : this->AllLive(now)) {
     const Beacon& beacon = peer->beacon;
--- a/lib/instance/endpoint_list_log.cc
+++ b/lib/instance/endpoint_list_log.cc
@@ -31,7 +31,7 @@
       eventlog::Level::kNotable, "endpoints_changed",
       eventlog::Fields()
           .Text("cause", NameOf(cause))
-          .Count("revision", static_cast<std::int64_t>(table.Revision()))
+          .Count("revision", static_cast<std::int64_t>(table.Revision().number))
           .Count("endpoints", static_cast<std::int64_t>(table.All().size()))
           .Count("kept", static_cast<std::int64_t>(retained))
           .Count("unreadable", unreadable),
--- a/lib/instance/forwarding.cc
+++ b/lib/instance/forwarding.cc
@@ -51,23 +51,23 @@
 
 void SetForwarding(http::Headers& headers, const ForwardedRequest& forwarded) {
   headers.Set(kInstance, forwarded.instance);
-  headers.Set(kConfiguration, absl::StrCat(forwarded.configuration_revision));
+  headers.Set(kConfiguration, absl::StrCat(forwarded.configuration_version));
   headers.Set(kRuns, absl::StrCat(forwarded.runs));
   headers.Set(kAge, absl::StrCat(forwarded.age.count()));
 }
 
 std::optional<ForwardedRequest> ForwardingOf(const http::Headers& headers) {
   const auto instances = headers.FindAll(kInstance);
-  const auto revision = NumberOf(headers, kConfiguration,
-                                 std::numeric_limits<std::uint64_t>::max());
+  const auto version = NumberOf(headers, kConfiguration,
+                                std::numeric_limits<std::uint64_t>::max());
   const auto runs = NumberOf(headers, kRuns, kMaxRuns);
   const auto age = NumberOf(headers, kAge,
                             static_cast<std::uint64_t>(kMaxAge / Duration(1)));
   const bool has_instance = instances.size() == 1 &&
                             !instances.front().empty() &&
                             instances.front().size() <= kMaxInstanceLength;
-  if (!has_instance || !revision || !runs || !age) return std::nullopt;
-  return ForwardedRequest{std::string(instances.front()), *revision,
+  if (!has_instance || !version || !runs || !age) return std::nullopt;
+  return ForwardedRequest{std::string(instances.front()), *version,
                           static_cast<int>(*runs),
                           Duration(static_cast<std::int64_t>(*age))};
 }
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -46,7 +46,7 @@
 }
 
 bool InstanceState::CanAdmitRequests(TimePoint now) const {
-  return this->route_table && this->endpoints.Revision() > 0 &&
+  return this->route_table && this->endpoints.Revision().IsSet() &&
          this->MayAcceptKeys(now);
 }
 
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -132,7 +132,7 @@
                static_cast<double>(gateway.Sharers().instances));
   writer.Gauge("configuration_revision",
                "store's revision of the configuration in force",
-               static_cast<double>(state.configuration_revision));
+               static_cast<double>(state.configuration_revision.number));
   writer.Gauge("configuration_age_seconds",
                "age of the proof that it is current, -1 for none",
                SecondsOf(state.freshness.Age(now)));
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -483,9 +483,9 @@
   if (const auto answered = this->state.peers.StoreAnsweredAt(now)) {
     this->state.endpoints.OnStoreAnswered(*answered, now);
   }
-  const std::uint64_t revision = this->state.endpoints.Revision();
+  const store::Revision& revision = this->state.endpoints.Revision();
   const auto confirmed = this->state.peers.EndpointsConfirmedAt(revision, now);
-  if (!confirmed || revision == 0) return;
+  if (!confirmed || !revision.IsSet()) return;
   if (!this->state.endpoints.Confirm(*confirmed, now)) return;
   this->endpoint_log.OnList(this->state.endpoints, ListCause::kGraceOver, true,
                             0, now);
--- a/lib/instance/snapshot_exchange.cc
+++ b/lib/instance/snapshot_exchange.cc
@@ -32,15 +32,20 @@
 constexpr std::string_view kConfigurationPath = "/peer/configuration";
 constexpr std::string_view kEndpointsPath = "/peer/endpoints";
 constexpr std::string_view kRevisionHeader = "X-Revision";
+constexpr std::string_view kEpochHeader = "X-Epoch";
 constexpr std::string_view kAcceptHeader = "Accept-Encoding";
 constexpr std::string_view kEncodingHeader = "Content-Encoding";
 constexpr std::string_view kDeflate = "deflate";
 
-std::uint64_t RevisionOf(const http::ResponseHead& head) {
-  const std::string_view text = head.headers.Get(kRevisionHeader);
-  std::uint64_t revision = 0;
-  std::from_chars(text.data(), text.data() + text.size(), revision);
-  return revision;
+std::uint64_t NumberIn(const http::ResponseHead& head, std::string_view name) {
+  const std::string_view text = head.headers.Get(name);
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+store::Revision RevisionOf(const http::ResponseHead& head) {
+  return {NumberIn(head, kEpochHeader), NumberIn(head, kRevisionHeader)};
 }
 
 Json ToJson(const std::vector<endpoints::Endpoint>& all) {
@@ -90,7 +95,8 @@
 }  // namespace
 
 std::string EndpointsToText(const endpoints::EndpointListSnapshot& list) {
-  return Json{{"revision", list.revision},
+  return Json{{"epoch", list.revision.epoch},
+              {"revision", list.revision.number},
               {"kept_for_us", list.retained_for.count()},
               {"entries", ToJson(list.endpoints)},
               {"kept", ToJson(list.retained)}}
@@ -104,7 +110,8 @@
   // A peer of another build may write another shape; such a list is rejected.
   try {
     endpoints::EndpointListSnapshot list;
-    list.revision = json.at("revision").get<std::uint64_t>();
+    list.revision.epoch = json.at("epoch").get<std::uint64_t>();
+    list.revision.number = json.at("revision").get<std::uint64_t>();
     list.retained_for = Duration(json.at("kept_for_us").get<std::int64_t>());
     list.endpoints = FromJson(json.at("entries"));
     list.retained = FromJson(json.at("kept"));
@@ -139,25 +146,25 @@
                                                   : kEndpointsPath);
 }
 
-std::uint64_t SnapshotExchange::RevisionIn(const gossip::Beacon& beacon,
-                                           Kind kind) {
+const store::Revision& SnapshotExchange::RevisionIn(
+    const gossip::Beacon& beacon, Kind kind) {
   return kind == Kind::kConfiguration ? beacon.configuration_revision
                                       : beacon.endpoints_revision;
 }
 
-std::uint64_t SnapshotExchange::LocalRevision(Kind kind) const {
+const store::Revision& SnapshotExchange::LocalRevision(Kind kind) const {
   return kind == Kind::kConfiguration ? this->state.configuration_revision
                                       : this->state.endpoints.Revision();
 }
 
 void SnapshotExchange::FetchNewer(const gossip::Beacon& beacon) {
   for (const Kind kind : {Kind::kConfiguration, Kind::kEndpoints}) {
-    const std::uint64_t revision = RevisionIn(beacon, kind);
+    const store::Revision& revision = RevisionIn(beacon, kind);
     if (revision <= this->LocalRevision(kind)) continue;
     if (std::exchange(this->Fetching(kind), true)) continue;
     // A process without a snapshot cannot serve and fetches immediately.
     const bool spread = this->state.peers.IsLargeFleet(this->loop.Now()) &&
-                        this->LocalRevision(kind) > 0;
+                        this->LocalRevision(kind).IsSet();
     const Duration delay =
         spread ? this->RandomDelay(kFetchSpread) : Duration(0);
     this->FetchAfter(delay, {kind, revision, beacon.control_address, 0});
@@ -202,7 +209,7 @@
       Fields()
           .Text("path", PathOf(wanted.kind))
           .Text("source", source)
-          .Count("revision", static_cast<std::int64_t>(wanted.revision))
+          .Count("revision", static_cast<std::int64_t>(wanted.revision.number))
           .Count("status", status)
           .Count("tries", wanted.attempts),
       this->loop.Now());
@@ -258,16 +265,16 @@
 bool SnapshotExchange::Has(Kind kind) const {
   return kind == Kind::kConfiguration
              ? this->state.route_table != nullptr
-             : this->state.endpoints.ChangedRevision() > 0;
+             : this->state.endpoints.ChangedRevision().IsSet();
 }
 
 const SnapshotExchange::Snapshot& SnapshotExchange::CurrentSnapshot(Kind kind) {
   const endpoints::EndpointTable& table = this->state.endpoints;
   const bool of_endpoints = kind == Kind::kEndpoints;
   Snapshot& copy = of_endpoints ? this->endpoints : this->configuration;
-  const std::uint64_t newest = of_endpoints
-                                   ? table.ChangedRevision()
-                                   : this->state.configuration_revision;
+  const store::Revision& newest = of_endpoints
+                                      ? table.ChangedRevision()
+                                      : this->state.configuration_revision;
   // While endpoints are retained, the text states for how much longer.
   const std::size_t count = of_endpoints ? table.RetainedCount() : 0;
   if (copy.revision == newest && copy.retained == 0 && count == 0) return copy;
@@ -301,7 +308,9 @@
         exchange->Received().headers.Get(kAcceptHeader) == kDeflate;
     head.status = http::kOk;
     head.headers.Add(std::string(kRevisionHeader),
-                     absl::StrCat(snapshot.revision));
+                     absl::StrCat(snapshot.revision.number));
+    head.headers.Add(std::string(kEpochHeader),
+                     absl::StrCat(snapshot.revision.epoch));
     if (deflate) {
       head.headers.Add(std::string(kEncodingHeader), std::string(kDeflate));
     }
--- a/lib/once/shard.cc
+++ b/lib/once/shard.cc
@@ -55,7 +55,9 @@
 }
 
 bool Shard::HasCapacity(std::uint64_t wall_millis) const {
-  if (!this->NeedsNewSegment() || this->next_slot_version == 0) return true;
+  if (!this->NeedsNewSegment() || !this->next_slot_version.IsSet()) {
+    return true;
+  }
   // A fast wall clock overwrites young keys early. The same write raises the
   // floor, so these keys are refused from then on and none runs twice.
   return this->next_slot_newest_millis + this->settings.min_retention_millis <=
@@ -114,12 +116,12 @@
 
 ShardCall Shard::StartCommit(std::vector<Entry> batch) {
   Segment segment;
-  std::uint64_t if_version = this->next_slot_version;
+  store::Revision if_version = this->next_slot_version;
   std::string text;
   segment.floor_millis = this->view.FloorMillis();
   if (this->NeedsNewSegment()) {
     segment.index = this->NextIndex();
-    if (this->next_slot_version != 0) {
+    if (this->next_slot_version.IsSet()) {
       segment.floor_millis =
           std::max(segment.floor_millis, this->next_slot_newest_millis);
     }
@@ -156,7 +158,7 @@
       this->loader.OnRead(answer);
       if (!this->loader.Done()) return;
       this->view = this->loader.MakeView();
-      this->next_slot_version = 0;
+      this->next_slot_version = {};
       this->SelectPhase();
       return;
     case Phase::kReadNext:
@@ -195,7 +197,7 @@
   if (answer.status == store::ReadStatus::kUnknown) return;
   this->phase = Phase::kReady;
   if (answer.status == store::ReadStatus::kMissing) {
-    this->next_slot_version = 0;
+    this->next_slot_version = {};
     return;
   }
   const std::optional<Segment> segment = DecodeSegment(answer.object.value);
--- a/lib/once/shard_view.cc
+++ b/lib/once/shard_view.cc
@@ -49,7 +49,8 @@
   this->segments.pop_front();
 }
 
-void ShardView::Advance(const Segment& segment, std::uint64_t version) {
+void ShardView::Advance(const Segment& segment,
+                        const store::Revision& version) {
   if (this->Empty() || segment.index != this->TailIndex()) {
     assert(this->Empty() || segment.index == this->TailIndex() + 1);
     if (this->segments.size() == this->slots) this->EvictOldest();
@@ -64,14 +65,16 @@
   this->floor_millis = std::max(this->floor_millis, segment.floor_millis);
 }
 
-void ShardView::ApplyCopy(const Segment& segment, std::uint64_t version) {
+void ShardView::ApplyCopy(const Segment& segment,
+                          const store::Revision& version) {
   this->Advance(segment, version);
   while (this->segments.back().entries < segment.entries.size()) {
     this->ApplyEntry(segment.entries[this->segments.back().entries]);
   }
 }
 
-void ShardView::ApplyCommit(const Segment& segment, std::uint64_t version) {
+void ShardView::ApplyCommit(const Segment& segment,
+                            const store::Revision& version) {
   this->Advance(segment, version);
   for (const Entry& entry : segment.entries) this->ApplyEntry(entry);
 }
--- a/lib/platform/client.cc
+++ b/lib/platform/client.cc
@@ -34,7 +34,7 @@
 store::Object ToObject(const Json& json) {
   store::Object object;
   object.key = {TextMember(json, "collection"), TextMember(json, "name")};
-  object.version = CountMemberOrZero(json, "version");
+  object.version.number = CountMemberOrZero(json, "version");
   object.writer = TextMember(json, "writer");
   if (json.contains("value")) object.value = json["value"].dump();
   return object;
@@ -51,7 +51,7 @@
 store::WriteAnswer ToWriteAnswer(const HttpOutcome& outcome) {
   const Json body = Body(outcome);
   if (!body.is_object()) return {};
-  const std::uint64_t version = CountMemberOrZero(body, "version");
+  const store::Revision version{0, CountMemberOrZero(body, "version")};
   if (outcome.status == kOk) return {store::WriteStatus::kWritten, version};
   if (outcome.status != kConflict) return {};
   return {store::WriteStatus::kConflict, version};
@@ -69,7 +69,7 @@
                      body.contains("events") && body["events"].is_array();
   if (!valid) return answer;
   answer.status = WatchStatus::kEvents;
-  answer.revision = CountMemberOrZero(body, "revision");
+  answer.revision.number = CountMemberOrZero(body, "revision");
   for (const Json& event : body["events"]) {
     if (!event.is_object() || !event.contains("object")) continue;
     answer.events.push_back(store::Event{TextMember(event, "type") == "delete",
@@ -83,7 +83,7 @@
   const bool valid = outcome.status == kOk && body.is_object() &&
                      body.contains("items") && body["items"].is_array();
   if (!valid) return std::nullopt;
-  store::Listing listing{CountMemberOrZero(body, "revision"), {}};
+  store::Listing listing{{0, CountMemberOrZero(body, "revision")}, {}};
   for (const Json& item : body["items"]) {
     if (item.is_object()) listing.objects.push_back(ToObject(item));
   }
@@ -171,7 +171,7 @@
 void Client::Write(const store::Write& write,
                    std::function<void(store::WriteAnswer)> done) {
   const std::string condition =
-      ",\"if_version\":" + std::to_string(write.if_version);
+      ",\"if_version\":" + std::to_string(write.if_version.number);
   HttpCall call = MakePut(write.key, write.writer, write.value, condition);
   call.total_timeout = kCallTimeout;
   this->Start(std::move(call), this->call_limiter,
@@ -201,12 +201,12 @@
               });
 }
 
-void Client::Watch(const std::string& collection, std::uint64_t after,
+void Client::Watch(const std::string& collection, const store::Revision& after,
                    Duration wait, std::function<void(WatchAnswer)> done) {
   const auto millis =
       std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
   HttpCall call;
-  call.url = "/watch/" + collection + "?after=" + std::to_string(after) +
+  call.url = "/watch/" + collection + "?after=" + std::to_string(after.number) +
              "&wait_ms=" + std::to_string(millis);
   call.total_timeout = wait + kCallTimeout;
   this->Start(std::move(call), this->watch_limiter,
--- a/lib/platform/config_service.cc
+++ b/lib/platform/config_service.cc
@@ -83,7 +83,7 @@
   this->client.Read(key, on_read);
 }
 
-void ConfigService::WatchHead(std::uint64_t after) {
+void ConfigService::WatchHead(const store::Revision& after) {
   const auto on_events = [this, after](const WatchAnswer& answer) {
     if (answer.status == WatchStatus::kEvents) {
       this->ApplyEvents(answer);
@@ -256,7 +256,7 @@
     this->RecordStatuses(review, config.generation);
     if (!review.changes.empty()) {
       this->publisher.Start(this->follower, review.changes,
-                            this->records_mirror.Revision(),
+                            this->records_mirror.Revision().number,
                             this->lease.Fence());
     }
   }
@@ -294,9 +294,9 @@
   for (const auto& [name, object] : this->records_mirror.Objects()) {
     if (review.statuses.contains(name)) continue;
     RecordedStatus& recorded = this->statuses[name];
-    if (recorded.status.record_version == object.version) continue;
+    if (recorded.status.record_version == object.version.number) continue;
     recorded.status = control::RecordStatus{};
-    recorded.status.record_version = object.version;
+    recorded.status.record_version = object.version.number;
     recorded.generation = generation;
   }
 }
--- a/lib/store/conditional_write.cc
+++ b/lib/store/conditional_write.cc
@@ -12,7 +12,7 @@
   return this->step == Step::kApplied || this->step == Step::kConflict;
 }
 
-void ConditionalWrite::Apply(std::uint64_t version) {
+void ConditionalWrite::Apply(const Revision& version) {
   this->applied_version = version;
   this->step = Step::kApplied;
 }
@@ -29,7 +29,7 @@
   // same write, whose answer was lost.
   this->seen_version = std::max(this->seen_version, answer.version);
   // No object where one was expected: it was deleted, there is nothing to read.
-  if (answer.version == 0 && this->write.if_version != 0) {
+  if (!answer.version.IsSet() && this->write.if_version.IsSet()) {
     this->step = Step::kConflict;
   }
 }
--- a/lib/store/mirror.cc
+++ b/lib/store/mirror.cc
@@ -43,7 +43,8 @@
   return changes;
 }
 
-std::vector<Event> Mirror::OnEvents(std::uint64_t after, std::uint64_t reached,
+std::vector<Event> Mirror::OnEvents(const store::Revision& after,
+                                    const store::Revision& reached,
                                     const std::vector<Event>& events) {
   // A watch from before the last listing has nothing new.
   if (this->must_list || after != this->revision) return {};
--- a/unittests/adapter/quarantine_sync_test.cc
+++ b/unittests/adapter/quarantine_sync_test.cc
@@ -30,6 +30,7 @@
   void List(const std::string& collection,
             const std::function<void(std::optional<store::Listing>)>& done) {
     store::Listing listing;
+    listing.revision = {this->epoch, 1};
     for (const auto& [key, value] : this->objects) {
       if (key.collection != collection) continue;
       listing.objects.push_back({key, this->versions[key], "", value});
@@ -39,18 +40,21 @@
   void Write(const store::Write& write,
              const std::function<void(store::WriteAnswer)>& done) {
     const bool exists = this->objects.contains(write.key);
-    std::uint64_t& version = this->versions[write.key];
-    if (write.if_version != (exists ? version : 0)) {
+    store::Revision& version = this->versions[write.key];
+    if (write.if_version.number != (exists ? version.number : 0)) {
       done({store::WriteStatus::kConflict, version});
       return;
     }
     this->objects[write.key] = write.value;
-    done({store::WriteStatus::kWritten, ++version});
+    version.epoch = this->epoch;
+    ++version.number;
+    done({store::WriteStatus::kWritten, version});
   }
   void Remove(const store::ObjectKey& key) { this->objects.erase(key); }
 
   std::map<store::ObjectKey, std::string> objects;
-  std::map<store::ObjectKey, std::uint64_t> versions;
+  std::map<store::ObjectKey, store::Revision> versions;
+  std::uint64_t epoch = 1;
 };
 
 struct MemoryAdapter : adapter::PlatformAdapter {
--- a/unittests/control/config_test.cc
+++ b/unittests/control/config_test.cc
@@ -49,7 +49,7 @@
 void WriteRecord(ObjectMap& map, const std::string& name,
                  const std::string& value) {
   const store::ObjectKey key{"records", name};
-  const std::uint64_t base = map.Read(key, Fault::kNone).object.version;
+  const store::Revision base = map.Read(key, Fault::kNone).object.version;
   map.Write({key, "operator", base, value}, Fault::kNone);
 }
 
@@ -136,7 +136,7 @@
                         SchemaReaders{}, UniqueValues{});
       if (!review.changes.empty()) {
         instance.publisher.Start(instance.follower, review.changes,
-                                 this->map.List("records").revision,
+                                 this->map.List("records").revision.number,
                                  instance.lease.Fence());
       }
     }
@@ -246,7 +246,7 @@
 BOOST_AUTO_TEST_CASE(StaleListingOfRecordsIsNotPublished) {
   Fleet fleet(3);
   WriteRecord(fleet.map, "n", "1");
-  const std::uint64_t stale = fleet.map.List("records").revision - 1;
+  const std::uint64_t stale = fleet.map.List("records").revision.number - 1;
   fleet.Settle();
   Publisher publisher("late");
   const ConfigFollower& base = fleet.instances[0].follower;
@@ -273,7 +273,8 @@
     if (!instance.lease.MayAct(fleet.now)) continue;
     Publisher publisher("p");
     publisher.Start(instance.follower, {{"n", "2"}},
-                    fleet.map.List("records").revision, instance.lease.Fence());
+                    fleet.map.List("records").revision.number,
+                    instance.lease.Fence());
     const auto delta = publisher.Poll(instance.lease, fleet.now);
     const auto& write = std::get<store::Write>(*delta);
     publisher.OnWrite(fleet.map.Write(write, Fault::kNone));
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -33,7 +33,7 @@
 /// Applies to \p table the list that a read at \p read returned.
 bool ApplyList(EndpointTable& table, std::vector<Endpoint> listed,
                std::uint64_t revision, TimePoint read) {
-  return table.Replace(std::move(listed), revision, read, read);
+  return table.Replace(std::move(listed), {0, revision}, read, read);
 }
 
 // The store is unavailable for some seconds, and the entries of all endpoints
@@ -99,7 +99,7 @@
   table.Confirm(At(7500), At(7700));
   EndpointListSnapshot list;
   list.endpoints = {MakeEndpoint("one")};
-  list.revision = 20;
+  list.revision = {0, 20};
   BOOST_TEST(table.Adopt(list, At(8000)));
   BOOST_TEST(ReadyCount(table) == 1U);
 }
@@ -140,7 +140,7 @@
   table.OnStoreUnavailable(At(1000));
   table.Confirm(At(5000), At(5100));
   EndpointListSnapshot list;
-  list.revision = 20;
+  list.revision = {0, 20};
   table.Adopt(list, At(5200));
   BOOST_TEST(ReadyCount(table) == 2U);
   BOOST_TEST(table.Confirm(At(7100), At(7200)));
@@ -184,7 +184,7 @@
   }
   EndpointListSnapshot list;
   list.endpoints = {MakeEndpoint("two")};
-  list.revision = 11;
+  list.revision = {0, 11};
   BOOST_TEST(table.Adopt(list, At(6100)));
   BOOST_TEST(ReadyCount(table) == 1U);
   BOOST_TEST(table.Share(At(6100)).retained_for.count() == 0);
@@ -244,7 +244,7 @@
   BOOST_TEST(!ApplyList(table, {MakeEndpoint("one"), MakeEndpoint("two")}, 9,
                         At(100)));
   BOOST_TEST(ReadyCount(table) == 1U);
-  BOOST_TEST(table.ChangedRevision() == 10U);
+  BOOST_TEST(table.ChangedRevision().number == 10U);
 }
 
 BOOST_AUTO_TEST_CASE(LoadsOfAllInstancesAddUp) {
--- a/unittests/fakes/object_map.h
+++ b/unittests/fakes/object_map.h
@@ -45,15 +45,15 @@
   void Delete(const store::ObjectKey& key) {
     const auto found = this->history.find(key);
     if (found == this->history.end()) return;
-    found->second.push_back(store::Object{key, ++this->revision, "", ""});
-    found->second.back().version = 0;
+    found->second.push_back(store::Object{key, this->NextRevision(), "", ""});
+    found->second.back().version = {};
   }
 
   store::Listing List(const std::string& collection) const {
     store::Listing listing{this->revision, {}};
     for (const auto& [key, versions] : this->history) {
       if (key.collection != collection) continue;
-      if (versions.back().version == 0) continue;
+      if (!versions.back().version.IsSet()) continue;
       listing.objects.push_back(versions.back());
     }
     return listing;
@@ -67,32 +67,61 @@
 
   std::uint64_t WritesApplied() const { return this->writes_applied; }
 
+  /// Keeps a copy of all objects for ReturnFromCopy.
+  void KeepCopy() {
+    this->copied_history = this->history;
+    this->copied_revision = this->revision;
+  }
+  /// Loses what was written since KeepCopy, gives its revisions out again, and
+  /// begins a new epoch. Writes that are still delayed stay so.
+  void ReturnFromCopy() {
+    this->history = this->copied_history;
+    this->revision.number = this->copied_revision.number;
+    ++this->revision.epoch;
+    for (auto& [key, versions] : this->history) {
+      for (store::Object& object : versions) {
+        object.version.epoch = this->revision.epoch;
+      }
+    }
+  }
+
  private:
-  static store::ReadAnswer Missing() {
-    return {store::ReadStatus::kMissing, store::Object{}};
+  store::ReadAnswer Missing() const {
+    store::ReadAnswer answer{store::ReadStatus::kMissing, {}};
+    answer.object.version.epoch = this->revision.epoch;
+    return answer;
   }
-  static store::ReadAnswer Found(const store::Object& object) {
-    if (object.version == 0) return Missing();
+  store::ReadAnswer Found(const store::Object& object) const {
+    if (!object.version.IsSet()) return this->Missing();
     return {store::ReadStatus::kFound, object};
   }
 
+  store::Revision NextRevision() {
+    ++this->revision.number;
+    return this->revision;
+  }
+
   store::WriteAnswer Put(const store::Write& write) {
     std::vector<store::Object>& versions = this->history[write.key];
-    const std::uint64_t current =
-        versions.empty() ? 0 : versions.back().version;
-    if (current != write.if_version) {
+    store::Revision current;
+    current.epoch = this->revision.epoch;
+    if (!versions.empty()) current = versions.back().version;
+    // The platform knows numbers only, also those from before its return.
+    if (current.number != write.if_version.number) {
       return {store::WriteStatus::kConflict, current};
     }
     ++this->writes_applied;
-    versions.push_back(
-        store::Object{write.key, ++this->revision, write.writer, write.value});
+    versions.push_back(store::Object{write.key, this->NextRevision(),
+                                     write.writer, write.value});
     if (versions.size() > 2) versions.erase(versions.begin());
     return {store::WriteStatus::kWritten, this->revision};
   }
 
   std::map<store::ObjectKey, std::vector<store::Object>> history;
   std::vector<store::Write> late_writes;
-  std::uint64_t revision = 0;
+  store::Revision revision;
+  std::map<store::ObjectKey, std::vector<store::Object>> copied_history;
+  store::Revision copied_revision;
   std::uint64_t writes_applied = 0;
 };
 
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -35,7 +35,7 @@
 /// echoes what \p to sent at \p echo of its own clock.
 Beacon ConfirmingBeacon(const std::string& to, int echo, int age) {
   Beacon beacon = MakeBeacon("peer", 1);
-  beacon.configuration_revision = 5;
+  beacon.configuration_revision = {0, 5};
   beacon.configuration_age = milliseconds(age);
   beacon.echo = Duration(milliseconds(echo)).count();
   beacon.echo_of = to;
@@ -49,7 +49,9 @@
   beacon.processor_share = 0.25;
   beacon.ready = *rc::gen::arbitrary<bool>();
   beacon.stopping = *rc::gen::arbitrary<bool>();
-  beacon.configuration_revision = *rc::gen::inRange<std::uint64_t>(0, 1 << 30);
+  beacon.configuration_revision = {
+      *rc::gen::inRange<std::uint64_t>(0, 5),
+      *rc::gen::inRange<std::uint64_t>(0, 1 << 30)};
   if (*rc::gen::arbitrary<bool>()) {
     beacon.configuration_age = Duration(*rc::gen::inRange(0, 1 << 30));
   }
@@ -201,10 +203,10 @@
 BOOST_AUTO_TEST_CASE(ConfirmationCountsBackFromTheEchoedStamp) {
   PeerTable table("own");
   table.OnBeacon("10.0.0.1:7", ConfirmingBeacon("own", 10000, 300), At(11000));
-  const auto confirmed = table.ConfigurationConfirmedAt(5, At(11000));
+  const auto confirmed = table.ConfigurationConfirmedAt({0, 5}, At(11000));
   BOOST_REQUIRE(confirmed.has_value());
   BOOST_TEST((*confirmed == At(9700)));
-  BOOST_TEST(!table.ConfigurationConfirmedAt(4, At(11000)).has_value());
+  BOOST_TEST(!table.ConfigurationConfirmedAt({0, 4}, At(11000)).has_value());
 }
 
 // An instance lost power and restarted; its clock began at zero. A peer still
@@ -215,11 +217,11 @@
   PeerTable table("second-start");
   table.OnBeacon("10.0.0.1:7", ConfirmingBeacon("first-start", 900000, 300),
                  At(50));
-  BOOST_TEST(!table.ConfigurationConfirmedAt(5, At(50)).has_value());
+  BOOST_TEST(!table.ConfigurationConfirmedAt({0, 5}, At(50)).has_value());
   Beacon negative = ConfirmingBeacon("second-start", 40, -500000);
   negative.stamp += 1;
   table.OnBeacon("10.0.0.1:7", negative, At(60));
-  BOOST_TEST(!table.ConfigurationConfirmedAt(5, At(60)).has_value());
+  BOOST_TEST(!table.ConfigurationConfirmedAt({0, 5}, At(60)).has_value());
 }
 
 // Guards against an outage that only this instance sees: a peer's beacon shows
@@ -227,12 +229,12 @@
 BOOST_AUTO_TEST_CASE(PeerWithAnotherListShowsThatTheStoreAnswers) {
   PeerTable table("me");
   Beacon beacon = MakeBeacon("peer", 1);
-  beacon.endpoints_revision = 99;
+  beacon.endpoints_revision = {0, 99};
   beacon.endpoints_age = milliseconds(300);
   beacon.echo = Duration(milliseconds(1000)).count();
   beacon.echo_of = "me";
   table.OnBeacon("10.0.0.1:7", beacon, At(1100));
-  BOOST_TEST((!table.EndpointsConfirmedAt(98, At(1200))));
+  BOOST_TEST((!table.EndpointsConfirmedAt({0, 98}, At(1200))));
   BOOST_TEST((table.StoreAnsweredAt(At(1200)) == At(700)));
 }
 
--- a/unittests/instance/share_limits_test.cc
+++ b/unittests/instance/share_limits_test.cc
@@ -22,7 +22,7 @@
 InstanceState Limited() {
   InstanceState state(InstanceSettings{}, "instance");
   state.instances_known = true;
-  state.endpoints.Replace({LimitedEndpoint()}, 1, kStart, kStart);
+  state.endpoints.Replace({LimitedEndpoint()}, {0, 1}, kStart, kStart);
   state.limits.OnAnswer(endpoints::EndpointKey(LimitedEndpoint()), 10, kStart,
                         kStart);
   return state;
@@ -58,7 +58,7 @@
 BOOST_AUTO_TEST_CASE(LimitOfAnEndpointThatIsGoneEnds) {
   InstanceState state = Limited();
   state.ShareLimits(kAddress, kStart);
-  state.endpoints.Replace({}, 2, kStart + seconds(1), kStart + seconds(1));
+  state.endpoints.Replace({}, {0, 2}, kStart + seconds(1), kStart + seconds(1));
   state.ShareLimits(kAddress, kStart + seconds(1));
   BOOST_TEST(state.pacer.Empty());
 }
--- a/unittests/instance/snapshot_exchange_test.cc
+++ b/unittests/instance/snapshot_exchange_test.cc
@@ -48,7 +48,7 @@
         snapshots(event_loop, this->client, this->state, this->logger,
                   this->endpoint_log, "domain") {
     this->snapshots.Start(
-        [this](std::uint64_t revision, const std::string& text) {
+        [this](const store::Revision& revision, const std::string& text) {
           this->state.configuration_revision = revision;
           this->state.configuration_text = text;
           ++this->configurations_applied;
@@ -66,7 +66,7 @@
   void SetConfiguration(const std::string& text) {
     this->state.route_table =
         std::make_shared<const routes::RouteTable>(routes::Configuration{});
-    ++this->state.configuration_revision;
+    ++this->state.configuration_revision.number;
     this->state.configuration_text = text;
   }
   std::string Address() const {
--- a/unittests/store/conditional_write_test.cc
+++ b/unittests/store/conditional_write_test.cc
@@ -34,8 +34,8 @@
 // them misjudged the outcome of its write.
 RC_BOOST_PROP(ExactlyOneOfRacingWritesTakesEffect, (bool exists)) {
   ObjectMap map;
-  std::uint64_t base = 0;
-  if (exists) base = map.Write({kKey, "t0", 0, "0"}, Fault::kNone).version;
+  Revision base;
+  if (exists) base = map.Write({kKey, "t0", {}, "0"}, Fault::kNone).version;
   std::vector<ConditionalWrite> writes;
   for (const char* token : {"a", "b", "c"}) {
     writes.emplace_back(Write{kKey, token, base, "1"});
@@ -65,7 +65,7 @@
 // process reads its own token back and knows that the change is in force.
 BOOST_AUTO_TEST_CASE(LostAnswerIsFoundByReadingBack) {
   ObjectMap map;
-  ConditionalWrite write(Write{kKey, "mine", 0, "1"});
+  ConditionalWrite write(Write{kKey, "mine", {}, "1"});
   TakeStep(write, map, Fault::kAnswerLost);
   BOOST_TEST((write.Next() == ConditionalWrite::Step::kRead));
   TakeStep(write, map, Fault::kNone);
@@ -77,11 +77,11 @@
 // change is stale. Guards against a caller that acts on a replaced object: only
 // a version at least as new as the conflict reported settles the write.
 BOOST_AUTO_TEST_CASE(StaleReadDoesNotSettleAConflict) {
-  ConditionalWrite write(Write{kKey, "mine", 1, "1"});
-  write.OnWrite({WriteStatus::kConflict, 7});
-  write.OnRead({ReadStatus::kFound, Object{kKey, 5, "other", "old"}});
+  ConditionalWrite write(Write{kKey, "mine", {0, 1}, "1"});
+  write.OnWrite({WriteStatus::kConflict, {0, 7}});
+  write.OnRead({ReadStatus::kFound, Object{kKey, {0, 5}, "other", "old"}});
   BOOST_TEST((write.Next() == ConditionalWrite::Step::kRead));
-  write.OnRead({ReadStatus::kFound, Object{kKey, 7, "other", "new"}});
+  write.OnRead({ReadStatus::kFound, Object{kKey, {0, 7}, "other", "new"}});
   BOOST_TEST((write.Next() == ConditionalWrite::Step::kConflict));
   BOOST_TEST(write.ConflictingObject()->value == "new");
 }
@@ -90,7 +90,7 @@
 // not wait for an object that never comes back.
 BOOST_AUTO_TEST_CASE(DeletedObjectIsAConflict) {
   ObjectMap map;
-  const auto base = map.Write({kKey, "t0", 0, "0"}, Fault::kNone).version;
+  const auto base = map.Write({kKey, "t0", {}, "0"}, Fault::kNone).version;
   map.Delete(kKey);
   ConditionalWrite write(Write{kKey, "mine", base, "1"});
   Finish(write, map);
