A bare number is never taken for an epoch

In the first form an aggregate took the version of a write's answer for the epoch, without a diagnostic; WriteOnAnOldVersionIsAConflict showed it.

--- a/include/toucanwharf/store/revision.h
+++ b/include/toucanwharf/store/revision.h
@@ -13,6 +13,11 @@
 /// later state has a lower number, or the same one for other contents. The
 /// epoch tells them apart: states are ordered by it first.
 struct Revision {
+  Revision() = default;
+  /// Not an aggregate, so that no bare number is taken for an epoch.
+  Revision(std::uint64_t of_epoch, std::uint64_t of_number)
+      : epoch(of_epoch), number(of_number) {}
+
   /// Rises each time the store comes back from an older copy; 0 for a store
   /// that states none.
   std::uint64_t epoch = 0;
--- a/lib/command/platform.cc
+++ b/lib/command/platform.cc
@@ -54,9 +54,9 @@
   return "/objects/" + key.collection + "/" + key.name;
 }
 
-std::uint64_t VersionOf(const std::string& body) {
+store::Revision VersionOf(const std::string& body) {
   const json value = json::parse(body, nullptr, false);
-  return value.is_object() ? CountMemberOrZero(value, "version") : 0;
+  return {0, value.is_object() ? CountMemberOrZero(value, "version") : 0};
 }
 
 store::Object ObjectOf(const json& value) {
