The case of endpoints missing in the copy goes by a route without keys

EndpointsMissingInTheCopyServeUntilTheyRegisterAgain counted refusals of requests with a key. With the endpoints retained, 108 of them were left, all keys_unconfirmed: within the revocation's bound of 2.5 s of these routers nothing proves after 1.2 s of absence that no key was revoked, and the case LostRevocationThatNobodyReadIsInForceInTime asserts just that. The case is about endpoints; it now asks the open route, for as long and as strictly, and no longer waits before the second count.

--- a/test/process/store_return_test.cc
+++ b/test/process/store_return_test.cc
@@ -55,7 +55,8 @@
 
   Answer Read(std::size_t router, const std::string& key) {
     const std::string id = "read-" + std::to_string(++this->requests);
-    return this->fleet.Plain(router, "/read/" + id, id, key);
+    const std::string route = key.empty() ? "/open/" : "/read/";
+    return this->fleet.Plain(router, route + id, id, key);
   }
   /// Returns whether all routers answer requests with \p key by \p status.
   bool AllAnswer(const std::string& key, int status) {
@@ -77,6 +78,10 @@
     }
     return count;
   }
+  /// The same for requests that need no key.
+  int CountOpen(int status, milliseconds time) {
+    return this->CountAnswers("", status, time);
+  }
   /// Returns whether a request ran at \p endpoint after \p from.
   bool RanAt(const std::string& endpoint, TimePoint from) {
     bool ran = false;
@@ -220,11 +225,9 @@
   BOOST_REQUIRE(PlatformFleet::Eventually(
       [this] { return this->AllAnswer(PlatformFleet::kKey, 200); }));
   const auto lost = this->Return();
-  BOOST_TEST(this->CountAnswers(PlatformFleet::kKey, 503, kWrittenAgainAfter) ==
-             0);
+  BOOST_TEST(this->CountOpen(503, kWrittenAgainAfter) == 0);
   this->WriteAgain(lost);
-  std::this_thread::sleep_for(kBound);
-  BOOST_TEST(this->CountAnswers(PlatformFleet::kKey, 503, kBound) == 0);
+  BOOST_TEST(this->CountOpen(503, kBound) == 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
