CONFIG: a configuration is ordered by the operator's version, and a read of a copy confirms nothing

What callers saw: after the store came back from an older copy, all instances refused everything for four seconds, and then ran requests by a configuration two versions old, one of them with a revoked key (I7).

Cause: what was read last was compared by the store's bare revision. All answers of the returned store were lower and were dropped, so that nothing was confirmed; when its count reached the revision of the configuration in force, a later version with that number counted as that one, and its keys as confirmed. Class: a number that counts within one life of its giver, compared across two.

So the copy's doesn't come into force, an instance that starts beside it takes its peers', and a change counts whatever its revision. A read confirms only once what the store lost is written again: two seconds after the return was first seen by any instance (store::EpochClock, whose age goes along in beacons), or half a second after the operator was seen to have written since; a copy has objects with the numbers that they had, which is how that is told. All answers tell the epoch, refusals too; one whose epoch can't be read counts as none.

ConfigurationInForce takes from StoreSync what it decided on configurations.

--- a/include/toucanwharf/gossip/beacon.h
+++ b/include/toucanwharf/gossip/beacon.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "toucanwharf/gossip/configuration_id.h"
 #include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/limits/demand_meter.h"
 #include "toucanwharf/limits/stated_limits.h"
@@ -105,8 +106,11 @@
   /// Whether it reaches endpoints, so that requests can be forwarded to it;
   /// nothing from a build that takes none.
   std::optional<bool> reaches_endpoints;
-  /// Store's revision of the configuration in force, not set for none.
-  store::Revision configuration_revision;
+  /// The store's epoch, and how long ago it was first seen if known.
+  std::uint64_t store_epoch = 0;
+  std::optional<Duration> store_epoch_age;
+  /// The configuration in force.
+  ConfigurationId configuration;
   /// Age of the configuration's last confirmation when the beacon was made.
   std::optional<Duration> configuration_age;
   /// Store's revision of the list of endpoints.
--- a/include/toucanwharf/gossip/peer_table.h
+++ b/include/toucanwharf/gossip/peer_table.h
@@ -108,13 +108,13 @@
                                       TimePoint now) const;
 
   /// Returns the moment of the local clock at which peers confirm that the
-  /// configuration of \p revision was current, or nothing. A peer's age is
+  /// configuration \p known was current, or nothing. A peer's age is
   /// subtracted from the moment at which the echoed beacon was sent, which was
   /// before the peer made its own: network delay makes the confirmation older,
-  /// never younger. A peer that had seen an older revision at that moment
-  /// confirms as well, since anything newer came later.
+  /// never younger. A peer that had seen an older one at that moment confirms
+  /// as well, since anything newer came later.
   std::optional<TimePoint> ConfigurationConfirmedAt(
-      const store::Revision& revision, TimePoint now) const;
+      const ConfigurationId& known, TimePoint now) const;
   /// The same for the list of endpoints.
   std::optional<TimePoint> EndpointsConfirmedAt(const store::Revision& revision,
                                                 TimePoint now) const;
--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -74,11 +74,15 @@
     S& store, const store::ObjectKey& key, const store::Write& write,
     const std::string& collection, std::function<void(store::ReadAnswer)> read,
     std::function<void(store::WriteAnswer)> written,
+    std::function<void(std::uint64_t)> epoch_seen,
     std::function<void(std::optional<store::Listing>)> listed) {
   store.Read(key, read);
   store.Write(write, written);
   store.List(collection, listed);
   store.Remove(key);
+  // Called with the epoch in each answer, before the answer's own callback.
+  store.OnEpoch(epoch_seen);
+  { store.UnreadableEpochs() } -> std::same_as<std::uint64_t>;
 };
 
 /// Names, formats and calls of a deployment. An adapter only translates and
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/server.h"
 #include "toucanwharf/instance/adapter.h"
+#include "toucanwharf/instance/configuration_in_force.h"
 #include "toucanwharf/instance/endpoint_list_log.h"
 #include "toucanwharf/instance/gateway.h"
 #include "toucanwharf/instance/instance_state.h"
@@ -44,9 +46,12 @@
                  &A::PathText, &A::ToRerouteFault}),
         peers(this->loop, this->client, this->state, this->logger,
               this->endpoint_log, this->settings),
+        configuration(this->state, this->logger, &A::ToConfiguration,
+                      [this] { this->OnChange(); }),
         sync(
             this->loop, this->store, this->state, this->logger,
-            this->endpoint_log, [this] { this->OnChange(); },
+            this->endpoint_log, this->configuration,
+            [this] { this->OnChange(); },
             StoreSyncTimes(this->settings.bounds.configuration),
             gossip::InitialReadPolicy(this->settings.processor_share,
                                       this->loop.Now(), this->random.Unit())),
@@ -66,7 +71,7 @@
     BOOST_OUTCOME_TRYV(this->Listen());
     BOOST_OUTCOME_TRYV(this->peers.Start(
         [this](const store::Revision& revision, const std::string& text) {
-          this->sync.Adopt(revision, text);
+          this->configuration.Adopt(revision, text, this->loop.Now());
         },
         [this] { this->OnChange(); }));
     this->gateway.OnCrash([this](const quarantine::Fingerprint& request) {
@@ -81,6 +86,9 @@
         [this](const UnresponsiveReport& report) {
           this->gateway.OnPeerReport(report);
         });
+    this->store.OnEpoch([this](std::uint64_t epoch) {
+      this->state.OnStoreEpoch(epoch, this->loop.Now());
+    });
     this->sync.Start();
     this->placement.Start();
     this->Register();
@@ -248,6 +256,17 @@
     });
   }
 
+  /// Logs a return of the store from an older copy.
+  void FollowEpoch(TimePoint now) {
+    const std::uint64_t epoch = this->state.epochs.Epoch();
+    const std::uint64_t previous = std::exchange(this->seen_epoch, epoch);
+    if (previous == epoch || previous == 0) return;
+    this->logger.Write(
+        eventlog::Level::kNotable, "store_returned",
+        eventlog::Fields().Count("epoch", static_cast<std::int64_t>(epoch)),
+        now);
+  }
+
   void ListInstances() {
     this->store.List(
         A::InstanceCollection(),
@@ -299,6 +318,7 @@
   void RunHousekeeping() {
     const TimePoint now = this->loop.Now();
     this->UpdateBudgetSharers(now);
+    this->FollowEpoch(now);
     this->gateway.ReviewBrokenRuns();
     this->gateway.CheckPaths();
     this->state.ShareLimits(this->settings.datagram_address, now);
@@ -316,8 +336,9 @@
     if (std::exchange(this->keys_accepted, keys) != keys) {
       eventlog::Fields fields;
       if (age) fields.Millis("configuration_age_ms", *age);
-      fields.Count("revision", static_cast<std::int64_t>(
-                                   this->state.configuration_revision.number));
+      const store::Revision& revision = this->state.configuration.revision;
+      fields.Count("revision", static_cast<std::int64_t>(revision.number))
+          .Count("epoch", static_cast<std::int64_t>(revision.epoch));
       this->logger.Write(eventlog::Level::kNotable,
                          keys ? "keys_confirmed" : "keys_unconfirmed", fields,
                          now);
@@ -366,10 +387,13 @@
   typename A::Store store;
   Gateway gateway;
   PeerLink peers;
+  ConfigurationInForce configuration;
   StoreSync<A> sync;
   PlacementDriver<A> placement;
   QuarantineSync<A> quarantine_sync;
   TimePoint started{this->loop.Now()};
+  /// The store's epoch when it was last looked at.
+  std::uint64_t seen_epoch = 0;
   bool startup_announced = false;
   bool keys_accepted = false;
   bool was_ready = false;
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -21,6 +21,7 @@
 #include "toucanwharf/quarantine/quarantine.h"
 #include "toucanwharf/routes/freshness.h"
 #include "toucanwharf/routes/route_table.h"
+#include "toucanwharf/store/epoch_clock.h"
 
 namespace toucanwharf::instance {
 
@@ -35,8 +36,8 @@
   std::string instance;
   /// The configuration in force, or null before the first one.
   std::shared_ptr<const routes::RouteTable> route_table;
-  /// Its revision in the store, and its text.
-  store::Revision configuration_revision;
+  /// Which one that is, and its text.
+  gossip::ConfigurationId configuration;
   std::string configuration_text;
   routes::Freshness freshness;
   endpoints::EndpointTable endpoints;
@@ -67,6 +68,7 @@
   /// for the same engines would; 0 unless this instance leads.
   double layout_rate = 0;
   double best_layout_rate = 0;
+  store::EpochClock epochs;
   /// Number of the store's answers that were older than what was known.
   std::uint64_t older_store_answers = 0;
   /// Whether the list of instances has been read from the store.
@@ -74,10 +76,10 @@
   /// Whether the stored requests in quarantine have been read.
   bool quarantine_known = false;
 
-  /// Returns the version of the configuration in force, 0 before the first.
-  std::uint64_t ConfigurationVersion() const {
-    return this->route_table ? this->route_table->All().version : 0;
-  }
+  /// Records the epoch in an answer of the store.
+  void OnStoreEpoch(std::uint64_t epoch, TimePoint now);
+  /// Records what a peer reports of the store's epoch.
+  void OnPeerEpoch(const gossip::Beacon& beacon, TimePoint now);
   /// Returns whether requests can be admitted or refused: the configuration and
   /// the list of endpoints are known, and keys may be accepted.
   bool CanAdmitRequests(TimePoint now) const;
--- a/include/toucanwharf/instance/snapshot_exchange.h
+++ b/include/toucanwharf/instance/snapshot_exchange.h
@@ -58,7 +58,9 @@
   /// A snapshot to fetch, and the peer that announced it.
   struct WantedSnapshot {
     Kind kind = Kind::kConfiguration;
-    store::Revision revision;
+    /// Which configuration, or which list of endpoints.
+    gossip::ConfigurationId configuration;
+    store::Revision endpoints;
     /// Control address.
     std::string announcer;
     int attempts = 0;
@@ -74,10 +76,10 @@
   };
 
   static std::string PathOf(Kind kind);
-  static const store::Revision& RevisionIn(const gossip::Beacon& beacon,
-                                           Kind kind);
-  /// Returns the revision that this instance has.
-  const store::Revision& LocalRevision(Kind kind) const;
+  /// Returns whether \p wanted is newer than what this instance has.
+  bool IsNewer(const WantedSnapshot& wanted) const;
+  /// Returns whether the sender of \p beacon has \p wanted, or a newer one.
+  static bool Has(const gossip::Beacon& beacon, const WantedSnapshot& wanted);
   bool& Fetching(Kind kind) {
     return kind == Kind::kConfiguration ? this->fetching_configuration
                                         : this->fetching_endpoints;
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -14,6 +14,7 @@
 #include "toucanwharf/gossip/initial_read_policy.h"
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/instance/adapter.h"
+#include "toucanwharf/instance/configuration_in_force.h"
 #include "toucanwharf/instance/endpoint_list_log.h"
 #include "toucanwharf/instance/instance_state.h"
 
@@ -80,14 +81,15 @@
   /// Precondition: all references outlive the object.
   StoreSync(http::Loop& event_loop, Store& object_store,
             InstanceState& shared_state, eventlog::Logger& log,
-            EndpointListLog& list_log, std::function<void()> on_change,
-            const StoreSyncTimes& sync_times,
+            EndpointListLog& list_log, ConfigurationInForce& in_force,
+            std::function<void()> on_change, const StoreSyncTimes& sync_times,
             const gossip::InitialReadPolicy& at_start)
       : loop(event_loop),
         store(object_store),
         state(shared_state),
         logger(log),
         endpoint_log(list_log),
+        configuration(in_force),
         changed(std::move(on_change)),
         times(sync_times),
         initial_read(at_start) {}
@@ -98,29 +100,6 @@
     this->loop.Every(this->times.poll_period, [this] { this->Poll(); });
   }
 
-  /// Puts \p text of the store's \p revision into force unless the
-  /// configuration in force is as new. Drops a text that cannot be parsed.
-  void Adopt(const store::Revision& revision, const std::string& text) {
-    if (revision <= this->state.configuration_revision) return;
-    const TimePoint now = this->loop.Now();
-    eventlog::Fields fields;
-    fields.Count("revision", static_cast<std::int64_t>(revision.number));
-    auto read = A::ToConfiguration(text);
-    if (!read) {
-      this->logger.Write(eventlog::Level::kNotable, "configuration_unreadable",
-                         fields, now);
-      return;
-    }
-    fields.Count("version", static_cast<std::int64_t>(read->version));
-    this->state.route_table =
-        std::make_shared<const routes::RouteTable>(std::move(*read));
-    this->state.configuration_revision = revision;
-    this->state.configuration_text = text;
-    this->logger.Write(eventlog::Level::kNotable, "configuration_in_force",
-                       fields, now);
-    this->changed();
-  }
-
  private:
   void Poll() {
     const TimePoint now = this->loop.Now();
@@ -166,13 +145,25 @@
 
   bool Due(const std::optional<Duration>& age, Duration period,
            TimePoint requested_at, TimePoint now) const {
-    const bool backs_off = !this->store_answers || this->no_configuration;
-    const Duration pause =
-        backs_off ? this->Backoff(now) : this->times.retry_period;
-    if (now - requested_at < pause) return false;
+    if (now - requested_at < this->Pause(period, now)) return false;
     return !age || *age >= period;
   }
 
+  /// Returns the delay after the last read, where its result is too old.
+  Duration Pause(Duration period, TimePoint now) const {
+    const bool backs_off = !this->store_answers || this->no_configuration;
+    if (backs_off) return this->Backoff(now);
+    // What reads can't confirm yet is no reason for more of them. The leader's
+    // first confirmation reaches the others before they read.
+    const bool saw_return = this->state.epochs.Age(now).has_value();
+    const bool waits = saw_return && !this->state.leads;
+    const TimePoint reference = waits ? now - period : now;
+    const bool settled = this->state.epochs.IsSettled(reference);
+    if (settled || !saw_return) return this->times.retry_period;
+    const bool large = this->state.peers.IsLargeFleet(now);
+    return large ? period : this->times.reader_period;
+  }
+
   /// Logs that this instance reads for itself although it is not the leader.
   void LogLocalRead(std::string_view subject,
                     const std::optional<Duration>& age, TimePoint now) {
@@ -204,7 +195,7 @@
     // started and the store cannot serve them concurrently, hundreds of retries
     // would keep it from serving any; an instance that gets an answer announces
     // it to the others.
-    const bool has_configuration = this->state.configuration_revision.IsSet();
+    const bool has_configuration = this->state.route_table != nullptr;
     if (has_configuration && !outage) return base;
     return std::max(base, this->times.FollowerBackoff(
                               this->state.peers.InstanceCount(now)));
@@ -222,20 +213,12 @@
 
   void OnConfiguration(const store::ReadAnswer& answer, TimePoint begun) {
     this->reading_configuration = false;
-    this->RecordStoreAnswer(answer.status != store::ReadStatus::kUnknown);
+    const bool answered = answer.status != store::ReadStatus::kUnknown;
+    this->RecordStoreAnswer(answered);
     this->no_configuration = answer.status == store::ReadStatus::kMissing;
-    if (answer.status != store::ReadStatus::kFound) return;
-    // An answer that arrives after a newer one confirms nothing.
-    const bool older =
-        answer.object.version < this->state.configuration_revision;
-    this->LogIfOlder("configuration", answer.object.version,
-                     this->state.configuration_revision,
-                     this->older_configuration);
-    if (older) return;
-    this->Adopt(answer.object.version, answer.object.value);
-    if (this->state.configuration_revision == answer.object.version) {
-      this->state.freshness.Confirm(begun);
-    }
+    if (!answered) return;
+    if (this->no_configuration) return;
+    this->configuration.OnRead(answer.object, begun, this->loop.Now());
   }
 
   void ListEndpoints() {
@@ -263,8 +246,9 @@
       }
     }
     const TimePoint now = this->loop.Now();
-    this->LogIfOlder("endpoints", list->revision,
-                     this->state.endpoints.Revision(), this->older_endpoints);
+    if (list->revision < this->state.endpoints.Revision()) {
+      ++this->state.older_store_answers;
+    }
     const bool new_list = this->state.endpoints.Replace(
         std::move(read), list->revision, begun, now);
     this->endpoint_log.OnList(this->state.endpoints, ListCause::kStore,
@@ -272,22 +256,6 @@
     if (new_list) this->changed();
   }
 
-  /// Counts an answer of \p revision if it is older than \p known, the newest
-  /// state known of \p subject, and logs the first of several in a row.
-  void LogIfOlder(std::string_view subject, const store::Revision& revision,
-                  const store::Revision& known, bool& older_before) {
-    const bool older = revision < known;
-    if (older) ++this->state.older_store_answers;
-    if (std::exchange(older_before, older) || !older) return;
-    this->logger.Write(
-        eventlog::Level::kNotable, "store_answer_older",
-        eventlog::Fields()
-            .Text("what", subject)
-            .Count("revision", static_cast<std::int64_t>(revision.number))
-            .Count("known", static_cast<std::int64_t>(known.number)),
-        this->loop.Now());
-  }
-
   void RecordStoreAnswer(bool answered) {
     if (!answered) this->state.endpoints.OnStoreUnavailable(this->loop.Now());
     this->failures = answered ? 0 : this->failures + 1;
@@ -302,6 +270,7 @@
   InstanceState& state;
   eventlog::Logger& logger;
   EndpointListLog& endpoint_log;
+  ConfigurationInForce& configuration;
   std::function<void()> changed;
   StoreSyncTimes times;
   gossip::InitialReadPolicy initial_read;
@@ -316,9 +285,6 @@
   /// The operator has not written a configuration yet.
   bool no_configuration = false;
   int failures = 0;
-  /// Whether the last answer was older than the state known here.
-  bool older_configuration = false;
-  bool older_endpoints = false;
 };
 
 }  // namespace toucanwharf::instance
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -220,7 +220,10 @@
   beacon.ready = json.at("r").get<bool>();
   beacon.stopping = json.at("s").get<bool>();
   beacon.leads = json.at("l").get<bool>();
-  beacon.configuration_revision = RevisionFromJson(json.at("v"));
+  beacon.store_epoch = CountMemberOrZero(json, "se");
+  beacon.store_epoch_age = AgeFromJson(json.at("sa"));
+  beacon.configuration = {CountMemberOrZero(json, "vn"),
+                          RevisionFromJson(json.at("v"))};
   beacon.configuration_age = AgeFromJson(json.at("va"));
   beacon.endpoints_revision = RevisionFromJson(json.at("e"));
   beacon.endpoints_age = AgeFromJson(json.at("ea"));
@@ -283,7 +286,10 @@
                {"r", beacon.ready},
                {"s", beacon.stopping},
                {"l", beacon.leads},
-               {"v", RevisionToJson(beacon.configuration_revision)},
+               {"se", beacon.store_epoch},
+               {"sa", AgeOrNull(beacon.store_epoch_age)},
+               {"vn", beacon.configuration.version},
+               {"v", RevisionToJson(beacon.configuration.revision)},
                {"va", AgeOrNull(beacon.configuration_age)},
                {"e", RevisionToJson(beacon.endpoints_revision)},
                {"ea", AgeOrNull(beacon.endpoints_age)},
--- a/lib/gossip/peer_table.cc
+++ b/lib/gossip/peer_table.cc
@@ -186,11 +186,11 @@
 }  // namespace
 
 std::optional<TimePoint> PeerTable::ConfigurationConfirmedAt(
-    const store::Revision& revision, TimePoint now) const {
+    const ConfigurationId& known, TimePoint now) const {
   std::optional<TimePoint> best;
   for (const Peer* peer : this->AllLive(now)) {
     const Beacon& beacon = peer->beacon;
-    if (beacon.configuration_revision > revision) continue;
+    if (beacon.configuration.IsNewerThan(known)) continue;
     best = LaterConfirmation(best, beacon, this->local_instance,
                              beacon.configuration_age);
   }
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -224,8 +224,8 @@
   fields.Text("request", headers.Get(this->names.request_id))
       .Text("why", reason)
       .Count("status", status)
-      .Count("configuration", static_cast<std::int64_t>(
-                                  this->state.configuration_revision.number));
+      .Count("configuration",
+             static_cast<std::int64_t>(this->state.configuration.version));
   const TimePoint now = this->loop.Now();
   if (const auto age = this->state.freshness.Age(now)) {
     fields.Millis("configuration_age_ms", *age);
--- a/lib/instance/gateway_forwarding.cc
+++ b/lib/instance/gateway_forwarding.cc
@@ -21,7 +21,7 @@
     return "forward_unknown_instance";
   }
   // The caller was admitted by a newer configuration (I7).
-  if (forwarded->configuration_version > this->state.ConfigurationVersion()) {
+  if (forwarded->configuration_version > this->state.configuration.version) {
     return "forward_behind";
   }
   if (this->state.paths.IsIsolated()) return "isolated";
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -41,6 +41,14 @@
       withdraws_when_isolated(settings.mechanisms.withdrawal),
       failure_domain(settings.failure_domain) {}
 
+void InstanceState::OnStoreEpoch(std::uint64_t epoch, TimePoint now) {
+  this->epochs.OnAnswer(epoch, now);
+}
+
+void InstanceState::OnPeerEpoch(const gossip::Beacon& beacon, TimePoint now) {
+  this->epochs.OnPeer(beacon.store_epoch, beacon.store_epoch_age, now);
+}
+
 bool InstanceState::MayAcceptKeys(TimePoint now) const {
   return !this->strict_revocation || this->freshness.Holds(now);
 }
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -132,7 +132,13 @@
                static_cast<double>(gateway.Sharers().instances));
   writer.Gauge("configuration_revision",
                "store's revision of the configuration in force",
-               static_cast<double>(state.configuration_revision.number));
+               static_cast<double>(state.configuration.revision.number));
+  writer.Gauge("configuration_version",
+               "operator's version of the configuration in force",
+               static_cast<double>(state.configuration.version));
+  writer.Gauge("store_epoch",
+               "the store's epoch, which rises with each return from a copy",
+               static_cast<double>(state.epochs.Epoch()));
   writer.Gauge("configuration_age_seconds",
                "age of the proof that it is current, -1 for none",
                SecondsOf(state.freshness.Age(now)));
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -244,7 +244,9 @@
   beacon.stopping = this->state.stopping_since.has_value();
   beacon.leads = this->state.leads;
   beacon.reaches_endpoints = !this->state.paths.IsIsolated();
-  beacon.configuration_revision = this->state.configuration_revision;
+  beacon.store_epoch = this->state.epochs.Epoch();
+  beacon.store_epoch_age = this->state.epochs.Age(now);
+  beacon.configuration = this->state.configuration;
   beacon.configuration_age = this->state.freshness.Age(now);
   beacon.endpoints_revision = this->state.endpoints.ChangedRevision();
   if (const auto confirmed = this->state.endpoints.ConfirmedAt()) {
@@ -407,6 +409,7 @@
 }
 
 void PeerLink::ApplyBeacon(const gossip::Beacon& beacon, TimePoint now) {
+  this->state.OnPeerEpoch(beacon, now);
   for (const gossip::Suspicion& suspicion : beacon.suspicions) {
     this->ApplySuspicion(suspicion, beacon, now);
   }
@@ -476,7 +479,7 @@
 
 void PeerLink::ApplyConfirmations(TimePoint now) {
   const auto configuration = this->state.peers.ConfigurationConfirmedAt(
-      this->state.configuration_revision, now);
+      this->state.configuration, now);
   if (configuration && this->state.route_table) {
     this->state.freshness.Confirm(*configuration);
   }
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -48,7 +48,7 @@
   request.headers = http::EndToEnd(request.headers);
   ForwardedRequest forwarded;
   forwarded.instance = state.instance;
-  forwarded.configuration_version = state.ConfigurationVersion();
+  forwarded.configuration_version = state.configuration.version;
   // Without the one that begins now.
   forwarded.runs = this->attempt_counts.may_have_run - 1;
   forwarded.age = this->gateway.loop.Now() - this->admitted.arrived;
--- a/lib/instance/snapshot_exchange.cc
+++ b/lib/instance/snapshot_exchange.cc
@@ -146,28 +146,34 @@
                                                   : kEndpointsPath);
 }
 
-const store::Revision& SnapshotExchange::RevisionIn(
-    const gossip::Beacon& beacon, Kind kind) {
-  return kind == Kind::kConfiguration ? beacon.configuration_revision
-                                      : beacon.endpoints_revision;
+bool SnapshotExchange::IsNewer(const WantedSnapshot& wanted) const {
+  if (wanted.kind == Kind::kEndpoints) {
+    return wanted.endpoints > this->state.endpoints.Revision();
+  }
+  return wanted.configuration.IsNewerThan(this->state.configuration);
 }
 
-const store::Revision& SnapshotExchange::LocalRevision(Kind kind) const {
-  return kind == Kind::kConfiguration ? this->state.configuration_revision
-                                      : this->state.endpoints.Revision();
+bool SnapshotExchange::Has(const gossip::Beacon& beacon,
+                           const WantedSnapshot& wanted) {
+  if (wanted.kind == Kind::kEndpoints) {
+    return beacon.endpoints_revision >= wanted.endpoints;
+  }
+  return !wanted.configuration.IsNewerThan(beacon.configuration);
 }
 
 void SnapshotExchange::FetchNewer(const gossip::Beacon& beacon) {
   for (const Kind kind : {Kind::kConfiguration, Kind::kEndpoints}) {
-    const store::Revision& revision = RevisionIn(beacon, kind);
-    if (revision <= this->LocalRevision(kind)) continue;
+    const WantedSnapshot wanted{kind, beacon.configuration,
+                                beacon.endpoints_revision,
+                                beacon.control_address, 0};
+    if (!this->IsNewer(wanted)) continue;
     if (std::exchange(this->Fetching(kind), true)) continue;
     // A process without a snapshot cannot serve and fetches immediately.
-    const bool spread = this->state.peers.IsLargeFleet(this->loop.Now()) &&
-                        this->LocalRevision(kind).IsSet();
+    const bool spread =
+        this->state.peers.IsLargeFleet(this->loop.Now()) && this->Has(kind);
     const Duration delay =
         spread ? this->RandomDelay(kFetchSpread) : Duration(0);
-    this->FetchAfter(delay, {kind, revision, beacon.control_address, 0});
+    this->FetchAfter(delay, wanted);
   }
 }
 
@@ -177,7 +183,7 @@
 }
 
 void SnapshotExchange::Fetch(const WantedSnapshot& wanted) {
-  if (wanted.revision <= this->LocalRevision(wanted.kind)) {
+  if (!this->IsNewer(wanted)) {
     this->Fetching(wanted.kind) = false;
     return;
   }
@@ -204,12 +210,15 @@
     return;
   }
   ++wanted.attempts;
+  const store::Revision& revision = wanted.kind == Kind::kEndpoints
+                                        ? wanted.endpoints
+                                        : wanted.configuration.revision;
   this->logger.Write(
       Level::kNotable, "peer_copy_not_fetched",
       Fields()
           .Text("path", PathOf(wanted.kind))
           .Text("source", source)
-          .Count("revision", static_cast<std::int64_t>(wanted.revision.number))
+          .Count("revision", static_cast<std::int64_t>(revision.number))
           .Count("status", status)
           .Count("tries", wanted.attempts),
       this->loop.Now());
@@ -248,10 +257,8 @@
     const gossip::Beacon& beacon = peer->beacon;
     // A peer whose last beacon is old may have departed.
     const bool recent = now - peer->last_beacon_at <= kFetchSpread * 2;
-    const bool has_revision =
-        RevisionIn(beacon, wanted.kind) >= wanted.revision;
     const bool in_domain = beacon.failure_domain == this->failure_domain;
-    if (recent && has_revision && in_domain) nearby.push_back(peer);
+    if (recent && in_domain && Has(beacon, wanted)) nearby.push_back(peer);
   }
   if (nearby.empty()) return wanted.announcer;
   return nearby[this->random() % nearby.size()]->beacon.control_address;
@@ -274,7 +281,7 @@
   Snapshot& copy = of_endpoints ? this->endpoints : this->configuration;
   const store::Revision& newest = of_endpoints
                                       ? table.ChangedRevision()
-                                      : this->state.configuration_revision;
+                                      : this->state.configuration.revision;
   // While endpoints are retained, the text states for how much longer.
   const std::size_t count = of_endpoints ? table.RetainedCount() : 0;
   if (copy.revision == newest && copy.retained == 0 && count == 0) return copy;
--- a/unittests/adapter/quarantine_sync_test.cc
+++ b/unittests/adapter/quarantine_sync_test.cc
@@ -51,6 +51,8 @@
     done({store::WriteStatus::kWritten, version});
   }
   void Remove(const store::ObjectKey& key) { this->objects.erase(key); }
+  void OnEpoch(const std::function<void(std::uint64_t)>& /*task*/) {}
+  std::uint64_t UnreadableEpochs() const { return 0; }
 
   std::map<store::ObjectKey, std::string> objects;
   std::map<store::ObjectKey, store::Revision> versions;
--- a/unittests/adapter/store_reads_test.cc
+++ b/unittests/adapter/store_reads_test.cc
@@ -35,6 +35,8 @@
   void Write(const store::Write& /*write*/,
              std::function<void(store::WriteAnswer)> /*done*/) {}
   void Remove(const store::ObjectKey& /*key*/) {}
+  void OnEpoch(const std::function<void(std::uint64_t)>& /*task*/) {}
+  std::uint64_t UnreadableEpochs() const { return 0; }
 
   int MaxInFlight() const { return this->max_in_flight; }
 
@@ -64,8 +66,10 @@
   InstanceState state(InstanceSettings{}, "instance");
   eventlog::Logger logger(STDERR_FILENO, "instance");
   EndpointListLog lists(logger);
+  ConfigurationInForce configuration(state, logger,
+                                     &SlowAdapter::ToConfiguration, [] {});
   StoreSync<SlowAdapter> sync(
-      loop, store, state, logger, lists, [] {},
+      loop, store, state, logger, lists, configuration, [] {},
       StoreSyncTimes(milliseconds(4000)),
       gossip::InitialReadPolicy(1, loop.Now(), 0));
   sync.Start();
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -35,7 +35,7 @@
 /// echoes what \p to sent at \p echo of its own clock.
 Beacon ConfirmingBeacon(const std::string& to, int echo, int age) {
   Beacon beacon = MakeBeacon("peer", 1);
-  beacon.configuration_revision = {0, 5};
+  beacon.configuration = {5, {0, 5}};
   beacon.configuration_age = milliseconds(age);
   beacon.echo = Duration(milliseconds(echo)).count();
   beacon.echo_of = to;
@@ -49,9 +49,11 @@
   beacon.processor_share = 0.25;
   beacon.ready = *rc::gen::arbitrary<bool>();
   beacon.stopping = *rc::gen::arbitrary<bool>();
-  beacon.configuration_revision = {
-      *rc::gen::inRange<std::uint64_t>(0, 5),
-      *rc::gen::inRange<std::uint64_t>(0, 1 << 30)};
+  beacon.store_epoch = *rc::gen::inRange<std::uint64_t>(0, 5);
+  if (*rc::gen::arbitrary<bool>()) beacon.store_epoch_age = milliseconds(700);
+  beacon.configuration = {*rc::gen::inRange<std::uint64_t>(0, 100),
+                          {*rc::gen::inRange<std::uint64_t>(0, 5),
+                           *rc::gen::inRange<std::uint64_t>(0, 1 << 30)}};
   if (*rc::gen::arbitrary<bool>()) {
     beacon.configuration_age = Duration(*rc::gen::inRange(0, 1 << 30));
   }
@@ -203,10 +205,32 @@
 BOOST_AUTO_TEST_CASE(ConfirmationCountsBackFromTheEchoedStamp) {
   PeerTable table("own");
   table.OnBeacon("10.0.0.1:7", ConfirmingBeacon("own", 10000, 300), At(11000));
-  const auto confirmed = table.ConfigurationConfirmedAt({0, 5}, At(11000));
+  const auto confirmed = table.ConfigurationConfirmedAt({5, {0, 5}}, At(11000));
   BOOST_REQUIRE(confirmed.has_value());
   BOOST_TEST((*confirmed == At(9700)));
-  BOOST_TEST(!table.ConfigurationConfirmedAt({0, 4}, At(11000)).has_value());
+  BOOST_TEST(
+      !table.ConfigurationConfirmedAt({4, {0, 4}}, At(11000)).has_value());
+}
+
+// Guards against an older configuration, which an instance read from a copy of
+// the store, that takes the place of an accepted one.
+BOOST_AUTO_TEST_CASE(ConfigurationOfAnOlderCopyIsNotNewer) {
+  const ConfigurationId accepted{26, {1, 112}};
+  const ConfigurationId of_copy{18, {2, 104}};
+  const ConfigurationId written_again{26, {2, 106}};
+  BOOST_TEST(!of_copy.IsNewerThan(accepted));
+  BOOST_TEST(accepted.IsNewerThan(of_copy));
+  BOOST_TEST(!written_again.IsNewerThan(accepted));
+  BOOST_TEST(!accepted.IsNewerThan(written_again));
+}
+
+// Guards against a change that reuses a revision which the store has given out
+// before its return.
+BOOST_AUTO_TEST_CASE(HigherVersionOfALowerRevisionIsNewer) {
+  const ConfigurationId accepted{18, {1, 112}};
+  BOOST_TEST((ConfigurationId{31, {2, 112}}.IsNewerThan(accepted)));
+  BOOST_TEST((ConfigurationId{22, {2, 106}}.IsNewerThan(accepted)));
+  BOOST_TEST((ConfigurationId{18, {1, 113}}.IsNewerThan(accepted)));
 }
 
 // An instance lost power and restarted; its clock began at zero. A peer still
@@ -217,11 +241,11 @@
   PeerTable table("second-start");
   table.OnBeacon("10.0.0.1:7", ConfirmingBeacon("first-start", 900000, 300),
                  At(50));
-  BOOST_TEST(!table.ConfigurationConfirmedAt({0, 5}, At(50)).has_value());
+  BOOST_TEST(!table.ConfigurationConfirmedAt({5, {0, 5}}, At(50)).has_value());
   Beacon negative = ConfirmingBeacon("second-start", 40, -500000);
   negative.stamp += 1;
   table.OnBeacon("10.0.0.1:7", negative, At(60));
-  BOOST_TEST(!table.ConfigurationConfirmedAt({0, 5}, At(60)).has_value());
+  BOOST_TEST(!table.ConfigurationConfirmedAt({5, {0, 5}}, At(60)).has_value());
 }
 
 // Guards against an outage that only this instance sees: a peer's beacon shows
--- a/unittests/instance/snapshot_exchange_test.cc
+++ b/unittests/instance/snapshot_exchange_test.cc
@@ -49,7 +49,7 @@
                   this->endpoint_log, "domain") {
     this->snapshots.Start(
         [this](const store::Revision& revision, const std::string& text) {
-          this->state.configuration_revision = revision;
+          this->state.configuration = {revision.number, revision};
           this->state.configuration_text = text;
           ++this->configurations_applied;
         },
@@ -66,7 +66,8 @@
   void SetConfiguration(const std::string& text) {
     this->state.route_table =
         std::make_shared<const routes::RouteTable>(routes::Configuration{});
-    ++this->state.configuration_revision.number;
+    ++this->state.configuration.version;
+    ++this->state.configuration.revision.number;
     this->state.configuration_text = text;
   }
   std::string Address() const {
@@ -75,7 +76,7 @@
   /// Returns a beacon that announces the snapshot that it has.
   gossip::Beacon MakeBeacon() const {
     gossip::Beacon beacon;
-    beacon.configuration_revision = this->state.configuration_revision;
+    beacon.configuration = this->state.configuration;
     beacon.control_address = this->Address();
     return beacon;
   }
