DRAIN: lists of the returned store take effect, and what is known of endpoints is kept against its copy

What callers saw: requests went to endpoints 3,070 and 3,170 ms after the store had accepted that they leave (bound 3,000, I5).

Cause: as for the configuration, lists with a lower revision than the last were dropped, while the reads counted as confirmations of the old list.

Change: lists are ordered by epoch and revision. endpoints::Departures keeps which starts of endpoints drain or have gone, and corrects by it what a list of a later epoch says, for four heartbeats after the return: by then an endpoint that lives has registered again and the entry of one that has gone has expired. Layers that were ordered since the copy are kept in the same way. What the copy lacks is retained for the grace of an outage, counted from the first sight of the return by any instance. The first list of an epoch is a change for the others also if it is the same. A late answer of an earlier epoch tells only that the store answered.

--- a/include/toucanwharf/endpoints/endpoint_table.h
+++ b/include/toucanwharf/endpoints/endpoint_table.h
@@ -11,45 +11,14 @@
 #include <unordered_map>
 #include <vector>
 
-#include "toucanwharf/pipeline/plan.h"
+#include "toucanwharf/endpoints/departures.h"
+#include "toucanwharf/endpoints/endpoint.h"
 #include "toucanwharf/store/revision.h"
 #include "toucanwharf/support/clock.h"
 
 /// The known endpoints, from their registrations in the store.
 namespace toucanwharf::endpoints {
 
-enum class EndpointState { kReady, kDraining };
-
-/// One endpoint as it registered itself.
-struct Endpoint {
-  std::string id;
-  /// Start time in milliseconds since 1970. An endpoint with the same id and
-  /// another start time has no state from before.
-  std::uint64_t start_time_ms = 0;
-  std::string service;
-  /// "IP:PORT"; may have belonged to another endpoint before.
-  std::string address;
-  std::string failure_domain;
-  /// Requests that it runs concurrently.
-  std::uint32_t slots = 1;
-  EndpointState state = EndpointState::kReady;
-  /// Kind of accelerator; empty for a plain service.
-  std::string kind;
-  /// Layers loaded; empty for none.
-  pipeline::LayerRange layers;
-  /// Orders started since its start.
-  std::uint64_t sequence = 0;
-
-  friend bool operator==(const Endpoint&, const Endpoint&) = default;
-};
-
-/// Returns a number that stands for this start of \p endpoint in messages
-/// between instances; a restart under the same id has another one. The
-/// probability that two of a thousand endpoints share a number is one in ten
-/// thousand.
-/// Thread safety: safe.
-std::uint32_t EndpointKey(const Endpoint& endpoint);
-
 /// One instance's endpoints, for another instance.
 struct EndpointListSnapshot {
   /// The store's list.
@@ -81,6 +50,11 @@
 /// the first confirmation from after it, which may be a peer's report that the
 /// list is unchanged; until then what is missing here may be back.
 ///
+/// The store may also return from an older copy of itself, and begin a new
+/// epoch. The copy lacks the endpoints that registered after it was made: they
+/// are retained in the same way. What it has of endpoints that have drained or
+/// gone since is corrected by what is known of them (see Departures).
+///
 /// Failed reads of this instance alone are no outage: its connection may hang
 /// or its own link be congested while the store answers others. If such a
 /// failure started the grace period, an endpoint whose entry was removed during
@@ -94,7 +68,13 @@
   /// \p min_outage_length is how long the store must be unavailable for entries
   /// to expire.
   EndpointTable(Duration grace, Duration min_outage_length)
-      : outage_grace(grace), min_outage(min_outage_length) {}
+      : outage_grace(grace),
+        min_outage(min_outage_length),
+        departures(min_outage_length * kHoldInOutages) {}
+
+  /// Records that the store has returned from an older copy, as first seen at
+  /// \p returned by any instance.
+  void OnStoreReturned(TimePoint returned);
 
   /// Records that the store did not answer this instance.
   void OnStoreUnavailable(TimePoint now) { this->last_unavailable_at = now; }
@@ -109,8 +89,8 @@
   /// Applies the whole list, read from the store at \p revision by a read that
   /// began at \p read. Ignores a list older than one applied before. Returns
   /// whether anything changed.
-  bool Replace(std::vector<Endpoint> listed, const store::Revision& revision,
-               TimePoint read, TimePoint now);
+  bool Replace(std::vector<Endpoint> newest_list,
+               const store::Revision& revision, TimePoint read, TimePoint now);
   /// The same for a peer's snapshot. Its grace period continues here, unless
   /// one of this instance's own is running.
   bool Adopt(EndpointListSnapshot list, TimePoint now);
@@ -127,6 +107,9 @@
   }
   /// Returns how many endpoints are retained though the newest list lacks them.
   std::size_t RetainedCount() const { return this->retained.size(); }
+  /// Returns how many entries of the newest list are corrected by what is known
+  /// from before the store's return.
+  std::size_t CorrectedCount() const { return this->corrected; }
   /// Returns the endpoint \p id, or null.
   const Endpoint* Find(const std::string& id) const;
   /// Returns the endpoint whose EndpointKey is \p key, or null.
@@ -135,10 +118,13 @@
   void ForEachReady(const std::string& service,
                     const std::function<void(const Endpoint&)>& visit) const;
   /// Returns all endpoints, by id.
-  const std::map<std::string, Endpoint>& All() const { return this->by_id; }
+  const EndpointsById& All() const { return this->by_id; }
 
  private:
-  using ById = std::map<std::string, Endpoint>;
+  using ById = EndpointsById;
+
+  /// Entries expire after three heartbeats, an outage counts from two.
+  static constexpr int kHoldInOutages = 2;
 
   /// Returns whether the store has answered no instance for so long that
   /// entries may have expired.
@@ -160,7 +146,11 @@
   /// Replaces the endpoints in use by \p next, the list of \p revision, and
   /// those of \p known that it lacks and that are to be retained. Returns
   /// whether anything changed.
-  bool ApplyList(ById next, const ById& known, const store::Revision& revision);
+  bool ApplyList(ById next, const ById& known, const store::Revision& revision,
+                 TimePoint now);
+  /// Computes the endpoints in use anew from the newest list and from those of
+  /// \p known that are to be retained. Returns whether they changed.
+  bool UpdateInUse(const ById& known, TimePoint now);
 
   Duration outage_grace;
   Duration min_outage;
@@ -175,7 +165,9 @@
   store::Revision changed_revision;
   /// The newest list.
   ById listed;
-  /// The list and the retained endpoints.
+  Departures departures;
+  std::size_t corrected = 0;
+  /// The corrected list and the retained endpoints.
   ById by_id;
   /// Ids in by_id, by key.
   std::unordered_map<std::uint32_t, std::string> ids_by_key;
--- a/lib/endpoints/endpoint_table.cc
+++ b/lib/endpoints/endpoint_table.cc
@@ -46,7 +46,9 @@
   // ended after it.
   if (read >= *this->last_unavailable_at) this->last_unavailable_at.reset();
   const bool outage = !previous || read - *previous >= this->min_outage;
-  if (outage) this->retain_until = now + this->outage_grace;
+  if (!outage) return;
+  this->retain_until = now + this->outage_grace;
+  this->departures.OnReturn(now);
 }
 
 void EndpointTable::RecordRead(TimePoint read, TimePoint now) {
@@ -54,20 +56,34 @@
   this->confirmed_at = std::max(this->confirmed_at.value_or(read), read);
 }
 
+void EndpointTable::OnStoreReturned(TimePoint returned) {
+  this->retain_until =
+      std::max(this->retain_until, returned + this->outage_grace);
+  this->departures.OnReturn(returned);
+}
+
 bool EndpointTable::Confirm(TimePoint read, TimePoint now) {
   this->RecordRead(read, now);
-  if (this->retained.empty() || this->RetainsMissing()) return false;
-  this->retained.clear();
-  this->SetInUse(this->listed);
-  return true;
+  const bool drops_retained =
+      !this->retained.empty() && !this->RetainsMissing();
+  const bool ends_corrections =
+      this->corrected > 0 && !this->departures.Holds(now);
+  if (!drops_retained && !ends_corrections) return false;
+  return this->UpdateInUse(this->by_id, now);
 }
 
-bool EndpointTable::Replace(std::vector<Endpoint> listed,
+bool EndpointTable::Replace(std::vector<Endpoint> newest_list,
                             const store::Revision& revision, TimePoint read,
                             TimePoint now) {
+  // A late answer of an earlier epoch tells only that the store answered.
+  if (revision.epoch < this->last_revision.epoch) {
+    this->OnStoreAnswered(read, now);
+    return false;
+  }
   this->RecordRead(read, now);
   if (revision < this->last_revision) return false;
-  return this->ApplyList(IndexById(std::move(listed)), this->by_id, revision);
+  return this->ApplyList(IndexById(std::move(newest_list)), this->by_id,
+                         revision, now);
 }
 
 bool EndpointTable::Adopt(EndpointListSnapshot list, TimePoint now) {
@@ -79,25 +95,41 @@
   auto known = this->by_id;
   known.merge(IndexById(std::move(list.retained)));
   return this->ApplyList(IndexById(std::move(list.endpoints)), known,
-                         list.revision);
+                         list.revision, now);
 }
 
-bool EndpointTable::ApplyList(std::map<std::string, Endpoint> next,
-                              const std::map<std::string, Endpoint>& known,
-                              const store::Revision& revision) {
-  const bool new_list = next != this->listed || !this->changed_revision.IsSet();
+bool EndpointTable::ApplyList(ById next, const ById& known,
+                              const store::Revision& revision, TimePoint now) {
+  // The first list of an epoch is news also if it is the same: what others took
+  // after it may be lost.
+  const bool new_list = next != this->listed ||
+                        revision.epoch != this->changed_revision.epoch ||
+                        !this->changed_revision.IsSet();
   if (new_list) this->changed_revision = revision;
   this->last_revision = revision;
-  this->listed = next;
+  const ById before = std::exchange(this->listed, std::move(next));
+  const bool in_use_changed = this->UpdateInUse(known, now);
+  if (new_list) {
+    this->departures.Learn(before, this->listed, this->retained, revision.epoch,
+                           now);
+  }
+  return new_list || in_use_changed;
+}
+
+bool EndpointTable::UpdateInUse(const ById& known, TimePoint now) {
+  ById next = this->listed;
+  this->corrected = this->departures.Correct(next, this->by_id,
+                                             this->last_revision.epoch, now);
   this->retained.clear();
   if (this->RetainsMissing()) {
     for (const auto& [id, endpoint] : known) {
+      if (this->departures.IsGone(endpoint)) continue;
       if (next.emplace(id, endpoint).second) this->retained.insert(id);
     }
   }
-  const bool in_use_changed = next != this->by_id;
+  const bool changed = next != this->by_id;
   this->SetInUse(std::move(next));
-  return new_list || in_use_changed;
+  return changed;
 }
 
 EndpointListSnapshot EndpointTable::Share(TimePoint now) const {
--- a/lib/instance/endpoint_list_log.cc
+++ b/lib/instance/endpoint_list_log.cc
@@ -32,8 +32,10 @@
       eventlog::Fields()
           .Text("cause", NameOf(cause))
           .Count("revision", static_cast<std::int64_t>(table.Revision().number))
+          .Count("epoch", static_cast<std::int64_t>(table.Revision().epoch))
           .Count("endpoints", static_cast<std::int64_t>(table.All().size()))
           .Count("kept", static_cast<std::int64_t>(retained))
+          .Count("corrected", static_cast<std::int64_t>(table.CorrectedCount()))
           .Count("unreadable", unreadable),
       now);
 }
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -42,11 +42,15 @@
       failure_domain(settings.failure_domain) {}
 
 void InstanceState::OnStoreEpoch(std::uint64_t epoch, TimePoint now) {
-  this->epochs.OnAnswer(epoch, now);
+  if (!this->epochs.OnAnswer(epoch, now)) return;
+  this->endpoints.OnStoreReturned(this->epochs.FirstSeenAt());
 }
 
 void InstanceState::OnPeerEpoch(const gossip::Beacon& beacon, TimePoint now) {
-  this->epochs.OnPeer(beacon.store_epoch, beacon.store_epoch_age, now);
+  const bool returned =
+      this->epochs.OnPeer(beacon.store_epoch, beacon.store_epoch_age, now);
+  if (!returned) return;
+  this->endpoints.OnStoreReturned(this->epochs.FirstSeenAt());
 }
 
 bool InstanceState::MayAcceptKeys(TimePoint now) const {
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -139,6 +139,9 @@
   writer.Gauge("store_epoch",
                "the store's epoch, which rises with each return from a copy",
                static_cast<double>(state.epochs.Epoch()));
+  writer.Gauge("endpoints_corrected",
+               "entries of the newest list that are older than what is known",
+               static_cast<double>(state.endpoints.CorrectedCount()));
   writer.Gauge("configuration_age_seconds",
                "age of the proof that it is current, -1 for none",
                SecondsOf(state.freshness.Age(now)));
--- a/unittests/endpoints/endpoints_test.cc
+++ b/unittests/endpoints/endpoints_test.cc
@@ -236,6 +236,129 @@
   BOOST_TEST(ReadyCount(table) == 0U);
 }
 
+/// Applies to \p table the list of the store's epoch \p epoch that a read at
+/// \p read returned.
+bool ApplyInEpoch(EndpointTable& table, std::uint64_t epoch,
+                  std::vector<Endpoint> listed, std::uint64_t revision,
+                  TimePoint read) {
+  return table.Replace(std::move(listed), {epoch, revision}, read, read);
+}
+
+Endpoint MakeDraining(const std::string& id) {
+  Endpoint endpoint = MakeEndpoint(id);
+  endpoint.state = EndpointState::kDraining;
+  return endpoint;
+}
+
+// Guards against lists that are ignored for as long as the store's revisions
+// are lower than before its return (I5).
+BOOST_AUTO_TEST_CASE(ListAfterTheStoresReturnTakesEffect) {
+  EndpointTable table(kGrace, kMinOutage);
+  ApplyInEpoch(table, 1, {MakeEndpoint("one")}, 112, At(0));
+  table.OnStoreReturned(At(3000));
+  ApplyInEpoch(table, 2, {MakeEndpoint("one")}, 100, At(3000));
+  BOOST_TEST(ApplyInEpoch(table, 2, {MakeDraining("one")}, 101, At(3600)));
+  BOOST_TEST(ReadyCount(table) == 0U);
+}
+
+// Guards against endpoints that get work again, because a copy of the store
+// lists them from before they drained or were removed (I5).
+BOOST_AUTO_TEST_CASE(EndpointsThatLeftStayUnusedAfterTheStoresReturn) {
+  EndpointTable table(kGrace, kMinOutage);
+  const auto before = {MakeEndpoint("drains"), MakeEndpoint("goes"),
+                       MakeEndpoint("stays")};
+  ApplyInEpoch(table, 1, before, 100, At(0));
+  ApplyInEpoch(table, 1, {MakeDraining("drains"), MakeEndpoint("stays")}, 110,
+               At(600));
+  table.OnStoreReturned(At(3000));
+  ApplyInEpoch(table, 2, before, 100, At(3000));
+  BOOST_TEST(ReadyCount(table) == 1U);
+  BOOST_TEST(table.CorrectedCount() == 2U);
+  // The entry of the one that has gone expires.
+  ApplyInEpoch(table, 2, {MakeDraining("drains"), MakeEndpoint("stays")}, 101,
+               At(5000));
+  BOOST_TEST(ReadyCount(table) == 1U);
+  BOOST_TEST(table.CorrectedCount() == 0U);
+}
+
+// Guards against an endpoint that is unused for good though it lives: its entry
+// had expired before the store's return, and the copy lists it.
+BOOST_AUTO_TEST_CASE(ListedEndpointIsUsedOnceItsEntryWouldHaveExpired) {
+  EndpointTable table(kGrace, kMinOutage);
+  ApplyInEpoch(table, 1, {MakeEndpoint("one")}, 100, At(0));
+  ApplyInEpoch(table, 1, {}, 110, At(600));
+  table.OnStoreReturned(At(3000));
+  ApplyInEpoch(table, 2, {MakeEndpoint("one")}, 100, At(3000));
+  BOOST_TEST(ReadyCount(table) == 0U);
+  BOOST_TEST(!table.Confirm(At(7600), At(7700)));
+  BOOST_TEST(table.Confirm(At(7800), At(7900)));
+  BOOST_TEST(ReadyCount(table) == 1U);
+}
+
+// Guards against an endpoint that is taken for gone though it registered again
+// after the store's return.
+BOOST_AUTO_TEST_CASE(EndpointThatRegistersAgainAfterTheReturnIsUsed) {
+  EndpointTable table(kGrace, kMinOutage);
+  ApplyInEpoch(table, 1, {MakeEndpoint("one"), MakeEndpoint("late")}, 100,
+               At(0));
+  table.OnStoreReturned(At(3000));
+  ApplyInEpoch(table, 2, {MakeEndpoint("one")}, 90, At(3000));
+  BOOST_TEST(ReadyCount(table) == 2U);
+  ApplyInEpoch(table, 2, {MakeEndpoint("one")}, 91, At(5100));
+  BOOST_TEST(ReadyCount(table) == 1U);
+  ApplyInEpoch(table, 2, {MakeEndpoint("one"), MakeEndpoint("late")}, 92,
+               At(5200));
+  BOOST_TEST(ReadyCount(table) == 2U);
+}
+
+// Guards against paths over layers that an engine no longer holds, as an older
+// copy of the store lists them.
+BOOST_AUTO_TEST_CASE(LayersOrderedSinceTheCopyAreKept) {
+  EndpointTable table(kGrace, kMinOutage);
+  Endpoint copied = MakeEndpoint("engine");
+  copied.layers = {0, 3};
+  copied.sequence = 1;
+  Endpoint ordered = copied;
+  ordered.layers = {3, 6};
+  ordered.sequence = 2;
+  ApplyInEpoch(table, 1, {ordered}, 110, At(0));
+  table.OnStoreReturned(At(3000));
+  ApplyInEpoch(table, 2, {copied}, 90, At(3000));
+  BOOST_TEST(table.Find("engine")->layers.begin == 3U);
+  // Restarted, it holds what it registers.
+  copied.start_time_ms = 2;
+  ApplyInEpoch(table, 2, {copied}, 91, At(3600));
+  BOOST_TEST(table.Find("engine")->layers.begin == 0U);
+}
+
+// Guards against an instance whose list is from before the store's return and
+// that a peer's first list of the epoch, of the same contents, seems to
+// confirm.
+BOOST_AUTO_TEST_CASE(FirstListOfAnEpochIsAChange) {
+  EndpointTable reader(kGrace, kMinOutage);
+  ApplyInEpoch(reader, 1, {MakeEndpoint("one")}, 100, At(0));
+  reader.OnStoreReturned(At(3000));
+  BOOST_TEST(ApplyInEpoch(reader, 2, {MakeEndpoint("one")}, 90, At(3000)));
+  BOOST_TEST((reader.ChangedRevision() == store::Revision{2, 90}));
+}
+
+// Guards against endpoints that a peer retains as missing in the copy, though
+// this instance knows that they have gone.
+BOOST_AUTO_TEST_CASE(EndpointKnownToBeGoneIsNotRetainedForAPeer) {
+  EndpointTable table(kGrace, kMinOutage);
+  ApplyInEpoch(table, 1, {MakeEndpoint("one"), MakeEndpoint("two")}, 100,
+               At(0));
+  ApplyInEpoch(table, 1, {MakeEndpoint("two")}, 101, At(600));
+  table.OnStoreReturned(At(3000));
+  EndpointListSnapshot list;
+  list.endpoints = {MakeEndpoint("two")};
+  list.retained = {MakeEndpoint("one")};
+  list.retained_for = kGrace;
+  list.revision = {2, 90};
+  table.Adopt(list, At(3100));
+  BOOST_TEST(ReadyCount(table) == 1U);
+}
+
 // Two answers arrive out of order; the older list must not restore an endpoint
 // that was removed.
 BOOST_AUTO_TEST_CASE(OlderListIsIgnored) {
