Lease: a return of the store neither brings a former holder back nor keeps the present one away

The unit tests and a random play showed what else the bare revision did: a former holder whom the copy names resumed, two processes got one fencing number, and a write whose condition was of before the return took effect by a revision that was given out again.

Change: who holds the role by its own term goes on, and writes its object again; all others, a former holder too, wait a full term from the first sight of the return, which is longer than a lost term can last. A write that was decided in one epoch and applied in another holds nothing. An object with a lower number than is known is nobody's. Fencing numbers of an epoch are above all earlier ones, and rise with the object's revision, so that one that was overwritten isn't given out again.

FormerHolderInTheCopyDoesNotResume, HolderWhoseObjectWasLostGoesOn, FenceRisesAcrossTheStoresReturn.

Left: a process whose first answer is from after the return, and that finds no lease at all, takes it at once; before the first lease ever was copied, another may still hold it for its term.

--- a/include/toucanwharf/control/lease.h
+++ b/include/toucanwharf/control/lease.h
@@ -57,6 +57,13 @@
 ///    the clocks of two processes are compared.
 ///  - Two challengers take over at the same time: the takeover is a conditional
 ///    write.
+///  - The store comes back from an older copy and has lost a takeover or a
+///    renewal. Its object proves nothing then: it may be missing, or name a
+///    former holder. Only who holds the role by its own term goes on; all
+///    others, a former holder too, wait a full term first, which is longer than
+///    the lost one can last. Fencing numbers begin anew above all earlier ones.
+///  - A write reaches the store after its return, and its condition happens to
+///    fit a later object: the answer's epoch tells, and the role isn't held.
 ///
 /// Thread safety: none; for one thread.
 class Lease {
@@ -72,6 +79,8 @@
   void OnRead(const store::ReadAnswer& answer, TimePoint now);
   /// Handles the answer of a write.
   void OnWrite(const store::WriteAnswer& answer, TimePoint now);
+  /// Records that the store is in \p epoch, as any of its answers tells.
+  void OnEpoch(std::uint64_t epoch, TimePoint now);
 
   /// Returns whether this process holds the role at \p now. To be checked right
   /// before each act.
@@ -94,12 +103,18 @@
     store::ConditionalWrite write;
     LeaseValue value;
     TimePoint sent_at;
+    /// Epoch of the store that the write was decided in.
+    std::uint64_t epoch = 0;
   };
 
   std::optional<store::Write> NextWrite(TimePoint now) const;
   store::Write MakeWrite(const LeaseValue& value) const;
   void Observe(const store::Object& object, TimePoint now);
+  /// Handles that there is no object in the store's \p epoch.
+  void ObserveMissing(std::uint64_t answer_epoch);
   void SettleAttempt(TimePoint now);
+  void SettleApplied(const Attempt& completed, TimePoint now);
+  std::uint64_t NextFence() const;
   bool HoldsObject() const;
 
   LeaseSettings settings;
@@ -111,9 +126,14 @@
   LeaseValue observed;
   store::Revision observed_version;
   TimePoint observed_at;
+  /// Epoch of the store's newest answer; nothing before the first.
+  std::optional<std::uint64_t> epoch;
+  /// Before this the role isn't taken over, nor resumed after its term.
+  TimePoint takeover_at;
   TimePoint next_read_at;
   TimePoint valid_until;
   std::uint64_t held_fence = 0;
+  std::uint64_t held_epoch = 0;
   std::optional<Attempt> attempt;
 };
 
--- a/include/toucanwharf/instance/placement_lease.h
+++ b/include/toucanwharf/instance/placement_lease.h
@@ -51,6 +51,7 @@
   /// Makes the next call for the lease, if one is due.
   void Poll() {
     const TimePoint now = this->loop.Now();
+    this->lease.OnEpoch(this->state.epochs.Epoch(), now);
     // A backup leader polls the lease continuously: a challenger has to see it
     // unchanged for a whole term, and has then already done so when the leader
     // is lost.
--- a/lib/control/lease.cc
+++ b/lib/control/lease.cc
@@ -13,21 +13,30 @@
 /// Holder name for a lease object that can't be decoded. Such a lease is taken
 /// over after a full term, as from any holder that stopped renewing.
 constexpr const char* kUnreadableHolder = "unreadable";
+/// Fencing numbers of an epoch of the store begin at its multiple of this. No
+/// epoch has as many revisions.
+constexpr std::uint64_t kFencesPerEpoch = 1'000'000'000'000;
 
 std::string ToText(const LeaseValue& value) {
   return nlohmann::json{{"holder", value.holder}, {"fence", value.fence}}
       .dump();
 }
 
-LeaseValue FromText(const std::string& text, std::uint64_t min_fence) {
+/// Holder name for a lease object of an earlier term: the store's copy has it,
+/// or a write of before the store's return took effect after it. Nobody holds
+/// the role by it, but who held it before may still.
+constexpr const char* kOutdatedHolder = "outdated";
+
+/// Returns the value in \p text; an unreadable one has the given fence.
+LeaseValue FromText(const std::string& text,
+                    std::uint64_t fence_if_unreadable) {
   const auto json = nlohmann::json::parse(text, nullptr, false);
   const bool valid = json.is_object() && json.contains("holder") &&
                      json["holder"].is_string() && json.contains("fence") &&
                      json["fence"].is_number_unsigned();
-  if (!valid) return LeaseValue{kUnreadableHolder, min_fence};
-  const std::uint64_t fence = json["fence"].get<std::uint64_t>();
+  if (!valid) return LeaseValue{kUnreadableHolder, fence_if_unreadable};
   return LeaseValue{json["holder"].get<std::string>(),
-                    std::max(fence, min_fence)};
+                    json["fence"].get<std::uint64_t>()};
 }
 
 }  // namespace
@@ -57,7 +66,14 @@
     if (!this->HoldsObject()) return std::nullopt;
     return this->MakeWrite(LeaseValue{"", this->observed.fence});
   }
-  if (this->HoldsObject()) {
+  const bool must_wait = !this->MayAct(now) && now < this->takeover_at;
+  if (must_wait) return std::nullopt;
+  const bool in_earlier_epoch = this->held_epoch != this->epoch.value_or(0);
+  // After the store's return its object may be that of a term long over, which
+  // others have held since.
+  const bool outdated =
+      this->HoldsObject() && in_earlier_epoch && !this->MayAct(now);
+  if (this->HoldsObject() && !outdated) {
     const Duration usable = this->settings.term - this->settings.margin;
     const TimePoint renew_at =
         this->valid_until - usable + this->settings.renewal;
@@ -66,8 +82,31 @@
   }
   const bool is_released = this->observed.holder.empty();
   const bool expired = now - this->observed_at >= this->settings.term;
-  if (!is_released && !expired) return std::nullopt;
-  return this->MakeWrite(LeaseValue{own_value.holder, own_value.fence + 1});
+  // The holder's object was lost with the store's last changes.
+  const bool resumes = in_earlier_epoch && this->MayAct(now);
+  if (!is_released && !expired && !resumes && !outdated) return std::nullopt;
+  return this->MakeWrite(LeaseValue{own_value.holder, this->NextFence()});
+}
+
+std::uint64_t Lease::NextFence() const {
+  const std::uint64_t newest = std::max(this->observed.fence, this->held_fence);
+  const std::uint64_t store_epoch = this->epoch.value_or(0);
+  if (store_epoch == 0) return newest + 1;
+  // The object's revisions rise within an epoch, also if a write of before the
+  // store's return has replaced the object with its number.
+  return std::max(newest + 1, store_epoch * kFencesPerEpoch +
+                                  this->observed_version.number);
+}
+
+void Lease::OnEpoch(std::uint64_t newest, TimePoint now) {
+  const bool first = !this->epoch;
+  if (!first && newest <= *this->epoch) return;
+  this->epoch = newest;
+  if (first) return;
+  // Nobody else can have taken over while this process holds the role.
+  if (!this->MayAct(now)) this->takeover_at = now + this->settings.term;
+  this->object_was_read = false;
+  this->next_read_at = now;
 }
 
 std::optional<LeaseCall> Lease::Poll(TimePoint now) {
@@ -76,8 +115,8 @@
     std::optional<store::Write> next_write = this->NextWrite(now);
     if (next_write.has_value()) {
       const LeaseValue value = FromText(next_write->value, 0);
-      this->attempt =
-          Attempt{ConditionalWrite(std::move(*next_write)), value, now};
+      this->attempt = Attempt{ConditionalWrite(std::move(*next_write)), value,
+                              now, this->epoch.value_or(0)};
       ++this->writes;
     }
   }
@@ -99,13 +138,31 @@
   this->object_was_read = true;
   // Stale or unchanged: the wait for a full term continues.
   if (object.version <= this->observed_version) return;
-  this->observed = FromText(object.value, this->observed.fence);
+  LeaseValue value = FromText(object.value, this->observed.fence);
+  if (value.fence < this->observed.fence) {
+    value = LeaseValue{kOutdatedHolder, this->observed.fence};
+  }
+  this->observed = std::move(value);
   this->observed_version = object.version;
   this->observed_at = now;
 }
 
+void Lease::ObserveMissing(std::uint64_t answer_epoch) {
+  this->object_was_read = true;
+  // A missing object proves nothing once it was observed in the same epoch: the
+  // read may be stale.
+  const bool lost = this->observed_version.IsSet() &&
+                    this->observed_version.epoch < answer_epoch;
+  if (!lost) return;
+  this->observed = LeaseValue{"", this->observed.fence};
+  this->observed_version = {};
+}
+
 void Lease::OnRead(const store::ReadAnswer& answer, TimePoint now) {
   this->outstanding = false;
+  if (answer.status != store::ReadStatus::kUnknown) {
+    this->OnEpoch(answer.object.version.epoch, now);
+  }
   if (this->attempt.has_value()) {
     this->attempt->write.OnRead(answer);
     this->SettleAttempt(now);
@@ -114,15 +171,16 @@
   if (answer.status == store::ReadStatus::kFound) {
     this->Observe(answer.object, now);
   }
-  // A missing object proves nothing once it was observed: the read may be
-  // stale.
   if (answer.status == store::ReadStatus::kMissing) {
-    this->object_was_read = true;
+    this->ObserveMissing(answer.object.version.epoch);
   }
 }
 
 void Lease::OnWrite(const store::WriteAnswer& answer, TimePoint now) {
   this->outstanding = false;
+  if (answer.status != store::WriteStatus::kUnknown) {
+    this->OnEpoch(answer.version.epoch, now);
+  }
   if (!this->attempt.has_value()) return;
   this->attempt->write.OnWrite(answer);
   this->SettleAttempt(now);
@@ -131,23 +189,14 @@
 void Lease::SettleAttempt(TimePoint now) {
   const Attempt& completed = *this->attempt;
   if (completed.write.Next() == ConditionalWrite::Step::kApplied) {
-    this->observed = completed.value;
-    this->observed_version =
-        std::max(this->observed_version, completed.write.AppliedVersion());
-    this->observed_at = now;
-    const bool held = this->HoldsObject() && !this->released;
-    if (held) {
-      // Counts from before the first attempt was sent: a challenger can't have
-      // seen the change earlier.
-      this->valid_until =
-          completed.sent_at + this->settings.term - this->settings.margin;
-      this->held_fence = completed.value.fence;
-    }
+    this->SettleApplied(completed, now);
     this->attempt.reset();
     return;
   }
   if (completed.write.Next() != ConditionalWrite::Step::kConflict) return;
-  this->valid_until = std::min(this->valid_until, now);
+  // After the store's return the conflict may be with an older object.
+  const bool in_epoch = completed.epoch == this->epoch.value_or(0);
+  if (in_epoch) this->valid_until = std::min(this->valid_until, now);
   const std::optional<store::Object> conflicting_object =
       completed.write.ConflictingObject();
   this->attempt.reset();
@@ -160,6 +209,27 @@
   this->observed_version = {};
 }
 
+void Lease::SettleApplied(const Attempt& completed, TimePoint now) {
+  const store::Revision applied = completed.write.AppliedVersion();
+  this->object_was_read = true;
+  this->observed = completed.value;
+  this->observed_version = std::max(this->observed_version, applied);
+  this->observed_at = now;
+  if (!this->HoldsObject() || this->released) return;
+  if (completed.epoch != applied.epoch) {
+    // What it replaced, or the store lost, may be another's term.
+    this->valid_until = std::min(this->valid_until, now);
+    this->takeover_at = now + this->settings.term;
+    return;
+  }
+  // Counts from before the first attempt was sent: a challenger can't have seen
+  // the change earlier.
+  this->valid_until =
+      completed.sent_at + this->settings.term - this->settings.margin;
+  this->held_fence = completed.value.fence;
+  this->held_epoch = completed.epoch;
+}
+
 void Lease::Release() {
   this->released = true;
   this->valid_until = TimePoint{};
--- a/unittests/control/lease_test.cc
+++ b/unittests/control/lease_test.cc
@@ -71,6 +71,13 @@
   RC_ASSERT(holders <= 1);
 }
 
+void Run(Actor& actor, ObjectMap& map, TimePoint& now, Duration length) {
+  const TimePoint end = now + length;
+  for (; now < end; now = now + kSecond / 10) {
+    TakeStep(actor, map, now, Fault::kNone);
+  }
+}
+
 // Three processes want the same role while calls fail, answers are lost, writes
 // land late, reads are stale, and any of them stops for longer than its term.
 // Guards against two processes that hold the role at the same moment and undo
@@ -94,10 +101,26 @@
   }
 }
 
-void Run(Actor& actor, ObjectMap& map, TimePoint& now, Duration length) {
-  const TimePoint end = now + length;
-  for (; now < end; now = now + kSecond / 10) {
-    TakeStep(actor, map, now, Fault::kNone);
+// The same, and the store returns from older copies, whose revisions are given
+// out again. No process starts right after a return.
+RC_BOOST_PROP(NeverTwoHoldersAcrossReturnsOfTheStore, ()) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  std::map<std::uint64_t, std::size_t> terms;
+  TimePoint now{kSecond};
+  for (Actor& actor : actors) Run(actor, map, now, kSecond);
+  const auto steps = *rc::gen::scale(
+      4.0, rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3000)));
+  for (const int step : steps) {
+    now = now + Duration(std::chrono::milliseconds(step / 15 * 5));
+    if (step % 11 == 0) map.ApplyLateWrites();
+    if (step % 23 == 0) map.KeepCopy();
+    if (step % 29 == 0) map.ReturnFromCopy();
+    const int kind = step / 3 % 10;
+    const auto fault =
+        kind < fakes::kFaultCount ? static_cast<Fault>(kind) : Fault::kNone;
+    TakeStep(actors[static_cast<std::size_t>(step % 3)], map, now, fault);
+    CheckHolders(actors, now, terms);
   }
 }
 
@@ -161,6 +184,59 @@
   BOOST_TEST(actors[1].lease.Fence() == 2u);
 }
 
+// Guards against two holders after the store's return from an older copy that
+// names the former one: it must not resume its term.
+BOOST_AUTO_TEST_CASE(FormerHolderInTheCopyDoesNotResume) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  Run(actors[0], map, now, 3 * kSecond);
+  map.KeepCopy();
+  actors[0].lease.Release();
+  Run(actors[0], map, now, kSecond);
+  actors[0].lease.Compete();
+  Run(actors[1], map, now, 2 * kSecond);
+  BOOST_TEST(actors[1].lease.MayAct(LocalNow(actors[1], now)));
+  map.ReturnFromCopy();
+  Run(actors[0], map, now, 2 * kSecond);
+  BOOST_TEST(!actors[0].lease.MayAct(LocalNow(actors[0], now)));
+  Run(actors[1], map, now, 2 * kSecond);
+  BOOST_TEST(actors[1].lease.MayAct(LocalNow(actors[1], now)));
+}
+
+// Guards against a role that nobody holds for a term after the return, though
+// its holder is alive, and against a holder that reads without a pause because
+// its own write seems older than what it knows.
+BOOST_AUTO_TEST_CASE(HolderWhoseObjectWasLostGoesOn) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  map.KeepCopy();
+  Run(actors[0], map, now, 3 * kSecond);
+  map.ReturnFromCopy();
+  const TimePoint end = now + 10 * kSecond;
+  for (; now < end; now = now + kSecond / 10) {
+    TakeStep(actors[0], map, now, Fault::kNone);
+    BOOST_TEST(actors[0].lease.MayAct(LocalNow(actors[0], now)));
+  }
+}
+
+// Guards against an order of a holder from before the return that has the same
+// number as those of the next holder.
+BOOST_AUTO_TEST_CASE(FenceRisesAcrossTheStoresReturn) {
+  ObjectMap map;
+  std::vector<Actor> actors = MakeActors();
+  TimePoint now{kSecond};
+  map.KeepCopy();
+  Run(actors[0], map, now, 3 * kSecond);
+  Run(actors[1], map, now, 10 * kSecond);
+  const std::uint64_t lost = actors[1].lease.Fence();
+  map.ReturnFromCopy();
+  Run(actors[2], map, now, 10 * kSecond);
+  BOOST_TEST(actors[2].lease.MayAct(LocalNow(actors[2], now)));
+  BOOST_TEST(actors[2].lease.Fence() > lost);
+}
+
 // The store is down: the holder's term ends on the holder's own clock.
 BOOST_AUTO_TEST_CASE(TermEndsDuringAnOutage) {
   ObjectMap map;
--- a/unittests/fakes/object_map.h
+++ b/unittests/fakes/object_map.h
@@ -33,10 +33,11 @@
   store::ReadAnswer Read(const store::ObjectKey& key, Fault fault) const {
     if (fault == Fault::kOutage || fault == Fault::kAnswerLost) return {};
     const auto found = this->history.find(key);
-    if (found == this->history.end()) return Missing();
+    const bool none = found == this->history.end() || found->second.empty();
+    if (none) return this->Missing();
     const std::vector<store::Object>& versions = found->second;
     if (fault == Fault::kStale) {
-      if (versions.size() < 2) return Missing();
+      if (versions.size() < 2) return this->Missing();
       return Found(versions[versions.size() - 2]);
     }
     return Found(versions.back());
@@ -53,7 +54,7 @@
     store::Listing listing{this->revision, {}};
     for (const auto& [key, versions] : this->history) {
       if (key.collection != collection) continue;
-      if (!versions.back().version.IsSet()) continue;
+      if (versions.empty() || !versions.back().version.IsSet()) continue;
       listing.objects.push_back(versions.back());
     }
     return listing;
