Quarantine: what a returned store lacks was not lifted, and what it has again was

Found by looking for the cause elsewhere, shown by ReturnOfTheStoreLiftsNothing and ReturnOfTheStoreBringsNoQuarantineBack: an object that the copy lacked counted as removed by an operator, and a request that crashes engines was passed on again; one that was removed came back. The first listing of an epoch lifts nothing, and what it lacks is written again; objects that were removed in an earlier epoch are removed again.

--- a/include/toucanwharf/instance/quarantine_sync.h
+++ b/include/toucanwharf/instance/quarantine_sync.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -23,6 +24,11 @@
 /// Load: every instance reads the collection once, at its start. Only requests
 /// that are refused are written, by the instance that saw the crash or by the
 /// leader, and only the leader reads again, while there are any.
+///
+/// Failure guarded against: the store returns from an older copy, and what it
+/// lost or brought back counts as an operator's order. Objects that the copy
+/// lacks are written again, and those that were removed since are removed
+/// again.
 /// Thread safety: only on the loop's thread.
 template <Adapter A>
 class QuarantineSync {
@@ -54,7 +60,7 @@
 
   /// Removes \p request, which was answered, from the store.
   void OnCleared(const quarantine::Fingerprint& request) {
-    if (this->stored.erase(request) > 0) this->store.Remove(KeyOf(request));
+    if (this->stored.erase(request) > 0) this->Remove(request);
   }
 
  private:
@@ -90,7 +96,7 @@
     }
     this->Read([this](const std::optional<store::Listing>& listing) {
       if (!listing) return;
-      this->LiftRemoved(*listing);
+      if (!this->ForgetIfReturned(*listing)) this->LiftRemoved(*listing);
       this->RemoveEnded();
       this->WriteMissing();
     });
@@ -113,6 +119,10 @@
         this->Log("quarantine_unreadable", object.key.name);
         continue;
       }
+      if (this->WasRemoved(report->request, listing.revision.epoch)) {
+        this->store.Remove(object.key);
+        continue;
+      }
       if (!this->stored.insert(report->request).second) continue;
       if (this->state.quarantine.Merge(*report, now)) {
         this->Log("quarantine_read", object.key.name);
@@ -120,6 +130,35 @@
     }
   }
 
+  /// Forgets what is stored if \p listing is the first after the store's return
+  /// from an older copy, so that what it lacks is written again. Returns
+  /// whether it is.
+  bool ForgetIfReturned(const store::Listing& listing) {
+    const std::uint64_t epoch = listing.revision.epoch;
+    const std::uint64_t previous = std::exchange(this->listed_epoch, epoch);
+    if (previous == 0 || epoch <= previous) return false;
+    std::set<std::string> names;
+    for (const store::Object& object : listing.objects) {
+      names.insert(object.key.name);
+    }
+    std::erase_if(this->stored, [&](const quarantine::Fingerprint& request) {
+      return !names.contains(quarantine::ToText(request));
+    });
+    return true;
+  }
+
+  void Remove(const quarantine::Fingerprint& request) {
+    this->removed[request] = {this->state.epochs.Epoch(), this->loop.Now()};
+    this->store.Remove(KeyOf(request));
+  }
+
+  /// Returns whether the object of \p request was removed before \p epoch.
+  bool WasRemoved(const quarantine::Fingerprint& request,
+                  std::uint64_t epoch) const {
+    const auto found = this->removed.find(request);
+    return found != this->removed.end() && found->second.epoch < epoch;
+  }
+
   void LiftRemoved(const store::Listing& listing) {
     std::set<std::string> names;
     for (const store::Object& object : listing.objects) {
@@ -131,6 +170,7 @@
       if (this->state.quarantine.OnSuccess(request, this->loop.Now())) {
         this->Log("quarantine_lifted", text);
       }
+      this->removed[request] = {listing.revision.epoch, this->loop.Now()};
       return true;
     });
   }
@@ -152,7 +192,7 @@
       const bool ended = std::all_of(
           report.crashes.begin(), report.crashes.end(),
           [](const quarantine::CrashReport& crash) { return crash.refuted; });
-      if (ended) this->store.Remove(KeyOf(request));
+      if (ended) this->Remove(request);
       return ended;
     });
   }
@@ -169,6 +209,7 @@
 
   void Write(const quarantine::Fingerprint& request) {
     if (!this->writing.insert(request).second) return;
+    this->removed.erase(request);
     this->WriteOver(request, {});
   }
 
@@ -221,6 +262,14 @@
   std::set<quarantine::Fingerprint> stored;
   /// Requests with a write in flight.
   std::set<quarantine::Fingerprint> writing;
+  /// Objects that were removed lately.
+  struct Removal {
+    std::uint64_t epoch = 0;
+    TimePoint at;
+  };
+  std::map<quarantine::Fingerprint, Removal> removed;
+  /// Epoch of the newest listing, 0 before the first.
+  std::uint64_t listed_epoch = 0;
 };
 
 }  // namespace toucanwharf::instance
--- a/unittests/adapter/quarantine_sync_test.cc
+++ b/unittests/adapter/quarantine_sync_test.cc
@@ -20,6 +20,8 @@
     {{{1, 11}, std::chrono::seconds(9), milliseconds(60), false},
      {{2, 12}, std::chrono::seconds(4), milliseconds(50), false}}};
 
+const quarantine::SuspectReport kOtherReport{{9, 99}, kReport.crashes};
+
 /// A store that answers at once.
 class MemoryStore {
  public:
@@ -125,6 +127,47 @@
               }});
 }
 
+// Guards against a quarantine that ends because the store, back from an older
+// copy, lacks it: nobody removed it.
+BOOST_AUTO_TEST_CASE(ReturnOfTheStoreLiftsNothing) {
+  Leader leader;
+  leader.sync.Start();
+  leader.state.quarantine.Merge(kReport, leader.loop.Now());
+  leader.Run({[&] { BOOST_TEST(leader.store.objects.size() == 1U); },
+              [&] {
+                leader.store.objects.clear();
+                ++leader.store.epoch;
+              },
+              [&] {
+                BOOST_TEST(leader.Refuses());
+                BOOST_TEST(leader.store.objects.size() == 1U);
+              }});
+}
+
+// Guards against a quarantine that was lifted and comes back with a copy of the
+// store.
+BOOST_AUTO_TEST_CASE(ReturnOfTheStoreBringsNoQuarantineBack) {
+  Leader leader;
+  std::map<store::ObjectKey, std::string> copy;
+  leader.sync.Start();
+  leader.state.quarantine.Merge(kReport, leader.loop.Now());
+  leader.Run({[&] {
+                copy = leader.store.objects;
+                leader.store.objects.clear();
+              },
+              [&] { BOOST_TEST(!leader.Refuses()); },
+              [&] {
+                leader.store.objects = copy;
+                ++leader.store.epoch;
+                // The leader follows while there is anything to follow.
+                leader.state.quarantine.Merge(kOtherReport, leader.loop.Now());
+              },
+              [&] {
+                BOOST_TEST(!leader.Refuses());
+                BOOST_TEST(leader.store.objects.size() == 1U);
+              }});
+}
+
 // Guards against a restart of all instances after which a request with three
 // crashes is refused for a minute only, because the store has the first two.
 BOOST_AUTO_TEST_CASE(LaterCrashesAreStoredToo) {
