Registrations are written again after the store's return from a copy

An instance that registered within the last minute may be missing in the copy; one that starts later would not learn of it and take too large a part of the shared budgets. It registers again, spread so that all together make forty writes a second. Epochs that can't be read are logged once in ten seconds.

--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -115,6 +115,11 @@
   static constexpr Duration kMinDrain = std::chrono::milliseconds(1500);
   /// Time reserved for the last answers to be sent before the kill.
   static constexpr Duration kKillMargin = std::chrono::milliseconds(400);
+  static constexpr Duration kUnreadableLogPeriod = std::chrono::seconds(10);
+  /// A copy from which the store returns is younger than this.
+  static constexpr Duration kMaxCopyAge = std::chrono::seconds(60);
+  /// Per instance: all together register forty times a second.
+  static constexpr Duration kRegistrationSpread = std::chrono::milliseconds(25);
   static constexpr Duration kAdviceLifetime = std::chrono::seconds(2);
   static constexpr std::size_t kMaxAdvisedInstances = 64;
   static constexpr std::uint32_t kForwardingHeaderBytes = 1024;
@@ -239,7 +244,8 @@
     // together, the one that wrote last then reads the other's entry. If both
     // read first, neither would learn of the other.
     if (answer.status == store::WriteStatus::kWritten) {
-      this->ListInstances();
+      this->registered_at = this->loop.Now();
+      if (!this->state.instances_known) this->ListInstances();
       return;
     }
     // An entry of an earlier start is overwritten immediately: until then this
@@ -256,15 +262,45 @@
     });
   }
 
-  /// Logs a return of the store from an older copy.
+  /// Logs a return of the store from an older copy, and registers this instance
+  /// again if the copy may lack it.
+  ///
+  /// Failure guarded against: an instance that starts later does not learn of
+  /// this one, and takes a part of the budgets that are shared that is too
+  /// large.
   void FollowEpoch(TimePoint now) {
     const std::uint64_t epoch = this->state.epochs.Epoch();
+    this->LogUnreadableEpochs(now);
     const std::uint64_t previous = std::exchange(this->seen_epoch, epoch);
     if (previous == epoch || previous == 0) return;
     this->logger.Write(
         eventlog::Level::kNotable, "store_returned",
         eventlog::Fields().Count("epoch", static_cast<std::int64_t>(epoch)),
         now);
+    const bool may_be_lost =
+        this->registered_at && now - *this->registered_at <= kMaxCopyAge;
+    if (!may_be_lost) return;
+    const Duration spread =
+        kRegistrationSpread *
+        static_cast<std::int64_t>(this->state.peers.InstanceCount(now));
+    const auto delay = static_cast<std::int64_t>(
+        this->random.Unit() * static_cast<double>(spread.count()));
+    this->loop.After(Duration(delay), [this] {
+      if (!this->state.stopping_since) this->Register();
+    });
+  }
+
+  void LogUnreadableEpochs(TimePoint now) {
+    const std::uint64_t count = this->store.UnreadableEpochs();
+    const bool silent = count == this->unreadable_epochs ||
+                        now - this->unreadable_logged < kUnreadableLogPeriod;
+    if (silent) return;
+    this->unreadable_epochs = count;
+    this->unreadable_logged = now;
+    this->logger.Write(
+        eventlog::Level::kNotable, "store_epoch_unreadable",
+        eventlog::Fields().Count("answers", static_cast<std::int64_t>(count)),
+        now);
   }
 
   void ListInstances() {
@@ -392,8 +428,12 @@
   PlacementDriver<A> placement;
   QuarantineSync<A> quarantine_sync;
   TimePoint started{this->loop.Now()};
+  /// When this instance last wrote its registration.
+  std::optional<TimePoint> registered_at;
   /// The store's epoch when it was last looked at.
   std::uint64_t seen_epoch = 0;
+  std::uint64_t unreadable_epochs = 0;
+  TimePoint unreadable_logged{Duration(-1'000'000'000)};
   bool startup_announced = false;
   bool keys_accepted = false;
   bool was_ready = false;
