After the store's return instances read as soon as a read can confirm again

What reads can't confirm yet is no reason for more of them: until what was lost is written again, the reader's pace is kept; the first read after that begins at once, at the leader of a large fleet first.

--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -145,23 +145,27 @@
 
   bool Due(const std::optional<Duration>& age, Duration period,
            TimePoint requested_at, TimePoint now) const {
-    if (now - requested_at < this->Pause(period, now)) return false;
+    const Duration pause = this->Pause(period, requested_at, now);
+    if (now - requested_at < pause) return false;
     return !age || *age >= period;
   }
 
-  /// Returns the delay after the last read, where its result is too old.
-  Duration Pause(Duration period, TimePoint now) const {
+  /// Returns the delay after the read at \p requested_at, whose result is older
+  /// than \p period.
+  Duration Pause(Duration period, TimePoint requested_at, TimePoint now) const {
     const bool backs_off = !this->store_answers || this->no_configuration;
     if (backs_off) return this->Backoff(now);
-    // What reads can't confirm yet is no reason for more of them. The leader's
-    // first confirmation reaches the others before they read.
-    const bool saw_return = this->state.epochs.Age(now).has_value();
-    const bool waits = saw_return && !this->state.leads;
-    const TimePoint reference = waits ? now - period : now;
-    const bool settled = this->state.epochs.IsSettled(reference);
-    if (settled || !saw_return) return this->times.retry_period;
+    const store::EpochClock& epochs = this->state.epochs;
+    const bool saw_return = epochs.Age(now).has_value();
+    if (!saw_return) return this->times.retry_period;
     const bool large = this->state.peers.IsLargeFleet(now);
-    return large ? period : this->times.reader_period;
+    const bool follows_leader = large && !this->state.leads;
+    // The leader's first confirmation reaches the others before they read.
+    const Duration lead = follows_leader ? period : Duration(0);
+    if (epochs.IsSettled(requested_at)) return this->times.retry_period;
+    if (epochs.IsSettled(now - lead)) return Duration(0);
+    // What reads can't confirm yet is no reason for more of them.
+    return follows_leader ? period : this->times.reader_period;
   }
 
   /// Logs that this instance reads for itself although it is not the leader.
