--- a/lib/instance/peer_news.cc
+++ b/lib/instance/peer_news.cc
@@ -113,4 +113,21 @@
   if (forwards) this->Announce();
 }
 
+void PeerLink::ApplyConfirmations(TimePoint now) {
+  const auto configuration = this->state.peers.ConfigurationConfirmedAt(
+      this->state.configuration, now);
+  if (configuration && this->state.route_table) {
+    this->state.freshness.Confirm(*configuration);
+  }
+  if (const auto answered = this->state.peers.StoreAnsweredAt(now)) {
+    this->state.endpoints.OnStoreAnswered(*answered, now);
+  }
+  const store::Revision& revision = this->state.endpoints.Revision();
+  const auto confirmed = this->state.peers.EndpointsConfirmedAt(revision, now);
+  if (!confirmed || !revision.IsSet()) return;
+  if (!this->state.endpoints.Confirm(*confirmed, now)) return;
+  this->endpoint_log.OnList(this->state.endpoints, ListCause::kGraceOver, true,
+                            0, now);
+}
+
 }  // namespace toucanwharf::instance
