Soak: the store returns from older copies, with other faults beside it

The stand-in now keeps what was written last instead of what one return lost: with two returns in a row the loss of the first was written over that of the second. Cases and bounds of process_store_return are the same.

--- a/standins/fleet/store.cc
+++ b/standins/fleet/store.cc
@@ -34,10 +34,12 @@
 void Store::Put(const std::string& kind, const std::string& name,
                 const Json& spec) {
   this->kinds[kind][name] = Object{++this->revision, spec};
+  this->written[kind][name] = spec;
 }
 
 void Store::Remove(const std::string& kind, const std::string& name) {
   if (this->kinds[kind].erase(name) > 0) ++this->revision;
+  this->written[kind][name] = Json();
 }
 
 Json Store::Spec(const std::string& kind, const std::string& name) const {
@@ -55,44 +57,30 @@
   return names;
 }
 
-std::vector<LostWrite> Store::ReturnFromCopy() {
-  std::vector<LostWrite> lost;
-  for (const std::string kind : kKindsWrittenAgain) {
-    for (const auto& [name, object] : this->kinds[kind]) {
-      const auto kept = this->copy.kinds[kind].find(name);
-      const bool same = kept != this->copy.kinds[kind].end() &&
-                        kept->second.revision == object.revision;
-      if (!same) lost.push_back({kind, name, object.spec});
-    }
-    for (const auto& [name, object] : this->copy.kinds[kind]) {
-      if (!this->kinds[kind].contains(name)) lost.push_back({kind, name, {}});
-    }
-  }
+void Store::ReturnFromCopy() {
   this->kinds = this->copy.kinds;
   this->revision = this->copy.revision;
   ++this->era;
-  return lost;
-}
-
-void Store::WriteAgain(const std::vector<LostWrite>& lost) {
-  for (const LostWrite& write : lost) {
-    const Kind& copied = this->copy.kinds[write.kind];
-    const Kind& now = this->kinds[write.kind];
-    const auto before = copied.find(write.name);
-    const auto found = now.find(write.name);
-    const std::uint64_t old_revision =
-        before == copied.end() ? 0 : before->second.revision;
-    const std::uint64_t new_revision =
-        found == now.end() ? 0 : found->second.revision;
-    if (new_revision != old_revision) continue;
-    if (write.spec.is_null()) {
-      this->Remove(write.kind, write.name);
-    } else {
-      this->Put(write.kind, write.name, write.spec);
+}
+
+void Store::WriteAgain() {
+  for (const std::string kind : kKindsWrittenAgain) {
+    const auto last = this->written[kind];
+    for (const auto& [name, spec] : last) {
+      if (this->Spec(kind, name) == spec) continue;
+      if (spec.is_null()) {
+        this->Remove(kind, name);
+      } else {
+        this->Put(kind, name, spec);
+      }
     }
   }
 }
 
+void Store::WriteAgainAfter(Duration delay) {
+  this->loop.After(delay, [this] { this->WriteAgain(); });
+}
+
 void Store::SetFault(std::size_t address, StoreFault fault) {
   this->faults.at(address) = fault;
 }
--- a/standins/fleet/store.h
+++ b/standins/fleet/store.h
@@ -31,14 +31,6 @@
   kSlowWrites,
 };
 
-/// An object that a return of the store from a copy lost, or brought back.
-struct LostWrite {
-  std::string kind;
-  std::string name;
-  /// Null if the object had been removed.
-  nlohmann::json spec;
-};
-
 /// The store: objects by kind and name, with revisions and conditional writes.
 /// Thread safety: only on the loop's thread.
 class Store {
@@ -67,11 +59,12 @@
   /// Keeps a copy of all objects, in place of an earlier one.
   void KeepCopy() { this->copy = Contents{this->kinds, this->revision}; }
   /// Returns from the last copy, or an empty one: what was written since is
-  /// lost, and its revisions are given out again. Returns what was lost, which
-  /// its writers write again.
-  std::vector<LostWrite> ReturnFromCopy();
-  /// Writes again what was lost, unless it was written meanwhile.
-  void WriteAgain(const std::vector<LostWrite>& lost);
+  /// lost, and its revisions are given out again.
+  void ReturnFromCopy();
+  /// Writes again what the operator and the endpoints wrote last and the store
+  /// has lost, now or after \p delay.
+  void WriteAgain();
+  void WriteAgainAfter(Duration delay);
 
  private:
   struct Object {
@@ -103,6 +96,8 @@
   /// Calls that never get a response, kept so that they stay open.
   std::vector<std::shared_ptr<http::Exchange>> unanswered;
   std::map<std::string, Kind> kinds;
+  /// What was last written, by kind and name; null if it was removed.
+  std::map<std::string, std::map<std::string, nlohmann::json>> written;
   std::uint64_t revision = 0;
   std::uint64_t era = 1;
   Contents copy;
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -206,8 +206,7 @@
   this->RunOnLoop([&] { this->store->Put("config", "main", configuration); });
 }
 
-std::vector<standins::fleet::LostWrite> PlatformFleet::ReturnStore(
-    std::chrono::milliseconds away) {
+void PlatformFleet::ReturnStore(std::chrono::milliseconds away) {
   const auto set_all = [this](standins::fleet::StoreFault fault) {
     for (std::size_t index = 0; index < this->routers.size(); ++index) {
       this->store->SetFault(index, fault);
@@ -215,12 +214,10 @@
   };
   this->RunOnLoop([&] { set_all(standins::fleet::StoreFault::kReset); });
   std::this_thread::sleep_for(away);
-  std::vector<standins::fleet::LostWrite> lost;
   this->RunOnLoop([&] {
-    lost = this->store->ReturnFromCopy();
+    this->store->ReturnFromCopy();
     set_all(standins::fleet::StoreFault::kNone);
   });
-  return lost;
 }
 
 std::string PlatformFleet::RouterIp(std::size_t index) const {
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -80,6 +80,9 @@
 list(JOIN soak_seeds "," soak_seeds)
 add_test(NAME soak COMMAND soak --seeds ${soak_seeds} --seconds 8)
 set_tests_properties(soak PROPERTIES TIMEOUT 300)
+add_test(NAME soak_store_returns
+  COMMAND soak --seeds 1,2 --seconds 8 --store-returns)
+set_tests_properties(soak_store_returns PROPERTIES TIMEOUT 120)
 add_test(NAME soak_endpoint_faults
   COMMAND soak --seeds 1,2,7 --seconds 8 --crashing-requests
     --endpoint-limits)
--- a/test/process/store_return_test.cc
+++ b/test/process/store_return_test.cc
@@ -11,7 +11,6 @@
 namespace toucanwharf::process_test {
 namespace {
 
-using standins::fleet::LostWrite;
 using std::chrono::milliseconds;
 
 constexpr std::size_t kRouters = 3;
@@ -45,12 +44,12 @@
 
   /// Lets the store return from the copy once all routers have read the changes
   /// since.
-  std::vector<LostWrite> Return() {
+  void Return() {
     std::this_thread::sleep_for(kReadByAll);
-    return this->fleet.ReturnStore(kAway);
+    this->fleet.ReturnStore(kAway);
   }
-  void WriteAgain(const std::vector<LostWrite>& lost) {
-    this->fleet.RunOnLoop([&] { this->fleet.Store().WriteAgain(lost); });
+  void WriteAgain() {
+    this->fleet.RunOnLoop([this] { this->fleet.Store().WriteAgain(); });
   }
 
   Answer Read(std::size_t router, const std::string& key) {
@@ -107,7 +106,8 @@
 // an older copy, gives it a revision that is lower than the last one read.
 BOOST_AUTO_TEST_CASE(ConfigurationAcceptedAfterTheReturnIsInForceInTime) {
   this->fleet.Configure({PlatformFleet::kKey, PlatformFleet::kOtherKey});
-  this->WriteAgain(this->Return());
+  this->Return();
+  this->WriteAgain();
   this->fleet.Configure({PlatformFleet::kKey});
   std::this_thread::sleep_for(kBound);
   BOOST_TEST(this->AllAnswer(PlatformFleet::kOtherKey, 401));
@@ -118,7 +118,8 @@
 // because its answers confirm nothing.
 BOOST_AUTO_TEST_CASE(UnchangedConfigurationIsConfirmedAfterTheReturn) {
   this->fleet.Configure({PlatformFleet::kKey, PlatformFleet::kOtherKey});
-  this->WriteAgain(this->Return());
+  this->Return();
+  this->WriteAgain();
   std::this_thread::sleep_for(kSettled);
   BOOST_TEST(this->CountAnswers(PlatformFleet::kKey, 503, kBound) == 0);
 }
@@ -127,12 +128,12 @@
 // the revocation again, at an instance that starts meanwhile, too.
 BOOST_AUTO_TEST_CASE(ConfigurationInForceDoesNotRevertToTheCopy) {
   this->fleet.Configure({PlatformFleet::kKey});
-  const auto lost = this->Return();
+  this->Return();
   this->fleet.Router(0).Kill();
   this->fleet.StartRouter(0);
   BOOST_TEST(this->CountAnswers(PlatformFleet::kOtherKey, 200,
                                 kWrittenAgainAfter) == 0);
-  this->WriteAgain(lost);
+  this->WriteAgain();
   std::this_thread::sleep_for(kBound);
   BOOST_TEST(this->AllAnswer(PlatformFleet::kOtherKey, 401));
   BOOST_TEST(this->AllAnswer(PlatformFleet::kKey, 200));
@@ -143,9 +144,9 @@
 BOOST_AUTO_TEST_CASE(KeyAddedAfterTheCopyStaysKnown) {
   constexpr const char* kNewKey = "key-of-a-new-customer";
   this->fleet.Configure({PlatformFleet::kKey, kNewKey});
-  const auto lost = this->Return();
+  this->Return();
   BOOST_TEST(this->CountAnswers(kNewKey, 401, kWrittenAgainAfter) == 0);
-  this->WriteAgain(lost);
+  this->WriteAgain();
   std::this_thread::sleep_for(kBound);
   BOOST_TEST(this->AllAnswer(kNewKey, 200));
 }
@@ -153,7 +154,7 @@
 // Guards against a revoked key that an unseen, lost revocation took away, and
 // that a read of the copy keeps valid past the revocation's bound.
 BOOST_AUTO_TEST_CASE(LostRevocationThatNobodyReadIsInForceInTime) {
-  std::vector<LostWrite> lost = this->Return();
+  this->Return();
   // The store is away again, accepts a revocation first, and loses it.
   for (std::size_t router = 0; router < kRouters; ++router) {
     this->fleet.RunOnLoop([&] {
@@ -162,9 +163,9 @@
   }
   this->fleet.Configure({PlatformFleet::kKey});
   const auto revoked = std::chrono::steady_clock::now();
-  lost = this->fleet.ReturnStore(kAway);
+  this->fleet.ReturnStore(kAway);
   std::this_thread::sleep_for(kWrittenAgainAfter);
-  this->WriteAgain(lost);
+  this->WriteAgain();
   // As bounds.revoke_ms in the settings of the fleet's routers.
   std::this_thread::sleep_until(revoked + milliseconds(2500));
   BOOST_TEST(this->CountAnswers(PlatformFleet::kOtherKey, 200, kBound) == 0);
@@ -175,7 +176,8 @@
 // Guards against a list of endpoints that is ignored because its revision is
 // lower than the last one read.
 BOOST_AUTO_TEST_CASE(EndpointThatDrainsAfterTheReturnGetsNoNewRequests) {
-  this->WriteAgain(this->Return());
+  this->Return();
+  this->WriteAgain();
   this->fleet.RunOnLoop([this] { this->fleet.Endpoints().Drain("plain-0"); });
   std::this_thread::sleep_for(kBound);
   const TimePoint from = BootClock().Now();
@@ -190,9 +192,9 @@
   this->fleet.RunOnLoop([this] { this->fleet.Endpoints().Drain("plain-0"); });
   std::this_thread::sleep_for(kBound);
   const TimePoint from = BootClock().Now();
-  const auto lost = this->Return();
+  this->Return();
   this->CountAnswers(PlatformFleet::kKey, 200, kWrittenAgainAfter);
-  this->WriteAgain(lost);
+  this->WriteAgain();
   this->CountAnswers(PlatformFleet::kKey, 200, kBound);
   BOOST_TEST(!this->RanAt("plain-0", from));
   BOOST_TEST(this->RanAt("plain-1", from));
@@ -205,9 +207,9 @@
       [this] { this->fleet.Store().Remove("servers", "plain-0"); });
   std::this_thread::sleep_for(kBound);
   const TimePoint from = BootClock().Now();
-  const auto lost = this->Return();
+  this->Return();
   this->CountAnswers(PlatformFleet::kKey, 200, kWrittenAgainAfter);
-  this->WriteAgain(lost);
+  this->WriteAgain();
   this->CountAnswers(PlatformFleet::kKey, 200, kBound);
   BOOST_TEST(!this->RanAt("plain-0", from));
   BOOST_TEST(this->RanAt("plain-1", from));
@@ -224,9 +226,9 @@
   std::this_thread::sleep_for(kBound);
   BOOST_REQUIRE(PlatformFleet::Eventually(
       [this] { return this->AllAnswer(PlatformFleet::kKey, 200); }));
-  const auto lost = this->Return();
+  this->Return();
   BOOST_TEST(this->CountOpen(503, kWrittenAgainAfter) == 0);
-  this->WriteAgain(lost);
+  this->WriteAgain();
   BOOST_TEST(this->CountOpen(503, kBound) == 0);
 }
 
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -32,6 +32,7 @@
   settings.endpoint_limits = options.count("endpoint-limits") > 0;
   settings.cut_paths = options.count("cut-paths") > 0;
   settings.endpoint_pauses = options.count("endpoint-pauses") > 0;
+  settings.store_returns = options.count("store-returns") > 0;
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
        options["seeds"].as<std::vector<std::uint64_t>>()) {
@@ -56,7 +57,8 @@
       "crashing-requests", "send requests that crash endpoints, too")(
       "endpoint-limits", "let endpoints state limits, too")(
       "cut-paths", "cut links from routers to endpoints, too")(
-      "endpoint-pauses", "let endpoints ask for pauses, too");
+      "endpoint-pauses", "let endpoints ask for pauses, too")(
+      "store-returns", "let the store return from older copies, too");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -46,7 +46,8 @@
                                "endpoint limit",
                                "paths silent",
                                "paths reset",
-                               "endpoint pause"};
+                               "endpoint pause",
+                               "store return"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
@@ -107,6 +108,9 @@
   if (settings.endpoint_pauses) {
     AddApart(FaultKind::kEndpointPause, settings, faults);
   }
+  if (settings.store_returns) {
+    AddApart(FaultKind::kStoreReturn, settings, faults);
+  }
   return faults;
 }
 
@@ -125,7 +129,8 @@
     return text + " " + fault.endpoint + " " + std::to_string(fault.limit);
   }
   const bool of_no_router = fault.kind == FaultKind::kRevocation ||
-                            fault.kind == FaultKind::kCrashingRequest;
+                            fault.kind == FaultKind::kCrashingRequest ||
+                            fault.kind == FaultKind::kStoreReturn;
   if (of_no_router) return text;
   text += " router " + std::to_string(fault.router);
   if (fault.kind == FaultKind::kStore) {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -42,6 +42,9 @@
   kPathsReset,
   /// An endpoint turns all requests away and asks for a pause.
   kEndpointPause,
+  /// The store is copied, and at the end of the fault it is away for a moment
+  /// and returns from the copy.
+  kStoreReturn,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -79,6 +82,8 @@
   bool cut_paths = false;
   /// Whether endpoints also ask for pauses; the same holds.
   bool endpoint_pauses = false;
+  /// Whether the store also returns from older copies; the same holds.
+  bool store_returns = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -25,6 +25,10 @@
 constexpr int kRecoveryTimeoutMs = 12000;
 /// Seconds that an endpoint asks for.
 constexpr const char* kRequestedPause = "1.5";
+/// How long the store is away before it returns from a copy, and how long until
+/// what it lost is written again.
+constexpr milliseconds kStoreAway{800};
+constexpr milliseconds kWrittenAgainAfter{900};
 
 /// The begin or the end of a fault.
 struct FaultEvent {
@@ -129,6 +133,9 @@
       case FaultKind::kEndpointPause:
         this->SetShedding(fault.endpoint, kRequestedPause);
         return;
+      case FaultKind::kStoreReturn:
+        this->fleet.RunOnLoop([this] { this->fleet.Store().KeepCopy(); });
+        return;
       case FaultKind::kCrashingRequest:
         return;
     }
@@ -169,12 +176,21 @@
       case FaultKind::kEndpointPause:
         this->SetShedding(fault.endpoint, std::nullopt);
         return;
+      case FaultKind::kStoreReturn:
+        this->ReturnStore();
+        return;
       case FaultKind::kReload:
       case FaultKind::kCrashingRequest:
         return;
     }
   }
 
+  void ReturnStore() {
+    this->fleet.ReturnStore(kStoreAway);
+    this->fleet.RunOnLoop(
+        [this] { this->fleet.Store().WriteAgainAfter(kWrittenAgainAfter); });
+  }
+
   void SetShedding(const std::string& endpoint,
                    const std::optional<std::string>& retry_after) {
     this->fleet.RunOnLoop(
@@ -213,7 +229,8 @@
                              event.fault.kind != FaultKind::kEndpoint &&
                              event.fault.kind != FaultKind::kEndpointLimit &&
                              event.fault.kind != FaultKind::kEndpointPause &&
-                             event.fault.kind != FaultKind::kRevocation;
+                             event.fault.kind != FaultKind::kRevocation &&
+                             event.fault.kind != FaultKind::kStoreReturn;
     if (!of_a_router) return;
     const TimePoint now = BootClock().Now();
     const Duration planned = milliseconds(event.fault.duration_ms);
