A process that has just started sees no return of the store

The lease was told epoch 0 before the first answer, so that the first epoch counted as a return, and at a start nobody took the lease for a term (3 s). Found by reading; the epoch is an optional now. The wait for first news of peers is shorter than the pause between two reads, so that the second read of a start confirms the configuration and not the third.

--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -269,7 +269,7 @@
   /// this one, and takes a part of the budgets that are shared that is too
   /// large.
   void FollowEpoch(TimePoint now) {
-    const std::uint64_t epoch = this->state.epochs.Epoch();
+    const std::uint64_t epoch = this->state.epochs.Epoch().value_or(0);
     this->LogUnreadableEpochs(now);
     const std::uint64_t previous = std::exchange(this->seen_epoch, epoch);
     if (previous == epoch || previous == 0) return;
--- a/include/toucanwharf/instance/placement_lease.h
+++ b/include/toucanwharf/instance/placement_lease.h
@@ -51,7 +51,10 @@
   /// Makes the next call for the lease, if one is due.
   void Poll() {
     const TimePoint now = this->loop.Now();
-    this->lease.OnEpoch(this->state.epochs.Epoch(), now);
+    // The epoch may be known from another call, or from a peer.
+    if (const auto& epoch = this->state.epochs.Epoch()) {
+      this->lease.OnEpoch(*epoch, now);
+    }
     // A backup leader polls the lease continuously: a challenger has to see it
     // unchanged for a whole term, and has then already done so when the leader
     // is lost.
--- a/include/toucanwharf/instance/quarantine_sync.h
+++ b/include/toucanwharf/instance/quarantine_sync.h
@@ -148,7 +148,8 @@
   }
 
   void Remove(const quarantine::Fingerprint& request) {
-    this->removed[request] = {this->state.epochs.Epoch(), this->loop.Now()};
+    this->removed[request] = {this->state.epochs.Epoch().value_or(0),
+                              this->loop.Now()};
     this->store.Remove(KeyOf(request));
   }
 
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -156,8 +156,8 @@
     const bool backs_off = !this->store_answers || this->no_configuration;
     if (backs_off) return this->Backoff(now);
     const store::EpochClock& epochs = this->state.epochs;
-    const bool saw_return = epochs.Age(now).has_value();
-    if (!saw_return) return this->times.retry_period;
+    const bool just_started = !epochs.Age(now);
+    if (just_started) return this->times.retry_period;
     const bool large = this->state.peers.IsLargeFleet(now);
     const bool follows_leader = large && !this->state.leads;
     // The leader's first confirmation reaches the others before they read.
--- a/include/toucanwharf/store/epoch_clock.h
+++ b/include/toucanwharf/store/epoch_clock.h
@@ -15,7 +15,7 @@
   Duration rewrite_time = std::chrono::milliseconds(2000);
   /// A process that has just started hears within this time from others that
   /// have seen more.
-  Duration first_news = std::chrono::milliseconds(300);
+  Duration first_news = std::chrono::milliseconds(250);
 
   friend bool operator==(const EpochSettings&, const EpochSettings&) = default;
 };
@@ -41,8 +41,8 @@
   bool OnPeer(std::uint64_t newest, const std::optional<Duration>& age,
               TimePoint now);
 
-  /// Returns the store's epoch, 0 before its first answer.
-  std::uint64_t Epoch() const { return this->epoch.value_or(0); }
+  /// Returns the store's epoch, nothing before its first answer.
+  const std::optional<std::uint64_t>& Epoch() const { return this->epoch; }
   /// Returns when the epoch was first seen. Precondition: it is known.
   TimePoint FirstSeenAt() const { return this->first_seen_at; }
   /// Returns how long ago the epoch was first seen, for the others; nothing if
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -138,7 +138,7 @@
                static_cast<double>(state.configuration.version));
   writer.Gauge("store_epoch",
                "the store's epoch, which rises with each return from a copy",
-               static_cast<double>(state.epochs.Epoch()));
+               static_cast<double>(state.epochs.Epoch().value_or(0)));
   writer.Gauge("endpoints_corrected",
                "entries of the newest list that are older than what is known",
                static_cast<double>(state.endpoints.CorrectedCount()));
--- a/lib/instance/peer_beacon.cc
+++ b/lib/instance/peer_beacon.cc
@@ -14,7 +14,7 @@
   beacon.stopping = this->state.stopping_since.has_value();
   beacon.leads = this->state.leads;
   beacon.reaches_endpoints = !this->state.paths.IsIsolated();
-  beacon.store_epoch = this->state.epochs.Epoch();
+  beacon.store_epoch = this->state.epochs.Epoch().value_or(0);
   beacon.store_epoch_age = this->state.epochs.Age(now);
   beacon.configuration = this->state.configuration;
   beacon.configuration_age = this->state.freshness.Age(now);
--- a/lib/store/epoch_clock.cc
+++ b/lib/store/epoch_clock.cc
@@ -16,7 +16,7 @@
 bool EpochClock::OnPeer(std::uint64_t newest,
                         const std::optional<Duration>& age, TimePoint now) {
   const bool returned = newest > 0 && this->OnAnswer(newest, now);
-  if (!age || newest != this->Epoch()) return returned;
+  if (!age || this->epoch != newest) return returned;
   const TimePoint told = now - *age;
   this->first_seen_at =
       this->is_evidence ? std::min(this->first_seen_at, told) : told;
