Quarantine: removals are forgotten with the age of a copy, late listings of an earlier epoch are ignored

The record of removed objects grew without a bound; an old listing after a newer one could lift or write again. The bound on a copy's age stands in one place.

--- a/include/toucanwharf/endpoints/departures.h
+++ b/include/toucanwharf/endpoints/departures.h
@@ -20,9 +20,11 @@
 /// Failure guarded against: the store returns from a copy that lists endpoints
 /// as ready which have drained or gone since, and they get new work (I5); or
 /// that lists layers which engines no longer hold. In the first time of an
-/// epoch what was known before it counts. After that the store's word counts:
+/// epoch what was known before it counts. After that the store's list counts:
 /// an endpoint that lives has registered again, and the entry of one that has
-/// gone has expired. Thread safety: none; for one thread.
+/// gone has expired.
+///
+/// Thread safety: none; for one thread.
 class Departures {
  public:
   /// \p hold is how long the entry of an endpoint that has gone may be listed
@@ -34,8 +36,8 @@
   void OnReturn(TimePoint returned) {
     this->hold_until = std::max(this->hold_until, returned + this->hold_time);
   }
-  /// Learns which endpoints drain or have gone from a list of \p epoch, \p
-  /// next, that replaces \p before. Those in \p retained may be back.
+  /// Learns which endpoints drain or have gone: \p next, a list of \p epoch,
+  /// replaces \p before. Those in \p retained may be back.
   void Learn(const EndpointsById& before, const EndpointsById& next,
              const std::set<std::string>& retained, std::uint64_t epoch,
              TimePoint now);
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -116,8 +116,6 @@
   /// Time reserved for the last answers to be sent before the kill.
   static constexpr Duration kKillMargin = std::chrono::milliseconds(400);
   static constexpr Duration kUnreadableLogPeriod = std::chrono::seconds(10);
-  /// A copy from which the store returns is younger than this.
-  static constexpr Duration kMaxCopyAge = std::chrono::seconds(60);
   /// Per instance: all together register forty times a second.
   static constexpr Duration kRegistrationSpread = std::chrono::milliseconds(25);
   static constexpr Duration kAdviceLifetime = std::chrono::seconds(2);
@@ -278,7 +276,7 @@
         eventlog::Fields().Count("epoch", static_cast<std::int64_t>(epoch)),
         now);
     const bool may_be_lost =
-        this->registered_at && now - *this->registered_at <= kMaxCopyAge;
+        this->registered_at && now - *this->registered_at <= store::kMaxCopyAge;
     if (!may_be_lost) return;
     const Duration spread =
         kRegistrationSpread *
--- a/include/toucanwharf/instance/quarantine_sync.h
+++ b/include/toucanwharf/instance/quarantine_sync.h
@@ -64,6 +64,12 @@
   }
 
  private:
+  /// Removal of an object, in an epoch of the store.
+  struct Removal {
+    std::uint64_t epoch = 0;
+    TimePoint at;
+  };
+
   static constexpr Duration kFollowPeriod = std::chrono::seconds(10);
   static constexpr Duration kRetryDelay = std::chrono::seconds(1);
 
@@ -90,12 +96,15 @@
   void Follow() {
     const bool idle = this->state.quarantine.Empty() && this->stored.empty();
     if (idle) return;
+    this->ForgetRemovals();
     if (!this->state.leads) {
       this->ForgetExpired();
       return;
     }
     this->Read([this](const std::optional<store::Listing>& listing) {
-      if (!listing) return;
+      const bool outdated =
+          listing && listing->revision.epoch < this->listed_epoch;
+      if (!listing || outdated) return;
       if (!this->ForgetIfReturned(*listing)) this->LiftRemoved(*listing);
       this->RemoveEnded();
       this->WriteMissing();
@@ -147,6 +156,13 @@
     return true;
   }
 
+  void ForgetRemovals() {
+    const TimePoint now = this->loop.Now();
+    std::erase_if(this->removed, [now](const auto& entry) {
+      return now - entry.second.at > store::kMaxCopyAge;
+    });
+  }
+
   void Remove(const quarantine::Fingerprint& request) {
     this->removed[request] = {this->state.epochs.Epoch().value_or(0),
                               this->loop.Now()};
@@ -264,10 +280,6 @@
   /// Requests with a write in flight.
   std::set<quarantine::Fingerprint> writing;
   /// Objects that were removed lately.
-  struct Removal {
-    std::uint64_t epoch = 0;
-    TimePoint at;
-  };
   std::map<quarantine::Fingerprint, Removal> removed;
   /// Epoch of the newest listing, 0 before the first.
   std::uint64_t listed_epoch = 0;
--- a/include/toucanwharf/store/epoch_clock.h
+++ b/include/toucanwharf/store/epoch_clock.h
@@ -8,6 +8,10 @@
 
 namespace toucanwharf::store {
 
+/// A copy from which the store returns is some seconds old, and always younger
+/// than this.
+inline constexpr Duration kMaxCopyAge = std::chrono::seconds(60);
+
 /// Times around the store's return from an older copy.
 struct EpochSettings {
   /// Within this time after the return its writers have written again what was
--- a/lib/endpoints/departures.cc
+++ b/lib/endpoints/departures.cc
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 
+#include "toucanwharf/store/epoch_clock.h"
+
 namespace toucanwharf::endpoints {
 namespace {
 
-/// A copy of the store is some seconds old.
-constexpr Duration kMemory = std::chrono::seconds(60);
-
 bool IsListed(const EndpointsById& listed, const std::string& id,
               std::uint64_t start_time_ms) {
   const auto found = listed.find(id);
@@ -43,7 +42,7 @@
 void Departures::Forget(const EndpointsById& listed, TimePoint now) {
   std::erase_if(this->departures, [&](const auto& entry) {
     const auto& [start, departure] = entry;
-    return now - departure.learned_at > kMemory &&
+    return now - departure.learned_at > store::kMaxCopyAge &&
            !IsListed(listed, start.id, start.time_ms);
   });
 }
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -27,7 +27,8 @@
   absl::str_format absl::flat_hash_set)
 tw_package(gossip DEPS toucanwharf_pipeline toucanwharf_limits
   toucanwharf_quarantine toucanwharf_store)
-tw_package(endpoints DEPS toucanwharf_gossip toucanwharf_placement)
+tw_package(endpoints DEPS toucanwharf_gossip toucanwharf_placement
+  toucanwharf_store)
 tw_package(eventlog DEPS toucanwharf_support absl::strings)
 tw_package(once DEPS toucanwharf_store)
 tw_package(control DEPS toucanwharf_records toucanwharf_store)
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -61,8 +61,8 @@
   /// Writes the next version of the configuration, with a customer for each of
   /// \p keys.
   void Configure(const std::vector<std::string>& keys);
-  /// Makes the store unavailable to all for \p away, after which it returns from
-  /// its last copy.
+  /// Makes the store unavailable to all for \p away, after which it returns
+  /// from its last copy.
   void ReturnStore(std::chrono::milliseconds away);
   void StartRouter(std::size_t index);
   /// Cuts the links from router \p index to the endpoints \p ids, or to all if
