A process that starts is served by the news of its peers at once, or waits for nobody

Now the only instance waits for nobody, peers of a small fleet answer the first message of a new process at once, and a registered process announces itself.

--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -317,8 +317,12 @@
           }
           this->peers.AddRegistered(registered);
           this->state.instances_known = true;
+          const TimePoint now = this->loop.Now();
+          if (this->state.peers.InstanceCount(now) == 1) {
+            this->state.epochs.OnAlone(now);
+          }
           this->AnnounceStartupData();
-          this->UpdateBudgetSharers(this->loop.Now());
+          this->UpdateBudgetSharers(now);
           this->quarantine_sync.Start();
         });
   }
--- a/include/toucanwharf/instance/store_sync.h
+++ b/include/toucanwharf/instance/store_sync.h
@@ -157,7 +157,11 @@
     if (backs_off) return this->Backoff(now);
     const store::EpochClock& epochs = this->state.epochs;
     const bool just_started = !epochs.Age(now);
-    if (just_started) return this->times.retry_period;
+    if (just_started) {
+      const bool may_confirm =
+          !epochs.IsSettled(requested_at) && epochs.IsSettled(now);
+      return may_confirm ? Duration(0) : this->times.retry_period;
+    }
     const bool large = this->state.peers.IsLargeFleet(now);
     const bool follows_leader = large && !this->state.leads;
     // The leader's first confirmation reaches the others before they read.
--- a/include/toucanwharf/store/epoch_clock.h
+++ b/include/toucanwharf/store/epoch_clock.h
@@ -45,6 +45,9 @@
   bool OnPeer(std::uint64_t newest, const std::optional<Duration>& age,
               TimePoint now);
 
+  /// Records that there is no other instance, which might have seen more.
+  void OnAlone(TimePoint now) { this->alone_since = now; }
+
   /// Returns the store's epoch, nothing before its first answer.
   const std::optional<std::uint64_t>& Epoch() const { return this->epoch; }
   /// Returns when the epoch was first seen. Precondition: it is known.
@@ -63,6 +66,7 @@
   /// Whether this process or the peer that told has seen an earlier epoch, or
   /// this one for long.
   bool is_evidence = false;
+  std::optional<TimePoint> alone_since;
 };
 
 }  // namespace toucanwharf::store
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -88,9 +88,10 @@
     this->AddInstance(candidate.address);
     candidate.address = this->DatagramAddressOf(candidate.address);
   }
-  const bool wanted = this->state.peers.IsLargeFleet(this->loop.Now()) &&
-                      this->state.backup_leaders.empty();
-  if (!wanted) return;
+  const bool large = this->state.peers.IsLargeFleet(this->loop.Now());
+  // The others answer a new process at once, and tell it what it can't read.
+  if (!large) this->Announce();
+  if (!large || !this->state.backup_leaders.empty()) return;
   this->SetBackupLeaders(
       gossip::ChooseBackupLeaders(std::move(candidates), ""));
 }
@@ -320,7 +321,12 @@
                        Fields().Text("sender", sender), now);
     return;
   }
+  const bool is_new = !this->state.peers.KnowsInstance(beacon->instance);
   if (!this->state.peers.OnBeacon(sender, *beacon, now)) return;
+  // A process that has just started waits for news. In a large fleet the leader
+  // sends to all soon enough.
+  const bool answers = is_new && !this->state.peers.IsLargeFleet(now);
+  if (answers) this->SendTo({sender}, Content::kOwn);
   this->stamps[sender] = Stamp{beacon->instance, beacon->stamp};
   for (const std::string& address : beacon->peers) {
     if (address == this->settings.datagram_address) continue;
--- a/lib/store/epoch_clock.cc
+++ b/lib/store/epoch_clock.cc
@@ -37,9 +37,11 @@
   if (!this->epoch) return false;
   // A store that states no epoch has none to return to.
   if (*this->epoch == 0) return true;
-  const Duration wait = this->is_evidence ? this->settings.rewrite_time
-                                          : this->settings.first_news;
-  return read >= this->first_seen_at + wait;
+  if (this->is_evidence) {
+    return read >= this->first_seen_at + this->settings.rewrite_time;
+  }
+  const TimePoint news_at = this->first_seen_at + this->settings.first_news;
+  return read >= std::min(news_at, this->alone_since.value_or(news_at));
 }
 
 }  // namespace toucanwharf::store
--- a/unittests/store/epoch_clock_test.cc
+++ b/unittests/store/epoch_clock_test.cc
@@ -57,6 +57,18 @@
   BOOST_TEST((clock.Age(At(2000)) == milliseconds(2000)));
 }
 
+// Guards against callers of the only instance who are refused while it waits
+// for news of others.
+BOOST_AUTO_TEST_CASE(OnlyInstanceWaitsForNobody) {
+  EpochClock clock;
+  clock.OnAnswer(1, At(0));
+  clock.OnAlone(At(10));
+  BOOST_TEST(!clock.IsSettled(At(0)));
+  BOOST_TEST(clock.IsSettled(At(10)));
+  clock.OnAnswer(2, At(5000));
+  BOOST_TEST(!clock.IsSettled(At(5010)));
+}
+
 BOOST_AUTO_TEST_CASE(StoreWithoutEpochsIsAlwaysSettled) {
   EpochClock clock;
   BOOST_TEST(!clock.IsSettled(At(0)));
