--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -281,9 +281,9 @@
     const Duration spread =
         kRegistrationSpread *
         static_cast<std::int64_t>(this->state.peers.InstanceCount(now));
-    const auto delay = static_cast<std::int64_t>(
-        this->random.Unit() * static_cast<double>(spread.count()));
-    this->loop.After(Duration(delay), [this] {
+    const Duration delay(static_cast<std::int64_t>(
+        this->random.Unit() * static_cast<double>(spread.count())));
+    this->loop.After(delay, [this] {
       if (!this->state.stopping_since) this->Register();
     });
   }
