--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -281,9 +281,9 @@
     const Duration spread =
         kRegistrationSpread *
         static_cast<std::int64_t>(this->state.peers.InstanceCount(now));
-    const auto delay = static_cast<std::int64_t>(
-        this->random.Unit() * static_cast<double>(spread.count()));
-    this->loop.After(Duration(delay), [this] {
+    const Duration delay(static_cast<std::int64_t>(
+        this->random.Unit() * static_cast<double>(spread.count())));
+    this->loop.After(delay, [this] {
       if (!this->state.stopping_since) this->Register();
     });
   }
@@ -317,8 +317,12 @@
           }
           this->peers.AddRegistered(registered);
           this->state.instances_known = true;
+          const TimePoint now = this->loop.Now();
+          if (this->state.peers.InstanceCount(now) == 1) {
+            this->state.epochs.OnAlone(now);
+          }
           this->AnnounceStartupData();
-          this->UpdateBudgetSharers(this->loop.Now());
+          this->UpdateBudgetSharers(now);
           this->quarantine_sync.Start();
         });
   }
