A store that still shows an older configuration, once all is written again, confirms the one in force

Found by reading the whole change: a read confirmed only the version in force, so that callers with keys were refused for as long as the operator didn't write again what the store had lost, though nothing newer was accepted. Peers' reads of a lower version confirmed all the same. Now both do; an unreadable text, which may be newer, confirms nothing.

A process that starts waits 150 ms for news of peers, so that the poll after it lies within the time for which its callers' requests wait.

--- a/include/toucanwharf/instance/configuration_in_force.h
+++ b/include/toucanwharf/instance/configuration_in_force.h
@@ -20,7 +20,8 @@
 /// confirmed (I7). Only a higher version replaces the one in force. A read
 /// confirms nothing until what the store lost has been written again: after the
 /// time for that, or sooner if the operator is seen to have written since the
-/// return and to have finished.
+/// return and to have finished. From then on a store that still shows an older
+/// configuration confirms the one in force: nothing newer was accepted.
 /// Thread safety: only on the loop's thread.
 class ConfigurationInForce {
  public:
@@ -57,8 +58,10 @@
   eventlog::Logger& logger;
   Parse parse;
   std::function<void()> changed;
-  /// The last text that was not put into force, and need not be parsed again.
-  store::Revision dropped;
+  /// The last texts that were not put into force, because they were unreadable
+  /// or older, and need not be parsed again.
+  store::Revision unreadable;
+  store::Revision older;
   /// The first state of the object that was read in its epoch, and what was in
   /// force before.
   store::Revision first_in_epoch;
--- a/include/toucanwharf/store/epoch_clock.h
+++ b/include/toucanwharf/store/epoch_clock.h
@@ -19,7 +19,7 @@
   Duration rewrite_time = std::chrono::milliseconds(2000);
   /// A process that has just started hears within this time from others that
   /// have seen more.
-  Duration first_news = std::chrono::milliseconds(250);
+  Duration first_news = std::chrono::milliseconds(150);
 
   friend bool operator==(const EpochSettings&, const EpochSettings&) = default;
 };
--- a/lib/instance/configuration_in_force.cc
+++ b/lib/instance/configuration_in_force.cc
@@ -23,13 +23,14 @@
   // An answer that arrives after a newer one.
   const bool outdated =
       revision.epoch == in_force.epoch && revision <= in_force;
-  if (outdated || revision == this->dropped) return;
+  const bool dropped = revision == this->unreadable || revision == this->older;
+  if (outdated || dropped) return;
   auto read = this->parse(text);
   Fields fields;
   fields.Count("revision", static_cast<std::int64_t>(revision.number))
       .Count("epoch", static_cast<std::int64_t>(revision.epoch));
   if (!read) {
-    this->dropped = revision;
+    this->unreadable = revision;
     this->logger.Write(Level::kNotable, "configuration_unreadable", fields,
                        now);
     return;
@@ -44,7 +45,7 @@
     return;
   }
   if (!newer) {
-    this->dropped = revision;
+    this->older = revision;
     this->LogKept(revision, newest.version, now);
     return;
   }
@@ -102,8 +103,11 @@
     this->before_epoch = this->state.configuration;
   }
   this->Adopt(object.version, object.value, now);
-  if (this->state.configuration.revision != object.version) return;
-  if (this->IsSettled(begun)) this->state.freshness.Confirm(begun);
+  const bool in_force = this->state.configuration.revision == object.version;
+  const bool confirms = in_force ? this->IsSettled(begun)
+                                 : object.version == this->older &&
+                                       this->state.epochs.IsSettled(begun);
+  if (confirms) this->state.freshness.Confirm(begun);
 }
 
 }  // namespace toucanwharf::instance
--- a/test/process/store_return_test.cc
+++ b/test/process/store_return_test.cc
@@ -124,6 +124,15 @@
   BOOST_TEST(this->CountAnswers(PlatformFleet::kKey, 503, kBound) == 0);
 }
 
+// Guards against callers who are refused until the operator has written again,
+// though nothing newer than what is in force was accepted.
+BOOST_AUTO_TEST_CASE(CallersAreServedBeforeTheOperatorWritesAgain) {
+  this->fleet.Configure({PlatformFleet::kKey, PlatformFleet::kOtherKey});
+  this->Return();
+  std::this_thread::sleep_for(kSettled);
+  BOOST_TEST(this->CountAnswers(PlatformFleet::kKey, 503, kBound) == 0);
+}
+
 // Guards against a revoked key that works again until the operator has written
 // the revocation again, at an instance that starts meanwhile, too.
 BOOST_AUTO_TEST_CASE(ConfigurationInForceDoesNotRevertToTheCopy) {
