run_broken names the parts of the prompt

Callers saw engines end one after another, and our lines gave only the content of each request, which differs every time. The line now has what stands for the parts of the prompt that requests may share, so the part that all crashes have in common can be read from the logs, and the crashes at which a run of it was missed. No decision uses it yet.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -269,6 +269,9 @@
   void OnLeavingNotice(const AskedEndpoint& to, const http::ResponseHead& head);
   void OnUnreadablePause(const std::string& endpoint, std::string_view value);
   void OnUnreadableLimit(const std::string& endpoint, std::string_view value);
+  /// Returns what \p request of \p customer holds that may crash endpoints.
+  quarantine::RequestFingerprints FingerprintsOf(
+      const http::Request& request, std::string_view customer) const;
   /// Refuses \p exchange if \p request is in quarantine. Returns whether it is.
   bool RefuseQuarantined(http::Exchange& exchange,
                          const quarantine::Fingerprint& request);
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -66,6 +66,9 @@
   std::string deadline;
   /// Prompt tokens and maximum output tokens, separated by a comma.
   std::string token_counts;
+  /// The parts of the prompt in order, each as ID:TOKENS, separated by commas;
+  /// the last is the request's own.
+  std::string prompt_parts;
   /// A caller's estimate of the output tokens.
   std::string length_hint;
   std::string customer;
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -18,6 +18,14 @@
 
 }  // namespace
 
+quarantine::RequestFingerprints Gateway::FingerprintsOf(
+    const http::Request& request, std::string_view customer) const {
+  return {quarantine::FingerprintOf(
+              {customer, request.method, request.target, request.body}),
+          quarantine::FingerprintsOfSharedParts(
+              request.headers.Get(this->names.prompt_parts))};
+}
+
 void Gateway::OnRunBroken(const quarantine::BrokenRun& run,
                           const BrokenAt& at) {
   const TimePoint now = this->loop.Now();
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -194,8 +194,9 @@
   bool MayRetry(attempts::AttemptOutcome outcome);
   void AwaitCapacity(Duration pause, attempts::AttemptOutcome outcome,
                      std::string_view reason);
-  /// Returns what stands for this request's content, whatever its id.
-  quarantine::Fingerprint ContentFingerprint();
+  /// Returns what stands for this request's content, whatever its id, and for
+  /// the parts of its prompt.
+  const quarantine::RequestFingerprints& Fingerprints();
   /// Logs what tells a request that crashes endpoints from one that was only
   /// there: the same content at several ends, and how far its run had come.
   void LogBrokenRun();
@@ -262,7 +263,7 @@
   TimePoint head_at;
   /// Whether the current run was recorded as proven.
   bool proven = false;
-  std::optional<quarantine::Fingerprint> fingerprint;
+  std::optional<quarantine::RequestFingerprints> fingerprints;
 
   http::ResponseHead head;
   bool has_head = false;
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "absl/strings/str_join.h"
 #include "proxied_request.h"
 #include "toucanwharf/support/random.h"
 
@@ -15,23 +16,29 @@
 /// A run of this length shows that the request crashes no endpoint.
 constexpr Duration kProvenAfter = std::chrono::milliseconds(1000);
 
+std::string PartsText(const std::vector<quarantine::Fingerprint>& parts) {
+  return absl::StrJoin(
+      parts, ",", [](std::string* out, const quarantine::Fingerprint& part) {
+        out->append(quarantine::ToText(part));
+      });
+}
+
 }  // namespace
 
-quarantine::Fingerprint ProxiedRequest::ContentFingerprint() {
-  if (!this->fingerprint) {
-    const http::Request& received = this->exchange->Received();
-    this->fingerprint =
-        quarantine::FingerprintOf({this->admitted.customer, received.method,
-                                   received.target, received.body});
+const quarantine::RequestFingerprints& ProxiedRequest::Fingerprints() {
+  if (!this->fingerprints) {
+    this->fingerprints = this->gateway.FingerprintsOf(
+        this->exchange->Received(), this->admitted.customer);
   }
-  return *this->fingerprint;
+  return *this->fingerprints;
 }
 
 void ProxiedRequest::LogBrokenRun() {
   ++this->gateway.counters.broken_runs;
   Fields fields;
   fields.Text("endpoint", this->target.endpoint)
-      .Text("content", quarantine::ToText(this->ContentFingerprint()))
+      .Text("content", quarantine::ToText(this->Fingerprints().request))
+      .Text("parts", PartsText(this->Fingerprints().parts))
       .Count("pieces", this->chunks_written);
   if (this->has_head) {
     fields.Millis("ran_ms", this->gateway.loop.Now() - this->head_at);
@@ -60,7 +67,7 @@
   }
   const std::uint32_t key = endpoints::EndpointKey(*endpoint);
   quarantine::BrokenRun run;
-  run.request = this->ContentFingerprint();
+  run.request = this->Fingerprints().request;
   run.endpoint = {key, static_cast<std::uint32_t>(HashText(endpoint->address))};
   run.sent_at = this->attempt_started;
   run.stage = this->StageOfRun();
@@ -81,13 +88,13 @@
 
 void ProxiedRequest::OnRunProven() {
   if (std::exchange(this->proven, true)) return;
-  this->gateway.OnSuccess(this->ContentFingerprint());
+  this->gateway.OnSuccess(this->Fingerprints().request);
 }
 
 bool ProxiedRequest::RefuseQuarantined() {
   if (this->gateway.state.quarantine.Empty()) return false;
   const bool refused = this->gateway.RefuseQuarantined(
-      *this->exchange, this->ContentFingerprint());
+      *this->exchange, this->Fingerprints().request);
   if (refused) this->Finish("refused", http::kUnavailable);
   return refused;
 }
@@ -95,7 +102,7 @@
 bool ProxiedRequest::MayRunAgain() {
   const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
   if (quarantine.Empty()) return true;
-  return quarantine.MayRetry(this->ContentFingerprint(),
+  return quarantine.MayRetry(this->Fingerprints().request,
                              this->gateway.loop.Now());
 }
 
