Test: a part of prompts that crashes engines, with framed and unframed answers

Callers saw engine after engine end under requests that share one part of their prompts. The stand-in has such a part now, and answers that end with their connection, at a crash inside an event.

--- a/include/toucanwharf/http/message.h
+++ b/include/toucanwharf/http/message.h
@@ -83,6 +83,9 @@
   Headers headers;
   /// Length of the body; absent when the framing doesn't announce it.
   std::optional<std::uint64_t> length;
+  /// Whether a server sends the body without any framing: it ends with the
+  /// connection.
+  bool ends_with_connection = false;
 
   friend bool operator==(const ResponseHead&, const ResponseHead&) = default;
 };
--- a/include/toucanwharf/http/server.h
+++ b/include/toucanwharf/http/server.h
@@ -39,7 +39,8 @@
   virtual const Request& Received() const = 0;
   /// Sends a complete response.
   virtual void Respond(const ResponseHead& head, std::string_view body) = 0;
-  /// Sends the head; a body without a length is sent with chunked encoding.
+  /// Sends the head; a body without a length is sent with chunked encoding, or
+  /// without framing if the head says so.
   virtual void Begin(const ResponseHead& head) = 0;
   /// Sends part of the body immediately. Precondition: Begin was called.
   virtual void Write(std::string_view bytes) = 0;
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -135,7 +135,8 @@
   }
 
   void Begin(const ResponseHead& head) {
-    this->chunked = !head.length.has_value();
+    this->chunked = !head.length.has_value() && !head.ends_with_connection;
+    this->close_after = this->close_after || head.ends_with_connection;
     this->Send(HeadText(head, this->chunked, head.length,
                         this->NeedsCloseHeader(head),
                         this->server->limits.idle_timeout));
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -14,6 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr int kAccepted = 202;
+constexpr const char* kPartialEvent = "id: 10\nda";
 /// Maximum number of layers that an engine of the fleet can hold.
 constexpr std::uint32_t kMaxLayers = 6;
 
@@ -25,9 +26,20 @@
   return head;
 }
 
+/// Returns whether the prompt of \p request has the part that crashes engines.
+bool HasCrashingPart(const http::Request& request) {
+  const auto parts = request.headers.Find("X-Prompt-Prefix");
+  if (!parts) return false;
+  const std::string part = absl::StrCat(Endpoints::kCrashingPart, ":");
+  const std::size_t found = parts->find(part);
+  return found != std::string::npos &&
+         parts->find(',', found) != std::string::npos;
+}
+
 bool Crashes(const http::Request& request) {
   const std::string_view content = Endpoints::kCrashingContent;
-  return request.body == content || request.target.ends_with(content);
+  return request.body == content || request.target.ends_with(content) ||
+         HasCrashingPart(request);
 }
 
 void AddLimit(http::ResponseHead& head,
@@ -130,7 +142,12 @@
   const auto running = this->streams;
   for (const auto& stream : running) {
     if (stream->endpoint != id) continue;
-    stream->exchange->Abort();
+    if (stream->unframed) {
+      stream->exchange->Write(kPartialEvent);
+      stream->exchange->End();
+    } else {
+      stream->exchange->Abort();
+    }
     this->streams.erase(stream);
   }
   this->endpoints.erase(found);
@@ -375,8 +392,10 @@
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
   this->AddNotices(head, endpoint);
-  auto stream = std::make_shared<Stream>(
-      Stream{endpoint.spec.id, run.request_id, path, exchange, last + 1});
+  head.ends_with_connection = this->unframed;
+  auto stream =
+      std::make_shared<Stream>(Stream{endpoint.spec.id, run.request_id, path,
+                                      exchange, last + 1, this->unframed});
   this->streams.insert(stream);
   exchange->OnDisconnect([this, weak = std::weak_ptr<Stream>(stream)] {
     if (const auto gone = weak.lock()) this->streams.erase(gone);
@@ -396,7 +415,7 @@
   constexpr int kTruncatedEvent = kEvents / 2;
   if (endpoint.fault == EndpointFault::kTruncatesEvent &&
       stream->next == kTruncatedEvent) {
-    stream->exchange->Write("id: 10\nda");
+    stream->exchange->Write(kPartialEvent);
     stream->exchange->Abort();
     this->streams.erase(stream);
     return;
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -75,6 +75,9 @@
   /// A request that has this body, or whose target ends with it, crashes each
   /// endpoint that begins to run it.
   static constexpr const char* kCrashingContent = "crash";
+  /// Part of a prompt that crashes each engine that begins to write an answer
+  /// on it, unless it is the last part of the prompt.
+  static constexpr const char* kCrashingPart = "bad0bad0";
   /// Time from the begin of such a run to the crash, and until the endpoint is
   /// back, with a new id and no layers.
   static constexpr Duration kCrashDelay = std::chrono::milliseconds(15);
@@ -106,6 +109,9 @@
   /// Sets whether engines report which engine of an answer's path is
   /// unresponsive.
   void ReportStalls(bool named) { this->report_stalls = named; }
+  /// Sets whether answers of engines have neither a length nor chunks: they end
+  /// with their connection, at a crash inside an event.
+  void SendUnframed(bool unframed) { this->unframed = unframed; }
   /// Registers an endpoint as draining; it continues to serve.
   void Drain(const std::string& id);
   /// Removes an endpoint: stops listening and aborts all its connections.
@@ -156,6 +162,7 @@
     std::vector<Stage> path;
     std::shared_ptr<http::Exchange> exchange;
     int next = 1;
+    bool unframed = false;
   };
 
   void Register(const Endpoint& endpoint);
@@ -192,6 +199,7 @@
   std::uint64_t reroutes = 0;
   std::uint64_t restarts = 0;
   bool report_stalls = true;
+  bool unframed = false;
 };
 
 }  // namespace toucanwharf::standins::fleet
--- /dev/null
+++ b/test/process/crashing_part_test.cc
@@ -0,0 +1,122 @@
+#include <algorithm>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "test/process/platform_fleet.h"
+
+namespace toucanwharf::process_test {
+namespace {
+
+using standins::fleet::Endpoints;
+using standins::fleet::Run;
+
+constexpr int kRouters = 3;
+constexpr int kFirstParts = 3;
+/// Runs that began later than this after the fifth crash are counted; all
+/// instances know of the part by then.
+constexpr Duration kAllKnow = std::chrono::seconds(3);
+constexpr std::size_t kMaxLateRuns = 3;
+constexpr int kGapMillis = 125;
+/// Long enough for five crashes and twice kAllKnow after them.
+constexpr int kDiscovery = 80;
+constexpr int kAfterDiscovery = 40;
+
+/// Returns the runs whose prompts have the part that crashes engines.
+std::vector<Run> CrashingRuns(PlatformFleet& fleet) {
+  std::vector<Run> found;
+  fleet.RunOnLoop([&] {
+    for (const Run& run : fleet.Endpoints().Runs()) {
+      const auto parts = run.headers.Get("X-Prompt-Prefix");
+      if (parts.find(Endpoints::kCrashingPart) != std::string_view::npos) {
+        found.push_back(run);
+      }
+    }
+  });
+  return found;
+}
+
+/// Returns how many runs began later than kAllKnow after the fifth crash. Each
+/// run crashes its engine, and two at one engine share a crash.
+std::size_t LateRuns(PlatformFleet& fleet) {
+  const std::vector<Run> runs = CrashingRuns(fleet);
+  constexpr std::size_t kFifth = 5;
+  std::vector<std::string> crashed;
+  TimePoint from{Duration::max()};
+  std::size_t late = 0;
+  for (const Run& run : runs) {
+    if (run.at > from) ++late;
+    const bool known = std::find(crashed.begin(), crashed.end(),
+                                 run.endpoint) != crashed.end();
+    if (known) continue;
+    crashed.push_back(run.endpoint);
+    if (crashed.size() == kFifth) {
+      from = run.at + Endpoints::kCrashDelay + kAllKnow;
+    }
+  }
+  return late;
+}
+
+/// Sends \p count sound requests, and beside each second one a request with the
+/// part that crashes engines, all different and at any router. Returns how many
+/// sound ones were answered in full.
+int SendBeside(PlatformFleet& fleet, int first, int count) {
+  std::atomic<int> answered = 0;
+  std::vector<std::thread> threads;
+  const auto stream = [&](int number, const std::string& kind,
+                          const std::string& shared) {
+    const std::string id = kind + std::to_string(number);
+    return fleet
+        .Stream(static_cast<std::size_t>(number % kRouters), id, "/chat/one", 0,
+                "the prompt of " + id,
+                shared + ",0" + std::to_string(number) + ":60")
+        .ids.size();
+  };
+  for (int number = first; number < first + count; ++number) {
+    const std::string part =
+        "f1" + std::to_string(number % kFirstParts) + ":40";
+    threads.emplace_back([&, number, part] {
+      const bool whole = stream(number, "sound-", part) == Endpoints::kEvents;
+      if (whole) ++answered;
+    });
+    if (number % 2 == 0) {
+      threads.emplace_back([&, number, part] {
+        stream(number, "crashing-",
+               part + "," + Endpoints::kCrashingPart + ":9");
+      });
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(kGapMillis));
+  }
+  for (std::thread& thread : threads) thread.join();
+  return answered;
+}
+
+/// Checks what engines and callers see while requests with the part come.
+void CheckPartIsStopped(PlatformFleet& fleet) {
+  SendBeside(fleet, 0, kDiscovery);
+  const int answered = SendBeside(fleet, kDiscovery, kAfterDiscovery);
+  BOOST_TEST(LateRuns(fleet) <= kMaxLateRuns);
+  BOOST_TEST(answered * 2 >= kAfterDiscovery);
+}
+
+// Guards against different requests that share one part of their prompts
+// crashing one engine after another, and against refusing sound ones for it.
+BOOST_AUTO_TEST_CASE(PartThatCrashesEnginesIsNotSentOnAndOn) {
+  PlatformFleet fleet(kRouters);
+  CheckPartIsStopped(fleet);
+}
+
+// Guards against the same where answers end with their connection, so that a
+// crash looks like the end of an answer.
+BOOST_AUTO_TEST_CASE(PartThatCrashesEnginesOfUnframedAnswersIsStopped) {
+  PlatformFleet fleet(kRouters);
+  fleet.RunOnLoop([&] { fleet.Endpoints().SendUnframed(true); });
+  CheckPartIsStopped(fleet);
+}
+
+}  // namespace
+}  // namespace toucanwharf::process_test
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -282,7 +282,8 @@
 EventStream PlatformFleet::Stream(std::size_t index, const std::string& id,
                                   const std::string& path,
                                   std::size_t disconnect_after,
-                                  const std::string& body) {
+                                  const std::string& body,
+                                  const std::string& parts) {
   EventStream stream;
   std::string text;
   auto last = Clock::now();
@@ -292,6 +293,7 @@
   call.headers = {std::string("Host: ") + kHost, "X-Request-Id: " + id,
                   "X-Deadline-Ms: 5000", "X-Token-Counts: 100,100",
                   std::string("Authorization: Token ") + kKey};
+  if (!parts.empty()) call.headers.push_back("X-Prompt-Prefix: " + parts);
   call.body = body;
   call.on_data = [&](const std::string& bytes) {
     text += bytes;
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -82,11 +82,13 @@
                const std::string& id, const std::string& key = kKey,
                const std::string& body = "");
   /// Streams an answer of the model through router \p index. The caller
-  /// disconnects after \p disconnect_after events, or never if that is 0.
+  /// disconnects after \p disconnect_after events, or never if that is 0. The
+  /// prompt has the \p parts, each as ID:TOKENS, if there are any.
   EventStream Stream(std::size_t index, const std::string& id,
                      const std::string& path = "/chat/one",
                      std::size_t disconnect_after = 0,
-                     const std::string& body = "a prompt");
+                     const std::string& body = "a prompt",
+                     const std::string& parts = "");
   /// Returns whether router \p index reports that it is ready.
   bool Ready(std::size_t index);
   std::string Metrics(std::size_t index);
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -39,6 +39,11 @@
 target_link_libraries(process_crashing_request PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(crashing_part)
+target_sources(process_crashing_part PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_crashing_part PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(endpoint_limit)
 target_sources(process_endpoint_limit PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_endpoint_limit PRIVATE standin_fleet
