A crash that looks like the end of an unframed answer counts as evidence

Cause: the end of the connection ends such an answer. Inside an event the attempt ended without any evidence; between two events, or before the first, the answer counted as a success and cleared what it had run.

Change: an answer that ends with its connection clears nothing by its end (one that has run for a second still does); inside an event, or just after its begin, it counts as a broken run, which proves something only if its endpoint has ended. A stream that ends so before any event has been broken off.

Evidence is the same as of a reset, so the rule that stops the framed case stops this one.

--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -42,6 +42,9 @@
   /// Whether the peer refused the connection: nothing listens at its address. A
   /// failure of this process, or of the network, is not a refusal.
   bool refused = false;
+  /// Whether the response ended only with its connection: it had neither a
+  /// length nor chunks, so that a crash of the peer looks the same.
+  bool ended_by_close = false;
 
   friend bool operator==(const CallResult&, const CallResult&) = default;
 };
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -228,6 +228,7 @@
       this->parser->put_eof(parse_error);
       if (!parse_error && this->parser->is_done()) {
         this->reusable = false;
+        this->result.ended_by_close = true;
         this->Finish(CallEnd::kComplete);
         return;
       }
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -153,6 +153,7 @@
   if (to.is_peer) ++this->gateway.counters.forwarded;
   this->has_head = false;
   this->proven = false;
+  this->run_has_event = false;
   this->head_usable = false;
   this->head_outcome.reset();
   this->body.clear();
@@ -288,6 +289,7 @@
   this->events.Feed(bytes);
   const std::string complete = this->events.TakeCompleteEvents();
   if (complete.empty()) return;
+  this->run_has_event = true;
   if (!std::exchange(this->has_event, true)) {
     this->first_event_after = this->last_data - this->admitted.arrived;
     this->gateway.counters.first_event_latency.Add(this->first_event_after);
@@ -339,16 +341,21 @@
                          : "failed_at_endpoint");
     return;
   }
+  if (result.ended_by_close) this->OnEndedByClose();
   if (!this->attempt_counts.answer_started) {
-    this->FinishPlain();
+    this->FinishPlain(result.ended_by_close);
     return;
   }
   if (this->IsStream() && this->events.HasPartialEvent()) {
     this->EndAttempt(AttemptOutcome::kUnknown, "ended_inside_event");
     return;
   }
+  if (this->IsStream() && result.ended_by_close && !this->run_has_event) {
+    this->EndAttempt(AttemptOutcome::kUnknown, "ended_before_event");
+    return;
+  }
   this->exchange->End();
-  this->OnRunProven();
+  if (!result.ended_by_close) this->OnRunProven();
   ++this->gateway.counters.answered;
   this->Finish("answered", this->head.status);
 }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -151,7 +151,8 @@
   /// unless the forwarding instance has.
   void CountRequest();
   void BeginStream(const http::ResponseHead& head);
-  void FinishPlain();
+  /// \p ended_by_close says whether the answer ended only with its connection.
+  void FinishPlain(bool ended_by_close = false);
   void EndAttempt(attempts::AttemptOutcome outcome, std::string_view reason);
   void Proceed(attempts::AttemptOutcome outcome, std::string_view reason);
   /// Takes the next step after an attempt, at once or after a pause.
@@ -205,6 +206,12 @@
   /// Records that the connection of the current run broke, as a crash of the
   /// endpoint by this request would break it.
   void OnRunBroken();
+  /// Records that the answer of the current run ended with its connection.
+  ///
+  /// Failure guarded against: the request crashes its endpoint and the crash
+  /// looks like the end of the answer, so that no evidence remains. If the
+  /// endpoint has not ended, what is recorded here proves nothing.
+  void OnEndedByClose();
   /// Records that nothing listens at the endpoint's address: it has ended.
   void OnConnectionRefused();
   /// Records an event of the current run.
@@ -273,6 +280,8 @@
   std::string body;
   http::EventSplitter events;
   bool has_event = false;
+  /// Whether the current run has sent an event.
+  bool run_has_event = false;
   /// Pieces of the body relayed.
   std::int64_t chunks_written = 0;
   bool finished = false;
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -77,6 +77,13 @@
                                   endpoint->start_time_ms, this->IsModel()});
 }
 
+void ProxiedRequest::OnEndedByClose() {
+  if (this->target.is_peer || this->proven) return;
+  const bool inside_event = this->IsStream() && this->events.HasPartialEvent();
+  const bool just_begun = this->StageOfRun() == quarantine::RunStage::kBegun;
+  if (inside_event || just_begun) this->OnRunBroken();
+}
+
 void ProxiedRequest::OnConnectionRefused() {
   const endpoints::Endpoint* endpoint =
       this->gateway.state.endpoints.Find(this->target.endpoint);
