How long a run has lasted counts from its first event, not from the head

What callers saw: where an engine sends the head of an answer long before it begins to write, requests with a part that crashes it at the begin kept ending engines.

Cause: the length of a run counted from the head. After a long prompt the crash came later than 500 ms after the head, and the run counted as one that was only there; after a second it even cleared the part.

A run with a head and no event may have begun just now and counts as such.

The unit tests of parts in the quarantine come with it.

--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -153,7 +153,7 @@
   if (to.is_peer) ++this->gateway.counters.forwarded;
   this->has_head = false;
   this->proven = false;
-  this->run_has_event = false;
+  this->run_began.reset();
   this->head_usable = false;
   this->head_outcome.reset();
   this->body.clear();
@@ -289,7 +289,6 @@
   this->events.Feed(bytes);
   const std::string complete = this->events.TakeCompleteEvents();
   if (complete.empty()) return;
-  this->run_has_event = true;
   if (!std::exchange(this->has_event, true)) {
     this->first_event_after = this->last_data - this->admitted.arrived;
     this->gateway.counters.first_event_latency.Add(this->first_event_after);
@@ -350,7 +349,7 @@
     this->EndAttempt(AttemptOutcome::kUnknown, "ended_inside_event");
     return;
   }
-  if (this->IsStream() && result.ended_by_close && !this->run_has_event) {
+  if (this->IsStream() && result.ended_by_close && !this->run_began) {
     this->EndAttempt(AttemptOutcome::kUnknown, "ended_before_event");
     return;
   }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -203,6 +203,9 @@
   void LogBrokenRun();
   /// Returns how far the current run has come.
   quarantine::RunStage StageOfRun() const;
+  /// Returns the time since the endpoint began to write, as far as can be
+  /// known.
+  Duration TimeSinceBegin() const;
   /// Records that the connection of the current run broke, as a crash of the
   /// endpoint by this request would break it.
   void OnRunBroken();
@@ -280,8 +283,8 @@
   std::string body;
   http::EventSplitter events;
   bool has_event = false;
-  /// Whether the current run has sent an event.
-  bool run_has_event = false;
+  /// When the first event of the current run arrived.
+  std::optional<TimePoint> run_began;
   /// Pieces of the body relayed.
   std::int64_t chunks_written = 0;
   bool finished = false;
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -51,11 +51,18 @@
   // Of a plain answer only the end is seen.
   if (!this->IsModel()) return RunStage::kBegun;
   if (!this->has_head) return RunStage::kWaiting;
-  const Duration ran = this->gateway.loop.Now() - this->head_at;
+  // The head may come long before the endpoint begins to write.
+  if (!this->run_began) return RunStage::kBegun;
+  const Duration ran = this->TimeSinceBegin();
   if (ran <= kMaxCrashDelay) return RunStage::kBegun;
   return ran < kProvenAfter ? RunStage::kLongBegun : RunStage::kProven;
 }
 
+Duration ProxiedRequest::TimeSinceBegin() const {
+  const TimePoint sent = this->has_head ? this->head_at : this->attempt_started;
+  return this->gateway.loop.Now() - this->run_began.value_or(sent);
+}
+
 void ProxiedRequest::OnRunBroken() {
   this->LogBrokenRun();
   const endpoints::Endpoint* endpoint =
@@ -71,8 +78,7 @@
   run.endpoint = {key, static_cast<std::uint32_t>(HashText(endpoint->address))};
   run.sent_at = this->attempt_started;
   run.stage = this->StageOfRun();
-  run.ran = this->gateway.loop.Now() -
-            (this->has_head ? this->head_at : this->attempt_started);
+  run.ran = this->TimeSinceBegin();
   this->gateway.OnRunBroken(run, {endpoint->id, endpoint->address, key,
                                   endpoint->start_time_ms, this->IsModel()});
 }
@@ -92,7 +98,8 @@
 }
 
 void ProxiedRequest::OnProgress() {
-  if (this->last_data - this->head_at >= kProvenAfter) this->OnRunProven();
+  if (!this->run_began) this->run_began = this->last_data;
+  if (this->last_data - *this->run_began >= kProvenAfter) this->OnRunProven();
 }
 
 void ProxiedRequest::OnRunProven() {
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -387,7 +387,6 @@
   run.body = request.body;
   run.at = this->loop.Now();
   this->runs.push_back(run);
-  this->CrashAfter(endpoint.spec.id, request);
   http::ResponseHead head = HeadOf(http::kOk, request);
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
@@ -401,6 +400,17 @@
     if (const auto gone = weak.lock()) this->streams.erase(gone);
   });
   exchange->Begin(head);
+  if (this->begin_delay == Duration(0)) {
+    this->BeginWriting(stream);
+    return;
+  }
+  this->loop.After(this->begin_delay,
+                   [this, stream] { this->BeginWriting(stream); });
+}
+
+void Endpoints::BeginWriting(const std::shared_ptr<Stream>& stream) {
+  if (!this->streams.contains(stream)) return;
+  this->CrashAfter(stream->endpoint, stream->exchange->Received());
   this->SendNextEvent(stream);
 }
 
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -112,6 +112,9 @@
   /// Sets whether answers of engines have neither a length nor chunks: they end
   /// with their connection, at a crash inside an event.
   void SendUnframed(bool unframed) { this->unframed = unframed; }
+  /// Sets how long after the head of an answer an engine begins to write it, as
+  /// one that reads a long prompt does.
+  void BeginAfter(Duration delay) { this->begin_delay = delay; }
   /// Registers an endpoint as draining; it continues to serve.
   void Drain(const std::string& id);
   /// Removes an endpoint: stops listening and aborts all its connections.
@@ -179,6 +182,7 @@
                   const std::shared_ptr<http::Exchange>& shared);
   void ServeStream(Endpoint& endpoint,
                    std::shared_ptr<http::Exchange> exchange);
+  void BeginWriting(const std::shared_ptr<Stream>& stream);
   void SendNextEvent(const std::shared_ptr<Stream>& stream);
   std::vector<Stage> ParsePath(const std::string& text) const;
   Endpoint* FindByAddress(const std::string& address);
@@ -200,6 +204,7 @@
   std::uint64_t restarts = 0;
   bool report_stalls = true;
   bool unframed = false;
+  Duration begin_delay{0};
 };
 
 }  // namespace toucanwharf::standins::fleet
--- a/test/process/crashing_part_test.cc
+++ b/test/process/crashing_part_test.cc
@@ -22,6 +22,10 @@
 constexpr Duration kAllKnow = std::chrono::seconds(3);
 constexpr std::size_t kMaxLateRuns = 3;
 constexpr int kGapMillis = 125;
+constexpr int kStep = 2;
+/// At this rate an engine rarely has two requests with the part at a time.
+constexpr int kRareStep = 7;
+constexpr Duration kLateBegin = std::chrono::milliseconds(1200);
 /// Long enough for five crashes and twice kAllKnow after them.
 constexpr int kDiscovery = 80;
 constexpr int kAfterDiscovery = 40;
@@ -61,10 +65,10 @@
   return late;
 }
 
-/// Sends \p count sound requests, and beside each second one a request with the
-/// part that crashes engines, all different and at any router. Returns how many
-/// sound ones were answered in full.
-int SendBeside(PlatformFleet& fleet, int first, int count) {
+/// Sends \p count sound requests, and beside each \p step-th one a request with
+/// the part that crashes engines, all different and at any router. Returns how
+/// many sound ones were answered in full.
+int SendBeside(PlatformFleet& fleet, int first, int count, int step) {
   std::atomic<int> answered = 0;
   std::vector<std::thread> threads;
   const auto stream = [&](int number, const std::string& kind,
@@ -83,7 +87,7 @@
       const bool whole = stream(number, "sound-", part) == Endpoints::kEvents;
       if (whole) ++answered;
     });
-    if (number % 2 == 0) {
+    if (number % step == 0) {
       threads.emplace_back([&, number, part] {
         stream(number, "crashing-",
                part + "," + Endpoints::kCrashingPart + ":9");
@@ -96,9 +100,9 @@
 }
 
 /// Checks what engines and callers see while requests with the part come.
-void CheckPartIsStopped(PlatformFleet& fleet) {
-  SendBeside(fleet, 0, kDiscovery);
-  const int answered = SendBeside(fleet, kDiscovery, kAfterDiscovery);
+void CheckPartIsStopped(PlatformFleet& fleet, int step = kStep) {
+  SendBeside(fleet, 0, kDiscovery, step);
+  const int answered = SendBeside(fleet, kDiscovery, kAfterDiscovery, step);
   BOOST_TEST(LateRuns(fleet) <= kMaxLateRuns);
   BOOST_TEST(answered * 2 >= kAfterDiscovery);
 }
@@ -118,5 +122,13 @@
   CheckPartIsStopped(fleet);
 }
 
+// Guards against the same where the head of an answer comes long before the
+// engine begins to write it, so that each run seems to have lasted.
+BOOST_AUTO_TEST_CASE(PartThatCrashesEnginesThatBeginLateIsStopped) {
+  PlatformFleet fleet(kRouters);
+  fleet.RunOnLoop([&] { fleet.Endpoints().BeginAfter(kLateBegin); });
+  CheckPartIsStopped(fleet, kRareStep);
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
--- a/unittests/quarantine/quarantine_test.cc
+++ b/unittests/quarantine/quarantine_test.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace toucanwharf::quarantine {
 namespace {
@@ -359,6 +361,125 @@
              QuarantineSettings().max_reported);
 }
 
+constexpr Fingerprint kCulpritPart{0, 1, FingerprintKind::kPromptPart};
+constexpr Fingerprint kSoundPart{0, 2, FingerprintKind::kPromptPart};
+
+/// A request like no other with \p parts.
+RequestFingerprints NewRequest(std::vector<Fingerprint> parts) {
+  static std::uint64_t count = 1000;
+  return {{1, ++count}, std::move(parts)};
+}
+
+/// Lets a new request with \p parts crash \p endpoint at \p at, after it had
+/// run for \p ran.
+void CrashWith(Quarantine& quarantine, const std::vector<Fingerprint>& parts,
+               std::uint32_t endpoint, TimePoint at,
+               Duration ran = milliseconds(30)) {
+  quarantine.OnRunBroken(
+      {NewRequest(parts), StartOf(endpoint), at - ran, RunStage::kBegun, ran},
+      at);
+}
+
+bool IsBlockedWith(const Quarantine& quarantine,
+                   const std::vector<Fingerprint>& parts, TimePoint now) {
+  return quarantine.Judge(NewRequest(parts), now).has_value();
+}
+
+// Guards against different requests that crash endpoints by a part they share.
+BOOST_AUTO_TEST_CASE(PartOfDifferentRequestsIsRefused) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 2; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    CrashWith(quarantine, {kCulpritPart}, number, at);
+    quarantine.OnEndpointEnded(number, at);
+  }
+  const TimePoint later = kStart + seconds(3);
+  BOOST_TEST(IsBlockedWith(quarantine, {kCulpritPart, kSoundPart}, later));
+  BOOST_TEST(!IsBlockedWith(quarantine, {kSoundPart}, later));
+  BOOST_TEST(!quarantine.MayRetry(NewRequest({kCulpritPart}), later));
+}
+
+// Guards against a popular part that is refused, or hides the culprit, because
+// runs with it had begun at each endpoint before the one that crashed it.
+BOOST_AUTO_TEST_CASE(PartThatBeganEarlierIsExplained) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 4; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    const Duration ran = milliseconds(number == 2 ? 200 : 20);
+    CrashWith(quarantine, {kSoundPart}, number, at, ran);
+    CrashWith(quarantine, {kCulpritPart}, number, at);
+    quarantine.OnEndpointEnded(number, at);
+  }
+  const TimePoint later = kStart + seconds(5);
+  BOOST_TEST(IsBlockedWith(quarantine, {kCulpritPart}, later));
+  BOOST_TEST(!IsBlockedWith(quarantine, {kSoundPart}, later));
+}
+
+// Guards against sound requests being refused for a part that always comes with
+// the culprit: only what carries both is refused until one tells them apart.
+BOOST_AUTO_TEST_CASE(PartsThatComeTogetherRefuseOnlyBoth) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    CrashWith(quarantine, {kSoundPart, kCulpritPart}, number, at);
+    quarantine.OnEndpointEnded(number, at);
+  }
+  const TimePoint later = kStart + seconds(4);
+  BOOST_TEST(IsBlockedWith(quarantine, {kSoundPart, kCulpritPart}, later));
+  BOOST_TEST(!IsBlockedWith(quarantine, {kSoundPart}, later));
+  quarantine.OnSuccess(NewRequest({kSoundPart}), later);
+  BOOST_TEST(IsBlockedWith(quarantine, {kCulpritPart}, later));
+}
+
+// Guards against a part that is suspected though a run with it had lasted at
+// the endpoint that ended.
+BOOST_AUTO_TEST_CASE(PartWithALongRunAtTheCrashIsNotSuspected) {
+  Quarantine quarantine;
+  quarantine.OnRunBroken({NewRequest({kSoundPart}), StartOf(1), kStart,
+                          RunStage::kLongBegun, milliseconds(700)},
+                         kStart);
+  CrashWith(quarantine, {kSoundPart}, 1, kStart);
+  quarantine.OnEndpointEnded(1, kStart);
+  BOOST_TEST(quarantine.ReportOf(kSoundPart, kStart).crashes.empty());
+}
+
+// Guards against a crash that nobody else hears of, because messages are full
+// of what all instances know.
+BOOST_AUTO_TEST_CASE(ReportsNameFirstWhatOnlyThisInstanceSaw) {
+  Quarantine quarantine;
+  Quarantine peer;
+  const auto many = QuarantineSettings().max_reported + 8;
+  for (std::uint32_t number = 1; number <= many; ++number) {
+    const Fingerprint part{0, 100 + number, FingerprintKind::kPromptPart};
+    for (std::uint32_t crash = 1; crash <= 2; ++crash) {
+      Crash(peer, part, StartOf(10 * crash), kStart + seconds(crash));
+    }
+    quarantine.Merge(peer.ReportOf(part, kStart + seconds(3)),
+                     kStart + seconds(3));
+  }
+  Crash(quarantine, kCulpritPart, StartOf(1), kStart + seconds(3));
+  const auto reports = quarantine.Reports(kStart + seconds(3));
+  BOOST_REQUIRE(!reports.empty());
+  BOOST_TEST((reports.front().suspect == kCulpritPart));
+}
+
+// Guards against the culprit that is let through at many crashes a second,
+// because the newest ones alone make no sequence.
+BOOST_AUTO_TEST_CASE(ManyCrashesAtATimeStillMakeASequence) {
+  Quarantine quarantine;
+  const auto many = 2 * QuarantineSettings().max_crashes;
+  const Duration run = milliseconds(200);
+  for (std::uint32_t number = 1; number <= many; ++number) {
+    const TimePoint at = kStart + milliseconds(20 * number);
+    quarantine.OnRunBroken({NewRequest({kCulpritPart}), StartOf(number),
+                            at - run, RunStage::kBegun, milliseconds(30)},
+                           at);
+    quarantine.OnEndpointEnded(number, at);
+  }
+  const TimePoint later = kStart + milliseconds(20 * many);
+  BOOST_TEST(IsBlockedWith(quarantine, {kCulpritPart}, later + minutes(30)));
+}
+
 RC_BOOST_PROP(ReportsMergeInAnyOrderAndRepeatedly, ()) {
   std::vector<SuspectReport> reports;
   const auto count = *rc::gen::inRange(1, 6);
