--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -85,6 +85,9 @@
 list(JOIN soak_seeds "," soak_seeds)
 add_test(NAME soak COMMAND soak --seeds ${soak_seeds} --seconds 8)
 set_tests_properties(soak PROPERTIES TIMEOUT 300)
+add_test(NAME soak_crashing_parts
+  COMMAND soak --seeds 1,2,3 --seconds 10 --crashing-parts)
+set_tests_properties(soak_crashing_parts PROPERTIES TIMEOUT 120)
 add_test(NAME soak_store_returns
   COMMAND soak --seeds 1,2 --seconds 8 --store-returns)
 set_tests_properties(soak_store_returns PROPERTIES TIMEOUT 120)
--- a/test/process/soak_checks_test.cc
+++ b/test/process/soak_checks_test.cc
@@ -79,7 +79,7 @@
   std::vector<standins::fleet::Run> runs;
   for (std::uint64_t number = 0; number < 7; ++number) {
     standins::fleet::Run run;
-    run.request_id = CrashingId(number, 2);
+    run.request_id = CrashingId(CrashCause::kContent, number, 2);
     run.at = kStart + std::chrono::seconds(4) * number;
     runs.push_back(run);
   }
@@ -90,6 +90,24 @@
   BOOST_TEST(FindCrashViolations(runs, {same}).empty());
 }
 
+BOOST_AUTO_TEST_CASE(CrashingPartThatRunsOnIsSeen) {
+  constexpr TimePoint kStart{std::chrono::hours(1)};
+  const auto runs_at = [](std::uint64_t endpoints) {
+    std::vector<standins::fleet::Run> runs;
+    for (std::uint64_t number = 0; number < 9; ++number) {
+      standins::fleet::Run run;
+      run.request_id = CrashingId(CrashCause::kPromptPart, number, 2);
+      run.endpoint = std::to_string(number % endpoints);
+      run.at = kStart + std::chrono::seconds(4) * number;
+      runs.push_back(run);
+    }
+    return runs;
+  };
+  BOOST_TEST(FindCrashViolations(runs_at(9), {}).size() == 1U);
+  // Two runs at an endpoint share a crash.
+  BOOST_TEST(FindCrashViolations(runs_at(4), {}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(EndpointOverItsLimitIsSeen) {
   constexpr TimePoint kStart{std::chrono::hours(1)};
   const ObservedRequest read = Answered("x", RequestKind::kRead);
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -10,42 +10,78 @@
 using process_test::EventStream;
 using process_test::PlatformFleet;
 
-constexpr std::string_view kCrashingPrefix = "crashing-";
+constexpr std::uint64_t kFirstParts = 3;
 constexpr std::chrono::milliseconds kCrashingPeriod{100};
 
+std::string PrefixOf(CrashCause cause) {
+  return cause == CrashCause::kContent ? "crashing-" : "crashing-part-";
+}
+
+/// Returns a part that prompts begin with.
+std::string FirstPart(std::uint64_t draw) {
+  return "f1" + std::to_string(draw % kFirstParts) + ":40";
+}
+
+/// Returns the last part of a prompt, which no other request has.
+std::string OwnPart(std::uint64_t draw) { return std::to_string(draw) + ":60"; }
+
 }  // namespace
 
-std::string CrashingId(std::uint64_t number, std::size_t router) {
-  return std::string(kCrashingPrefix) + std::to_string(router) + "-" +
+std::string CrashingId(CrashCause cause, std::uint64_t number,
+                       std::size_t router) {
+  return PrefixOf(cause) + std::to_string(router) + "-" +
          std::to_string(number);
 }
 
-std::optional<std::size_t> RouterOfCrashing(const std::string& id) {
-  if (!id.starts_with(kCrashingPrefix)) return std::nullopt;
-  return std::stoul(id.substr(kCrashingPrefix.size()));
+std::optional<std::size_t> RouterOfCrashing(CrashCause cause,
+                                            const std::string& id) {
+  const std::string prefix = PrefixOf(cause);
+  if (!id.starts_with(prefix)) return std::nullopt;
+  const std::string rest = id.substr(prefix.size());
+  if (rest.empty() || rest.front() < '0' || rest.front() > '9') {
+    return std::nullopt;
+  }
+  return std::stoul(rest);
 }
 
 Callers::Callers(PlatformFleet& called, const SoakSettings& settings)
-    : fleet(called) {
+    : fleet(called), has_parts(settings.crashing_parts) {
   for (std::size_t number = 0; number < settings.callers; ++number) {
     this->threads.emplace_back([this, number, &settings] {
       this->Run(number, MixBits(settings.seed) + number, settings.routers);
     });
   }
   this->threads.emplace_back([this, &settings] {
-    this->RunCrashing(MixBits(settings.seed) + settings.callers,
+    this->RunCrashing(CrashCause::kContent, this->crashing,
+                      MixBits(settings.seed) + settings.callers,
+                      settings.routers);
+  });
+  if (!settings.crashing_parts) return;
+  this->threads.emplace_back([this, &settings] {
+    this->RunCrashing(CrashCause::kPromptPart, this->crashing_parts,
+                      MixBits(settings.seed) + settings.callers + 1,
                       settings.routers);
   });
 }
 
-void Callers::RunCrashing(std::uint64_t seed, std::size_t routers) {
+void Callers::RunCrashing(CrashCause cause, const std::atomic<bool>& active,
+                          std::uint64_t seed, std::size_t routers) {
   Random random(seed);
   for (std::uint64_t count = 0; !this->stopping; ++count) {
     std::this_thread::sleep_for(kCrashingPeriod);
-    if (!this->crashing) continue;
+    if (!active) continue;
     const std::size_t router = random.Below(routers);
-    this->fleet.Stream(router, CrashingId(count, router), "/chat/one", 0,
-                       standins::fleet::Endpoints::kCrashingContent);
+    const std::string id = CrashingId(cause, count, router);
+    if (cause == CrashCause::kContent) {
+      this->fleet.Stream(router, id, "/chat/one", 0,
+                         standins::fleet::Endpoints::kCrashingContent);
+      continue;
+    }
+    const std::string parts = FirstPart(random()) + "," +
+                              standins::fleet::Endpoints::kCrashingPart +
+                              ":9," + OwnPart(random());
+    this->fleet.Stream(router, id, "/chat/one", 0, "the prompt of " + id,
+                       parts);
   }
 }
 
@@ -95,8 +131,11 @@
       const std::uint64_t more = draw / 4;
       const std::size_t disconnect_after =
           more % 4 == 0 ? 1 + more / 4 % 10 : 0;
+      const std::string parts =
+          this->has_parts ? FirstPart(more) + "," + OwnPart(draw) : "";
       EventStream stream =
-          this->fleet.Stream(router, id, "/chat/one", disconnect_after);
+          this->fleet.Stream(router, id, "/chat/one", disconnect_after,
+                             "the prompt of " + id, parts);
       request.disconnected = disconnect_after > 0;
       request.answer = std::move(stream.answer);
       request.events = std::move(stream.ids);
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -32,10 +32,17 @@
   bool disconnected = false;
 };
 
-/// Returns the id of the crashing request \p number that is sent to \p router.
-std::string CrashingId(std::uint64_t number, std::size_t router);
-/// Returns the router of an id of CrashingId; nothing for other ids.
-std::optional<std::size_t> RouterOfCrashing(const std::string& id);
+/// What makes a request crash endpoints.
+enum class CrashCause { kContent, kPromptPart };
+
+/// Returns the id of the request \p number that crashes endpoints for \p cause
+/// and is sent to \p router.
+std::string CrashingId(CrashCause cause, std::uint64_t number,
+                       std::size_t router);
+/// Returns the router of an id of CrashingId for \p cause; nothing for other
+/// ids.
+std::optional<std::size_t> RouterOfCrashing(CrashCause cause,
+                                            const std::string& id);
 
 /// Callers that send requests to random routers, each in its own thread, until
 /// they are stopped. They also call routers that are stopping or down.
@@ -50,6 +57,8 @@
 
   /// Sets whether a further caller sends the request that crashes endpoints.
   void SendCrashing(bool active) { this->crashing = active; }
+  /// The same for different requests with the part that crashes engines.
+  void SendCrashingParts(bool active) { this->crashing_parts = active; }
   /// Waits for the requests in flight and returns all requests, but those that
   /// crash endpoints.
   std::vector<ObservedRequest> Stop();
@@ -57,13 +66,18 @@
  private:
   void Join();
   void Run(std::size_t number, std::uint64_t seed, std::size_t routers);
-  void RunCrashing(std::uint64_t seed, std::size_t routers);
+  /// Sends requests that crash endpoints for \p cause while \p active.
+  void RunCrashing(CrashCause cause, const std::atomic<bool>& active,
+                   std::uint64_t seed, std::size_t routers);
   ObservedRequest CallOnce(const std::string& id, std::uint64_t draw,
                            std::size_t router);
 
   process_test::PlatformFleet& fleet;
   std::atomic<bool> stopping{false};
   std::atomic<bool> crashing{false};
+  std::atomic<bool> crashing_parts{false};
+  /// Whether prompts have shared parts.
+  bool has_parts = false;
   std::mutex mutex;
   std::vector<ObservedRequest> observed;
   std::vector<std::thread> threads;
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -1,8 +1,10 @@
 #include "test/soak/checks.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <set>
+#include <string_view>
 
 namespace toucanwharf::soak {
 namespace {
@@ -61,27 +63,62 @@
                      });
 }
 
+/// From which crash on all have to know of what crashes endpoints.
+struct CrashBound {
+  CrashCause cause = CrashCause::kContent;
+  std::string_view what;
+  std::size_t crashes = 0;
+  /// Whether runs at one endpoint are at one crash.
+  bool by_endpoint = false;
+};
+constexpr std::array kCrashBounds = {
+    CrashBound{CrashCause::kContent, "a request that crashes endpoints", 3,
+               false},
+    CrashBound{CrashCause::kPromptPart, "a part that crashes engines", 5,
+               true}};
+
+struct LateRuns {
+  std::size_t late = 0;
+  std::size_t all = 0;
+};
+
+LateRuns CountLateRuns(const CrashBound& bound,
+                       const std::vector<standins::fleet::Run>& runs,
+                       const std::vector<RouterFaultPeriod>& faults) {
+  LateRuns found;
+  std::set<std::string> crashed;
+  std::size_t crashes = 0;
+  TimePoint known_from{Duration::max()};
+  for (const auto& run : runs) {
+    const auto router = RouterOfCrashing(bound.cause, run.request_id);
+    if (!router) continue;
+    ++found.all;
+    const bool counts =
+        run.at > known_from && !HadFault(*router, run.at, faults);
+    if (counts) ++found.late;
+    const bool is_new = crashed.insert(run.endpoint).second;
+    if (is_new || !bound.by_endpoint) ++crashes;
+    if (crashes == bound.crashes)
+      known_from = std::min(known_from, run.at + kCrashesKnownAfter);
+  }
+  return found;
+}
+
 }  // namespace
 
 std::vector<std::string> FindCrashViolations(
     const std::vector<standins::fleet::Run>& runs,
     const std::vector<RouterFaultPeriod>& faults) {
-  std::size_t crashes = 0;
-  std::size_t late = 0;
-  TimePoint known_from;
-  constexpr std::size_t kThird = 3;
-  for (const auto& run : runs) {
-    const auto router = RouterOfCrashing(run.request_id);
-    if (!router) continue;
-    if (++crashes == kThird) known_from = run.at + kCrashesKnownAfter;
-    const bool counts = crashes > kThird && run.at > known_from &&
-                        !HadFault(*router, run.at, faults);
-    if (counts) ++late;
+  std::vector<std::string> violations;
+  for (const CrashBound& bound : kCrashBounds) {
+    const LateRuns found = CountLateRuns(bound, runs, faults);
+    if (found.late <= kMaxRunsAfterCrashes) continue;
+    violations.push_back(std::string(bound.what) + " ran " +
+                         std::to_string(found.late) +
+                         " times after all knew of it, " +
+                         std::to_string(found.all) + " in all");
   }
-  if (late <= kMaxRunsAfterCrashes) return {};
-  return {"a request that crashes endpoints ran " + std::to_string(late) +
-          " times after all knew of it, " + std::to_string(crashes) +
-          " in all"};
+  return violations;
 }
 
 std::vector<std::string> FindLimitViolations(
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -33,8 +33,9 @@
 inline constexpr Duration kCrashesKnownAfter = std::chrono::seconds(3);
 inline constexpr std::size_t kMaxRunsAfterCrashes = 3;
 
-/// Returns a line if a request that crashes endpoints was sent on and on by
-/// routers without a fault. Thread safety: safe.
+/// Returns a line if a request that crashes endpoints, or requests with a part
+/// that does, were sent on and on by routers without a fault: after the third
+/// run of the one, or the fifth crash by the others. Thread safety: safe.
 std::vector<std::string> FindCrashViolations(
     const std::vector<standins::fleet::Run>& runs,
     const std::vector<RouterFaultPeriod>& faults);
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -33,6 +33,7 @@
   settings.cut_paths = options.count("cut-paths") > 0;
   settings.endpoint_pauses = options.count("endpoint-pauses") > 0;
   settings.store_returns = options.count("store-returns") > 0;
+  settings.crashing_parts = options.count("crashing-parts") > 0;
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
        options["seeds"].as<std::vector<std::uint64_t>>()) {
@@ -58,7 +59,9 @@
       "endpoint-limits", "let endpoints state limits, too")(
       "cut-paths", "cut links from routers to endpoints, too")(
       "endpoint-pauses", "let endpoints ask for pauses, too")(
-      "store-returns", "let the store return from older copies, too");
+      "store-returns", "let the store return from older copies, too")(
+      "crashing-parts",
+      "send requests that share a part that crashes engines, too");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -47,7 +47,8 @@
                                "paths silent",
                                "paths reset",
                                "endpoint pause",
-                               "store return"};
+                               "store return",
+                               "crashing part"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
@@ -111,6 +112,9 @@
   if (settings.store_returns) {
     AddApart(FaultKind::kStoreReturn, settings, faults);
   }
+  if (settings.crashing_parts) {
+    AddApart(FaultKind::kCrashingPart, settings, faults);
+  }
   return faults;
 }
 
@@ -130,6 +134,7 @@
   }
   const bool of_no_router = fault.kind == FaultKind::kRevocation ||
                             fault.kind == FaultKind::kCrashingRequest ||
+                            fault.kind == FaultKind::kCrashingPart ||
                             fault.kind == FaultKind::kStoreReturn;
   if (of_no_router) return text;
   text += " router " + std::to_string(fault.router);
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -45,6 +45,9 @@
   /// The store is copied, and at the end of the fault it is away for a moment
   /// and returns from the copy.
   kStoreReturn,
+  /// A caller sends requests that share a part that crashes engines, no two
+  /// alike.
+  kCrashingPart,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -84,6 +87,10 @@
   bool endpoint_pauses = false;
   /// Whether the store also returns from older copies; the same holds.
   bool store_returns = false;
+  /// Whether callers also send requests with a part that crashes engines; the
+  /// same holds. Sound requests share their other parts with these, and answers
+  /// are unframed with every second seed.
+  bool crashing_parts = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -65,7 +65,11 @@
 class Soak {
  public:
   explicit Soak(const SoakSettings& chosen)
-      : settings(chosen), fleet(chosen.routers, false, true) {}
+      : settings(chosen), fleet(chosen.routers, false, true) {
+    const bool unframed = chosen.crashing_parts && chosen.seed % 2 == 1;
+    this->fleet.RunOnLoop(
+        [&] { this->fleet.Endpoints().SendUnframed(unframed); });
+  }
 
   SoakResult Run() {
     Callers callers(this->fleet, this->settings);
@@ -77,6 +81,10 @@
         callers.SendCrashing(event.begins);
         continue;
       }
+      if (event.fault.kind == FaultKind::kCrashingPart) {
+        callers.SendCrashingParts(event.begins);
+        continue;
+      }
       this->RecordRouterFault(event);
       event.begins ? this->Begin(event.fault) : this->End(event.fault);
     }
@@ -137,6 +145,7 @@
         this->fleet.RunOnLoop([this] { this->fleet.Store().KeepCopy(); });
         return;
       case FaultKind::kCrashingRequest:
+      case FaultKind::kCrashingPart:
         return;
     }
   }
@@ -181,6 +190,7 @@
         return;
       case FaultKind::kReload:
       case FaultKind::kCrashingRequest:
+      case FaultKind::kCrashingPart:
         return;
     }
   }
