--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -285,9 +285,10 @@
   std::optional<Verdict> JudgeCarried(const Fingerprint& suspect,
                                       const std::vector<Fingerprint>& carried,
                                       TimePoint now) const;
-  /// Returns the crashes of \p suspect with its newest broken run: the evidence
-  /// of that comes a moment later.
-  Crashes WithNewestRun(const Fingerprint& suspect) const;
+  /// Returns the unexplained crashes of \p suspect with its newest broken run:
+  /// the evidence of that comes a moment later.
+  Crashes WithNewestRun(const Fingerprint& suspect,
+                        const std::vector<Fingerprint>& carried) const;
   SuspectReport ToReport(const Fingerprint& suspect, const Crashes& crashes,
                          TimePoint now) const;
   void CountBegun(BrokenRuns& runs, const BrokenRun& run, TimePoint now);
--- a/lib/eventlog/explain.cc
+++ b/lib/eventlog/explain.cc
@@ -15,7 +15,7 @@
 
 /// Explanation of each reason that an attempt or a request ended, and the log
 /// lines to check.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 23>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 24>
     kCauses = {{
         {"no_configuration",
          "the instance had just started and had no configuration; see its "
@@ -33,6 +33,9 @@
         {"no_endpoint",
          "no endpoint, or no path over all layers, was usable; see "
          "endpoints_changed and layout"},
+        {"quarantined",
+         "it, or a part of its prompt, was at the crashes of endpoints; see "
+         "request_at_crash and peer_reported_crash with its content"},
         {"no_room", "all paths were full when it came"},
         {"no_room_in_time",
          "all paths were full, and no room came free within its objective"},
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -1,5 +1,4 @@
 #include "absl/strings/str_format.h"
-#include "absl/strings/str_join.h"
 #include "toucanwharf/instance/gateway.h"
 
 namespace toucanwharf::instance {
@@ -21,10 +20,14 @@
 
 quarantine::RequestFingerprints Gateway::FingerprintsOf(
     const http::Request& request, std::string_view customer) const {
+  std::string parts;
+  for (const auto& list : request.headers.FindAll(this->names.prompt_parts)) {
+    if (!parts.empty()) parts.push_back(',');
+    parts.append(list);
+  }
   return {quarantine::FingerprintOf(
               {customer, request.method, request.target, request.body}),
-          quarantine::FingerprintsOfSharedParts(absl::StrJoin(
-              request.headers.FindAll(this->names.prompt_parts), ","))};
+          quarantine::FingerprintsOfSharedParts(parts)};
 }
 
 void Gateway::OnRunBroken(const quarantine::BrokenRun& run,
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -209,6 +209,8 @@
   /// Records that the connection of the current run broke, as a crash of the
   /// endpoint by this request would break it.
   void OnRunBroken();
+  /// The same without a line of the log.
+  void RecordBrokenRun();
   /// Records that the answer of the current run ended with its connection.
   ///
   /// Failure guarded against: the request crashes its endpoint and the crash
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -65,6 +65,10 @@
 
 void ProxiedRequest::OnRunBroken() {
   this->LogBrokenRun();
+  this->RecordBrokenRun();
+}
+
+void ProxiedRequest::RecordBrokenRun() {
   const endpoints::Endpoint* endpoint =
       this->gateway.state.endpoints.Find(this->target.endpoint);
   // An endpoint that drains, or has left the list, ends by an order.
@@ -85,9 +89,12 @@
 
 void ProxiedRequest::OnEndedByClose() {
   if (this->target.is_peer || this->proven) return;
-  const bool inside_event = this->IsStream() && this->events.HasPartialEvent();
+  if (this->IsStream() && this->events.HasPartialEvent()) {
+    this->OnRunBroken();
+    return;
+  }
   const bool just_begun = this->StageOfRun() == quarantine::RunStage::kBegun;
-  if (inside_event || just_begun) this->OnRunBroken();
+  if (just_begun) this->RecordBrokenRun();
 }
 
 void ProxiedRequest::OnConnectionRefused() {
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -169,7 +169,11 @@
 std::optional<Verdict> Quarantine::JudgeCarried(
     const Fingerprint& suspect, const std::vector<Fingerprint>& carried,
     TimePoint now) const {
-  if (!this->suspects.contains(suspect)) return std::nullopt;
+  const auto found = this->suspects.find(suspect);
+  if (found == this->suspects.end()) return std::nullopt;
+  // Popular parts are suspects often, and cheaply seen to be innocent.
+  const auto unrefuted = static_cast<double>(CountUnrefuted(found->second));
+  if (unrefuted < this->settings.probable) return std::nullopt;
   const Evidence evidence = this->Weigh(this->Unexplained(suspect, carried));
   const Duration block = this->BlockOf(suspect, carried, evidence);
   if (block <= Duration(0)) return std::nullopt;
@@ -204,15 +208,16 @@
                           TimePoint now) const {
   if (this->Judge(request, now)) return false;
   const std::vector<Fingerprint> carried = Carried(request);
-  return std::none_of(
-      carried.begin(), carried.end(), [&](const Fingerprint& suspect) {
-        const Evidence evidence = this->Weigh(this->WithNewestRun(suspect));
-        return evidence.weight >= this->settings.probable;
-      });
+  return std::none_of(carried.begin(), carried.end(),
+                      [&](const Fingerprint& suspect) {
+                        const Evidence evidence =
+                            this->Weigh(this->WithNewestRun(suspect, carried));
+                        return evidence.weight >= this->settings.probable;
+                      });
 }
 
 Quarantine::Crashes Quarantine::WithNewestRun(
-    const Fingerprint& suspect) const {
+    const Fingerprint& suspect, const std::vector<Fingerprint>& carried) const {
   std::optional<Crash> newest;
   for (const auto& [key, runs] : this->undecided) {
     const auto found = runs.begun.find(suspect);
@@ -223,8 +228,9 @@
         Crash{runs.endpoint, run.sent_at, run.broke_at, run.ran, false, true};
   }
   Crashes crashes;
-  const auto found = this->suspects.find(suspect);
-  if (found != this->suspects.end()) crashes = found->second;
+  if (this->suspects.contains(suspect)) {
+    crashes = this->Unexplained(suspect, carried);
+  }
   if (newest) crashes.push_back(*newest);
   return crashes;
 }
--- a/unittests/adapter/quarantine_sync_test.cc
+++ b/unittests/adapter/quarantine_sync_test.cc
@@ -182,8 +182,11 @@
   leader.state.quarantine.Merge(kReport, leader.loop.Now());
   leader.sync.OnCrash(kReport.suspect);
   quarantine::SuspectReport later = kReport;
-  later.crashes.push_back(
-      {{3, 13}, std::chrono::seconds(1), milliseconds(40), milliseconds(30), false});
+  later.crashes.push_back({{3, 13},
+                           std::chrono::seconds(1),
+                           milliseconds(40),
+                           milliseconds(30),
+                           false});
   leader.state.quarantine.Merge(later, leader.loop.Now());
   leader.sync.OnCrash(kReport.suspect);
   BOOST_REQUIRE(leader.store.objects.size() == 1U);
