--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -102,8 +102,10 @@
     const Fingerprint& suspect, const std::vector<Fingerprint>& carried) const {
   Crashes left = this->suspects.at(suspect);
   const Crashes own = left;
-  for (const auto& [other, crashes] : this->suspects) {
-    if (Contains(carried, other) || !this->MoreSuspect(crashes, own)) continue;
+  for (const auto& entry : this->suspects) {
+    const Crashes& crashes = entry.second;
+    const bool is_carried = Contains(carried, entry.first);
+    if (is_carried || !this->MoreSuspect(crashes, own)) continue;
     std::erase_if(left, [&](const Crash& crash) {
       return IsUnrefutedAt(crashes, crash.endpoint.key);
     });
@@ -117,8 +119,9 @@
   const Crashes& own = this->suspects.at(suspect);
   constexpr std::size_t kShared = 2;
   Comparison comparison;
-  for (const auto& [other, crashes] : this->suspects) {
-    if (Contains(carried, other)) continue;
+  for (const auto& entry : this->suspects) {
+    const Crashes& crashes = entry.second;
+    if (Contains(carried, entry.first)) continue;
     const auto shared = static_cast<std::size_t>(std::count_if(
         evidence.chain.begin(), evidence.chain.end(), [&](const Crash& crash) {
           return IsUnrefutedAt(crashes, crash.endpoint.key);
--- a/test/process/soak_checks_test.cc
+++ b/test/process/soak_checks_test.cc
@@ -91,8 +91,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(CrashingPartThatRunsOnIsSeen) {
-  constexpr TimePoint kStart{std::chrono::hours(1)};
   const auto runs_at = [](std::uint64_t endpoints) {
+    constexpr TimePoint kStart{std::chrono::hours(1)};
     std::vector<standins::fleet::Run> runs;
     for (std::uint64_t number = 0; number < 9; ++number) {
       standins::fleet::Run run;
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -98,8 +98,9 @@
     if (counts) ++found.late;
     const bool is_new = crashed.insert(run.endpoint).second;
     if (is_new || !bound.by_endpoint) ++crashes;
-    if (crashes == bound.crashes)
+    if (crashes == bound.crashes) {
       known_from = std::min(known_from, run.at + kCrashesKnownAfter);
+    }
   }
   return found;
 }
