--- a/unittests/quarantine/simulated_fleet_test.cc
+++ b/unittests/quarantine/simulated_fleet_test.cc
@@ -276,8 +276,9 @@
     if (this->outcome.crashes >= 3 && this->plan.mass_crash_share == 0) {
       this->third_crash = true;
     }
-    if (this->outcome.crashes == kFifth)
+    if (this->outcome.crashes == kFifth) {
       this->all_know_at = this->now + kAllKnow;
+    }
     const auto runs = std::exchange(engine.runs, {});
     const EndpointStart ended{
         engine.start * 100 + static_cast<std::uint32_t>(number),
