Quarantine: crashes are kept in order of time, so that a full table drops the right suspect

What callers could see: with more suspects than the table holds, one with a crash of this moment was dropped in place of an older one, and counting it began anew.

Cause: the table ranks suspects by their last crash and took the one that was heard of last, while reports arrive in any order.

Change: crashes are inserted in order of time, and weighing needs no copy to sort any more.

--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -229,6 +229,7 @@
     /// Whether this instance saw it, not a peer.
     bool own = false;
   };
+  /// Ordered by time.
   using Crashes = std::vector<Crash>;
   /// The runs with a suspect at one start of an endpoint.
   struct BegunRun {
@@ -261,7 +262,7 @@
     bool tied = false;
   };
 
-  Evidence Weigh(Crashes crashes) const;
+  Evidence Weigh(const Crashes& crashes) const;
   bool IsJoint(const Crashes& of_suspect, const Crash& crash) const;
   /// Returns whether crashes at which both were are explained by the one with
   /// \p crashes rather than by the one with \p others.
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -150,10 +150,10 @@
     known->sent_at = std::max(known->sent_at, crash.sent_at);
     return false;
   }
-  crashes.push_back(crash);
+  Crash& added = InsertByTime(crashes, crash);
   // What crashes endpoints is never answered. Another request with it may have
   // been answered a moment ago, or have run for long at the same crash.
-  if (this->successes.Contains(suspect, now)) crashes.back().refuted = true;
+  if (this->successes.Contains(suspect, now)) added.refuted = true;
   this->Trim(crashes, this->settings.max_crashes);
   // Other instances may keep one that is dropped, and report it again and
   // again.
@@ -181,6 +181,7 @@
               return rank(lhs) > rank(rhs);
             });
   crashes.resize(max_size);
+  std::sort(crashes.begin(), crashes.end(), IsEarlier<Crash>);
 }
 
 /// Removes a suspect of the customer that has the most, so that no customer can
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -53,9 +53,7 @@
 
 /// Returns the longest sequence of crashes of which each run was sent after the
 /// crash before.
-Quarantine::Evidence Quarantine::Weigh(Crashes crashes) const {
-  std::sort(crashes.begin(), crashes.end(),
-            [](const Crash& lhs, const Crash& rhs) { return lhs.at < rhs.at; });
+Quarantine::Evidence Quarantine::Weigh(const Crashes& crashes) const {
   Evidence evidence;
   double beside = 0;
   for (const Crash& crash : crashes) {
@@ -242,7 +240,7 @@
   Crashes crashes;
   const auto known = this->suspects.find(suspect);
   if (known != this->suspects.end()) crashes = known->second;
-  if (newest) crashes.push_back(*newest);
+  if (newest) InsertByTime(crashes, *newest);
   return crashes;
 }
 
--- a/unittests/quarantine/quarantine_test.cc
+++ b/unittests/quarantine/quarantine_test.cc
@@ -483,6 +483,35 @@
   BOOST_TEST((reports.front().suspect == kCulpritPart));
 }
 
+// Guards against a suspect being pushed out of a full table in place of an
+// older one, because the report of its last crash came before that of an
+// earlier one.
+BOOST_AUTO_TEST_CASE(FullTableKeepsTheSuspectWithTheLaterCrash) {
+  constexpr Fingerprint kLater{1, 100};
+  constexpr Fingerprint kEarlier{1, 200};
+  const TimePoint now = kStart + minutes(1);
+  Quarantine quarantine;
+  const auto report = [&](const Fingerprint& suspect, std::uint32_t endpoint,
+                          TimePoint at, bool refuted) {
+    quarantine.Merge({suspect,
+                      {{StartOf(endpoint), now - at, milliseconds(50),
+                        milliseconds(30), refuted}}},
+                     now);
+  };
+  report(kLater, 1, kStart + seconds(10), false);
+  report(kLater, 2, kStart + seconds(1), true);
+  report(kEarlier, 3, kStart + seconds(5), false);
+  const auto others = QuarantineSettings().max_suspects - 1;
+  for (std::uint32_t number = 0; number < others; ++number) {
+    const Fingerprint other{1, 1000 + number};
+    report(other, 4, kStart + seconds(20), false);
+    report(other, 5, kStart + seconds(21), false);
+  }
+  BOOST_TEST(quarantine.Size() == QuarantineSettings().max_suspects);
+  BOOST_TEST(!quarantine.ReportOf(kLater, now).crashes.empty());
+  BOOST_TEST(quarantine.ReportOf(kEarlier, now).crashes.empty());
+}
+
 // Guards against the culprit that is let through at many crashes a second,
 // because the newest ones alone make no sequence.
 BOOST_AUTO_TEST_CASE(ManyCrashesAtATimeStillMakeASequence) {
