Whether an answer that ended with its connection is whole, its endpoint is asked

What callers saw: where the engine of an answer without a length or chunks crashed between two events, they got the events so far as the whole answer (8 of 20, I2). Where all such answers were shorter than a second, nothing ever cleared the sound parts at crashes, and sound requests were refused as quarantined beside two culprits.

Cause: the end of the connection is the end of such an answer, whether the engine has sent all of it or has gone.

Change: after such an end the engine is asked for its report. If the start that sent the answer goes on, the answer is whole, and clears what it held. If nothing listens at its address, or another start reports, the run was broken: evidence, and the answer goes on elsewhere. What the end means is decided without I/O (endpoints::MeaningOfEnd), against the start to which the request was sent.

It costs one report for each such answer, concurrent ones of an engine share it, and a millisecond or two before the end is passed on.

--- a/lib/eventlog/explain.cc
+++ b/lib/eventlog/explain.cc
@@ -15,7 +15,7 @@
 
 /// Explanation of each reason that an attempt or a request ended, and the log
 /// lines to check.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 24>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 25>
     kCauses = {{
         {"no_configuration",
          "the instance had just started and had no configuration; see its "
@@ -50,6 +50,8 @@
          "the endpoint sent an answer to another request"},
         {"ended_inside_event", "the endpoint ended in the middle of an event"},
         {"ended_before_event", "the endpoint ended before the first event"},
+        {"ended_with_endpoint",
+         "the answer ended with its connection, and its endpoint with it"},
         {"first_engine_silent", "the first engine of the path fell silent"},
         {"no_way_around",
          "an engine of the path fell silent, and no path around it had room"},
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -147,6 +147,7 @@
   if (const endpoints::Endpoint* known =
           this->gateway.state.endpoints.Find(to.endpoint)) {
     this->target.key = endpoints::EndpointKey(*known);
+    this->target.start_time_ms = known->start_time_ms;
   }
   ++this->attempt_counts.total;
   ++this->attempt_counts.may_have_run;
@@ -340,21 +341,24 @@
                          : "failed_at_endpoint");
     return;
   }
-  if (result.ended_by_close) this->OnEndedByClose();
+  if (result.ended_by_close) {
+    this->OnEndedByClose();
+    return;
+  }
+  this->Complete(true);
+}
+
+void ProxiedRequest::Complete(bool proven) {
   if (!this->attempt_counts.answer_started) {
-    this->FinishPlain(result.ended_by_close);
+    this->FinishPlain(proven);
     return;
   }
   if (this->IsStream() && this->events.HasPartialEvent()) {
     this->EndAttempt(AttemptOutcome::kUnknown, "ended_inside_event");
     return;
   }
-  if (this->IsStream() && result.ended_by_close && !this->run_began) {
-    this->EndAttempt(AttemptOutcome::kUnknown, "ended_before_event");
-    return;
-  }
   this->exchange->End();
-  if (!result.ended_by_close) this->OnRunProven();
+  if (proven) this->OnRunProven();
   ++this->gateway.counters.answered;
   this->Finish("answered", this->head.status);
 }
@@ -483,7 +487,7 @@
       this->Fail(http::kBadGateway, reason);
       return;
     case NextStep::kRelayFailure:
-      this->FinishPlain();
+      this->FinishPlain(false);
       return;
     case NextStep::kAbort:
       if (this->MayRetry(outcome)) {
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -93,6 +93,8 @@
     std::string address;
     /// Stands for the endpoint's start.
     std::uint32_t key = 0;
+    /// Milliseconds since 1970.
+    std::uint64_t start_time_ms = 0;
     std::vector<pipeline::Stage> stages;
     double token_millis = 0;
     /// Whether this is a peer, which chooses the endpoint.
@@ -151,8 +153,11 @@
   /// unless the forwarding instance has.
   void CountRequest();
   void BeginStream(const http::ResponseHead& head);
-  /// \p ended_by_close says whether the answer ended only with its connection.
-  void FinishPlain(bool ended_by_close = false);
+  /// Ends the request with the answer, which is whole; \p proven says whether
+  /// that shows that the request crashes no endpoint.
+  void Complete(bool proven);
+  /// The same for an answer of which nothing was relayed yet, or a failure.
+  void FinishPlain(bool proven);
   void EndAttempt(attempts::AttemptOutcome outcome, std::string_view reason);
   void Proceed(attempts::AttemptOutcome outcome, std::string_view reason);
   /// Takes the next step after an attempt, at once or after a pause.
@@ -209,14 +214,15 @@
   /// Records that the connection of the current run broke, as a crash of the
   /// endpoint by this request would break it.
   void OnRunBroken();
-  /// The same without a line of the log.
-  void RecordBrokenRun();
-  /// Records that the answer of the current run ended with its connection.
+  /// Finds out whether the answer, which ended only with its connection, is
+  /// whole.
   ///
-  /// Failure guarded against: the request crashes its endpoint and the crash
-  /// looks like the end of the answer, so that no evidence remains. If the
-  /// endpoint has not ended, what is recorded here proves nothing.
+  /// Failure guarded against: the endpoint crashes and the crash looks like the
+  /// end, so that the caller gets a part as the whole answer (I2), and the
+  /// request that crashed the endpoint seems to be answered. An endpoint that
+  /// still runs after the end has sent it.
   void OnEndedByClose();
+  void OnEndProbed(const ProbeAnswer& answer);
   /// Records that nothing listens at the endpoint's address: it has ended.
   void OnConnectionRefused();
   /// Records an event of the current run.
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -22,11 +22,11 @@
 
 }  // namespace
 
-void ProxiedRequest::FinishPlain(bool ended_by_close) {
+void ProxiedRequest::FinishPlain(bool proven) {
   this->exchange->Respond(this->ToRelay(this->head), this->body);
   const bool success = IsSuccess(this->head.status);
   if (success) {
-    if (!ended_by_close) this->OnRunProven();
+    if (proven) this->OnRunProven();
     this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
                                              this->admitted.arrived);
   }
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -2,11 +2,13 @@
 
 #include "absl/strings/str_join.h"
 #include "proxied_request.h"
+#include "toucanwharf/endpoints/unframed_end.h"
 #include "toucanwharf/support/random.h"
 
 namespace toucanwharf::instance {
 namespace {
 
+using attempts::AttemptOutcome;
 using eventlog::Fields;
 using eventlog::Level;
 
@@ -65,10 +67,6 @@
 
 void ProxiedRequest::OnRunBroken() {
   this->LogBrokenRun();
-  this->RecordBrokenRun();
-}
-
-void ProxiedRequest::RecordBrokenRun() {
   const endpoints::Endpoint* endpoint =
       this->gateway.state.endpoints.Find(this->target.endpoint);
   // An endpoint that drains, or has left the list, ends by an order.
@@ -76,25 +74,55 @@
       endpoint->state == endpoints::EndpointState::kDraining) {
     return;
   }
-  const std::uint32_t key = endpoints::EndpointKey(*endpoint);
   quarantine::BrokenRun run;
   run.request = this->Fingerprints();
-  run.endpoint = {key, static_cast<std::uint32_t>(HashText(endpoint->address))};
+  run.endpoint = {this->target.key,
+                  static_cast<std::uint32_t>(HashText(this->target.address))};
   run.sent_at = this->attempt_started;
   run.stage = this->StageOfRun();
   run.ran = this->TimeSinceBegin();
-  this->gateway.OnRunBroken(run, {endpoint->id, endpoint->address, key,
-                                  endpoint->start_time_ms, this->IsModel()});
+  this->gateway.OnRunBroken(
+      run, {this->target.endpoint, this->target.address, this->target.key,
+            this->target.start_time_ms, this->IsModel()});
 }
 
 void ProxiedRequest::OnEndedByClose() {
-  if (this->target.is_peer || this->proven) return;
-  if (this->IsStream() && this->events.HasPartialEvent()) {
+  const bool inside_event = this->IsStream() && this->events.HasPartialEvent();
+  if (inside_event || (this->IsStream() && !this->run_began)) {
+    this->OnRunBroken();
+    this->EndAttempt(AttemptOutcome::kUnknown, inside_event
+                                                   ? "ended_inside_event"
+                                                   : "ended_before_event");
+    return;
+  }
+  const bool can_ask = this->IsModel() && !this->target.is_peer &&
+                       !this->gateway.IsPaused(this->target.endpoint);
+  if (!can_ask) {
+    this->Complete(false);
+    return;
+  }
+  this->gateway.probe.Check(
+      this->target.address, this->gateway.loop.Now(),
+      this->gateway.ConcurrentProbers(),
+      [self = this->shared_from_this()](const ProbeAnswer& answer) {
+        if (!self->finished) self->OnEndProbed(answer);
+      });
+}
+
+void ProxiedRequest::OnEndProbed(const ProbeAnswer& answer) {
+  endpoints::AfterEnd after;
+  after.refused = answer.refused;
+  const bool states_start = answer.report && answer.report->start_time_ms != 0;
+  if (states_start) after.reported_start_ms = answer.report->start_time_ms;
+  const auto meaning = endpoints::MeaningOfEnd(
+      this->target.key,
+      this->gateway.state.endpoints.Find(this->target.endpoint), after);
+  if (meaning == endpoints::UnframedEnd::kBroken) {
     this->OnRunBroken();
+    this->EndAttempt(AttemptOutcome::kUnknown, "ended_with_endpoint");
     return;
   }
-  const bool just_begun = this->StageOfRun() == quarantine::RunStage::kBegun;
-  if (just_begun) this->RecordBrokenRun();
+  this->Complete(meaning == endpoints::UnframedEnd::kWhole);
 }
 
 void ProxiedRequest::OnConnectionRefused() {
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -143,7 +143,7 @@
   for (const auto& stream : running) {
     if (stream->endpoint != id) continue;
     if (stream->unframed) {
-      stream->exchange->Write(kPartialEvent);
+      if (!this->cut_between_events) stream->exchange->Write(kPartialEvent);
       stream->exchange->End();
     } else {
       stream->exchange->Abort();
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -110,8 +110,12 @@
   /// unresponsive.
   void ReportStalls(bool named) { this->report_stalls = named; }
   /// Sets whether answers of engines have neither a length nor chunks: they end
-  /// with their connection, at a crash inside an event.
-  void SendUnframed(bool unframed) { this->unframed = unframed; }
+  /// with their connection, at a crash inside an event or, if \p cut_between,
+  /// between two.
+  void SendUnframed(bool unframed, bool cut_between = false) {
+    this->unframed = unframed;
+    this->cut_between_events = cut_between;
+  }
   /// Sets how long after the head of an answer an engine begins to write it, as
   /// one that reads a long prompt does.
   void BeginAfter(Duration delay) { this->begin_delay = delay; }
@@ -204,6 +208,7 @@
   std::uint64_t restarts = 0;
   bool report_stalls = true;
   bool unframed = false;
+  bool cut_between_events = false;
   Duration begin_delay{0};
 };
 
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -212,6 +212,19 @@
   BOOST_TEST(fleet.RunsOf("half").size() == 2U);
 }
 
+// Guards against an answer that ends with its connection and looks whole though
+// its engine crashed between two events: the rest comes from another one (I2).
+BOOST_AUTO_TEST_CASE(CrashBetweenEventsIsNotTheEndOfAnAnswer) {
+  PlatformFleet fleet(1);
+  fleet.RunOnLoop([&] { fleet.Endpoints().SendUnframed(true, true); });
+  const EventStream stream = StreamWith(fleet, "cut", [&] {
+    const std::string first = fleet.RunsOf("cut")[0].endpoint;
+    fleet.RunOnLoop([&] { fleet.Endpoints().Crash(first); });
+  });
+  CheckWhole(stream);
+  CheckWhole(fleet.Stream(0, "uncut"));
+}
+
 // A lot is signed, and the response is lost. The router can't know whether the
 // lot was signed: it reports that, and does not sign again (I4).
 BOOST_AUTO_TEST_CASE(LostAnswerOfSignatureIsUnknown) {
