--- a/unittests/quarantine/simulated_fleet_test.cc
+++ b/unittests/quarantine/simulated_fleet_test.cc
@@ -61,6 +61,8 @@
   Duration culprit_gap = seconds(1);
   CulpritKind culprit = CulpritKind::kRequest;
   Duration culprit_from = seconds(1);
+  /// Whether a request that crashes engines as a whole comes as well.
+  bool both_culprits = false;
   /// Parts that prompts begin with, the first ones more often; 0 for none.
   std::size_t first_parts = 0;
   /// Share of the sound requests that begin with kCompanionPart.
@@ -195,7 +197,8 @@
 
   void CallCulprit() {
     RequestFingerprints bad{kCulprit, {}};
-    if (this->plan.culprit != CulpritKind::kRequest) {
+    const bool whole = this->plan.both_culprits && this->random.Below(2) == 0;
+    if (this->plan.culprit != CulpritKind::kRequest && !whole) {
       const bool fixed = this->plan.culprit == CulpritKind::kPartWithCompanion;
       bad = {{1, ++this->numbers},
              {fixed ? kCompanionPart : this->DrawFirstPart(), kCulpritPart}};
@@ -534,6 +537,22 @@
   RunSeeds(plan, CheckPart, kLargeSeeds);
 }
 
+// Guards against refusing sound parts that many requests share, and letting two
+// culprits through, because such parts are at the crashes of both.
+BOOST_AUTO_TEST_CASE(TwoCulpritsConvictNoPartOfManyRequests) {
+  FleetPlan plan = PartPlan(CulpritKind::kPart);
+  plan.first_parts = 3;
+  plan.both_culprits = true;
+  plan.culprit_gap = milliseconds(250);
+  RunSeeds(
+      plan,
+      [](const Outcome& outcome) {
+        BOOST_TEST(outcome.refused_for_part == 0, Describe(outcome));
+        BOOST_TEST(outcome.crashed_by_culprit <= 2 * kFifth, Describe(outcome));
+      },
+      kPartSeeds);
+}
+
 // Guards against the same in a very large fleet, whose leader passes on what it
 // hears.
 BOOST_AUTO_TEST_CASE(PartIsStoppedWhereTheLeaderTellsAll) {
