Test: a part that crashes engines before the first event, framed and unframed

Where a crash cuts an answer is a setting of its own.

The test says how many runs and answers it saw.

--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -143,7 +143,9 @@
   for (const auto& stream : running) {
     if (stream->endpoint != id) continue;
     if (stream->unframed) {
-      if (!this->cut_between_events) stream->exchange->Write(kPartialEvent);
+      if (this->cut_at == CutAt::kInsideEvent) {
+        stream->exchange->Write(kPartialEvent);
+      }
       stream->exchange->End();
     } else {
       stream->exchange->Abort();
@@ -410,8 +412,11 @@
 
 void Endpoints::BeginWriting(const std::shared_ptr<Stream>& stream) {
   if (!this->streams.contains(stream)) return;
-  this->CrashAfter(stream->endpoint, stream->exchange->Received());
-  this->SendNextEvent(stream);
+  const http::Request& request = stream->exchange->Received();
+  this->CrashAfter(stream->endpoint, request);
+  const bool has_events =
+      this->cut_at != CutAt::kBeforeFirstEvent || !Crashes(request);
+  if (has_events) this->SendNextEvent(stream);
 }
 
 void Endpoints::SendNextEvent(const std::shared_ptr<Stream>& stream) {
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -64,6 +64,15 @@
   TimePoint at;
 };
 
+/// Where a crash of its engine cuts an answer.
+enum class CutAt {
+  /// Inside an event, if the answer is unframed; a framed one is aborted.
+  kInsideEvent,
+  kBetweenEvents,
+  /// As between events, and a request that crashes the engine gets a head only.
+  kBeforeFirstEvent,
+};
+
 /// All endpoints of the fleet, served by one event loop.
 /// Thread safety: only on the loop's thread.
 class Endpoints {
@@ -110,12 +119,10 @@
   /// unresponsive.
   void ReportStalls(bool named) { this->report_stalls = named; }
   /// Sets whether answers of engines have neither a length nor chunks: they end
-  /// with their connection, at a crash inside an event or, if \p cut_between,
-  /// between two.
-  void SendUnframed(bool unframed, bool cut_between = false) {
-    this->unframed = unframed;
-    this->cut_between_events = cut_between;
-  }
+  /// with their connection.
+  void SendUnframed(bool sends) { this->unframed = sends; }
+  /// Sets where a crash cuts answers.
+  void CutAnswersAt(CutAt where) { this->cut_at = where; }
   /// Sets how long after the head of an answer an engine begins to write it, as
   /// one that reads a long prompt does.
   void BeginAfter(Duration delay) { this->begin_delay = delay; }
@@ -208,7 +215,7 @@
   std::uint64_t restarts = 0;
   bool report_stalls = true;
   bool unframed = false;
-  bool cut_between_events = false;
+  CutAt cut_at = CutAt::kInsideEvent;
   Duration begin_delay{0};
 };
 
--- a/test/process/crashing_part_test.cc
+++ b/test/process/crashing_part_test.cc
@@ -12,6 +12,7 @@
 namespace toucanwharf::process_test {
 namespace {
 
+using standins::fleet::CutAt;
 using standins::fleet::Endpoints;
 using standins::fleet::Run;
 
@@ -117,7 +118,12 @@
   fleet.RunOnLoop([&] { fleet.Endpoints().BeginAfter(load.begin_delay); });
   SendBeside(fleet, 0, kDiscovery, load);
   const int answered = SendBeside(fleet, kDiscovery, kAfterDiscovery, load);
-  BOOST_TEST(LateRuns(fleet, load.begin_delay) <= kMaxLateRuns);
+  const std::size_t late = LateRuns(fleet, load.begin_delay);
+  BOOST_TEST_MESSAGE(CrashingRuns(fleet).size()
+                     << " runs with the part, " << late << " of them late, "
+                     << answered << " of " << kAfterDiscovery
+                     << " sound requests answered");
+  BOOST_TEST(late <= kMaxLateRuns);
   BOOST_TEST(answered * 2 >= kAfterDiscovery);
 }
 
@@ -136,6 +142,19 @@
   CheckPartIsStopped(fleet);
 }
 
+// Guards against the same where engines crash before the first event, which
+// leaves only the head of an answer as evidence, framed or not.
+BOOST_AUTO_TEST_CASE(PartThatCrashesEnginesBeforeTheFirstEventIsStopped) {
+  for (const bool unframed : {false, true}) {
+    PlatformFleet fleet(kRouters);
+    fleet.RunOnLoop([&] {
+      fleet.Endpoints().SendUnframed(unframed);
+      fleet.Endpoints().CutAnswersAt(CutAt::kBeforeFirstEvent);
+    });
+    CheckPartIsStopped(fleet);
+  }
+}
+
 // Guards against the same where the head of an answer comes long before the
 // engine begins to write it, so that each run seems to have lasted.
 BOOST_AUTO_TEST_CASE(PartThatCrashesEnginesThatBeginLateIsStopped) {
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -216,7 +216,10 @@
 // its engine crashed between two events: the rest comes from another one (I2).
 BOOST_AUTO_TEST_CASE(CrashBetweenEventsIsNotTheEndOfAnAnswer) {
   PlatformFleet fleet(1);
-  fleet.RunOnLoop([&] { fleet.Endpoints().SendUnframed(true, true); });
+  fleet.RunOnLoop([&] {
+    fleet.Endpoints().SendUnframed(true);
+    fleet.Endpoints().CutAnswersAt(standins::fleet::CutAt::kBetweenEvents);
+  });
   const EventStream stream = StreamWith(fleet, "cut", [&] {
     const std::string first = fleet.RunsOf("cut")[0].endpoint;
     fleet.RunOnLoop([&] { fleet.Endpoints().Crash(first); });
