What an end means is told by the start that sent the answer, not by the list

What callers could see: a part of an unframed answer as the whole (I2), where the router was suspended, or read the end late, and the list of endpoints no longer had the engine that crashed: the end counted as that of an endpoint that leaves by an order.

Found by reading.

Why it works: a request carries the start to which it was sent, and a report the start that answers; if they are equal, the sender goes on and the answer is whole. The price: an answer that ends whole at the moment its engine leaves by an order is run once more, or reported as unknown where that isn't allowed.

The stand-in's engines all stated the same start; each start has its own now.

--- a/include/toucanwharf/endpoints/unframed_end.h
+++ b/include/toucanwharf/endpoints/unframed_end.h
@@ -4,8 +4,6 @@
 #include <cstdint>
 #include <optional>
 
-#include "toucanwharf/endpoints/endpoint.h"
-
 namespace toucanwharf::endpoints {
 
 /// What the end of an answer means that ended only with its connection.
@@ -28,16 +26,12 @@
   friend bool operator==(const AfterEnd&, const AfterEnd&) = default;
 };
 
-/// Returns what the end of an answer means that the start \p key of an endpoint
-/// sent (see EndpointKey). \p listed is the endpoint of that id in the newest
-/// list, null if there is none.
+/// Returns what the end of an answer means whose sender started at \p start_ms.
 ///
-/// Failure guarded against: an instance that was suspended reads an end when
-/// the endpoint is back under its id, takes the new start for the one that sent
-/// the answer, and relays a part as the whole.
+/// The list of endpoints has no say: an instance that was suspended may read it
+/// before the end, and finds the sender gone or another start in its place.
 /// Thread safety: safe.
-UnframedEnd MeaningOfEnd(std::uint32_t key, const Endpoint* listed,
-                         const AfterEnd& after);
+UnframedEnd MeaningOfEnd(std::uint64_t start_ms, const AfterEnd& after);
 
 }  // namespace toucanwharf::endpoints
 
--- a/lib/endpoints/unframed_end.cc
+++ b/lib/endpoints/unframed_end.cc
@@ -2,15 +2,8 @@
 
 namespace toucanwharf::endpoints {
 
-UnframedEnd MeaningOfEnd(std::uint32_t key, const Endpoint* listed,
-                         const AfterEnd& after) {
-  // An endpoint that leaves by an order ends its answers before.
-  if (listed == nullptr) return UnframedEnd::kUnknown;
-  if (EndpointKey(*listed) != key) return UnframedEnd::kBroken;
-  if (after.reported_start_ms == listed->start_time_ms) {
-    return UnframedEnd::kWhole;
-  }
-  if (listed->state == EndpointState::kDraining) return UnframedEnd::kUnknown;
+UnframedEnd MeaningOfEnd(std::uint64_t start_ms, const AfterEnd& after) {
+  if (after.reported_start_ms == start_ms) return UnframedEnd::kWhole;
   const bool ended = after.refused || after.reported_start_ms.has_value();
   return ended ? UnframedEnd::kBroken : UnframedEnd::kUnknown;
 }
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -114,9 +114,8 @@
   after.refused = answer.refused;
   const bool states_start = answer.report && answer.report->start_time_ms != 0;
   if (states_start) after.reported_start_ms = answer.report->start_time_ms;
-  const auto meaning = endpoints::MeaningOfEnd(
-      this->target.key,
-      this->gateway.state.endpoints.Find(this->target.endpoint), after);
+  const auto meaning =
+      endpoints::MeaningOfEnd(this->target.start_time_ms, after);
   if (meaning == endpoints::UnframedEnd::kBroken) {
     this->OnRunBroken();
     this->EndAttempt(AttemptOutcome::kUnknown, "ended_with_endpoint");
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -61,6 +61,7 @@
 void Endpoints::Add(const EndpointSpec& spec) {
   Endpoint endpoint;
   endpoint.spec = spec;
+  endpoint.start_time = ++this->starts;
   auto server = http::Server::Listen(
       this->loop, spec.address,
       [this, id = spec.id](std::shared_ptr<http::Exchange> exchange) {
@@ -80,7 +81,7 @@
                 {"slots", 8},
                 {"state", endpoint.state},
                 {"cold_ms", 0},
-                {"born", 1},
+                {"born", endpoint.start_time},
                 {"seq", endpoint.sequence}};
   if (!endpoint.spec.kind.empty()) {
     entry["kind"] = endpoint.spec.kind;
@@ -239,7 +240,7 @@
   }
   const Json body = {
       {"kind", endpoint.spec.kind},
-      {"born", 1},
+      {"born", endpoint.start_time},
       {"layers",
        {{"from", endpoint.layers.begin}, {"target", endpoint.layers.end}}},
       {"busy", false},
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -160,6 +160,8 @@
   };
   struct Endpoint {
     EndpointSpec spec;
+    /// Differs for each start, as a time in milliseconds does.
+    std::uint64_t start_time = 0;
     std::unique_ptr<http::Server> server;
     EndpointFault fault = EndpointFault::kNone;
     std::optional<double> limit;
@@ -213,6 +215,7 @@
   std::uint64_t orders = 0;
   std::uint64_t reroutes = 0;
   std::uint64_t restarts = 0;
+  std::uint64_t starts = 0;
   bool report_stalls = true;
   bool unframed = false;
   CutAt cut_at = CutAt::kInsideEvent;
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -228,6 +228,25 @@
   CheckWhole(fleet.Stream(0, "uncut"));
 }
 
+// Guards against the same where the router was suspended, and reads the end
+// when the engine has left the list and another one listens at its address.
+BOOST_AUTO_TEST_CASE(EndReadAfterASuspensionIsNotTheEndOfAnAnswer) {
+  constexpr int kSuspendedMillis = 1500;
+  PlatformFleet fleet(1);
+  fleet.RunOnLoop([&] {
+    fleet.Endpoints().SendUnframed(true);
+    fleet.Endpoints().CutAnswersAt(standins::fleet::CutAt::kBetweenEvents);
+  });
+  const EventStream stream = StreamWith(fleet, "late-end", [&] {
+    const std::string first = fleet.RunsOf("late-end")[0].endpoint;
+    fleet.Router(0).Signal(SIGSTOP);
+    fleet.RunOnLoop([&] { fleet.Endpoints().CrashAndRestart(first); });
+    Pause(kSuspendedMillis);
+    fleet.Router(0).Signal(SIGCONT);
+  });
+  CheckWhole(stream);
+}
+
 // A lot is signed, and the response is lost. The router can't know whether the
 // lot was signed: it reports that, and does not sign again (I4).
 BOOST_AUTO_TEST_CASE(LostAnswerOfSignatureIsUnknown) {
