--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -34,6 +34,7 @@
   settings.endpoint_pauses = options.count("endpoint-pauses") > 0;
   settings.store_returns = options.count("store-returns") > 0;
   settings.crashing_parts = options.count("crashing-parts") > 0;
+  settings.crash_cuts = options.count("crash-cuts") > 0;
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
        options["seeds"].as<std::vector<std::uint64_t>>()) {
@@ -61,7 +62,9 @@
       "endpoint-pauses", "let endpoints ask for pauses, too")(
       "store-returns", "let the store return from older copies, too")(
       "crashing-parts",
-      "send requests that share a part that crashes engines, too");
+      "send requests that share a part that crashes engines, too")(
+      "crash-cuts",
+      "cut unframed answers between events and before the first, too");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -91,6 +91,9 @@
   /// same holds. Sound requests share their other parts with these, and answers
   /// are unframed with every second seed.
   bool crashing_parts = false;
+  /// Whether crashes also cut unframed answers between two events, or before
+  /// the first one; the same holds.
+  bool crash_cuts = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -1,6 +1,7 @@
 #include "test/soak/soak.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <deque>
 #include <fstream>
@@ -12,11 +13,13 @@
 #include "test/process/platform_fleet.h"
 #include "test/soak/callers.h"
 #include "test/soak/checks.h"
+#include "toucanwharf/support/random.h"
 
 namespace toucanwharf::soak {
 namespace {
 
 using process_test::PlatformFleet;
+using standins::fleet::CutAt;
 using standins::fleet::EndpointFault;
 using standins::fleet::StoreFault;
 using std::chrono::milliseconds;
@@ -62,13 +65,23 @@
   return {lines.begin(), lines.end()};
 }
 
+CutAt DrawCut(std::uint64_t seed) {
+  constexpr std::array kCuts = {CutAt::kInsideEvent, CutAt::kBetweenEvents,
+                                CutAt::kBeforeFirstEvent};
+  return kCuts[Random(seed).Below(kCuts.size())];
+}
+
 class Soak {
  public:
   explicit Soak(const SoakSettings& chosen)
       : settings(chosen), fleet(chosen.routers, false, true) {
     const bool unframed = chosen.crashing_parts && chosen.seed % 2 == 1;
-    this->fleet.RunOnLoop(
-        [&] { this->fleet.Endpoints().SendUnframed(unframed); });
+    this->fleet.RunOnLoop([&] {
+      this->fleet.Endpoints().SendUnframed(unframed);
+      if (chosen.crash_cuts) {
+        this->fleet.Endpoints().CutAnswersAt(DrawCut(chosen.seed));
+      }
+    });
   }
 
   SoakResult Run() {
