A plain endpoint at whose address another one answers gets a pause

What callers saw: 503 for a plain read that may be repeated, while the other of two endpoints was free.

Each 421 takes an extra arrival from the budget (retries_left 7, 6, 5 ... 0), and the ninth request that it gets first is refused. So the failure is a matter of how often the choice at random falls on it, not of load.

Change: 421 of a plain endpoint counts as a refusal, as that of an engine does: for a second, doubling, it is used only if there is no other, at all instances. A 421 says that the endpoint of the list isn't there any more.

--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -415,6 +415,16 @@
                              now);
 }
 
+/// Pauses new work for a plain endpoint at whose address another one answers.
+///
+/// Failure guarded against: until the list of endpoints is corrected, each
+/// request that is sent there takes an extra arrival from the budget, and
+/// callers are refused when that is used up.
+void ProxiedRequest::RecordMisdirection() {
+  if (this->IsModel() || this->head.status != http::kMisdirected) return;
+  this->RecordRefusal(this->target.endpoint, false);
+}
+
 /// Ends the current attempt and continues as the policy says.
 void ProxiedRequest::EndAttempt(AttemptOutcome outcome,
                                 std::string_view reason) {
@@ -427,6 +437,7 @@
       outcome == AttemptOutcome::kNotSent || outcome == AttemptOutcome::kNotRun;
   if (not_run) --this->attempt_counts.may_have_run;
   if (outcome == AttemptOutcome::kNotRun) {
+    this->RecordMisdirection();
     const std::string_view fault =
         this->head.headers.Get(this->gateway.names.at_fault);
     for (const pipeline::Stage& stage : this->target.stages) {
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -196,6 +196,7 @@
   /// Pauses new work for \p endpoint, which refused; \p full says whether its
   /// capacity was in use.
   void RecordRefusal(const std::string& endpoint, bool full);
+  void RecordMisdirection();
   /// Returns whether the request may be sent once more after \p outcome.
   bool MayRetry(attempts::AttemptOutcome outcome);
   void AwaitCapacity(Duration pause, attempts::AttemptOutcome outcome,
