--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -58,13 +58,14 @@
 
 /// One request: sends it to endpoints in one or more attempts, relays the
 /// answer, and resumes it at another endpoint when one fails. Kept alive by its
-/// pending callbacks. proxied_request.cc has the lifecycle from the first
-/// attempt to its last one, proxied_request_end.cc the end,
-/// proxied_request_target.cc the choice of endpoints and the request sent
-/// there, proxied_request_stall.cc the handling of unresponsive endpoints,
-/// proxied_request_evidence.cc what its runs show of the request itself,
-/// proxied_request_forwarding.cc the way by another instance. Thread safety:
-/// only on the loop's thread.
+/// pending callbacks. proxied_request.cc has the way from its arrival to an
+/// endpoint, proxied_request_target.cc the choice of endpoints and the request
+/// sent there, proxied_request_answer.cc what comes back,
+/// proxied_request_retry.cc the step after an attempt that failed,
+/// proxied_request_end.cc the end, proxied_request_stall.cc the handling of
+/// unresponsive endpoints, proxied_request_evidence.cc what its runs show of
+/// the request itself, proxied_request_forwarding.cc the way by another
+/// instance. Thread safety: only on the loop's thread.
 class ProxiedRequest : public std::enable_shared_from_this<ProxiedRequest> {
  public:
   ProxiedRequest(Gateway& owner, std::shared_ptr<http::Exchange> caller,
--- /dev/null
+++ b/lib/instance/proxied_request_answer.cc
@@ -0,0 +1,186 @@
+#include <utility>
+
+#include "proxied_request.h"
+
+namespace toucanwharf::instance {
+namespace {
+
+using attempts::AttemptOutcome;
+
+/// A plain answer up to this size is relayed only when it is complete, so that
+/// another endpoint can replace one that breaks.
+constexpr std::size_t kMaxHeldBackBytes = 256UL * 1024;
+
+}  // namespace
+
+void ProxiedRequest::OnHead(const http::ResponseHead& answer) {
+  if (this->finished || this->call == 0) return;
+  this->has_head = true;
+  if (this->is_new_connection && !this->target.is_peer) {
+    this->gateway.path_monitor.OnAnswered(this->target.endpoint,
+                                          this->attempt_started);
+  }
+  this->last_data = this->gateway.loop.Now();
+  this->head_at = this->last_data;
+  this->head = answer;
+  this->ClassifyHead(answer);
+}
+
+void ProxiedRequest::ClassifyHead(const http::ResponseHead& answer) {
+  if (this->target.is_peer) {
+    this->ClassifyForwarded(answer);
+    return;
+  }
+  const HeaderNames& names = this->gateway.names;
+  const auto id = answer.headers.Find(names.request_id);
+  const bool of_another = id && *id != this->request_id;
+  const bool without_id = !id && IsSuccess(answer.status);
+  if (of_another || without_id) {
+    // A late answer to another request arrived in place of this one's.
+    this->EndAttempt(AttemptOutcome::kUnknown, "answer_of_another_request");
+    return;
+  }
+  // Another endpoint at the address says nothing about the one expected.
+  if (answer.status != http::kMisdirected) {
+    this->gateway.state.loads.OnResponse(this->target.endpoint,
+                                         this->last_data);
+    this->gateway.OnEndpointAnswered(this->target.endpoint,
+                                     this->attempt_started);
+    this->gateway.OnStatedLimit(this->target.endpoint, this->attempt_started,
+                                answer);
+    const Gateway::AskedEndpoint to{this->target.endpoint, this->target.key,
+                                    this->attempt_started, this->IsModel()};
+    this->gateway.OnRequestedPause(to, answer);
+    this->gateway.OnLeavingNotice(to, answer);
+  }
+  const bool not_run = answer.headers.Find(names.not_run).has_value() ||
+                       answer.status == http::kMisdirected;
+  if (not_run) {
+    this->head_outcome = AttemptOutcome::kNotRun;
+    return;
+  }
+  if (!IsSuccess(answer.status)) {
+    if (answer.status >= http::kServerError) {
+      this->head_outcome = AttemptOutcome::kFailed;
+    }
+    return;
+  }
+  this->head_usable = true;
+  if (this->IsStream()) this->BeginStream(answer);
+}
+
+void ProxiedRequest::BeginStream(const http::ResponseHead& answer) {
+  if (this->attempt_counts.answer_started) return;
+  this->attempt_counts.answer_started = true;
+  this->last_relayed = this->last_data;
+  this->exchange->Begin(this->ToRelay(answer));
+}
+
+void ProxiedRequest::OnPlainData(std::string_view bytes) {
+  this->body.append(bytes);
+  const bool begun = this->attempt_counts.answer_started;
+  if (!begun && this->body.size() <= kMaxHeldBackBytes) return;
+  if (!begun) {
+    http::ResponseHead out = this->ToRelay(this->head);
+    out.length = this->head.length;
+    this->attempt_counts.answer_started = true;
+    this->exchange->Begin(out);
+  }
+  this->last_relayed = this->last_data;
+  this->exchange->Write(this->body);
+  this->body.clear();
+}
+
+void ProxiedRequest::OnData(std::string_view bytes) {
+  if (this->finished || this->call == 0) return;
+  this->last_data = this->gateway.loop.Now();
+  if (!this->target.is_peer) {
+    this->gateway.path_monitor.OnData(this->target.endpoint);
+  }
+  if (!this->head_usable) {
+    // The body of a failure, which is no part of an answer that was begun by an
+    // earlier attempt.
+    this->body.append(bytes);
+    return;
+  }
+  if (!this->IsStream()) {
+    this->OnPlainData(bytes);
+    return;
+  }
+  this->events.Feed(bytes);
+  const std::string complete = this->events.TakeCompleteEvents();
+  if (complete.empty()) return;
+  if (!std::exchange(this->has_event, true)) {
+    this->first_event_after = this->last_data - this->admitted.arrived;
+    this->gateway.counters.first_event_latency.Add(this->first_event_after);
+  }
+  if (std::exchange(this->repeated_probes, 0) > 0) {
+    this->gateway.probe_backoff.OnFalseAlarm(this->last_data);
+  }
+  this->OnProgress();
+  this->refused_reroutes = 0;
+  this->detector.OnEvent(this->last_data);
+  ++this->chunks_written;
+  this->last_relayed = this->last_data;
+  this->exchange->Write(complete);
+}
+
+void ProxiedRequest::OnDone(const http::CallResult& result) {
+  this->call = 0;
+  if (this->finished) return;
+  if (result.end == http::CallEnd::kNotConnected) {
+    this->OnNotConnected(result);
+    this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
+    return;
+  }
+  if (result.end != http::CallEnd::kComplete) {
+    const bool by_endpoint = !this->target.is_peer;
+    if (by_endpoint && this->is_new_connection && !this->has_head) {
+      this->gateway.path_monitor.OnFailure(
+          this->target.endpoint, endpoints::ConnectionFailure::kNotConnected,
+          "reset");
+    }
+    if (by_endpoint && result.sent && result.end == http::CallEnd::kBroken) {
+      this->OnRunBroken();
+    }
+    this->EndAttempt(
+        result.sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
+        "broken");
+    return;
+  }
+  if (this->target.is_peer) {
+    if (const auto refusal = RefusalOf(this->head)) {
+      this->OnForwardRefused(*refusal);
+      return;
+    }
+  }
+  if (this->head_outcome) {
+    this->EndAttempt(*this->head_outcome,
+                     *this->head_outcome == AttemptOutcome::kNotRun
+                         ? "refused_by_endpoint"
+                         : "failed_at_endpoint");
+    return;
+  }
+  if (result.ended_by_close) {
+    this->OnEndedByClose();
+    return;
+  }
+  this->Complete(true);
+}
+
+void ProxiedRequest::Complete(bool proven) {
+  if (!this->attempt_counts.answer_started) {
+    this->FinishPlain(proven);
+    return;
+  }
+  if (this->IsStream() && this->events.HasPartialEvent()) {
+    this->EndAttempt(AttemptOutcome::kUnknown, "ended_inside_event");
+    return;
+  }
+  this->exchange->End();
+  if (proven) this->OnRunProven();
+  ++this->gateway.counters.answered;
+  this->Finish("answered", this->head.status);
+}
+
+}  // namespace toucanwharf::instance
