A whole unframed answer isn't broken off because its engine crashed right after it

Cause: the mend that asks the engine after an unframed end sends the answer on if the engine has ended meanwhile. Where the answer was whole, the next run has nothing to send. An unframed run without an event counted as broken: the answer went on until no attempt was left (log: ended_with_endpoint, then ended_before_event, then broken_off after 20 pieces).

Change: a run without an event is broken only where no run of the answer has sent one; else its engine is asked as after any unframed end. The stand-in sends nothing after the last event, and has a fault that crashes an engine as soon as it has sent an answer.

--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -88,7 +88,9 @@
 
 void ProxiedRequest::OnEndedByClose() {
   const bool inside_event = this->IsStream() && this->events.HasPartialEvent();
-  if (inside_event || (this->IsStream() && !this->run_began)) {
+  // A run that goes on after the last event has nothing to send.
+  const bool without_event = this->IsStream() && !this->has_event;
+  if (inside_event || without_event) {
     this->OnRunBroken();
     this->EndAttempt(AttemptOutcome::kUnknown, inside_event
                                                    ? "ended_inside_event"
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -436,13 +436,24 @@
     this->streams.erase(stream);
     return;
   }
-  stream->exchange->Write(EventText(stream->next));
+  // A run that goes on after the last event has nothing to send.
+  if (stream->next <= kEvents) {
+    stream->exchange->Write(EventText(stream->next));
+  }
   if (++stream->next > kEvents) {
-    stream->exchange->End();
-    this->streams.erase(stream);
+    this->EndStream(stream);
     return;
   }
   this->loop.After(kEventGap, send_next);
 }
 
+void Endpoints::EndStream(const std::shared_ptr<Stream>& stream) {
+  stream->exchange->End();
+  this->streams.erase(stream);
+  const EndpointFault fault = this->endpoints.at(stream->endpoint).fault;
+  if (fault == EndpointFault::kCrashesAfterAnswer) {
+    this->loop.Post([this, id = stream->endpoint] { this->Crash(id); });
+  }
+}
+
 }  // namespace toucanwharf::standins::fleet
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -48,6 +48,8 @@
   kMisdirects,
   /// Begins to run each request only after kSlowDelay.
   kSlow,
+  /// Crashes as soon as it has sent a whole stream.
+  kCrashesAfterAnswer,
 };
 
 /// One execution of a request at an endpoint.
@@ -197,6 +199,7 @@
                    std::shared_ptr<http::Exchange> exchange);
   void BeginWriting(const std::shared_ptr<Stream>& stream);
   void SendNextEvent(const std::shared_ptr<Stream>& stream);
+  void EndStream(const std::shared_ptr<Stream>& stream);
   std::vector<Stage> ParsePath(const std::string& text) const;
   Endpoint* FindByAddress(const std::string& address);
   /// Returns the address of the first stage of \p path that is unresponsive or
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -228,8 +228,24 @@
   CheckWhole(fleet.Stream(0, "uncut"));
 }
 
-// Guards against the same where the router was suspended, and reads the end
-// when the engine has left the list and another one listens at its address.
+// Guards against a whole answer that is broken off, because its engine crashed
+// right after the end and the next one has nothing to add.
+BOOST_AUTO_TEST_CASE(CrashAfterTheEndLeavesTheAnswerWhole) {
+  PlatformFleet fleet(1);
+  fleet.RunOnLoop([&] { fleet.Endpoints().SendUnframed(true); });
+  const EventStream stream = StreamWith(fleet, "ended", [&] {
+    const std::string first = fleet.RunsOf("ended")[0].endpoint;
+    fleet.RunOnLoop([&] {
+      fleet.Endpoints().SetFault(first, EndpointFault::kCrashesAfterAnswer);
+    });
+  });
+  CheckWhole(stream);
+  BOOST_TEST(stream.answer.complete);
+}
+
+// Guards against a part that is relayed as the whole, because the router was
+// suspended, and reads the end when the engine has left the list and another
+// one listens at its address (I2).
 BOOST_AUTO_TEST_CASE(EndReadAfterASuspensionIsNotTheEndOfAnAnswer) {
   constexpr int kSuspendedMillis = 1500;
   PlatformFleet fleet(1);
