Soak: a run after the key was restored is no run with a revoked key

The logs of five of them show the same: the request came within 50 ms before the key was restored, at a router that had just started and holds requests until it knows the configuration; it was sent on 10 to 15 ms after the version with the restored key was in force. The version in force allowed it. The check took the end of the revocation against the time at which the caller had sent.

Replaced by one as strict: a request sent later than the bound must have no run that began before the key was restored. A unit test holds it to both sides, a run one microsecond before and one at the moment.

--- a/test/process/soak_checks_test.cc
+++ b/test/process/soak_checks_test.cc
@@ -67,13 +67,26 @@
 BOOST_AUTO_TEST_CASE(RunWithARevokedKeyIsSeen) {
   const ObservedRequest read = Answered("x", RequestKind::kSecondCustomer);
   const RevocationPeriod late{read.sent - kRevocationBound / 2,
-                              Clock::time_point::max()};
+                              TimePoint{Duration::max()}};
   const RevocationPeriod early{read.sent - 2 * kRevocationBound,
-                               Clock::time_point::max()};
+                               TimePoint{Duration::max()}};
   BOOST_TEST(FindViolations({read}, Runs("x", 1), {late}).empty());
   BOOST_TEST(FindViolations({read}, Runs("x", 1), {early}).size() == 1U);
 }
 
+// Guards against a report of a request that waited at a router while its key
+// was restored, and against missing one that ran just before.
+BOOST_AUTO_TEST_CASE(RunAfterTheKeyIsRestoredIsAllowed) {
+  const ObservedRequest read = Answered("x", RequestKind::kSecondCustomer);
+  constexpr TimePoint kRestored{std::chrono::hours(1)};
+  const RevocationPeriod period{read.sent - 2 * kRevocationBound, kRestored};
+  auto runs = Runs("x", 1);
+  runs.front().at = kRestored - Duration(1);
+  BOOST_TEST(FindViolations({read}, runs, {period}).size() == 1U);
+  runs.front().at = kRestored;
+  BOOST_TEST(FindViolations({read}, runs, {period}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(CrashingRequestThatRunsOnIsSeen) {
   constexpr TimePoint kStart{std::chrono::hours(1)};
   std::vector<standins::fleet::Run> runs;
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -45,13 +45,15 @@
          call.answer.headers.contains("x-server-stamp");
 }
 
-bool WasRevoked(const ObservedRequest& call,
+/// Returns whether the key of \p call was revoked for so long when it was sent
+/// that it must not run, and a run of it \p begun before the key was restored.
+bool WasRevoked(const ObservedRequest& call, TimePoint begun,
                 const std::vector<RevocationPeriod>& revoked) {
-  for (const RevocationPeriod& period : revoked) {
-    const bool late = call.sent > period.from + kRevocationBound;
-    if (late && call.sent < period.until) return true;
-  }
-  return false;
+  return std::any_of(revoked.begin(), revoked.end(),
+                     [&](const RevocationPeriod& period) {
+                       return call.sent > period.from + kRevocationBound &&
+                              begun < period.until;
+                     });
 }
 
 bool HadFault(std::size_t router, TimePoint at,
@@ -164,8 +166,8 @@
     const std::vector<ObservedRequest>& observed,
     const std::vector<standins::fleet::Run>& runs,
     const std::vector<RevocationPeriod>& revoked) {
-  std::map<std::string, int> ran;
-  for (const auto& run : runs) ++ran[run.request_id];
+  std::map<std::string, std::vector<TimePoint>> begun;
+  for (const auto& run : runs) begun[run.request_id].push_back(run.at);
   std::vector<std::string> violations;
   const auto add = [&violations](const ObservedRequest& call,
                                  const std::string& violation) {
@@ -174,7 +176,8 @@
                          ": " + violation);
   };
   for (const ObservedRequest& call : observed) {
-    const int times = ran[call.id];
+    const std::vector<TimePoint>& runs_begun = begun[call.id];
+    const std::size_t times = runs_begun.size();
     const bool not_run = kNotRun.contains(static_cast<int>(call.answer.status));
     const bool unsafe = call.kind == RequestKind::kSign;
     if (unsafe && times > 1) add(call, "ran more than once (I4)");
@@ -188,7 +191,12 @@
       add(call, "events missing or repeated (I1, I2): " + EventsOf(call));
     }
     const bool second = call.kind == RequestKind::kSecondCustomer;
-    if (second && times > 0 && WasRevoked(call, revoked)) {
+    const bool ran_revoked =
+        second && std::any_of(runs_begun.begin(), runs_begun.end(),
+                              [&](TimePoint run_begun) {
+                                return WasRevoked(call, run_begun, revoked);
+                              });
+    if (ran_revoked) {
       add(call, "ran with a revoked key (I7)");
     }
   }
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -13,7 +13,7 @@
 /// acknowledgement until the key is restored.
 struct RevocationPeriod {
   Clock::time_point from;
-  Clock::time_point until;
+  TimePoint until;
 };
 
 /// How long after the revocation of a key requests with it may still run.
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -276,12 +276,12 @@
     if (this->key_revoked) return;
     this->key_revoked = true;
     this->fleet.Configure({PlatformFleet::kKey});
-    this->revoked.push_back({Clock::now(), Clock::time_point::max()});
+    this->revoked.push_back({Clock::now(), TimePoint{Duration::max()}});
   }
 
   void RestoreKey() {
     if (!std::exchange(this->key_revoked, false)) return;
-    this->revoked.back().until = Clock::now();
+    this->revoked.back().until = BootClock().Now();
     this->fleet.Configure({PlatformFleet::kKey, PlatformFleet::kOtherKey});
   }
 
