--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -4,13 +4,9 @@
 #include <charconv>
 #include <utility>
 
-#include "absl/strings/str_cat.h"
-
 namespace toucanwharf::instance {
 namespace {
 
-using attempts::AttemptOutcome;
-using attempts::NextStep;
 using eventlog::Fields;
 using eventlog::Level;
 
--- a/lib/instance/proxied_request_retry.cc
+++ b/lib/instance/proxied_request_retry.cc
@@ -1,5 +1,3 @@
-#include <utility>
-
 #include "proxied_request.h"
 
 namespace toucanwharf::instance {
