--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -46,7 +46,8 @@
     BOOST_ASIO_DISABLE_CONCEPTS BOOST_ALLOW_DEPRECATED_HEADERS)
   tw_package(instance DEPS toucanwharf_http toucanwharf_eventlog
     toucanwharf_endpoints toucanwharf_attempts toucanwharf_control
-    toucanwharf_limits toucanwharf_quarantine     absl::strings absl::str_format)
+    toucanwharf_limits toucanwharf_quarantine toucanwharf_admission
+    absl::strings absl::str_format)
   file(GLOB adapter_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/*.cc)
   add_library(toucanwharf_adapter STATIC ${adapter_sources})
   target_include_directories(toucanwharf_adapter PUBLIC ${CMAKE_SOURCE_DIR})
