--- a/utils/lost_worth.py
+++ b/utils/lost_worth.py
@@ -1,12 +1,16 @@
 #!/usr/bin/env python3
 """Reports why answers of a simulated day were late or missing.
 
-usage: lost_worth.py LOG [--objective MS] [--pause MS] [--window S]
+usage: lost_worth.py LOG [--objective MS] [--pause MS] [--window S] [--by FIELD]
 
 LOG holds the instances' log lines, each as "TIME INSTANCE {json}". Each
 `finished` or `refused` line of a request is counted under its cause. The table
 has a row per window of the day that lists the causes by frequency.
 Requests that reached no instance (no connection) are not in the logs.
+
+--by FIELD adds a table with a row per value of FIELD (rank, customer, route,
+instance, or size: tenths by tokens). Its columns add up to the requests seen:
+on time, late, refused and failed, by the last line of each request.
 """
 import argparse
 import collections
@@ -32,6 +36,48 @@
     return None
 
 
+GROUPS = ("rank", "customer", "route", "instance", "size")
+COLUMNS = ("on time", "late", "refused", "failed")
+
+
+def column_of(entry, cause):
+    """Returns the column of the table by which a request is counted."""
+    if entry["event"] == "refused" or entry["outcome"] == "refused":
+        return "refused"
+    if entry["outcome"] != "answered":
+        return "failed"
+    return "late" if cause else "on time"
+
+
+def size_groups(ends):
+    """Returns the tenth of each request by its tokens, 1 for the smallest."""
+    sized = sorted(
+        (end["tokens"], request) for request, end in ends.items() if "tokens" in end
+    )
+    return {
+        request: 1 + 10 * index // len(sized) for index, (_, request) in enumerate(sized)
+    }
+
+
+def print_groups(ends, field):
+    sizes = size_groups(ends) if field == "size" else {}
+    rows = collections.defaultdict(collections.Counter)
+    for request, end in ends.items():
+        value = sizes.get(request) if field == "size" else end.get(field)
+        rows["not stated" if value is None else value][end["column"]] += 1
+    print(f"{field:>24} {'seen':>7}" + "".join(f"{name:>9}" for name in COLUMNS))
+    total = collections.Counter()
+    for value in sorted(rows, key=str):
+        print_row(value, rows[value])
+        total.update(rows[value])
+    print_row("all", total)
+
+
+def print_row(value, counts):
+    cells = "".join(f"{counts[name]:9d}" for name in COLUMNS)
+    print(f"{value!s:>24} {sum(counts.values()):7d}{cells}")
+
+
 def read(path):
     with open(path, encoding="utf-8", errors="replace") as lines:
         for line in lines:
@@ -51,7 +97,9 @@
     parser.add_argument("--pause", type=float, default=200)
     parser.add_argument("--window", type=float, default=2)
     parser.add_argument("--ids", help="print the requests of this cause")
+    parser.add_argument("--by", choices=GROUPS, help="add a table by this field")
     options = parser.parse_args()
+    ends = {}
     attempts = collections.defaultdict(list)
     windows = collections.defaultdict(collections.Counter)
     total = collections.Counter()
@@ -65,6 +113,8 @@
         if event not in ("finished", "refused"):
             continue
         cause = cause_of(entry, attempts[request], options)
+        merged = {**ends.get(request, {}), **entry, "instance": instance}
+        ends[request] = {**merged, "column": column_of(entry, cause)}
         if cause is None:
             continue
         if options.ids and options.ids in cause:
@@ -77,6 +127,8 @@
     print("all day")
     for cause, count in total.most_common():
         print(f"{count:6d}  {cause}")
+    if options.by:
+        print_groups(ends, options.by)
 
 
 if __name__ == "__main__":
