Switches for the parts of overload and recovery

Each part of docs/design/overload-and-return.md can be disabled by itself, so that its effect is measured.

--- a/include/toucanwharf/instance/mechanisms.h
+++ b/include/toucanwharf/instance/mechanisms.h
@@ -34,6 +34,25 @@
   bool forwarding = true;
   /// Such an instance isn't named to callers.
   bool withdrawal = true;
+  /// Without a leader, the load of peers is estimated from their reports;
+  /// otherwise each counts as loaded like this instance.
+  bool reported_loads = true;
+  /// Callers are also directed to peers that will be ready soon.
+  bool early_advice = true;
+  /// An instance whose keys are unconfirmed asks peers for a confirmation.
+  bool quick_confirmation = true;
+  /// The placement lease of a process that is known to have ended is taken over
+  /// before its term is over.
+  bool quick_takeover = true;
+  /// Retry-After follows the capacity that is expected to come free.
+  bool return_schedule = true;
+  /// Requests wait for capacity by rank, customer and time limit; otherwise in
+  /// order of arrival.
+  bool rank_order = true;
+  /// Engines are told the rank of a request.
+  bool engine_ranks = true;
+  /// A rank leaves capacity to more urgent ranks that wait at other instances.
+  bool fleet_order = true;
 
   friend bool operator==(const Mechanisms&, const Mechanisms&) = default;
 };
--- a/lib/instance/mechanisms.cc
+++ b/lib/instance/mechanisms.cc
@@ -28,7 +28,15 @@
     Switch{"entry-choices", &Mechanisms::entry_choices},
     Switch{"silent-peers", &Mechanisms::ignore_unresponsive_peers},
     Switch{"forwarding", &Mechanisms::forwarding},
-    Switch{"withdrawal", &Mechanisms::withdrawal}};
+    Switch{"withdrawal", &Mechanisms::withdrawal},
+    Switch{"heard-loads", &Mechanisms::reported_loads},
+    Switch{"early-advice", &Mechanisms::early_advice},
+    Switch{"quick-confirmation", &Mechanisms::quick_confirmation},
+    Switch{"quick-takeover", &Mechanisms::quick_takeover},
+    Switch{"return-schedule", &Mechanisms::return_schedule},
+    Switch{"rank-order", &Mechanisms::rank_order},
+    Switch{"engine-ranks", &Mechanisms::engine_ranks},
+    Switch{"fleet-order", &Mechanisms::fleet_order}};
 
 std::string KnownNames() {
   return absl::StrJoin(
