Claims: rank, size and age of a request are read once; engines are told the rank

Cause: the rank of routes and customers was decoded and read by nobody, sizes were read with what could be parsed of them (nan and 1e300 among it), and a retry could not be told from a new request. Change: one admission::Claim for each request, from the customer's or the route's rank, the stated tokens (unusable ones count as not stated, with a count and a bounded line), and the time that the caller has left against what callers of its route usually state. Engines of model services get the rank in their own header, if one is stated.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "toucanwharf/admission/usual_time.h"
 #include "toucanwharf/attempts/arrival_budget.h"
 #include "toucanwharf/attempts/capacity_queue.h"
 #include "toucanwharf/attempts/probe_backoff.h"
@@ -86,6 +87,7 @@
   std::uint64_t broken_runs = 0;
   std::uint64_t quarantined = 0;
   std::uint64_t limits_unreadable = 0;
+  std::uint64_t claims_unreadable = 0;
   std::uint64_t endpoints_leaving = 0;
   std::uint64_t pauses_requested = 0;
   std::uint64_t pauses_unreadable = 0;
@@ -268,6 +270,8 @@
   /// so.
   void OnLeavingNotice(const AskedEndpoint& to, const http::ResponseHead& head);
   void OnUnreadablePause(const std::string& endpoint, std::string_view value);
+  /// Records that the size that the caller of \p request states can't be used.
+  void OnUnreadableClaim(const std::string& request);
   void OnUnreadableLimit(const std::string& endpoint, std::string_view value);
   /// Returns what \p request of \p customer holds that may crash endpoints.
   quarantine::RequestFingerprints FingerprintsOf(
@@ -293,11 +297,13 @@
   InstanceSettings settings;
   HeaderNames names;
   attempts::ArrivalBudget budget;
+  admission::UsualTime usual_time;
   Random random;
   EngineCalls calls;
   GatewayCounters counters;
   TimePoint unreadable_limit_logged{Duration(-1'000'000'000)};
   TimePoint unreadable_pause_logged{Duration(-1'000'000'000)};
+  TimePoint unreadable_claim_logged{Duration(-1'000'000'000)};
   TimePoint invalid_forward_logged{Duration(-1'000'000'000)};
   EngineProbe probe;
   attempts::ProbeBackoff probe_backoff;
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -71,6 +71,8 @@
   std::string prompt_parts;
   /// A caller's estimate of the output tokens.
   std::string length_hint;
+  /// The rank of a request, for model engines.
+  std::string rank;
   std::string customer;
   /// Id of the endpoint that the request is intended for.
   std::string expected_endpoint;
--- a/include/toucanwharf/routes/configuration.h
+++ b/include/toucanwharf/routes/configuration.h
@@ -46,7 +46,7 @@
   /// counts as on time.
   Duration pause_objective{std::chrono::milliseconds(200)};
   /// 0 is the most urgent.
-  int priority = 0;
+  std::optional<int> priority;
   std::vector<ServiceShare> services;
   /// Maximum number of endpoints that one request may be sent to.
   int max_attempts = 1;
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -154,6 +154,7 @@
       return;
     }
     admitted.customer = customer->name;
+    admitted.customer_rank = customer->priority;
   }
   const routes::ServiceShare* share = routes::DrawService(route, this->random);
   if (share != nullptr) admitted.service = table->FindService(share->service);
@@ -168,11 +169,15 @@
           *exchange, this->FingerprintsOf(request, admitted.customer))) {
     return;
   }
+  const Duration left =
+      DeadlineOf(request.headers.Get(this->names.deadline), route.timeout);
   // What is left to a forwarded request is counted from now on.
-  admitted.deadline = std::min(
-      arrived + route.timeout,
-      (forwarded ? now : arrived) +
-          DeadlineOf(request.headers.Get(this->names.deadline), route.timeout));
+  admitted.deadline =
+      std::min(arrived + route.timeout, (forwarded ? now : arrived) + left);
+  if (!forwarded) {
+    admitted.caller_age =
+        this->usual_time.RecordAttempt(route.name, left, arrived);
+  }
   std::make_shared<ProxiedRequest>(*this, std::move(exchange),
                                    std::move(admitted))
       ->Start();
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -14,7 +14,7 @@
 /// endpoints tells later whether the endpoint has ended.
 constexpr Duration kMaxDoubt = std::chrono::milliseconds(500);
 /// Every answer of an endpoint may carry the same unreadable limit.
-constexpr Duration kUnreadableLimitLogPeriod = std::chrono::seconds(10);
+constexpr Duration kUnreadableLogPeriod = std::chrono::seconds(10);
 
 }  // namespace
 
@@ -181,11 +181,20 @@
                      now);
 }
 
+void Gateway::OnUnreadableClaim(const std::string& request) {
+  ++this->counters.claims_unreadable;
+  const TimePoint now = this->loop.Now();
+  if (now - this->unreadable_claim_logged < kUnreadableLogPeriod) return;
+  this->unreadable_claim_logged = now;
+  this->logger.Write(Level::kNotable, "claim_unreadable",
+                     Fields().Text("request", request), now);
+}
+
 void Gateway::OnUnreadableLimit(const std::string& endpoint,
                                 std::string_view value) {
   ++this->counters.limits_unreadable;
   const TimePoint now = this->loop.Now();
-  if (now - this->unreadable_limit_logged < kUnreadableLimitLogPeriod) return;
+  if (now - this->unreadable_limit_logged < kUnreadableLogPeriod) return;
   this->unreadable_limit_logged = now;
   constexpr std::size_t kShown = 40;
   this->logger.Write(Level::kNotable, "limit_unreadable",
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -103,6 +103,9 @@
                  counters.broken_runs);
   writer.Counter("quarantined", "requests refused because they crash endpoints",
                  counters.quarantined);
+  writer.Counter("claims_unreadable",
+                 "requests whose stated size can't be used",
+                 counters.claims_unreadable);
   writer.Counter("limits_unreadable", "limits of endpoints that say nothing",
                  counters.limits_unreadable);
   writer.Counter("endpoints_leaving",
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -1,9 +1,10 @@
 #include "proxied_request.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
+#include "toucanwharf/admission/request_size.h"
+
 namespace toucanwharf::instance {
 namespace {
 
@@ -15,14 +16,16 @@
 constexpr Duration kReservedAfterQueue = std::chrono::milliseconds(200);
 /// A connection within a region takes a millisecond.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
-/// Typical share of the maximum output tokens that an answer has, used if the
-/// caller gives no hint.
-constexpr double kTypicalOutputShare = 0.6;
-
-double ParseNumber(std::string_view text) {
-  double value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return std::max(value, 0.0);
+/// Callers give up a stream without an event after the longest of this time and
+/// these multiples of its objectives.
+constexpr Duration kMinCallerPatience = std::chrono::seconds(2);
+constexpr int kPatienceInObjectives = 4;
+constexpr int kPatienceInPauses = 8;
+
+/// Returns how long callers of \p route wait for the first event of a stream.
+Duration CallerPatience(const routes::Route& route) {
+  return std::max({kMinCallerPatience, kPatienceInObjectives * route.objective,
+                   kPatienceInPauses * route.pause_objective});
 }
 
 }  // namespace
@@ -37,15 +40,7 @@
   const http::Headers& headers = this->exchange->Received().headers;
   const HeaderNames& names = this->gateway.names;
   this->request_id = std::string(headers.Get(names.request_id));
-  const std::string_view counts = headers.Get(names.token_counts);
-  const std::size_t comma = counts.find(',');
-  if (comma != std::string_view::npos) {
-    this->prompt_tokens = ParseNumber(counts.substr(0, comma));
-    const double max_output = ParseNumber(counts.substr(comma + 1));
-    const auto hint = headers.Find(names.length_hint);
-    this->output_tokens = hint ? std::min(ParseNumber(*hint), max_output)
-                               : kTypicalOutputShare * max_output;
-  }
+  this->claim = this->MakeClaim();
   if (this->admitted.forwarded) {
     this->attempt_counts.may_have_run = this->admitted.forwarded->runs;
     this->attempt_counts.may_have_run_elsewhere =
@@ -55,6 +50,32 @@
   this->gateway.active.insert(this);
 }
 
+admission::Claim ProxiedRequest::MakeClaim() {
+  const http::Headers& headers = this->exchange->Received().headers;
+  const HeaderNames& names = this->gateway.names;
+  const routes::Route& route = *this->admitted.route;
+  const admission::StatedSize size = admission::ReadStatedSize(
+      headers.Get(names.token_counts), headers.Find(names.length_hint));
+  if (size.unreadable) this->gateway.OnUnreadableClaim(this->request_id);
+  admission::Claim made;
+  made.rank =
+      admission::EffectiveRank(this->admitted.customer_rank, route.priority);
+  made.customer = this->admitted.customer;
+  made.prompt_tokens = size.prompt_tokens;
+  made.output_tokens = size.output_tokens;
+  made.arrived = this->admitted.arrived;
+  made.on_time_until =
+      this->admitted.arrived - this->admitted.caller_age + route.objective;
+  made.useful_until = this->admitted.deadline;
+  if (this->IsStream()) {
+    made.useful_until = std::min(
+        made.useful_until, this->admitted.arrived + CallerPatience(route));
+  }
+  made.returned = this->admitted.caller_age > Duration(0) ||
+                  headers.Find(names.last_event_id).has_value();
+  return made;
+}
+
 ProxiedRequest::~ProxiedRequest() {
   this->CancelCall();
   this->ReleaseLoad();
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "toucanwharf/admission/claim.h"
 #include "toucanwharf/attempts/attempt_policy.h"
 #include "toucanwharf/attempts/stall_detector.h"
 #include "toucanwharf/http/event_splitter.h"
@@ -49,6 +50,10 @@
   const routes::Service* service = nullptr;
   /// Empty for a route that needs no key.
   std::string customer;
+  /// The customer's own rank, which goes before the route's.
+  std::optional<int> customer_rank;
+  /// How long ago the caller's first attempt began; 0 for a first attempt.
+  Duration caller_age{0};
   TimePoint arrived;
   /// When the final answer is due.
   TimePoint deadline;
@@ -130,6 +135,10 @@
   /// Returns whether the request may be forwarded and a peer could take it.
   bool MayForward() const;
   http::Request BuildRequest(const Target& target) const;
+  /// Returns whether the endpoint is told the rank of the request.
+  bool TellsRank() const;
+  /// Returns what the request asks of free capacity.
+  admission::Claim MakeClaim();
   /// Returns the request as a peer gets it.
   http::Request BuildForwarded() const;
   void Send(const Target& target);
@@ -253,8 +262,8 @@
   std::shared_ptr<http::Exchange> exchange;
   Admitted admitted;
   std::string request_id;
-  double prompt_tokens = 0;
-  double output_tokens = 0;
+  /// What the request asks of free capacity.
+  admission::Claim claim;
 
   attempts::AttemptCounts attempt_counts;
   std::set<std::string> excluded;
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -43,8 +43,8 @@
       });
   placement::PathQuery query;
   query.failure_domain = this->gateway.settings.failure_domain;
-  query.prompt_tokens = this->prompt_tokens;
-  query.output_tokens = std::max(this->output_tokens, 1.0);
+  query.prompt_tokens = this->claim.prompt_tokens;
+  query.output_tokens = std::max(this->claim.output_tokens, 1.0);
   query.current = current;
   query.excluded = this->excluded;
   placement::PathSettings settings;
@@ -136,6 +136,13 @@
                      this->gateway.loop.Now());
 }
 
+bool ProxiedRequest::TellsRank() const {
+  const bool stated = this->admitted.route->priority.has_value() ||
+                      this->admitted.customer_rank.has_value();
+  return stated && this->IsModel() &&
+         this->gateway.settings.mechanisms.engine_ranks;
+}
+
 http::Request ProxiedRequest::BuildRequest(const Target& to) const {
   if (to.is_peer) return this->BuildForwarded();
   const HeaderNames& names = this->gateway.names;
@@ -152,6 +159,10 @@
   if (!this->admitted.customer.empty()) {
     request.headers.Set(names.customer, this->admitted.customer);
   }
+  request.headers.Remove(names.rank);
+  if (this->TellsRank()) {
+    request.headers.Set(names.rank, absl::StrCat(this->claim.rank));
+  }
   request.headers.Set(names.deadline, this->RemainingMillis());
   if (this->admitted.forwarded) RemoveForwarding(request.headers);
   request.headers.Set(names.expected_endpoint, to.endpoint);
@@ -174,7 +185,7 @@
 void ProxiedRequest::CountLoad() {
   // A peer counts what it sends to endpoints.
   if (this->target.is_peer) return;
-  const double tokens = this->prompt_tokens + this->output_tokens;
+  const double tokens = this->claim.prompt_tokens + this->claim.output_tokens;
   const Target& to = this->target;
   if (to.stages.empty()) {
     this->counted_loads.push_back({to.endpoint, 1, 0, 1});
