Readiness: instances whose keys are unconfirmed request a confirmation; an ended holder's lease is taken over

And nobody leads for the term of the lease of the process that ended (3.6 s). Change: an instance without a confirmation asks those that read the store, and every peer whose beacon shows one (three requests in 100 ms); a confirmed one answers at once (200 a second). The lease names its holder's node; a process that finds an earlier one of its own node as the holder takes over at once, unless the store has ever returned from an older copy.

--- a/include/toucanwharf/control/lease.h
+++ b/include/toucanwharf/control/lease.h
@@ -26,6 +26,9 @@
   Duration margin{std::chrono::seconds(1)};
   /// Time between renewals: two may fail before the term ends.
   Duration renewal{std::chrono::seconds(2)};
+  /// Name of the place where this process runs, where each process starts only
+  /// after the one before it has ended; empty if there is no such place.
+  std::string node{};
 
   friend bool operator==(const LeaseSettings&, const LeaseSettings&) = default;
 };
@@ -36,6 +39,8 @@
   std::string holder;
   /// Fencing number: rises by one with each takeover; part of every order.
   std::uint64_t fence = 0;
+  /// The holder's LeaseSettings::node.
+  std::string node{};
 
   friend bool operator==(const LeaseValue&, const LeaseValue&) = default;
 };
@@ -57,6 +62,11 @@
 ///    the clocks of two processes are compared.
 ///  - Two challengers take over at the same time: the takeover is a conditional
 ///    write.
+///  - All processes end and start anew, and nobody holds the role for a whole
+///    term. A process that finds one of its own node as the holder knows that
+///    it has ended, and takes over at once; but not once the store has returned
+///    from an older copy, which may show a holder that another one has
+///    followed.
 ///  - The store comes back from an older copy and has lost a takeover or a
 ///    renewal. Its object proves nothing then: it may be missing, or name a
 ///    former holder. Only who holds the role by its own term goes on; all
@@ -116,6 +126,8 @@
   void SettleApplied(const Attempt& completed, TimePoint now);
   std::uint64_t NextFence() const;
   bool HoldsObject() const;
+  /// Returns whether the observed holder is an earlier process of this node.
+  bool HolderHasEnded() const;
 
   LeaseSettings settings;
   std::uint64_t random_word;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -208,6 +208,7 @@
 
   void OnChange() {
     this->peers.AnnounceChange();
+    this->peers.ConfirmConfiguration();
     this->AnnounceStartupData();
     if (!this->state.route_table) return;
     const routes::CallerLimits& limits = this->state.route_table->All().limits;
@@ -357,6 +358,7 @@
     const TimePoint now = this->loop.Now();
     this->UpdateBudgetSharers(now);
     this->FollowEpoch(now);
+    this->peers.RequestConfirmations();
     this->gateway.ReviewBrokenRuns();
     this->gateway.CheckPaths();
     this->state.ShareLimits(this->settings.datagram_address, now);
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -13,6 +13,7 @@
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/gossip/backup_leaders.h"
 #include "toucanwharf/gossip/beacon_schedule.h"
+#include "toucanwharf/gossip/confirmation_exchange.h"
 #include "toucanwharf/gossip/fleet_loads.h"
 #include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/http/client.h"
@@ -70,6 +71,12 @@
   /// Sends a beacon to every instance, also of a large fleet. For a change that
   /// is rare and concerns all: whether this instance reaches endpoints.
   void AnnounceToFleet();
+  /// Applies what peers have confirmed so far to a configuration that has just
+  /// come into force, and asks for a confirmation if that is not enough.
+  void ConfirmConfiguration();
+  /// Requests a confirmation from some of the peers that can give one, if keys
+  /// are refused here without it. To be called every 100 ms.
+  void RequestConfirmations();
   /// Calls \p task with each report of a peer that an endpoint is
   /// unresponsive.
   void OnUnresponsiveEndpoint(
@@ -131,6 +138,17 @@
   /// Applies the peers' confirmations of the configuration and the list of
   /// endpoints.
   void ApplyConfirmations(TimePoint now);
+  /// Returns whether keys are refused here for want of a confirmation.
+  bool NeedsConfirmation(TimePoint now) const;
+  /// Requests a confirmation from instances that read the store as they start,
+  /// of the same failure domain if there are any.
+  void RequestFromReaders(
+      const std::vector<gossip::BackupLeaderCandidate>& candidates,
+      TimePoint now);
+  /// Answers the sender of \p beacon, which needs a confirmation, or requests
+  /// one from it.
+  void ExchangeConfirmation(const std::string& sender,
+                            const gossip::Beacon& beacon, TimePoint now);
   /// Logs that a beacon of \p size bytes could not be sent, if \p error is set.
   void LogSendFailure(const std::error_code& error, std::size_t size,
                       TimePoint now);
@@ -159,6 +177,7 @@
   std::function<void(const UnresponsiveReport&)> on_unresponsive;
   std::vector<gossip::EngineStatus> engine_statuses;
   gossip::BeaconSchedule schedule;
+  gossip::ConfirmationExchange confirmation_exchange;
   /// The endpoints that this instance advertises in this round, if it is a
   /// coordinator.
   gossip::KeyRanges ranges;
--- a/include/toucanwharf/instance/placement_lease.h
+++ b/include/toucanwharf/instance/placement_lease.h
@@ -34,7 +34,7 @@
         processor_share(settings.processor_share),
         callers_address(settings.callers_address),
         election_policy(settings.processor_share, event_loop.Now()),
-        lease(MakeLeaseSettings(shared_state.instance),
+        lease(MakeLeaseSettings(shared_state.instance, settings),
               HashText(shared_state.instance)) {}
 
   /// Returns whether this instance holds the lease at \p now.
@@ -114,10 +114,12 @@
   /// Per instance of a large fleet: all together make forty calls a second.
   static constexpr Duration kPausePerInstance = std::chrono::milliseconds(25);
 
-  static control::LeaseSettings MakeLeaseSettings(const std::string& holder) {
+  static control::LeaseSettings MakeLeaseSettings(
+      const std::string& holder, const InstanceSettings& instance) {
     control::LeaseSettings settings;
     settings.role = "placement";
     settings.holder = holder;
+    if (instance.mechanisms.quick_takeover) settings.node = instance.name;
     // The next layout of a cover replaces an engine that died, and must come
     // within seconds even if the leader died with the engine.
     settings.term = std::chrono::milliseconds(3000);
--- a/include/toucanwharf/routes/freshness.h
+++ b/include/toucanwharf/routes/freshness.h
@@ -32,6 +32,10 @@
   bool Holds(TimePoint now) const {
     return this->confirmed && now - *this->confirmed < this->valid_for;
   }
+  /// Returns whether a confirmation of \p age still allows keys to be admitted.
+  bool IsCurrent(Duration age) const { return age < this->valid_for; }
+  /// Returns how long a confirmation allows keys to be admitted.
+  Duration ValidFor() const { return this->valid_for; }
   /// Returns the age of the newest confirmation, or nothing without one.
   std::optional<Duration> Age(TimePoint now) const {
     if (!this->confirmed) return std::nullopt;
--- a/lib/control/lease.cc
+++ b/lib/control/lease.cc
@@ -18,8 +18,16 @@
 constexpr std::uint64_t kFencesPerEpoch = 1'000'000'000'000;
 
 std::string ToText(const LeaseValue& value) {
-  return nlohmann::json{{"holder", value.holder}, {"fence", value.fence}}
-      .dump();
+  nlohmann::json json{{"holder", value.holder}, {"fence", value.fence}};
+  if (!value.node.empty()) json["node"] = value.node;
+  return json.dump();
+}
+
+/// Returns the node in \p json, empty in a lease of a build that names none.
+std::string NodeIn(const nlohmann::json& json) {
+  const auto found = json.find("node");
+  const bool named = found != json.end() && found->is_string();
+  return named ? found->get<std::string>() : std::string();
 }
 
 /// Holder name for a lease object of an earlier term: the store's copy has it,
@@ -34,9 +42,9 @@
   const bool valid = json.is_object() && json.contains("holder") &&
                      json["holder"].is_string() && json.contains("fence") &&
                      json["fence"].is_number_unsigned();
-  if (!valid) return LeaseValue{kUnreadableHolder, fence_if_unreadable};
+  if (!valid) return LeaseValue{kUnreadableHolder, fence_if_unreadable, ""};
   return LeaseValue{json["holder"].get<std::string>(),
-                    json["fence"].get<std::uint64_t>()};
+                    json["fence"].get<std::uint64_t>(), NodeIn(json)};
 }
 
 }  // namespace
@@ -51,6 +59,12 @@
   return this->observed.holder == this->settings.holder;
 }
 
+bool Lease::HolderHasEnded() const {
+  const bool has_returned = this->epoch.value_or(0) != 0;
+  return !has_returned && !this->settings.node.empty() &&
+         this->observed.node == this->settings.node && !this->HoldsObject();
+}
+
 store::Write Lease::MakeWrite(const LeaseValue& value) const {
   const std::string token = this->settings.holder + "-" +
                             std::to_string(this->random_word) + "-" +
@@ -61,10 +75,11 @@
 
 std::optional<store::Write> Lease::NextWrite(TimePoint now) const {
   if (!this->object_was_read) return std::nullopt;
-  const LeaseValue own_value{this->settings.holder, this->observed.fence};
+  const LeaseValue own_value{this->settings.holder, this->observed.fence,
+                             this->settings.node};
   if (this->released) {
     if (!this->HoldsObject()) return std::nullopt;
-    return this->MakeWrite(LeaseValue{"", this->observed.fence});
+    return this->MakeWrite(LeaseValue{"", this->observed.fence, ""});
   }
   const bool must_wait = !this->MayAct(now) && now < this->takeover_at;
   if (must_wait) return std::nullopt;
@@ -81,11 +96,13 @@
     return this->MakeWrite(own_value);
   }
   const bool is_released = this->observed.holder.empty();
-  const bool expired = now - this->observed_at >= this->settings.term;
+  const bool expired =
+      now - this->observed_at >= this->settings.term || this->HolderHasEnded();
   // The holder's object was lost with the store's last changes.
   const bool resumes = in_earlier_epoch && this->MayAct(now);
   if (!is_released && !expired && !resumes && !outdated) return std::nullopt;
-  return this->MakeWrite(LeaseValue{own_value.holder, this->NextFence()});
+  return this->MakeWrite(
+      LeaseValue{own_value.holder, this->NextFence(), own_value.node});
 }
 
 std::uint64_t Lease::NextFence() const {
@@ -140,7 +157,7 @@
   if (object.version <= this->observed_version) return;
   LeaseValue value = FromText(object.value, this->observed.fence);
   if (value.fence < this->observed.fence) {
-    value = LeaseValue{kOutdatedHolder, this->observed.fence};
+    value = LeaseValue{kOutdatedHolder, this->observed.fence, ""};
   }
   this->observed = std::move(value);
   this->observed_version = object.version;
@@ -154,7 +171,7 @@
   const bool lost = this->observed_version.IsSet() &&
                     this->observed_version.epoch < answer_epoch;
   if (!lost) return;
-  this->observed = LeaseValue{"", this->observed.fence};
+  this->observed = LeaseValue{"", this->observed.fence, ""};
   this->observed_version = {};
 }
 
@@ -205,7 +222,7 @@
     return;
   }
   // The object was deleted. The fencing number must not start again.
-  this->observed = LeaseValue{"", this->observed.fence};
+  this->observed = LeaseValue{"", this->observed.fence, ""};
   this->observed_version = {};
 }
 
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -91,6 +91,7 @@
   const bool large = this->state.peers.IsLargeFleet(this->loop.Now());
   // The others answer a new process at once, and tell it what it can't read.
   if (!large) this->Announce();
+  if (large) this->RequestFromReaders(candidates, this->loop.Now());
   if (!large || !this->state.backup_leaders.empty()) return;
   this->SetBackupLeaders(
       gossip::ChooseBackupLeaders(std::move(candidates), ""));
@@ -326,13 +327,14 @@
   // A process that has just started waits for news. In a large fleet the leader
   // sends to all soon enough.
   const bool answers = is_new && !this->state.peers.IsLargeFleet(now);
-  if (answers) this->SendTo({sender}, Content::kOwn);
   this->stamps[sender] = Stamp{beacon->instance, beacon->stamp};
+  if (answers) this->SendTo({sender}, Content::kOwn);
   for (const std::string& address : beacon->peers) {
     if (address == this->settings.datagram_address) continue;
     this->state.peers.AddAddress(address, now);
   }
   this->ApplyBeacon(*beacon, now);
+  if (!answers) this->ExchangeConfirmation(sender, *beacon, now);
   this->snapshots.FetchNewer(*beacon);
 }
 
--- a/unittests/control/lease_test.cc
+++ b/unittests/control/lease_test.cc
@@ -153,6 +153,47 @@
   BOOST_TEST(actors[1].lease.MayAct(LocalNow(actors[1], now)));
 }
 
+// All processes of a fleet restart, and nobody leads for the whole term of the
+// holder that has ended.
+BOOST_AUTO_TEST_CASE(RoleOfAnEndedProcessIsTakenOverByItsNode) {
+  ObjectMap map;
+  TimePoint now{kSecond};
+  const auto make = [](const char* id, const char* node) {
+    LeaseSettings settings{"placement", id};
+    settings.node = node;
+    return Actor{Lease(settings, 7), Duration(0), {}};
+  };
+  Actor before = make("a1", "a");
+  Run(before, map, now, kSecond);
+  BOOST_REQUIRE(before.lease.MayAct(now));
+  Actor other = make("b2", "b");
+  Actor restarted = make("a2", "a");
+  Run(other, map, now, kSecond / 2);
+  BOOST_TEST(!other.lease.MayAct(now));
+  Run(restarted, map, now, kSecond / 2);
+  BOOST_TEST(restarted.lease.MayAct(now));
+  BOOST_TEST(restarted.lease.Fence() == before.lease.Fence() + 1);
+  Run(other, map, now, kSecond);
+  BOOST_TEST(!other.lease.MayAct(now));
+}
+
+// After the store's return from an older copy its object may name a process of
+// this node that another holder has followed: two would hold the role.
+BOOST_AUTO_TEST_CASE(EndedHolderInACopyIsNoReasonToTakeOver) {
+  ObjectMap map;
+  TimePoint now{kSecond};
+  LeaseSettings settings{"placement", "a1"};
+  settings.node = "a";
+  Actor before{Lease(settings, 7), Duration(0), {}};
+  Run(before, map, now, kSecond);
+  map.KeepCopy();
+  map.ReturnFromCopy();
+  settings.holder = "a2";
+  Actor restarted{Lease(settings, 8), Duration(0), {}};
+  Run(restarted, map, now, kSecond);
+  BOOST_TEST(!restarted.lease.MayAct(now));
+}
+
 // The lease object is deleted. The next holder's number still rises, so that an
 // order of the previous holder stays recognisable as old.
 // Guards against a holder that released the role for a while and never holds it
