Entry advice: instances that are about to be ready are named, for half a second

Cause: while all instances of a large fleet restart, callers are told only who is ready by then, keep that for two seconds, and connect to a few. Change: without the leader's list, peers that have started less than a second ago are named as well (their requests wait for the start to complete), most of the fleet being young the advice counts for 0.5 s, and of more than 64 instances larger ones are drawn more often. In small fleets, and once the leader's list is there, nothing changes.

--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -119,6 +119,10 @@
   /// Per instance: all together register forty times a second.
   static constexpr Duration kRegistrationSpread = std::chrono::milliseconds(25);
   static constexpr Duration kAdviceLifetime = std::chrono::seconds(2);
+  /// While a fleet starts, most instances become ready within this time.
+  static constexpr Duration kAdviceLifetimeInStart =
+      std::chrono::milliseconds(500);
+  /// Callers read this many addresses.
   static constexpr std::size_t kMaxAdvisedInstances = 64;
   static constexpr std::uint32_t kForwardingHeaderBytes = 1024;
   static constexpr const char* kMetricsPath = "/metrics";
@@ -178,7 +182,10 @@
       const auto addresses = this->Advice(now);
       if (addresses.empty()) head.status = http::kUnavailable;
       head.headers.Add("Content-Type", "application/json");
-      exchange.Respond(head, A::EntryResponse(addresses, kAdviceLifetime));
+      const Duration lifetime = this->state.AdviceExpiresSoon(now)
+                                    ? kAdviceLifetimeInStart
+                                    : kAdviceLifetime;
+      exchange.Respond(head, A::EntryResponse(addresses, lifetime));
       return;
     }
     if (target == kMetricsPath) {
@@ -193,17 +200,21 @@
   }
 
   /// Returns addresses that callers may connect to: the instances that are
-  /// ready, as reported by the leader or by themselves.
+  /// ready, as reported by the leader or by themselves, and those that will be
+  /// in a moment.
   std::vector<std::string> Advice(TimePoint now) {
-    std::vector<std::string> addresses = this->state.ReadyPeers(
+    std::vector<gossip::AdvisedInstance> advised = this->state.AdvisedPeers(
         now, this->settings.callers_address, this->settings.datagram_address);
     if (this->state.Ready(now)) {
-      addresses.push_back(this->settings.callers_address);
+      advised.push_back(
+          {this->settings.callers_address, this->settings.processor_share});
     }
-    // Callers read this many; each instance omits different ones.
-    std::shuffle(addresses.begin(), addresses.end(), this->random);
-    addresses.resize(std::min(addresses.size(), kMaxAdvisedInstances));
-    return addresses;
+    // Callers keep what they are told later for longer, and spread evenly.
+    if (!this->state.AdviceExpiresSoon(now)) {
+      for (auto& instance : advised) instance.processor_share = 0;
+    }
+    return gossip::DrawAdvised(std::move(advised), kMaxAdvisedInstances,
+                               this->random);
   }
 
   void OnChange() {
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -10,6 +10,7 @@
 #include "toucanwharf/endpoints/life_proofs.h"
 #include "toucanwharf/endpoints/load_tracker.h"
 #include "toucanwharf/endpoints/reachability.h"
+#include "toucanwharf/gossip/entry_advice.h"
 #include "toucanwharf/gossip/forward_choice.h"
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/ready_instance_list.h"
@@ -85,11 +86,15 @@
   bool CanAdmitRequests(TimePoint now) const;
   /// Returns whether callers may be directed to this instance.
   bool Ready(TimePoint now) const;
-  /// Returns the addresses where callers may connect to other instances. Ports
-  /// are the same on all instances; \p callers and \p datagrams are this
+  /// Returns the instances, other than this one, where callers may connect.
+  /// Ports are the same on all instances; \p callers and \p datagrams are this
   /// instance's addresses.
-  std::vector<std::string> ReadyPeers(TimePoint now, const std::string& callers,
-                                      const std::string& datagrams) const;
+  std::vector<gossip::AdvisedInstance> AdvisedPeers(
+      TimePoint now, const std::string& callers,
+      const std::string& datagrams) const;
+  /// Returns whether callers should soon ask anew where to connect, because
+  /// most known instances have started lately and more will be ready soon.
+  bool AdviceExpiresSoon(TimePoint now) const;
   /// Returns the peers that requests can be forwarded to: those that were heard
   /// of lately and reach endpoints. One with an older configuration refuses.
   std::vector<gossip::ForwardCandidate> ForwardCandidates(TimePoint now) const;
@@ -143,6 +148,8 @@
   bool strict_revocation;
   /// See Mechanisms::withdrawal.
   bool withdraws_when_isolated;
+  /// See Mechanisms::early_advice.
+  bool advises_starting_peers;
   std::string failure_domain;
 };
 
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -39,6 +39,7 @@
       peers(this->instance),
       strict_revocation(settings.bounds.strict_revocation),
       withdraws_when_isolated(settings.mechanisms.withdrawal),
+      advises_starting_peers(settings.mechanisms.early_advice),
       failure_domain(settings.failure_domain) {}
 
 void InstanceState::OnStoreEpoch(std::uint64_t epoch, TimePoint now) {
@@ -62,17 +63,22 @@
          this->MayAcceptKeys(now);
 }
 
-std::vector<std::string> InstanceState::ReadyPeers(
+std::vector<gossip::AdvisedInstance> InstanceState::AdvisedPeers(
     TimePoint now, const std::string& callers,
     const std::string& datagrams) const {
-  std::vector<std::string> addresses;
+  std::vector<gossip::AdvisedInstance> advised;
+  const bool with_starting =
+      this->advises_starting_peers && this->peers.IsLargeFleet(now);
   if (this->leads || !this->ready_list.IsCurrent(now)) {
     for (const gossip::Peer* peer : this->peers.AllLive(now)) {
+      const gossip::Beacon& beacon = peer->beacon;
       const bool recent = now - peer->last_beacon_at <= kAdvisedAfterBeacon;
-      if (!recent || !peer->beacon.ready) continue;
-      addresses.push_back(peer->beacon.callers_address);
+      const bool serves =
+          beacon.ready || (with_starting && gossip::IsStarting(*peer, now));
+      if (!recent || !serves) continue;
+      advised.push_back({beacon.callers_address, beacon.processor_share});
     }
-    return addresses;
+    return advised;
   }
   const auto own_number = gossip::IpNumber(callers);
   for (const std::uint32_t number : this->ready_list.Ready()) {
@@ -85,9 +91,16 @@
         peer != nullptr && !peer->beacon.ready &&
         now - peer->last_beacon_at <= gossip::ReadyInstanceList::kMaxAge;
     if (reports_not_ready) continue;
-    addresses.push_back(gossip::AddressOf(number, gossip::PortOf(callers)));
+    advised.push_back({gossip::AddressOf(number, gossip::PortOf(callers)),
+                       peer == nullptr ? 0 : peer->beacon.processor_share});
   }
-  return addresses;
+  return advised;
+}
+
+bool InstanceState::AdviceExpiresSoon(TimePoint now) const {
+  return this->advises_starting_peers && this->peers.IsLargeFleet(now) &&
+         !this->ready_list.IsCurrent(now) &&
+         gossip::MostAreStarting(this->peers.AllLive(now), now);
 }
 
 std::vector<gossip::ForwardCandidate> InstanceState::ForwardCandidates(
