One order of waiting: rank, lateness, customer, limit; the least urgent are refused first

Change: admission::ClaimQueue in place of attempts::CapacityQueue. Rank first, then those that can still be on time, then fair between customers (FairQueue), then the earliest limit. A rank with waiters gets 1 in 50 of what is served beside it. The first one blocks smaller work for 100 ms. Who came back waits while a late answer is of use; others past their objective wait on only while the queue drains. The drain rate counts only after five requests. Logs: queued; rank, customer, tokens, waited_ms of finished and refused. Result: unit tests play too little room for 3 s for three ranks (the upper two lose nothing), a lasting overload, one heavy customer, a blocked long answer, and a property over mixes.

--- /dev/null
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -0,0 +1,157 @@
+#ifndef TOUCANWHARF_ADMISSION_CLAIM_QUEUE_H_
+#define TOUCANWHARF_ADMISSION_CLAIM_QUEUE_H_
+
+#include <array>
+#include <concepts>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "toucanwharf/admission/claim.h"
+#include "toucanwharf/admission/queue.h"
+#include "toucanwharf/support/clock.h"
+
+namespace toucanwharf::admission {
+
+/// A request that waits for capacity.
+struct QueuedClaim {
+  /// Unique in its queue.
+  std::string id;
+  Claim claim;
+
+  friend bool operator==(const QueuedClaim&, const QueuedClaim&) = default;
+};
+
+/// What waits of one rank.
+struct RankBacklog {
+  std::size_t requests = 0;
+  /// Prompt and output tokens.
+  double tokens = 0;
+
+  friend bool operator==(const RankBacklog&, const RankBacklog&) = default;
+};
+
+/// Thresholds of ClaimQueue.
+struct ClaimQueueSettings {
+  /// The first event takes about as long after the send.
+  Duration first_event_reserve = std::chrono::milliseconds(200);
+  /// Part of what is served beside more urgent ranks that a rank with waiters
+  /// gets at least.
+  double min_share = 0.02;
+  /// The first in the order keeps smaller work from passing it for this long: a
+  /// long answer would otherwise never be placed.
+  Duration max_blocking = std::chrono::milliseconds(100);
+  /// The drain rate counts as known after this many requests since the queue
+  /// was last empty: that of fewer is chance.
+  int min_served = 5;
+  /// Whether rank, customer and time limit count; otherwise the order is that
+  /// of arrival.
+  bool ordered = true;
+
+  friend bool operator==(const ClaimQueueSettings&,
+                         const ClaimQueueSettings&) = default;
+};
+
+/// Requests that wait for capacity of one service: the most urgent rank first;
+/// within it those that can still be on time, then the others; among them fair
+/// between customers, and the earliest limit first.
+///
+/// Load: for some seconds more requests arrive than can be served. In order of
+/// arrival the kind that may wait longest gets the capacity, whatever its rank,
+/// and a customer with many requests takes the place of all others.
+/// Thread safety: none; for one thread.
+class ClaimQueue {
+ public:
+  explicit ClaimQueue(const ClaimQueueSettings& chosen = {})
+      : settings(chosen) {}
+
+  /// Adds \p entry. Precondition: its id isn't in the queue.
+  void Push(TimePoint now, const QueuedClaim& entry);
+  /// Moves requests that can't be on time any more behind those that can. To be
+  /// called before a round of Front.
+  void Advance(TimePoint now);
+  /// Returns the next request to serve among the ranks for which \p may_claim
+  /// is true, or nothing.
+  template <std::predicate<int> MayClaim>
+  std::optional<QueuedClaim> Front(const MayClaim& may_claim) const {
+    std::optional<QueuedClaim> first;
+    for (const auto& [rank, order] : this->ranks) {
+      if (!may_claim(rank)) continue;
+      const auto head = this->HeadOf(order);
+      if (!head) continue;
+      if (!first) {
+        first = head;
+        continue;
+      }
+      // A rank that has waited for its part goes before more urgent ones.
+      if (order.owed >= head->claim.Cost()) return head;
+    }
+    return first;
+  }
+  /// Records that there is no capacity for the first request \p id, and returns
+  /// a smaller one to try instead if it has been first for long enough.
+  std::optional<QueuedClaim> OnBlocked(TimePoint now, const std::string& id);
+  /// Removes request \p id as served. Precondition: it is in the queue.
+  void Take(TimePoint now, const std::string& id);
+  /// Removes request \p id without a charge. Returns whether it was queued.
+  bool Drop(TimePoint now, const std::string& id);
+  /// Removes and returns the requests that can't be served any more while that
+  /// is of use to their callers, the least urgent first.
+  std::vector<QueuedClaim> TakeUnservable(TimePoint now);
+
+  /// Returns the expected wait of \p claim: what goes before it at the rate at
+  /// which the queue drains. Nothing while that isn't known.
+  std::optional<Duration> ExpectedWait(TimePoint now, const Claim& claim) const;
+  /// Returns the number of queued requests that go before \p claim.
+  std::size_t CountAhead(const Claim& claim) const;
+  /// Returns what waits, by rank.
+  std::array<RankBacklog, kRanks> Backlog() const;
+  /// Returns the drain rate in tokens of cost per second; 0 if unknown.
+  double DrainRate(TimePoint now) const {
+    const bool known = this->drain.HasRate() &&
+                       this->served_in_sequence >= this->settings.min_served;
+    return known ? this->drain.Rate(now) : 0;
+  }
+
+  bool empty() const { return this->entries.empty(); }
+  std::size_t size() const { return this->entries.size(); }
+
+ private:
+  struct Entry {
+    Claim claim;
+    bool late = false;
+  };
+  /// The requests of one rank.
+  struct Rank {
+    FairQueue on_time;
+    FairQueue late;
+    /// Cost that more urgent ranks were served beside it, times its least part,
+    /// less what it was served.
+    double owed = 0;
+  };
+
+  std::optional<QueuedClaim> HeadOf(const Rank& order) const;
+  FairQueue& QueueOf(const Entry& entry);
+  static Ticket MakeTicket(FairQueue& queue, const std::string& id,
+                           const Entry& entry, bool ordered);
+  /// Returns whether \p other goes before \p claim.
+  bool GoesBefore(const Claim& other, const Claim& claim) const;
+  bool CanBeOnTime(const Claim& claim, TimePoint now) const;
+  bool IsUnservable(const Claim& claim, TimePoint now) const;
+  void Remove(TimePoint now, const std::string& id);
+
+  ClaimQueueSettings settings;
+  std::map<std::string, Entry> entries;
+  std::map<int, Rank> ranks;
+  DrainMeter drain;
+  /// Requests served since the queue was last empty.
+  int served_in_sequence = 0;
+  std::string blocked;
+  TimePoint blocked_since;
+};
+
+}  // namespace toucanwharf::admission
+
+#endif  // TOUCANWHARF_ADMISSION_CLAIM_QUEUE_H_
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
+#include "toucanwharf/admission/claim_queue.h"
 #include "toucanwharf/admission/usual_time.h"
 #include "toucanwharf/attempts/arrival_budget.h"
-#include "toucanwharf/attempts/capacity_queue.h"
 #include "toucanwharf/attempts/probe_backoff.h"
 #include "toucanwharf/attempts/startup_wait.h"
 #include "toucanwharf/endpoints/liveness_evidence.h"
@@ -177,6 +177,12 @@
     std::size_t bytes = 0;
   };
 
+  /// The requests that wait for capacity of one service.
+  struct ServiceQueue {
+    admission::ClaimQueue order;
+    std::map<std::string, std::shared_ptr<ProxiedRequest>> requests;
+  };
+
   /// The endpoint that a request was sent to.
   struct AskedEndpoint {
     std::string id;
@@ -237,10 +243,20 @@
   /// that of \p except.
   std::vector<endpoints::LivenessEvidence> EvidenceExcept(
       const ProxiedRequest& except) const;
+  /// Returns whether requests wait for \p service that go before \p claim.
+  bool HasQueueAhead(const std::string& service,
+                     const admission::Claim& claim) const;
   /// Queues \p request for \p service until there is capacity for its answer.
   void Enqueue(const std::string& service,
                std::shared_ptr<ProxiedRequest> request);
-  void ServeQueue();
+  void ServeQueues();
+  void ServeQueue(ServiceQueue& service);
+  /// Lets \p id leave the queue if there is capacity for it. Returns whether it
+  /// left.
+  bool TryToServe(ServiceQueue& service, const std::string& id);
+  /// Refuses the requests that waiting can't help any more.
+  void RefuseUnservable(ServiceQueue& service);
+  void ScheduleQueues();
 
   /// Records that a run of \p request broke and finds out whether its endpoint
   /// has ended.
@@ -316,7 +332,9 @@
   std::set<ProxiedRequest*> active;
   attempts::StartupWait startup_wait;
   std::vector<EarlyRequest> early_requests;
-  attempts::CapacityQueue<std::shared_ptr<ProxiedRequest>> queue;
+  /// By service; none is empty between two rounds.
+  std::map<std::string, ServiceQueue> queues;
+  std::uint64_t queued_ids = 0;
   http::TimerId queue_timer = 0;
 };
 
--- /dev/null
+++ b/lib/admission/claim_queue.cc
@@ -0,0 +1,205 @@
+#include "toucanwharf/admission/claim_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace toucanwharf::admission {
+namespace {
+
+/// Requests that passed the first one must be this much smaller, or they would
+/// take the capacity that it waits for.
+constexpr double kSmallerShare = 0.5;
+/// Least part that a rank may save up, in tokens of cost: some common answers.
+constexpr double kMaxOwed = 1000;
+/// Upper bound of any expected wait.
+constexpr double kMaxExpectedSeconds = 3600;
+
+double TokensOf(const Claim& claim) {
+  return claim.prompt_tokens + claim.output_tokens;
+}
+
+}  // namespace
+
+bool ClaimQueue::CanBeOnTime(const Claim& claim, TimePoint now) const {
+  return now <= claim.on_time_until - this->settings.first_event_reserve;
+}
+
+FairQueue& ClaimQueue::QueueOf(const Entry& entry) {
+  Rank& rank = this->ranks[this->settings.ordered ? entry.claim.rank : 0];
+  return entry.late ? rank.late : rank.on_time;
+}
+
+Ticket ClaimQueue::MakeTicket(FairQueue& queue, const std::string& id,
+                              const Entry& entry, bool ordered) {
+  const Claim& claim = entry.claim;
+  Ticket ticket;
+  ticket.id = id;
+  ticket.customer = queue.SharesOf().NumberOf(ordered ? claim.customer : "");
+  // Equal costs keep long and short work in one order.
+  ticket.cost = ordered ? claim.Cost() : 1;
+  ticket.arrived = claim.arrived;
+  ticket.deadline = entry.late ? claim.useful_until : claim.on_time_until;
+  // A second refusal costs a caller more than a first one.
+  const bool goes_first = entry.late && claim.returned;
+  if (goes_first || !ordered) ticket.deadline = claim.arrived;
+  return ticket;
+}
+
+void ClaimQueue::Push(TimePoint now, const QueuedClaim& queued) {
+  assert(!this->entries.contains(queued.id) && "request is already queued");
+  Entry entry{queued.claim, false};
+  entry.claim.rank = std::clamp(entry.claim.rank, 0, kRanks - 1);
+  entry.late = this->settings.ordered && !this->CanBeOnTime(entry.claim, now);
+  FairQueue& queue = this->QueueOf(entry);
+  queue.Push(now, MakeTicket(queue, queued.id, entry, this->settings.ordered));
+  this->entries.emplace(queued.id, std::move(entry));
+  this->drain.SetWaiting(now, true);
+}
+
+void ClaimQueue::Advance(TimePoint now) {
+  if (!this->settings.ordered) return;
+  for (auto& [id, entry] : this->entries) {
+    if (entry.late || this->CanBeOnTime(entry.claim, now)) continue;
+    this->QueueOf(entry).Drop(now, id);
+    entry.late = true;
+    FairQueue& queue = this->QueueOf(entry);
+    queue.Push(now, MakeTicket(queue, id, entry, true));
+  }
+}
+
+std::optional<QueuedClaim> ClaimQueue::HeadOf(const Rank& order) const {
+  const Ticket* head = order.on_time.Front();
+  if (head == nullptr) head = order.late.Front();
+  if (head == nullptr) return std::nullopt;
+  return QueuedClaim{head->id, this->entries.at(head->id).claim};
+}
+
+std::optional<QueuedClaim> ClaimQueue::OnBlocked(TimePoint now,
+                                                 const std::string& id) {
+  if (this->blocked != id) {
+    this->blocked = id;
+    this->blocked_since = now;
+  }
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end() || !this->settings.ordered) {
+    return std::nullopt;
+  }
+  if (now - this->blocked_since < this->settings.max_blocking) {
+    return std::nullopt;
+  }
+  const Claim& first = found->second.claim;
+  std::optional<QueuedClaim> best;
+  for (const auto& [other, entry] : this->entries) {
+    const bool smaller =
+        TokensOf(entry.claim) < kSmallerShare * TokensOf(first);
+    if (!smaller) continue;
+    if (best && !this->GoesBefore(entry.claim, best->claim)) continue;
+    best = QueuedClaim{other, entry.claim};
+  }
+  return best;
+}
+
+void ClaimQueue::Take(TimePoint now, const std::string& id) {
+  const auto found = this->entries.find(id);
+  assert(found != this->entries.end() && "request is not queued");
+  const double cost = found->second.claim.Cost();
+  const int rank = this->settings.ordered ? found->second.claim.rank : 0;
+  this->QueueOf(found->second).Take(now, id);
+  for (auto& [other, order] : this->ranks) {
+    if (other == rank) order.owed = std::max(0.0, order.owed - cost);
+    const bool waits = order.on_time.size() + order.late.size() > 0;
+    if (other > rank && waits) {
+      order.owed =
+          std::min(kMaxOwed, order.owed + cost * this->settings.min_share);
+    }
+  }
+  this->drain.RecordTaken(now, cost);
+  ++this->served_in_sequence;
+  this->Remove(now, id);
+}
+
+bool ClaimQueue::Drop(TimePoint now, const std::string& id) {
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end()) return false;
+  this->QueueOf(found->second).Drop(now, id);
+  this->Remove(now, id);
+  return true;
+}
+
+void ClaimQueue::Remove(TimePoint now, const std::string& id) {
+  this->entries.erase(id);
+  this->drain.SetWaiting(now, !this->entries.empty());
+  if (this->entries.empty()) this->served_in_sequence = 0;
+}
+
+bool ClaimQueue::GoesBefore(const Claim& other, const Claim& claim) const {
+  if (!this->settings.ordered) return other.arrived < claim.arrived;
+  if (other.rank != claim.rank) return other.rank < claim.rank;
+  return other.on_time_until < claim.on_time_until;
+}
+
+std::size_t ClaimQueue::CountAhead(const Claim& claim) const {
+  const auto ahead = std::count_if(
+      this->entries.begin(), this->entries.end(), [&](const auto& entry) {
+        return this->GoesBefore(entry.second.claim, claim);
+      });
+  return static_cast<std::size_t>(ahead);
+}
+
+std::optional<Duration> ClaimQueue::ExpectedWait(TimePoint now,
+                                                 const Claim& claim) const {
+  double ahead = 0;
+  double ahead_in_rank = 0;
+  for (const auto& [id, entry] : this->entries) {
+    if (!this->GoesBefore(entry.claim, claim)) continue;
+    ahead += entry.claim.Cost();
+    if (entry.claim.rank == claim.rank) ahead_in_rank += entry.claim.Cost();
+  }
+  if (ahead == 0) return Duration(0);
+  const double rate = this->DrainRate(now);
+  // A queue that hasn't moved yet says nothing about when it will.
+  if (rate <= 0) return std::nullopt;
+  // At the latest the rank's least part suffices.
+  const double by_least_part =
+      (ahead_in_rank + claim.Cost()) / (rate * this->settings.min_share);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      std::min({ahead / rate, by_least_part, kMaxExpectedSeconds})));
+}
+
+bool ClaimQueue::IsUnservable(const Claim& claim, TimePoint now) const {
+  const Duration reserve = this->settings.first_event_reserve;
+  const TimePoint last = claim.useful_until - reserve;
+  if (now >= last) return true;
+  const auto expected = this->ExpectedWait(now, claim);
+  if (expected && now + *expected >= last) return true;
+  // A second refusal is the exception: who came back waits while it may help.
+  if (this->CanBeOnTime(claim, now) || claim.returned) return false;
+  const bool is_draining = this->DrainRate(now) > 0;
+  return !this->settings.ordered || !is_draining;
+}
+
+std::vector<QueuedClaim> ClaimQueue::TakeUnservable(TimePoint now) {
+  std::vector<QueuedClaim> unservable;
+  for (const auto& [id, entry] : this->entries) {
+    if (!this->IsUnservable(entry.claim, now)) continue;
+    unservable.push_back({id, entry.claim});
+  }
+  std::sort(unservable.begin(), unservable.end(),
+            [this](const QueuedClaim& left, const QueuedClaim& right) {
+              return this->GoesBefore(right.claim, left.claim);
+            });
+  for (const QueuedClaim& queued : unservable) this->Drop(now, queued.id);
+  return unservable;
+}
+
+std::array<RankBacklog, kRanks> ClaimQueue::Backlog() const {
+  std::array<RankBacklog, kRanks> backlog;
+  for (const auto& [id, entry] : this->entries) {
+    RankBacklog& rank = backlog.at(static_cast<std::size_t>(entry.claim.rank));
+    ++rank.requests;
+    rank.tokens += TokensOf(entry.claim);
+  }
+  return backlog;
+}
+
+}  // namespace toucanwharf::admission
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -24,9 +24,6 @@
 constexpr Duration kEarlyPollPeriod = std::chrono::milliseconds(10);
 /// Approximate memory of a waiting request besides its body.
 constexpr std::size_t kHeadBytes = 1024;
-/// Between checks of the queue. A hundred answers end each second, so that
-/// capacity is freed every ten milliseconds on average.
-constexpr Duration kQueuePollPeriod = std::chrono::milliseconds(20);
 
 std::string_view KeyOf(std::string_view authorization,
                        std::string_view scheme) {
@@ -183,25 +180,6 @@
       ->Start();
 }
 
-void Gateway::Enqueue(const std::string& service,
-                      std::shared_ptr<ProxiedRequest> request) {
-  ++this->counters.queued;
-  this->queue.Push(service, std::move(request));
-  if (this->queue_timer != 0) return;
-  this->queue_timer =
-      this->loop.After(kQueuePollPeriod, [this] { this->ServeQueue(); });
-}
-
-void Gateway::ServeQueue() {
-  this->queue_timer = 0;
-  this->queue.Serve([](const std::shared_ptr<ProxiedRequest>& request) {
-    return request->LeaveQueue();
-  });
-  if (this->queue.Empty() || this->queue_timer != 0) return;
-  this->queue_timer =
-      this->loop.After(kQueuePollPeriod, [this] { this->ServeQueue(); });
-}
-
 void Gateway::Refuse(http::Exchange& exchange, int status, Duration retry_after,
                      std::string_view reason, const Fields& more) {
   http::ResponseHead head;
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -104,33 +104,63 @@
       !this->gateway.settings.mechanisms.capacity_queue) {
     return false;
   }
-  const TimePoint until = this->admitted.arrived +
-                          this->admitted.route->objective - kReservedAfterQueue;
-  // What can't be served in time is refused at once.
+  return !this->LimitsOutlastWait();
+}
+
+TimePoint ProxiedRequest::LastQueueTime() const {
+  // A second refusal is worth less to a caller than a late answer.
+  const TimePoint limit = this->claim.returned ? this->claim.useful_until
+                                               : this->claim.on_time_until;
+  return limit - kReservedAfterQueue;
+}
+
+bool ProxiedRequest::LimitsOutlastWait() const {
   const bool all_wait = this->limit_wait && !this->found_unlimited;
   const Duration needed = all_wait ? *this->limit_wait : Duration(0);
-  return this->gateway.loop.Now() + needed < until;
+  return this->gateway.loop.Now() + needed >= this->LastQueueTime();
 }
 
-bool ProxiedRequest::LeaveQueue() {
-  if (this->finished) return true;
-  if (this->RefuseQuarantined()) return true;
+ProxiedRequest::QueueStep ProxiedRequest::LeaveQueue() {
+  if (this->finished) return QueueStep::kEnded;
+  if (this->RefuseQuarantined()) return QueueStep::kEnded;
   const auto chosen = this->ChooseTarget();
   if (chosen) {
+    this->waited = this->gateway.loop.Now() - *this->queued_at;
     this->Send(*chosen);
-    return true;
+    return QueueStep::kSent;
   }
-  if (this->MayQueue()) return false;
-  this->Refuse("no_room_in_time");
-  return true;
+  const bool all_limited = this->limit_wait && !this->found_unlimited;
+  const bool waits_for_capacity =
+      this->no_path_reason == placement::NoPathReason::kNoCapacity &&
+      !(all_limited && this->LimitsOutlastWait());
+  if (waits_for_capacity) return QueueStep::kWait;
+  this->RefuseQueued();
+  return QueueStep::kEnded;
+}
+
+void ProxiedRequest::RefuseQueued() {
+  if (this->finished) return;
+  this->waited = this->gateway.loop.Now() - *this->queued_at;
+  const bool no_capacity =
+      this->no_path_reason == placement::NoPathReason::kNoCapacity;
+  this->Refuse(no_capacity ? "no_room_in_time" : this->ReasonWithoutTarget());
+}
+
+void ProxiedRequest::LogQueued(std::size_t ahead,
+                               const std::optional<Duration>& expected) {
+  this->queued_at = this->gateway.loop.Now();
+  Fields fields;
+  fields.Count("rank", this->claim.rank)
+      .Count("ahead", static_cast<std::int64_t>(ahead));
+  if (expected) fields.Millis("expected_wait_ms", *expected);
+  this->Log(Level::kRoutine, "queued", fields);
 }
 
 void ProxiedRequest::StartAttempt() {
-  // Requests for a service are served in order of arrival.
+  // Requests that go before this one are served first.
   const std::string& service = this->admitted.service->name;
-  const bool must_queue = this->IsModel() &&
-                          this->gateway.queue.Waits(service) &&
-                          !this->MustForward();
+  const bool must_queue = this->IsModel() && !this->MustForward() &&
+                          this->gateway.HasQueueAhead(service, this->claim);
   const auto chosen = must_queue ? std::nullopt : this->ChooseTarget();
   if (must_queue) this->no_path_reason = placement::NoPathReason::kNoCapacity;
   if (!chosen && this->MayQueue()) {
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -80,9 +80,23 @@
   ProxiedRequest& operator=(const ProxiedRequest&) = delete;
 
   void Start();
-  /// Checks for capacity again. Returns whether this request leaves the queue:
-  /// it was sent, was refused, or its caller has disconnected.
-  bool LeaveQueue();
+  /// What becomes of a request that waits for capacity.
+  enum class QueueStep {
+    kWait,
+    kSent,
+    /// It was refused, or its caller has disconnected.
+    kEnded,
+  };
+
+  /// Checks for capacity again, and sends the request if there is some.
+  QueueStep LeaveQueue();
+  /// Refuses the request, which waiting can't help any more.
+  void RefuseQueued();
+  bool IsFinished() const { return this->finished; }
+  const admission::Claim& ClaimOf() const { return this->claim; }
+  /// Logs that the request begins to wait behind \p ahead others, and for how
+  /// long if known.
+  void LogQueued(std::size_t ahead, const std::optional<Duration>& expected);
   /// Checks immediately whether the unresponsive \p endpoint has stalled this
   /// answer.
   void OnEngineUnresponsive(const std::string& endpoint);
@@ -174,6 +188,12 @@
   void TakeNextStep(attempts::AttemptOutcome outcome, std::string_view reason);
 
   bool MayQueue() const;
+  /// Returns until when the request waits for capacity while nothing is known
+  /// of when there will be some.
+  TimePoint LastQueueTime() const;
+  /// Returns whether the request may be sent only after that, by the limits of
+  /// all endpoints that could take it.
+  bool LimitsOutlastWait() const;
   /// Returns why a request without any target is refused.
   std::string_view ReasonWithoutTarget() const;
   void WatchStall(Duration delay);
@@ -264,6 +284,10 @@
   std::string request_id;
   /// What the request asks of free capacity.
   admission::Claim claim;
+  /// When the request began to wait for capacity, if it does or did.
+  std::optional<TimePoint> queued_at;
+  /// How long it waited.
+  Duration waited{0};
 
   attempts::AttemptCounts attempt_counts;
   std::set<std::string> excluded;
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -74,7 +74,10 @@
       *this->exchange, http::kUnavailable, this->RetryAfter(), reason,
       Fields()
           .Count("endpoints", this->candidates.ready)
-          .Count("endpoints_suspected", this->candidates.suspected));
+          .Count("endpoints_suspected", this->candidates.suspected)
+          .Count("rank", this->claim.rank)
+          .Count("returned", this->claim.returned ? 1 : 0)
+          .Millis("waited_ms", this->waited));
   this->Finish("refused", http::kUnavailable);
 }
 
@@ -111,22 +114,28 @@
   this->gateway.loop.Cancel(this->stall_timer);
   this->exchange->OnDisconnect(nullptr);
   const Level level = outcome == "answered" ? Level::kRoutine : Level::kNotable;
-  this->Log(level, "finished",
-            Fields()
-                .Text("outcome", outcome)
-                .Count("status", status)
-                .Count("tries", this->attempt_counts.total)
-                .Text("endpoint", this->target.endpoint)
-                .Count("stages",
-                       static_cast<std::int64_t>(this->target.stages.size()))
-                .Count("pieces", this->chunks_written)
-                .Millis("first_event_ms", this->first_event_after)
-                .Millis("longest_pause_ms", this->detector.LongestPause())
-                .Count("expected_token_us",
-                       static_cast<std::int64_t>(this->target.token_millis *
-                                                 kMicrosPerMilli))
-                .Millis("took_ms",
-                        this->gateway.loop.Now() - this->admitted.arrived));
+  this->Log(
+      level, "finished",
+      Fields()
+          .Text("outcome", outcome)
+          .Count("status", status)
+          .Count("tries", this->attempt_counts.total)
+          .Text("endpoint", this->target.endpoint)
+          .Count("stages",
+                 static_cast<std::int64_t>(this->target.stages.size()))
+          .Count("pieces", this->chunks_written)
+          .Millis("first_event_ms", this->first_event_after)
+          .Millis("longest_pause_ms", this->detector.LongestPause())
+          .Count("expected_token_us",
+                 static_cast<std::int64_t>(this->target.token_millis *
+                                           kMicrosPerMilli))
+          .Count("rank", this->claim.rank)
+          .Text("customer", this->claim.customer)
+          .Count("tokens", static_cast<std::int64_t>(this->claim.prompt_tokens +
+                                                     this->claim.output_tokens))
+          .Millis("waited_ms", this->waited)
+          .Millis("took_ms",
+                  this->gateway.loop.Now() - this->admitted.arrived));
 }
 
 void ProxiedRequest::CancelCall() {
--- /dev/null
+++ b/unittests/admission/claim_queue_test.cc
@@ -0,0 +1,209 @@
+#include "toucanwharf/admission/claim_queue.h"
+
+#include <rapidcheck/boost_test.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+namespace toucanwharf::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kAnyRank = [](int) { return true; };
+
+TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
+
+QueuedClaim MakeClaim(const std::string& id, int rank, int arrived,
+                      const std::string& customer = "c", double tokens = 1000) {
+  Claim claim;
+  claim.rank = rank;
+  claim.customer = customer;
+  claim.prompt_tokens = tokens / 2;
+  claim.output_tokens = tokens / 2;
+  claim.arrived = At(arrived);
+  claim.on_time_until = At(arrived + 500);
+  claim.useful_until = At(arrived + 2000);
+  return {id, claim};
+}
+
+/// What became of the requests of one rank or customer.
+struct Outcome {
+  int served = 0;
+  int on_time = 0;
+  int refused = 0;
+};
+
+/// Serves a queue at a fixed number of requests a second and counts outcomes.
+class Server {
+ public:
+  Server(ClaimQueue& claims, int millis_per_request)
+      : queue(claims), period(millis_per_request) {}
+
+  void Step(int now) {
+    this->queue.Advance(At(now));
+    if (now % this->period == 0) this->ServeOne(now);
+    for (const QueuedClaim& refused : this->queue.TakeUnservable(At(now))) {
+      ++this->by_rank[refused.claim.rank].refused;
+      ++this->by_customer[refused.claim.customer].refused;
+    }
+  }
+
+  std::map<int, Outcome> by_rank;
+  std::map<std::string, Outcome> by_customer;
+
+ private:
+  void ServeOne(int now) {
+    const auto next = this->queue.Front(kAnyRank);
+    if (!next) return;
+    this->queue.Take(At(now), next->id);
+    const bool on_time = At(now) < next->claim.on_time_until;
+    for (Outcome* outcome : {&this->by_rank[next->claim.rank],
+                             &this->by_customer[next->claim.customer]}) {
+      ++outcome->served;
+      if (on_time) ++outcome->on_time;
+    }
+  }
+
+  ClaimQueue& queue;
+  int period;
+};
+
+// For 3 s there is capacity for 100 of 200 requests a second: in order of
+// arrival each rank would lose half, the most urgent one too.
+BOOST_AUTO_TEST_CASE(UpperRanksLoseNothingWhileTheyFit) {
+  ClaimQueue queue;
+  Server server(queue, 10);
+  int id = 0;
+  for (int now = 0; now < 3000; ++now) {
+    const auto push = [&](int rank) {
+      queue.Push(At(now), MakeClaim(std::to_string(++id), rank, now));
+    };
+    if (now % 25 == 0) push(0);
+    if (now % 20 == 1) push(1);
+    if (now % 9 == 2) push(2);
+    server.Step(now);
+  }
+  BOOST_TEST(server.by_rank[0].refused == 0);
+  BOOST_TEST(server.by_rank[1].refused == 0);
+  BOOST_TEST(server.by_rank[0].on_time == server.by_rank[0].served);
+  BOOST_TEST(server.by_rank[1].on_time >= server.by_rank[1].served * 95 / 100);
+  BOOST_TEST(server.by_rank[2].refused > 100);
+}
+
+// A lasting overload by urgent requests must not starve a lesser rank, nor let
+// it be served as often as they are.
+BOOST_AUTO_TEST_CASE(LesserRankKeepsItsLeastPart) {
+  ClaimQueue queue;
+  Server server(queue, 10);
+  int id = 0;
+  for (int now = 0; now < 20000; ++now) {
+    if (now % 5 == 0)
+      queue.Push(At(now), MakeClaim(std::to_string(++id), 0, now));
+    if (now % 20 == 1)
+      queue.Push(At(now), MakeClaim(std::to_string(++id), 2, now));
+    server.Step(now);
+  }
+  BOOST_TEST(server.by_rank[2].served >= 2000 * 15 / 1000);
+  BOOST_TEST(server.by_rank[2].served <= 2000 * 5 / 100);
+}
+
+// One customer at ten times the part of nine others would take most of what is
+// served.
+BOOST_AUTO_TEST_CASE(HeavyCustomerTakesNobodysPlace) {
+  ClaimQueue queue;
+  Server server(queue, 10);
+  int id = 0;
+  for (int now = 0; now < 5000; ++now) {
+    if (now % 10 == 0) {
+      queue.Push(At(now), MakeClaim(std::to_string(++id), 1, now, "heavy"));
+    }
+    if (now % 11 == 1) {
+      const std::string customer = "small" + std::to_string(id % 9);
+      queue.Push(At(now), MakeClaim(std::to_string(++id), 1, now, customer));
+    }
+    server.Step(now);
+  }
+  for (const auto& [customer, outcome] : server.by_customer) {
+    if (customer == "heavy") continue;
+    BOOST_TEST(outcome.refused <= outcome.served / 10, customer);
+  }
+}
+
+// A long answer at the front would keep all shorter ones waiting; passed at
+// once, it would never be placed.
+BOOST_AUTO_TEST_CASE(SmallerWorkPassesALongAnswerAfterAMoment) {
+  ClaimQueue queue;
+  queue.Push(At(0), MakeClaim("long", 0, 0, "c", 4000));
+  queue.Push(At(1), MakeClaim("short", 1, 1, "c", 500));
+  BOOST_REQUIRE(queue.Front(kAnyRank)->id == "long");
+  BOOST_TEST(!queue.OnBlocked(At(10), "long"));
+  BOOST_TEST(!queue.OnBlocked(At(109), "long"));
+  const auto smaller = queue.OnBlocked(At(110), "long");
+  BOOST_REQUIRE(smaller.has_value());
+  BOOST_TEST(smaller->id == "short");
+}
+
+// Who has come back is refused a second time although capacity comes free
+// before the caller gives up.
+BOOST_AUTO_TEST_CASE(ReturnedCallerWaitsForAsLongAsItHelps) {
+  ClaimQueue queue;
+  QueuedClaim returned = MakeClaim("returned", 1, 0);
+  returned.claim.returned = true;
+  returned.claim.on_time_until = At(-100);
+  queue.Push(At(0), returned);
+  QueuedClaim late = MakeClaim("late", 1, 0);
+  queue.Push(At(0), late);
+  queue.Advance(At(400));
+  BOOST_TEST(queue.Front(kAnyRank)->id == "returned");
+  const auto refused = queue.TakeUnservable(At(400));
+  BOOST_REQUIRE(refused.size() == 1U);
+  BOOST_TEST(refused.front().id == "late");
+  BOOST_TEST(queue.TakeUnservable(At(1799)).empty());
+  BOOST_TEST(queue.TakeUnservable(At(1800)).size() == 1U);
+}
+
+// A rank that leaves capacity to others must not keep more urgent work back.
+BOOST_AUTO_TEST_CASE(HeldRankIsPassedOver) {
+  ClaimQueue queue;
+  queue.Push(At(0), MakeClaim("a", 1, 0));
+  queue.Push(At(0), MakeClaim("b", 2, 0));
+  BOOST_TEST(queue.Front([](int rank) { return rank != 1; })->id == "b");
+  BOOST_TEST(!queue.Front([](int) { return false; }).has_value());
+}
+
+RC_BOOST_PROP(NothingIsLostOrServedTwice, ()) {
+  ClaimQueue queue;
+  std::set<std::string> waiting;
+  const int steps = *rc::gen::inRange(1, 200);
+  for (int now = 0; now < steps * 10; now += 10) {
+    const int action = *rc::gen::inRange(0, 3);
+    if (action < 2) {
+      QueuedClaim pushed = MakeClaim(
+          std::to_string(now), *rc::gen::inRange(-1, 11), now,
+          std::to_string(*rc::gen::inRange(0, 4)), *rc::gen::inRange(1, 4000));
+      pushed.claim.returned = *rc::gen::arbitrary<bool>();
+      queue.Push(At(now), pushed);
+      waiting.insert(pushed.id);
+    }
+    queue.Advance(At(now));
+    const auto next = queue.Front(kAnyRank);
+    RC_ASSERT(next.has_value() == !waiting.empty());
+    if (next && action == 2) {
+      queue.Take(At(now), next->id);
+      RC_ASSERT(waiting.erase(next->id) == 1U);
+    }
+    const bool rate_known = queue.DrainRate(At(now)) > 0;
+    for (const auto& refused : queue.TakeUnservable(At(now))) {
+      RC_ASSERT(waiting.erase(refused.id) == 1U);
+      const bool expired =
+          At(now) + milliseconds(200) > refused.claim.on_time_until;
+      RC_ASSERT(expired || rate_known);
+    }
+    RC_ASSERT(queue.size() == waiting.size());
+  }
+}
+
+}  // namespace
+}  // namespace toucanwharf::admission
