Restart of a fleet: readers tell their domain who is there and what engines report; who has just started is not assumed loaded

While this process and most of the peers that it hears are younger than 5 s nothing is assumed of the others; else peers that have started lately are not counted. An instance that is cut off assumes as before.

--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -77,6 +77,15 @@
   /// Requests a confirmation from some of the peers that can give one, if keys
   /// are refused here without it. To be called every 100 ms.
   void RequestConfirmations();
+  /// Returns whether this instance tells its failure domain which instances it
+  /// has heard of and what engines report, until there is a leader: it reads
+  /// the store as it starts, and most of a large fleet has just started.
+  ///
+  /// Load: all callers come back to a fleet that restarts. Small instances hear
+  /// of one another only in turn, and would direct them to the few that told
+  /// everybody that they started; and engines are still full of answers that
+  /// nobody waits for.
+  bool AssistsRestart(TimePoint now) const;
   /// Calls \p task with each report of a peer that an endpoint is
   /// unresponsive.
   void OnUnresponsiveEndpoint(
@@ -127,6 +136,9 @@
   /// Returns whether this instance advertises the state of the fleet: it is the
   /// leader, or a backup leader while there is no leader.
   bool ActsForFleet(TimePoint now) const;
+  /// Returns how many peers count as loaded like this instance while there is
+  /// no leader.
+  std::size_t CountAssumedLoaded(TimePoint now) const;
   /// Returns whether this instance has been leader or backup leader for long
   /// enough to have received a beacon from every live instance.
   bool HasContactedAll(TimePoint now) const;
--- a/include/toucanwharf/instance/placement_driver.h
+++ b/include/toucanwharf/instance/placement_driver.h
@@ -85,10 +85,11 @@
   /// that nobody waits for. Without their reports, new answers would go to full
   /// engines for the five seconds until the old lease expires.
   void ActForLeader(TimePoint now) {
-    const bool acts =
+    const bool acts_for_leader =
         this->state.is_backup_leader && this->state.peers.IsLargeFleet(now) &&
         gossip::ActsForLeader(this->state.peers, this->state.backup_leaders,
                               this->datagram_address, now);
+    const bool acts = acts_for_leader || this->peers.AssistsRestart(now);
     if (!acts) {
       if (!this->reports.Empty()) this->reports.Clear();
       return;
--- a/lib/gossip/entry_advice.cc
+++ b/lib/gossip/entry_advice.cc
@@ -35,6 +35,18 @@
   return static_cast<std::size_t>(young) * 2 > live.size();
 }
 
+std::size_t CountAssumedLoaded(const PeerTable& peers, Duration uptime,
+                               TimePoint now) {
+  const std::vector<const Peer*> live = peers.AllLive(now);
+  const std::size_t others = peers.InstanceCount(now) - 1;
+  const bool fleet_starts = uptime < kFleetStart && MostAreStarting(live, now);
+  if (fleet_starts) return 0;
+  const auto young = std::count_if(
+      live.begin(), live.end(),
+      [now](const Peer* peer) { return UptimeOf(*peer, now) < kFleetStart; });
+  return others - static_cast<std::size_t>(young);
+}
+
 std::vector<std::string> DrawAdvised(std::vector<AdvisedInstance> advised,
                                      std::size_t count, Random& random) {
   // Weighted sampling without replacement: the largest of u^(1/weight).
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -89,6 +89,7 @@
     // stop.
     const bool reports_not_ready =
         peer != nullptr && !peer->beacon.ready &&
+        !(with_starting && gossip::IsStarting(*peer, now)) &&
         now - peer->last_beacon_at <= gossip::ReadyInstanceList::kMaxAge;
     if (reports_not_ready) continue;
     advised.push_back({gossip::AddressOf(number, gossip::PortOf(callers)),
@@ -99,7 +100,6 @@
 
 bool InstanceState::AdviceExpiresSoon(TimePoint now) const {
   return this->advises_starting_peers && this->peers.IsLargeFleet(now) &&
-         !this->ready_list.IsCurrent(now) &&
          gossip::MostAreStarting(this->peers.AllLive(now), now);
 }
 
--- a/lib/instance/peer_beacon.cc
+++ b/lib/instance/peer_beacon.cc
@@ -1,3 +1,4 @@
+#include "toucanwharf/gossip/entry_advice.h"
 #include "toucanwharf/instance/peer_link.h"
 
 namespace toucanwharf::instance {
@@ -49,6 +50,9 @@
     beacon.engine_statuses.push_back(
         {key, status.layers, status.slowdown, status.token_layers});
   }
+  if (this->AssistsRestart(now)) {
+    beacon.ready_instances = this->ReadyInstances(now);
+  }
   if (!this->ActsForFleet(now)) return;
   for (const gossip::EndpointLoad& load : this->state.loads.All()) {
     const endpoints::Endpoint* endpoint =
@@ -73,9 +77,13 @@
   const auto add = [&](const std::string& address) {
     if (const auto number = gossip::IpNumber(address)) ready.push_back(*number);
   };
+  const bool with_starting = this->settings.mechanisms.early_advice &&
+                             this->state.peers.IsLargeFleet(now);
   if (this->state.Ready(now)) add(this->settings.callers_address);
   for (const gossip::Peer* peer : this->state.peers.AllLive(now)) {
-    if (peer->beacon.ready) add(peer->beacon.callers_address);
+    const bool serves =
+        peer->beacon.ready || (with_starting && gossip::IsStarting(*peer, now));
+    if (serves) add(peer->beacon.callers_address);
   }
   return ready;
 }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "toucanwharf/gossip/entry_advice.h"
+#include "toucanwharf/gossip/initial_read_policy.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -116,7 +118,7 @@
                           this->state.ready_list.IsCurrent(now) ||
                           !this->state.peers.Leader(now).empty();
   this->state.loads.AssumeEqualPeerLoad(
-      has_leader ? 0 : this->state.peers.InstanceCount(now) - 1);
+      has_leader ? 0 : this->CountAssumedLoaded(now));
   const std::size_t nearby =
       this->state.peers.AddressesInDomain(this->settings.failure_domain, now)
           .size();
@@ -127,6 +129,10 @@
   this->ApplyConfirmations(now);
   if (large && coordinator) this->SumLoads(now);
   auto recipients = this->schedule.Next(this->MakeTargets(now));
+  if (this->AssistsRestart(now)) {
+    recipients =
+        this->state.peers.AddressesInDomain(this->settings.failure_domain, now);
+  }
   if (this->schedule.LastRoundWasBroadcast()) {
     this->covered_keys = this->ranges.Next(this->state.endpoints.All().size());
   }
@@ -135,6 +141,23 @@
   this->loop.After(this->schedule.Period(), [this] { this->Tick(); });
 }
 
+std::size_t PeerLink::CountAssumedLoaded(TimePoint now) const {
+  const gossip::PeerTable& peers = this->state.peers;
+  return this->settings.mechanisms.reported_loads
+             ? gossip::CountAssumedLoaded(peers, now - this->started, now)
+             : peers.InstanceCount(now) - 1;
+}
+
+bool PeerLink::AssistsRestart(TimePoint now) const {
+  constexpr Duration kRestartTime = std::chrono::milliseconds(3000);
+  const gossip::PeerTable& peers = this->state.peers;
+  return this->settings.mechanisms.early_advice &&
+         now - this->started < kRestartTime &&
+         gossip::ReadsImmediately(this->settings.processor_share) &&
+         peers.IsLargeFleet(now) && peers.Leader(now).empty() &&
+         gossip::MostAreStarting(peers.AllLive(now), now);
+}
+
 gossip::BeaconTargets PeerLink::MakeTargets(TimePoint now) const {
   const gossip::PeerTable& peers = this->state.peers;
   gossip::BeaconTargets targets;
@@ -392,7 +415,8 @@
   // A beacon without loads means idle endpoints only if its sender has received
   // the loads of all.
   const bool has_loads =
-      !beacon.fleet_loads.empty() || !beacon.ready_instances.empty();
+      !beacon.fleet_loads.empty() ||
+      (!beacon.ready_instances.empty() && this->IsCoordinator(beacon));
   // A backup leader sums the loads that it receives itself.
   if (!has_loads || this->state.is_backup_leader) return;
   this->fleet_loads.Update(beacon.covered_keys, beacon.fleet_loads);
