Restart of a fleet: what the others send unheard is estimated; engines' reports add to what is known

Change: while most of a large fleet has just started and no coordinator has told the fleet's loads, each instance takes the others to have sent as many answers as itself, spread over all covers, whichever engines it chose; and what engines report counts beside, not instead of, what instances have in flight, since it is of processes that have ended. Requests that find no room wait as before.

--- a/include/toucanwharf/endpoints/load_tracker.h
+++ b/include/toucanwharf/endpoints/load_tracker.h
@@ -44,6 +44,16 @@
   /// others'.
   void AssumeEqualPeerLoad(std::size_t count) { this->assumed_peers = count; }
 
+  /// Sets whether engines' reports show answers beside those that instances
+  /// know of, rather than the same ones.
+  ///
+  /// Failure guarded against: after all instances restarted, engines hold
+  /// answers of the processes that ended, which no instance counts; the larger
+  /// of both numbers would leave out one of them, and engines refuse.
+  void AddReportsToLoads(bool add) { this->reports_add = add; }
+  /// Returns how many answers this instance has in flight.
+  double LocalAnswers() const;
+
   /// Records that \p endpoint refused a request, and keeps new work from it: if
   /// it is known to be full, for a short time and at this instance only;
   /// otherwise for longer and at all instances.
@@ -111,6 +121,7 @@
   Loads local;
   Loads peers;
   std::size_t assumed_peers = 0;
+  bool reports_add = false;
   std::map<std::string, TimePoint> suspected;
   /// Unresponsive endpoints, found by any instance.
   std::map<std::string, TimePoint> unresponsive_until;
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -72,6 +72,10 @@
   store::EpochClock epochs;
   /// Number of the store's answers that were older than what was known.
   std::uint64_t older_store_answers = 0;
+  /// While a whole fleet restarts and nobody tells its loads yet: how many
+  /// peers send answers that aren't heard of, each about as many as this
+  /// instance, whatever engines these chose. 0 at all other times.
+  double unheard_peers = 0;
   /// Whether the list of instances has been read from the store.
   bool instances_known = false;
   /// Whether the stored requests in quarantine have been read.
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -136,6 +136,8 @@
   /// Returns whether this instance advertises the state of the fleet: it is the
   /// leader, or a backup leader while there is no leader.
   bool ActsForFleet(TimePoint now) const;
+  /// Returns whether this process and most of a large fleet have just started.
+  bool IsInRestart(TimePoint now) const;
   /// Returns how many peers count as loaded like this instance while there is
   /// no leader.
   std::size_t CountAssumedLoaded(TimePoint now) const;
@@ -196,6 +198,7 @@
   gossip::KeyRange covered_keys;
   /// What the leader has reported of the fleet's loads.
   gossip::FleetLoads fleet_loads;
+  bool heard_fleet_loads = false;
   TimePoint send_failure_logged{Duration(-1'000'000'000)};
   /// Newest stamp by datagram address.
   std::map<std::string, Stamp> stamps;
--- a/lib/endpoints/load_tracker.cc
+++ b/lib/endpoints/load_tracker.cc
@@ -62,6 +62,14 @@
   return loads;
 }
 
+double LoadTracker::LocalAnswers() const {
+  double answers = 0;
+  for (const auto& [endpoint, load] : this->local) {
+    answers += load.first_stage_answers;
+  }
+  return answers;
+}
+
 void LoadTracker::SetPeerLoads(const std::vector<gossip::EndpointLoad>& loads) {
   this->peers.clear();
   for (const gossip::EndpointLoad& load : loads) {
@@ -233,7 +241,9 @@
           this->FindEngineStatus(endpoint, now)) {
     engine.layers = status->layers;
     engine.slowdown = status->slowdown;
-    engine.token_layers = std::max(engine.token_layers, status->token_layers);
+    engine.token_layers =
+        this->reports_add ? engine.token_layers + status->token_layers
+                          : std::max(engine.token_layers, status->token_layers);
   }
   return engine;
 }
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -119,6 +119,16 @@
                           !this->state.peers.Leader(now).empty();
   this->state.loads.AssumeEqualPeerLoad(
       has_leader ? 0 : this->CountAssumedLoaded(now));
+  // By then all others have told a coordinator what they sent.
+  const bool sums_itself =
+      this->coordinator_since &&
+      now - *this->coordinator_since >= 3 * this->schedule.Period();
+  const bool unheard =
+      this->IsInRestart(now) && !this->heard_fleet_loads && !sums_itself;
+  this->state.unheard_peers =
+      unheard ? static_cast<double>(this->state.peers.InstanceCount(now) - 1)
+              : 0;
+  this->state.loads.AddReportsToLoads(unheard);
   const std::size_t nearby =
       this->state.peers.AddressesInDomain(this->settings.failure_domain, now)
           .size();
@@ -148,14 +158,18 @@
              : peers.InstanceCount(now) - 1;
 }
 
-bool PeerLink::AssistsRestart(TimePoint now) const {
+bool PeerLink::IsInRestart(TimePoint now) const {
   constexpr Duration kRestartTime = std::chrono::milliseconds(3000);
-  const gossip::PeerTable& peers = this->state.peers;
-  return this->settings.mechanisms.early_advice &&
+  return this->settings.mechanisms.reported_loads &&
          now - this->started < kRestartTime &&
+         this->state.peers.IsLargeFleet(now) &&
+         gossip::MostAreStarting(this->state.peers.AllLive(now), now);
+}
+
+bool PeerLink::AssistsRestart(TimePoint now) const {
+  return this->settings.mechanisms.early_advice &&
          gossip::ReadsImmediately(this->settings.processor_share) &&
-         peers.IsLargeFleet(now) && peers.Leader(now).empty() &&
-         gossip::MostAreStarting(peers.AllLive(now), now);
+         this->state.peers.Leader(now).empty() && this->IsInRestart(now);
 }
 
 gossip::BeaconTargets PeerLink::MakeTargets(TimePoint now) const {
@@ -419,6 +433,7 @@
       (!beacon.ready_instances.empty() && this->IsCoordinator(beacon));
   // A backup leader sums the loads that it receives itself.
   if (!has_loads || this->state.is_backup_leader) return;
+  this->heard_fleet_loads = true;
   this->fleet_loads.Update(beacon.covered_keys, beacon.fleet_loads);
   std::vector<gossip::EndpointLoad> loads;
   for (const gossip::KeyedLoad& load : this->fleet_loads.All()) {
--- a/lib/instance/proxied_request_target.cc
+++ b/lib/instance/proxied_request_target.cc
@@ -3,6 +3,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "proxied_request.h"
+#include "toucanwharf/placement/unseen_load.h"
 
 namespace toucanwharf::instance {
 
@@ -41,6 +42,9 @@
               !behind_cut && this->LimitAllows(endpoint, now);
         }
       });
+  placement::AddUnseenLoad(*this->admitted.service->engine,
+                           state.unheard_peers * state.loads.LocalAnswers(),
+                           engines);
   placement::PathQuery query;
   query.failure_domain = this->gateway.settings.failure_domain;
   query.prompt_tokens = this->claim.prompt_tokens;
