Claim queue: late requests don't count ahead of those that can be on time

Cause: GoesBefore compared on_time_until only, while the queue serves late requests after all that can still be on time. A late request, whose limit is the earliest, counted as ahead: a new request was queued behind it, and its expected wait included it, so that it could be refused though it was next.

Change: one comparison by rank, lateness and LimitOf, which also gives the tickets their deadline.

Measured: LateRequestsAreNotCountedAheadOfThoseOnTime fails with the former comparison (3 checks) and holds with this one; test_admission passes.

--- a/include/toucanwharf/admission/claim_queue.h
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -105,7 +105,7 @@
   /// which the queue drains. Nothing while that isn't known.
   std::optional<Duration> ExpectedWait(TimePoint now, const Claim& claim) const;
   /// Returns the number of queued requests that go before \p claim.
-  std::size_t CountAhead(const Claim& claim) const;
+  std::size_t CountAhead(TimePoint now, const Claim& claim) const;
   /// Returns what waits, by rank.
   std::array<RankBacklog, kRanks> Backlog() const;
   /// Returns the drain rate in tokens of cost per second; 0 if unknown.
@@ -136,8 +136,13 @@
   FairQueue& QueueOf(const Entry& entry);
   static Ticket MakeTicket(FairQueue& queue, const std::string& id,
                            const Entry& entry, bool ordered);
-  /// Returns whether \p other goes before \p claim.
-  bool GoesBefore(const Claim& other, const Claim& claim) const;
+  /// Returns the time by which requests of a customer are ordered.
+  static TimePoint LimitOf(const Entry& entry);
+  /// Returns whether \p other goes before \p entry, apart from the shares of
+  /// customers.
+  bool GoesBefore(const Entry& other, const Entry& entry) const;
+  /// Returns \p claim as it would be queued at \p now.
+  Entry MakeEntry(TimePoint now, const Claim& claim) const;
   bool CanBeOnTime(const Claim& claim, TimePoint now) const;
   bool IsUnservable(const Claim& claim, TimePoint now) const;
   void Remove(TimePoint now, const std::string& id);
--- a/lib/admission/claim_queue.cc
+++ b/lib/admission/claim_queue.cc
@@ -38,18 +38,27 @@
   // Equal costs keep long and short work in one order.
   ticket.cost = ordered ? claim.Cost() : 1;
   ticket.arrived = claim.arrived;
-  ticket.deadline = entry.late ? claim.useful_until : claim.on_time_until;
-  // A second refusal costs a caller more than a first one.
-  const bool goes_first = entry.late && claim.returned;
-  if (goes_first || !ordered) ticket.deadline = claim.arrived;
+  ticket.deadline = ordered ? LimitOf(entry) : claim.arrived;
   return ticket;
 }
 
-void ClaimQueue::Push(TimePoint now, const QueuedClaim& queued) {
-  assert(!this->entries.contains(queued.id) && "request is already queued");
-  Entry entry{queued.claim, false};
+TimePoint ClaimQueue::LimitOf(const Entry& entry) {
+  if (!entry.late) return entry.claim.on_time_until;
+  // A second refusal costs a caller more than a first one.
+  return entry.claim.returned ? entry.claim.arrived : entry.claim.useful_until;
+}
+
+ClaimQueue::Entry ClaimQueue::MakeEntry(TimePoint now,
+                                        const Claim& claim) const {
+  Entry entry{claim, false};
   entry.claim.rank = std::clamp(entry.claim.rank, 0, kRanks - 1);
   entry.late = this->settings.ordered && !this->CanBeOnTime(entry.claim, now);
+  return entry;
+}
+
+void ClaimQueue::Push(TimePoint now, const QueuedClaim& queued) {
+  assert(!this->entries.contains(queued.id) && "request is already queued");
+  Entry entry = this->MakeEntry(now, queued.claim);
   FairQueue& queue = this->QueueOf(entry);
   queue.Push(now, MakeTicket(queue, queued.id, entry, this->settings.ordered));
   this->entries.emplace(queued.id, std::move(entry));
@@ -88,15 +97,18 @@
     return std::nullopt;
   }
   const Claim& first = found->second.claim;
-  std::optional<QueuedClaim> best;
-  for (const auto& [other, entry] : this->entries) {
+  const std::pair<const std::string, Entry>* best = nullptr;
+  for (const auto& other : this->entries) {
     const bool smaller =
-        TokensOf(entry.claim) < kSmallerShare * TokensOf(first);
+        TokensOf(other.second.claim) < kSmallerShare * TokensOf(first);
     if (!smaller) continue;
-    if (best && !this->GoesBefore(entry.claim, best->claim)) continue;
-    best = QueuedClaim{other, entry.claim};
+    if (best != nullptr && !this->GoesBefore(other.second, best->second)) {
+      continue;
+    }
+    best = &other;
   }
-  return best;
+  if (best == nullptr) return std::nullopt;
+  return QueuedClaim{best->first, best->second.claim};
 }
 
 void ClaimQueue::Take(TimePoint now, const std::string& id) {
@@ -132,28 +144,33 @@
   if (this->entries.empty()) this->served_in_sequence = 0;
 }
 
-bool ClaimQueue::GoesBefore(const Claim& other, const Claim& claim) const {
-  if (!this->settings.ordered) return other.arrived < claim.arrived;
-  if (other.rank != claim.rank) return other.rank < claim.rank;
-  return other.on_time_until < claim.on_time_until;
+bool ClaimQueue::GoesBefore(const Entry& other, const Entry& entry) const {
+  if (!this->settings.ordered) return other.claim.arrived < entry.claim.arrived;
+  if (other.claim.rank != entry.claim.rank) {
+    return other.claim.rank < entry.claim.rank;
+  }
+  if (other.late != entry.late) return entry.late;
+  return LimitOf(other) < LimitOf(entry);
 }
 
-std::size_t ClaimQueue::CountAhead(const Claim& claim) const {
+std::size_t ClaimQueue::CountAhead(TimePoint now, const Claim& claim) const {
+  const Entry added = this->MakeEntry(now, claim);
   const auto ahead = std::count_if(
-      this->entries.begin(), this->entries.end(), [&](const auto& entry) {
-        return this->GoesBefore(entry.second.claim, claim);
-      });
+      this->entries.begin(), this->entries.end(),
+      [&](const auto& entry) { return this->GoesBefore(entry.second, added); });
   return static_cast<std::size_t>(ahead);
 }
 
 std::optional<Duration> ClaimQueue::ExpectedWait(TimePoint now,
                                                  const Claim& claim) const {
+  const Entry added = this->MakeEntry(now, claim);
   double ahead = 0;
   double ahead_in_rank = 0;
   for (const auto& [id, entry] : this->entries) {
-    if (!this->GoesBefore(entry.claim, claim)) continue;
+    if (!this->GoesBefore(entry, added)) continue;
     ahead += entry.claim.Cost();
-    if (entry.claim.rank == claim.rank) ahead_in_rank += entry.claim.Cost();
+    if (entry.claim.rank == added.claim.rank)
+      ahead_in_rank += entry.claim.Cost();
   }
   if (ahead == 0) return Duration(0);
   const double rate = this->DrainRate(now);
@@ -179,15 +196,16 @@
 }
 
 std::vector<QueuedClaim> ClaimQueue::TakeUnservable(TimePoint now) {
-  std::vector<QueuedClaim> unservable;
+  std::vector<std::pair<std::string, Entry>> found;
   for (const auto& [id, entry] : this->entries) {
-    if (!this->IsUnservable(entry.claim, now)) continue;
-    unservable.push_back({id, entry.claim});
+    if (this->IsUnservable(entry.claim, now)) found.emplace_back(id, entry);
   }
-  std::sort(unservable.begin(), unservable.end(),
-            [this](const QueuedClaim& left, const QueuedClaim& right) {
-              return this->GoesBefore(right.claim, left.claim);
+  std::sort(found.begin(), found.end(),
+            [this](const auto& left, const auto& right) {
+              return this->GoesBefore(right.second, left.second);
             });
+  std::vector<QueuedClaim> unservable;
+  for (const auto& [id, entry] : found) unservable.push_back({id, entry.claim});
   for (const QueuedClaim& queued : unservable) this->Drop(now, queued.id);
   return unservable;
 }
--- a/lib/instance/gateway_queue.cc
+++ b/lib/instance/gateway_queue.cc
@@ -30,7 +30,7 @@
                             const admission::Claim& claim) const {
   const auto found = this->queues.find(service);
   return found != this->queues.end() &&
-         found->second.order.CountAhead(claim) > 0;
+         found->second.order.CountAhead(this->loop.Now(), claim) > 0;
 }
 
 void Gateway::Enqueue(const std::string& service,
@@ -44,7 +44,7 @@
                    {}});
   ServiceQueue& queue = entry->second;
   const std::string id = absl::StrCat(++this->queued_ids);
-  request->LogQueued(queue.order.CountAhead(claim),
+  request->LogQueued(queue.order.CountAhead(now, claim),
                      queue.order.ExpectedWait(now, claim));
   queue.order.Push(now, {id, claim});
   queue.requests.emplace(id, std::move(request));
--- a/unittests/admission/claim_queue_test.cc
+++ b/unittests/admission/claim_queue_test.cc
@@ -164,6 +164,22 @@
   BOOST_TEST(queue.TakeUnservable(At(1800)).size() == 1U);
 }
 
+// A request that can still be on time is queued and refused because of late
+// ones, which go after it.
+BOOST_AUTO_TEST_CASE(LateRequestsAreNotCountedAheadOfThoseOnTime) {
+  ClaimQueue queue;
+  QueuedClaim late = MakeClaim("late", 1, 0);
+  late.claim.returned = true;
+  late.claim.on_time_until = At(100);
+  queue.Push(At(0), late);
+  const Claim on_time = MakeClaim("on time", 1, 0).claim;
+  BOOST_TEST(queue.CountAhead(At(0), on_time) == 0U);
+  BOOST_TEST((queue.ExpectedWait(At(0), on_time) == Duration(0)));
+  queue.Push(At(0), {"on time", on_time});
+  BOOST_TEST(queue.Front(kAnyRank)->id == "on time");
+  BOOST_TEST(queue.CountAhead(At(0), late.claim) == 1U);
+}
+
 // A rank that leaves capacity to others must not keep more urgent work back.
 BOOST_AUTO_TEST_CASE(HeldRankIsPassedOver) {
   ClaimQueue queue;
