Claim queue: a rank saves up enough for its next request, however large

Cause: a less urgent rank goes first once it is owed the cost of its first request, but could be owed 1000 tokens of cost at most. A request that costs more never went first while more urgent ones waited, and kept the smaller ones of its rank behind it.

Change: the limit is the cost of the first request of the rank if that is more.

--- a/lib/admission/claim_queue.cc
+++ b/lib/admission/claim_queue.cc
@@ -9,7 +9,8 @@
 /// Requests that passed the first one must be this much smaller, or they would
 /// take the capacity that it waits for.
 constexpr double kSmallerShare = 0.5;
-/// Least part that a rank may save up, in tokens of cost: some common answers.
+/// Least part that a rank may save up, in tokens of cost, unless its next
+/// request costs more: some common answers.
 constexpr double kMaxOwed = 1000;
 /// Upper bound of any expected wait.
 constexpr double kMaxExpectedSeconds = 3600;
@@ -119,10 +120,10 @@
   this->QueueOf(found->second).Take(now, id);
   for (auto& [other, order] : this->ranks) {
     if (other == rank) order.owed = std::max(0.0, order.owed - cost);
-    const bool waits = order.on_time.size() + order.late.size() > 0;
-    if (other > rank && waits) {
-      order.owed =
-          std::min(kMaxOwed, order.owed + cost * this->settings.min_share);
+    const auto head = this->HeadOf(order);
+    if (other > rank && head) {
+      order.owed = std::min(std::max(kMaxOwed, head->claim.Cost()),
+                            order.owed + cost * this->settings.min_share);
     }
   }
   this->drain.RecordTaken(now, cost);
--- a/unittests/admission/claim_queue_test.cc
+++ b/unittests/admission/claim_queue_test.cc
@@ -109,6 +109,24 @@
   BOOST_TEST(server.by_rank[2].served <= 2000 * 5 / 100);
 }
 
+// A less urgent request that costs more than a rank may save up is never
+// served, and keeps the rest of its rank waiting.
+BOOST_AUTO_TEST_CASE(LargeRequestOfALesserRankIsServed) {
+  ClaimQueue queue;
+  queue.Push(At(0), MakeClaim("large", 2, 0, "c", 8000));
+  bool served = false;
+  int rounds = 0;
+  for (; rounds < 2000 && !served; ++rounds) {
+    queue.Push(At(0), MakeClaim(std::to_string(rounds), 0, 0));
+    const auto next = queue.Front(kAnyRank);
+    served = next->id == "large";
+    queue.Take(At(0), next->id);
+  }
+  BOOST_TEST(served);
+  // Its part is 1 in 50 of the cost that is served beside it.
+  BOOST_TEST(rounds > 8 * 50);
+}
+
 // One customer at ten times the part of nine others would take most of what is
 // served.
 BOOST_AUTO_TEST_CASE(HeavyCustomerTakesNobodysPlace) {
