Claim queue: requests refused in a round don't count ahead of the others

Cause: TakeUnservable computed each expected wait over the whole queue, also over requests that the same round refuses. When urgent requests expired together, less urgent ones that could then be served were refused with them.

Change: one pass in the order of service, which sums only what stays queued.

Measured: RefusedRequestsAreNotCountedAheadOfOthers fails before (21 refused instead of 20) and holds now; test_admission passes.

--- a/include/toucanwharf/admission/claim_queue.h
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -144,7 +144,13 @@
   /// Returns \p claim as it would be queued at \p now.
   Entry MakeEntry(TimePoint now, const Claim& claim) const;
   bool CanBeOnTime(const Claim& claim, TimePoint now) const;
-  bool IsUnservable(const Claim& claim, TimePoint now) const;
+  /// Returns the wait of a claim of \p cost behind others of cost \p ahead, of
+  /// which \p ahead_in_rank in its own rank. Nothing while the rate is unknown.
+  std::optional<Duration> WaitBehind(TimePoint now, double ahead,
+                                     double ahead_in_rank, double cost) const;
+  /// Returns whether waiting for \p expected is of no use to \p claim.
+  bool IsUnservable(const Claim& claim, const std::optional<Duration>& expected,
+                    TimePoint now) const;
   void Remove(TimePoint now, const std::string& id);
 
   ClaimQueueSettings settings;
--- a/lib/admission/claim_queue.cc
+++ b/lib/admission/claim_queue.cc
@@ -173,22 +173,29 @@
     if (entry.claim.rank == added.claim.rank)
       ahead_in_rank += entry.claim.Cost();
   }
+  return this->WaitBehind(now, ahead, ahead_in_rank, claim.Cost());
+}
+
+std::optional<Duration> ClaimQueue::WaitBehind(TimePoint now, double ahead,
+                                               double ahead_in_rank,
+                                               double cost) const {
   if (ahead == 0) return Duration(0);
   const double rate = this->DrainRate(now);
   // A queue that hasn't moved yet says nothing about when it will.
   if (rate <= 0) return std::nullopt;
   // At the latest the rank's least part suffices.
   const double by_least_part =
-      (ahead_in_rank + claim.Cost()) / (rate * this->settings.min_share);
+      (ahead_in_rank + cost) / (rate * this->settings.min_share);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
       std::min({ahead / rate, by_least_part, kMaxExpectedSeconds})));
 }
 
-bool ClaimQueue::IsUnservable(const Claim& claim, TimePoint now) const {
+bool ClaimQueue::IsUnservable(const Claim& claim,
+                              const std::optional<Duration>& expected,
+                              TimePoint now) const {
   const Duration reserve = this->settings.first_event_reserve;
   const TimePoint last = claim.useful_until - reserve;
   if (now >= last) return true;
-  const auto expected = this->ExpectedWait(now, claim);
   if (expected && now + *expected >= last) return true;
   // A second refusal is the exception: who came back waits while it may help.
   if (this->CanBeOnTime(claim, now) || claim.returned) return false;
@@ -197,16 +204,29 @@
 }
 
 std::vector<QueuedClaim> ClaimQueue::TakeUnservable(TimePoint now) {
-  std::vector<std::pair<std::string, Entry>> found;
-  for (const auto& [id, entry] : this->entries) {
-    if (this->IsUnservable(entry.claim, now)) found.emplace_back(id, entry);
-  }
-  std::sort(found.begin(), found.end(),
-            [this](const auto& left, const auto& right) {
-              return this->GoesBefore(right.second, left.second);
+  std::vector<const std::pair<const std::string, Entry>*> in_order;
+  for (const auto& entry : this->entries) in_order.push_back(&entry);
+  std::sort(in_order.begin(), in_order.end(),
+            [this](const auto* left, const auto* right) {
+              return this->GoesBefore(left->second, right->second);
             });
   std::vector<QueuedClaim> unservable;
-  for (const auto& [id, entry] : found) unservable.push_back({id, entry.claim});
+  double ahead = 0;
+  std::array<double, kRanks> ahead_in_rank{};
+  for (const auto* queued : in_order) {
+    const Claim& claim = queued->second.claim;
+    double& in_rank = ahead_in_rank.at(static_cast<std::size_t>(claim.rank));
+    const double cost = claim.Cost();
+    const auto expected = this->WaitBehind(now, ahead, in_rank, cost);
+    if (this->IsUnservable(claim, expected, now)) {
+      unservable.push_back({queued->first, claim});
+      continue;
+    }
+    // Nobody waits for those that are refused.
+    ahead += cost;
+    in_rank += cost;
+  }
+  std::reverse(unservable.begin(), unservable.end());
   for (const QueuedClaim& queued : unservable) this->Drop(now, queued.id);
   return unservable;
 }
--- a/unittests/admission/claim_queue_test.cc
+++ b/unittests/admission/claim_queue_test.cc
@@ -198,6 +198,24 @@
   BOOST_TEST(queue.CountAhead(At(0), late.claim) == 1U);
 }
 
+// When urgent requests expire together, a less urgent one is refused for want
+// of the capacity that they don't take any more.
+BOOST_AUTO_TEST_CASE(RefusedRequestsAreNotCountedAheadOfOthers) {
+  ClaimQueue queue;
+  // Capacity for five requests a second.
+  for (int i = 0; i < 30; ++i) {
+    queue.Push(At(0), MakeClaim(std::to_string(i), 0, 0));
+  }
+  for (int i = 0; i < 10; ++i) {
+    queue.Take(At(200 * i), std::to_string(i));
+  }
+  const QueuedClaim last = MakeClaim("last", 1, 1800);
+  queue.Push(At(1800), last);
+  BOOST_TEST((queue.ExpectedWait(At(1800), last.claim) > milliseconds(2000)));
+  BOOST_REQUIRE(queue.TakeUnservable(At(1800)).size() == 20U);
+  BOOST_TEST(queue.Front(kAnyRank)->id == "last");
+}
+
 // A rank that leaves capacity to others must not keep more urgent work back.
 BOOST_AUTO_TEST_CASE(HeldRankIsPassedOver) {
   ClaimQueue queue;
