Claim queue: another customer's backlog counts by its share

Cause: the expected wait counted all requests of the rank with an earlier limit. Customers are served in turn, so a customer with a long backlog made the requests of the others look unservable, and they were refused although they were next.

Measured: BacklogOfAnotherCustomerCountsByItsShare fails before (the request of the light customer is refused) and holds now; test_admission passes.

--- a/include/toucanwharf/admission/claim_queue.h
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -132,6 +132,19 @@
     double owed = 0;
   };
 
+  /// Cost of what goes before a request.
+  struct Ahead {
+    double upper_ranks = 0;
+    /// Of its rank, if they can be on time and it can't.
+    double on_time = 0;
+    /// Of its rank that can be on time if it can, by customer.
+    std::map<std::string, double> by_customer;
+
+    /// Returns the cost of what goes before \p claim in its rank. Another
+    /// customer goes before it with as much as its own customer at most.
+    double InRank(const Claim& claim) const;
+  };
+
   std::optional<QueuedClaim> HeadOf(const Rank& order) const;
   FairQueue& QueueOf(const Entry& entry);
   static Ticket MakeTicket(FairQueue& queue, const std::string& id,
@@ -144,10 +157,14 @@
   /// Returns \p claim as it would be queued at \p now.
   Entry MakeEntry(TimePoint now, const Claim& claim) const;
   bool CanBeOnTime(const Claim& claim, TimePoint now) const;
-  /// Returns the wait of a claim of \p cost behind others of cost \p ahead, of
-  /// which \p ahead_in_rank in its own rank. Nothing while the rate is unknown.
-  std::optional<Duration> WaitBehind(TimePoint now, double ahead,
-                                     double ahead_in_rank, double cost) const;
+  /// Returns the wait of \p claim behind \p ahead. Nothing while the rate is
+  /// unknown.
+  std::optional<Duration> WaitBehind(TimePoint now, const Ahead& ahead,
+                                     const Claim& claim) const;
+  /// Returns the rank of \p claim, 0 for all if the order is that of arrival.
+  int RankOf(const Claim& claim) const {
+    return this->settings.ordered ? claim.rank : 0;
+  }
   /// Returns whether waiting for \p expected is of no use to \p claim.
   bool IsUnservable(const Claim& claim, const std::optional<Duration>& expected,
                     TimePoint now) const;
--- a/lib/admission/claim_queue.cc
+++ b/lib/admission/claim_queue.cc
@@ -162,32 +162,49 @@
   return static_cast<std::size_t>(ahead);
 }
 
+double ClaimQueue::Ahead::InRank(const Claim& claim) const {
+  const auto own = this->by_customer.find(claim.customer);
+  const double own_cost = own == this->by_customer.end() ? 0 : own->second;
+  double sum = this->on_time + own_cost;
+  for (const auto& [customer, cost] : this->by_customer) {
+    if (customer == claim.customer) continue;
+    sum += std::min(cost, own_cost + claim.Cost());
+  }
+  return sum;
+}
+
 std::optional<Duration> ClaimQueue::ExpectedWait(TimePoint now,
                                                  const Claim& claim) const {
   const Entry added = this->MakeEntry(now, claim);
-  double ahead = 0;
-  double ahead_in_rank = 0;
+  Ahead ahead;
   for (const auto& [id, entry] : this->entries) {
     if (!this->GoesBefore(entry, added)) continue;
-    ahead += entry.claim.Cost();
-    if (entry.claim.rank == added.claim.rank)
-      ahead_in_rank += entry.claim.Cost();
+    const double cost = entry.claim.Cost();
+    if (this->RankOf(entry.claim) != this->RankOf(added.claim)) {
+      ahead.upper_ranks += cost;
+    } else if (entry.late != added.late) {
+      ahead.on_time += cost;
+    } else {
+      ahead.by_customer[entry.claim.customer] += cost;
+    }
   }
-  return this->WaitBehind(now, ahead, ahead_in_rank, claim.Cost());
+  return this->WaitBehind(now, ahead, added.claim);
 }
 
-std::optional<Duration> ClaimQueue::WaitBehind(TimePoint now, double ahead,
-                                               double ahead_in_rank,
-                                               double cost) const {
-  if (ahead == 0) return Duration(0);
+std::optional<Duration> ClaimQueue::WaitBehind(TimePoint now,
+                                               const Ahead& ahead,
+                                               const Claim& claim) const {
+  const double in_rank = ahead.InRank(claim);
+  const double all = ahead.upper_ranks + in_rank;
+  if (all == 0) return Duration(0);
   const double rate = this->DrainRate(now);
   // A queue that hasn't moved yet says nothing about when it will.
   if (rate <= 0) return std::nullopt;
   // At the latest the rank's least part suffices.
   const double by_least_part =
-      (ahead_in_rank + cost) / (rate * this->settings.min_share);
+      (in_rank + claim.Cost()) / (rate * this->settings.min_share);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      std::min({ahead / rate, by_least_part, kMaxExpectedSeconds})));
+      std::min({all / rate, by_least_part, kMaxExpectedSeconds})));
 }
 
 bool ClaimQueue::IsUnservable(const Claim& claim,
@@ -211,19 +228,30 @@
               return this->GoesBefore(left->second, right->second);
             });
   std::vector<QueuedClaim> unservable;
-  double ahead = 0;
-  std::array<double, kRanks> ahead_in_rank{};
+  Ahead ahead;
+  double in_rank = 0;
+  const Entry* previous = nullptr;
   for (const auto* queued : in_order) {
-    const Claim& claim = queued->second.claim;
-    double& in_rank = ahead_in_rank.at(static_cast<std::size_t>(claim.rank));
-    const double cost = claim.Cost();
-    const auto expected = this->WaitBehind(now, ahead, in_rank, cost);
-    if (this->IsUnservable(claim, expected, now)) {
+    const Entry& entry = queued->second;
+    const Claim& claim = entry.claim;
+    const bool new_rank = previous != nullptr &&
+                          this->RankOf(claim) != this->RankOf(previous->claim);
+    const bool new_lateness =
+        previous != nullptr && entry.late != previous->late;
+    previous = &entry;
+    if (new_rank) {
+      ahead = Ahead{ahead.upper_ranks + in_rank, 0, {}};
+      in_rank = 0;
+    } else if (new_lateness) {
+      ahead = Ahead{ahead.upper_ranks, in_rank, {}};
+    }
+    if (this->IsUnservable(claim, this->WaitBehind(now, ahead, claim), now)) {
       unservable.push_back({queued->first, claim});
       continue;
     }
     // Nobody waits for those that are refused.
-    ahead += cost;
+    const double cost = claim.Cost();
+    ahead.by_customer[claim.customer] += cost;
     in_rank += cost;
   }
   std::reverse(unservable.begin(), unservable.end());
--- a/unittests/admission/claim_queue_test.cc
+++ b/unittests/admission/claim_queue_test.cc
@@ -216,6 +216,31 @@
   BOOST_TEST(queue.Front(kAnyRank)->id == "last");
 }
 
+// A request is refused because of the backlog of another customer, although the
+// shares let it be served next.
+BOOST_AUTO_TEST_CASE(BacklogOfAnotherCustomerCountsByItsShare) {
+  ClaimQueue queue;
+  // Capacity for five requests a second.
+  for (int i = 0; i < 10; ++i) {
+    QueuedClaim patient = MakeClaim(std::to_string(i), 0, 0);
+    patient.claim.on_time_until = At(60000);
+    patient.claim.useful_until = At(60000);
+    queue.Push(At(0), patient);
+  }
+  for (int i = 0; i < 9; ++i) queue.Take(At(200 * i), std::to_string(i));
+  for (int i = 0; i < 30; ++i) {
+    queue.Push(At(1800), MakeClaim("h" + std::to_string(i), 0, 1800, "heavy"));
+  }
+  queue.Take(At(1800), "9");
+  queue.Push(At(1801), MakeClaim("light", 0, 1801, "light"));
+  queue.Take(At(1801), "h0");
+  BOOST_TEST(queue.Front(kAnyRank)->id == "light");
+  const auto refused = queue.TakeUnservable(At(1801));
+  // The other customer's own backlog counts in full.
+  BOOST_TEST(refused.size() > 10U);
+  for (const auto& one : refused) BOOST_TEST(one.id != "light");
+}
+
 // A rank that leaves capacity to others must not keep more urgent work back.
 BOOST_AUTO_TEST_CASE(HeldRankIsPassedOver) {
   ClaimQueue queue;
