Restart: who informs its domain keeps sending to the others

Cause: for the first three seconds a reader of the store sent its beacons to its own failure domain instead of to the receivers that were due. Readers are the usual leaders and backup leaders: as such they did not broadcast, so that other domains did not learn of the leader, and a backup leader assumed after two seconds that it had heard from all.

Change: BeaconSchedule adds the domain to the receivers of the round.

Measured: InformingTheDomainReplacesNoOtherBeacon fails if the domain replaces the receivers, as before, and holds now; test_gossip passes. Not run: the whole recovery with processes.

--- a/include/toucanwharf/gossip/beacon_schedule.h
+++ b/include/toucanwharf/gossip/beacon_schedule.h
@@ -52,6 +52,8 @@
   std::vector<std::string> backup_leaders;
   /// Whether this instance is the leader or a backup leader.
   bool is_coordinator = false;
+  /// Whether every peer in the same failure domain gets a beacon in this round.
+  bool informs_domain = false;
 
   friend bool operator==(const BeaconTargets&, const BeaconTargets&) = default;
 };
@@ -85,6 +87,8 @@
   Duration PeerTimeout(std::size_t domain_peers) const;
 
  private:
+  std::vector<std::string> NextInTurn(const BeaconTargets& targets);
+
   BeaconScheduleSettings settings;
   std::size_t round = 0;
   bool last_round_was_broadcast = false;
--- a/lib/gossip/beacon_schedule.cc
+++ b/lib/gossip/beacon_schedule.cc
@@ -18,6 +18,13 @@
 }  // namespace
 
 std::vector<std::string> BeaconSchedule::Next(const BeaconTargets& targets) {
+  std::vector<std::string> receivers = this->NextInTurn(targets);
+  if (targets.informs_domain) AddMissing(receivers, targets.same_domain);
+  return receivers;
+}
+
+std::vector<std::string> BeaconSchedule::NextInTurn(
+    const BeaconTargets& targets) {
   ++this->round;
   const std::size_t peer_count =
       targets.same_domain.size() + targets.other_domains.size();
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -129,10 +129,6 @@
   this->ApplyConfirmations(now);
   if (large && coordinator) this->SumLoads(now);
   auto recipients = this->schedule.Next(this->MakeTargets(now));
-  if (this->AssistsRestart(now)) {
-    recipients =
-        this->state.peers.AddressesInDomain(this->settings.failure_domain, now);
-  }
   if (this->schedule.LastRoundWasBroadcast()) {
     this->covered_keys = this->ranges.Next(this->state.endpoints.All().size());
   }
@@ -168,6 +164,7 @@
   targets.leader = peers.Leader(now);
   targets.backup_leaders = this->OtherBackupLeaders(targets.leader);
   targets.is_coordinator = this->state.leads || this->state.is_backup_leader;
+  targets.informs_domain = this->AssistsRestart(now);
   return targets;
 }
 
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -427,6 +427,26 @@
   BOOST_TEST(whole == 5);
 }
 
+// A coordinator that tells its failure domain of a restart is unknown to the
+// other domains, and sums loads without theirs.
+BOOST_AUTO_TEST_CASE(InformingTheDomainReplacesNoOtherBeacon) {
+  BeaconTargets targets = MakeTargets(85);
+  targets.is_coordinator = true;
+  BeaconSchedule ordinary;
+  BeaconSchedule informing;
+  for (int round = 0; round < 10; ++round) {
+    targets.informs_domain = false;
+    std::vector<std::string> expected = ordinary.Next(targets);
+    expected.insert(expected.end(), targets.same_domain.begin(),
+                    targets.same_domain.end());
+    targets.informs_domain = true;
+    const std::vector<std::string> receivers = informing.Next(targets);
+    const std::set<std::string> distinct(receivers.begin(), receivers.end());
+    BOOST_TEST(distinct.size() == receivers.size());
+    BOOST_TEST((distinct == std::set(expected.begin(), expected.end())));
+  }
+}
+
 // Guards against a large fleet that serves nothing for seconds after all its
 // processes were killed, because each reads all lists from the store: the few
 // strong ones read, the others only if they get no copy.
