--- a/include/toucanwharf/admission/claim_queue.h
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -105,7 +105,7 @@
   /// which the queue drains. Nothing while that isn't known.
   std::optional<Duration> ExpectedWait(TimePoint now, const Claim& claim) const;
   /// Returns the number of queued requests that go before \p claim.
-  std::size_t CountAhead(const Claim& claim) const;
+  std::size_t CountAhead(TimePoint now, const Claim& claim) const;
   /// Returns what waits, by rank.
   std::array<RankBacklog, kRanks> Backlog() const;
   /// Returns the drain rate in tokens of cost per second; 0 if unknown.
@@ -132,14 +132,42 @@
     double owed = 0;
   };
 
+  /// Cost of what goes before a request.
+  struct Ahead {
+    double upper_ranks = 0;
+    /// Of its rank, if they can be on time and it can't.
+    double on_time = 0;
+    /// Of its rank that can be on time if it can, by customer.
+    std::map<std::string, double> by_customer;
+
+    /// Returns the cost of what goes before \p claim in its rank. Another
+    /// customer goes before it with as much as its own customer at most.
+    double InRank(const Claim& claim) const;
+  };
+
   std::optional<QueuedClaim> HeadOf(const Rank& order) const;
   FairQueue& QueueOf(const Entry& entry);
   static Ticket MakeTicket(FairQueue& queue, const std::string& id,
                            const Entry& entry, bool ordered);
-  /// Returns whether \p other goes before \p claim.
-  bool GoesBefore(const Claim& other, const Claim& claim) const;
+  /// Returns the time by which requests of a customer are ordered.
+  static TimePoint LimitOf(const Entry& entry);
+  /// Returns whether \p other goes before \p entry, apart from the shares of
+  /// customers.
+  bool GoesBefore(const Entry& other, const Entry& entry) const;
+  /// Returns \p claim as it would be queued at \p now.
+  Entry MakeEntry(TimePoint now, const Claim& claim) const;
   bool CanBeOnTime(const Claim& claim, TimePoint now) const;
-  bool IsUnservable(const Claim& claim, TimePoint now) const;
+  /// Returns the wait of \p claim behind \p ahead. Nothing while the rate is
+  /// unknown.
+  std::optional<Duration> WaitBehind(TimePoint now, const Ahead& ahead,
+                                     const Claim& claim) const;
+  /// Returns the rank of \p claim, 0 for all if the order is that of arrival.
+  int RankOf(const Claim& claim) const {
+    return this->settings.ordered ? claim.rank : 0;
+  }
+  /// Returns whether waiting for \p expected is of no use to \p claim.
+  bool IsUnservable(const Claim& claim, const std::optional<Duration>& expected,
+                    TimePoint now) const;
   void Remove(TimePoint now, const std::string& id);
 
   ClaimQueueSettings settings;
--- a/lib/admission/claim_queue.cc
+++ b/lib/admission/claim_queue.cc
@@ -9,7 +9,8 @@
 /// Requests that passed the first one must be this much smaller, or they would
 /// take the capacity that it waits for.
 constexpr double kSmallerShare = 0.5;
-/// Least part that a rank may save up, in tokens of cost: some common answers.
+/// Least part that a rank may save up, in tokens of cost, unless its next
+/// request costs more: some common answers.
 constexpr double kMaxOwed = 1000;
 /// Upper bound of any expected wait.
 constexpr double kMaxExpectedSeconds = 3600;
@@ -38,18 +39,27 @@
   // Equal costs keep long and short work in one order.
   ticket.cost = ordered ? claim.Cost() : 1;
   ticket.arrived = claim.arrived;
-  ticket.deadline = entry.late ? claim.useful_until : claim.on_time_until;
-  // A second refusal costs a caller more than a first one.
-  const bool goes_first = entry.late && claim.returned;
-  if (goes_first || !ordered) ticket.deadline = claim.arrived;
+  ticket.deadline = ordered ? LimitOf(entry) : claim.arrived;
   return ticket;
 }
 
-void ClaimQueue::Push(TimePoint now, const QueuedClaim& queued) {
-  assert(!this->entries.contains(queued.id) && "request is already queued");
-  Entry entry{queued.claim, false};
+TimePoint ClaimQueue::LimitOf(const Entry& entry) {
+  if (!entry.late) return entry.claim.on_time_until;
+  // A second refusal costs a caller more than a first one.
+  return entry.claim.returned ? entry.claim.arrived : entry.claim.useful_until;
+}
+
+ClaimQueue::Entry ClaimQueue::MakeEntry(TimePoint now,
+                                        const Claim& claim) const {
+  Entry entry{claim, false};
   entry.claim.rank = std::clamp(entry.claim.rank, 0, kRanks - 1);
   entry.late = this->settings.ordered && !this->CanBeOnTime(entry.claim, now);
+  return entry;
+}
+
+void ClaimQueue::Push(TimePoint now, const QueuedClaim& queued) {
+  assert(!this->entries.contains(queued.id) && "request is already queued");
+  Entry entry = this->MakeEntry(now, queued.claim);
   FairQueue& queue = this->QueueOf(entry);
   queue.Push(now, MakeTicket(queue, queued.id, entry, this->settings.ordered));
   this->entries.emplace(queued.id, std::move(entry));
@@ -88,15 +98,18 @@
     return std::nullopt;
   }
   const Claim& first = found->second.claim;
-  std::optional<QueuedClaim> best;
-  for (const auto& [other, entry] : this->entries) {
+  const std::pair<const std::string, Entry>* best = nullptr;
+  for (const auto& other : this->entries) {
     const bool smaller =
-        TokensOf(entry.claim) < kSmallerShare * TokensOf(first);
+        TokensOf(other.second.claim) < kSmallerShare * TokensOf(first);
     if (!smaller) continue;
-    if (best && !this->GoesBefore(entry.claim, best->claim)) continue;
-    best = QueuedClaim{other, entry.claim};
+    if (best != nullptr && !this->GoesBefore(other.second, best->second)) {
+      continue;
+    }
+    best = &other;
   }
-  return best;
+  if (best == nullptr) return std::nullopt;
+  return QueuedClaim{best->first, best->second.claim};
 }
 
 void ClaimQueue::Take(TimePoint now, const std::string& id) {
@@ -107,10 +120,10 @@
   this->QueueOf(found->second).Take(now, id);
   for (auto& [other, order] : this->ranks) {
     if (other == rank) order.owed = std::max(0.0, order.owed - cost);
-    const bool waits = order.on_time.size() + order.late.size() > 0;
-    if (other > rank && waits) {
-      order.owed =
-          std::min(kMaxOwed, order.owed + cost * this->settings.min_share);
+    const auto head = this->HeadOf(order);
+    if (other > rank && head) {
+      order.owed = std::min(std::max(kMaxOwed, head->claim.Cost()),
+                            order.owed + cost * this->settings.min_share);
     }
   }
   this->drain.RecordTaken(now, cost);
@@ -132,45 +145,74 @@
   if (this->entries.empty()) this->served_in_sequence = 0;
 }
 
-bool ClaimQueue::GoesBefore(const Claim& other, const Claim& claim) const {
-  if (!this->settings.ordered) return other.arrived < claim.arrived;
-  if (other.rank != claim.rank) return other.rank < claim.rank;
-  return other.on_time_until < claim.on_time_until;
+bool ClaimQueue::GoesBefore(const Entry& other, const Entry& entry) const {
+  if (!this->settings.ordered) return other.claim.arrived < entry.claim.arrived;
+  if (other.claim.rank != entry.claim.rank) {
+    return other.claim.rank < entry.claim.rank;
+  }
+  if (other.late != entry.late) return entry.late;
+  return LimitOf(other) < LimitOf(entry);
 }
 
-std::size_t ClaimQueue::CountAhead(const Claim& claim) const {
+std::size_t ClaimQueue::CountAhead(TimePoint now, const Claim& claim) const {
+  const Entry added = this->MakeEntry(now, claim);
   const auto ahead = std::count_if(
-      this->entries.begin(), this->entries.end(), [&](const auto& entry) {
-        return this->GoesBefore(entry.second.claim, claim);
-      });
+      this->entries.begin(), this->entries.end(),
+      [&](const auto& entry) { return this->GoesBefore(entry.second, added); });
   return static_cast<std::size_t>(ahead);
 }
 
+double ClaimQueue::Ahead::InRank(const Claim& claim) const {
+  const auto own = this->by_customer.find(claim.customer);
+  const double own_cost = own == this->by_customer.end() ? 0 : own->second;
+  double sum = this->on_time + own_cost;
+  for (const auto& [customer, cost] : this->by_customer) {
+    if (customer == claim.customer) continue;
+    sum += std::min(cost, own_cost + claim.Cost());
+  }
+  return sum;
+}
+
 std::optional<Duration> ClaimQueue::ExpectedWait(TimePoint now,
                                                  const Claim& claim) const {
-  double ahead = 0;
-  double ahead_in_rank = 0;
+  const Entry added = this->MakeEntry(now, claim);
+  Ahead ahead;
   for (const auto& [id, entry] : this->entries) {
-    if (!this->GoesBefore(entry.claim, claim)) continue;
-    ahead += entry.claim.Cost();
-    if (entry.claim.rank == claim.rank) ahead_in_rank += entry.claim.Cost();
+    if (!this->GoesBefore(entry, added)) continue;
+    const double cost = entry.claim.Cost();
+    if (this->RankOf(entry.claim) != this->RankOf(added.claim)) {
+      ahead.upper_ranks += cost;
+    } else if (entry.late != added.late) {
+      ahead.on_time += cost;
+    } else {
+      ahead.by_customer[entry.claim.customer] += cost;
+    }
   }
-  if (ahead == 0) return Duration(0);
+  return this->WaitBehind(now, ahead, added.claim);
+}
+
+std::optional<Duration> ClaimQueue::WaitBehind(TimePoint now,
+                                               const Ahead& ahead,
+                                               const Claim& claim) const {
+  const double in_rank = ahead.InRank(claim);
+  const double all = ahead.upper_ranks + in_rank;
+  if (all == 0) return Duration(0);
   const double rate = this->DrainRate(now);
   // A queue that hasn't moved yet says nothing about when it will.
   if (rate <= 0) return std::nullopt;
   // At the latest the rank's least part suffices.
   const double by_least_part =
-      (ahead_in_rank + claim.Cost()) / (rate * this->settings.min_share);
+      (in_rank + claim.Cost()) / (rate * this->settings.min_share);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      std::min({ahead / rate, by_least_part, kMaxExpectedSeconds})));
+      std::min({all / rate, by_least_part, kMaxExpectedSeconds})));
 }
 
-bool ClaimQueue::IsUnservable(const Claim& claim, TimePoint now) const {
+bool ClaimQueue::IsUnservable(const Claim& claim,
+                              const std::optional<Duration>& expected,
+                              TimePoint now) const {
   const Duration reserve = this->settings.first_event_reserve;
   const TimePoint last = claim.useful_until - reserve;
   if (now >= last) return true;
-  const auto expected = this->ExpectedWait(now, claim);
   if (expected && now + *expected >= last) return true;
   // A second refusal is the exception: who came back waits while it may help.
   if (this->CanBeOnTime(claim, now) || claim.returned) return false;
@@ -179,15 +221,40 @@
 }
 
 std::vector<QueuedClaim> ClaimQueue::TakeUnservable(TimePoint now) {
+  std::vector<const std::pair<const std::string, Entry>*> in_order;
+  for (const auto& entry : this->entries) in_order.push_back(&entry);
+  std::sort(in_order.begin(), in_order.end(),
+            [this](const auto* left, const auto* right) {
+              return this->GoesBefore(left->second, right->second);
+            });
   std::vector<QueuedClaim> unservable;
-  for (const auto& [id, entry] : this->entries) {
-    if (!this->IsUnservable(entry.claim, now)) continue;
-    unservable.push_back({id, entry.claim});
+  Ahead ahead;
+  double in_rank = 0;
+  const Entry* previous = nullptr;
+  for (const auto* queued : in_order) {
+    const Entry& entry = queued->second;
+    const Claim& claim = entry.claim;
+    const bool new_rank = previous != nullptr &&
+                          this->RankOf(claim) != this->RankOf(previous->claim);
+    const bool new_lateness =
+        previous != nullptr && entry.late != previous->late;
+    previous = &entry;
+    if (new_rank) {
+      ahead = Ahead{ahead.upper_ranks + in_rank, 0, {}};
+      in_rank = 0;
+    } else if (new_lateness) {
+      ahead = Ahead{ahead.upper_ranks, in_rank, {}};
+    }
+    if (this->IsUnservable(claim, this->WaitBehind(now, ahead, claim), now)) {
+      unservable.push_back({queued->first, claim});
+      continue;
+    }
+    // Nobody waits for those that are refused.
+    const double cost = claim.Cost();
+    ahead.by_customer[claim.customer] += cost;
+    in_rank += cost;
   }
-  std::sort(unservable.begin(), unservable.end(),
-            [this](const QueuedClaim& left, const QueuedClaim& right) {
-              return this->GoesBefore(right.claim, left.claim);
-            });
+  std::reverse(unservable.begin(), unservable.end());
   for (const QueuedClaim& queued : unservable) this->Drop(now, queued.id);
   return unservable;
 }
--- a/unittests/admission/claim_queue_test.cc
+++ b/unittests/admission/claim_queue_test.cc
@@ -109,6 +109,24 @@
   BOOST_TEST(server.by_rank[2].served <= 2000 * 5 / 100);
 }
 
+// A less urgent request that costs more than a rank may save up is never
+// served, and keeps the rest of its rank waiting.
+BOOST_AUTO_TEST_CASE(LargeRequestOfALesserRankIsServed) {
+  ClaimQueue queue;
+  queue.Push(At(0), MakeClaim("large", 2, 0, "c", 8000));
+  bool served = false;
+  int rounds = 0;
+  for (; rounds < 2000 && !served; ++rounds) {
+    queue.Push(At(0), MakeClaim(std::to_string(rounds), 0, 0));
+    const auto next = queue.Front(kAnyRank);
+    served = next->id == "large";
+    queue.Take(At(0), next->id);
+  }
+  BOOST_TEST(served);
+  // Its part is 1 in 50 of the cost that is served beside it.
+  BOOST_TEST(rounds > 8 * 50);
+}
+
 // One customer at ten times the part of nine others would take most of what is
 // served.
 BOOST_AUTO_TEST_CASE(HeavyCustomerTakesNobodysPlace) {
@@ -164,6 +182,65 @@
   BOOST_TEST(queue.TakeUnservable(At(1800)).size() == 1U);
 }
 
+// A request that can still be on time is queued and refused because of late
+// ones, which go after it.
+BOOST_AUTO_TEST_CASE(LateRequestsAreNotCountedAheadOfThoseOnTime) {
+  ClaimQueue queue;
+  QueuedClaim late = MakeClaim("late", 1, 0);
+  late.claim.returned = true;
+  late.claim.on_time_until = At(100);
+  queue.Push(At(0), late);
+  const Claim on_time = MakeClaim("on time", 1, 0).claim;
+  BOOST_TEST(queue.CountAhead(At(0), on_time) == 0U);
+  BOOST_TEST((queue.ExpectedWait(At(0), on_time) == Duration(0)));
+  queue.Push(At(0), {"on time", on_time});
+  BOOST_TEST(queue.Front(kAnyRank)->id == "on time");
+  BOOST_TEST(queue.CountAhead(At(0), late.claim) == 1U);
+}
+
+// When urgent requests expire together, a less urgent one is refused for want
+// of the capacity that they don't take any more.
+BOOST_AUTO_TEST_CASE(RefusedRequestsAreNotCountedAheadOfOthers) {
+  ClaimQueue queue;
+  // Capacity for five requests a second.
+  for (int i = 0; i < 30; ++i) {
+    queue.Push(At(0), MakeClaim(std::to_string(i), 0, 0));
+  }
+  for (int i = 0; i < 10; ++i) {
+    queue.Take(At(200 * i), std::to_string(i));
+  }
+  const QueuedClaim last = MakeClaim("last", 1, 1800);
+  queue.Push(At(1800), last);
+  BOOST_TEST((queue.ExpectedWait(At(1800), last.claim) > milliseconds(2000)));
+  BOOST_REQUIRE(queue.TakeUnservable(At(1800)).size() == 20U);
+  BOOST_TEST(queue.Front(kAnyRank)->id == "last");
+}
+
+// A request is refused because of the backlog of another customer, although the
+// shares let it be served next.
+BOOST_AUTO_TEST_CASE(BacklogOfAnotherCustomerCountsByItsShare) {
+  ClaimQueue queue;
+  // Capacity for five requests a second.
+  for (int i = 0; i < 10; ++i) {
+    QueuedClaim patient = MakeClaim(std::to_string(i), 0, 0);
+    patient.claim.on_time_until = At(60000);
+    patient.claim.useful_until = At(60000);
+    queue.Push(At(0), patient);
+  }
+  for (int i = 0; i < 9; ++i) queue.Take(At(200 * i), std::to_string(i));
+  for (int i = 0; i < 30; ++i) {
+    queue.Push(At(1800), MakeClaim("h" + std::to_string(i), 0, 1800, "heavy"));
+  }
+  queue.Take(At(1800), "9");
+  queue.Push(At(1801), MakeClaim("light", 0, 1801, "light"));
+  queue.Take(At(1801), "h0");
+  BOOST_TEST(queue.Front(kAnyRank)->id == "light");
+  const auto refused = queue.TakeUnservable(At(1801));
+  // The other customer's own backlog counts in full.
+  BOOST_TEST(refused.size() > 10U);
+  for (const auto& one : refused) BOOST_TEST(one.id != "light");
+}
+
 // A rank that leaves capacity to others must not keep more urgent work back.
 BOOST_AUTO_TEST_CASE(HeldRankIsPassedOver) {
   ClaimQueue queue;
