Metrics: what waits for capacity and how long it waited, by rank

Cause: operators saw how many requests had waited in all, but neither which ranks wait now nor for how long. Change: gauge waiting and histogram waited_seconds, both by rank, with lines only for ranks that wait or have waited. A wait is recorded wherever a request leaves a queue: sent, refused, caller gone or time over; the last two were logged with waited_ms 0. Why it works: ProxiedRequest::RecordWait clears the start of the wait, so that each is counted once, and Finish, which every end passes through, calls it.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -68,6 +68,11 @@
                          const LatencyHistogram&) = default;
 };
 
+/// Times that requests waited for capacity, by rank.
+using WaitsByRank = std::array<LatencyHistogram, admission::kRanks>;
+/// What waits for capacity, by rank.
+using WaitingByRank = std::array<admission::RankBacklog, admission::kRanks>;
+
 /// Counts of requests by outcome.
 struct GatewayCounters {
   std::uint64_t received = 0;
@@ -96,6 +101,7 @@
   std::uint64_t forwards_rejected = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
+  WaitsByRank waits{};
 
   friend bool operator==(const GatewayCounters&,
                          const GatewayCounters&) = default;
@@ -166,6 +172,8 @@
     return this->active.size() + this->early_requests.size();
   }
   const GatewayCounters& Counters() const { return this->counters; }
+  /// Returns what waits for capacity of any service, by rank.
+  WaitingByRank Waiting() const;
 
  private:
   friend class ProxiedRequest;
--- a/include/toucanwharf/instance/metrics.h
+++ b/include/toucanwharf/instance/metrics.h
@@ -10,6 +10,12 @@
 
 namespace toucanwharf::instance {
 
+/// Returns the metrics of what waits, and how long it waited, in the Prometheus
+/// text format. Only ranks that wait or have waited have lines.
+/// Thread safety: safe.
+std::string WaitMetricsText(const WaitingByRank& waiting,
+                            const WaitsByRank& waits);
+
 /// Returns the process's metrics in the Prometheus text format.
 /// Thread safety: only on the loop's thread.
 std::string MetricsText(const Gateway& gateway, const InstanceState& state,
--- a/lib/instance/gateway_queue.cc
+++ b/lib/instance/gateway_queue.cc
@@ -33,6 +33,18 @@
          found->second.order.CountAhead(claim) > 0;
 }
 
+WaitingByRank Gateway::Waiting() const {
+  WaitingByRank waiting{};
+  for (const auto& [service, queue] : this->queues) {
+    const WaitingByRank backlog = queue.order.Backlog();
+    for (std::size_t rank = 0; rank < backlog.size(); ++rank) {
+      waiting.at(rank).requests += backlog.at(rank).requests;
+      waiting.at(rank).tokens += backlog.at(rank).tokens;
+    }
+  }
+  return waiting;
+}
+
 void Gateway::Enqueue(const std::string& service,
                       std::shared_ptr<ProxiedRequest> request) {
   ++this->counters.queued;
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -27,25 +27,56 @@
   void Latencies(const char* name, const char* help,
                  const LatencyHistogram& values) {
     this->Head(name, help, "histogram");
+    this->Histogram(name, "", values);
+  }
+  /// Only ranks that wait have a line.
+  void Waiting(const WaitingByRank& waiting) {
+    constexpr const char* kName = "waiting";
+    this->Head(kName, "requests that wait for room, by rank", "gauge");
+    for (std::size_t rank = 0; rank < waiting.size(); ++rank) {
+      if (waiting.at(rank).requests == 0) continue;
+      absl::StrAppend(&this->text, "toucanwharf_", kName, "{", RankLabel(rank),
+                      "} ", waiting.at(rank).requests, "\n");
+    }
+  }
+  /// Only ranks that have waited have lines.
+  void Waited(const WaitsByRank& waits) {
+    constexpr const char* kName = "waited_seconds";
+    this->Head(kName, "time that requests waited for room, by rank",
+               "histogram");
+    for (std::size_t rank = 0; rank < waits.size(); ++rank) {
+      if (waits.at(rank) == LatencyHistogram{}) continue;
+      this->Histogram(kName, RankLabel(rank), waits.at(rank));
+    }
+  }
+  std::string Take() { return std::move(this->text); }
+
+ private:
+  static std::string RankLabel(std::size_t rank) {
+    return absl::StrCat("rank=\"", rank, "\"");
+  }
+  /// Appends the samples of one histogram. \p label is empty if its name has
+  /// only one.
+  void Histogram(const char* name, const std::string& label,
+                 const LatencyHistogram& values) {
+    const std::string first = label.empty() ? "" : label + ",";
+    const std::string labels = label.empty() ? "" : "{" + label + "}";
     std::uint64_t sum = 0;
     for (std::size_t i = 0; i < LatencyHistogram::kBounds.size(); ++i) {
       sum += values.counts[i];
       const double bound =
           static_cast<double>(LatencyHistogram::kBounds[i].count()) /
           kMicrosPerSecond;
-      absl::StrAppend(&this->text, "toucanwharf_", name, "_bucket{le=\"", bound,
-                      "\"} ", sum, "\n");
+      absl::StrAppend(&this->text, "toucanwharf_", name, "_bucket{", first,
+                      "le=\"", bound, "\"} ", sum, "\n");
     }
     sum += values.counts.back();
-    absl::StrAppend(&this->text, "toucanwharf_", name, "_bucket{le=\"+Inf\"} ",
-                    sum, "\n", "toucanwharf_", name, "_count ", sum, "\n",
-                    "toucanwharf_", name, "_sum ",
-                    static_cast<double>(values.sum.count()) / kMicrosPerSecond,
-                    "\n");
+    absl::StrAppend(
+        &this->text, "toucanwharf_", name, "_bucket{", first, "le=\"+Inf\"} ",
+        sum, "\n", "toucanwharf_", name, "_count", labels, " ", sum, "\n",
+        "toucanwharf_", name, "_sum", labels, " ",
+        static_cast<double>(values.sum.count()) / kMicrosPerSecond, "\n");
   }
-  std::string Take() { return std::move(this->text); }
-
- private:
   void Head(const char* name, const char* help, const char* type) {
     const char* suffix = std::string_view(type) == "counter" ? "_total" : "";
     absl::StrAppend(&this->text, "# HELP toucanwharf_", name, suffix, " ", help,
@@ -70,6 +101,14 @@
 
 }  // namespace
 
+std::string WaitMetricsText(const WaitingByRank& waiting,
+                            const WaitsByRank& waits) {
+  Writer writer;
+  writer.Waiting(waiting);
+  writer.Waited(waits);
+  return writer.Take();
+}
+
 std::string MetricsText(const Gateway& gateway, const InstanceState& state,
                         std::uint64_t log_lines_dropped, TimePoint now) {
   const GatewayCounters& counters = gateway.Counters();
@@ -183,7 +222,7 @@
                "the same of the best layout known for these engines",
                state.best_layout_rate);
   writer.Counter("log_lines_dropped", "log lines dropped", log_lines_dropped);
-  return writer.Take();
+  return writer.Take() + WaitMetricsText(gateway.Waiting(), counters.waits);
 }
 
 }  // namespace toucanwharf::instance
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -125,7 +125,7 @@
   if (this->RefuseQuarantined()) return QueueStep::kEnded;
   const auto chosen = this->ChooseTarget();
   if (chosen) {
-    this->waited = this->gateway.loop.Now() - *this->queued_at;
+    this->RecordWait();
     this->Send(*chosen);
     return QueueStep::kSent;
   }
@@ -140,12 +140,21 @@
 
 void ProxiedRequest::RefuseQueued() {
   if (this->finished) return;
-  this->waited = this->gateway.loop.Now() - *this->queued_at;
+  this->RecordWait();
   const bool no_capacity =
       this->no_path_reason == placement::NoPathReason::kNoCapacity;
   this->Refuse(no_capacity ? "no_room_in_time" : this->ReasonWithoutTarget());
 }
 
+void ProxiedRequest::RecordWait() {
+  if (!this->queued_at) return;
+  const Duration wait = this->gateway.loop.Now() - *this->queued_at;
+  this->queued_at.reset();
+  this->waited += wait;
+  const auto rank = static_cast<std::size_t>(this->claim.rank);
+  this->gateway.counters.waits.at(rank).Add(wait);
+}
+
 void ProxiedRequest::LogQueued(std::size_t ahead,
                                const std::optional<Duration>& expected) {
   this->queued_at = this->gateway.loop.Now();
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -273,6 +273,8 @@
   Duration RetryAfter() const;
   void Fail(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
+  /// Records how long the request waited if it leaves a queue now.
+  void RecordWait();
   void CancelCall();
   void ReleaseLoad();
   void Log(eventlog::Level level, std::string_view event,
@@ -284,9 +286,9 @@
   std::string request_id;
   /// What the request asks of free capacity.
   admission::Claim claim;
-  /// When the request began to wait for capacity, if it does or did.
+  /// When the request began to wait for capacity, if it waits.
   std::optional<TimePoint> queued_at;
-  /// How long it waited.
+  /// How long it waited in all, until it last left a queue.
   Duration waited{0};
 
   attempts::AttemptCounts attempt_counts;
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -108,6 +108,8 @@
 
 void ProxiedRequest::Finish(std::string_view outcome, int status) {
   if (std::exchange(this->finished, true)) return;
+  // Requests whose caller left, or whose time was over, have waited longest.
+  this->RecordWait();
   this->CancelCall();
   this->ReleaseLoad();
   this->gateway.loop.Cancel(this->deadline_timer);
