explain: rank, place and wait of a request; how long a refused one waited and behind how many

Cause: no_room_in_time told nothing of the wait, and said that it ends with the objective, which no longer holds. Change: Explanation::wait, from the lines of the instance that gave the reason, since the request last came there; printed as a line and as member queue of the JSON output. Result: test_eventlog passes, with tests of a repeated request and of a missing queued line; toucanwharf explain tried on a hand-written log. Why it works: lines before an instance's finished line of the same id belong to an earlier visit of the caller and are left out.

--- a/include/toucanwharf/eventlog/explain.h
+++ b/include/toucanwharf/eventlog/explain.h
@@ -31,6 +31,19 @@
 /// Thread safety: safe.
 std::optional<LogEntry> ParseLogLine(std::string_view line);
 
+/// How a request waited for capacity at one instance, as far as its lines state
+/// it: routine lines, such as `queued`, are sampled.
+struct QueueWait {
+  std::optional<std::uint64_t> rank;
+  /// Requests that went before it when it began to wait.
+  std::optional<std::uint64_t> ahead;
+  /// Wait that was expected then.
+  std::optional<std::uint64_t> expected_wait_ms;
+  std::optional<std::uint64_t> waited_ms;
+
+  friend bool operator==(const QueueWait&, const QueueWait&) = default;
+};
+
 /// What the logs show about one request.
 struct Explanation {
   /// Events of the request, in order.
@@ -38,12 +51,18 @@
   /// The last change of its instance's state before the request ended, for each
   /// kind of event, in order.
   std::vector<LogEntry> state_changes;
+  /// The wait at the instance that gave the reason for the end.
+  QueueWait wait;
   /// The likely cause, as text.
   std::string cause;
 
   friend bool operator==(const Explanation&, const Explanation&) = default;
 };
 
+/// Returns \p wait as text, as "rank 2, queued behind 14 requests, waited 812
+/// ms"; empty if nothing is stated. Thread safety: safe.
+std::string ToText(const QueueWait& wait);
+
 /// Explains the request \p id from \p entries of any number of processes, in
 /// any order. `steps` is empty if no entry is about it. Thread safety: safe.
 Explanation Explain(std::vector<LogEntry> entries, const std::string& id);
--- a/lib/command/explain_subcommand.cc
+++ b/lib/command/explain_subcommand.cc
@@ -27,10 +27,20 @@
   return list;
 }
 
+nlohmann::json ToJson(const eventlog::QueueWait& wait) {
+  nlohmann::json json = nlohmann::json::object();
+  if (wait.rank) json["rank"] = *wait.rank;
+  if (wait.ahead) json["ahead"] = *wait.ahead;
+  if (wait.expected_wait_ms) json["expected_wait_ms"] = *wait.expected_wait_ms;
+  if (wait.waited_ms) json["waited_ms"] = *wait.waited_ms;
+  return json;
+}
+
 void Print(const Explanation& explanation, bool as_json, std::ostream& out) {
   if (as_json) {
     out << nlohmann::json{{"steps", ToJson(explanation.steps)},
                           {"beliefs", ToJson(explanation.state_changes)},
+                          {"queue", ToJson(explanation.wait)},
                           {"cause", explanation.cause}}
                .dump()
         << "\n";
@@ -39,6 +49,8 @@
   PrintEntries(out, "what happened:", explanation.steps);
   PrintEntries(out,
                "state changes of its instance:", explanation.state_changes);
+  const std::string wait = eventlog::ToText(explanation.wait);
+  if (!wait.empty()) out << "queue: " << wait << "\n";
   out << "likely cause: " << explanation.cause << "\n";
 }
 
--- a/lib/eventlog/explain.cc
+++ b/lib/eventlog/explain.cc
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 #include "toucanwharf/support/json.h"
 
 namespace toucanwharf::eventlog {
@@ -38,7 +40,9 @@
          "request_at_crash and peer_reported_crash with its content"},
         {"no_room", "all paths were full when it came"},
         {"no_room_in_time",
-         "all paths were full, and no room came free within its objective"},
+         "all paths were full, and no room was to be had while the answer was "
+         "of "
+         "use to its caller"},
         {"not_connected", "the endpoint could not be connected to"},
         {"refused_by_endpoint",
          "the endpoint named in at_fault refused it: short of memory, "
@@ -75,6 +79,49 @@
   return why.empty() ? "nothing went wrong" : why;
 }
 
+std::string RequestsText(std::uint64_t count) {
+  return absl::StrCat(count, count == 1 ? " request" : " requests");
+}
+
+/// Returns what \p wait adds to the cause of a refusal after a wait.
+std::string WaitInCause(const QueueWait& wait) {
+  if (!wait.waited_ms) return "";
+  std::string text = absl::StrCat("; it waited ", *wait.waited_ms, " ms");
+  if (wait.ahead) {
+    absl::StrAppend(&text, ", and ", RequestsText(*wait.ahead),
+                    " went before it when it began to wait");
+  }
+  return text;
+}
+
+/// Adds what \p step states to \p wait.
+void AddStep(const LogEntry& step, QueueWait& wait) {
+  const Json json = Json::parse(step.text, nullptr, false);
+  const auto update = [&json](std::optional<std::uint64_t>& to,
+                              const char* name) {
+    if (const auto stated = CountMember(json, name)) to = stated;
+  };
+  update(wait.rank, "rank");
+  update(wait.ahead, "ahead");
+  update(wait.expected_wait_ms, "expected_wait_ms");
+  update(wait.waited_ms, "waited_ms");
+}
+
+/// Returns how the request of \p steps waited at \p instance the last time that
+/// it came there: callers repeat a refused request with the same id.
+QueueWait WaitAt(const std::vector<LogEntry>& steps,
+                 const std::string& instance) {
+  QueueWait wait;
+  bool ended = false;
+  for (const LogEntry& step : steps) {
+    if (step.instance != instance) continue;
+    if (ended) wait = QueueWait{};
+    AddStep(step, wait);
+    ended = step.event == "finished";
+  }
+  return wait;
+}
+
 }  // namespace
 
 std::optional<LogEntry> ParseLogLine(std::string_view line) {
@@ -93,6 +140,22 @@
   return entry;
 }
 
+std::string ToText(const QueueWait& wait) {
+  std::vector<std::string> parts;
+  if (wait.rank) parts.push_back(absl::StrCat("rank ", *wait.rank));
+  if (wait.ahead) {
+    parts.push_back(absl::StrCat("queued behind ", RequestsText(*wait.ahead)));
+  }
+  if (wait.expected_wait_ms) {
+    parts.push_back(
+        absl::StrCat("expected to wait ", *wait.expected_wait_ms, " ms"));
+  }
+  if (wait.waited_ms) {
+    parts.push_back(absl::StrCat("waited ", *wait.waited_ms, " ms"));
+  }
+  return absl::StrJoin(parts, ", ");
+}
+
 Explanation Explain(std::vector<LogEntry> entries, const std::string& id) {
   std::stable_sort(entries.begin(), entries.end(),
                    [](const LogEntry& lhs, const LogEntry& rhs) {
@@ -120,10 +183,17 @@
                      return lhs.time_ms < rhs.time_ms;
                    });
   std::string why;
+  std::string instance = last.instance;
   for (const LogEntry& step : explanation.steps) {
-    if (!step.why.empty()) why = step.why;
+    if (step.why.empty()) continue;
+    why = step.why;
+    instance = step.instance;
   }
+  explanation.wait = WaitAt(explanation.steps, instance);
   explanation.cause = CauseOf(why);
+  if (why == "no_room_in_time") {
+    explanation.cause += WaitInCause(explanation.wait);
+  }
   return explanation;
 }
 
--- a/unittests/eventlog/explain_test.cc
+++ b/unittests/eventlog/explain_test.cc
@@ -52,6 +52,43 @@
               "r");
   BOOST_TEST(explanation.steps.size() == 3U);
   BOOST_TEST(explanation.cause.find("broke before") != std::string::npos);
+  BOOST_TEST(ToText(explanation.wait).empty());
+}
+
+// Callers repeat a refused request with the same id: the wait of another
+// instance, or of an earlier time, must not be told as that of the refusal.
+BOOST_AUTO_TEST_CASE(RefusalAfterAWaitStatesWaitAndPlaceOfThatTime) {
+  const std::string about = ",\"request\":\"r\"";
+  const std::string late = About("r", "no_room_in_time") + ",\"rank\":2";
+  const auto explanation = Explain(
+      Entries({Line(1, "a", "queued", about + ",\"rank\":2,\"ahead\":90"),
+               Line(9, "a", "refused", late + ",\"waited_ms\":8"),
+               Line(9, "a", "finished", about + ",\"waited_ms\":8"),
+               Line(20, "a", "queued",
+                    about + ",\"rank\":2,\"ahead\":14,"
+                            "\"expected_wait_ms\":600"),
+               Line(30, "b", "queued", about + ",\"rank\":2,\"ahead\":3"),
+               Line(832, "a", "refused", late + ",\"waited_ms\":812"),
+               Line(833, "b", "finished", about + ",\"waited_ms\":803")}),
+      "r");
+  BOOST_TEST(ToText(explanation.wait) ==
+             "rank 2, queued behind 14 requests, expected to wait 600 ms, "
+             "waited 812 ms");
+  BOOST_TEST(explanation.cause.ends_with(
+      "it waited 812 ms, and 14 requests went before it when it began to "
+      "wait"));
+}
+
+// The `queued` line is sampled: without it the place isn't known.
+BOOST_AUTO_TEST_CASE(WaitWithoutItsQueuedLineHasNoPlace) {
+  const std::string about = ",\"request\":\"r\"";
+  const std::string late = About("r", "no_room_in_time");
+  const auto explanation =
+      Explain(Entries({Line(1, "a", "queued", about + ",\"ahead\":90"),
+                       Line(9, "a", "finished", about + ",\"waited_ms\":8"),
+                       Line(50, "a", "refused", late + ",\"waited_ms\":21")}),
+              "r");
+  BOOST_TEST(explanation.cause.ends_with("; it waited 21 ms"));
 }
 
 BOOST_AUTO_TEST_CASE(UnknownRequestHasNoSteps) {
