Refusals for lack of capacity state the scheduled Retry-After

The gateway counts the answers of each model service that end here, and asks the service's ReturnSchedule when a caller that it has no capacity for should retry. Queued requests of the same or a more urgent rank go before it. Without a known rate, and for other refusals, the delay stays as it was.

A scheduled delay, and one that a peer stated, is drawn already and isn't spread once more.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -12,7 +12,9 @@
 #include <string>
 #include <vector>
 
+#include "toucanwharf/admission/answer_meter.h"
 #include "toucanwharf/admission/claim_queue.h"
+#include "toucanwharf/admission/return_schedule.h"
 #include "toucanwharf/admission/usual_time.h"
 #include "toucanwharf/attempts/arrival_budget.h"
 #include "toucanwharf/attempts/probe_backoff.h"
@@ -101,6 +103,16 @@
                          const GatewayCounters&) = default;
 };
 
+/// When the caller of a refused request should retry.
+struct RetryTime {
+  Duration after{0};
+  /// Whether \c after is drawn for this caller. Otherwise it is the same for
+  /// all and is spread, so that they don't retry together.
+  bool is_drawn = false;
+
+  friend bool operator==(const RetryTime&, const RetryTime&) = default;
+};
+
 class ProxiedRequest;
 
 /// Proxies callers' requests to endpoints and relays the answers. Owned by
@@ -183,6 +195,12 @@
     std::map<std::string, std::shared_ptr<ProxiedRequest>> requests;
   };
 
+  /// What decides when refused callers of one service retry.
+  struct ServiceReturns {
+    admission::AnswerMeter answers;
+    admission::ReturnSchedule schedule;
+  };
+
   /// The endpoint that a request was sent to.
   struct AskedEndpoint {
     std::string id;
@@ -246,6 +264,18 @@
   /// Returns whether requests wait for \p service that go before \p claim.
   bool HasQueueAhead(const std::string& service,
                      const admission::Claim& claim) const;
+  /// Records that an answer of \p service has ended and has freed its capacity.
+  void OnAnswerEnded(const std::string& service);
+  /// Returns after what delay a caller with \p claim and \p time_left that
+  /// \p service has no capacity for should retry; nothing while the rate at
+  /// which capacity comes free isn't known.
+  std::optional<Duration> ScheduleReturn(const std::string& service,
+                                         const admission::Claim& claim,
+                                         Duration time_left);
+  /// Returns how many queued requests of \p service get capacity before a
+  /// caller with \p claim that is refused now.
+  std::size_t CountQueuedBefore(const std::string& service,
+                                const admission::Claim& claim) const;
   /// Queues \p request for \p service until there is capacity for its answer.
   void Enqueue(const std::string& service,
                std::shared_ptr<ProxiedRequest> request);
@@ -296,7 +326,7 @@
   /// whether it is.
   bool RefuseQuarantined(http::Exchange& exchange,
                          const quarantine::RequestFingerprints& request);
-  void Refuse(http::Exchange& exchange, int status, Duration retry_after,
+  void Refuse(http::Exchange& exchange, int status, const RetryTime& retry_time,
               std::string_view reason,
               const eventlog::Fields& more = eventlog::Fields());
   bool TooLateToAccept(TimePoint now) const;
@@ -335,6 +365,8 @@
   /// By service; none is empty between two rounds.
   std::map<std::string, ServiceQueue> queues;
   std::uint64_t queued_ids = 0;
+  /// By service.
+  std::map<std::string, ServiceReturns> returns;
   http::TimerId queue_timer = 0;
 };
 
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -37,6 +37,13 @@
   return key;
 }
 
+/// Returns \p delay times 0.75 to 1.25.
+Duration Spread(Duration delay, Random& random) {
+  const double factor = 0.75 + 0.5 * random.Unit();
+  return Duration(
+      static_cast<std::int64_t>(static_cast<double>(delay.count()) * factor));
+}
+
 Duration DeadlineOf(std::string_view text, Duration max) {
   std::int64_t millis = 0;
   const auto [end, error] =
@@ -118,12 +125,12 @@
   const http::Request& request = exchange->Received();
   const auto table = this->state.route_table;
   if (!table) {
-    this->Refuse(*exchange, http::kUnavailable, kRetryWithoutState,
+    this->Refuse(*exchange, http::kUnavailable, {kRetryWithoutState},
                  "no_configuration");
     return;
   }
   if (this->TooLateToAccept(now)) {
-    this->Refuse(*exchange, http::kUnavailable, Duration(0), "stopping");
+    this->Refuse(*exchange, http::kUnavailable, {}, "stopping");
     return;
   }
   Admitted admitted;
@@ -133,13 +140,13 @@
   admitted.route =
       table->Find(request.headers.Get("Host"), http::PathOf(request.target));
   if (admitted.route == nullptr) {
-    this->Refuse(*exchange, http::kNotFound, Duration(0), "no_route");
+    this->Refuse(*exchange, http::kNotFound, {}, "no_route");
     return;
   }
   const routes::Route& route = *admitted.route;
   if (!route.open && !table->All().customers.empty()) {
     if (!this->state.MayAcceptKeys(now)) {
-      this->Refuse(*exchange, http::kUnavailable, kRetryWithoutState,
+      this->Refuse(*exchange, http::kUnavailable, {kRetryWithoutState},
                    "keys_unconfirmed");
       return;
     }
@@ -147,7 +154,7 @@
         table->CustomerOf(KeyOf(request.headers.Get(this->names.authorization),
                                 this->names.key_scheme));
     if (customer == nullptr) {
-      this->Refuse(*exchange, http::kUnauthorized, Duration(0), "unknown_key");
+      this->Refuse(*exchange, http::kUnauthorized, {}, "unknown_key");
       return;
     }
     admitted.customer = customer->name;
@@ -156,7 +163,7 @@
   const routes::ServiceShare* share = routes::DrawService(route, this->random);
   if (share != nullptr) admitted.service = table->FindService(share->service);
   if (admitted.service == nullptr) {
-    this->Refuse(*exchange, http::kUnavailable, kRetryWithoutState,
+    this->Refuse(*exchange, http::kUnavailable, {kRetryWithoutState},
                  "no_service");
     return;
   }
@@ -180,15 +187,18 @@
       ->Start();
 }
 
-void Gateway::Refuse(http::Exchange& exchange, int status, Duration retry_after,
-                     std::string_view reason, const Fields& more) {
+void Gateway::Refuse(http::Exchange& exchange, int status,
+                     const RetryTime& retry_time, std::string_view reason,
+                     const Fields& more) {
   http::ResponseHead head;
   head.status = status;
   head.headers.Add("Content-Type", "text/plain");
+  std::optional<Duration> retry_after;
   if (status == http::kUnavailable) {
-    const double spread = 0.75 + 0.5 * this->random.Unit();
+    retry_after = retry_time.is_drawn ? retry_time.after
+                                      : Spread(retry_time.after, this->random);
     const double seconds =
-        static_cast<double>(retry_after.count()) / kMicrosPerSecond * spread;
+        static_cast<double>(retry_after->count()) / kMicrosPerSecond;
     head.headers.Add(this->names.retry_after, absl::StrFormat("%.3f", seconds));
   }
   if (ClaimsForwarding(exchange.Received())) {
@@ -208,6 +218,7 @@
       .Count("status", status)
       .Count("configuration",
              static_cast<std::int64_t>(this->state.configuration.version));
+  if (retry_after) fields.Millis("retry_after_ms", *retry_after);
   const TimePoint now = this->loop.Now();
   if (const auto age = this->state.freshness.Age(now)) {
     fields.Millis("configuration_age_ms", *age);
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -148,7 +148,7 @@
   if (!verdict) return false;
   ++this->counters.quarantined;
   this->Refuse(
-      exchange, http::kUnavailable, verdict->blocked_for, "quarantined",
+      exchange, http::kUnavailable, {verdict->blocked_for}, "quarantined",
       Fields()
           .Text("content", quarantine::ToText(verdict->suspect))
           .Count("crashes", static_cast<std::int64_t>(verdict->crashes))
--- a/lib/instance/gateway_forwarding.cc
+++ b/lib/instance/gateway_forwarding.cc
@@ -52,7 +52,7 @@
 void Gateway::RejectForwarded(http::Exchange& exchange,
                               std::string_view problem, TimePoint now) {
   ++this->counters.forwards_rejected;
-  this->Refuse(exchange, http::kUnavailable, Duration(0), problem);
+  this->Refuse(exchange, http::kUnavailable, {}, problem);
   if (now - this->invalid_forward_logged < kInvalidForwardLogPeriod) return;
   this->invalid_forward_logged = now;
   this->logger.Write(Level::kNotable, "forward_rejected",
--- a/lib/instance/gateway_queue.cc
+++ b/lib/instance/gateway_queue.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -33,6 +34,40 @@
          found->second.order.CountAhead(claim) > 0;
 }
 
+void Gateway::OnAnswerEnded(const std::string& service) {
+  const TimePoint now = this->loop.Now();
+  if (!this->returns.contains(service)) {
+    // Configured services change; without a rate the schedule isn't used.
+    std::erase_if(this->returns, [now](const auto& entry) {
+      return entry.second.answers.PerSecond(now) == 0;
+    });
+  }
+  this->returns[service].answers.Record(now);
+}
+
+std::optional<Duration> Gateway::ScheduleReturn(const std::string& service,
+                                                const admission::Claim& claim,
+                                                Duration time_left) {
+  const auto found = this->returns.find(service);
+  if (found == this->returns.end()) return std::nullopt;
+  const TimePoint now = this->loop.Now();
+  return found->second.schedule.Schedule(
+      now, claim.rank, found->second.answers.PerSecond(now),
+      this->CountQueuedBefore(service, claim), time_left, this->random);
+}
+
+std::size_t Gateway::CountQueuedBefore(const std::string& service,
+                                       const admission::Claim& claim) const {
+  const auto found = this->queues.find(service);
+  if (found == this->queues.end()) return 0;
+  const admission::ClaimQueue& order = found->second.order;
+  if (!this->settings.mechanisms.rank_order) return order.size();
+  const auto backlog = order.Backlog();
+  return std::accumulate(
+      backlog.begin(), backlog.begin() + claim.rank + 1, std::size_t{0},
+      [](std::size_t sum, const auto& rank) { return sum + rank.requests; });
+}
+
 void Gateway::Enqueue(const std::string& service,
                       std::shared_ptr<ProxiedRequest> request) {
   ++this->counters.queued;
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -269,8 +269,14 @@
   void OnCallerDisconnected();
 
   void Refuse(std::string_view reason);
-  /// Returns when a caller that is refused should come back.
-  Duration RetryAfter() const;
+  /// Returns when the caller, which is refused now, should retry.
+  RetryTime RetryAfter();
+  /// Returns the time at which capacity is expected to come free for it, if
+  /// that is why it is refused and the time is known.
+  std::optional<Duration> ScheduledReturn();
+  /// Returns whether all endpoints that could serve the request have taken what
+  /// they asked for.
+  bool IsLimited() const { return this->limit_wait && !this->found_unlimited; }
   void Fail(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
   void CancelCall();
@@ -337,7 +343,7 @@
   /// choice.
   std::optional<Duration> limit_wait;
   /// Retry-After of the peer that refused the forwarded request for good.
-  std::optional<Duration> peer_retry_after;
+  std::optional<RetryTime> peer_retry_after;
   /// Endpoints considered in the last choice.
   Candidates candidates;
   /// Whether an endpoint was considered whose limit was not.
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -81,16 +81,27 @@
   this->Finish("refused", http::kUnavailable);
 }
 
-Duration ProxiedRequest::RetryAfter() const {
+RetryTime ProxiedRequest::RetryAfter() {
   if (this->peer_retry_after) return *this->peer_retry_after;
-  if (this->gateway.state.paths.IsIsolated()) return kRetryForPath;
+  if (this->gateway.state.paths.IsIsolated()) return {kRetryForPath};
+  if (const auto scheduled = this->ScheduledReturn()) return {*scheduled, true};
   const Duration wait =
       this->no_path_reason == placement::NoPathReason::kMissingLayers
           ? kRetryForLayers
           : kRetryForCapacity;
-  // All that could serve it have taken what they asked for.
-  const bool limited = this->limit_wait && !this->found_unlimited;
-  return limited ? std::max(wait, *this->limit_wait) : wait;
+  return {this->IsLimited() ? std::max(wait, *this->limit_wait) : wait};
+}
+
+std::optional<Duration> ProxiedRequest::ScheduledReturn() {
+  const bool lacks_capacity =
+      this->IsModel() && !this->IsLimited() &&
+      this->no_path_reason == placement::NoPathReason::kNoCapacity;
+  if (!lacks_capacity || !this->gateway.settings.mechanisms.return_schedule) {
+    return std::nullopt;
+  }
+  return this->gateway.ScheduleReturn(
+      this->admitted.service->name, this->claim,
+      this->admitted.deadline - this->gateway.loop.Now());
 }
 
 void ProxiedRequest::Fail(int status, std::string_view reason) {
@@ -113,7 +124,11 @@
   this->gateway.loop.Cancel(this->deadline_timer);
   this->gateway.loop.Cancel(this->stall_timer);
   this->exchange->OnDisconnect(nullptr);
-  const Level level = outcome == "answered" ? Level::kRoutine : Level::kNotable;
+  const bool answered = outcome == "answered";
+  if (answered && this->IsModel()) {
+    this->gateway.OnAnswerEnded(this->admitted.service->name);
+  }
+  const Level level = answered ? Level::kRoutine : Level::kNotable;
   this->Log(
       level, "finished",
       Fields()
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -86,10 +86,12 @@
     return;
   }
   --this->attempt_counts.may_have_run;
+  const auto stated = limits::ParseRetryAfter(
+      this->head.headers.Get(this->gateway.names.retry_after));
+  // The peer may have scheduled its value for this caller.
   this->peer_retry_after =
-      limits::ParseRetryAfter(
-          this->head.headers.Get(this->gateway.names.retry_after))
-          .value_or(kDefaultRetryAfter);
+      RetryTime{stated.value_or(kDefaultRetryAfter),
+                stated && this->gateway.settings.mechanisms.return_schedule};
   this->Refuse("refused_by_peer");
 }
 
