--- a/include/toucanwharf/instance/mechanisms.h
+++ b/include/toucanwharf/instance/mechanisms.h
@@ -51,8 +51,6 @@
   bool rank_order = true;
   /// Engines are told the rank of a request.
   bool engine_ranks = true;
-  /// A rank leaves capacity to more urgent ranks that wait at other instances.
-  bool fleet_order = true;
 
   friend bool operator==(const Mechanisms&, const Mechanisms&) = default;
 };
--- a/lib/instance/mechanisms.cc
+++ b/lib/instance/mechanisms.cc
@@ -35,8 +35,7 @@
     Switch{"quick-takeover", &Mechanisms::quick_takeover},
     Switch{"return-schedule", &Mechanisms::return_schedule},
     Switch{"rank-order", &Mechanisms::rank_order},
-    Switch{"engine-ranks", &Mechanisms::engine_ranks},
-    Switch{"fleet-order", &Mechanisms::fleet_order}};
+    Switch{"engine-ranks", &Mechanisms::engine_ranks}};
 
 std::string KnownNames() {
   return absl::StrJoin(
