Restart: a list of instances without loads isn't taken for idle endpoints

Cause: readers of the store list the instances in the first three seconds after a start. Many of them are backup leaders, and a coordinator's list without loads means that the endpoints are idle. An instance that had run on cleared the loads that it knew of, and could send to full engines.

Change: such a list counts only from a sender that has run for longer than it may assist a restart (gossip::TellsFleetLoads).

Measured: ListOfAFleetThatRestartsDoesNotMeanIdleEndpoints, which fails without the check of the uptime; test_gossip passes. Not run: a restart of half a fleet with processes.

--- a/lib/gossip/fleet_loads.cc
+++ b/lib/gossip/fleet_loads.cc
@@ -2,6 +2,12 @@
 
 namespace toucanwharf::gossip {
 
+bool TellsFleetLoads(const Beacon& beacon, bool from_coordinator) {
+  if (!beacon.fleet_loads.empty()) return true;
+  return from_coordinator && !beacon.ready_instances.empty() &&
+         beacon.uptime >= kMaxAssistUptime;
+}
+
 void FleetLoads::Update(const KeyRange& covered_keys,
                         const std::vector<KeyedLoad>& loads) {
   this->by_key.erase(this->by_key.lower_bound(covered_keys.first),
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -145,10 +145,9 @@
 }
 
 bool PeerLink::AssistsRestart(TimePoint now) const {
-  constexpr Duration kRestartTime = std::chrono::milliseconds(3000);
   const gossip::PeerTable& peers = this->state.peers;
   return this->settings.mechanisms.early_advice &&
-         now - this->started < kRestartTime &&
+         now - this->started < gossip::kMaxAssistUptime &&
          gossip::ReadsImmediately(this->settings.processor_share) &&
          peers.IsLargeFleet(now) && peers.Leader(now).empty() &&
          gossip::MostAreStarting(peers.AllLive(now), now);
@@ -409,11 +408,8 @@
   for (const std::uint32_t number : beacon.ready_instances) {
     this->state.peers.RecordLiveness(gossip::AddressOf(number, port), now);
   }
-  // A beacon without loads means idle endpoints only if its sender has received
-  // the loads of all.
   const bool has_loads =
-      !beacon.fleet_loads.empty() ||
-      (!beacon.ready_instances.empty() && this->IsCoordinator(beacon));
+      gossip::TellsFleetLoads(beacon, this->IsCoordinator(beacon));
   // A backup leader sums the loads that it receives itself.
   if (!has_loads || this->state.is_backup_leader) return;
   this->fleet_loads.Update(beacon.covered_keys, beacon.fleet_loads);
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -427,6 +427,21 @@
   BOOST_TEST(whole == 5);
 }
 
+// A backup leader that has just started lists the instances without knowing
+// their loads: an instance that has run on takes full engines for idle.
+BOOST_AUTO_TEST_CASE(ListOfAFleetThatRestartsDoesNotMeanIdleEndpoints) {
+  Beacon beacon;
+  beacon.ready_instances = {1, 2};
+  beacon.uptime = milliseconds(1000);
+  BOOST_TEST(!TellsFleetLoads(beacon, true));
+  beacon.uptime = milliseconds(3000);
+  BOOST_TEST(TellsFleetLoads(beacon, true));
+  BOOST_TEST(!TellsFleetLoads(beacon, false));
+  beacon.uptime = milliseconds(1000);
+  beacon.fleet_loads = {{7, 1, 1, 1}};
+  BOOST_TEST(TellsFleetLoads(beacon, true));
+}
+
 // A coordinator that tells its failure domain of a restart is unknown to the
 // other domains, and sums loads without theirs.
 BOOST_AUTO_TEST_CASE(InformingTheDomainReplacesNoOtherBeacon) {
