At a stop, requests that can't be on time any more are refused

Cause: a queued request may wait until its caller gives up, which for a retry of a non-streamed answer is its deadline, longer than the grace time. An instance that stopped kept it waiting, and its caller got a closed connection, or an answer that was begun late and cut.

Measured: AtAStopLateRequestsAreRefused; test_admission and test_instance pass. Not run: a stop with processes.

--- a/include/toucanwharf/admission/claim_queue.h
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -100,6 +100,9 @@
   /// Removes and returns the requests that can't be served any more while that
   /// is of use to their callers, the least urgent first.
   std::vector<QueuedClaim> TakeUnservable(TimePoint now);
+  /// Removes and returns the requests that can't be on time any more. For an
+  /// instance that stops: answers that begin later may be cut.
+  std::vector<QueuedClaim> TakeLate(TimePoint now);
 
   /// Returns the expected wait of \p claim: what goes before it at the rate at
   /// which the queue drains. Nothing while that isn't known.
--- a/lib/admission/claim_queue.cc
+++ b/lib/admission/claim_queue.cc
@@ -259,6 +259,15 @@
   return unservable;
 }
 
+std::vector<QueuedClaim> ClaimQueue::TakeLate(TimePoint now) {
+  std::vector<QueuedClaim> late;
+  for (const auto& [id, entry] : this->entries) {
+    if (!this->CanBeOnTime(entry.claim, now)) late.push_back({id, entry.claim});
+  }
+  for (const QueuedClaim& queued : late) this->Drop(now, queued.id);
+  return late;
+}
+
 std::array<RankBacklog, kRanks> ClaimQueue::Backlog() const {
   std::array<RankBacklog, kRanks> backlog;
   for (const auto& [id, entry] : this->entries) {
--- a/lib/instance/gateway_queue.cc
+++ b/lib/instance/gateway_queue.cc
@@ -101,7 +101,12 @@
 
 void Gateway::RefuseUnservable(ServiceQueue& service) {
   const TimePoint now = this->loop.Now();
-  for (const auto& queued : service.order.TakeUnservable(now)) {
+  auto refused = service.order.TakeUnservable(now);
+  if (this->state.stopping_since) {
+    const auto late = service.order.TakeLate(now);
+    refused.insert(refused.end(), late.begin(), late.end());
+  }
+  for (const auto& queued : refused) {
     const auto request = service.requests.extract(queued.id);
     request.mapped()->RefuseQueued();
   }
--- a/unittests/admission/claim_queue_test.cc
+++ b/unittests/admission/claim_queue_test.cc
@@ -241,6 +241,23 @@
   for (const auto& one : refused) BOOST_TEST(one.id != "light");
 }
 
+// An instance that stops keeps requests waiting until it ends, and refuses
+// none.
+BOOST_AUTO_TEST_CASE(AtAStopLateRequestsAreRefused) {
+  ClaimQueue queue;
+  QueuedClaim returned = MakeClaim("returned", 1, 0);
+  returned.claim.returned = true;
+  returned.claim.useful_until = At(30000);
+  queue.Push(At(0), returned);
+  queue.Push(At(200), MakeClaim("on time", 1, 200));
+  BOOST_TEST(queue.TakeLate(At(300)).empty());
+  BOOST_TEST(queue.TakeUnservable(At(400)).empty());
+  const auto late = queue.TakeLate(At(400));
+  BOOST_REQUIRE(late.size() == 1U);
+  BOOST_TEST(late.front().id == "returned");
+  BOOST_TEST(queue.Front(kAnyRank)->id == "on time");
+}
+
 // A rank that leaves capacity to others must not keep more urgent work back.
 BOOST_AUTO_TEST_CASE(HeldRankIsPassedOver) {
   ClaimQueue queue;
