Confirmations: only recent ones are requested

Cause: while the store is unreachable, confirmations of all instances expire at about the same time. Those that had expired first requested one from each peer whose own was still valid: by the limit of three in 100 ms, up to 9,000 requests a second in a fleet of 300, to ever fewer peers, for confirmations that held for milliseconds.

Change: a confirmation is requested only while it is younger than half of the time for which it holds.

Measured: OldConfirmationIsNotWorthARequest; test_routes and test_instance pass. The 9,000 are computed from the limits, not measured.

--- a/include/toucanwharf/routes/freshness.h
+++ b/include/toucanwharf/routes/freshness.h
@@ -34,8 +34,10 @@
   }
   /// Returns whether a confirmation of \p age still allows keys to be admitted.
   bool IsCurrent(Duration age) const { return age < this->valid_for; }
-  /// Returns how long a confirmation allows keys to be admitted.
-  Duration ValidFor() const { return this->valid_for; }
+  /// Returns up to which age a peer's confirmation is worth a request. While
+  /// the store is unreachable the confirmations of all instances expire within
+  /// about a second, and hundreds would request those that are about to.
+  Duration MaxRequestedAge() const { return this->valid_for / 2; }
   /// Returns the age of the newest confirmation, or nothing without one.
   std::optional<Duration> Age(TimePoint now) const {
     if (!this->confirmed) return std::nullopt;
--- a/lib/instance/peer_news.cc
+++ b/lib/instance/peer_news.cc
@@ -146,7 +146,7 @@
   if (!this->NeedsConfirmation(now)) return;
   for (const std::string& address : gossip::ConfirmedPeers(
            this->state.peers, this->settings.failure_domain,
-           this->state.freshness.ValidFor(), now, this->random)) {
+           this->state.freshness.MaxRequestedAge(), now, this->random)) {
     if (!this->confirmation_exchange.MayRequest(now)) return;
     this->SendTo({address}, Content::kOwn);
   }
@@ -183,13 +183,13 @@
                                     TimePoint now) {
   const routes::Freshness& freshness = this->state.freshness;
   const auto& age = beacon.configuration_age;
-  const bool sender_confirmed = age && freshness.IsCurrent(*age);
   if (this->NeedsConfirmation(now)) {
-    const bool requests =
-        sender_confirmed && this->confirmation_exchange.MayRequest(now);
+    const bool requests = age && *age < freshness.MaxRequestedAge() &&
+                          this->confirmation_exchange.MayRequest(now);
     if (requests) this->SendTo({sender}, Content::kOwn);
     return;
   }
+  const bool sender_confirmed = age && freshness.IsCurrent(*age);
   const bool answers = this->settings.mechanisms.quick_confirmation &&
                        this->state.strict_revocation && !sender_confirmed &&
                        !beacon.stopping && freshness.Holds(now) &&
--- a/unittests/routes/freshness_test.cc
+++ b/unittests/routes/freshness_test.cc
@@ -29,5 +29,15 @@
   BOOST_TEST((freshness.Age(At(3500)) == milliseconds(500)));
 }
 
+// While the store is unreachable hundreds of instances request confirmations
+// that are about to expire, 30 times a second each.
+BOOST_AUTO_TEST_CASE(OldConfirmationIsNotWorthARequest) {
+  Freshness freshness(milliseconds(5000), milliseconds(100));
+  // Confirmed up to a second after those that expire now.
+  BOOST_TEST((milliseconds(3900) >= freshness.MaxRequestedAge()));
+  // Confirmed by the leader's regular read.
+  BOOST_TEST((milliseconds(1500) < freshness.MaxRequestedAge()));
+}
+
 }  // namespace
 }  // namespace toucanwharf::routes
