--- a/include/toucanwharf/admission/claim_queue.h
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -130,8 +130,8 @@
   struct Rank {
     FairQueue on_time;
     FairQueue late;
-    /// Cost that more urgent ranks were served beside it, times its least part,
-    /// less what it was served.
+    /// ClaimQueueSettings::min_share of the cost that was served to more urgent
+    /// ranks while it had requests, less what was served to it.
     double owed = 0;
   };
 
--- a/include/toucanwharf/gossip/entry_advice.h
+++ b/include/toucanwharf/gossip/entry_advice.h
@@ -13,8 +13,8 @@
 ///
 /// Load: all instances of a fleet restart, and all callers ask at once where to
 /// connect. Told only who is ready in the first 100 ms, 900 callers keep the
-/// addresses of six of 114 instances for two seconds, and their engines' part
-/// that these six may claim isn't enough for them.
+/// addresses of six of 114 instances for two seconds, and the part of the
+/// engines' capacity that these six may claim isn't enough for them.
 namespace toucanwharf::gossip {
 
 /// An instance that callers can be directed to.
