--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -123,8 +123,9 @@
   const bool sums_itself =
       this->coordinator_since &&
       now - *this->coordinator_since >= 3 * this->schedule.Period();
-  const bool unheard =
-      this->IsInRestart(now) && !this->heard_fleet_loads && !sums_itself;
+  const bool unheard = this->settings.mechanisms.reported_loads &&
+                       this->IsInRestart(now) && !this->heard_fleet_loads &&
+                       !sums_itself;
   this->state.unheard_peers =
       unheard ? static_cast<double>(this->state.peers.InstanceCount(now) - 1)
               : 0;
@@ -155,9 +156,7 @@
 }
 
 bool PeerLink::IsInRestart(TimePoint now) const {
-  constexpr Duration kRestartTime = std::chrono::milliseconds(3000);
-  return this->settings.mechanisms.reported_loads &&
-         now - this->started < kRestartTime &&
+  return now - this->started < gossip::kMaxAssistUptime &&
          this->state.peers.IsLargeFleet(now) &&
          gossip::MostAreStarting(this->state.peers.AllLive(now), now);
 }
@@ -423,11 +422,8 @@
   for (const std::uint32_t number : beacon.ready_instances) {
     this->state.peers.RecordLiveness(gossip::AddressOf(number, port), now);
   }
-  // A beacon without loads means idle endpoints only if its sender has received
-  // the loads of all.
   const bool has_loads =
-      !beacon.fleet_loads.empty() ||
-      (!beacon.ready_instances.empty() && this->IsCoordinator(beacon));
+      gossip::TellsFleetLoads(beacon, this->IsCoordinator(beacon));
   // A backup leader sums the loads that it receives itself.
   if (!has_loads || this->state.is_backup_leader) return;
   this->heard_fleet_loads = true;
