--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -653,11 +653,48 @@
   for (const char* line :
        {"# TYPE toucanwharf_requests_total counter", "toucanwharf_ready 1",
         "toucanwharf_leads 1", "toucanwharf_plain_seconds_count 1",
-        "toucanwharf_endpoints 12"}) {
+        "toucanwharf_endpoints 12",
+        "# TYPE toucanwharf_waited_seconds histogram"}) {
     BOOST_TEST(text.find(line) != std::string::npos, line);
   }
 }
 
+/// Returns the value of the metric \p name in \p text, 0 if it has none.
+int MetricIn(const std::string& text, const std::string& name) {
+  const auto at = text.find("\ntoucanwharf_" + name + " ");
+  if (at == std::string::npos) return 0;
+  return std::stoi(text.substr(text.find(' ', at) + 1));
+}
+
+// Failure guarded against: waits that end with a refusal aren't counted.
+BOOST_AUTO_TEST_CASE(EveryWaitForCapacityIsInTheMetrics) {
+  PlatformFleet fleet(1);
+  // Half of the engines serve fewer answers than there are callers.
+  fleet.RunOnLoop([&fleet] {
+    for (int i = 0; i < 5; ++i) {
+      fleet.Endpoints().SetFault("domain-b-" + std::to_string(i),
+                                 EndpointFault::kUnresponsive);
+    }
+  });
+  Pause(3000);
+  constexpr int kCallers = 240;
+  // Those that come later wait until the first answers have ended.
+  constexpr int kCallersAtOnce = 180;
+  std::vector<std::future<EventStream>> streams;
+  for (int i = 0; i < kCallers; ++i) {
+    if (i == kCallersAtOnce) Pause(250);
+    streams.push_back(std::async(std::launch::async, [&fleet, i] {
+      return fleet.Stream(0, "wait-" + std::to_string(i));
+    }));
+  }
+  for (auto& stream : streams) stream.wait();
+  const std::string text = fleet.Metrics(0);
+  const int queued = MetricIn(text, "queued_total");
+  BOOST_TEST(queued > 0);
+  BOOST_TEST(MetricIn(text, "waited_seconds_count{rank=\"1\"}") == queued);
+  BOOST_TEST(text.find("\ntoucanwharf_waiting{") == std::string::npos);
+}
+
 // Without faults all routers together call the store about twice a second: one
 // reads for all, and the others apply its copies.
 BOOST_AUTO_TEST_CASE(StoreIsCalledRarely) {
--- a/unittests/eventlog/explain_test.cc
+++ b/unittests/eventlog/explain_test.cc
@@ -55,8 +55,7 @@
   BOOST_TEST(ToText(explanation.wait).empty());
 }
 
-// Callers repeat a refused request with the same id: the wait of another
-// instance, or of an earlier time, must not be told as that of the refusal.
+// Callers repeat a refused request with its id, here or at another instance.
 BOOST_AUTO_TEST_CASE(RefusalAfterAWaitStatesWaitAndPlaceOfThatTime) {
   const std::string about = ",\"request\":\"r\"";
   const std::string late = About("r", "no_room_in_time") + ",\"rank\":2";
--- a/unittests/instance/metrics_test.cc
+++ b/unittests/instance/metrics_test.cc
@@ -15,8 +15,7 @@
   return count;
 }
 
-// Prometheus rejects the whole text if a name has two TYPE lines or a bucket's
-// labels can't be read, and a series for each unused rank would be stored.
+// Prometheus rejects the whole text if a name has two TYPE lines.
 BOOST_AUTO_TEST_CASE(WaitsOfEachSeenRankAreOneSeries) {
   WaitingByRank waiting{};
   waiting.at(2).requests = 7;
