Instances that restart together begin their beacons with different peers

Cause: each process began with the first address of its list. When a whole fleet restarts all processes tell the same few peers of themselves, and the others hear of nobody: they take the fleet to be as loaded as themselves and refuse callers. Change: BeaconSchedule takes the place to begin with; PeerLink derives it from the id of the process. Tests: receivers of the first round, and the recovery without early advice.

--- a/include/toucanwharf/gossip/beacon_schedule.h
+++ b/include/toucanwharf/gossip/beacon_schedule.h
@@ -67,8 +67,17 @@
 /// Thread safety: none; for one thread.
 class BeaconSchedule {
  public:
-  explicit BeaconSchedule(const BeaconScheduleSettings& chosen = {})
-      : settings(chosen) {}
+  /// Begins with the peer at the place \p first_turn of each group, modulo its
+  /// size. It has to differ between instances.
+  ///
+  /// Failure guarded against: all instances of a fleet restart together and
+  /// begin with the same peers. The others hear of nobody for a second or more,
+  /// take the fleet to be as loaded as themselves, and refuse callers.
+  explicit BeaconSchedule(const BeaconScheduleSettings& chosen = {},
+                          std::size_t first_turn = 0)
+      : settings(chosen),
+        next_same_domain(first_turn),
+        next_other_domain(first_turn) {}
 
   Duration Period() const { return this->settings.period; }
   /// Returns the time between two broadcasts of a coordinator.
@@ -88,8 +97,8 @@
   BeaconScheduleSettings settings;
   std::size_t round = 0;
   bool last_round_was_broadcast = false;
-  std::size_t next_same_domain = 0;
-  std::size_t next_other_domain = 0;
+  std::size_t next_same_domain;
+  std::size_t next_other_domain;
 };
 
 }  // namespace toucanwharf::gossip
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -53,6 +53,7 @@
       started(event_loop.Now()),
       snapshots(event_loop, http_client, shared_state, log, list_log,
                 initial_settings.failure_domain),
+      schedule({}, HashText(shared_state.instance)),
       random(HashText(shared_state.instance)) {}
 
 Result<void> PeerLink::Start(OnConfiguration on_configuration,
--- a/unittests/endpoints/fleet_restart_test.cc
+++ b/unittests/endpoints/fleet_restart_test.cc
@@ -65,6 +65,7 @@
   bool early_advice = true;
 };
 constexpr Decisions kEarlierDecisions{false, false};
+constexpr Decisions kWithoutEarlyAdvice{true, false};
 
 /// A model of which each engine holds all layers.
 placement::EngineModel MakeModel() {
@@ -122,7 +123,9 @@
 
 struct Instance {
   explicit Instance(std::string own)
-      : address(std::move(own)), peers(address) {}
+      : address(std::move(own)),
+        peers(address),
+        schedule({}, HashText(address)) {}
 
   bool IsReady(TimePoint now) const { return now >= this->ready_at; }
   bool ReadsImmediately() const {
@@ -464,6 +467,18 @@
   }
 }
 
+// The same where the few that are ready are all that callers know: their
+// engines have room.
+BOOST_AUTO_TEST_CASE(FewReadyInstancesServeTheCallersOfAll) {
+  for (const int count : {60, 114}) {
+    BOOST_TEST_CONTEXT(count << " instances") {
+      const Outcome outcome = Replay(count, kWithoutEarlyAdvice);
+      BOOST_TEST(outcome.without_capacity < kMaxRefused);
+      BOOST_TEST(outcome.max_over_mean > kMaxOverMean);
+    }
+  }
+}
+
 // The load above would prove nothing if the earlier decisions passed, too.
 BOOST_AUTO_TEST_CASE(EarlierDecisionsRefuseMostRequestsOfARestart) {
   for (const int count : {60, 114}) {
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -412,6 +412,22 @@
   }
 }
 
+// Instances that restart together would all begin with the same peers, and the
+// others would hear of nobody.
+BOOST_AUTO_TEST_CASE(InstancesThatStartTogetherBeginWithDifferentPeers) {
+  const BeaconTargets targets = MakeTargets(85);
+  std::map<std::string, int> received;
+  for (std::size_t sender = 0; sender < 85; ++sender) {
+    BeaconSchedule schedule({}, HashText(std::to_string(sender)));
+    for (const std::string& address : schedule.Next(targets)) {
+      ++received[address];
+    }
+  }
+  for (const std::string& address : targets.same_domain) {
+    BOOST_TEST(received.contains(address));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CoordinatorBroadcastsInEverySecondRound) {
   BeaconTargets targets = MakeTargets(85);
   targets.is_coordinator = true;
