--- a/unittests/admission/claim_queue_test.cc
+++ b/unittests/admission/claim_queue_test.cc
@@ -115,10 +115,12 @@
   Server server(queue, 10);
   int id = 0;
   for (int now = 0; now < 20000; ++now) {
-    if (now % 5 == 0)
+    if (now % 5 == 0) {
       queue.Push(At(now), MakeClaim(std::to_string(++id), 0, now));
-    if (now % 20 == 1)
+    }
+    if (now % 20 == 1) {
       queue.Push(At(now), MakeClaim(std::to_string(++id), 2, now));
+    }
     server.Step(now);
   }
   BOOST_TEST(server.by_rank[2].served >= 2000 * 15 / 1000);
