--- a/lib/instance/gateway_queue.cc
+++ b/lib/instance/gateway_queue.cc
@@ -9,9 +9,6 @@
 namespace toucanwharf::instance {
 namespace {
 
-using eventlog::Fields;
-using eventlog::Level;
-
 /// Between checks of the queues. A hundred answers end each second, so that
 /// capacity is freed every ten milliseconds on average.
 constexpr Duration kQueuePollPeriod = std::chrono::milliseconds(20);
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -295,6 +295,36 @@
   BOOST_TEST(fleet.RunsOf("refused").empty());
 }
 
+// Refused callers that all get the same delay retry together. The scheduled one
+// must reach them as it was drawn, within its bounds.
+BOOST_AUTO_TEST_CASE(CallersWithoutCapacityGetScheduledReturns) {
+  PlatformFleet fleet(1);
+  const auto stream_many = [&](const std::string& name, int count) {
+    std::vector<std::future<EventStream>> streams;
+    for (int i = 0; i < count; ++i) {
+      streams.push_back(std::async(std::launch::async, [&fleet, name, i] {
+        return fleet.Stream(0, name + std::to_string(i));
+      }));
+    }
+    std::vector<EventStream> ended;
+    for (auto& stream : streams) ended.push_back(stream.get());
+    return ended;
+  };
+  stream_many("first-", 20);
+  int refused = 0;
+  int outside_fixed_delay = 0;
+  for (const EventStream& stream : stream_many("flood-", 700)) {
+    if (stream.answer.status != 503) continue;
+    ++refused;
+    const double delay = std::stod(stream.answer.headers.at("retry-after"));
+    BOOST_TEST(delay >= 0.1);
+    BOOST_TEST(delay <= 5.0 / 3);
+    if (delay < 0.3 || delay > 0.5) ++outside_fixed_delay;
+  }
+  BOOST_TEST(refused > 0);
+  BOOST_TEST(outside_fixed_delay > 0);
+}
+
 // An endpoint responds with a late answer to another request. The caller must
 // not get it (I2): the read is retried at the other endpoint.
 BOOST_AUTO_TEST_CASE(AnswerOfAnotherRequestIsDropped) {
