Restart: who becomes ready tells the readers of its domain; small losses of time are no retry

And 1 ms less than the usual time made a request a retry that waits for two seconds. Change: one beacon to the domain's readers on becoming ready; from 50 ms on a request is a retry. Result: unit test of the ages.

--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -152,6 +152,10 @@
   /// Applies the peers' confirmations of the configuration and the list of
   /// endpoints.
   void ApplyConfirmations(TimePoint now);
+  /// Tells the instances of the failure domain that list who is ready that this
+  /// one is. Otherwise they take it for starting until its next turn, and leave
+  /// it out of their lists after a second.
+  void AnnounceReady(TimePoint now);
   /// Returns whether keys are refused here for want of a confirmation.
   bool NeedsConfirmation(TimePoint now) const;
   /// Requests a confirmation from instances that read the store as they start,
--- a/lib/admission/usual_time.cc
+++ b/lib/admission/usual_time.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr Duration kWindow = std::chrono::seconds(10);
+/// A caller that has lost less than this was hardly refused before.
+constexpr std::int64_t kMinAgeMillis = 50;
 /// Bounds of the memory: times per route, and routes.
 constexpr std::size_t kMaxTimes = 64;
 constexpr std::size_t kMaxRoutes = 4096;
@@ -53,7 +55,7 @@
   if (counted) ++window.current[millis];
   const std::int64_t missing = UsualOf(window) - millis;
   // Who has less than half of the usual time left is another kind of caller.
-  const bool is_retry = missing > 0 && missing <= millis;
+  const bool is_retry = missing >= kMinAgeMillis && missing <= millis;
   return is_retry ? std::chrono::milliseconds(missing) : Duration(0);
 }
 
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -367,7 +367,9 @@
     if (address == this->settings.datagram_address) continue;
     this->state.peers.AddAddress(address, now);
   }
+  const bool unconfirmed = this->NeedsConfirmation(now);
   this->ApplyBeacon(*beacon, now);
+  if (unconfirmed && !this->NeedsConfirmation(now)) this->AnnounceReady(now);
   if (!answers) this->ExchangeConfirmation(sender, *beacon, now);
   this->snapshots.FetchNewer(*beacon);
 }
--- a/lib/instance/peer_news.cc
+++ b/lib/instance/peer_news.cc
@@ -136,6 +136,19 @@
          !this->state.stopping_since && !this->state.MayAcceptKeys(now);
 }
 
+void PeerLink::AnnounceReady(TimePoint now) {
+  std::vector<std::string> readers;
+  for (const gossip::Peer* peer : this->state.peers.AllLive(now)) {
+    const gossip::Beacon& beacon = peer->beacon;
+    const bool lists_instances =
+        beacon.failure_domain == this->settings.failure_domain &&
+        gossip::ReadsImmediately(beacon.processor_share);
+    if (!lists_instances) continue;
+    readers.push_back(this->DatagramAddressOf(beacon.control_address));
+  }
+  this->SendTo(readers, Content::kOwn);
+}
+
 void PeerLink::ConfirmConfiguration() {
   this->ApplyConfirmations(this->loop.Now());
   this->RequestConfirmations();
--- a/unittests/admission/claim_test.cc
+++ b/unittests/admission/claim_test.cc
@@ -51,6 +51,7 @@
   BOOST_TEST((age(20000, 1) == Duration(0)));
   BOOST_TEST((age(19200, 2) == milliseconds(800)));
   BOOST_TEST((age(9000, 3) == Duration(0)));
+  BOOST_TEST((age(19960, 4) == Duration(0)));
   BOOST_TEST((age(20000, 12000) == Duration(0)));
   BOOST_TEST((age(19500, 12001) == milliseconds(500)));
   BOOST_TEST((usual.RecordAttempt("other", milliseconds(500), At(12002)) ==
