--- a/include/toucanwharf/gossip/beacon_schedule.h
+++ b/include/toucanwharf/gossip/beacon_schedule.h
@@ -52,6 +52,8 @@
   std::vector<std::string> backup_leaders;
   /// Whether this instance is the leader or a backup leader.
   bool is_coordinator = false;
+  /// Whether every peer in the same failure domain gets a beacon in this round.
+  bool informs_domain = false;
 
   friend bool operator==(const BeaconTargets&, const BeaconTargets&) = default;
 };
@@ -67,8 +69,17 @@
 /// Thread safety: none; for one thread.
 class BeaconSchedule {
  public:
-  explicit BeaconSchedule(const BeaconScheduleSettings& chosen = {})
-      : settings(chosen) {}
+  /// Begins with the peer at the place \p first_turn of each group, modulo its
+  /// size. It has to differ between instances.
+  ///
+  /// Failure guarded against: all instances of a fleet restart together and
+  /// begin with the same peers. The others hear of nobody for a second or more,
+  /// take the fleet to be as loaded as themselves, and refuse callers.
+  explicit BeaconSchedule(const BeaconScheduleSettings& chosen = {},
+                          std::size_t first_turn = 0)
+      : settings(chosen),
+        next_same_domain(first_turn),
+        next_other_domain(first_turn) {}
 
   Duration Period() const { return this->settings.period; }
   /// Returns the time between two broadcasts of a coordinator.
@@ -85,11 +96,13 @@
   Duration PeerTimeout(std::size_t domain_peers) const;
 
  private:
+  std::vector<std::string> NextInTurn(const BeaconTargets& targets);
+
   BeaconScheduleSettings settings;
   std::size_t round = 0;
   bool last_round_was_broadcast = false;
-  std::size_t next_same_domain = 0;
-  std::size_t next_other_domain = 0;
+  std::size_t next_same_domain;
+  std::size_t next_other_domain;
 };
 
 }  // namespace toucanwharf::gossip
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -12,8 +12,11 @@
 #include <string>
 #include <vector>
 
+#include "toucanwharf/admission/answer_meter.h"
+#include "toucanwharf/admission/claim_queue.h"
+#include "toucanwharf/admission/return_schedule.h"
+#include "toucanwharf/admission/usual_time.h"
 #include "toucanwharf/attempts/arrival_budget.h"
-#include "toucanwharf/attempts/capacity_queue.h"
 #include "toucanwharf/attempts/probe_backoff.h"
 #include "toucanwharf/attempts/startup_wait.h"
 #include "toucanwharf/endpoints/liveness_evidence.h"
@@ -67,6 +70,11 @@
                          const LatencyHistogram&) = default;
 };
 
+/// Times that requests waited for capacity, by rank.
+using WaitsByRank = std::array<LatencyHistogram, admission::kRanks>;
+/// What waits for capacity, by rank.
+using WaitingByRank = std::array<admission::RankBacklog, admission::kRanks>;
+
 /// Counts of requests by outcome.
 struct GatewayCounters {
   std::uint64_t received = 0;
@@ -86,6 +94,7 @@
   std::uint64_t broken_runs = 0;
   std::uint64_t quarantined = 0;
   std::uint64_t limits_unreadable = 0;
+  std::uint64_t claims_unreadable = 0;
   std::uint64_t endpoints_leaving = 0;
   std::uint64_t pauses_requested = 0;
   std::uint64_t pauses_unreadable = 0;
@@ -94,11 +103,22 @@
   std::uint64_t forwards_rejected = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
+  WaitsByRank waits{};
 
   friend bool operator==(const GatewayCounters&,
                          const GatewayCounters&) = default;
 };
 
+/// When the caller of a refused request should retry.
+struct RetryTime {
+  Duration after{0};
+  /// Whether \c after is drawn for this caller. Otherwise it is the same for
+  /// all and is spread, so that they don't retry together.
+  bool is_drawn = false;
+
+  friend bool operator==(const RetryTime&, const RetryTime&) = default;
+};
+
 class ProxiedRequest;
 
 /// Proxies callers' requests to endpoints and relays the answers. Owned by
@@ -164,6 +184,8 @@
     return this->active.size() + this->early_requests.size();
   }
   const GatewayCounters& Counters() const { return this->counters; }
+  /// Returns what waits for capacity of any service, by rank.
+  WaitingByRank Waiting() const;
 
  private:
   friend class ProxiedRequest;
@@ -175,6 +197,18 @@
     std::size_t bytes = 0;
   };
 
+  /// The requests that wait for capacity of one service.
+  struct ServiceQueue {
+    admission::ClaimQueue order;
+    std::map<std::string, std::shared_ptr<ProxiedRequest>> requests;
+  };
+
+  /// What decides when refused callers of one service retry.
+  struct ServiceReturns {
+    admission::AnswerMeter answers;
+    admission::ReturnSchedule schedule;
+  };
+
   /// The endpoint that a request was sent to.
   struct AskedEndpoint {
     std::string id;
@@ -235,10 +269,32 @@
   /// that of \p except.
   std::vector<endpoints::LivenessEvidence> EvidenceExcept(
       const ProxiedRequest& except) const;
+  /// Returns whether requests wait for \p service that go before \p claim.
+  bool HasQueueAhead(const std::string& service,
+                     const admission::Claim& claim) const;
+  /// Records that an answer of \p service has ended and has freed its capacity.
+  void OnAnswerEnded(const std::string& service);
+  /// Returns after what delay a caller with \p claim and \p time_left that
+  /// \p service has no capacity for should retry; nothing while the rate at
+  /// which capacity comes free isn't known.
+  std::optional<Duration> ScheduleReturn(const std::string& service,
+                                         const admission::Claim& claim,
+                                         Duration time_left);
+  /// Returns how many queued requests of \p service get capacity before a
+  /// caller with \p claim that is refused now.
+  std::size_t CountQueuedBefore(const std::string& service,
+                                const admission::Claim& claim) const;
   /// Queues \p request for \p service until there is capacity for its answer.
   void Enqueue(const std::string& service,
                std::shared_ptr<ProxiedRequest> request);
-  void ServeQueue();
+  void ServeQueues();
+  void ServeQueue(ServiceQueue& service);
+  /// Lets \p id leave the queue if there is capacity for it. Returns whether it
+  /// left.
+  bool TryToServe(ServiceQueue& service, const std::string& id);
+  /// Refuses the requests that waiting can't help any more.
+  void RefuseUnservable(ServiceQueue& service);
+  void ScheduleQueues();
 
   /// Records that a run of \p request broke and finds out whether its endpoint
   /// has ended.
@@ -268,6 +324,8 @@
   /// so.
   void OnLeavingNotice(const AskedEndpoint& to, const http::ResponseHead& head);
   void OnUnreadablePause(const std::string& endpoint, std::string_view value);
+  /// Records that the size that the caller of \p request states can't be used.
+  void OnUnreadableClaim(const std::string& request);
   void OnUnreadableLimit(const std::string& endpoint, std::string_view value);
   /// Returns what \p request of \p customer holds that may crash endpoints.
   quarantine::RequestFingerprints FingerprintsOf(
@@ -276,7 +334,7 @@
   /// whether it is.
   bool RefuseQuarantined(http::Exchange& exchange,
                          const quarantine::RequestFingerprints& request);
-  void Refuse(http::Exchange& exchange, int status, Duration retry_after,
+  void Refuse(http::Exchange& exchange, int status, const RetryTime& retry_time,
               std::string_view reason,
               const eventlog::Fields& more = eventlog::Fields());
   bool TooLateToAccept(TimePoint now) const;
@@ -293,11 +351,13 @@
   InstanceSettings settings;
   HeaderNames names;
   attempts::ArrivalBudget budget;
+  admission::UsualTime usual_time;
   Random random;
   EngineCalls calls;
   GatewayCounters counters;
   TimePoint unreadable_limit_logged{Duration(-1'000'000'000)};
   TimePoint unreadable_pause_logged{Duration(-1'000'000'000)};
+  TimePoint unreadable_claim_logged{Duration(-1'000'000'000)};
   TimePoint invalid_forward_logged{Duration(-1'000'000'000)};
   EngineProbe probe;
   attempts::ProbeBackoff probe_backoff;
@@ -310,7 +370,11 @@
   std::set<ProxiedRequest*> active;
   attempts::StartupWait startup_wait;
   std::vector<EarlyRequest> early_requests;
-  attempts::CapacityQueue<std::shared_ptr<ProxiedRequest>> queue;
+  /// By service; none is empty between two rounds.
+  std::map<std::string, ServiceQueue> queues;
+  std::uint64_t queued_ids = 0;
+  /// By service.
+  std::map<std::string, ServiceReturns> returns;
   http::TimerId queue_timer = 0;
 };
 
--- a/include/toucanwharf/instance/instance_state.h
+++ b/include/toucanwharf/instance/instance_state.h
@@ -10,6 +10,7 @@
 #include "toucanwharf/endpoints/life_proofs.h"
 #include "toucanwharf/endpoints/load_tracker.h"
 #include "toucanwharf/endpoints/reachability.h"
+#include "toucanwharf/gossip/entry_advice.h"
 #include "toucanwharf/gossip/forward_choice.h"
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/ready_instance_list.h"
@@ -71,6 +72,10 @@
   store::EpochClock epochs;
   /// Number of the store's answers that were older than what was known.
   std::uint64_t older_store_answers = 0;
+  /// While a whole fleet restarts and nobody tells its loads yet: how many
+  /// peers send answers that aren't heard of, each about as many as this
+  /// instance, whatever engines these chose. 0 at all other times.
+  double unheard_peers = 0;
   /// Whether the list of instances has been read from the store.
   bool instances_known = false;
   /// Whether the stored requests in quarantine have been read.
@@ -85,11 +90,15 @@
   bool CanAdmitRequests(TimePoint now) const;
   /// Returns whether callers may be directed to this instance.
   bool Ready(TimePoint now) const;
-  /// Returns the addresses where callers may connect to other instances. Ports
-  /// are the same on all instances; \p callers and \p datagrams are this
+  /// Returns the instances, other than this one, where callers may connect.
+  /// Ports are the same on all instances; \p callers and \p datagrams are this
   /// instance's addresses.
-  std::vector<std::string> ReadyPeers(TimePoint now, const std::string& callers,
-                                      const std::string& datagrams) const;
+  std::vector<gossip::AdvisedInstance> AdvisedPeers(
+      TimePoint now, const std::string& callers,
+      const std::string& datagrams) const;
+  /// Returns whether callers should soon ask anew where to connect, because
+  /// most known instances have started lately and more will be ready soon.
+  bool AdviceExpiresSoon(TimePoint now) const;
   /// Returns the peers that requests can be forwarded to: those that were heard
   /// of lately and reach endpoints. One with an older configuration refuses.
   std::vector<gossip::ForwardCandidate> ForwardCandidates(TimePoint now) const;
@@ -143,6 +152,8 @@
   bool strict_revocation;
   /// See Mechanisms::withdrawal.
   bool withdraws_when_isolated;
+  /// See Mechanisms::early_advice.
+  bool advises_starting_peers;
   std::string failure_domain;
 };
 
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -13,6 +13,7 @@
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/gossip/backup_leaders.h"
 #include "toucanwharf/gossip/beacon_schedule.h"
+#include "toucanwharf/gossip/confirmation_exchange.h"
 #include "toucanwharf/gossip/fleet_loads.h"
 #include "toucanwharf/gossip/key_range.h"
 #include "toucanwharf/http/client.h"
@@ -70,6 +71,21 @@
   /// Sends a beacon to every instance, also of a large fleet. For a change that
   /// is rare and concerns all: whether this instance reaches endpoints.
   void AnnounceToFleet();
+  /// Applies what peers have confirmed so far to a configuration that has just
+  /// come into force, and asks for a confirmation if that is not enough.
+  void ConfirmConfiguration();
+  /// Requests a confirmation from some of the peers that can give one, if keys
+  /// are refused here without it. To be called every 100 ms.
+  void RequestConfirmations();
+  /// Returns whether this instance tells its failure domain which instances it
+  /// has heard of and what engines report, until there is a leader: it reads
+  /// the store as it starts, and most of a large fleet has just started.
+  ///
+  /// Load: all callers come back to a fleet that restarts. Small instances hear
+  /// of one another only in turn, and would direct them to the few that told
+  /// everybody that they started; and engines are still full of answers that
+  /// nobody waits for.
+  bool AssistsRestart(TimePoint now) const;
   /// Calls \p task with each report of a peer that an endpoint is
   /// unresponsive.
   void OnUnresponsiveEndpoint(
@@ -120,6 +136,11 @@
   /// Returns whether this instance advertises the state of the fleet: it is the
   /// leader, or a backup leader while there is no leader.
   bool ActsForFleet(TimePoint now) const;
+  /// Returns whether this process and most of a large fleet have just started.
+  bool IsInRestart(TimePoint now) const;
+  /// Returns how many peers count as loaded like this instance while there is
+  /// no leader.
+  std::size_t CountAssumedLoaded(TimePoint now) const;
   /// Returns whether this instance has been leader or backup leader for long
   /// enough to have received a beacon from every live instance.
   bool HasContactedAll(TimePoint now) const;
@@ -131,6 +152,21 @@
   /// Applies the peers' confirmations of the configuration and the list of
   /// endpoints.
   void ApplyConfirmations(TimePoint now);
+  /// Tells the instances of the failure domain that list who is ready that this
+  /// one is. Otherwise they take it for starting until its next turn, and leave
+  /// it out of their lists after a second.
+  void AnnounceReady(TimePoint now);
+  /// Returns whether keys are refused here for want of a confirmation.
+  bool NeedsConfirmation(TimePoint now) const;
+  /// Requests a confirmation from instances that read the store as they start,
+  /// of the same failure domain if there are any.
+  void RequestFromReaders(
+      const std::vector<gossip::BackupLeaderCandidate>& candidates,
+      TimePoint now);
+  /// Answers the sender of \p beacon, which needs a confirmation, or requests
+  /// one from it.
+  void ExchangeConfirmation(const std::string& sender,
+                            const gossip::Beacon& beacon, TimePoint now);
   /// Logs that a beacon of \p size bytes could not be sent, if \p error is set.
   void LogSendFailure(const std::error_code& error, std::size_t size,
                       TimePoint now);
@@ -159,12 +195,14 @@
   std::function<void(const UnresponsiveReport&)> on_unresponsive;
   std::vector<gossip::EngineStatus> engine_statuses;
   gossip::BeaconSchedule schedule;
+  gossip::ConfirmationExchange confirmation_exchange;
   /// The endpoints that this instance advertises in this round, if it is a
   /// coordinator.
   gossip::KeyRanges ranges;
   gossip::KeyRange covered_keys;
   /// What the leader has reported of the fleet's loads.
   gossip::FleetLoads fleet_loads;
+  bool heard_fleet_loads = false;
   TimePoint send_failure_logged{Duration(-1'000'000'000)};
   /// Newest stamp by datagram address.
   std::map<std::string, Stamp> stamps;
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "toucanwharf/gossip/entry_advice.h"
+#include "toucanwharf/gossip/initial_read_policy.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -51,6 +53,7 @@
       started(event_loop.Now()),
       snapshots(event_loop, http_client, shared_state, log, list_log,
                 initial_settings.failure_domain),
+      schedule({}, HashText(shared_state.instance)),
       random(HashText(shared_state.instance)) {}
 
 Result<void> PeerLink::Start(OnConfiguration on_configuration,
@@ -91,6 +94,7 @@
   const bool large = this->state.peers.IsLargeFleet(this->loop.Now());
   // The others answer a new process at once, and tell it what it can't read.
   if (!large) this->Announce();
+  if (large) this->RequestFromReaders(candidates, this->loop.Now());
   if (!large || !this->state.backup_leaders.empty()) return;
   this->SetBackupLeaders(
       gossip::ChooseBackupLeaders(std::move(candidates), ""));
@@ -115,7 +119,18 @@
                           this->state.ready_list.IsCurrent(now) ||
                           !this->state.peers.Leader(now).empty();
   this->state.loads.AssumeEqualPeerLoad(
-      has_leader ? 0 : this->state.peers.InstanceCount(now) - 1);
+      has_leader ? 0 : this->CountAssumedLoaded(now));
+  // By then all others have told a coordinator what they sent.
+  const bool sums_itself =
+      this->coordinator_since &&
+      now - *this->coordinator_since >= 3 * this->schedule.Period();
+  const bool unheard = this->settings.mechanisms.reported_loads &&
+                       this->IsInRestart(now) && !this->heard_fleet_loads &&
+                       !sums_itself;
+  this->state.unheard_peers =
+      unheard ? static_cast<double>(this->state.peers.InstanceCount(now) - 1)
+              : 0;
+  this->state.loads.AddReportsToLoads(unheard);
   const std::size_t nearby =
       this->state.peers.AddressesInDomain(this->settings.failure_domain, now)
           .size();
@@ -134,6 +149,25 @@
   this->loop.After(this->schedule.Period(), [this] { this->Tick(); });
 }
 
+std::size_t PeerLink::CountAssumedLoaded(TimePoint now) const {
+  const gossip::PeerTable& peers = this->state.peers;
+  return this->settings.mechanisms.reported_loads
+             ? gossip::CountAssumedLoaded(peers, now - this->started, now)
+             : peers.InstanceCount(now) - 1;
+}
+
+bool PeerLink::IsInRestart(TimePoint now) const {
+  return now - this->started < gossip::kMaxAssistUptime &&
+         this->state.peers.IsLargeFleet(now) &&
+         gossip::MostAreStarting(this->state.peers.AllLive(now), now);
+}
+
+bool PeerLink::AssistsRestart(TimePoint now) const {
+  return this->settings.mechanisms.early_advice &&
+         gossip::ReadsImmediately(this->settings.processor_share) &&
+         this->state.peers.Leader(now).empty() && this->IsInRestart(now);
+}
+
 gossip::BeaconTargets PeerLink::MakeTargets(TimePoint now) const {
   const gossip::PeerTable& peers = this->state.peers;
   gossip::BeaconTargets targets;
@@ -144,6 +178,7 @@
   targets.leader = peers.Leader(now);
   targets.backup_leaders = this->OtherBackupLeaders(targets.leader);
   targets.is_coordinator = this->state.leads || this->state.is_backup_leader;
+  targets.informs_domain = this->AssistsRestart(now);
   return targets;
 }
 
@@ -326,13 +361,16 @@
   // A process that has just started waits for news. In a large fleet the leader
   // sends to all soon enough.
   const bool answers = is_new && !this->state.peers.IsLargeFleet(now);
-  if (answers) this->SendTo({sender}, Content::kOwn);
   this->stamps[sender] = Stamp{beacon->instance, beacon->stamp};
+  if (answers) this->SendTo({sender}, Content::kOwn);
   for (const std::string& address : beacon->peers) {
     if (address == this->settings.datagram_address) continue;
     this->state.peers.AddAddress(address, now);
   }
+  const bool unconfirmed = this->NeedsConfirmation(now);
   this->ApplyBeacon(*beacon, now);
+  if (unconfirmed && !this->NeedsConfirmation(now)) this->AnnounceReady(now);
+  if (!answers) this->ExchangeConfirmation(sender, *beacon, now);
   this->snapshots.FetchNewer(*beacon);
 }
 
@@ -387,12 +425,11 @@
   for (const std::uint32_t number : beacon.ready_instances) {
     this->state.peers.RecordLiveness(gossip::AddressOf(number, port), now);
   }
-  // A beacon without loads means idle endpoints only if its sender has received
-  // the loads of all.
   const bool has_loads =
-      !beacon.fleet_loads.empty() || !beacon.ready_instances.empty();
+      gossip::TellsFleetLoads(beacon, this->IsCoordinator(beacon));
   // A backup leader sums the loads that it receives itself.
   if (!has_loads || this->state.is_backup_leader) return;
+  this->heard_fleet_loads = true;
   this->fleet_loads.Update(beacon.covered_keys, beacon.fleet_loads);
   std::vector<gossip::EndpointLoad> loads;
   for (const gossip::KeyedLoad& load : this->fleet_loads.All()) {
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -1,9 +1,10 @@
 #include "proxied_request.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
+#include "toucanwharf/admission/request_size.h"
+
 namespace toucanwharf::instance {
 namespace {
 
@@ -15,14 +16,16 @@
 constexpr Duration kReservedAfterQueue = std::chrono::milliseconds(200);
 /// A connection within a region takes a millisecond.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
-/// Typical share of the maximum output tokens that an answer has, used if the
-/// caller gives no hint.
-constexpr double kTypicalOutputShare = 0.6;
-
-double ParseNumber(std::string_view text) {
-  double value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return std::max(value, 0.0);
+/// Callers give up a stream without an event after the longest of this time and
+/// these multiples of its objectives.
+constexpr Duration kMinCallerPatience = std::chrono::seconds(2);
+constexpr int kPatienceInObjectives = 4;
+constexpr int kPatienceInPauses = 8;
+
+/// Returns how long callers of \p route wait for the first event of a stream.
+Duration CallerPatience(const routes::Route& route) {
+  return std::max({kMinCallerPatience, kPatienceInObjectives * route.objective,
+                   kPatienceInPauses * route.pause_objective});
 }
 
 }  // namespace
@@ -37,15 +40,7 @@
   const http::Headers& headers = this->exchange->Received().headers;
   const HeaderNames& names = this->gateway.names;
   this->request_id = std::string(headers.Get(names.request_id));
-  const std::string_view counts = headers.Get(names.token_counts);
-  const std::size_t comma = counts.find(',');
-  if (comma != std::string_view::npos) {
-    this->prompt_tokens = ParseNumber(counts.substr(0, comma));
-    const double max_output = ParseNumber(counts.substr(comma + 1));
-    const auto hint = headers.Find(names.length_hint);
-    this->output_tokens = hint ? std::min(ParseNumber(*hint), max_output)
-                               : kTypicalOutputShare * max_output;
-  }
+  this->claim = this->MakeClaim();
   if (this->admitted.forwarded) {
     this->attempt_counts.may_have_run = this->admitted.forwarded->runs;
     this->attempt_counts.may_have_run_elsewhere =
@@ -55,6 +50,32 @@
   this->gateway.active.insert(this);
 }
 
+admission::Claim ProxiedRequest::MakeClaim() {
+  const http::Headers& headers = this->exchange->Received().headers;
+  const HeaderNames& names = this->gateway.names;
+  const routes::Route& route = *this->admitted.route;
+  const admission::StatedSize size = admission::ReadStatedSize(
+      headers.Get(names.token_counts), headers.Find(names.length_hint));
+  if (size.unreadable) this->gateway.OnUnreadableClaim(this->request_id);
+  admission::Claim made;
+  made.rank =
+      admission::EffectiveRank(this->admitted.customer_rank, route.priority);
+  made.customer = this->admitted.customer;
+  made.prompt_tokens = size.prompt_tokens;
+  made.output_tokens = size.output_tokens;
+  made.arrived = this->admitted.arrived;
+  made.on_time_until =
+      this->admitted.arrived - this->admitted.caller_age + route.objective;
+  made.useful_until = this->admitted.deadline;
+  if (this->IsStream()) {
+    made.useful_until = std::min(
+        made.useful_until, this->admitted.arrived + CallerPatience(route));
+  }
+  made.returned = this->admitted.caller_age > Duration(0) ||
+                  headers.Find(names.last_event_id).has_value();
+  return made;
+}
+
 ProxiedRequest::~ProxiedRequest() {
   this->CancelCall();
   this->ReleaseLoad();
@@ -83,33 +104,72 @@
       !this->gateway.settings.mechanisms.capacity_queue) {
     return false;
   }
-  const TimePoint until = this->admitted.arrived +
-                          this->admitted.route->objective - kReservedAfterQueue;
-  // What can't be served in time is refused at once.
+  return !this->LimitsOutlastWait();
+}
+
+TimePoint ProxiedRequest::LastQueueTime() const {
+  // A second refusal is worth less to a caller than a late answer.
+  const TimePoint limit = this->claim.returned ? this->claim.useful_until
+                                               : this->claim.on_time_until;
+  return limit - kReservedAfterQueue;
+}
+
+bool ProxiedRequest::LimitsOutlastWait() const {
   const bool all_wait = this->limit_wait && !this->found_unlimited;
   const Duration needed = all_wait ? *this->limit_wait : Duration(0);
-  return this->gateway.loop.Now() + needed < until;
+  return this->gateway.loop.Now() + needed >= this->LastQueueTime();
 }
 
-bool ProxiedRequest::LeaveQueue() {
-  if (this->finished) return true;
-  if (this->RefuseQuarantined()) return true;
+ProxiedRequest::QueueStep ProxiedRequest::LeaveQueue() {
+  if (this->finished) return QueueStep::kEnded;
+  if (this->RefuseQuarantined()) return QueueStep::kEnded;
   const auto chosen = this->ChooseTarget();
   if (chosen) {
+    this->RecordWait();
     this->Send(*chosen);
-    return true;
+    return QueueStep::kSent;
   }
-  if (this->MayQueue()) return false;
-  this->Refuse("no_room_in_time");
-  return true;
+  const bool all_limited = this->limit_wait && !this->found_unlimited;
+  const bool waits_for_capacity =
+      this->no_path_reason == placement::NoPathReason::kNoCapacity &&
+      !(all_limited && this->LimitsOutlastWait());
+  if (waits_for_capacity) return QueueStep::kWait;
+  this->RefuseQueued();
+  return QueueStep::kEnded;
+}
+
+void ProxiedRequest::RefuseQueued() {
+  if (this->finished) return;
+  this->RecordWait();
+  const bool no_capacity =
+      this->no_path_reason == placement::NoPathReason::kNoCapacity;
+  this->Refuse(no_capacity ? "no_room_in_time" : this->ReasonWithoutTarget());
+}
+
+void ProxiedRequest::RecordWait() {
+  if (!this->queued_at) return;
+  const Duration wait = this->gateway.loop.Now() - *this->queued_at;
+  this->queued_at.reset();
+  this->waited += wait;
+  const auto rank = static_cast<std::size_t>(this->claim.rank);
+  this->gateway.counters.waits.at(rank).Add(wait);
+}
+
+void ProxiedRequest::LogQueued(std::size_t ahead,
+                               const std::optional<Duration>& expected) {
+  this->queued_at = this->gateway.loop.Now();
+  Fields fields;
+  fields.Count("rank", this->claim.rank)
+      .Count("ahead", static_cast<std::int64_t>(ahead));
+  if (expected) fields.Millis("expected_wait_ms", *expected);
+  this->Log(Level::kRoutine, "queued", fields);
 }
 
 void ProxiedRequest::StartAttempt() {
-  // Requests for a service are served in order of arrival.
+  // Requests that go before this one are served first.
   const std::string& service = this->admitted.service->name;
-  const bool must_queue = this->IsModel() &&
-                          this->gateway.queue.Waits(service) &&
-                          !this->MustForward();
+  const bool must_queue = this->IsModel() && !this->MustForward() &&
+                          this->gateway.HasQueueAhead(service, this->claim);
   const auto chosen = must_queue ? std::nullopt : this->ChooseTarget();
   if (must_queue) this->no_path_reason = placement::NoPathReason::kNoCapacity;
   if (!chosen && this->MayQueue()) {
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "toucanwharf/admission/claim.h"
 #include "toucanwharf/attempts/attempt_policy.h"
 #include "toucanwharf/attempts/stall_detector.h"
 #include "toucanwharf/http/event_splitter.h"
@@ -49,6 +50,10 @@
   const routes::Service* service = nullptr;
   /// Empty for a route that needs no key.
   std::string customer;
+  /// The customer's own rank, which goes before the route's.
+  std::optional<int> customer_rank;
+  /// How long ago the caller's first attempt began; 0 for a first attempt.
+  Duration caller_age{0};
   TimePoint arrived;
   /// When the final answer is due.
   TimePoint deadline;
@@ -75,9 +80,23 @@
   ProxiedRequest& operator=(const ProxiedRequest&) = delete;
 
   void Start();
-  /// Checks for capacity again. Returns whether this request leaves the queue:
-  /// it was sent, was refused, or its caller has disconnected.
-  bool LeaveQueue();
+  /// What becomes of a request that waits for capacity.
+  enum class QueueStep {
+    kWait,
+    kSent,
+    /// It was refused, or its caller has disconnected.
+    kEnded,
+  };
+
+  /// Checks for capacity again, and sends the request if there is some.
+  QueueStep LeaveQueue();
+  /// Refuses the request, which waiting can't help any more.
+  void RefuseQueued();
+  bool IsFinished() const { return this->finished; }
+  const admission::Claim& ClaimOf() const { return this->claim; }
+  /// Logs that the request begins to wait behind \p ahead others, and for how
+  /// long if known.
+  void LogQueued(std::size_t ahead, const std::optional<Duration>& expected);
   /// Checks immediately whether the unresponsive \p endpoint has stalled this
   /// answer.
   void OnEngineUnresponsive(const std::string& endpoint);
@@ -130,6 +149,10 @@
   /// Returns whether the request may be forwarded and a peer could take it.
   bool MayForward() const;
   http::Request BuildRequest(const Target& target) const;
+  /// Returns whether the endpoint is told the rank of the request.
+  bool TellsRank() const;
+  /// Returns what the request asks of free capacity.
+  admission::Claim MakeClaim();
   /// Returns the request as a peer gets it.
   http::Request BuildForwarded() const;
   void Send(const Target& target);
@@ -165,6 +188,12 @@
   void TakeNextStep(attempts::AttemptOutcome outcome, std::string_view reason);
 
   bool MayQueue() const;
+  /// Returns until when the request waits for capacity while nothing is known
+  /// of when there will be some.
+  TimePoint LastQueueTime() const;
+  /// Returns whether the request may be sent only after that, by the limits of
+  /// all endpoints that could take it.
+  bool LimitsOutlastWait() const;
   /// Returns why a request without any target is refused.
   std::string_view ReasonWithoutTarget() const;
   void WatchStall(Duration delay);
@@ -240,10 +269,18 @@
   void OnCallerDisconnected();
 
   void Refuse(std::string_view reason);
-  /// Returns when a caller that is refused should come back.
-  Duration RetryAfter() const;
+  /// Returns when the caller, which is refused now, should retry.
+  RetryTime RetryAfter();
+  /// Returns the time at which capacity is expected to come free for it, if
+  /// that is why it is refused and the time is known.
+  std::optional<Duration> ScheduledReturn();
+  /// Returns whether all endpoints that could serve the request have taken what
+  /// they asked for.
+  bool IsLimited() const { return this->limit_wait && !this->found_unlimited; }
   void Fail(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
+  /// Records how long the request waited if it leaves a queue now.
+  void RecordWait();
   void CancelCall();
   void ReleaseLoad();
   void Log(eventlog::Level level, std::string_view event,
@@ -253,8 +290,12 @@
   std::shared_ptr<http::Exchange> exchange;
   Admitted admitted;
   std::string request_id;
-  double prompt_tokens = 0;
-  double output_tokens = 0;
+  /// What the request asks of free capacity.
+  admission::Claim claim;
+  /// When the request began to wait for capacity, if it waits.
+  std::optional<TimePoint> queued_at;
+  /// How long it waited in all, until it last left a queue.
+  Duration waited{0};
 
   attempts::AttemptCounts attempt_counts;
   std::set<std::string> excluded;
@@ -304,7 +345,7 @@
   /// choice.
   std::optional<Duration> limit_wait;
   /// Retry-After of the peer that refused the forwarded request for good.
-  std::optional<Duration> peer_retry_after;
+  std::optional<RetryTime> peer_retry_after;
   /// Endpoints considered in the last choice.
   Candidates candidates;
   /// Whether an endpoint was considered whose limit was not.
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -74,20 +74,34 @@
       *this->exchange, http::kUnavailable, this->RetryAfter(), reason,
       Fields()
           .Count("endpoints", this->candidates.ready)
-          .Count("endpoints_suspected", this->candidates.suspected));
+          .Count("endpoints_suspected", this->candidates.suspected)
+          .Count("rank", this->claim.rank)
+          .Count("returned", this->claim.returned ? 1 : 0)
+          .Millis("waited_ms", this->waited));
   this->Finish("refused", http::kUnavailable);
 }
 
-Duration ProxiedRequest::RetryAfter() const {
+RetryTime ProxiedRequest::RetryAfter() {
   if (this->peer_retry_after) return *this->peer_retry_after;
-  if (this->gateway.state.paths.IsIsolated()) return kRetryForPath;
+  if (this->gateway.state.paths.IsIsolated()) return {kRetryForPath};
+  if (const auto scheduled = this->ScheduledReturn()) return {*scheduled, true};
   const Duration wait =
       this->no_path_reason == placement::NoPathReason::kMissingLayers
           ? kRetryForLayers
           : kRetryForCapacity;
-  // All that could serve it have taken what they asked for.
-  const bool limited = this->limit_wait && !this->found_unlimited;
-  return limited ? std::max(wait, *this->limit_wait) : wait;
+  return {this->IsLimited() ? std::max(wait, *this->limit_wait) : wait};
+}
+
+std::optional<Duration> ProxiedRequest::ScheduledReturn() {
+  const bool lacks_capacity =
+      this->IsModel() && !this->IsLimited() &&
+      this->no_path_reason == placement::NoPathReason::kNoCapacity;
+  if (!lacks_capacity || !this->gateway.settings.mechanisms.return_schedule) {
+    return std::nullopt;
+  }
+  return this->gateway.ScheduleReturn(
+      this->admitted.service->name, this->claim,
+      this->admitted.deadline - this->gateway.loop.Now());
 }
 
 void ProxiedRequest::Fail(int status, std::string_view reason) {
@@ -105,28 +119,40 @@
 
 void ProxiedRequest::Finish(std::string_view outcome, int status) {
   if (std::exchange(this->finished, true)) return;
+  // Requests whose caller left, or whose time was over, have waited longest.
+  this->RecordWait();
   this->CancelCall();
   this->ReleaseLoad();
   this->gateway.loop.Cancel(this->deadline_timer);
   this->gateway.loop.Cancel(this->stall_timer);
   this->exchange->OnDisconnect(nullptr);
-  const Level level = outcome == "answered" ? Level::kRoutine : Level::kNotable;
-  this->Log(level, "finished",
-            Fields()
-                .Text("outcome", outcome)
-                .Count("status", status)
-                .Count("tries", this->attempt_counts.total)
-                .Text("endpoint", this->target.endpoint)
-                .Count("stages",
-                       static_cast<std::int64_t>(this->target.stages.size()))
-                .Count("pieces", this->chunks_written)
-                .Millis("first_event_ms", this->first_event_after)
-                .Millis("longest_pause_ms", this->detector.LongestPause())
-                .Count("expected_token_us",
-                       static_cast<std::int64_t>(this->target.token_millis *
-                                                 kMicrosPerMilli))
-                .Millis("took_ms",
-                        this->gateway.loop.Now() - this->admitted.arrived));
+  const bool answered = outcome == "answered";
+  if (answered && this->IsModel()) {
+    this->gateway.OnAnswerEnded(this->admitted.service->name);
+  }
+  const Level level = answered ? Level::kRoutine : Level::kNotable;
+  this->Log(
+      level, "finished",
+      Fields()
+          .Text("outcome", outcome)
+          .Count("status", status)
+          .Count("tries", this->attempt_counts.total)
+          .Text("endpoint", this->target.endpoint)
+          .Count("stages",
+                 static_cast<std::int64_t>(this->target.stages.size()))
+          .Count("pieces", this->chunks_written)
+          .Millis("first_event_ms", this->first_event_after)
+          .Millis("longest_pause_ms", this->detector.LongestPause())
+          .Count("expected_token_us",
+                 static_cast<std::int64_t>(this->target.token_millis *
+                                           kMicrosPerMilli))
+          .Count("rank", this->claim.rank)
+          .Text("customer", this->claim.customer)
+          .Count("tokens", static_cast<std::int64_t>(this->claim.prompt_tokens +
+                                                     this->claim.output_tokens))
+          .Millis("waited_ms", this->waited)
+          .Millis("took_ms",
+                  this->gateway.loop.Now() - this->admitted.arrived));
 }
 
 void ProxiedRequest::CancelCall() {
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -412,6 +412,22 @@
   }
 }
 
+// Instances that restart together would all begin with the same peers, and the
+// others would hear of nobody.
+BOOST_AUTO_TEST_CASE(InstancesThatStartTogetherBeginWithDifferentPeers) {
+  const BeaconTargets targets = MakeTargets(85);
+  std::map<std::string, int> received;
+  for (std::size_t sender = 0; sender < 85; ++sender) {
+    BeaconSchedule schedule({}, HashText(std::to_string(sender)));
+    for (const std::string& address : schedule.Next(targets)) {
+      ++received[address];
+    }
+  }
+  for (const std::string& address : targets.same_domain) {
+    BOOST_TEST(received.contains(address));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CoordinatorBroadcastsInEverySecondRound) {
   BeaconTargets targets = MakeTargets(85);
   targets.is_coordinator = true;
@@ -427,6 +443,41 @@
   BOOST_TEST(whole == 5);
 }
 
+// A backup leader that has just started lists the instances without knowing
+// their loads: an instance that has run on takes full engines for idle.
+BOOST_AUTO_TEST_CASE(ListOfAFleetThatRestartsDoesNotMeanIdleEndpoints) {
+  Beacon beacon;
+  beacon.ready_instances = {1, 2};
+  beacon.uptime = milliseconds(1000);
+  BOOST_TEST(!TellsFleetLoads(beacon, true));
+  beacon.uptime = milliseconds(3000);
+  BOOST_TEST(TellsFleetLoads(beacon, true));
+  BOOST_TEST(!TellsFleetLoads(beacon, false));
+  beacon.uptime = milliseconds(1000);
+  beacon.fleet_loads = {{7, 1, 1, 1}};
+  BOOST_TEST(TellsFleetLoads(beacon, true));
+}
+
+// A coordinator that tells its failure domain of a restart is unknown to the
+// other domains, and sums loads without theirs.
+BOOST_AUTO_TEST_CASE(InformingTheDomainReplacesNoOtherBeacon) {
+  BeaconTargets targets = MakeTargets(85);
+  targets.is_coordinator = true;
+  BeaconSchedule ordinary;
+  BeaconSchedule informing;
+  for (int round = 0; round < 10; ++round) {
+    targets.informs_domain = false;
+    std::vector<std::string> expected = ordinary.Next(targets);
+    expected.insert(expected.end(), targets.same_domain.begin(),
+                    targets.same_domain.end());
+    targets.informs_domain = true;
+    const std::vector<std::string> receivers = informing.Next(targets);
+    const std::set<std::string> distinct(receivers.begin(), receivers.end());
+    BOOST_TEST(distinct.size() == receivers.size());
+    BOOST_TEST((distinct == std::set(expected.begin(), expected.end())));
+  }
+}
+
 // Guards against a large fleet that serves nothing for seconds after all its
 // processes were killed, because each reads all lists from the store: the few
 // strong ones read, the others only if they get no copy.
