--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -25,6 +25,10 @@
 /// Within this time every live instance has received a beacon from a new leader
 /// and sent it one, also if a message in each direction is lost.
 constexpr Duration kAllContactedAfter = std::chrono::milliseconds(2000);
+/// In a restart, nobody has told a coordinator what it sent for this long after
+/// its start. An estimate for longer would keep callers waiting for capacity
+/// that is free.
+constexpr Duration kUnheardTime = std::chrono::milliseconds(1000);
 /// Changes in a large fleet within this time are announced together.
 constexpr Duration kCoalesceDelay = std::chrono::milliseconds(30);
 /// In a small fleet a peer without beacons for this long was probably killed,
@@ -120,13 +124,9 @@
                           !this->state.peers.Leader(now).empty();
   this->state.loads.AssumeEqualPeerLoad(
       has_leader ? 0 : this->CountAssumedLoaded(now));
-  // By then all others have told a coordinator what they sent.
-  const bool sums_itself =
-      this->coordinator_since &&
-      now - *this->coordinator_since >= 3 * this->schedule.Period();
   const bool unheard = this->settings.mechanisms.reported_loads &&
-                       this->IsInRestart(now) && !this->heard_fleet_loads &&
-                       !sums_itself;
+                       now - this->started < kUnheardTime &&
+                       this->IsInRestart(now) && !this->heard_fleet_loads;
   this->state.unheard_peers =
       unheard ? static_cast<double>(this->state.peers.InstanceCount(now) - 1)
               : 0;
