Process tests: a port must be free on all loopback addresses

Ports begin at a multiple of the test's process id, so that two programs whose ids differ by 198 use the same ones, and only 127.0.0.1 was checked, while the routers of a fleet listen on 127.0.1.1 and above. Change: the check binds to all addresses, which fails if any of them has the port in use.

--- a/test/process/process.cc
+++ b/test/process/process.cc
@@ -186,7 +186,9 @@
 
 // Ports are below the range that the system uses for outgoing connections:
 // otherwise another connection could take the port between this check and the
-// router's own bind, and the router would exit with "cannot listen".
+// router's own bind, and the router would exit with "cannot listen". It would
+// do so as well if another test uses the port on another loopback address, so
+// that the port has to be free on all of them.
 std::string FreeAddress() {
   constexpr unsigned kFirst = 12000;
   constexpr unsigned kCount = 20000;
@@ -197,7 +199,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_addr.s_addr = htonl(INADDR_ANY);
     const auto* generic = reinterpret_cast<const sockaddr*>(&address);
     const bool free = bind(probe, generic, sizeof(address)) == 0;
     close(probe);
