Claim queue: a blocked request is passed once in 100 ms, and an owed one loses its turn

Callers saw (by reading the code, not in a play): once the first request had been blocked for 100 ms, one smaller request passed it at each check, 50 a second, and took what came free, so that a long answer was never placed; a less urgent request that was owed its least part and found no capacity kept all more urgent ones waiting until it fitted; and with changing first requests the 100 ms began anew and nothing ever passed. Change: the time counts from the last request served. After it one request may pass: a more urgent one if the first is only owed its turn, which it loses, else a smaller one.

--- a/include/toucanwharf/admission/claim_queue.h
+++ b/include/toucanwharf/admission/claim_queue.h
@@ -40,8 +40,7 @@
   /// Part of what is served beside more urgent ranks that a rank with waiters
   /// gets at least.
   double min_share = 0.02;
-  /// The first in the order keeps smaller work from passing it for this long: a
-  /// long answer would otherwise never be placed.
+  /// How long the first in the order keeps others from passing it.
   Duration max_blocking = std::chrono::milliseconds(100);
   /// The drain rate counts as known after this many requests since the queue
   /// was last empty: that of fewer is chance.
@@ -90,9 +89,13 @@
     }
     return first;
   }
-  /// Records that there is no capacity for the first request \p id, and returns
-  /// a smaller one to try instead if it has been first for long enough.
-  std::optional<QueuedClaim> OnBlocked(TimePoint now, const std::string& id);
+  /// Returns the request to try after \p id, for which there is no capacity
+  /// although it is Front. Nothing while the queue has not been blocked for
+  /// long: a long answer would otherwise never be placed. After that a more
+  /// urgent request goes first if \p id is only owed its turn, which is lost,
+  /// else a smaller one; the next time counts from when that is served.
+  /// Precondition: \p id is in the queue.
+  std::optional<QueuedClaim> PassBlocked(TimePoint now, const std::string& id);
   /// Removes request \p id as served. Precondition: it is in the queue.
   void Take(TimePoint now, const std::string& id);
   /// Removes request \p id without a charge. Returns whether it was queued.
@@ -172,6 +175,8 @@
   bool IsUnservable(const Claim& claim, const std::optional<Duration>& expected,
                     TimePoint now) const;
   void Remove(TimePoint now, const std::string& id);
+  /// Returns the first request in the order that is much smaller than \p claim.
+  std::optional<QueuedClaim> FirstSmaller(const Claim& claim) const;
 
   ClaimQueueSettings settings;
   std::map<std::string, Entry> entries;
@@ -179,8 +184,8 @@
   DrainMeter drain;
   /// Requests served since the queue was last empty.
   int served_in_sequence = 0;
-  std::string blocked;
-  TimePoint blocked_since;
+  /// When the last request was served, or the first one queued.
+  TimePoint progress_at;
 };
 
 }  // namespace toucanwharf::admission
--- a/lib/admission/claim_queue.cc
+++ b/lib/admission/claim_queue.cc
@@ -60,6 +60,7 @@
 void ClaimQueue::Push(TimePoint now, const QueuedClaim& queued) {
   assert(!this->entries.contains(queued.id) && "request is already queued");
   Entry entry = this->MakeEntry(now, queued.claim);
+  if (this->entries.empty()) this->progress_at = now;
   FairQueue& queue = this->QueueOf(entry);
   queue.Push(now, MakeTicket(queue, queued.id, entry, this->settings.ordered));
   this->entries.emplace(queued.id, std::move(entry));
@@ -84,24 +85,26 @@
   return QueuedClaim{head->id, this->entries.at(head->id).claim};
 }
 
-std::optional<QueuedClaim> ClaimQueue::OnBlocked(TimePoint now,
-                                                 const std::string& id) {
-  if (this->blocked != id) {
-    this->blocked = id;
-    this->blocked_since = now;
+std::optional<QueuedClaim> ClaimQueue::PassBlocked(TimePoint now,
+                                                   const std::string& id) {
+  const bool blocks = now - this->progress_at < this->settings.max_blocking;
+  if (!this->settings.ordered || blocks) return std::nullopt;
+  const Claim& first = this->entries.at(id).claim;
+  for (const auto& [rank, order] : this->ranks) {
+    if (rank >= first.rank) break;
+    const auto urgent = this->HeadOf(order);
+    if (!urgent) continue;
+    this->ranks.at(first.rank).owed = 0;
+    return urgent;
   }
-  const auto found = this->entries.find(id);
-  if (found == this->entries.end() || !this->settings.ordered) {
-    return std::nullopt;
-  }
-  if (now - this->blocked_since < this->settings.max_blocking) {
-    return std::nullopt;
-  }
-  const Claim& first = found->second.claim;
+  return this->FirstSmaller(first);
+}
+
+std::optional<QueuedClaim> ClaimQueue::FirstSmaller(const Claim& claim) const {
   const std::pair<const std::string, Entry>* best = nullptr;
   for (const auto& other : this->entries) {
     const bool smaller =
-        TokensOf(other.second.claim) < kSmallerShare * TokensOf(first);
+        TokensOf(other.second.claim) < kSmallerShare * TokensOf(claim);
     if (!smaller) continue;
     if (best != nullptr && !this->GoesBefore(other.second, best->second)) {
       continue;
@@ -128,6 +131,7 @@
   }
   this->drain.RecordTaken(now, cost);
   ++this->served_in_sequence;
+  this->progress_at = now;
   this->Remove(now, id);
 }
 
--- a/lib/instance/gateway_queue.cc
+++ b/lib/instance/gateway_queue.cc
@@ -122,9 +122,8 @@
   service.order.Advance(now);
   while (const auto first = service.order.Front(kAnyRank)) {
     if (this->TryToServe(service, first->id)) continue;
-    const auto smaller = service.order.OnBlocked(now, first->id);
-    if (smaller) this->TryToServe(service, smaller->id);
-    break;
+    const auto next = service.order.PassBlocked(now, first->id);
+    if (!next || !this->TryToServe(service, next->id)) break;
   }
   this->RefuseUnservable(service);
 }
