--- a/include/toucanwharf/gossip/confirmation_exchange.h
+++ b/include/toucanwharf/gossip/confirmation_exchange.h
@@ -53,14 +53,27 @@
   std::optional<TimePoint> refilled_at;
 };
 
-/// Returns the datagram addresses of the live peers whose confirmation of the
-/// configuration is younger than \p max_age, in random order: those in the
-/// failure domain \p domain, or all if there are none.
+/// A peer that may confirm the configuration.
+struct ConfirmationSource {
+  /// Address on which it receives datagrams.
+  std::string address;
+  std::string failure_domain;
+
+  friend bool operator==(const ConfirmationSource&,
+                         const ConfirmationSource&) = default;
+};
+
+/// Returns the live peers whose confirmation of the configuration is younger
+/// than \p max_age. Thread safety: safe.
+std::vector<ConfirmationSource> ConfirmedPeers(const PeerTable& peers,
+                                               Duration max_age, TimePoint now);
+
+/// Returns the addresses of \p sources in random order: of those in the failure
+/// domain \p domain, or of all if there are none.
 /// Thread safety: safe.
-std::vector<std::string> ConfirmedPeers(const PeerTable& peers,
-                                        const std::string& domain,
-                                        Duration max_age, TimePoint now,
-                                        Random& random);
+std::vector<std::string> OrderSources(
+    const std::vector<ConfirmationSource>& sources, const std::string& domain,
+    Random& random);
 
 }  // namespace toucanwharf::gossip
 
--- a/include/toucanwharf/gossip/fleet_loads.h
+++ b/include/toucanwharf/gossip/fleet_loads.h
@@ -7,14 +7,9 @@
 
 #include "toucanwharf/gossip/beacon.h"
 #include "toucanwharf/gossip/key_range.h"
-#include "toucanwharf/support/clock.h"
 
 namespace toucanwharf::gossip {
 
-/// For so long after its start an instance may list the instances of a fleet
-/// that restarts without having received the loads of all.
-inline constexpr Duration kMaxAssistUptime = std::chrono::seconds(3);
-
 /// Returns whether \p beacon tells the loads of the endpoints that it covers,
 /// where \p from_coordinator is whether its sender is the leader or a backup
 /// leader. Without any load it means that they are idle if it lists the ready
--- a/include/toucanwharf/instance/peer_link.h
+++ b/include/toucanwharf/instance/peer_link.h
@@ -138,9 +138,8 @@
   bool ActsForFleet(TimePoint now) const;
   /// Returns whether this process and most of a large fleet have just started.
   bool IsInRestart(TimePoint now) const;
-  /// Returns how many peers count as loaded like this instance while there is
-  /// no leader.
-  std::size_t CountAssumedLoaded(TimePoint now) const;
+  /// Sets what is assumed of the peers' loads where nobody tells them.
+  void EstimatePeerLoads(TimePoint now);
   /// Returns whether this instance has been leader or backup leader for long
   /// enough to have received a beacon from every live instance.
   bool HasContactedAll(TimePoint now) const;
@@ -163,6 +162,9 @@
   void RequestFromReaders(
       const std::vector<gossip::BackupLeaderCandidate>& candidates,
       TimePoint now);
+  /// Requests a confirmation from some of \p sources.
+  void RequestFrom(const std::vector<gossip::ConfirmationSource>& sources,
+                   TimePoint now);
   /// Answers the sender of \p beacon, which needs a confirmation, or requests
   /// one from it.
   void ExchangeConfirmation(const std::string& sender,
@@ -202,7 +204,7 @@
   gossip::KeyRange covered_keys;
   /// What the leader has reported of the fleet's loads.
   gossip::FleetLoads fleet_loads;
-  bool heard_fleet_loads = false;
+  std::optional<TimePoint> fleet_loads_heard_at;
   TimePoint send_failure_logged{Duration(-1'000'000'000)};
   /// Newest stamp by datagram address.
   std::map<std::string, Stamp> stamps;
--- a/lib/gossip/confirmation_exchange.cc
+++ b/lib/gossip/confirmation_exchange.cc
@@ -46,17 +46,26 @@
   return true;
 }
 
-std::vector<std::string> ConfirmedPeers(const PeerTable& peers,
-                                        const std::string& domain,
-                                        Duration max_age, TimePoint now,
-                                        Random& random) {
-  std::vector<std::string> nearby;
-  std::vector<std::string> all;
+std::vector<ConfirmationSource> ConfirmedPeers(const PeerTable& peers,
+                                               Duration max_age,
+                                               TimePoint now) {
+  std::vector<ConfirmationSource> confirmed;
   for (const std::string& address : peers.Addresses(now)) {
     const Peer* peer = peers.Live(address, now);
     if (peer == nullptr || !IsConfirmed(*peer, max_age, now)) continue;
-    all.push_back(address);
-    if (peer->beacon.failure_domain == domain) nearby.push_back(address);
+    confirmed.push_back({address, peer->beacon.failure_domain});
+  }
+  return confirmed;
+}
+
+std::vector<std::string> OrderSources(
+    const std::vector<ConfirmationSource>& sources, const std::string& domain,
+    Random& random) {
+  std::vector<std::string> nearby;
+  std::vector<std::string> all;
+  for (const ConfirmationSource& source : sources) {
+    all.push_back(source.address);
+    if (source.failure_domain == domain) nearby.push_back(source.address);
   }
   std::vector<std::string>& chosen = nearby.empty() ? all : nearby;
   std::shuffle(chosen.begin(), chosen.end(), random);
--- a/lib/gossip/fleet_loads.cc
+++ b/lib/gossip/fleet_loads.cc
@@ -1,5 +1,7 @@
 #include "toucanwharf/gossip/fleet_loads.h"
 
+#include "toucanwharf/gossip/fleet_start.h"
+
 namespace toucanwharf::gossip {
 
 bool TellsFleetLoads(const Beacon& beacon, bool from_coordinator) {
--- a/lib/instance/instance_state.cc
+++ b/lib/instance/instance_state.cc
@@ -3,6 +3,7 @@
 #include <set>
 #include <utility>
 
+#include "toucanwharf/gossip/fleet_start.h"
 #include "toucanwharf/limits/rate_share.h"
 #include "toucanwharf/support/random.h"
 
--- a/lib/instance/peer_beacon.cc
+++ b/lib/instance/peer_beacon.cc
@@ -1,4 +1,4 @@
-#include "toucanwharf/gossip/entry_advice.h"
+#include "toucanwharf/gossip/fleet_start.h"
 #include "toucanwharf/instance/peer_link.h"
 
 namespace toucanwharf::instance {
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -4,8 +4,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "toucanwharf/gossip/entry_advice.h"
-#include "toucanwharf/gossip/initial_read_policy.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -25,10 +23,6 @@
 /// Within this time every live instance has received a beacon from a new leader
 /// and sent it one, also if a message in each direction is lost.
 constexpr Duration kAllContactedAfter = std::chrono::milliseconds(2000);
-/// In a restart, nobody has told a coordinator what it sent for this long after
-/// its start. An estimate for longer would keep callers waiting for capacity
-/// that is free.
-constexpr Duration kUnheardTime = std::chrono::milliseconds(1000);
 /// Changes in a large fleet within this time are announced together.
 constexpr Duration kCoalesceDelay = std::chrono::milliseconds(30);
 /// In a small fleet a peer without beacons for this long was probably killed,
@@ -115,22 +109,10 @@
 void PeerLink::Tick() {
   const TimePoint now = this->loop.Now();
   const bool large = this->state.peers.IsLargeFleet(now);
-  const bool leads = this->state.leads;
-  const bool coordinator = leads || this->state.is_backup_leader;
+  const bool coordinator = this->state.leads || this->state.is_backup_leader;
   if (!coordinator) this->coordinator_since.reset();
   if (coordinator && !this->coordinator_since) this->coordinator_since = now;
-  const bool has_leader = leads || !large ||
-                          this->state.ready_list.IsCurrent(now) ||
-                          !this->state.peers.Leader(now).empty();
-  this->state.loads.AssumeEqualPeerLoad(
-      has_leader ? 0 : this->CountAssumedLoaded(now));
-  const bool unheard = this->settings.mechanisms.reported_loads &&
-                       now - this->started < kUnheardTime &&
-                       this->IsInRestart(now) && !this->heard_fleet_loads;
-  this->state.unheard_peers =
-      unheard ? static_cast<double>(this->state.peers.InstanceCount(now) - 1)
-              : 0;
-  this->state.loads.AddReportsToLoads(unheard);
+  this->EstimatePeerLoads(now);
   const std::size_t nearby =
       this->state.peers.AddressesInDomain(this->settings.failure_domain, now)
           .size();
@@ -140,8 +122,9 @@
           : this->schedule.PeerTimeout(nearby));
   this->ApplyConfirmations(now);
   if (large && coordinator) this->SumLoads(now);
-  auto recipients = this->schedule.Next(this->MakeTargets(now));
-  if (this->schedule.LastRoundWasBroadcast()) {
+  const gossip::BeaconTargets targets = this->MakeTargets(now);
+  auto recipients = this->schedule.Next(targets);
+  if (this->schedule.LastRoundWasBroadcast() || targets.informs_domain) {
     this->covered_keys = this->ranges.Next(this->state.endpoints.All().size());
   }
   this->SendInBatches(std::move(recipients), 0);
@@ -149,25 +132,6 @@
   this->loop.After(this->schedule.Period(), [this] { this->Tick(); });
 }
 
-std::size_t PeerLink::CountAssumedLoaded(TimePoint now) const {
-  const gossip::PeerTable& peers = this->state.peers;
-  return this->settings.mechanisms.reported_loads
-             ? gossip::CountAssumedLoaded(peers, now - this->started, now)
-             : peers.InstanceCount(now) - 1;
-}
-
-bool PeerLink::IsInRestart(TimePoint now) const {
-  return now - this->started < gossip::kMaxAssistUptime &&
-         this->state.peers.IsLargeFleet(now) &&
-         gossip::MostAreStarting(this->state.peers.AllLive(now), now);
-}
-
-bool PeerLink::AssistsRestart(TimePoint now) const {
-  return this->settings.mechanisms.early_advice &&
-         gossip::ReadsImmediately(this->settings.processor_share) &&
-         this->state.peers.Leader(now).empty() && this->IsInRestart(now);
-}
-
 gossip::BeaconTargets PeerLink::MakeTargets(TimePoint now) const {
   const gossip::PeerTable& peers = this->state.peers;
   gossip::BeaconTargets targets;
@@ -427,9 +391,10 @@
   }
   const bool has_loads =
       gossip::TellsFleetLoads(beacon, this->IsCoordinator(beacon));
+  if (!has_loads) return;
+  this->fleet_loads_heard_at = now;
   // A backup leader sums the loads that it receives itself.
-  if (!has_loads || this->state.is_backup_leader) return;
-  this->heard_fleet_loads = true;
+  if (this->state.is_backup_leader) return;
   this->fleet_loads.Update(beacon.covered_keys, beacon.fleet_loads);
   std::vector<gossip::EndpointLoad> loads;
   for (const gossip::KeyedLoad& load : this->fleet_loads.All()) {
--- a/lib/instance/peer_news.cc
+++ b/lib/instance/peer_news.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 
 #include "absl/strings/str_cat.h"
-#include "toucanwharf/gossip/initial_read_policy.h"
 #include "toucanwharf/instance/peer_link.h"
 
 namespace toucanwharf::instance {
@@ -131,83 +130,4 @@
                             0, now);
 }
 
-bool PeerLink::NeedsConfirmation(TimePoint now) const {
-  return this->settings.mechanisms.quick_confirmation &&
-         !this->state.stopping_since && !this->state.MayAcceptKeys(now);
-}
-
-void PeerLink::AnnounceReady(TimePoint now) {
-  std::vector<std::string> readers;
-  for (const gossip::Peer* peer : this->state.peers.AllLive(now)) {
-    const gossip::Beacon& beacon = peer->beacon;
-    const bool lists_instances =
-        beacon.failure_domain == this->settings.failure_domain &&
-        gossip::ReadsImmediately(beacon.processor_share);
-    if (!lists_instances) continue;
-    readers.push_back(this->DatagramAddressOf(beacon.control_address));
-  }
-  this->SendTo(readers, Content::kOwn);
-}
-
-void PeerLink::ConfirmConfiguration() {
-  this->ApplyConfirmations(this->loop.Now());
-  this->RequestConfirmations();
-}
-
-void PeerLink::RequestConfirmations() {
-  const TimePoint now = this->loop.Now();
-  if (!this->NeedsConfirmation(now)) return;
-  for (const std::string& address : gossip::ConfirmedPeers(
-           this->state.peers, this->settings.failure_domain,
-           this->state.freshness.MaxRequestedAge(), now, this->random)) {
-    if (!this->confirmation_exchange.MayRequest(now)) return;
-    this->SendTo({address}, Content::kOwn);
-  }
-}
-
-void PeerLink::RequestFromReaders(
-    const std::vector<gossip::BackupLeaderCandidate>& candidates,
-    TimePoint now) {
-  if (!this->NeedsConfirmation(now)) return;
-  std::vector<std::string> nearby;
-  std::vector<std::string> all;
-  for (const gossip::BackupLeaderCandidate& candidate : candidates) {
-    const bool reads = gossip::ReadsImmediately(candidate.processor_share) &&
-                       candidate.address != this->settings.datagram_address;
-    if (!reads) continue;
-    all.push_back(candidate.address);
-    const bool in_domain =
-        candidate.failure_domain == this->settings.failure_domain;
-    if (in_domain) nearby.push_back(candidate.address);
-  }
-  std::vector<std::string>& readers = nearby.empty() ? all : nearby;
-  std::shuffle(readers.begin(), readers.end(), this->random);
-  for (const std::string& address : readers) {
-    if (!this->confirmation_exchange.MayRequest(now)) return;
-    this->SendTo({address}, Content::kOwn);
-  }
-}
-
-/// The receiver of a beacon that echoes its stamp knows that the confirmation
-/// in it is no older than stated, so an answer has to be made after the request
-/// was received.
-void PeerLink::ExchangeConfirmation(const std::string& sender,
-                                    const gossip::Beacon& beacon,
-                                    TimePoint now) {
-  const routes::Freshness& freshness = this->state.freshness;
-  const auto& age = beacon.configuration_age;
-  if (this->NeedsConfirmation(now)) {
-    const bool requests = age && *age < freshness.MaxRequestedAge() &&
-                          this->confirmation_exchange.MayRequest(now);
-    if (requests) this->SendTo({sender}, Content::kOwn);
-    return;
-  }
-  const bool sender_confirmed = age && freshness.IsCurrent(*age);
-  const bool answers = this->settings.mechanisms.quick_confirmation &&
-                       this->state.strict_revocation && !sender_confirmed &&
-                       !beacon.stopping && freshness.Holds(now) &&
-                       this->confirmation_exchange.MayAnswer(now);
-  if (answers) this->SendTo({sender}, Content::kOwn);
-}
-
 }  // namespace toucanwharf::instance
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -11,9 +11,6 @@
 using eventlog::Fields;
 using eventlog::Level;
 
-/// A request waits for capacity only until this much of its objective is left:
-/// the first event takes about as long after the send.
-constexpr Duration kReservedAfterQueue = std::chrono::milliseconds(200);
 /// A connection within a region takes a millisecond.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(150);
 /// Callers give up a stream without an event after the longest of this time and
@@ -111,12 +108,11 @@
   // A second refusal is worth less to a caller than a late answer.
   const TimePoint limit = this->claim.returned ? this->claim.useful_until
                                                : this->claim.on_time_until;
-  return limit - kReservedAfterQueue;
+  return limit - admission::ClaimQueueSettings().first_event_reserve;
 }
 
 bool ProxiedRequest::LimitsOutlastWait() const {
-  const bool all_wait = this->limit_wait && !this->found_unlimited;
-  const Duration needed = all_wait ? *this->limit_wait : Duration(0);
+  const Duration needed = this->IsLimited() ? *this->limit_wait : Duration(0);
   return this->gateway.loop.Now() + needed >= this->LastQueueTime();
 }
 
@@ -129,10 +125,9 @@
     this->Send(*chosen);
     return QueueStep::kSent;
   }
-  const bool all_limited = this->limit_wait && !this->found_unlimited;
   const bool waits_for_capacity =
       this->no_path_reason == placement::NoPathReason::kNoCapacity &&
-      !(all_limited && this->LimitsOutlastWait());
+      !(this->IsLimited() && this->LimitsOutlastWait());
   if (waits_for_capacity) return QueueStep::kWait;
   this->RefuseQueued();
   return QueueStep::kEnded;
--- a/unittests/endpoints/fleet_restart_test.cc
+++ b/unittests/endpoints/fleet_restart_test.cc
@@ -11,6 +11,7 @@
 #include "toucanwharf/endpoints/load_tracker.h"
 #include "toucanwharf/gossip/beacon_schedule.h"
 #include "toucanwharf/gossip/entry_advice.h"
+#include "toucanwharf/gossip/fleet_start.h"
 #include "toucanwharf/gossip/initial_read_policy.h"
 #include "toucanwharf/gossip/peer_table.h"
 #include "toucanwharf/gossip/ready_instance_list.h"
--- a/unittests/gossip/confirmation_exchange_test.cc
+++ b/unittests/gossip/confirmation_exchange_test.cc
@@ -54,7 +54,8 @@
   peers.OnBeacon("unconfirmed", MakeBeacon("a", "d", std::nullopt), At(0));
   peers.OnBeacon("outdated", MakeBeacon("b", "d", milliseconds(4900)), At(0));
   const auto ask = [&](int millis) {
-    return ConfirmedPeers(peers, "d", kMaxAge, At(millis), random);
+    return OrderSources(ConfirmedPeers(peers, kMaxAge, At(millis)), "d",
+                        random);
   };
   BOOST_TEST(ask(0).empty());
   peers.OnBeacon("far", MakeBeacon("c", "e", milliseconds(0)), At(0));
