--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -100,4 +100,8 @@
   COMMAND soak --seeds 1,2,3 --seconds 8 --cut-paths --endpoint-pauses)
 set_tests_properties(soak_paths PROPERTIES TIMEOUT 300)
 
+add_test(NAME soak_fleet_restarts
+  COMMAND soak --seeds 1,2 --seconds 8 --fleet-restarts)
+set_tests_properties(soak_fleet_restarts PROPERTIES TIMEOUT 300)
+
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -35,6 +35,7 @@
   settings.store_returns = options.count("store-returns") > 0;
   settings.crashing_parts = options.count("crashing-parts") > 0;
   settings.crash_cuts = options.count("crash-cuts") > 0;
+  settings.fleet_restarts = options.count("fleet-restarts") > 0;
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
        options["seeds"].as<std::vector<std::uint64_t>>()) {
@@ -64,7 +65,8 @@
       "crashing-parts",
       "send requests that share a part that crashes engines, too")(
       "crash-cuts",
-      "cut unframed answers between events and before the first, too");
+      "cut unframed answers between events and before the first, too")(
+      "fleet-restarts", "kill all routers at once, too");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -74,6 +74,27 @@
   }
 }
 
+/// Adds kills of all routers at one moment, which are back within 0.4 s of one
+/// another.
+void AddFleetRestarts(const SoakSettings& settings,
+                      std::vector<Fault>& faults) {
+  constexpr int kCount = 2;
+  constexpr std::uint64_t kStream = 1000;
+  Random random(MixBits(settings.seed + kStream));
+  for (int i = 0; i < kCount; ++i) {
+    Fault fault;
+    fault.kind = FaultKind::kKill;
+    fault.at_ms = static_cast<std::int64_t>(
+        random.Below(static_cast<std::uint64_t>(settings.duration_ms)));
+    const auto away_ms = 200 + static_cast<std::int64_t>(random.Below(2000));
+    for (fault.router = 0; fault.router < settings.routers; ++fault.router) {
+      fault.duration_ms =
+          away_ms + static_cast<std::int64_t>(random.Below(400));
+      faults.push_back(fault);
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<Fault> PlanFaults(const SoakSettings& settings) {
@@ -115,6 +136,7 @@
   if (settings.crashing_parts) {
     AddApart(FaultKind::kCrashingPart, settings, faults);
   }
+  if (settings.fleet_restarts) AddFleetRestarts(settings, faults);
   return faults;
 }
 
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -94,6 +94,9 @@
   /// Whether crashes also cut unframed answers between two events, or before
   /// the first one; the same holds.
   bool crash_cuts = false;
+  /// Whether all routers are also killed at once and come back one by one; the
+  /// same holds.
+  bool fleet_restarts = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
