review: a crash after a refusal ends streams as complete (ORDER)

An engine that has just turned a request away is killed: its streams without a length end for their callers as complete.

--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -19,6 +19,8 @@
 constexpr std::int64_t kBeatMs = 1200;
 constexpr int kMissedBeats = 3;
 constexpr const char* kZone = "casa-a";
+constexpr int kLayers = 4;
+constexpr const char* kModelService = "qa-model";
 
 std::int64_t WallMs() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -68,8 +70,9 @@
 }
 
 Deployment::Deployment(Record& events, int runner_count,
-                       const RunnerKind& runner_kind, int router_count)
-    : record(events), kind(runner_kind) {
+                       const RunnerKind& runner_kind, int router_count,
+                       const EngineKind& engine_kind)
+    : record(events), kind(runner_kind), engines(engine_kind) {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) {
@@ -84,9 +87,11 @@
                     &this->port_directory, &this->port_datagrams}) {
     *port = FreePort(first_ip);
   }
-  for (int index = 0; index < runner_count; ++index) {
+  for (int index = 0; index < runner_count + this->engines.count; ++index) {
     Runner runner;
-    runner.id = RunnerId(index);
+    runner.is_engine = index >= runner_count;
+    runner.id = runner.is_engine ? "e-" + std::to_string(index - runner_count)
+                                 : RunnerId(index);
     runner.address = first_ip + ":" + std::to_string(FreePort(first_ip));
     this->StartRunner(runner);
     this->runners.push_back(runner);
@@ -125,7 +130,25 @@
           R"(","path_prefix":"/fetch/","kind":"safe","max_attempts":2)" +
           common + R"(,{"name":"r-sign","host":")" + kHost +
           R"(","path_prefix":"/sign/","kind":"unsafe","max_attempts":1)" +
-          common + R"(],"services":[{"name":")" + kService +
+          common + R"(,{"name":"r-chat","host":")" + kHost +
+          R"(","path_prefix":"/chat/","kind":"stream","timeout_ms":20000,)"
+          R"("slo_ms":500,"priority":1,"service":")" +
+          kModelService +
+          R"(","max_attempts":2,"public":false,"sticky":true,)"
+          R"("resumable":true,"gap_aim_ms":250}],"services":[{"name":")" +
+          kModelService +
+          R"(","health_path":"/healthz","max_conns":1058,"protocol":"h1",)"
+          R"("tls":false,"engine":{"slots":)" +
+          std::to_string(this->engines.slots) +
+          R"(,"kv_token_bytes":100000,)"
+          R"("stride":1,"models":[{"name":"m0","load_s":1.0}],"step_ms":1.0,)"
+          R"("per_seq_ms":0.005,"context_per_k":0.006,"read_per_s":100000,)"
+          R"("chunk":512,"loads_at_once":6,"delays":[],)"
+          R"("usual":{"prompt":100,"answer":20},"layers":)" +
+          std::to_string(kLayers) +
+          R"(,"layer_mb":100.0,"kinds":[{"name":"big","mb":1000.0,)"
+          R"("pace":1.0,"read_x":1.0}]}},{"name":")" +
+          kService +
           R"(","health_path":"/healthz","max_conns":96,"protocol":"h1",)"
           R"("tls":false}],"tenants":[{"name":"tenant-a","api_keys":[")" +
           kKey +
@@ -135,6 +158,16 @@
 
 void Deployment::StartRunner(Runner& runner) const {
   runner.born = WallMs();
+  if (runner.is_engine) {
+    runner.process = Start(
+        {Variable("ENGINE", "review/bin/engine"), runner.address, runner.id,
+         this->folder + "/runs.log", std::to_string(kLayers),
+         std::to_string(this->engines.slots),
+         std::to_string(this->engines.events),
+         std::to_string(this->engines.gap_ms), std::to_string(runner.born)},
+        this->folder + "/runner.log", "");
+    return;
+  }
   runner.process =
       Start({Variable("RUNNER", "review/bin/runner"), runner.address, runner.id,
              this->folder + "/runs.log", std::to_string(this->kind.body_bytes),
@@ -146,13 +179,20 @@
 
 /// Precondition: the mutex is held, or the beats have not begun.
 void Deployment::Register(Runner& runner) {
-  this->store->Put("servers", runner.id,
-                   R"({"service":")" + std::string(kService) + R"(","addr":")" +
-                       runner.address + R"(","zone":")" + kZone +
-                       R"(","version":"v1","slots":6,"state":")" +
-                       runner.state + R"(","cold_ms":0,"born":)" +
-                       std::to_string(runner.born) +
-                       ",\"seq\":" + std::to_string(++runner.sequence) + "}");
+  const std::string of_engine =
+      R"(,"kind":"big","stage":"both","models":[{"name":"m0","version":1,)"
+      R"("adapters":[]}],"layers":{"from":0,"target":)" +
+      std::to_string(kLayers) + R"(,"version":1})";
+  const std::string service = runner.is_engine ? kModelService : kService;
+  const std::string slots =
+      runner.is_engine ? std::to_string(this->engines.slots) + of_engine : "6";
+  this->store->Put(
+      "servers", runner.id,
+      R"({"service":")" + service + R"(","addr":")" + runner.address +
+          R"(","zone":")" + kZone + R"(","version":"v1","slots":)" + slots +
+          R"(,"state":")" + runner.state + R"(","cold_ms":0,"born":)" +
+          std::to_string(runner.born) +
+          ",\"seq\":" + std::to_string(++runner.sequence) + "}");
 }
 
 void Deployment::Beat() {
@@ -340,29 +380,45 @@
   return request;
 }
 
+Request Deployment::StreamRequest(const std::string& id, int deadline_ms) {
+  Request request = SafeRequest(id, deadline_ms);
+  request.method = "POST";
+  request.target = "/chat/summary";
+  request.headers.emplace_back("X-Model", "m0");
+  request.headers.emplace_back("X-Token-Counts", "100,20");
+  request.headers.emplace_back("X-Prompt-Prefix", "5c1e07a2:40,91bd3f06:60");
+  request.body = "a prompt of " + id;
+  return request;
+}
+
 std::string Deployment::RunnerId(int index) {
   return "i-" + std::to_string(index + 1);
 }
 
-std::vector<Deployment::Run> Deployment::Runs() const {
-  std::vector<Run> runs;
+std::vector<Deployment::Run> Deployment::Log() const {
+  std::vector<Run> entries;
   std::ifstream file(this->folder + "/runs.log");
   std::string line;
   while (std::getline(file, line)) {
     std::istringstream words(line);
-    Run run;
-    std::string what;
-    words >> run.at_ms >> what >> run.request >> run.runner;
-    if (what == "run" && !run.runner.empty()) runs.push_back(run);
+    Run entry;
+    words >> entry.at_ms >> entry.what >> entry.request >> entry.runner;
+    if (!entry.runner.empty()) entries.push_back(entry);
   }
+  return entries;
+}
+
+std::vector<Deployment::Run> Deployment::Runs() const {
+  std::vector<Run> runs = this->Log();
+  std::erase_if(runs, [](const Run& entry) { return entry.what != "run"; });
   return runs;
 }
 
 void Deployment::RecordRuns() {
-  for (const Run& run : this->Runs()) {
+  for (const Run& run : this->Log()) {
     this->record.Line("  at " +
-                      std::to_string(run.at_ms - this->record.Start()) +
-                      " runner " + run.runner + " ran " + run.request);
+                      std::to_string(run.at_ms - this->record.Start()) + " " +
+                      run.runner + ": " + run.what + " " + run.request);
   }
 }
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -46,13 +46,22 @@
   int timeout_ms = 800;
 };
 
+/// Engines of a model, each of which holds all layers.
+struct EngineKind {
+  int count = 0;
+  /// Streams that one runs at once.
+  int slots = 3;
+  int events = 20;
+  std::int64_t gap_ms = 100;
+};
+
 /// A small deployment on loopback addresses: the store, runners of one plain
-/// service, and routers, each a process. Ends all of them when it is destroyed.
-/// Thread safety: one thread.
+/// service and perhaps of a model, and routers, each a process. Ends all of
+/// them when it is destroyed. Thread safety: one thread.
 class Deployment {
  public:
   Deployment(Record& events, int runner_count, const RunnerKind& runner_kind,
-             int router_count);
+             int router_count, const EngineKind& engine_kind = {});
   ~Deployment();
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
@@ -80,13 +89,19 @@
   static Request SafeRequest(const std::string& id, int deadline_ms);
   /// The same for the unsafe kind.
   static Request UnsafeRequest(const std::string& id, int deadline_ms);
+  /// The same for a stream of the model.
+  static Request StreamRequest(const std::string& id, int deadline_ms);
   static std::string RunnerId(int index);
   struct Run {
     std::int64_t at_ms = 0;
+    /// "run", or why it didn't run: "full", "misdirected".
+    std::string what;
     std::string request;
     std::string runner;
   };
-  /// Returns what the runners ran so far, in order.
+  /// Returns what the runners logged so far, in order.
+  std::vector<Run> Log() const;
+  /// Returns those that ran.
   std::vector<Run> Runs() const;
   /// Copies what the runners logged into the record.
   void RecordRuns();
@@ -101,6 +116,7 @@
     std::int64_t born = 0;
     std::int64_t killed_at = 0;
     bool removed = false;
+    bool is_engine = false;
   };
   struct Router {
     std::string ip;
@@ -116,6 +132,7 @@
 
   Record& record;
   RunnerKind kind;
+  EngineKind engines;
   std::string folder;
   std::string store_address;
   int port_front = 0;
