--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -32,6 +33,8 @@
             const std::string& settings) {
   const pid_t process = fork();
   if (process != 0) return process;
+  // Ends with this program, also if that is killed.
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
   const int output =
       open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   dup2(output, STDOUT_FILENO);
