--- a/review/standins-2/fleet.cc
+++ b/review/standins-2/fleet.cc
@@ -101,6 +101,25 @@
   if (this->kinds[kind].erase(name) > 0) ++this->revision;
 }
 
+void Store::KeepCopy() {
+  const std::lock_guard lock(this->mutex);
+  this->copy = this->kinds;
+  this->copied_revision = this->revision;
+}
+
+void Store::SetAway(bool is_away) {
+  const std::lock_guard lock(this->mutex);
+  this->away = is_away;
+}
+
+void Store::ReturnFromCopy() {
+  const std::lock_guard lock(this->mutex);
+  this->kinds = this->copy;
+  this->revision = this->copied_revision;
+  ++this->era;
+  this->away = false;
+}
+
 std::string Store::ObjectText(const std::string& name,
                               const Object& object) const {
   return "{\"metadata\":{\"name\":" + Json(name).dump() +
@@ -127,7 +146,10 @@
 }
 
 bool Store::Handle(const Request& request, Peer& peer) {
-  const HeaderList json_type = {{"Content-Type", "application/json"}};
+  std::unique_lock lock(this->mutex);
+  const HeaderList json_type = {{"Content-Type", "application/json"},
+                                {"Store-Era", std::to_string(this->era)}};
+  if (this->away) return peer.Respond(503, json_type, "{}");
   const std::string path = request.target.substr(0, request.target.find('?'));
   if (path.rfind(kObjects, 0) != 0) return peer.Respond(404, json_type, "{}");
   const std::string rest = path.substr(std::string(kObjects).size());
@@ -137,7 +159,6 @@
   const std::size_t status_part = name.rfind("/status");
   const bool of_status = status_part != std::string::npos;
   if (of_status) name.resize(status_part);
-  std::unique_lock lock(this->mutex);
   auto& objects = this->kinds[kind];
   if (request.method == "GET" && name.empty()) {
     const std::string text =
@@ -260,11 +281,27 @@
     throw std::runtime_error("run the build of the deploy file first");
   }
   this->store = std::make_unique<Store>("127.63.1.1", this->store_port);
+  this->Configure(3, {kKey});
+  for (int index = 0; index < kRunners; ++index) {
+    const std::string number = std::to_string(index + 1);
+    this->runners.push_back(std::make_unique<Runner>(
+        *this->store, this->record,
+        RunnerSpec{"i-runner" + number, "127.63.2." + number,
+                   this->service_port, kZones[index]},
+        [this, index, work](const Request& request, Peer& peer) {
+          return work(this->RunnerAt(index), request, peer);
+        }));
+  }
+  this->routers.resize(kRouters, -1);
+  for (int index = 0; index < kRouters; ++index) this->StartRouter(index);
+}
+
+void Fleet::Configure(int version, const std::vector<std::string>& keys) {
   Json routes = Json::array();
   routes.push_back(RouteOf("/cert/", "safe"));
   routes.push_back(RouteOf("/sign/", "unsafe"));
   const Json configuration = {
-      {"version", 3},
+      {"version", version},
       {"routes", routes},
       {"services",
        {{{"name", kService},
@@ -276,20 +313,13 @@
         {"max_body_bytes", 4194304},
         {"header_timeout_ms", 3000},
         {"idle_timeout_ms", 15000}}},
-      {"tenants", {{{"name", "hule930"}, {"api_keys", {kKey}}}}}};
-  this->store->Put("config", "main", configuration.dump());
-  for (int index = 0; index < kRunners; ++index) {
-    const std::string number = std::to_string(index + 1);
-    this->runners.push_back(std::make_unique<Runner>(
-        *this->store, this->record,
-        RunnerSpec{"i-runner" + number, "127.63.2." + number,
-                   this->service_port, kZones[index]},
-        [this, index, work](const Request& request, Peer& peer) {
-          return work(this->RunnerAt(index), request, peer);
-        }));
-  }
-  this->routers.resize(kRouters, -1);
-  for (int index = 0; index < kRouters; ++index) this->StartRouter(index);
+      {"tenants", {{{"name", "hule930"}, {"api_keys", keys}}}}};
+  const auto revision =
+      this->store->Put("config", "main", configuration.dump());
+  this->record.Line("store: version " + std::to_string(version) +
+                    " of the configuration, " + std::to_string(keys.size()) +
+                    " keys, acknowledged at revision " +
+                    std::to_string(revision));
 }
 
 Fleet::~Fleet() {
@@ -400,17 +430,30 @@
   return ready == kRouters;
 }
 
-Reply Fleet::Send(int index, const std::string& method, const std::string& path,
-                  const std::string& id, const std::string& body,
-                  const CallOptions& options, int deadline_ms) {
+Request Fleet::MakeRequest(const std::string& method, const std::string& path,
+                           const std::string& id, const std::string& body,
+                           int deadline_ms, const std::string& key) const {
   Request request;
   request.method = method;
   request.target = path;
   request.headers = {{"Host", kHost},
                      {"X-Request-Id", id},
                      {"X-Deadline-Ms", std::to_string(deadline_ms)},
-                     {"Authorization", std::string("Token ") + kKey}};
+                     {"Authorization", "Token " + key}};
   request.body = body;
+  return request;
+}
+
+std::unique_ptr<Channel> Fleet::Connect(int index) const {
+  return std::make_unique<Channel>(this->RouterIp(index), this->front_port);
+}
+
+Reply Fleet::Send(int index, const std::string& method, const std::string& path,
+                  const std::string& id, const std::string& body,
+                  const CallOptions& options, int deadline_ms,
+                  const std::string& key) {
+  const Request request =
+      this->MakeRequest(method, path, id, body, deadline_ms, key);
   this->record.Line("caller sends " + id + " to router " +
                     std::to_string(index));
   Reply reply = Call(this->RouterIp(index), this->front_port, request, options);
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -57,6 +57,14 @@
              const std::string& spec);
   void Remove(const std::string& kind, const std::string& name);
 
+  /// Keeps a copy of all objects, in place of an earlier one.
+  void KeepCopy();
+  /// Makes the store answer every call with 503, or serve again.
+  void SetAway(bool is_away);
+  /// Returns from the copy: what was written since is lost, revisions go back,
+  /// and the era rises by one.
+  void ReturnFromCopy();
+
  private:
   struct Object {
     std::uint64_t revision = 0;
@@ -71,7 +79,11 @@
 
   std::mutex mutex;
   std::map<std::string, std::map<std::string, Object>> kinds;
+  std::map<std::string, std::map<std::string, Object>> copy;
   std::uint64_t revision = 100;
+  std::uint64_t copied_revision = 100;
+  std::uint64_t era = 1;
+  bool away = false;
   std::unique_ptr<Server> server;
 };
 
@@ -133,12 +145,24 @@
   Fleet(const Fleet&) = delete;
   Fleet& operator=(const Fleet&) = delete;
 
+  /// Writes version \p version of the configuration, in which the customer
+  /// holds \p keys. It counts as acknowledged when this returns.
+  void Configure(int version, const std::vector<std::string>& keys);
   /// Waits until each router says that it is ready, and answers.
   bool AwaitReady(int timeout_ms);
   /// Sends a request through router \p index.
   Reply Send(int index, const std::string& method, const std::string& path,
              const std::string& id, const std::string& body = "",
-             const CallOptions& options = {}, int deadline_ms = 5000);
+             const CallOptions& options = {}, int deadline_ms = 5000,
+             const std::string& key = kKey);
+  /// Returns a request as Send sends it.
+  Request MakeRequest(const std::string& method, const std::string& path,
+                      const std::string& id, const std::string& body = "",
+                      int deadline_ms = 5000,
+                      const std::string& key = kKey) const;
+  /// Opens a connection to router \p index.
+  std::unique_ptr<Channel> Connect(int index) const;
+  void StartRouter(int index);
   void Signal(int index, int number);
   /// Waits until router \p index has ended. Returns false after the timeout.
   bool AwaitEnd(int index, int timeout_ms);
@@ -151,7 +175,6 @@
 
  private:
   std::string RouterIp(int index) const;
-  void StartRouter(int index);
   std::string SettingsOf(int index) const;
 
   Record& record;
--- a/review/standins-2/http.cc
+++ b/review/standins-2/http.cc
@@ -250,37 +250,42 @@
   }
 }
 
-Reply Call(const std::string& ip, int port, const Request& request,
-           const CallOptions& options) {
+Channel::Channel(const std::string& ip, int port)
+    : fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  const sockaddr_in address = AddressOf(ip, port);
+  const bool connected =
+      connect(this->fd, reinterpret_cast<const sockaddr*>(&address),
+              sizeof address) == 0;
+  if (connected) {
+    const int on = 1;
+    setsockopt(this->fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    return;
+  }
+  close(this->fd);
+  this->fd = -1;
+}
+
+Channel::~Channel() {
+  if (this->fd >= 0) close(this->fd);
+}
+
+bool Channel::Send(const std::string& bytes) {
+  return this->fd >= 0 && SendAll(this->fd, bytes);
+}
+
+Reply Channel::Receive(const CallOptions& options) {
   Reply reply;
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (this->fd < 0) return reply;
   if (options.bytes_per_second > 0) {
     const int window = 64 * 1024;
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
-  }
-  const sockaddr_in address = AddressOf(ip, port);
-  if (connect(fd, reinterpret_cast<const sockaddr*>(&address),
-              sizeof address) != 0) {
-    close(fd);
-    return reply;
-  }
-  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
-  for (const auto& [name, value] : request.headers) {
-    text += name + ": " + value + "\r\n";
-  }
-  if (!request.body.empty() || request.method == "POST") {
-    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    setsockopt(this->fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
   }
-  SendAll(fd, text + "\r\n" + request.body);
-  Reader reader(fd,
+  Reader reader(this->fd,
                 Clock::now() + std::chrono::milliseconds(options.timeout_ms),
                 options.bytes_per_second);
   std::string first_line;
   std::size_t at = ReadHead(reader, first_line, reply.headers);
-  if (at == std::string::npos) {
-    close(fd);
-    return reply;
-  }
+  if (at == std::string::npos) return reply;
   reply.status = std::atoi(first_line.substr(first_line.find(' ')).c_str());
   const std::string length = HeaderOf(reply.headers, "Content-Length");
   if (strcasecmp(HeaderOf(reply.headers, "Transfer-Encoding").c_str(),
@@ -290,23 +295,32 @@
     const std::size_t size = std::strtoul(length.c_str(), nullptr, 10);
     reply.complete = reader.Take(at + size);
     reply.body = reader.text.substr(at, size);
-    at = std::min(at + size, reader.text.size());
   } else {
     while (reader.More()) continue;
     reply.body = reader.text.substr(at);
     reply.complete = reader.at_end;
-    at = reader.text.size();
-  }
-  if (reply.complete && options.surplus_wait_ms > 0) {
-    reader.deadline =
-        Clock::now() + std::chrono::milliseconds(options.surplus_wait_ms);
-    while (reader.More()) continue;
-    reply.surplus = reader.text.substr(at);
   }
-  close(fd);
   return reply;
 }
 
+std::string TextOf(const Request& request) {
+  std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : request.headers) {
+    text += name + ": " + value + "\r\n";
+  }
+  if (!request.body.empty() || request.method == "POST") {
+    text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  return text + "\r\n" + request.body;
+}
+
+Reply Call(const std::string& ip, int port, const Request& request,
+           const CallOptions& options) {
+  Channel channel(ip, port);
+  channel.Send(TextOf(request));
+  return channel.Receive(options);
+}
+
 int FreePort() {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = AddressOf("127.0.0.1", 0);
--- a/review/standins-2/http.h
+++ b/review/standins-2/http.h
@@ -79,18 +79,35 @@
   std::string body;
   /// Whether the body ended as the protocol demands.
   bool complete = false;
-  /// Bytes that followed the complete response on the connection.
-  std::string surplus;
 };
 
 struct CallOptions {
   int timeout_ms = 5000;
   /// Bytes read per second; 0 for as fast as they come.
   std::size_t bytes_per_second = 0;
-  /// How long to wait for surplus bytes after a complete response.
-  int surplus_wait_ms = 0;
 };
 
+/// A connection of a caller that stays open for many requests.
+/// Thread safety: none.
+class Channel {
+ public:
+  Channel(const std::string& ip, int port);
+  ~Channel();
+  Channel(const Channel&) = delete;
+  Channel& operator=(const Channel&) = delete;
+
+  /// Sends \p bytes as they are.
+  bool Send(const std::string& bytes);
+  /// Reads the answer to what was sent.
+  Reply Receive(const CallOptions& options = {});
+
+ private:
+  int fd;
+};
+
+/// Returns \p request as it is sent. A request of method POST states a length.
+std::string TextOf(const Request& request);
+
 /// Sends \p request to \p ip and \p port on a new connection.
 Reply Call(const std::string& ip, int port, const Request& request,
            const CallOptions& options = {});
