--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -93,7 +93,12 @@
 
 void Endpoints::SetFault(const std::string& id, EndpointFault fault) {
   const auto found = this->endpoints.find(id);
-  if (found != this->endpoints.end()) found->second.fault = fault;
+  if (found == this->endpoints.end()) return;
+  found->second.fault = fault;
+  if (fault == EndpointFault::kStopped) return;
+  for (auto& exchange : std::exchange(found->second.unread, {})) {
+    this->Handle(id, std::move(exchange));
+  }
 }
 
 void Endpoints::SetLimit(const std::string& id,
@@ -181,9 +186,22 @@
   return nullptr;
 }
 
+void Endpoints::RecordArrival(const Endpoint& endpoint,
+                              const http::Request& request) {
+  if (request.target.starts_with("/toucanwharf/")) return;
+  this->arrivals.push_back({endpoint.spec.service, endpoint.spec.id,
+                            std::string(request.headers.Get("X-Request-Id")),
+                            this->loop.Now()});
+}
+
 void Endpoints::Handle(const std::string& id,
                        std::shared_ptr<http::Exchange> exchange) {
   Endpoint& endpoint = this->endpoints.at(id);
+  if (endpoint.fault == EndpointFault::kStopped) {
+    endpoint.unread.push_back(std::move(exchange));
+    return;
+  }
+  this->RecordArrival(endpoint, exchange->Received());
   if (endpoint.fault == EndpointFault::kUnresponsive) {
     endpoint.unanswered.push_back(std::move(exchange));
     return;
@@ -352,10 +370,10 @@
 std::string Endpoints::UnresponsiveAddress(const std::vector<Stage>& path) {
   for (const Stage& stage : path) {
     const Endpoint* endpoint = this->FindByAddress(stage.address);
-    if (endpoint == nullptr ||
-        endpoint->fault == EndpointFault::kUnresponsive) {
-      return stage.address;
-    }
+    const bool silent = endpoint == nullptr ||
+                        endpoint->fault == EndpointFault::kUnresponsive ||
+                        endpoint->fault == EndpointFault::kStopped;
+    if (silent) return stage.address;
   }
   return {};
 }
@@ -390,6 +408,7 @@
   run.body = request.body;
   run.at = this->loop.Now();
   this->runs.push_back(run);
+  if (exchange->IsDisconnected()) return;
   http::ResponseHead head = HeadOf(http::kOk, request);
   head.headers.Add("Content-Type", "text/event-stream");
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
@@ -424,7 +443,7 @@
   if (!this->streams.contains(stream)) return;
   const auto send_next = [this, stream] { this->SendNextEvent(stream); };
   if (!this->UnresponsiveAddress(stream->path).empty()) {
-    this->loop.After(kEventGap, send_next);
+    this->loop.After(this->event_gap, send_next);
     return;
   }
   const Endpoint& endpoint = this->endpoints.at(stream->endpoint);
@@ -444,7 +463,7 @@
     this->EndStream(stream);
     return;
   }
-  this->loop.After(kEventGap, send_next);
+  this->loop.After(this->event_gap, send_next);
 }
 
 void Endpoints::EndStream(const std::shared_ptr<Stream>& stream) {
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -50,6 +50,18 @@
   kSlow,
   /// Crashes as soon as it has sent a whole stream.
   kCrashesAfterAnswer,
+  /// Its process is stopped and goes on when the fault ends: the kernel accepts
+  /// connections and requests, which are handled then, also those that their
+  /// caller has given up.
+  kStopped,
+};
+
+/// One request that an endpoint has read, whether or not it ran it.
+struct Arrival {
+  std::string service;
+  std::string endpoint;
+  std::string request_id;
+  TimePoint at;
 };
 
 /// One execution of a request at an endpoint.
@@ -120,6 +132,8 @@
   /// Sets whether engines report which engine of an answer's path is
   /// unresponsive.
   void ReportStalls(bool named) { this->report_stalls = named; }
+  /// Sets the time between two events.
+  void SetEventGap(Duration gap) { this->event_gap = gap; }
   /// Sets whether answers of engines have neither a length nor chunks: they end
   /// with their connection.
   void SendUnframed(bool sends) { this->unframed = sends; }
@@ -145,6 +159,8 @@
   std::string IdAt(const std::string& address);
 
   const std::vector<Run>& Runs() const { return this->runs; }
+  /// Returns the requests of callers that reached endpoints, in order of time.
+  const std::vector<Arrival>& Arrivals() const { return this->arrivals; }
   /// Returns the violated guarantees: a path that isn't a cover, an
   /// order of too many layers, a request for another endpoint that was run.
   const std::vector<std::string>& Violations() const {
@@ -173,6 +189,8 @@
     std::uint64_t sequence = 0;
     std::string state = "ready";
     std::vector<std::shared_ptr<http::Exchange>> unanswered;
+    /// Requests in the order in which they came while it was stopped.
+    std::vector<std::shared_ptr<http::Exchange>> unread;
   };
   struct Stream {
     std::string endpoint;
@@ -185,6 +203,7 @@
 
   void Register(const Endpoint& endpoint);
   void Handle(const std::string& id, std::shared_ptr<http::Exchange> exchange);
+  void RecordArrival(const Endpoint& endpoint, const http::Request& request);
   /// Turns \p exchange away if \p endpoint sheds; returns whether it does.
   bool Shed(const Endpoint& endpoint, http::Exchange& exchange);
   void AddNotices(http::ResponseHead& head, const Endpoint& endpoint);
@@ -202,8 +221,8 @@
   void EndStream(const std::shared_ptr<Stream>& stream);
   std::vector<Stage> ParsePath(const std::string& text) const;
   Endpoint* FindByAddress(const std::string& address);
-  /// Returns the address of the first stage of \p path that is unresponsive or
-  /// removed; empty if there is none.
+  /// Returns the address of the first stage of \p path that is unresponsive,
+  /// stopped or removed; empty if there is none.
   std::string UnresponsiveAddress(const std::vector<Stage>& path);
   void CheckCover(const std::vector<Stage>& path);
 
@@ -213,6 +232,7 @@
   std::map<std::string, Endpoint> endpoints;
   std::set<std::shared_ptr<Stream>> streams;
   std::vector<Run> runs;
+  std::vector<Arrival> arrivals;
   std::vector<std::string> violations;
   std::map<std::string, std::vector<TimePoint>> notices;
   std::uint64_t orders = 0;
@@ -223,6 +243,7 @@
   bool unframed = false;
   CutAt cut_at = CutAt::kInsideEvent;
   Duration begin_delay{0};
+  Duration event_gap = kEventGap;
 };
 
 }  // namespace toucanwharf::standins::fleet
