Observability: what the budget of further arrivals is computed from, and how unframed answers end

try_ended told only how many further arrivals are left. It now tells the requests and further arrivals that this instance has counted in the window; budget_requests_total, summed over the instances and compared with what callers sent, shows requests that are counted at several. unframed_end tells what the end of an answer without a length was taken for, and how long after its last bytes it came.

--- a/include/toucanwharf/attempts/arrival_budget.h
+++ b/include/toucanwharf/attempts/arrival_budget.h
@@ -39,6 +39,16 @@
   friend bool operator==(const BudgetSharers&, const BudgetSharers&) = default;
 };
 
+/// What one window of the budget of a service holds at this instance.
+struct BudgetUse {
+  double requests = 0;
+  double extras = 0;
+  /// How many extras these requests, and the part of the slack, allow.
+  double allowed = 0;
+
+  friend bool operator==(const BudgetUse&, const BudgetUse&) = default;
+};
+
 /// Decides whether a request may be sent to an endpoint once more.
 ///
 /// Load: endpoints that fail under overload get each request two or three
@@ -70,6 +80,8 @@
   void OnRequest(const std::string& service, TimePoint now);
   /// Returns who shares the budget, as last set.
   const BudgetSharers& Sharers() const { return this->sharers; }
+  /// Returns what the window that ends at \p now holds.
+  BudgetUse Use(const std::string& service, TimePoint now);
   /// Returns how many more arrivals may be caused now; below one means none.
   double Remaining(const std::string& service, TimePoint now);
   /// Returns whether one more arrival may be caused now.
--- a/include/toucanwharf/endpoints/unframed_end.h
+++ b/include/toucanwharf/endpoints/unframed_end.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 namespace toucanwharf::endpoints {
 
@@ -33,6 +34,9 @@
 /// Thread safety: safe.
 UnframedEnd MeaningOfEnd(std::uint64_t start_ms, const AfterEnd& after);
 
+/// Returns \p meaning as a word of a log line. Thread safety: safe.
+std::string_view ToText(UnframedEnd meaning);
+
 }  // namespace toucanwharf::endpoints
 
 #endif  // TOUCANWHARF_ENDPOINTS_UNFRAMED_END_H_
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -90,6 +90,8 @@
   std::uint64_t rerouted = 0;
   std::uint64_t queued = 0;
   std::uint64_t extra_arrivals = 0;
+  /// Requests that this instance has counted for the budget of extra arrivals.
+  std::uint64_t budget_requests = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t broken_runs = 0;
   std::uint64_t quarantined = 0;
--- a/lib/attempts/arrival_budget.cc
+++ b/lib/attempts/arrival_budget.cc
@@ -38,21 +38,25 @@
   return std::min(used, this->settings.startup_share / part);
 }
 
-double ArrivalBudget::Remaining(const std::string& service, TimePoint now) {
+BudgetUse ArrivalBudget::Use(const std::string& service, TimePoint now) {
   this->Current(service, now);
-  double requests = 0;
-  double extras = 0;
+  BudgetUse use;
   for (const Slice& slice : this->services[service]) {
-    requests += static_cast<double>(slice.requests);
-    extras += static_cast<double>(slice.extras);
+    use.requests += static_cast<double>(slice.requests);
+    use.extras += static_cast<double>(slice.extras);
   }
   const std::size_t instances = this->sharers.instances;
   const double slack =
       instances == 0 ? 0
                      : this->settings.slack / static_cast<double>(instances);
-  const double allowed =
-      this->UsableShare(now) * (this->settings.ratio * requests + slack);
-  return allowed - extras;
+  use.allowed =
+      this->UsableShare(now) * (this->settings.ratio * use.requests + slack);
+  return use;
+}
+
+double ArrivalBudget::Remaining(const std::string& service, TimePoint now) {
+  const BudgetUse use = this->Use(service, now);
+  return use.allowed - use.extras;
 }
 
 bool ArrivalBudget::HasExtra(const std::string& service, TimePoint now) {
--- a/lib/endpoints/unframed_end.cc
+++ b/lib/endpoints/unframed_end.cc
@@ -8,4 +8,16 @@
   return ended ? UnframedEnd::kBroken : UnframedEnd::kUnknown;
 }
 
+std::string_view ToText(UnframedEnd meaning) {
+  switch (meaning) {
+    case UnframedEnd::kWhole:
+      return "whole";
+    case UnframedEnd::kBroken:
+      return "broken";
+    case UnframedEnd::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
 }  // namespace toucanwharf::endpoints
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -135,6 +135,9 @@
   writer.Counter("extra_arrivals",
                  "arrivals at endpoints beyond the first of a request",
                  counters.extra_arrivals);
+  writer.Counter("budget_requests",
+                 "requests counted for the budget of extra arrivals",
+                 counters.budget_requests);
   writer.Counter("retries_denied",
                  "further tries that the budget of extra arrivals forbade",
                  counters.retries_denied);
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -118,6 +118,14 @@
   if (states_start) after.reported_start_ms = answer.report->start_time_ms;
   const auto meaning =
       endpoints::MeaningOfEnd(this->target.start_time_ms, after);
+  this->Log(
+      meaning == endpoints::UnframedEnd::kUnknown ? Level::kNotable
+                                                  : Level::kRoutine,
+      "unframed_end",
+      Fields()
+          .Text("endpoint", this->target.endpoint)
+          .Text("meaning", endpoints::ToText(meaning))
+          .Millis("after_ms", this->gateway.loop.Now() - this->last_data));
   if (meaning == endpoints::UnframedEnd::kBroken) {
     this->OnRunBroken();
     this->EndAttempt(AttemptOutcome::kUnknown, "ended_with_endpoint");
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -138,6 +138,7 @@
   if (counted_by_other) return;
   const std::string& service = this->admitted.service->name;
   const TimePoint now = this->gateway.loop.Now();
+  ++this->gateway.counters.budget_requests;
   this->gateway.budget.OnRequest(service, now);
   this->gateway.state.demand.OnRequest(ServiceKey(service), now);
 }
--- a/lib/instance/proxied_request_retry.cc
+++ b/lib/instance/proxied_request_retry.cc
@@ -106,14 +106,17 @@
                  static_cast<std::int64_t>(used * kPercent));
     }
   }
+  const attempts::BudgetUse use =
+      this->gateway.budget.Use(this->admitted.service->name, now);
   fields.Text("endpoint", this->target.endpoint)
       .Text("why", reason)
       .Count("status", this->has_head ? this->head.status : 0)
       .Text("at_fault", this->head.headers.Get(this->gateway.names.at_fault))
       .Millis("took_ms", now - this->attempt_started)
       .Count("retries_left",
-             static_cast<std::int64_t>(this->gateway.budget.Remaining(
-                 this->admitted.service->name, now)))
+             static_cast<std::int64_t>(use.allowed - use.extras))
+      .Count("budget_requests", static_cast<std::int64_t>(use.requests))
+      .Count("budget_extras", static_cast<std::int64_t>(use.extras))
       .Count("budget_shared_by", static_cast<std::int64_t>(
                                      this->gateway.budget.Sharers().instances));
   this->Log(Level::kNotable, "try_ended", fields);
