--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -231,6 +231,11 @@
     exchange->Respond(head, "");
     return;
   }
+  const bool resumes = request.headers.Find("Last-Event-Id").has_value();
+  if (endpoint.fault == EndpointFault::kRejectsResumed && resumes) {
+    exchange->Respond(HeadOf(http::kNotFound, request), "no such answer\n");
+    return;
+  }
   if (endpoint.fault != EndpointFault::kSlow) {
     this->Serve(endpoint, std::move(exchange));
     return;
@@ -439,13 +444,27 @@
   if (has_events) this->SendNextEvent(stream);
 }
 
+void Endpoints::AwaitPath(const std::shared_ptr<Stream>& stream) {
+  stream->stalled += this->event_gap;
+  const bool running =
+      this->endpoints.at(stream->endpoint).fault != EndpointFault::kStopped;
+  if (running && stream->stalled > this->stall_limit) {
+    stream->exchange->End();
+    this->streams.erase(stream);
+    return;
+  }
+  this->loop.After(this->event_gap,
+                   [this, stream] { this->SendNextEvent(stream); });
+}
+
 void Endpoints::SendNextEvent(const std::shared_ptr<Stream>& stream) {
   if (!this->streams.contains(stream)) return;
   const auto send_next = [this, stream] { this->SendNextEvent(stream); };
   if (!this->UnresponsiveAddress(stream->path).empty()) {
-    this->loop.After(this->event_gap, send_next);
+    this->AwaitPath(stream);
     return;
   }
+  stream->stalled = Duration(0);
   const Endpoint& endpoint = this->endpoints.at(stream->endpoint);
   constexpr int kTruncatedEvent = kEvents / 2;
   if (endpoint.fault == EndpointFault::kTruncatesEvent &&
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -54,6 +54,8 @@
   /// connections and requests, which are handled then, also those that their
   /// caller has given up.
   kStopped,
+  /// Answers 404 where an answer is to be resumed.
+  kRejectsResumed,
 };
 
 /// One request that an endpoint has read, whether or not it ran it.
@@ -132,6 +134,9 @@
   /// Sets whether engines report which engine of an answer's path is
   /// unresponsive.
   void ReportStalls(bool named) { this->report_stalls = named; }
+  /// Makes engines end an answer that has stalled for \p time, as those of the
+  /// platform do when another engine of its path is silent.
+  void EndStalledAfter(Duration time) { this->stall_limit = time; }
   /// Sets the time between two events.
   void SetEventGap(Duration gap) { this->event_gap = gap; }
   /// Sets whether answers of engines have neither a length nor chunks: they end
@@ -199,6 +204,7 @@
     std::shared_ptr<http::Exchange> exchange;
     int next = 1;
     bool unframed = false;
+    Duration stalled{0};
   };
 
   void Register(const Endpoint& endpoint);
@@ -218,6 +224,8 @@
                    std::shared_ptr<http::Exchange> exchange);
   void BeginWriting(const std::shared_ptr<Stream>& stream);
   void SendNextEvent(const std::shared_ptr<Stream>& stream);
+  /// Waits for the silent engine of a path, up to the limit.
+  void AwaitPath(const std::shared_ptr<Stream>& stream);
   void EndStream(const std::shared_ptr<Stream>& stream);
   std::vector<Stage> ParsePath(const std::string& text) const;
   Endpoint* FindByAddress(const std::string& address);
@@ -244,6 +252,7 @@
   CutAt cut_at = CutAt::kInsideEvent;
   Duration begin_delay{0};
   Duration event_gap = kEventGap;
+  Duration stall_limit = Duration::max();
 };
 
 }  // namespace toucanwharf::standins::fleet
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -73,10 +73,11 @@
 }  // namespace
 
 PlatformFleet::PlatformFleet(std::size_t count, bool second_model,
-                             bool store_links)
-    : has_second_model(second_model), ports{FreePort(), FreePort(),
-                                            FreePort(), FreePort(),
-                                            FreePort(), FreePort()} {
+                             bool store_links, const ArrivalBound& arrivals)
+    : has_second_model(second_model),
+      arrival_bound(arrivals),
+      ports{FreePort(), FreePort(), FreePort(),
+            FreePort(), FreePort(), FreePort()} {
   std::string pattern =
       (std::filesystem::temp_directory_path() / "toucanwharf-XXXXXX").string();
   if (mkdtemp(pattern.data()) == nullptr) {
@@ -246,8 +247,9 @@
        << "provider.addr=" << this->store_addresses[index] << "\n"
        << "bounds.strict_revoke=true\nbounds.revoke_ms=2500\n"
        << "bounds.config_ms=2000\nbounds.drain_ms=2000\n"
-       << "bounds.grace_s=8\nbounds.budget_ratio=0.2\n"
-       << "bounds.budget_slack=100\nbounds.budget_window_s=10\n"
+       << "bounds.grace_s=8\nbounds.budget_window_s=10\n"
+       << "bounds.budget_ratio=" << this->arrival_bound.ratio << "\n"
+       << "bounds.budget_slack=" << this->arrival_bound.slack << "\n"
        << "a.field.to.come=ignored\n";
   return path;
 }
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -25,6 +25,15 @@
   std::int64_t max_gap_ms = 0;
 };
 
+/// Bound on further arrivals at endpoints that the routers are told, for each
+/// window of ten seconds.
+struct ArrivalBound {
+  double ratio = 0.2;
+  double slack = 100;
+
+  friend bool operator==(const ArrivalBound&, const ArrivalBound&) = default;
+};
+
 /// Routers as real processes on the stand-in of the users' platform: a model
 /// of 12 layers on ten engines in two failure domains, and a plain service
 /// with two endpoints. Each router has its own loopback addresses and its own
@@ -44,7 +53,8 @@
   /// engines of its own.
   /// With \p store_links each router reaches the store through a relay.
   explicit PlatformFleet(std::size_t count, bool second_model = false,
-                         bool store_links = false);
+                         bool store_links = false,
+                         const ArrivalBound& arrivals = {});
   ~PlatformFleet();
   PlatformFleet(const PlatformFleet&) = delete;
   PlatformFleet& operator=(const PlatformFleet&) = delete;
@@ -119,6 +129,7 @@
   void AddEndpoints();
 
   bool has_second_model;
+  ArrivalBound arrival_bound;
   Ports ports;
   std::string directory;
   std::unique_ptr<http::Loop> loop;
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -105,3 +105,9 @@
 set_tests_properties(soak_fleet_restarts PROPERTIES TIMEOUT 300)
 
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
+
+tw_process_test(stopped_endpoints)
+target_sources(process_stopped_endpoints PRIVATE
+  test/process/platform_fleet.cc)
+target_link_libraries(process_stopped_endpoints PRIVATE standin_fleet
+  standin_relay_parts)
