A failure doesn't end an answer that the caller has in part as complete

Cause: ClassifyHead knew a 4xx without the mark of a request that has not run as an answer to be relayed. Where a part of a stream had been relayed already, the rest of it was dropped and the caller's stream was ended in good order.

Any status but a success is now a failed attempt where an answer has begun: it is resumed elsewhere if the route and the budget allow it, else broken off, so that the caller knows and may resume. Class: an end that is told to the caller without proof.

--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -60,9 +60,10 @@
     return;
   }
   if (!IsSuccess(answer.status)) {
-    if (answer.status >= http::kServerError) {
-      this->head_outcome = AttemptOutcome::kFailed;
-    }
+    // A caller that has a part of the answer can't be given another status.
+    const bool failed = answer.status >= http::kServerError ||
+                        this->attempt_counts.answer_started;
+    if (failed) this->head_outcome = AttemptOutcome::kFailed;
     return;
   }
   this->head_usable = true;
