An unframed answer whose end isn't proved is resumed or broken off, not taken for whole

Cause: an engine that is alive after the end of an answer without a length was taken as proof that it had sent all of it; and where it couldn't be asked (it had asked for a pause), or didn't respond, the end counted as whole.

The end is proved by the same start of the engine that reports right after it, unless the answer had stalled: then the engine cuts off what waits for another. An end that isn't proved ends the attempt; a run that is asked to go on after the last event shows whether anything is missing. Class: an end that is told to the caller without proof. A plain service's answer still ends with its connection, as by HTTP.

--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -13,6 +13,7 @@
 #include "toucanwharf/admission/claim.h"
 #include "toucanwharf/attempts/attempt_policy.h"
 #include "toucanwharf/attempts/stall_detector.h"
+#include "toucanwharf/endpoints/unframed_end.h"
 #include "toucanwharf/http/event_splitter.h"
 #include "toucanwharf/instance/forwarding.h"
 #include "toucanwharf/instance/gateway.h"
@@ -254,6 +255,11 @@
   /// still runs after the end has sent it.
   void OnEndedByClose();
   void OnEndProbed(const ProbeAnswer& answer);
+  /// Returns whether the answer had stalled when it ended: a live engine cuts
+  /// off what waits for another engine of the path.
+  bool EndedAfterStall() const;
+  /// Ends the request, or the attempt if the answer isn't known to be whole.
+  void OnUnframedEnd(endpoints::UnframedEnd meaning);
   /// Records that nothing listens at the endpoint's address: it has ended.
   void OnConnectionRefused();
   /// Records an event of the current run.
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -97,12 +97,18 @@
                                                    : "ended_before_event");
     return;
   }
-  const bool can_ask = this->IsModel() && !this->target.is_peer &&
-                       !this->gateway.IsPaused(this->target.endpoint);
-  if (!can_ask) {
+  if (!this->IsModel() && !this->target.is_peer) {
+    // By HTTP the end of the connection is the end of the answer, and nothing
+    // tells more of an endpoint of a plain service.
     this->Complete(false);
     return;
   }
+  const bool may_ask =
+      !this->target.is_peer && !this->gateway.IsPaused(this->target.endpoint);
+  if (this->EndedAfterStall() || !may_ask) {
+    this->OnUnframedEnd(endpoints::UnframedEnd::kUnknown);
+    return;
+  }
   this->gateway.probe.Check(
       this->target.address, this->gateway.loop.Now(),
       this->gateway.ConcurrentProbers(),
@@ -118,20 +124,37 @@
   if (states_start) after.reported_start_ms = answer.report->start_time_ms;
   const auto meaning =
       endpoints::MeaningOfEnd(this->target.start_time_ms, after);
+  this->OnUnframedEnd(meaning);
+}
+
+bool ProxiedRequest::EndedAfterStall() const {
+  return this->IsStream() && this->gateway.loop.Now() - this->last_data >=
+                                 this->detector.StallTimeout();
+}
+
+void ProxiedRequest::OnUnframedEnd(endpoints::UnframedEnd meaning) {
+  using endpoints::UnframedEnd;
   this->Log(
-      meaning == endpoints::UnframedEnd::kUnknown ? Level::kNotable
-                                                  : Level::kRoutine,
+      meaning == UnframedEnd::kWhole ? Level::kRoutine : Level::kNotable,
       "unframed_end",
       Fields()
           .Text("endpoint", this->target.endpoint)
           .Text("meaning", endpoints::ToText(meaning))
           .Millis("after_ms", this->gateway.loop.Now() - this->last_data));
-  if (meaning == endpoints::UnframedEnd::kBroken) {
-    this->OnRunBroken();
-    this->EndAttempt(AttemptOutcome::kUnknown, "ended_with_endpoint");
-    return;
+  switch (meaning) {
+    case UnframedEnd::kWhole:
+      this->Complete(true);
+      return;
+    case UnframedEnd::kBroken:
+      this->OnRunBroken();
+      this->EndAttempt(AttemptOutcome::kUnknown, "ended_with_endpoint");
+      return;
+    case UnframedEnd::kUnknown:
+      // A run that is asked to go on after the last event shows whether
+      // anything is missing.
+      this->EndAttempt(AttemptOutcome::kUnknown, "end_unproven");
+      return;
   }
-  this->Complete(meaning == endpoints::UnframedEnd::kWhole);
 }
 
 void ProxiedRequest::OnConnectionRefused() {
