A request that is forwarded counts once for the budget, and what a peer's endpoints turned away isn't free

Cause: who counts was derived from the number of runs. A request whose first sends found no connection was counted where it came in, and again at each peer that it was forwarded to. It now says itself whether it has been counted; one of an earlier build counts as counted.

The peer's refusal now says that an endpoint was reached, and the next send is an extra arrival.

--- a/include/toucanwharf/instance/forwarding.h
+++ b/include/toucanwharf/instance/forwarding.h
@@ -21,6 +21,8 @@
   std::uint64_t configuration_version = 0;
   /// Runs of the request that may have begun.
   int runs = 0;
+  /// Whether an instance has counted it for the budget of extra arrivals.
+  bool counted = true;
   /// Time since the caller's request arrived.
   Duration age{0};
 
@@ -48,8 +50,13 @@
 /// safe.
 void RemoveForwarding(http::Headers& headers);
 
-/// Marks an answer as a refusal of a forwarded request. Thread safety: safe.
-void SetRefusal(http::Headers& headers, ForwardRefusal refusal);
+/// Marks an answer as a refusal of a forwarded request; \p reached_endpoint is
+/// whether an endpoint got it and turned it away. Thread safety: safe.
+void SetRefusal(http::Headers& headers, ForwardRefusal refusal,
+                bool reached_endpoint);
+/// Returns whether a refused request reached an endpoint that turned it away.
+/// Thread safety: safe.
+bool ReachedEndpoint(const http::ResponseHead& refusal);
 /// Returns the refusal that \p answer is marked as, if it is one.
 /// Thread safety: safe.
 std::optional<ForwardRefusal> RefusalOf(const http::ResponseHead& answer);
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -343,9 +343,12 @@
   /// whether it is.
   bool RefuseQuarantined(http::Exchange& exchange,
                          const quarantine::RequestFingerprints& request);
+  /// \p reached_endpoint is whether an endpoint got the request and turned it
+  /// away.
   void Refuse(http::Exchange& exchange, int status, const RetryTime& retry_time,
               std::string_view reason,
-              const eventlog::Fields& more = eventlog::Fields());
+              const eventlog::Fields& more = eventlog::Fields(),
+              bool reached_endpoint = false);
   bool TooLateToAccept(TimePoint now) const;
   /// Returns why a forwarded request can't be taken; empty if it can.
   std::string_view ForwardProblem(
--- a/lib/instance/forwarding.cc
+++ b/lib/instance/forwarding.cc
@@ -13,8 +13,10 @@
 constexpr std::string_view kInstance = "X-Forwarded-Instance";
 constexpr std::string_view kConfiguration = "X-Forwarded-Configuration";
 constexpr std::string_view kRuns = "X-Forwarded-Runs";
+constexpr std::string_view kCounted = "X-Forwarded-Counted";
 constexpr std::string_view kAge = "X-Forwarded-Age-Us";
 constexpr std::string_view kRefused = "X-Forward-Refused";
+constexpr std::string_view kReached = "X-Forward-Reached";
 constexpr std::string_view kElsewhere = "elsewhere";
 constexpr std::string_view kFinal = "final";
 
@@ -53,6 +55,7 @@
   headers.Set(kInstance, forwarded.instance);
   headers.Set(kConfiguration, absl::StrCat(forwarded.configuration_version));
   headers.Set(kRuns, absl::StrCat(forwarded.runs));
+  headers.Set(kCounted, forwarded.counted ? "1" : "0");
   headers.Set(kAge, absl::StrCat(forwarded.age.count()));
 }
 
@@ -61,27 +64,38 @@
   const auto version = NumberOf(headers, kConfiguration,
                                 std::numeric_limits<std::uint64_t>::max());
   const auto runs = NumberOf(headers, kRuns, kMaxRuns);
+  // Absent from instances of an earlier build.
+  const auto counted = headers.Find(kCounted) ? NumberOf(headers, kCounted, 1)
+                                              : std::optional<std::uint64_t>(1);
   const auto age = NumberOf(headers, kAge,
                             static_cast<std::uint64_t>(kMaxAge / Duration(1)));
   const bool has_instance = instances.size() == 1 &&
                             !instances.front().empty() &&
                             instances.front().size() <= kMaxInstanceLength;
-  if (!has_instance || !version || !runs || !age) return std::nullopt;
+  if (!has_instance || !version || !runs || !counted || !age) {
+    return std::nullopt;
+  }
   return ForwardedRequest{std::string(instances.front()), *version,
-                          static_cast<int>(*runs),
+                          static_cast<int>(*runs), *counted == 1,
                           Duration(static_cast<std::int64_t>(*age))};
 }
 
 void RemoveForwarding(http::Headers& headers) {
   for (const std::string_view name :
-       {kInstance, kConfiguration, kRuns, kAge, kRefused}) {
+       {kInstance, kConfiguration, kRuns, kCounted, kAge, kRefused, kReached}) {
     headers.Remove(name);
   }
 }
 
-void SetRefusal(http::Headers& headers, ForwardRefusal refusal) {
+void SetRefusal(http::Headers& headers, ForwardRefusal refusal,
+                bool reached_endpoint) {
   const bool elsewhere = refusal == ForwardRefusal::kElsewhere;
   headers.Set(kRefused, std::string(elsewhere ? kElsewhere : kFinal));
+  if (reached_endpoint) headers.Set(kReached, "1");
+}
+
+bool ReachedEndpoint(const http::ResponseHead& refusal) {
+  return refusal.headers.Find(kReached).has_value();
 }
 
 std::optional<ForwardRefusal> RefusalOf(const http::ResponseHead& answer) {
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -189,7 +189,7 @@
 
 void Gateway::Refuse(http::Exchange& exchange, int status,
                      const RetryTime& retry_time, std::string_view reason,
-                     const Fields& more) {
+                     const Fields& more, bool reached_endpoint) {
   http::ResponseHead head;
   head.status = status;
   head.headers.Add("Content-Type", "text/plain");
@@ -203,9 +203,10 @@
   }
   if (ClaimsForwarding(exchange.Received())) {
     // An instance in doubt may be isolated itself and not know it yet.
-    SetRefusal(head.headers, this->state.paths.InDoubt()
-                                 ? ForwardRefusal::kElsewhere
-                                 : RefusalFor(reason));
+    SetRefusal(head.headers,
+               this->state.paths.InDoubt() ? ForwardRefusal::kElsewhere
+                                           : RefusalFor(reason),
+               reached_endpoint);
   }
   std::string body = "not run: ";
   body.append(reason).append("\n");
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -43,6 +43,7 @@
     this->attempt_counts.may_have_run_elsewhere =
         this->admitted.forwarded->runs;
     this->attempt_counts.total = this->admitted.forwarded->runs;
+    this->counted = this->admitted.forwarded->counted;
   }
   this->gateway.active.insert(this);
 }
@@ -87,7 +88,8 @@
   this->deadline_timer = this->gateway.loop.After(
       this->admitted.deadline - now,
       [self = this->shared_from_this()] { self->OnDeadline(); });
-  this->CountRequest();
+  // An isolated instance leaves it to the one that it forwards to.
+  if (!this->MustForward()) this->CountRequest();
   if (const auto from = this->exchange->Received().headers.Find(
           this->gateway.names.last_event_id)) {
     this->events.SetLastId(std::string(*from));
@@ -195,6 +197,7 @@
   ++this->attempt_counts.total;
   ++this->attempt_counts.may_have_run;
   if (to.is_peer) ++this->gateway.counters.forwarded;
+  if (!to.is_peer) this->CountRequest();
   this->has_head = false;
   this->proven = false;
   this->run_began.reset();
@@ -227,6 +230,8 @@
   };
   this->call = this->gateway.client.Start(to.address, this->BuildRequest(to),
                                           options, std::move(handlers));
+  // A peer counts what has not been counted.
+  this->counted = true;
   this->Log(to.is_peer ? Level::kNotable : Level::kRoutine,
             to.is_peer ? "forwarded" : "sent",
             Fields()
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -176,8 +176,8 @@
   void OnNotConnected(const http::CallResult& result);
   /// Returns the head of an answer as the caller gets it.
   http::ResponseHead ToRelay(const http::ResponseHead& answer) const;
-  /// Counts the request for the budget of extra arrivals and the demand,
-  /// unless the forwarding instance has.
+  /// Counts the request for the budget of extra arrivals and the demand, unless
+  /// it has been counted, here or at another instance.
   void CountRequest();
   void BeginStream(const http::ResponseHead& head);
   /// Ends the request with the answer, which is whole; \p proven says whether
@@ -312,6 +312,10 @@
   Duration waited{0};
 
   attempts::AttemptCounts attempt_counts;
+  /// Whether an instance has counted it for the budget of extra arrivals.
+  bool counted = false;
+  /// Whether an endpoint has turned the request away.
+  bool reached_endpoint = false;
   /// Set while the current attempt is an extra arrival that its endpoint may
   /// not have read.
   attempts::UnreadRequests::Extra extra;
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -16,7 +16,8 @@
 void ProxiedRequest::OnHead(const http::ResponseHead& answer) {
   if (this->finished || this->call == 0) return;
   this->has_head = true;
-  const bool sent_on = !this->target.is_peer || !RefusalOf(answer);
+  const bool sent_on =
+      !this->target.is_peer || !RefusalOf(answer) || ReachedEndpoint(answer);
   if (sent_on) this->OnRequestRead();
   if (this->is_new_connection && !this->target.is_peer) {
     this->gateway.path_monitor.OnAnswered(this->target.endpoint,
@@ -58,6 +59,7 @@
   const bool not_run = answer.headers.Find(names.not_run).has_value() ||
                        answer.status == http::kMisdirected;
   if (not_run) {
+    this->reached_endpoint = true;
     this->head_outcome = AttemptOutcome::kNotRun;
     return;
   }
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -77,7 +77,8 @@
           .Count("endpoints_suspected", this->candidates.suspected)
           .Count("rank", this->claim.rank)
           .Count("returned", this->claim.returned ? 1 : 0)
-          .Millis("waited_ms", this->waited));
+          .Millis("waited_ms", this->waited),
+      this->reached_endpoint);
   this->Finish("refused", http::kUnavailable);
 }
 
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -51,6 +51,7 @@
   forwarded.configuration_version = state.configuration.version;
   // Without the one that begins now.
   forwarded.runs = this->attempt_counts.may_have_run - 1;
+  forwarded.counted = this->counted;
   forwarded.age = this->gateway.loop.Now() - this->admitted.arrived;
   SetForwarding(request.headers, forwarded);
   request.headers.Set(this->gateway.names.deadline, this->RemainingMillis());
@@ -82,7 +83,11 @@
   const bool final =
       refusal == ForwardRefusal::kFinal && !this->attempt_counts.answer_started;
   if (!final) {
-    this->EndAttempt(AttemptOutcome::kNotSent, "refused_by_peer");
+    // An endpoint that turned it away has had an arrival, and the next one has
+    // another.
+    this->EndAttempt(ReachedEndpoint(this->head) ? AttemptOutcome::kNotRun
+                                                 : AttemptOutcome::kNotSent,
+                     "refused_by_peer");
     return;
   }
   --this->attempt_counts.may_have_run;
@@ -130,12 +135,7 @@
 }
 
 void ProxiedRequest::CountRequest() {
-  // An instance that is isolated leaves it to the one that it forwards to; that
-  // one counts a request unless it has run before.
-  const auto& forwarded = this->admitted.forwarded;
-  const bool counted_by_other =
-      forwarded ? forwarded->runs > 0 : this->MustForward();
-  if (counted_by_other) return;
+  if (std::exchange(this->counted, true)) return;
   const std::string& service = this->admitted.service->name;
   const TimePoint now = this->gateway.loop.Now();
   ++this->gateway.counters.budget_requests;
--- a/test/process/stopped_endpoints_test.cc
+++ b/test/process/stopped_endpoints_test.cc
@@ -187,5 +187,34 @@
   BOOST_TEST(!stream.answer.complete);
 }
 
+std::int64_t CountedRequests(PlatformFleet& fleet, std::size_t routers) {
+  constexpr std::string_view kName = "\ntoucanwharf_budget_requests_total ";
+  std::int64_t counted = 0;
+  for (std::size_t router = 0; router < routers; ++router) {
+    const std::string text = fleet.Metrics(router);
+    const std::size_t at = text.find(kName);
+    BOOST_REQUIRE(at != std::string::npos);
+    counted += std::atoll(text.c_str() + at + kName.size());
+  }
+  return counted;
+}
+
+// Guards against a budget that grows with requests that come to several
+// routers, as one without a path to the endpoints forwards them.
+BOOST_AUTO_TEST_CASE(ForwardedRequestsCountOnce) {
+  constexpr std::size_t kCount = 3;
+  constexpr int kRequests = 30;
+  PlatformFleet fleet(kCount);
+  const std::int64_t before = CountedRequests(fleet, kCount);
+  fleet.CutLinks(0, standins::fleet::LinkFault::kSilent);
+  std::vector<std::thread> callers;
+  for (int i = 0; i < kRequests; ++i) {
+    callers.emplace_back(
+        [&fleet, i] { fleet.Stream(0, "forwarded-" + std::to_string(i)); });
+  }
+  for (std::thread& caller : callers) caller.join();
+  BOOST_TEST(CountedRequests(fleet, kCount) - before == kRequests);
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
--- a/unittests/instance/forwarding_test.cc
+++ b/unittests/instance/forwarding_test.cc
@@ -8,7 +8,7 @@
 namespace toucanwharf::instance {
 namespace {
 
-const ForwardedRequest kForwarded{"0190-an-instance", 17, 1,
+const ForwardedRequest kForwarded{"0190-an-instance", 17, 1, false,
                                   std::chrono::milliseconds(250)};
 
 http::Headers Written() {
@@ -58,9 +58,27 @@
   }
 }
 
+// Guards against a request that each instance on its way counts as a new one.
+BOOST_AUTO_TEST_CASE(RequestOfAnEarlierBuildIsCounted) {
+  http::Headers headers = Written();
+  headers.Remove("X-Forwarded-Counted");
+  BOOST_REQUIRE(ForwardingOf(headers).has_value());
+  BOOST_TEST(ForwardingOf(headers)->counted);
+  headers.Set("X-Forwarded-Counted", "2");
+  BOOST_TEST(!ForwardingOf(headers).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RefusalSaysWhetherAnEndpointGotTheRequest) {
+  http::ResponseHead head;
+  SetRefusal(head.headers, ForwardRefusal::kElsewhere, false);
+  BOOST_TEST(!ReachedEndpoint(head));
+  SetRefusal(head.headers, ForwardRefusal::kElsewhere, true);
+  BOOST_TEST(ReachedEndpoint(head));
+}
+
 BOOST_AUTO_TEST_CASE(NothingOfItRemains) {
   http::Headers headers = Written();
-  SetRefusal(headers, ForwardRefusal::kFinal);
+  SetRefusal(headers, ForwardRefusal::kFinal, true);
   RemoveForwarding(headers);
   http::Headers expected;
   expected.Add("X-Request-Id", "one");
@@ -77,7 +95,7 @@
        {ForwardRefusal::kElsewhere, ForwardRefusal::kFinal}) {
     http::ResponseHead head;
     BOOST_TEST(!RefusalOf(head).has_value());
-    SetRefusal(head.headers, refusal);
+    SetRefusal(head.headers, refusal, false);
     BOOST_TEST((RefusalOf(head) == refusal));
   }
 }
