Events whose ids go back or skip are not relayed

Cause: nothing compared the id of an event with the one before. EventOrder does: ids increase over all runs of an answer, also after the id that a caller resumes from, and a later run goes on in the step that the ids had before. The events before the wrong one are relayed; the attempt ends, and the answer is resumed elsewhere or broken off. Comments and events without an id pass.

--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -1,44 +1,65 @@
 #include "toucanwharf/http/event_splitter.h"
 
+#include <utility>
+
 namespace toucanwharf::http {
 namespace {
 
-/// Returns the end of the last complete event of \p text, 0 if there is none. A
-/// blank line ends an event; lines end with LF or CRLF.
-std::size_t CompleteEventsEnd(std::string_view text) {
-  for (std::size_t i = text.size(); i > 1; --i) {
-    if (text[i - 1] != '\n') continue;
-    const bool ends_with_lf = text[i - 2] == '\n';
-    const bool ends_with_crlf =
-        i >= 3 && text[i - 2] == '\r' && text[i - 3] == '\n';
-    if (ends_with_lf || ends_with_crlf) return i;
-  }
-  return 0;
+constexpr std::string_view kIdField = "id:";
+
+/// Returns the value of \p line if it is the field of an event's id.
+std::optional<std::string_view> IdIn(std::string_view line) {
+  if (line.substr(0, kIdField.size()) != kIdField) return std::nullopt;
+  line.remove_prefix(kIdField.size());
+  if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
+  return line;
 }
 
 }  // namespace
 
+std::size_t EventSplitter::ReleasableEnd() {
+  const std::string_view text = this->pending;
+  std::size_t released = 0;
+  std::size_t line_start = 0;
+  std::optional<std::string_view> id;
+  // A blank line ends an event; lines end with LF or CRLF.
+  for (std::size_t end = text.find('\n'); end != std::string_view::npos;
+       end = text.find('\n', line_start)) {
+    std::string_view line = text.substr(line_start, end - line_start);
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    const bool ends_event = line.empty();
+    line_start = end + 1;
+    if (const auto found = IdIn(line)) id = found;
+    if (!ends_event) continue;
+    if (id && !this->order.Accept(*id)) {
+      this->fault = EventFault::kOutOfOrder;
+      return released;
+    }
+    if (id) this->last_id = std::string(*std::exchange(id, std::nullopt));
+    released = line_start;
+  }
+  return released;
+}
+
 std::string EventSplitter::TakeCompleteEvents() {
-  const std::size_t end = CompleteEventsEnd(this->pending);
+  if (this->fault != EventFault::kNone) return {};
+  const std::size_t end = this->ReleasableEnd();
   std::string complete = this->pending.substr(0, end);
   this->pending.erase(0, end);
-  this->RecordLastId(complete);
+  if (this->pending.size() > kMaxEventBytes) this->fault = EventFault::kTooLong;
+  if (this->fault != EventFault::kNone) this->pending.clear();
   return complete;
 }
 
-void EventSplitter::RecordLastId(std::string_view events) {
-  constexpr std::string_view kField = "id:";
-  std::size_t line_start = 0;
-  while (line_start < events.size()) {
-    const std::size_t end = events.find('\n', line_start);
-    std::string_view line = events.substr(line_start, end - line_start);
-    line_start = end == std::string_view::npos ? events.size() : end + 1;
-    if (line.substr(0, kField.size()) != kField) continue;
-    line.remove_prefix(kField.size());
-    if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    this->last_id = std::string(line);
-  }
+void EventSplitter::BeginRun() {
+  this->pending.clear();
+  this->fault = EventFault::kNone;
+  this->order.BeginRun();
+}
+
+void EventSplitter::SetLastId(std::string id) {
+  this->order.GoOnAfter(id);
+  this->last_id = std::move(id);
 }
 
 }  // namespace toucanwharf::http
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -204,7 +204,7 @@
   this->head_usable = false;
   this->head_outcome.reset();
   this->body.clear();
-  this->events.DropPartialEvent();
+  this->events.BeginRun();
   this->attempt_started = this->gateway.loop.Now();
   this->last_data = this->attempt_started;
   this->detector.Restart();
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -162,6 +162,7 @@
 
   void OnHead(const http::ResponseHead& head);
   void OnData(std::string_view bytes);
+  void RelayEvents(std::string_view complete);
   /// Holds back the body of a plain answer, or relays it if it is long.
   void OnPlainData(std::string_view bytes);
   void OnDone(const http::CallResult& result);
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -114,7 +114,15 @@
   }
   this->events.Feed(bytes);
   const std::string complete = this->events.TakeCompleteEvents();
-  if (complete.empty()) return;
+  if (!complete.empty()) this->RelayEvents(complete);
+  if (this->events.Fault() == http::EventFault::kNone) return;
+  this->EndAttempt(AttemptOutcome::kUnknown,
+                   this->events.Fault() == http::EventFault::kTooLong
+                       ? "event_too_long"
+                       : "event_out_of_order");
+}
+
+void ProxiedRequest::RelayEvents(std::string_view complete) {
   if (!std::exchange(this->has_event, true)) {
     this->first_event_after = this->last_data - this->admitted.arrived;
     this->gateway.counters.first_event_latency.Add(this->first_event_after);
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -402,8 +402,10 @@
   }
   this->CheckCover(path);
   int last = 0;
-  (void)absl::SimpleAtoi(std::string(request.headers.Get("Last-Event-Id")),
-                         &last);
+  if (endpoint.fault != EndpointFault::kIgnoresLastEvent) {
+    (void)absl::SimpleAtoi(std::string(request.headers.Get("Last-Event-Id")),
+                           &last);
+  }
   Run run;
   run.endpoint = endpoint.spec.id;
   run.request_id = std::string(request.headers.Get("X-Request-Id"));
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -56,6 +56,8 @@
   kStopped,
   /// Answers 404 where an answer is to be resumed.
   kRejectsResumed,
+  /// Begins anew where an answer is to be resumed.
+  kIgnoresLastEvent,
 };
 
 /// One request that an endpoint has read, whether or not it ran it.
--- a/test/process/stopped_endpoints_test.cc
+++ b/test/process/stopped_endpoints_test.cc
@@ -2,6 +2,7 @@
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <functional>
 #include <mutex>
 #include <set>
 #include <string>
@@ -144,9 +145,9 @@
   BOOST_TEST(WorstShare(repeats, sent, kBound) <= 1.0);
 }
 
-// Guards against a failure that ends an answer which the caller has in part as
-// if it were whole.
-BOOST_AUTO_TEST_CASE(AnswerWhoseResumptionIsRejectedIsNotComplete) {
+/// Streams an answer whose engine is stopped after some events; the others have
+/// \p fault when it is to go on there.
+EventStream ResumeWith(EndpointFault fault) {
   PlatformFleet fleet(1);
   std::this_thread::sleep_for(kBudgetWindow);
   fleet.RunOnLoop([&] { fleet.Endpoints().SetEventGap(milliseconds(100)); });
@@ -156,15 +157,34 @@
   const auto runs = fleet.RunsOf("resumed");
   BOOST_REQUIRE(runs.size() == 1U);
   const std::string first = runs.front().endpoint;
-  SetFault(fleet, EndpointFault::kRejectsResumed,
+  SetFault(fleet, fault,
            [&](const std::string& engine) { return engine != first; });
   SetFault(fleet, EndpointFault::kStopped,
            [&](const std::string& engine) { return engine == first; });
   caller.join();
+  return stream;
+}
+
+// Guards against a failure that ends an answer which the caller has in part as
+// if it were whole.
+BOOST_AUTO_TEST_CASE(AnswerWhoseResumptionIsRejectedIsNotComplete) {
+  const EventStream stream = ResumeWith(EndpointFault::kRejectsResumed);
   BOOST_TEST(stream.ids.size() < standins::fleet::Endpoints::kEvents);
   BOOST_TEST(!stream.answer.complete);
 }
 
+// Guards against events that come twice where an engine begins anew instead of
+// going on.
+BOOST_AUTO_TEST_CASE(AnswerThatBeginsAnewIsBrokenOff) {
+  const EventStream stream = ResumeWith(EndpointFault::kIgnoresLastEvent);
+  BOOST_TEST(!stream.ids.empty());
+  const bool increases =
+      std::adjacent_find(stream.ids.begin(), stream.ids.end(),
+                         std::greater_equal<>()) == stream.ids.end();
+  BOOST_TEST(increases);
+  BOOST_TEST(!stream.answer.complete);
+}
+
 // Guards against an unframed answer that its engine, which lives, ends early
 // because another engine of its path is silent: it must not seem whole.
 BOOST_AUTO_TEST_CASE(UnframedAnswerThatALiveEngineCutsOffIsNotComplete) {
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -457,7 +457,34 @@
   BOOST_TEST(splitter.TakeCompleteEvents() == "id: 1\ndata: a\n\n");
   BOOST_TEST(splitter.HasPartialEvent());
   BOOST_TEST(*splitter.LastId() == "1");
-  splitter.DropPartialEvent();
+  splitter.BeginRun();
+  BOOST_TEST(!splitter.HasPartialEvent());
+}
+
+// Guards against an event that is relayed though its id goes back.
+BOOST_AUTO_TEST_CASE(EventsBeforeOneThatGoesBackComeOut) {
+  EventSplitter splitter;
+  splitter.SetLastId("4");
+  splitter.Feed("id: 5\ndata: a\n\nid: 5\ndata: b\n\nid: 6\n\n");
+  BOOST_TEST(splitter.TakeCompleteEvents() == "id: 5\ndata: a\n\n");
+  BOOST_TEST((splitter.Fault() == EventFault::kOutOfOrder));
+  BOOST_TEST(*splitter.LastId() == "5");
+  splitter.BeginRun();
+  splitter.Feed(": a comment\n\nx-version: 3\nid: 6\ndata: c\n\n\n");
+  BOOST_TEST(splitter.TakeCompleteEvents() ==
+             ": a comment\n\nx-version: 3\nid: 6\ndata: c\n\n\n");
+  BOOST_TEST((splitter.Fault() == EventFault::kNone));
+}
+
+// Guards against an event without an end that is held until memory runs out.
+BOOST_AUTO_TEST_CASE(EventWithoutAnEndIsNotHeld) {
+  EventSplitter splitter;
+  const std::string part(EventSplitter::kMaxEventBytes / 2, 'x');
+  for (int i = 0; i < 3; ++i) {
+    splitter.Feed(part);
+    BOOST_TEST(splitter.TakeCompleteEvents().empty());
+  }
+  BOOST_TEST((splitter.Fault() == EventFault::kTooLong));
   BOOST_TEST(!splitter.HasPartialEvent());
 }
 
