Bytes without an end take bounded memory

A router that an endpoint sends bytes without an end grew to 506 MB (an event or a plain body, the caller reading slowly) and 1,057 MB (the body of a failure) within seconds, and would have ended with all its requests.

Cause: a body was held or passed on without any bound: one event, the body of a failure, what waits for a slow caller, and what is fetched from engines, peers and the store. Class: what comes from outside decides how much is held.

The body of a failure is held up to 256 KiB, a fetched one up to 16 MiB; beyond, the attempt ends. An endpoint is not read on while over 1 MiB waits for its caller; that is no stall.

--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -84,6 +84,10 @@
                const CallOptions& options, CallHandlers handlers);
   /// Closes the call's connection; a call that has ended, or 0, is ignored.
   void Cancel(CallId id);
+  /// Sets whether the call's response is read on; while it is not, the peer is
+  /// slowed down by the socket's buffers. A call that has ended, or 0, is
+  /// ignored.
+  void SetReading(CallId id, bool reads);
 
   struct State;
 
@@ -91,7 +95,7 @@
   std::shared_ptr<State> state;
 };
 
-/// Timeouts of a call that collects the response body.
+/// Limits of a call that collects the response body.
 struct FetchLimits {
   /// Sets both to \p timeout.
   // NOLINTNEXTLINE(google-explicit-constructor): most callers pass one value
@@ -103,12 +107,15 @@
   Duration inactivity;
   /// Longest time from the start to the end of the response.
   Duration total;
+  /// Longest body, in bytes: one without an end must not be held.
+  std::size_t max_bytes = 16UL * 1024 * 1024;
 
   friend bool operator==(const FetchLimits&, const FetchLimits&) = default;
 };
 
 /// Starts a call that collects the body. \p done gets the result, the head and
-/// the body; a call that exceeds \p limits is cancelled and ends as kBroken.
+/// the body; a call that exceeds \p limits is cancelled and ends as kBroken, or
+/// as kMalformed if its body is too long.
 void Fetch(Loop& loop, Client& client, const std::string& address,
            const Request& request, const FetchLimits& limits,
            std::function<void(const CallResult&, const ResponseHead&,
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -104,6 +104,7 @@
     this->result = CallResult{};
     this->result.reused = reused;
     this->head_delivered = false;
+    this->held = false;
     this->loop.Cancel(this->timer);
     this->parser.emplace();
     this->parser->header_limit(kMaxResponseHeaderBytes);
@@ -135,6 +136,11 @@
     });
   }
 
+  void SetReading(bool reads) {
+    this->held = !reads;
+    if (reads) this->Read();
+  }
+
   void Abandon() {
     this->id = 0;
     this->handlers = {};
@@ -195,7 +201,7 @@
   }
 
   void Read() {
-    if (this->closed || this->reading) return;
+    if (this->closed || this->reading || this->held) return;
     this->reading = true;
     this->socket.async_read_some(
         boost::asio::buffer(this->buffer),
@@ -317,6 +323,8 @@
   bool head_delivered = false;
   bool write_failed = false;
   bool reading = false;
+  /// Reading waits for the receiver of the response.
+  bool held = false;
   bool reusable = false;
   bool closed = false;
 };
@@ -419,6 +427,11 @@
   connection->Abandon();
 }
 
+void Client::SetReading(CallId id, bool reads) {
+  const auto found = this->state->calls.find(id);
+  if (found != this->state->calls.end()) found->second->SetReading(reads);
+}
+
 namespace {
 
 using FetchDone = std::function<void(const CallResult&, const ResponseHead&,
@@ -444,10 +457,7 @@
       self->last_byte_at = self->loop.Now();
       self->head = received_head;
     };
-    handlers.on_data = [self](std::string_view bytes) {
-      self->last_byte_at = self->loop.Now();
-      self->body.append(bytes);
-    };
+    handlers.on_data = [self](std::string_view bytes) { self->OnData(bytes); };
     handlers.on_done = [self](const CallResult& result) {
       self->loop.Cancel(self->timer);
       self->done(result, self->head, self->body);
@@ -469,13 +479,28 @@
         [self = this->shared_from_this()] { self->CheckDeadline(); });
   }
 
+  void OnData(std::string_view bytes) {
+    this->last_byte_at = this->loop.Now();
+    if (this->body.size() + bytes.size() > this->limits.max_bytes) {
+      this->loop.Cancel(this->timer);
+      this->GiveUp(CallEnd::kMalformed);
+      return;
+    }
+    this->body.append(bytes);
+  }
+
   void CheckDeadline() {
     if (this->loop.Now() < this->Deadline()) {
       this->Wait();
       return;
     }
+    this->GiveUp(CallEnd::kBroken);
+  }
+
+  void GiveUp(CallEnd end) {
     this->client.Cancel(this->call);
     CallResult result;
+    result.end = end;
     result.sent = true;
     this->done(result, ResponseHead{}, "");
   }
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -78,6 +78,7 @@
   this->CancelCall();
   this->ReleaseLoad();
   this->gateway.loop.Cancel(this->deadline_timer);
+  this->gateway.loop.Cancel(this->reading_timer);
   this->gateway.active.erase(this);
 }
 
@@ -199,6 +200,8 @@
   if (to.is_peer) ++this->gateway.counters.forwarded;
   if (!to.is_peer) this->CountRequest();
   this->has_head = false;
+  this->held = false;
+  this->gateway.loop.Cancel(this->reading_timer);
   this->proven = false;
   this->run_began.reset();
   this->head_usable = false;
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -163,6 +163,12 @@
   void OnHead(const http::ResponseHead& head);
   void OnData(std::string_view bytes);
   void RelayEvents(std::string_view complete);
+  /// Sends part of the answer to the caller, and stops reading from the
+  /// endpoint while the caller lags behind.
+  void Relay(std::string_view bytes);
+  void ReadOnWhenSent();
+  /// Keeps the body of a failure.
+  void OnFailureData(std::string_view bytes);
   /// Holds back the body of a plain answer, or relays it if it is long.
   void OnPlainData(std::string_view bytes);
   void OnDone(const http::CallResult& result);
@@ -335,6 +341,9 @@
   bool is_new_connection = false;
   http::TimerId deadline_timer = 0;
   http::TimerId stall_timer = 0;
+  http::TimerId reading_timer = 0;
+  /// The call isn't read on, as the caller lags behind.
+  bool held = false;
   /// A probe of the first engine is in flight.
   bool probing = false;
   /// An order to change the path is in flight.
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -10,6 +10,12 @@
 /// A plain answer up to this size is relayed only when it is complete, so that
 /// another endpoint can replace one that breaks.
 constexpr std::size_t kMaxHeldBackBytes = 256UL * 1024;
+/// The body of a failure is held, so one without an end must not be held for
+/// ever.
+constexpr std::size_t kMaxFailureBytes = 256UL * 1024;
+/// Bytes that wait for a caller that reads slowly; beyond, the endpoint waits.
+constexpr std::size_t kMaxUnsentBytes = 1024UL * 1024;
+constexpr Duration kUnsentPollPeriod = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -92,10 +98,44 @@
     this->exchange->Begin(out);
   }
   this->last_relayed = this->last_data;
-  this->exchange->Write(this->body);
+  this->Relay(this->body);
   this->body.clear();
 }
 
+void ProxiedRequest::Relay(std::string_view bytes) {
+  this->exchange->Write(bytes);
+  if (this->held || this->exchange->UnsentBytes() <= kMaxUnsentBytes) return;
+  this->held = true;
+  this->gateway.client.SetReading(this->call, false);
+  this->ReadOnWhenSent();
+}
+
+void ProxiedRequest::ReadOnWhenSent() {
+  this->reading_timer = this->gateway.loop.After(
+      kUnsentPollPeriod, [weak = this->weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self || self->finished) return;
+        if (self->exchange->UnsentBytes() > kMaxUnsentBytes / 2) {
+          self->ReadOnWhenSent();
+          return;
+        }
+        self->held = false;
+        self->last_data = self->gateway.loop.Now();
+        self->gateway.client.SetReading(self->call, true);
+      });
+}
+
+void ProxiedRequest::OnFailureData(std::string_view bytes) {
+  if (this->body.size() + bytes.size() <= kMaxFailureBytes) {
+    this->body.append(bytes);
+    return;
+  }
+  // What it says of a request that it has not run holds all the same.
+  const bool not_run = this->head_outcome == AttemptOutcome::kNotRun;
+  this->EndAttempt(not_run ? AttemptOutcome::kNotRun : AttemptOutcome::kUnknown,
+                   "failure_too_long");
+}
+
 void ProxiedRequest::OnData(std::string_view bytes) {
   if (this->finished || this->call == 0) return;
   this->last_data = this->gateway.loop.Now();
@@ -105,7 +145,7 @@
   if (!this->head_usable) {
     // The body of a failure, which is no part of an answer that was begun by an
     // earlier attempt.
-    this->body.append(bytes);
+    this->OnFailureData(bytes);
     return;
   }
   if (!this->IsStream()) {
@@ -135,7 +175,7 @@
   this->detector.OnEvent(this->last_data);
   ++this->chunks_written;
   this->last_relayed = this->last_data;
-  this->exchange->Write(complete);
+  this->Relay(complete);
 }
 
 void ProxiedRequest::OnDone(const http::CallResult& result) {
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -109,6 +109,11 @@
 
 void ProxiedRequest::OnStall() {
   if (this->finished || this->call == 0 || this->rerouting) return;
+  if (this->held) {
+    // The endpoint waits for the caller.
+    this->WatchStall(this->StallTimeout());
+    return;
+  }
   const Duration stalled = this->gateway.loop.Now() - this->last_data;
   const Duration remaining = this->StallTimeout() - stalled;
   if (remaining > Duration(0)) {
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -231,6 +231,12 @@
     exchange->Respond(head, "");
     return;
   }
+  const bool fails = endpoint.fault == EndpointFault::kFailsWithoutEnd;
+  if (fails || endpoint.fault == EndpointFault::kSendsWithoutEnd) {
+    exchange->Begin(HeadOf(fails ? http::kServerError : http::kOk, request));
+    this->SendWithoutEnd(exchange);
+    return;
+  }
   const bool resumes = request.headers.Find("Last-Event-Id").has_value();
   if (endpoint.fault == EndpointFault::kRejectsResumed && resumes) {
     exchange->Respond(HeadOf(http::kNotFound, request), "no such answer\n");
@@ -446,6 +452,19 @@
   if (has_events) this->SendNextEvent(stream);
 }
 
+void Endpoints::SendWithoutEnd(
+    const std::shared_ptr<http::Exchange>& exchange) {
+  constexpr std::size_t kBytes = 256UL * 1024;
+  constexpr Duration kPause = std::chrono::milliseconds(1);
+  if (exchange->IsDisconnected()) return;
+  // What the router doesn't read is not piled up here.
+  if (exchange->UnsentBytes() < kBytes) {
+    exchange->Write(std::string(kBytes, 'x'));
+  }
+  this->loop.After(kPause,
+                   [this, exchange] { this->SendWithoutEnd(exchange); });
+}
+
 void Endpoints::AwaitPath(const std::shared_ptr<Stream>& stream) {
   stream->stalled += this->event_gap;
   const bool running =
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -58,6 +58,11 @@
   kRejectsResumed,
   /// Begins anew where an answer is to be resumed.
   kIgnoresLastEvent,
+  /// Answers with bytes that are no events, or a plain body, until its caller
+  /// closes the connection.
+  kSendsWithoutEnd,
+  /// The same with status 500.
+  kFailsWithoutEnd,
 };
 
 /// One request that an endpoint has read, whether or not it ran it.
@@ -225,6 +230,8 @@
   void ServeStream(Endpoint& endpoint,
                    std::shared_ptr<http::Exchange> exchange);
   void BeginWriting(const std::shared_ptr<Stream>& stream);
+  /// Sends bytes for as long as \p exchange is open.
+  void SendWithoutEnd(const std::shared_ptr<http::Exchange>& exchange);
   void SendNextEvent(const std::shared_ptr<Stream>& stream);
   /// Waits for the silent engine of a path, up to the limit.
   void AwaitPath(const std::shared_ptr<Stream>& stream);
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -70,6 +70,17 @@
 target_link_libraries(process_store_return PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(stopped_endpoints)
+target_sources(process_stopped_endpoints PRIVATE
+  test/process/platform_fleet.cc)
+target_link_libraries(process_stopped_endpoints PRIVATE standin_fleet
+  standin_relay_parts)
+
+tw_process_test(endless_answer)
+target_sources(process_endless_answer PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_endless_answer PRIVATE standin_fleet
+  standin_relay_parts)
+
 # Faults at random on real routers; CI plays two short seeds, and each seed
 # that ever showed a fault (test/soak/seeds.txt).
 tw_program(soak test/soak DEPS tw_process_fixture standin_fleet
@@ -105,9 +116,3 @@
 set_tests_properties(soak_fleet_restarts PROPERTIES TIMEOUT 300)
 
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
-
-tw_process_test(stopped_endpoints)
-target_sources(process_stopped_endpoints PRIVATE
-  test/process/platform_fleet.cc)
-target_link_libraries(process_stopped_endpoints PRIVATE standin_fleet
-  standin_relay_parts)
