--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -233,6 +233,7 @@
   }
   const bool fails = endpoint.fault == EndpointFault::kFailsWithoutEnd;
   if (fails || endpoint.fault == EndpointFault::kSendsWithoutEnd) {
+    this->runs.push_back(this->RunOf(endpoint, request));
     exchange->Begin(HeadOf(fails ? http::kServerError : http::kOk, request));
     this->SendWithoutEnd(exchange);
     return;
@@ -310,9 +311,7 @@
   exchange.Respond(HeadOf(kAccepted, request), "");
 }
 
-void Endpoints::Serve(Endpoint& endpoint,
-                      std::shared_ptr<http::Exchange> exchange) {
-  const http::Request& request = exchange->Received();
+Run Endpoints::RunOf(const Endpoint& endpoint, const http::Request& request) {
   Run run;
   run.endpoint = endpoint.spec.id;
   run.request_id = std::string(request.headers.Get("X-Request-Id"));
@@ -321,8 +320,14 @@
   run.customer = std::string(request.headers.Get("X-Tenant"));
   run.headers = request.headers;
   run.at = this->loop.Now();
+  return run;
+}
+
+void Endpoints::Serve(Endpoint& endpoint,
+                      std::shared_ptr<http::Exchange> exchange) {
+  const http::Request& request = exchange->Received();
   if (endpoint.spec.kind.empty()) {
-    this->runs.push_back(std::move(run));
+    this->runs.push_back(this->RunOf(endpoint, request));
     this->CrashAfter(endpoint.spec.id, request);
     this->ServePlain(endpoint, exchange);
     return;
@@ -412,14 +417,8 @@
     (void)absl::SimpleAtoi(std::string(request.headers.Get("Last-Event-Id")),
                            &last);
   }
-  Run run;
-  run.endpoint = endpoint.spec.id;
-  run.request_id = std::string(request.headers.Get("X-Request-Id"));
-  run.target = request.target;
-  run.headers = request.headers;
+  Run run = this->RunOf(endpoint, request);
   run.first_event = last + 1;
-  run.body = request.body;
-  run.at = this->loop.Now();
   this->runs.push_back(run);
   if (exchange->IsDisconnected()) return;
   http::ResponseHead head = HeadOf(http::kOk, request);
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -216,6 +216,8 @@
 
   void Register(const Endpoint& endpoint);
   void Handle(const std::string& id, std::shared_ptr<http::Exchange> exchange);
+  /// Returns a run of \p request that begins now.
+  Run RunOf(const Endpoint& endpoint, const http::Request& request);
   void RecordArrival(const Endpoint& endpoint, const http::Request& request);
   /// Turns \p exchange away if \p endpoint sheds; returns whether it does.
   bool Shed(const Endpoint& endpoint, http::Exchange& exchange);
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -183,7 +183,32 @@
   this->RunOnLoop([&] { this->links->Heal(this->RouterIp(index)); });
 }
 
+std::vector<std::string> PlatformFleet::EngineIds() {
+  std::vector<std::string> ids;
+  for (const char* domain : kDomains) {
+    for (int i = 0; i < kEnginesPerDomain; ++i) {
+      ids.push_back(std::string(domain) + "-" + std::to_string(i));
+    }
+  }
+  return ids;
+}
+
+std::vector<std::string> PlatformFleet::PlainIds() {
+  std::vector<std::string> ids;
+  for (int i = 0; i < kPlainEndpoints; ++i) {
+    ids.push_back("plain-" + std::to_string(i));
+  }
+  return ids;
+}
+
+void PlatformFleet::Reconfigure() { this->Configure(this->configured_keys); }
+
 void PlatformFleet::Configure(const std::vector<std::string>& keys) {
+  this->configured_keys = keys;
+  // Versions differ in a route and in the time after which idle connections of
+  // callers are closed.
+  const std::string added = "/added-" + std::to_string(this->version) + "/";
+  const std::uint64_t idle_ms = 4000 + 1000 * (this->version % 3);
   Json customers = Json::array();
   for (const std::string& key : keys) {
     customers.push_back({{"name", "holder-of-" + key}, {"api_keys", {key}}});
@@ -195,14 +220,15 @@
         RouteJson("/sign/", "unsafe", kPlainService, false),
         RouteJson("/open/", "safe", kPlainService, true),
         RouteJson("/chat/", "stream", kModelService, false),
-        RouteJson("/other/", "stream", kSecondModelService, false)}},
+        RouteJson("/other/", "stream", kSecondModelService, false),
+        RouteJson(added.c_str(), "safe", kPlainService, false)}},
       {"services",
        {{{"name", kPlainService}, {"max_conns", 64}},
         {{"name", kModelService}, {"max_conns", 64}, {"engine", EngineJson()}},
         {{"name", kSecondModelService},
          {"max_conns", 64},
          {"engine", EngineJson()}}}},
-      {"limits", Json::object()},
+      {"limits", {{"idle_timeout_ms", idle_ms}}},
       {"tenants", customers}};
   this->RunOnLoop([&] { this->store->Put("config", "main", configuration); });
 }
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -71,6 +71,13 @@
   /// Writes the next version of the configuration, with a customer for each of
   /// \p keys.
   void Configure(const std::vector<std::string>& keys);
+  /// Writes the next version of the configuration, with the same keys, another
+  /// route and other limits.
+  void Reconfigure();
+  /// Return the ids of the engines of the first model, and of the endpoints of
+  /// the plain service.
+  static std::vector<std::string> EngineIds();
+  static std::vector<std::string> PlainIds();
   /// Makes the store unavailable to all for \p away, after which it returns
   /// from its last copy.
   void ReturnStore(std::chrono::milliseconds away);
@@ -142,6 +149,7 @@
   std::vector<standins::Relay*> store_relays;
   std::vector<std::unique_ptr<Process>> routers;
   std::uint64_t version = 0;
+  std::vector<std::string> configured_keys;
   std::thread thread;
 };
 
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -111,6 +111,10 @@
   COMMAND soak --seeds 1,2,3 --seconds 8 --cut-paths --endpoint-pauses)
 set_tests_properties(soak_paths PROPERTIES TIMEOUT 300)
 
+add_test(NAME soak_endpoint_stops
+  COMMAND soak --seeds 1,2,3 --seconds 12 --callers 40 --endpoint-stops)
+set_tests_properties(soak_endpoint_stops PROPERTIES TIMEOUT 300)
+
 add_test(NAME soak_fleet_restarts
   COMMAND soak --seeds 1,2 --seconds 8 --fleet-restarts)
 set_tests_properties(soak_fleet_restarts PROPERTIES TIMEOUT 300)
--- a/test/process/soak_checks_test.cc
+++ b/test/process/soak_checks_test.cc
@@ -51,6 +51,20 @@
   BOOST_TEST(FindViolations({sign}, Runs("x", 1), {}).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(RepeatsBeyondTheBoundAreSeen) {
+  const process_test::ArrivalBound bound{0.5, 1};
+  const ObservedRequest stream = Answered("s", RequestKind::kStream);
+  const ObservedRequest read = Answered("r", RequestKind::kRead);
+  const TimePoint now = BootClock().Now();
+  std::vector<standins::fleet::Arrival> arrivals(3, {"model", "a", "s", now});
+  BOOST_TEST(FindRepeatViolations({stream, read}, arrivals, bound).size() ==
+             1U);
+  arrivals.pop_back();
+  BOOST_TEST(FindRepeatViolations({stream, read}, arrivals, bound).empty());
+  arrivals.push_back({"model", "a", "s", now + 2 * kRepeatWindow});
+  BOOST_TEST(FindRepeatViolations({stream, read}, arrivals, bound).empty());
+}
+
 BOOST_AUTO_TEST_CASE(MissingAndForeignEventsAreSeen) {
   ObservedRequest stream = Answered("x", RequestKind::kStream);
   stream.events.pop_back();
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -65,6 +65,12 @@
                      });
 }
 
+std::ptrdiff_t CountIn(const std::vector<TimePoint>& times, TimePoint end) {
+  return std::count_if(times.begin(), times.end(), [end](TimePoint at) {
+    return at > end - kRepeatWindow && at <= end;
+  });
+}
+
 /// From which crash on all have to know of what crashes endpoints.
 struct CrashBound {
   CrashCause cause = CrashCause::kContent;
@@ -162,6 +168,47 @@
   return violations;
 }
 
+std::vector<std::string> FindRepeatViolations(
+    const std::vector<ObservedRequest>& observed,
+    const std::vector<standins::fleet::Arrival>& arrivals,
+    const process_test::ArrivalBound& bound) {
+  std::map<std::string, bool> streams;
+  std::map<bool, std::vector<TimePoint>> sent;
+  for (const ObservedRequest& call : observed) {
+    const bool stream = call.kind == RequestKind::kStream;
+    streams[call.id] = stream;
+    sent[stream].push_back(TimePoint(
+        std::chrono::duration_cast<Duration>(call.sent.time_since_epoch())));
+  }
+  std::map<bool, std::vector<TimePoint>> repeats;
+  std::set<std::string> seen;
+  for (const auto& arrival : arrivals) {
+    const auto known = streams.find(arrival.request_id);
+    if (known == streams.end()) continue;
+    if (seen.insert(arrival.request_id).second) continue;
+    repeats[known->second].push_back(arrival.at);
+  }
+  std::vector<std::string> violations;
+  for (const auto& [stream, times] : repeats) {
+    double worst = 0;
+    for (const TimePoint end : times) {
+      const auto requests =
+          std::max({CountIn(sent[stream], end),
+                    CountIn(sent[stream], end - kRepeatWindow / 2),
+                    CountIn(sent[stream], end - kRepeatWindow)});
+      const double allowed =
+          bound.ratio * static_cast<double>(requests) + bound.slack;
+      worst =
+          std::max(worst, static_cast<double>(CountIn(times, end)) / allowed);
+    }
+    if (worst <= 1) continue;
+    violations.push_back(std::string(stream ? "engines" : "plain endpoints") +
+                         " got " + std::to_string(worst) +
+                         " of the repeats allowed in 10 s");
+  }
+  return violations;
+}
+
 std::vector<std::string> FindViolations(
     const std::vector<ObservedRequest>& observed,
     const std::vector<standins::fleet::Run>& runs,
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -63,6 +63,19 @@
     const std::vector<LimitPeriod>& limits,
     const std::vector<RouterFaultPeriod>& faults);
 
+/// Window of the bound on repeats.
+inline constexpr Duration kRepeatWindow = std::chrono::seconds(10);
+
+/// Returns a line for each service whose endpoints got, in any window, more
+/// arrivals beyond the first of their request than \p bound allows. The
+/// requests for it are those of the window, of the one before or of the one
+/// half a window before, whichever are most; those that crash endpoints aren't
+/// observed and count nowhere. Thread safety: safe.
+std::vector<std::string> FindRepeatViolations(
+    const std::vector<ObservedRequest>& observed,
+    const std::vector<standins::fleet::Arrival>& arrivals,
+    const process_test::ArrivalBound& bound);
+
 /// Returns a line for each violation of the router's guarantees in what callers
 /// and endpoints observed.
 /// Thread safety: safe.
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -36,6 +36,8 @@
   settings.crashing_parts = options.count("crashing-parts") > 0;
   settings.crash_cuts = options.count("crash-cuts") > 0;
   settings.fleet_restarts = options.count("fleet-restarts") > 0;
+  settings.endpoint_stops = options.count("endpoint-stops") > 0;
+  settings.callers = options["callers"].as<std::size_t>();
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
        options["seeds"].as<std::vector<std::uint64_t>>()) {
@@ -57,6 +59,8 @@
       cxxopts::value<int>()->default_value("12"))(
       "routers", "number of routers",
       cxxopts::value<std::size_t>()->default_value("4"))(
+      "callers", "number of callers",
+      cxxopts::value<std::size_t>()->default_value("8"))(
       "crashing-requests", "send requests that crash endpoints, too")(
       "endpoint-limits", "let endpoints state limits, too")(
       "cut-paths", "cut links from routers to endpoints, too")(
@@ -66,7 +70,9 @@
       "send requests that share a part that crashes engines, too")(
       "crash-cuts",
       "cut unframed answers between events and before the first, too")(
-      "fleet-restarts", "kill all routers at once, too");
+      "fleet-restarts", "kill all routers at once, too")(
+      "endpoint-stops",
+      "stop endpoints, which go on, and let them send bytes of bad form, too");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -28,6 +28,11 @@
     EndpointFault::kSendsForeignAnswer, EndpointFault::kTruncatesEvent,
     EndpointFault::kRefusesReroute};
 
+/// Answers of bad form, and what sound clients of engines must not relay.
+constexpr std::array kBadAnswers = {
+    EndpointFault::kRejectsResumed, EndpointFault::kIgnoresLastEvent,
+    EndpointFault::kSendsWithoutEnd, EndpointFault::kFailsWithoutEnd};
+
 constexpr std::array kEndpoints = {"domain-a-0", "domain-a-1", "domain-a-2",
                                    "domain-a-4", "domain-b-0", "domain-b-3",
                                    "plain-0",    "plain-1"};
@@ -48,7 +53,9 @@
                                "paths reset",
                                "endpoint pause",
                                "store return",
-                               "crashing part"};
+                               "crashing part",
+                               "stopped engines",
+                               "stopped plain endpoints"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
@@ -95,6 +102,30 @@
   }
 }
 
+/// Adds stops of endpoints of 0.3 to 3 s, and answers of bad form beside them.
+void AddEndpointStops(const SoakSettings& settings,
+                      std::vector<Fault>& faults) {
+  constexpr std::int64_t kMeanIntervalMs = 1500;
+  constexpr std::uint64_t kStream = 2000;
+  Random random(MixBits(settings.seed + kStream));
+  for (std::int64_t at_ms = 500; at_ms < settings.duration_ms;
+       at_ms +=
+       200 + static_cast<std::int64_t>(random.Below(2UL * kMeanIntervalMs))) {
+    Fault fault;
+    fault.at_ms = at_ms;
+    const auto kind = random.Below(3);
+    fault.kind = kind == 0   ? FaultKind::kStoppedPlain
+                 : kind == 1 ? FaultKind::kEndpoint
+                             : FaultKind::kStoppedEngines;
+    fault.duration_ms = 300 + static_cast<std::int64_t>(random.Below(2700));
+    fault.tenths =
+        random.Below(2) == 0 ? 10 : 1 + static_cast<int>(random.Below(9));
+    fault.endpoint = Draw(kEndpoints, random);
+    fault.endpoint_fault = Draw(kBadAnswers, random);
+    faults.push_back(fault);
+  }
+}
+
 }  // namespace
 
 std::vector<Fault> PlanFaults(const SoakSettings& settings) {
@@ -137,6 +168,7 @@
     AddApart(FaultKind::kCrashingPart, settings, faults);
   }
   if (settings.fleet_restarts) AddFleetRestarts(settings, faults);
+  if (settings.endpoint_stops) AddEndpointStops(settings, faults);
   return faults;
 }
 
@@ -154,6 +186,9 @@
   if (fault.kind == FaultKind::kEndpointLimit) {
     return text + " " + fault.endpoint + " " + std::to_string(fault.limit);
   }
+  const bool stops = fault.kind == FaultKind::kStoppedEngines ||
+                     fault.kind == FaultKind::kStoppedPlain;
+  if (stops) return text + " " + std::to_string(fault.tenths) + " of ten";
   const bool of_no_router = fault.kind == FaultKind::kRevocation ||
                             fault.kind == FaultKind::kCrashingRequest ||
                             fault.kind == FaultKind::kCrashingPart ||
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -48,6 +48,10 @@
   /// A caller sends requests that share a part that crashes engines, no two
   /// alike.
   kCrashingPart,
+  /// Some or all engines, or the plain endpoints, are stopped and go on, while
+  /// the configuration changes.
+  kStoppedEngines,
+  kStoppedPlain,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -63,6 +67,8 @@
   std::string endpoint;
   /// Requests per second that the endpoint states.
   double limit = 0;
+  /// Endpoints of ten that are stopped.
+  int tenths = 10;
 
   friend bool operator==(const Fault&, const Fault&) = default;
 };
@@ -97,6 +103,9 @@
   /// Whether all routers are also killed at once and come back one by one; the
   /// same holds.
   bool fleet_restarts = false;
+  /// Whether endpoints are also stopped, and go on, and send bytes of bad form;
+  /// the same holds.
+  bool endpoint_stops = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -33,6 +33,9 @@
 constexpr milliseconds kStoreAway{800};
 constexpr milliseconds kWrittenAgainAfter{900};
 
+/// With few callers only a tight bound on repeats is ever reached.
+constexpr process_test::ArrivalBound kTightBound{0.1, 12};
+
 /// The begin or the end of a fault.
 struct FaultEvent {
   std::int64_t at_ms = 0;
@@ -74,8 +77,12 @@
 class Soak {
  public:
   explicit Soak(const SoakSettings& chosen)
-      : settings(chosen), fleet(chosen.routers, false, true) {
-    const bool unframed = chosen.crashing_parts && chosen.seed % 2 == 1;
+      : settings(chosen),
+        fleet(chosen.routers, false, true,
+              chosen.endpoint_stops ? kTightBound
+                                    : process_test::ArrivalBound()) {
+    const bool unframed = (chosen.crashing_parts || chosen.endpoint_stops) &&
+                          chosen.seed % 2 == 1;
     this->fleet.RunOnLoop([&] {
       this->fleet.Endpoints().SendUnframed(unframed);
       if (chosen.crash_cuts) {
@@ -157,6 +164,11 @@
       case FaultKind::kStoreReturn:
         this->fleet.RunOnLoop([this] { this->fleet.Store().KeepCopy(); });
         return;
+      case FaultKind::kStoppedEngines:
+      case FaultKind::kStoppedPlain:
+        this->fleet.Reconfigure();
+        this->SetStopped(fault, EndpointFault::kStopped);
+        return;
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
         return;
@@ -201,6 +213,10 @@
       case FaultKind::kStoreReturn:
         this->ReturnStore();
         return;
+      case FaultKind::kStoppedEngines:
+      case FaultKind::kStoppedPlain:
+        this->SetStopped(fault, EndpointFault::kNone);
+        return;
       case FaultKind::kReload:
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
@@ -253,7 +269,9 @@
                              event.fault.kind != FaultKind::kEndpointLimit &&
                              event.fault.kind != FaultKind::kEndpointPause &&
                              event.fault.kind != FaultKind::kRevocation &&
-                             event.fault.kind != FaultKind::kStoreReturn;
+                             event.fault.kind != FaultKind::kStoreReturn &&
+                             event.fault.kind != FaultKind::kStoppedEngines &&
+                             event.fault.kind != FaultKind::kStoppedPlain;
     if (!of_a_router) return;
     const TimePoint now = BootClock().Now();
     const Duration planned = milliseconds(event.fault.duration_ms);
@@ -267,6 +285,19 @@
     this->fleet.RunOnLoop([&] { this->fleet.Store().SetFault(router, fault); });
   }
 
+  void SetStopped(const Fault& fault, EndpointFault state) {
+    const bool engines = fault.kind == FaultKind::kStoppedEngines;
+    const std::vector<std::string> ids =
+        engines ? PlatformFleet::EngineIds() : PlatformFleet::PlainIds();
+    const auto count =
+        (ids.size() * static_cast<std::size_t>(fault.tenths) + 9) / 10;
+    this->fleet.RunOnLoop([&] {
+      for (std::size_t i = 0; i < count; ++i) {
+        this->fleet.Endpoints().SetFault(ids[i], state);
+      }
+    });
+  }
+
   void SetEndpoint(const std::string& endpoint, EndpointFault fault) {
     this->fleet.RunOnLoop(
         [&] { this->fleet.Endpoints().SetFault(endpoint, fault); });
@@ -332,9 +363,11 @@
 
   SoakResult Judge(const std::vector<ObservedRequest>& observed) {
     std::vector<standins::fleet::Run> runs;
+    std::vector<standins::fleet::Arrival> arrivals;
     std::vector<std::string> endpoint_violations;
     this->fleet.RunOnLoop([&] {
       runs = this->fleet.Endpoints().Runs();
+      arrivals = this->fleet.Endpoints().Arrivals();
       endpoint_violations = this->fleet.Endpoints().Violations();
     });
     SoakResult result;
@@ -350,6 +383,9 @@
     };
     add(FindCrashViolations(runs, this->router_faults));
     add(FindLimitViolations(observed, runs, this->limits, this->router_faults));
+    if (this->settings.endpoint_stops) {
+      add(FindRepeatViolations(observed, arrivals, kTightBound));
+    }
     add(endpoint_violations);
     add(this->violations);
     return result;
