--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -231,6 +231,13 @@
     exchange->Respond(head, "");
     return;
   }
+  const bool fails = endpoint.fault == EndpointFault::kFailsWithoutEnd;
+  if (fails || endpoint.fault == EndpointFault::kSendsWithoutEnd) {
+    this->runs.push_back(this->RunOf(endpoint, request));
+    exchange->Begin(HeadOf(fails ? http::kServerError : http::kOk, request));
+    this->SendWithoutEnd(exchange);
+    return;
+  }
   const bool resumes = request.headers.Find("Last-Event-Id").has_value();
   if (endpoint.fault == EndpointFault::kRejectsResumed && resumes) {
     exchange->Respond(HeadOf(http::kNotFound, request), "no such answer\n");
@@ -304,9 +311,7 @@
   exchange.Respond(HeadOf(kAccepted, request), "");
 }
 
-void Endpoints::Serve(Endpoint& endpoint,
-                      std::shared_ptr<http::Exchange> exchange) {
-  const http::Request& request = exchange->Received();
+Run Endpoints::RunOf(const Endpoint& endpoint, const http::Request& request) {
   Run run;
   run.endpoint = endpoint.spec.id;
   run.request_id = std::string(request.headers.Get("X-Request-Id"));
@@ -315,8 +320,14 @@
   run.customer = std::string(request.headers.Get("X-Tenant"));
   run.headers = request.headers;
   run.at = this->loop.Now();
+  return run;
+}
+
+void Endpoints::Serve(Endpoint& endpoint,
+                      std::shared_ptr<http::Exchange> exchange) {
+  const http::Request& request = exchange->Received();
   if (endpoint.spec.kind.empty()) {
-    this->runs.push_back(std::move(run));
+    this->runs.push_back(this->RunOf(endpoint, request));
     this->CrashAfter(endpoint.spec.id, request);
     this->ServePlain(endpoint, exchange);
     return;
@@ -406,14 +417,8 @@
     (void)absl::SimpleAtoi(std::string(request.headers.Get("Last-Event-Id")),
                            &last);
   }
-  Run run;
-  run.endpoint = endpoint.spec.id;
-  run.request_id = std::string(request.headers.Get("X-Request-Id"));
-  run.target = request.target;
-  run.headers = request.headers;
+  Run run = this->RunOf(endpoint, request);
   run.first_event = last + 1;
-  run.body = request.body;
-  run.at = this->loop.Now();
   this->runs.push_back(run);
   if (exchange->IsDisconnected()) return;
   http::ResponseHead head = HeadOf(http::kOk, request);
@@ -446,6 +451,19 @@
   if (has_events) this->SendNextEvent(stream);
 }
 
+void Endpoints::SendWithoutEnd(
+    const std::shared_ptr<http::Exchange>& exchange) {
+  constexpr std::size_t kBytes = 256UL * 1024;
+  constexpr Duration kPause = std::chrono::milliseconds(1);
+  if (exchange->IsDisconnected()) return;
+  // What the router doesn't read is not piled up here.
+  if (exchange->UnsentBytes() < kBytes) {
+    exchange->Write(std::string(kBytes, 'x'));
+  }
+  this->loop.After(kPause,
+                   [this, exchange] { this->SendWithoutEnd(exchange); });
+}
+
 void Endpoints::AwaitPath(const std::shared_ptr<Stream>& stream) {
   stream->stalled += this->event_gap;
   const bool running =
