--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -177,8 +177,9 @@
   for (const ObservedRequest& call : observed) {
     const bool stream = call.kind == RequestKind::kStream;
     streams[call.id] = stream;
-    sent[stream].push_back(TimePoint(
-        std::chrono::duration_cast<Duration>(call.sent.time_since_epoch())));
+    const auto at =
+        std::chrono::duration_cast<Duration>(call.sent.time_since_epoch());
+    sent[stream].push_back(TimePoint{at});
   }
   std::map<bool, std::vector<TimePoint>> repeats;
   std::set<std::string> seen;
