--- a/lib/eventlog/explain.cc
+++ b/lib/eventlog/explain.cc
@@ -17,7 +17,7 @@
 
 /// Explanation of each reason that an attempt or a request ended, and the log
 /// lines to check.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 25>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 29>
     kCauses = {{
         {"no_configuration",
          "the instance had just started and had no configuration; see its "
@@ -56,6 +56,13 @@
         {"ended_before_event", "the endpoint ended before the first event"},
         {"ended_with_endpoint",
          "the answer ended with its connection, and its endpoint with it"},
+        {"end_unproven",
+         "the answer ended with its connection, and nothing showed that it was "
+         "whole; see unframed_end"},
+        {"event_out_of_order",
+         "the endpoint sent an event whose id goes back or skips"},
+        {"event_too_long", "the endpoint sent an event that did not end"},
+        {"failure_too_long", "the endpoint sent a failure that did not end"},
         {"first_engine_silent", "the first engine of the path fell silent"},
         {"no_way_around",
          "an engine of the path fell silent, and no path around it had room"},
