An extra arrival stays dated by its endpoint for a whole window, whatever its length, and a call that was not sent isn't read

UnreadRequests gave up after ten seconds, whatever the window: with a window of five, a repeat that a stopped endpoint had not read yet was forgotten by the budget before it arrived. It now waits for the window of the budget. And a call on a reused connection that closed before a byte was sent counted as read, so that the send in its place was dated by nothing.

--- a/include/toucanwharf/attempts/unread_requests.h
+++ b/include/toucanwharf/attempts/unread_requests.h
@@ -30,9 +30,9 @@
  public:
   using Extra = std::shared_ptr<const ExtraArrival>;
 
-  /// A process that is stopped for longer counts as gone. Less than the window
-  /// of an ArrivalBudget.
-  static constexpr Duration kMaxUnread = std::chrono::seconds(10);
+  /// A process that is stopped for longer than \p longest counts as gone. No
+  /// longer than the window of the ArrivalBudget, which forgets older sends.
+  explicit UnreadRequests(Duration longest) : max_unread(longest) {}
 
   /// Adds a request, sent to \p endpoint at \p sent, that makes \p extra an
   /// extra arrival, whichever of the sends of \p extra arrives last.
@@ -51,6 +51,7 @@
     Extra extra;
   };
 
+  Duration max_unread;
   std::map<std::string, std::vector<Request>> unread;
 };
 
--- a/lib/attempts/unread_requests.cc
+++ b/lib/attempts/unread_requests.cc
@@ -28,7 +28,7 @@
   std::vector<Extra> old;
   for (auto& [endpoint, requests] : this->unread) {
     std::erase_if(requests, [&](Request& request) {
-      if (now - request.sent < kMaxUnread) return false;
+      if (now - request.sent < this->max_unread) return false;
       old.push_back(std::move(request.extra));
       return true;
     });
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -187,7 +187,7 @@
     return;
   }
   if (result.end != http::CallEnd::kComplete) {
-    this->OnRequestRead();
+    if (result.sent) this->OnRequestRead();
     const bool by_endpoint = !this->target.is_peer;
     if (by_endpoint && this->is_new_connection && !this->has_head) {
       this->gateway.path_monitor.OnFailure(
--- a/unittests/attempts/unread_requests_test.cc
+++ b/unittests/attempts/unread_requests_test.cc
@@ -58,7 +58,8 @@
   settings.slack = kSlack;
   std::vector<Sender> senders;
   for (std::size_t i = 0; i < fleet.instances; ++i) {
-    senders.push_back({ArrivalBudget(settings, TimePoint{} - kWindow), {}});
+    senders.push_back({ArrivalBudget(settings, TimePoint{} - kWindow),
+                       UnreadRequests(kWindow)});
     senders.back().budget.SetSharers({fleet.instances, 0});
   }
   std::vector<TimePoint> arrivals;
@@ -119,7 +120,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(OnlyWhatWasSentBeforeACallIsRead) {
-  UnreadRequests unread;
+  UnreadRequests unread(kWindow);
   const TimePoint sent{milliseconds(100)};
   const auto extra =
       std::make_shared<const ExtraArrival>(ExtraArrival{kService, sent});
@@ -131,11 +132,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(ProcessThatIsStoppedForTooLongCountsAsGone) {
-  UnreadRequests unread;
+  UnreadRequests unread(kWindow);
   const TimePoint sent{milliseconds(100)};
   unread.Add("a", sent, nullptr);
-  BOOST_TEST(unread.RemoveOld(sent + UnreadRequests::kMaxUnread / 2).empty());
-  BOOST_TEST(unread.RemoveOld(sent + UnreadRequests::kMaxUnread).size() == 1U);
+  BOOST_TEST(unread.RemoveOld(sent + kWindow / 2).empty());
+  BOOST_TEST(unread.RemoveOld(sent + kWindow).size() == 1U);
   BOOST_TEST(unread.Empty());
 }
 
