--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -95,6 +95,12 @@
   std::uint64_t budget_requests = 0;
   std::uint64_t retries_denied = 0;
   std::uint64_t broken_runs = 0;
+  /// Of these, those that prove nothing by how far they had come.
+  std::uint64_t broken_runs_uncounted = 0;
+  /// Times that an endpoint went on after a run there had broken.
+  std::uint64_t broken_runs_outlived = 0;
+  /// Tries of requests with something that was at a crash.
+  std::uint64_t suspects_sent = 0;
   std::uint64_t quarantined = 0;
   std::uint64_t limits_unreadable = 0;
   std::uint64_t claims_unreadable = 0;
@@ -305,6 +311,7 @@
   /// has ended.
   void OnRunBroken(const quarantine::BrokenRun& run, const BrokenAt& at);
   void OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer);
+  void LogOutlived(const std::string& endpoint);
   /// Records that the endpoint that \p key stands for refuses connections, and
   /// finds out what that means.
   void OnConnectionRefused(std::uint32_t key);
@@ -320,7 +327,9 @@
   /// had not ended before.
   void OnEndpointAnswered(const std::string& endpoint, TimePoint sent);
   /// Records that a run shows that nothing in \p request crashes endpoints.
-  void OnSuccess(const quarantine::RequestFingerprints& request);
+  /// \p why is a word of a log line.
+  void OnSuccess(const quarantine::RequestFingerprints& request,
+                 std::string_view why);
   /// Applies the limit that \p endpoint states, or doesn't, in the \p head of
   /// its answer to a request sent at \p sent.
   void OnStatedLimit(const std::string& endpoint, TimePoint sent,
--- a/include/toucanwharf/quarantine/evidence.h
+++ b/include/toucanwharf/quarantine/evidence.h
@@ -2,6 +2,7 @@
 #define TOUCANWHARF_QUARANTINE_EVIDENCE_H_
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 #include "toucanwharf/quarantine/fingerprint.h"
@@ -31,6 +32,9 @@
   kProven,
 };
 
+/// Returns \p stage as a word of a log line. Thread safety: safe.
+std::string_view ToText(RunStage stage);
+
 /// A run whose connection to its endpoint broke before the answer was complete.
 struct BrokenRun {
   RequestFingerprints request;
--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -73,6 +73,18 @@
   friend bool operator==(const Verdict&, const Verdict&) = default;
 };
 
+/// What is known against a request that may be sent all the same.
+struct Suspicion {
+  Fingerprint suspect;
+  /// Crashes that no answer has refuted, and those that one has.
+  std::size_t crashes = 0;
+  std::size_t refuted = 0;
+  /// Weight of the first; see QuarantineSettings.
+  double weight = 0;
+
+  friend bool operator==(const Suspicion&, const Suspicion&) = default;
+};
+
 /// Remembers what was running at endpoints that crashed, from all instances'
 /// reports, and decides which requests are refused. Suspects are requests and
 /// the parts of prompts that requests share.
@@ -154,6 +166,10 @@
   /// Returns why and for how long \p request is refused, or nothing.
   std::optional<Verdict> Judge(const RequestFingerprints& request,
                                TimePoint now) const;
+  /// Returns what is known against the suspect of \p request that was at most
+  /// crashes, refuted or not; nothing if there is none.
+  std::optional<Suspicion> SuspicionOf(
+      const RequestFingerprints& request) const;
   /// Returns whether \p request may be sent once more after a run of it broke:
   /// not after a second crash, which would take a third endpoint.
   bool MayRetry(const RequestFingerprints& request, TimePoint now) const;
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -59,10 +59,17 @@
     return;
   }
   if (answer.alive && answer.report) {
+    this->LogOutlived(at.endpoint);
     this->state.quarantine.OnEndpointCleared(at.key);
   }
 }
 
+void Gateway::LogOutlived(const std::string& endpoint) {
+  ++this->counters.broken_runs_outlived;
+  this->logger.Write(Level::kNotable, "endpoint_outlived_run",
+                     Fields().Text("endpoint", endpoint), this->loop.Now());
+}
+
 void Gateway::OnConnectionRefused(std::uint32_t key) {
   this->OnEndpointRefused(key, this->loop.Now() + kMaxDoubt);
 }
@@ -149,13 +156,15 @@
   }
 }
 
-void Gateway::OnSuccess(const quarantine::RequestFingerprints& request) {
+void Gateway::OnSuccess(const quarantine::RequestFingerprints& request,
+                        std::string_view why) {
   const TimePoint now = this->loop.Now();
   for (const quarantine::Fingerprint& suspect :
        this->state.quarantine.OnSuccess(request, now)) {
-    this->logger.Write(Level::kNotable, "request_cleared",
-                       Fields().Text("content", quarantine::ToText(suspect)),
-                       now);
+    this->logger.Write(
+        Level::kNotable, "request_cleared",
+        Fields().Text("content", quarantine::ToText(suspect)).Text("why", why),
+        now);
     if (this->on_cleared) this->on_cleared(suspect);
   }
 }
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -143,6 +143,16 @@
                  counters.retries_denied);
   writer.Counter("broken_runs", "runs whose connection to the endpoint broke",
                  counters.broken_runs);
+  writer.Counter("broken_runs_uncounted",
+                 "broken runs that had come too far, or not far enough, to "
+                 "count at a crash",
+                 counters.broken_runs_uncounted);
+  writer.Counter("broken_runs_outlived",
+                 "times that an endpoint went on after a run there had broken",
+                 counters.broken_runs_outlived);
+  writer.Counter("suspects_sent",
+                 "tries of requests with something that was at a crash",
+                 counters.suspects_sent);
   writer.Counter("quarantined", "requests refused because they crash endpoints",
                  counters.quarantined);
   writer.Counter("claims_unreadable",
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -241,6 +241,7 @@
                 .Text("endpoint", to.endpoint)
                 .Count("try", this->attempt_counts.total)
                 .Count("stages", static_cast<std::int64_t>(to.stages.size())));
+  this->LogSuspectSent();
   this->WatchStall(this->StallTimeout());
 }
 
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -246,7 +246,9 @@
   const quarantine::RequestFingerprints& Fingerprints();
   /// Logs what tells a request that crashes endpoints from one that was only
   /// there: the same content at several ends, and how far its run had come.
-  void LogBrokenRun();
+  void LogBrokenRun(quarantine::RunStage stage);
+  /// Logs what is known against a request that is sent all the same.
+  void LogSuspectSent();
   /// Returns how far the current run has come.
   quarantine::RunStage StageOfRun() const;
   /// Returns the time since the endpoint began to write, as far as can be
@@ -274,7 +276,7 @@
   /// Records an event of the current run.
   void OnProgress();
   /// Records that this run shows that the request crashes no endpoint.
-  void OnRunProven();
+  void OnRunProven(std::string_view why);
   /// Refuses the request, which was not sent yet, if it is in quarantine.
   /// Returns whether it is.
   bool RefuseQuarantined();
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -232,7 +232,7 @@
     return;
   }
   this->exchange->End();
-  if (proven) this->OnRunProven();
+  if (proven) this->OnRunProven("answered");
   ++this->gateway.counters.answered;
   this->Finish("answered", this->head.status);
 }
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -26,7 +26,7 @@
   this->exchange->Respond(this->ToRelay(this->head), this->body);
   const bool success = IsSuccess(this->head.status);
   if (success) {
-    if (proven) this->OnRunProven();
+    if (proven) this->OnRunProven("answered");
     this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
                                              this->admitted.arrived);
   }
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "absl/strings/str_format.h"
 #include "absl/strings/str_join.h"
 #include "proxied_request.h"
 #include "toucanwharf/endpoints/unframed_end.h"
@@ -35,12 +36,16 @@
   return *this->fingerprints;
 }
 
-void ProxiedRequest::LogBrokenRun() {
+void ProxiedRequest::LogBrokenRun(quarantine::RunStage stage) {
   ++this->gateway.counters.broken_runs;
+  if (stage != quarantine::RunStage::kBegun) {
+    ++this->gateway.counters.broken_runs_uncounted;
+  }
   Fields fields;
   fields.Text("endpoint", this->target.endpoint)
       .Text("content", quarantine::ToText(this->Fingerprints().request))
       .Text("parts", PartsText(this->Fingerprints().parts))
+      .Text("stage", quarantine::ToText(stage))
       .Count("pieces", this->chunks_written);
   if (this->has_head) {
     fields.Millis("ran_ms", this->gateway.loop.Now() - this->head_at);
@@ -65,8 +70,26 @@
   return this->gateway.loop.Now() - this->run_began.value_or(sent);
 }
 
+void ProxiedRequest::LogSuspectSent() {
+  const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
+  if (quarantine.Empty() || this->target.is_peer) return;
+  const auto suspicion = quarantine.SuspicionOf(this->Fingerprints());
+  if (!suspicion) return;
+  ++this->gateway.counters.suspects_sent;
+  // Popular parts are often at one crash.
+  const bool at_several = suspicion->crashes + suspicion->refuted > 1;
+  this->Log(at_several ? Level::kNotable : Level::kRoutine, "suspect_sent",
+            Fields()
+                .Text("endpoint", this->target.endpoint)
+                .Text("content", quarantine::ToText(suspicion->suspect))
+                .Count("crashes", static_cast<std::int64_t>(suspicion->crashes))
+                .Count("refuted", static_cast<std::int64_t>(suspicion->refuted))
+                .Text("weight", absl::StrFormat("%.2f", suspicion->weight)));
+}
+
 void ProxiedRequest::OnRunBroken() {
-  this->LogBrokenRun();
+  const quarantine::RunStage stage = this->StageOfRun();
+  this->LogBrokenRun(stage);
   const endpoints::Endpoint* endpoint =
       this->gateway.state.endpoints.Find(this->target.endpoint);
   // An endpoint that drains, or has left the list, ends by an order.
@@ -79,7 +102,7 @@
   run.endpoint = {this->target.key,
                   static_cast<std::uint32_t>(HashText(this->target.address))};
   run.sent_at = this->attempt_started;
-  run.stage = this->StageOfRun();
+  run.stage = stage;
   run.ran = this->TimeSinceBegin();
   this->gateway.OnRunBroken(
       run, {this->target.endpoint, this->target.address, this->target.key,
@@ -166,14 +189,15 @@
 
 void ProxiedRequest::OnProgress() {
   if (!this->run_began) this->run_began = this->last_data;
-  if (this->last_data - *this->run_began >= kProvenAfter) this->OnRunProven();
+  if (this->last_data - *this->run_began < kProvenAfter) return;
+  this->OnRunProven("ran_on");
 }
 
-void ProxiedRequest::OnRunProven() {
+void ProxiedRequest::OnRunProven(std::string_view why) {
   // A peer's answer may go on over several crashes; the peer knows its runs.
   if (this->target.is_peer) return;
   if (std::exchange(this->proven, true)) return;
-  this->gateway.OnSuccess(this->Fingerprints());
+  this->gateway.OnSuccess(this->Fingerprints(), why);
 }
 
 bool ProxiedRequest::RefuseQuarantined() {
--- a/lib/quarantine/reports.cc
+++ b/lib/quarantine/reports.cc
@@ -8,6 +8,20 @@
 
 namespace toucanwharf::quarantine {
 
+std::string_view ToText(RunStage stage) {
+  switch (stage) {
+    case RunStage::kWaiting:
+      return "waiting";
+    case RunStage::kBegun:
+      return "begun";
+    case RunStage::kLongBegun:
+      return "long_begun";
+    case RunStage::kProven:
+      return "proven";
+  }
+  return "";
+}
+
 SuspectReport Quarantine::ToReport(const Fingerprint& suspect,
                                    const Crashes& crashes,
                                    TimePoint now) const {
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -215,6 +215,21 @@
   return longest;
 }
 
+std::optional<Suspicion> Quarantine::SuspicionOf(
+    const RequestFingerprints& request) const {
+  std::optional<Suspicion> most;
+  for (const Fingerprint& suspect : Carried(request)) {
+    const auto found = this->suspects.find(suspect);
+    if (found == this->suspects.end()) continue;
+    const Crashes& crashes = found->second;
+    if (most && most->crashes + most->refuted >= crashes.size()) continue;
+    const std::size_t unrefuted = CountUnrefuted(crashes);
+    most = Suspicion{suspect, unrefuted, crashes.size() - unrefuted,
+                     this->Weigh(crashes).weight};
+  }
+  return most;
+}
+
 bool Quarantine::MayRetry(const RequestFingerprints& request,
                           TimePoint now) const {
   if (this->Judge(request, now)) return false;
