--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -148,7 +148,7 @@
   const auto running = this->streams;
   for (const auto& stream : running) {
     if (stream->endpoint != id) continue;
-    if (stream->unframed) {
+    if (stream->unframed && stream->begun) {
       if (this->cut_at == CutAt::kInsideEvent) {
         stream->exchange->Write(kPartialEvent);
       }
@@ -164,11 +164,30 @@
 void Endpoints::CrashAndRestart(const std::string& id) {
   const auto found = this->endpoints.find(id);
   if (found == this->endpoints.end()) return;
-  EndpointSpec spec = found->second.spec;
-  spec.id = absl::StrCat("restarted-", ++this->restarts);
+  const EndpointSpec spec = found->second.spec;
   this->Crash(id);
+  this->RestartLater(id, spec);
+}
+
+void Endpoints::FallSilent(const std::string& id) {
+  const auto found = this->endpoints.find(id);
+  if (found == this->endpoints.end()) return;
+  Endpoint& endpoint = found->second;
+  if (endpoint.fault == EndpointFault::kUnresponsive) return;
+  endpoint.fault = EndpointFault::kUnresponsive;
+  std::erase_if(this->streams, [&](const auto& stream) {
+    if (stream->endpoint != id) return false;
+    endpoint.unanswered.push_back(stream->exchange);
+    return true;
+  });
+  this->RestartLater(id, endpoint.spec);
+}
+
+void Endpoints::RestartLater(const std::string& id, EndpointSpec spec) {
+  spec.id = absl::StrCat("restarted-", ++this->restarts);
   this->loop.After(kRestartDelay, [this, spec, id] {
     this->store.Remove("servers", id);
+    this->endpoints.erase(id);
     this->Add(spec);
   });
 }
@@ -176,7 +195,18 @@
 void Endpoints::CrashAfter(const std::string& id,
                            const http::Request& request) {
   if (!Crashes(request)) return;
-  this->loop.After(kCrashDelay, [this, id] { this->CrashAndRestart(id); });
+  this->loop.After(this->crash_delay,
+                   [this, id] { this->CrashAndRestart(id); });
+}
+
+void Endpoints::CrashForStream(const std::shared_ptr<Stream>& stream) {
+  const bool at_last = this->crash_form == CrashForm::kAtLastEngine;
+  const std::string id =
+      at_last ? stream->path.back().endpoint : stream->endpoint;
+  const bool silent = this->crash_form == CrashForm::kSilent;
+  this->loop.After(this->crash_delay, [this, id, silent] {
+    silent ? this->FallSilent(id) : this->CrashAndRestart(id);
+  });
 }
 
 Endpoints::Endpoint* Endpoints::FindByAddress(const std::string& address) {
@@ -371,6 +401,9 @@
       (void)absl::SimpleAtoi(bounds[0], &stage.layers.begin);
       (void)absl::SimpleAtoi(bounds[1], &stage.layers.end);
     }
+    for (const auto& [id, endpoint] : this->endpoints) {
+      if (endpoint.spec.address == stage.address) stage.endpoint = id;
+    }
     path.push_back(std::move(stage));
   }
   return path;
@@ -387,6 +420,7 @@
   for (const Stage& stage : path) {
     const Endpoint* endpoint = this->FindByAddress(stage.address);
     const bool silent = endpoint == nullptr ||
+                        endpoint->spec.id != stage.endpoint ||
                         endpoint->fault == EndpointFault::kUnresponsive ||
                         endpoint->fault == EndpointFault::kStopped;
     if (silent) return stage.address;
@@ -433,7 +467,19 @@
   exchange->OnDisconnect([this, weak = std::weak_ptr<Stream>(stream)] {
     if (const auto gone = weak.lock()) this->streams.erase(gone);
   });
-  exchange->Begin(head);
+  const bool before_head = this->crash_form == CrashForm::kBeforeHead ||
+                           this->crash_form == CrashForm::kAtLastEngine;
+  if (before_head && Crashes(request)) {
+    this->CrashForStream(stream);
+    return;
+  }
+  this->BeginStream(stream, head);
+}
+
+void Endpoints::BeginStream(const std::shared_ptr<Stream>& stream,
+                            const http::ResponseHead& head) {
+  stream->begun = true;
+  stream->exchange->Begin(head);
   if (this->begin_delay == Duration(0)) {
     this->BeginWriting(stream);
     return;
@@ -445,7 +491,7 @@
 void Endpoints::BeginWriting(const std::shared_ptr<Stream>& stream) {
   if (!this->streams.contains(stream)) return;
   const http::Request& request = stream->exchange->Received();
-  this->CrashAfter(stream->endpoint, request);
+  if (Crashes(request)) this->CrashForStream(stream);
   const bool has_events =
       this->cut_at != CutAt::kBeforeFirstEvent || !Crashes(request);
   if (has_events) this->SendNextEvent(stream);
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -96,6 +96,19 @@
   kBeforeFirstEvent,
 };
 
+/// How a request that crashes engines does so.
+enum class CrashForm {
+  /// As its engine begins to write, and closes its connections.
+  kWhileWriting,
+  /// The same before the head of the answer.
+  kBeforeHead,
+  /// As it begins to write, the engine's machine falls silent: connections stay
+  /// open, and those that are opened get no answer.
+  kSilent,
+  /// Before the head of the answer, the last engine of its path crashes.
+  kAtLastEngine,
+};
+
 /// All endpoints of the fleet, served by one event loop.
 /// Thread safety: only on the loop's thread.
 class Endpoints {
@@ -110,8 +123,8 @@
   /// Part of a prompt that crashes each engine that begins to write an answer
   /// on it, unless it is the last part of the prompt.
   static constexpr const char* kCrashingPart = "bad0bad0";
-  /// Time from the begin of such a run to the crash, and until the endpoint is
-  /// back, with a new id and no layers.
+  /// Time from the begin of such a run to the crash unless another is set, and
+  /// until the endpoint is back, with a new id and no layers.
   static constexpr Duration kCrashDelay = std::chrono::milliseconds(15);
   static constexpr Duration kRestartDelay = std::chrono::milliseconds(800);
 
@@ -151,6 +164,10 @@
   void SendUnframed(bool sends) { this->unframed = sends; }
   /// Sets where a crash cuts answers.
   void CutAnswersAt(CutAt where) { this->cut_at = where; }
+  /// Sets how requests crash engines from now on.
+  void CrashAs(CrashForm form) { this->crash_form = form; }
+  /// Sets the time from the begin of such a run to the crash.
+  void CrashAfterBegin(Duration delay) { this->crash_delay = delay; }
   /// Sets how long after the head of an answer an engine begins to write it, as
   /// one that reads a long prompt does.
   void BeginAfter(Duration delay) { this->begin_delay = delay; }
@@ -186,6 +203,8 @@
  private:
   struct Stage {
     std::string address;
+    /// The start of the engine there that holds the answer's state.
+    std::string endpoint;
     pipeline::LayerRange layers;
   };
   struct Endpoint {
@@ -211,6 +230,8 @@
     std::shared_ptr<http::Exchange> exchange;
     int next = 1;
     bool unframed = false;
+    /// Whether the head of the answer was sent.
+    bool begun = false;
     Duration stalled{0};
   };
 
@@ -231,7 +252,17 @@
                   const std::shared_ptr<http::Exchange>& shared);
   void ServeStream(Endpoint& endpoint,
                    std::shared_ptr<http::Exchange> exchange);
+  /// Sends the head of the answer, and then its events.
+  void BeginStream(const std::shared_ptr<Stream>& stream,
+                   const http::ResponseHead& head);
   void BeginWriting(const std::shared_ptr<Stream>& stream);
+  /// Crashes an engine of \p stream shortly, as the form of crashes says.
+  void CrashForStream(const std::shared_ptr<Stream>& stream);
+  /// Makes an engine fall silent; after kRestartDelay another one starts at its
+  /// address.
+  void FallSilent(const std::string& id);
+  /// After kRestartDelay replaces the registration \p id by another start.
+  void RestartLater(const std::string& id, EndpointSpec spec);
   /// Sends bytes for as long as \p exchange is open.
   void SendWithoutEnd(const std::shared_ptr<http::Exchange>& exchange);
   void SendNextEvent(const std::shared_ptr<Stream>& stream);
@@ -261,6 +292,8 @@
   bool report_stalls = true;
   bool unframed = false;
   CutAt cut_at = CutAt::kInsideEvent;
+  CrashForm crash_form = CrashForm::kWhileWriting;
+  Duration crash_delay = kCrashDelay;
   Duration begin_delay{0};
   Duration event_gap = kEventGap;
   Duration stall_limit = Duration::max();
--- a/test/process/crashing_request_test.cc
+++ b/test/process/crashing_request_test.cc
@@ -1,71 +1,14 @@
-#include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <chrono>
-#include <functional>
 #include <string>
-#include <thread>
 #include <vector>
 
+#include "test/process/crashing_runs.h"
 #include "test/process/platform_fleet.h"
 
 namespace toucanwharf::process_test {
 namespace {
 
 using standins::fleet::Endpoints;
-using standins::fleet::Run;
-
-constexpr std::size_t kRouters = 3;
-/// Runs of a crashing request that began later than this after the third are
-/// counted; instances know of it by then.
-constexpr Duration kAllKnow = std::chrono::seconds(3);
-constexpr std::size_t kMaxLateRuns = 3;
-
-void Pause(int millis) {
-  std::this_thread::sleep_for(std::chrono::milliseconds(millis));
-}
-
-/// Returns the runs of the request that crashes endpoints, oldest first.
-std::vector<Run> CrashingRuns(PlatformFleet& fleet) {
-  std::vector<Run> found;
-  fleet.RunOnLoop([&] {
-    for (const Run& run : fleet.Endpoints().Runs()) {
-      const bool crashes = run.body == Endpoints::kCrashingContent ||
-                           run.target.ends_with(Endpoints::kCrashingContent);
-      if (crashes) found.push_back(run);
-    }
-  });
-  return found;
-}
-
-/// Returns how many runs began later than kAllKnow after the third.
-std::size_t LateRuns(PlatformFleet& fleet) {
-  const std::vector<Run> runs = CrashingRuns(fleet);
-  constexpr std::size_t kThird = 2;
-  if (runs.size() <= kThird) return 0;
-  const TimePoint from = runs[kThird].at + kAllKnow;
-  return static_cast<std::size_t>(
-      std::count_if(runs.begin(), runs.end(),
-                    [from](const Run& run) { return run.at > from; }));
-}
-
-/// Calls \p send for each number below \p count, in threads of their own, with
-/// a pause of \p pause_ms between two, and waits for all.
-void SendRepeatedly(int count, int pause_ms,
-                    const std::function<void(int)>& send) {
-  std::vector<std::thread> threads;
-  for (int number = 0; number < count; ++number) {
-    threads.emplace_back([&send, number] { send(number); });
-    Pause(pause_ms);
-  }
-  for (std::thread& thread : threads) thread.join();
-}
-
-/// Streams the crashing request at router \p number modulo kRouters.
-void StreamCrashing(PlatformFleet& fleet, int number) {
-  fleet.Stream(static_cast<std::size_t>(number) % kRouters,
-               "crashing-" + std::to_string(number), "/chat/one", 0,
-               Endpoints::kCrashingContent);
-}
 
 // Guards against a request that crashes each engine that runs it being sent on
 // to one engine after another, at whichever router it comes back.
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -35,10 +35,17 @@
   standin_relay_parts)
 
 tw_process_test(crashing_request)
-target_sources(process_crashing_request PRIVATE test/process/platform_fleet.cc)
+target_sources(process_crashing_request PRIVATE
+  test/process/platform_fleet.cc test/process/crashing_runs.cc)
 target_link_libraries(process_crashing_request PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(crash_forms)
+target_sources(process_crash_forms PRIVATE test/process/platform_fleet.cc
+  test/process/crashing_runs.cc)
+target_link_libraries(process_crash_forms PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(crashing_part)
 target_sources(process_crashing_part PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_crashing_part PRIVATE standin_fleet
