A crash counts whatever form it takes: before the answer, in silence, at any engine of the path

Callers saw most requests refused or broken, as one content ended engine after engine. Cause: only a run whose connection broke after the head of its answer counted, at the first engine of its path. Class: evidence that is taken in the form in which it was first seen.

Instances tell each other by a member of beacons that earlier builds ignore.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -229,8 +229,8 @@
     bool is_engine = false;
   };
 
-  /// Where a run broke.
-  struct BrokenAt {
+  /// The start of an endpoint that takes part in a run.
+  struct Participant {
     std::string endpoint;
     std::string address;
     std::uint32_t key = 0;
@@ -307,10 +307,11 @@
   void RefuseUnservable(ServiceQueue& service);
   void ScheduleQueues();
 
-  /// Records that a run of \p request broke and finds out whether its endpoint
-  /// has ended.
-  void OnRunBroken(const quarantine::BrokenRun& run, const BrokenAt& at);
-  void OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer);
+  /// Records that a run of a request broke.
+  void OnRunBroken(const quarantine::BrokenRun& run);
+  /// Finds out whether \p participant, where a run broke, has ended.
+  void CheckParticipant(const Participant& participant);
+  void OnEndpointProbed(const Participant& at, const ProbeAnswer& answer);
   void LogOutlived(const std::string& endpoint);
   /// Records that the endpoint that \p key stands for refuses connections, and
   /// finds out what that means.
--- a/include/toucanwharf/quarantine/evidence.h
+++ b/include/toucanwharf/quarantine/evidence.h
@@ -22,7 +22,8 @@
 
 /// How far a run had come, as far as can be known.
 enum class RunStage {
-  /// The endpoint had not begun it.
+  /// Nothing of the answer has come: whether the endpoint has begun it isn't
+  /// known.
   kWaiting,
   /// The endpoint had begun it no longer ago than a crash by a request takes.
   kBegun,
@@ -35,13 +36,14 @@
 /// Returns \p stage as a word of a log line. Thread safety: safe.
 std::string_view ToText(RunStage stage);
 
-/// A run whose connection to its endpoint broke before the answer was complete.
+/// A run that broke, or was given up as silent, before the answer was complete.
 struct BrokenRun {
   RequestFingerprints request;
+  /// An endpoint that took part in it.
   EndpointStart endpoint;
   TimePoint sent_at;
   RunStage stage = RunStage::kWaiting;
-  /// How long it had run, unless it was waiting.
+  /// How long it had run, at most.
   Duration ran{0};
 
   friend bool operator==(const BrokenRun&, const BrokenRun&) = default;
@@ -58,6 +60,8 @@
   Duration ran{0};
   /// Whether the suspect was answered since.
   bool refuted = false;
+  /// Whether nothing of any answer with the suspect had come.
+  bool waiting = false;
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -30,6 +30,9 @@
   /// Weight of a crash beside one of the sequence: the run was sent before that
   /// one was over.
   double beside_weight = 0.5;
+  /// Weight of a crash before which nothing of the answer had come: the
+  /// endpoint may not have begun it.
+  double waiting_weight = 0.75;
   /// Other endpoints that crash at the same moment, from which on it is joint.
   std::size_t joint_ends = 2;
   Duration joint_window = std::chrono::milliseconds(300);
@@ -98,15 +101,16 @@
 /// endpoints may crash at once for a reason of their own. Crashes count against
 /// a suspect only if
 ///   - the endpoint is known to have ended, and not by an order to leave,
-///   - it had just begun to run a request with the suspect,
+///   - it had just begun to run a request with the suspect, or was to do so,
 ///   - that request was sent there after the crash before: copies of a popular
 ///     suspect at endpoints that crash together are at one crash,
 ///   - no request with the suspect was answered since, by any endpoint, or a
 ///     short time before.
 /// A crash of several endpoints together counts half for a suspect that was at
 /// one of them; one at which its run was sent before the crash before was over
-/// counts half as well, and no crash of the first round does. Two crashes
-/// suffice only if no other suspect was at both.
+/// counts half as well, and no crash of the first round does. One before which
+/// nothing of the answer had come counts three quarters. Two crashes suffice
+/// only if no other suspect was at both.
 ///
 /// Sound requests share all but one part with those that crash endpoints, so
 /// that their parts are at the same crashes. Of two suspects the one at more
@@ -186,6 +190,8 @@
     TimePoint at;
     Duration ran{0};
     bool refuted = false;
+    /// Whether nothing of any answer with the suspect had come.
+    bool waiting = false;
     /// Whether this instance saw it, not a peer.
     bool own = false;
   };
@@ -199,6 +205,8 @@
     Duration ran{0};
     /// Whether one of them had run too long to be the cause.
     bool ran_long = false;
+    /// Whether nothing of any answer had come.
+    bool waiting = true;
   };
   /// Broken runs at one start of an endpoint.
   struct BrokenRuns {
@@ -223,6 +231,9 @@
   };
 
   Evidence Weigh(const Crashes& crashes) const;
+  /// Returns what \p crash counts for by itself against the suspect with
+  /// \p of_suspect.
+  double WeightOf(const Crashes& of_suspect, const Crash& crash) const;
   bool IsJoint(const Crashes& of_suspect, const Crash& crash) const;
   /// Returns whether crashes at which both were are explained by the one with
   /// \p crashes rather than by the one with \p others.
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "toucanwharf/support/json.h"
 
@@ -123,6 +124,33 @@
   return suspects;
 }
 
+/// Numbers the crashes of all \p suspects in order, and returns the numbers of
+/// those before which nothing of the answer had come.
+Json WaitingToJson(const std::vector<quarantine::SuspectReport>& suspects) {
+  Json list = Json::array();
+  std::size_t number = 0;
+  for (const quarantine::SuspectReport& suspect : suspects) {
+    for (const quarantine::CrashReport& crash : suspect.crashes) {
+      if (crash.waiting) list.push_back(number);
+      ++number;
+    }
+  }
+  return list;
+}
+
+/// Sets the crashes that \p list names as WaitingToJson does; others that it
+/// may name are ignored.
+void ApplyWaiting(const Json& list,
+                  std::vector<quarantine::SuspectReport>& suspects) {
+  const auto numbers = list.get<std::set<std::size_t>>();
+  std::size_t number = 0;
+  for (quarantine::SuspectReport& suspect : suspects) {
+    for (quarantine::CrashReport& crash : suspect.crashes) {
+      crash.waiting = numbers.contains(number++);
+    }
+  }
+}
+
 Json LimitsToJson(const std::vector<limits::LimitReport>& reports) {
   Json list = Json::array();
   for (const limits::LimitReport& report : reports) {
@@ -245,6 +273,7 @@
   if (json.contains("el")) beacon.limits = LimitsFromJson(json.at("el"));
   if (json.contains("sd")) beacon.demands = DemandsFromJson(json.at("sd"));
   if (json.contains("ss")) beacon.suspects = SuspectsFromJson(json.at("ss"));
+  if (json.contains("sw")) ApplyWaiting(json.at("sw"), beacon.suspects);
   beacon.engine_statuses = EngineStatusesFromJson(json.at("f"));
   beacon.ready_instances = json.at("ri").get<std::vector<std::uint32_t>>();
   beacon.backup_leaders = json.at("dp").get<std::vector<std::string>>();
@@ -309,6 +338,8 @@
                {"ri", beacon.ready_instances},
                {"dp", beacon.backup_leaders},
                {"p", beacon.peers}};
+  Json waiting = WaitingToJson(beacon.suspects);
+  if (!waiting.empty()) json["sw"] = std::move(waiting);
   if (!beacon.alive.empty()) json["al"] = beacon.alive;
   if (beacon.reaches_endpoints) json["re"] = *beacon.reaches_endpoints;
   Json::to_cbor(json, nlohmann::detail::output_adapter<char>(this->common));
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -30,22 +30,25 @@
           quarantine::FingerprintsOfSharedParts(parts)};
 }
 
-void Gateway::OnRunBroken(const quarantine::BrokenRun& run,
-                          const BrokenAt& at) {
-  const TimePoint now = this->loop.Now();
-  this->state.quarantine.OnRunBroken(run, now);
+void Gateway::OnRunBroken(const quarantine::BrokenRun& run) {
+  this->state.quarantine.OnRunBroken(run, this->loop.Now());
+}
+
+void Gateway::CheckParticipant(const Participant& participant) {
   // Without a probe the list of endpoints tells whether it has ended.
-  if (!at.is_engine || this->IsPaused(at.endpoint)) return;
-  this->probe.Check(at.address, now, this->ConcurrentProbers(),
-                    [this, at](const ProbeAnswer& answer) {
-                      this->OnEndpointProbed(at, answer);
+  if (!participant.is_engine || this->IsPaused(participant.endpoint)) return;
+  this->probe.Check(participant.address, this->loop.Now(),
+                    this->ConcurrentProbers(),
+                    [this, participant](const ProbeAnswer& answer) {
+                      this->OnEndpointProbed(participant, answer);
                     });
 }
 
 /// An engine that refuses connections has ended, and one that reports another
 /// start has been replaced. One that doesn't respond may be cut off: the list
 /// of endpoints tells.
-void Gateway::OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer) {
+void Gateway::OnEndpointProbed(const Participant& at,
+                               const ProbeAnswer& answer) {
   const bool restarted =
       answer.report && answer.report->start_time_ms != at.start_time_ms;
   if (restarted) {
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -144,7 +144,7 @@
   writer.Counter("broken_runs", "runs whose connection to the endpoint broke",
                  counters.broken_runs);
   writer.Counter("broken_runs_uncounted",
-                 "broken runs that had come too far, or not far enough, to "
+                 "broken runs that had come too far to "
                  "count at a crash",
                  counters.broken_runs_uncounted);
   writer.Counter("broken_runs_outlived",
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -190,6 +190,7 @@
 
 void ProxiedRequest::Send(const Target& to) {
   this->target = to;
+  this->target.participants = this->ParticipantsOf(to);
   if (const endpoints::Endpoint* known =
           this->gateway.state.endpoints.Find(to.endpoint)) {
     this->target.key = endpoints::EndpointKey(*known);
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -117,6 +117,8 @@
     /// Milliseconds since 1970.
     std::uint64_t start_time_ms = 0;
     std::vector<pipeline::Stage> stages;
+    /// The endpoint, and the other engines of the path.
+    std::vector<Gateway::Participant> participants;
     double token_millis = 0;
     /// Whether this is a peer, which chooses the endpoint.
     bool is_peer = false;
@@ -221,6 +223,7 @@
   void Reroute();
   void OnRerouted(const std::vector<pipeline::Stage>& stages, int status,
                   const std::string& body);
+  void OnPathLeft(const std::vector<pipeline::Stage>& next);
   void OnRerouteRefused(const std::vector<pipeline::Stage>& stages,
                         const std::string& fault);
   void SetUnresponsiveAt(const std::string& address);
@@ -254,9 +257,19 @@
   /// Returns the time since the endpoint began to write, as far as can be
   /// known.
   Duration TimeSinceBegin() const;
-  /// Records that the connection of the current run broke, as a crash of the
-  /// endpoint by this request would break it.
+  /// Returns the endpoints that take part in a run at \p to.
+  std::vector<Gateway::Participant> ParticipantsOf(const Target& to) const;
+  /// Records that the current run broke or fell silent, as a crash of one of
+  /// its endpoints by this request would show.
   void OnRunBroken();
+  /// Records the same of one of its endpoints.
+  void OnRunBrokenAt(const Gateway::Participant& participant);
+  /// Ends the call of the current attempt. A run that is given up in silence
+  /// counts as broken.
+  void GiveUpCall();
+  /// Returns whether nothing has come from the endpoint for so long that it may
+  /// have ended without closing the connection.
+  bool EndpointIsSilent() const;
   /// Finds out whether the answer, which ended only with its connection, is
   /// whole.
   ///
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -122,7 +122,7 @@
   if (std::exchange(this->finished, true)) return;
   // Requests whose caller left, or whose time was over, have waited longest.
   this->RecordWait();
-  this->CancelCall();
+  this->GiveUpCall();
   this->ReleaseLoad();
   this->gateway.loop.Cancel(this->deadline_timer);
   this->gateway.loop.Cancel(this->stall_timer);
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -38,7 +38,8 @@
 
 void ProxiedRequest::LogBrokenRun(quarantine::RunStage stage) {
   ++this->gateway.counters.broken_runs;
-  if (stage != quarantine::RunStage::kBegun) {
+  if (stage == quarantine::RunStage::kLongBegun ||
+      stage == quarantine::RunStage::kProven) {
     ++this->gateway.counters.broken_runs_uncounted;
   }
   Fields fields;
@@ -87,11 +88,34 @@
                 .Text("weight", absl::StrFormat("%.2f", suspicion->weight)));
 }
 
+std::vector<Gateway::Participant> ProxiedRequest::ParticipantsOf(
+    const Target& to) const {
+  std::vector<Gateway::Participant> participants;
+  const auto add = [&](const std::string& id) {
+    const endpoints::Endpoint* known = this->gateway.state.endpoints.Find(id);
+    if (known == nullptr) return;
+    participants.push_back({id, known->address, endpoints::EndpointKey(*known),
+                            known->start_time_ms, this->IsModel()});
+  };
+  add(to.endpoint);
+  for (const pipeline::Stage& stage : to.stages) {
+    if (stage.endpoint != to.endpoint) add(stage.endpoint);
+  }
+  return participants;
+}
+
 void ProxiedRequest::OnRunBroken() {
-  const quarantine::RunStage stage = this->StageOfRun();
-  this->LogBrokenRun(stage);
+  if (this->target.is_peer) return;
+  this->LogBrokenRun(this->StageOfRun());
+  for (const Gateway::Participant& participant : this->target.participants) {
+    this->OnRunBrokenAt(participant);
+  }
+}
+
+void ProxiedRequest::OnRunBrokenAt(const Gateway::Participant& participant) {
+  const InstanceState& state = this->gateway.state;
   const endpoints::Endpoint* endpoint =
-      this->gateway.state.endpoints.Find(this->target.endpoint);
+      state.endpoints.Find(participant.endpoint);
   // An endpoint that drains, or has left the list, ends by an order.
   if (endpoint == nullptr ||
       endpoint->state == endpoints::EndpointState::kDraining) {
@@ -99,14 +123,27 @@
   }
   quarantine::BrokenRun run;
   run.request = this->Fingerprints();
-  run.endpoint = {this->target.key,
-                  static_cast<std::uint32_t>(HashText(this->target.address))};
+  run.endpoint = {participant.key,
+                  static_cast<std::uint32_t>(HashText(participant.address))};
   run.sent_at = this->attempt_started;
-  run.stage = stage;
+  run.stage = this->StageOfRun();
   run.ran = this->TimeSinceBegin();
-  this->gateway.OnRunBroken(
-      run, {this->target.endpoint, this->target.address, this->target.key,
-            this->target.start_time_ms, this->IsModel()});
+  this->gateway.OnRunBroken(run);
+  // Of the other engines the first one shows which is at fault.
+  const bool suspected = participant.endpoint == this->target.endpoint ||
+                         state.loads.IsUnresponsive(participant.endpoint,
+                                                    this->gateway.loop.Now());
+  if (suspected) this->gateway.CheckParticipant(participant);
+}
+
+bool ProxiedRequest::EndpointIsSilent() const {
+  if (this->call == 0 || this->target.is_peer || this->held) return false;
+  return this->gateway.loop.Now() - this->last_data >= this->StallTimeout();
+}
+
+void ProxiedRequest::GiveUpCall() {
+  if (this->EndpointIsSilent()) this->OnRunBroken();
+  this->CancelCall();
 }
 
 void ProxiedRequest::OnEndedByClose() {
--- a/lib/instance/proxied_request_retry.cc
+++ b/lib/instance/proxied_request_retry.cc
@@ -93,7 +93,7 @@
 /// Ends the current attempt and continues as the policy says.
 void ProxiedRequest::EndAttempt(AttemptOutcome outcome,
                                 std::string_view reason) {
-  this->CancelCall();
+  this->GiveUpCall();
   this->ReleaseLoad();
   const TimePoint now = this->gateway.loop.Now();
   this->excluded.insert(this->target.endpoint);
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -298,13 +298,24 @@
   }
   ++this->gateway.counters.rerouted;
   this->ReleaseLoad();
+  this->OnPathLeft(stages);
   this->target.stages = stages;
+  this->target.participants = this->ParticipantsOf(this->target);
   this->CountLoad();
   this->repeated_probes = 0;
   // The new engines read the answer so far before the next event.
   this->WatchStall(this->admitted.route->pause_objective);
 }
 
+/// Records the run as broken at the engines that it no longer runs through.
+void ProxiedRequest::OnPathLeft(const std::vector<pipeline::Stage>& next) {
+  for (const Gateway::Participant& participant : this->target.participants) {
+    if (!RunsThrough(next, participant.endpoint)) {
+      this->OnRunBrokenAt(participant);
+    }
+  }
+}
+
 /// Retries the reroute without the engine that has no capacity or has lost its
 /// state, or else resumes the answer elsewhere.
 void ProxiedRequest::OnRerouteRefused(
--- a/lib/instance/suspect_record.cc
+++ b/lib/instance/suspect_record.cc
@@ -23,7 +23,8 @@
           FromMillis(json.at("before_last_ms")),
           FromMillis(json.at("ran_ms")),
           std::chrono::milliseconds(json.value("begun_ms", 0)),
-          json.at("refuted").get<bool>()};
+          json.at("refuted").get<bool>(),
+          json.value("waiting", false)};
 }
 
 }  // namespace
@@ -41,7 +42,8 @@
                        {"before_last_ms", ToMillis(crash.age - last)},
                        {"ran_ms", ToMillis(crash.since_sent)},
                        {"begun_ms", ToMillis(crash.ran)},
-                       {"refuted", crash.refuted}});
+                       {"refuted", crash.refuted},
+                       {"waiting", crash.waiting}});
   }
   return Json{{"crashes", crashes},
               {"written_by", written_by},
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -17,9 +17,12 @@
   BrokenRuns& runs = this->undecided[run.endpoint.key];
   runs.endpoint = run.endpoint;
   runs.last_at = now;
-  const bool long_begun = run.stage == RunStage::kLongBegun;
-  if (run.stage == RunStage::kBegun || long_begun) CountBegun(runs, run, now);
-  if (run.stage == RunStage::kProven) this->OnSuccess(run.request, now);
+  if (run.stage == RunStage::kProven) {
+    this->OnSuccess(run.request, now);
+    return;
+  }
+  // A request may crash an endpoint before anything of the answer has come.
+  this->CountBegun(runs, run, now);
 }
 
 void Quarantine::CountBegun(BrokenRuns& runs, const BrokenRun& run,
@@ -32,6 +35,7 @@
     begun.broke_at = now;
     begun.ran = std::max(begun.ran, run.ran);
     begun.ran_long = begun.ran_long || run.stage == RunStage::kLongBegun;
+    begun.waiting = begun.waiting && run.stage == RunStage::kWaiting;
   }
 }
 
@@ -48,8 +52,8 @@
     const bool at_end =
         runs.last_at - run.broke_at <= this->settings.joint_window;
     if (!at_end || run.ran_long) continue;
-    const Crash crash{runs.endpoint, run.sent_at, runs.last_at,
-                      run.ran,       false,       true};
+    const Crash crash{runs.endpoint, run.sent_at, runs.last_at, run.ran,
+                      false,         run.waiting, true};
     if (this->Add(suspect, crash, now)) added.push_back(suspect);
   }
   return added;
@@ -125,10 +129,11 @@
     const TimePoint at = now - crash.age;
     if (crash.age > this->settings.certain_block) continue;
     this->RecordEnd(crash.endpoint.key, at);
-    const bool added = this->Add(report.suspect,
-                                 {crash.endpoint, at - crash.since_sent, at,
-                                  crash.ran, crash.refuted, false},
-                                 now);
+    const bool added =
+        this->Add(report.suspect,
+                  {crash.endpoint, at - crash.since_sent, at, crash.ran,
+                   crash.refuted, crash.waiting, false},
+                  now);
     learned = learned || (added && !crash.refuted);
   }
   return learned;
@@ -146,6 +151,7 @@
   if (known != crashes.end()) {
     known->refuted = known->refuted || crash.refuted;
     known->ran = std::max(known->ran, crash.ran);
+    known->waiting = known->waiting && crash.waiting;
     // Several runs with a part were there, as seen by different instances.
     known->sent_at = std::max(known->sent_at, crash.sent_at);
     return false;
--- a/lib/quarantine/reports.cc
+++ b/lib/quarantine/reports.cc
@@ -30,7 +30,7 @@
   for (const Crash& crash : crashes) {
     report.crashes.push_back({crash.endpoint, now - crash.at,
                               crash.at - crash.sent_at, crash.ran,
-                              crash.refuted});
+                              crash.refuted, crash.waiting});
   }
   return report;
 }
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -51,6 +51,14 @@
   return others >= this->settings.joint_ends;
 }
 
+double Quarantine::WeightOf(const Crashes& of_suspect,
+                            const Crash& crash) const {
+  const double begun = crash.waiting ? this->settings.waiting_weight : 1;
+  const double alone =
+      this->IsJoint(of_suspect, crash) ? this->settings.joint_weight : 1;
+  return begun * alone;
+}
+
 /// Returns the longest sequence of crashes of which each run was sent after the
 /// crash before.
 Quarantine::Evidence Quarantine::Weigh(const Crashes& crashes) const {
@@ -58,8 +66,7 @@
   double beside = 0;
   for (const Crash& crash : crashes) {
     if (crash.refuted) continue;
-    const double weight =
-        this->IsJoint(crashes, crash) ? this->settings.joint_weight : 1;
+    const double weight = this->WeightOf(crashes, crash);
     const bool follows =
         evidence.chain.empty() ||
         crash.sent_at + this->settings.clock_skew >= evidence.chain.back().at;
@@ -249,8 +256,8 @@
     if (found == runs.begun.end() || found->second.ran_long) continue;
     const BegunRun& run = found->second;
     if (newest && newest->at >= run.broke_at) continue;
-    newest =
-        Crash{runs.endpoint, run.sent_at, run.broke_at, run.ran, false, true};
+    newest = Crash{runs.endpoint, run.sent_at, run.broke_at, run.ran,
+                   false,         run.waiting, true};
   }
   Crashes crashes;
   const auto known = this->suspects.find(suspect);
--- a/test/process/crashing_runs.cc
+++ b/test/process/crashing_runs.cc
@@ -1,15 +1,25 @@
 #include "test/process/crashing_runs.h"
 
 #include <algorithm>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <string>
 #include <thread>
 
 namespace toucanwharf::process_test {
 
+using standins::fleet::CrashForm;
 using standins::fleet::Endpoints;
 using standins::fleet::Run;
 
+namespace {
+
+constexpr int kCrashing = 45;
+constexpr int kGapMillis = 250;
+
+}  // namespace
+
 void Pause(int millis) {
   std::this_thread::sleep_for(std::chrono::milliseconds(millis));
 }
@@ -57,4 +67,26 @@
                Endpoints::kCrashingContent);
 }
 
+void CheckIsStopped(PlatformFleet& fleet, CrashForm form) {
+  fleet.RunOnLoop([&] { fleet.Endpoints().CrashAs(form); });
+  std::atomic<int> last_answered = 0;
+  constexpr int kLast = 15;
+  SendRepeatedly(kCrashing, kGapMillis, [&](int number) {
+    std::thread crashing([&] { StreamCrashing(fleet, number); });
+    const std::string name = "sound-" + std::to_string(number);
+    const EventStream stream =
+        fleet.Stream(static_cast<std::size_t>(number) % kRouters, name,
+                     "/chat/one", 0, "the prompt of " + name);
+    const bool whole = stream.ids.size() == Endpoints::kEvents;
+    if (whole && number >= kCrashing - kLast) ++last_answered;
+    crashing.join();
+  });
+  BOOST_TEST_MESSAGE(CrashingRuns(fleet).size()
+                     << " runs of it, " << LateRuns(fleet) << " of them late, "
+                     << last_answered << " of the last " << kLast
+                     << " sound requests served");
+  BOOST_TEST(LateRuns(fleet) <= kMaxLateRuns);
+  BOOST_TEST(last_answered * 2 >= kLast);
+}
+
 }  // namespace toucanwharf::process_test
--- a/test/process/crashing_runs.h
+++ b/test/process/crashing_runs.h
@@ -38,6 +38,12 @@
 /// Thread safety: safe.
 void StreamCrashing(PlatformFleet& fleet, int number);
 
+/// Streams the crashing request again and again while engines crash as \p form
+/// says, and sound requests beside it. Checks that it is stopped and that they
+/// are served once it is.
+/// Thread safety: safe.
+void CheckIsStopped(PlatformFleet& fleet, standins::fleet::CrashForm form);
+
 }  // namespace toucanwharf::process_test
 
 #endif  // TOUCANWHARF_TEST_PROCESS_CRASHING_RUNS_H_
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -51,6 +51,12 @@
 target_link_libraries(process_crashing_part PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(late_crash)
+target_sources(process_late_crash PRIVATE test/process/platform_fleet.cc
+  test/process/crashing_runs.cc)
+target_link_libraries(process_late_crash PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(endpoint_limit)
 target_sources(process_endpoint_limit PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_endpoint_limit PRIVATE standin_fleet
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -70,7 +70,13 @@
   }
   const std::vector<quarantine::CrashReport> crashes = {
       {{1, 2}, milliseconds(900), milliseconds(60), milliseconds(9), false},
-      {{3, 4}, milliseconds(20), milliseconds(50), milliseconds(40), true}};
+      {{3, 4}, milliseconds(20), milliseconds(50), milliseconds(40), true},
+      {{5, 6},
+       milliseconds(20),
+       milliseconds(50),
+       milliseconds(50),
+       false,
+       *rc::gen::arbitrary<bool>()}};
   beacon.suspects = {
       {{7, *rc::gen::arbitrary<std::uint64_t>()}, crashes},
       {{0, 9, quarantine::FingerprintKind::kPromptPart}, crashes}};
@@ -118,7 +124,9 @@
       limits.max_crashes_reported, {{~0U, ~0U},
                                     std::chrono::hours(1),
                                     std::chrono::seconds(9),
-                                    milliseconds(900)});
+                                    milliseconds(900),
+                                    false,
+                                    true});
   beacon.suspects.resize(limits.max_reported, {{~0U, ~0ULL}, crashes});
   for (std::size_t i = 0; i < endpoints; ++i) {
     beacon.loads.push_back({id + std::to_string(i), 190, 70e6, 12});
--- a/unittests/quarantine/simulated_fleet_test.cc
+++ b/unittests/quarantine/simulated_fleet_test.cc
@@ -61,6 +61,10 @@
   Duration culprit_gap = seconds(1);
   CulpritKind culprit = CulpritKind::kRequest;
   Duration culprit_from = seconds(1);
+  /// Different requests that crash engines, which come in turn.
+  std::size_t culprits = 1;
+  /// Whether engines crash before anything of the answer has come.
+  bool before_head = false;
   /// Whether a request that crashes engines as a whole comes as well.
   bool both_culprits = false;
   /// Parts that prompts begin with, the first ones more often; 0 for none.
@@ -91,6 +95,9 @@
   int sent_after_third = 0;
   /// Later than kAllKnow after the fifth crash.
   int sent_late = 0;
+  /// The same of the request that was sent most often later than kAllKnow after
+  /// its own third crash.
+  int most_late = 0;
   int sound_sent = 0;
   int sound_refused = 0;
   /// Of these, those refused for a part of their prompts.
@@ -157,6 +164,11 @@
     TimePoint sent_at;
     std::optional<TimePoint> begun_at;
   };
+  struct CulpritRecord {
+    int crashes = 0;
+    TimePoint known_at{Duration::max()};
+    int late = 0;
+  };
   struct Engine {
     std::uint32_t start = 0;
     bool up = true;
@@ -196,7 +208,8 @@
   }
 
   void CallCulprit() {
-    RequestFingerprints bad{kCulprit, {}};
+    const std::uint64_t number = this->next_culprit++ % this->plan.culprits;
+    RequestFingerprints bad{{kCulprit.customer, kCulprit.content + number}, {}};
     const bool whole = this->plan.both_culprits && this->random.Below(2) == 0;
     if (this->plan.culprit != CulpritKind::kRequest && !whole) {
       const bool fixed = this->plan.culprit == CulpritKind::kPartWithCompanion;
@@ -233,6 +246,7 @@
     if (request.culprit && this->now > this->all_know_at) {
       ++this->outcome.sent_late;
     }
+    if (request.culprit) this->CountSent(request.fingerprints.request);
     const std::uint64_t run = ++this->numbers;
     Engine& engine = this->engines[chosen];
     engine.runs[run] = {request, this->now, std::nullopt};
@@ -242,6 +256,18 @@
     });
   }
 
+  void CountSent(const Fingerprint& culprit) {
+    CulpritRecord& record = this->records[culprit];
+    if (this->now <= record.known_at) return;
+    this->outcome.most_late = std::max(this->outcome.most_late, ++record.late);
+  }
+
+  void CountCrash(const Fingerprint& culprit) {
+    constexpr int kThird = 3;
+    CulpritRecord& record = this->records[culprit];
+    if (++record.crashes == kThird) record.known_at = this->now + kAllKnow;
+  }
+
   bool Runs(std::size_t engine, std::uint64_t run, std::uint32_t start) {
     return this->engines[engine].start == start &&
            this->engines[engine].runs.contains(run);
@@ -250,11 +276,15 @@
   void Begin(std::size_t engine, std::uint64_t run, std::uint32_t start) {
     if (!this->Runs(engine, run, start)) return;
     RunState& state = this->engines[engine].runs[run];
-    state.begun_at = this->now;
+    const bool seen = !state.request.culprit || !this->plan.before_head;
+    if (seen) state.begun_at = this->now;
     if (state.request.culprit) {
-      this->After(kCrashDelay, [this, engine, start] {
-        if (this->engines[engine].start != start) return;
+      const Fingerprint culprit = state.request.fingerprints.request;
+      this->After(kCrashDelay, [this, engine, start, culprit] {
+        const Engine& crashing = this->engines[engine];
+        if (crashing.start != start || !crashing.up) return;
         ++this->outcome.crashed_by_culprit;
+        this->CountCrash(culprit);
         this->Crash(engine);
       });
       return;
@@ -383,6 +413,8 @@
   std::priority_queue<Event> events;
   std::uint64_t numbers = 0;
   TimePoint now = kStart;
+  std::uint64_t next_culprit = 0;
+  std::map<Fingerprint, CulpritRecord> records;
   bool third_crash = false;
   TimePoint all_know_at{Duration::max()};
   Outcome outcome;
@@ -392,7 +424,8 @@
   return std::to_string(outcome.crashes) + " crashes, " +
          std::to_string(outcome.crashed_by_culprit) + " by the culprit, sent " +
          std::to_string(outcome.sent_after_third) + " times after the third, " +
-         std::to_string(outcome.sent_late) + " times late, " +
+         std::to_string(outcome.sent_late) + " times late, one request " +
+         std::to_string(outcome.most_late) + " times late by itself, " +
          std::to_string(outcome.sound_refused) + " of " +
          std::to_string(outcome.sound_sent) + " sound requests refused, " +
          std::to_string(outcome.refused_for_part) + " for a part, " +
@@ -417,6 +450,7 @@
     sum.crashes += outcome.crashes;
     sum.crashed_by_culprit += outcome.crashed_by_culprit;
     sum.sent_late += outcome.sent_late;
+    sum.most_late = std::max(sum.most_late, outcome.most_late);
     sum.sound_kept += outcome.sound_kept;
     sum.sent_after_third += outcome.sent_after_third;
     sum.sound_sent += outcome.sound_sent;
@@ -437,6 +471,20 @@
   });
 }
 
+// Guards against the same where engines crash before anything of the answer has
+// come, as those do that read a prompt.
+BOOST_AUTO_TEST_CASE(CulpritThatCrashesBeforeTheHeadIsStopped) {
+  FleetPlan plan;
+  plan.before_head = true;
+  for (const std::size_t engines : {3, 10, 38}) {
+    plan.engines = engines;
+    RunSeeds(plan, [](const Outcome& outcome) {
+      BOOST_TEST(outcome.most_late <= 3, Describe(outcome));
+      BOOST_TEST(outcome.sound_refused == 0, Describe(outcome));
+    });
+  }
+}
+
 // Guards against sound requests being refused after crashes of a seventh of all
 // engines, or of a third, three times in a row without a culprit.
 BOOST_AUTO_TEST_CASE(MassCrashesRefuseNoSoundRequest) {
