Crashes that fall together by chance count in full, and 1,024 suspects are remembered

Where many requests crash engines, each was sent on and on: crashes that fall within 300 ms of two others count half, which in a large fleet, or with several culprits, is chance; and the table of 256 suspects lost culprits between their crashes to those that were there.

A crash is joint only if more others fall together with it than the rate of the ten seconds around it leads to expect, by two deviations. Prune weighs only what is old enough to go.

--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -36,6 +36,8 @@
   /// Other endpoints that crash at the same moment, from which on it is joint.
   std::size_t joint_ends = 2;
   Duration joint_window = std::chrono::milliseconds(300);
+  /// How far around a crash others show how many fall together by chance.
+  Duration joint_background = std::chrono::seconds(10);
   /// How long a suspect is refused after its last crash.
   Duration certain_block = std::chrono::hours(1);
   Duration probable_block = std::chrono::seconds(60);
@@ -48,7 +50,7 @@
   Duration min_downtime = std::chrono::seconds(1);
   /// Delay of reports between instances, by which their times may be off.
   Duration clock_skew = std::chrono::milliseconds(20);
-  std::size_t max_suspects = 256;
+  std::size_t max_suspects = 1024;
   std::size_t max_crashes = 32;
   /// Of these, those in a message between instances.
   std::size_t max_crashes_reported = 8;
@@ -106,8 +108,8 @@
 ///     suspect at endpoints that crash together are at one crash,
 ///   - no request with the suspect was answered since, by any endpoint, or a
 ///     short time before.
-/// A crash of several endpoints together counts half for a suspect that was at
-/// one of them; one at which its run was sent before the crash before was over
+/// A crash of several endpoints together, more than fall together by chance,
+/// counts half for a suspect that was at one of them; one at which its run was sent before the crash before was over
 /// counts half as well, and no crash of the first round does. One before which
 /// nothing of the answer had come counts three quarters. Two crashes suffice
 /// only if no other suspect was at both.
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -230,13 +230,10 @@
     return now - entry.second > this->settings.certain_block;
   });
   std::erase_if(this->suspects, [&](const auto& entry) {
-    const Evidence evidence = this->Weigh(entry.second);
-    const Duration kept = this->IsCertain(evidence)
-                              ? this->settings.certain_block
-                              : this->settings.retention;
-    return std::all_of(
-        entry.second.begin(), entry.second.end(),
-        [&](const Crash& crash) { return now - crash.at > kept; });
+    const Duration age = now - entry.second.back().at;
+    if (age <= this->settings.retention) return false;
+    return age > this->settings.certain_block ||
+           !this->IsCertain(this->Weigh(entry.second));
   });
 }
 
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "crashes.h"
@@ -40,15 +41,34 @@
 
 }  // namespace
 
-/// Returns whether other endpoints crashed at the same moment without
-/// the suspect.
+/// Returns whether more other endpoints crashed at the same moment without the
+/// suspect than do so by chance where crashes are frequent.
 bool Quarantine::IsJoint(const Crashes& of_suspect, const Crash& crash) const {
   std::size_t others = 0;
+  std::size_t around = 0;
+  TimePoint newest = crash.at;
   for (const auto& [key, at] : this->ends) {
-    if (Distance(at, crash.at) > this->settings.joint_window) continue;
-    if (!WasAt(of_suspect, key)) ++others;
+    newest = std::max(newest, at);
+    const Duration distance = Distance(at, crash.at);
+    if (distance > this->settings.joint_background) continue;
+    if (distance > this->settings.joint_window) {
+      ++around;
+    } else if (!WasAt(of_suspect, key)) {
+      ++others;
+    }
   }
-  return others >= this->settings.joint_ends;
+  if (others < this->settings.joint_ends) return false;
+  const Duration after =
+      std::clamp(newest - crash.at, this->settings.joint_window,
+                 this->settings.joint_background);
+  const Duration moment = 2 * this->settings.joint_window;
+  const Duration observed = this->settings.joint_background + after - moment;
+  const double by_chance = static_cast<double>(around) *
+                           static_cast<double>(moment.count()) /
+                           static_cast<double>(observed.count());
+  constexpr double kDeviations = 2;
+  return static_cast<double>(others) >
+         by_chance + kDeviations * std::sqrt(by_chance);
 }
 
 double Quarantine::WeightOf(const Crashes& of_suspect,
--- a/unittests/quarantine/simulated_fleet_test.cc
+++ b/unittests/quarantine/simulated_fleet_test.cc
@@ -485,6 +485,34 @@
   }
 }
 
+/// A large fleet at which many different requests crash engines.
+FleetPlan ManyCulpritsPlan(bool before_head) {
+  FleetPlan plan;
+  plan.instances = 91;
+  plan.engines = 86;
+  plan.sound_gap = microseconds(3200);
+  plan.culprits = 24;
+  plan.culprit_gap = milliseconds(250);
+  plan.before_head = before_head;
+  plan.by_leader = true;
+  plan.gossip_loss = 0.05;
+  return plan;
+}
+
+// Guards against requests that are sent on and on because many of them crash
+// engines, so that there are more suspects than an instance remembers.
+BOOST_AUTO_TEST_CASE(EachOfManyCulpritsIsStopped) {
+  for (const bool before_head : {false, true}) {
+    RunSeeds(
+        ManyCulpritsPlan(before_head),
+        [](const Outcome& outcome) {
+          BOOST_TEST(outcome.most_late <= 3, Describe(outcome));
+          BOOST_TEST(outcome.sound_refused == 0, Describe(outcome));
+        },
+        kLargeSeeds);
+  }
+}
+
 // Guards against sound requests being refused after crashes of a seventh of all
 // engines, or of a third, three times in a row without a culprit.
 BOOST_AUTO_TEST_CASE(MassCrashesRefuseNoSoundRequest) {
