--- a/standins/fleet/store.cc
+++ b/standins/fleet/store.cc
@@ -37,6 +37,25 @@
   this->written[kind][name] = spec;
 }
 
+void Store::PutText(const std::string& kind, const std::string& name,
+                    const std::string& text) {
+  const std::string stand_in =
+      "text " + std::to_string(this->texts.size()) + " of another writer";
+  this->texts[Json(stand_in).dump()] = text;
+  this->Put(kind, name, stand_in);
+}
+
+std::string Store::ToText(const Json& body) const {
+  std::string text = body.dump();
+  for (const auto& [stand_in, written_text] : this->texts) {
+    const std::size_t found = text.find(stand_in);
+    if (found != std::string::npos) {
+      text.replace(found, stand_in.size(), written_text);
+    }
+  }
+  return text;
+}
+
 void Store::Remove(const std::string& kind, const std::string& name) {
   if (this->kinds[kind].erase(name) > 0) ++this->revision;
   this->written[kind][name] = Json();
@@ -126,7 +145,7 @@
   head.headers.Add(kEraHeader, std::to_string(this->era));
   head.status = reply.status;
   head.headers.Add("Content-Type", "application/json");
-  exchange.Respond(head, reply.body.dump());
+  exchange.Respond(head, this->ToText(reply.body));
 }
 
 Store::Reply Store::Execute(const http::Request& request) {
--- a/standins/fleet/store.h
+++ b/standins/fleet/store.h
@@ -44,6 +44,9 @@
   /// Writes an object unconditionally, as an operator or an endpoint would.
   void Put(const std::string& kind, const std::string& name,
            const nlohmann::json& spec);
+  /// The same with a spec that is \p text, JSON or not.
+  void PutText(const std::string& kind, const std::string& name,
+               const std::string& text);
   void Remove(const std::string& kind, const std::string& name);
   /// Returns an object's spec, null if there is none.
   nlohmann::json Spec(const std::string& kind, const std::string& name) const;
@@ -88,6 +91,8 @@
   Reply Create(const std::string& kind, const nlohmann::json& body);
   Reply Replace(const std::string& kind, const std::string& name,
                 const nlohmann::json& body);
+  /// Returns \p body as text, with the texts of PutText in place.
+  std::string ToText(const nlohmann::json& body) const;
   static nlohmann::json ToJson(const std::string& name, const Object& object);
 
   http::Loop& loop;
@@ -101,6 +106,8 @@
   std::uint64_t revision = 0;
   std::uint64_t era = 1;
   Contents copy;
+  /// Texts of PutText, by the string that stands for each.
+  std::map<std::string, std::string> texts;
   std::uint64_t calls = 0;
 };
 
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -57,6 +57,11 @@
 target_link_libraries(process_late_crash PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(odd_entries)
+target_sources(process_odd_entries PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_odd_entries PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(endpoint_limit)
 target_sources(process_endpoint_limit PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_endpoint_limit PRIVATE standin_fleet
