--- a/lib/http/address.cc
+++ b/lib/http/address.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/detail/socket_option.hpp>
 #include <charconv>
 
+#include "toucanwharf/http/address_text.h"
+
 namespace toucanwharf::http {
 namespace {
 
@@ -41,6 +43,11 @@
   return boost::asio::ip::tcp::endpoint(ip, static_cast<std::uint16_t>(port));
 }
 
+bool IsAddress(const std::string& text) {
+  const auto parsed = ParseAddress(text);
+  return parsed && parsed->port() != 0;
+}
+
 boost::system::error_code BindSource(
     boost::asio::ip::tcp::socket& socket,
     const boost::asio::ip::tcp::endpoint& source) {
