After a block that isn't certain one request is sent on trial, at one instance

Callers saw a content that had crashed three engines come back after 60 s at all instances at the same moment: where a sound request was at the same crashes, neither is certain, and the block of both just ended. Class: a circuit that closes at once instead of half open.

After such a block the first instance at which one comes sends it and tells the others, which refuse for 20 s. It is answered and cleared, or its crash tells it from the other. The length of a run ends with the last byte from the endpoint, not when it is given up, so that a run that fell silent early counts as short.

--- a/include/toucanwharf/quarantine/evidence.h
+++ b/include/toucanwharf/quarantine/evidence.h
@@ -2,6 +2,7 @@
 #define TOUCANWHARF_QUARANTINE_EVIDENCE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -70,6 +71,8 @@
 struct SuspectReport {
   Fingerprint suspect;
   std::vector<CrashReport> crashes;
+  /// Time since a request with the suspect was last sent on trial, if one was.
+  std::optional<Duration> trial_age = std::nullopt;
 
   friend bool operator==(const SuspectReport&, const SuspectReport&) = default;
 };
--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -41,6 +41,8 @@
   /// How long a suspect is refused after its last crash.
   Duration certain_block = std::chrono::hours(1);
   Duration probable_block = std::chrono::seconds(60);
+  /// After that, a request is sent on trial, one in this time.
+  Duration trial_period = std::chrono::seconds(20);
   /// How long crashes are remembered that prove nothing yet.
   Duration retention = std::chrono::minutes(10);
   /// A broken run without evidence of its endpoint's end is forgotten.
@@ -109,10 +111,10 @@
 ///   - no request with the suspect was answered since, by any endpoint, or a
 ///     short time before.
 /// A crash of several endpoints together, more than fall together by chance,
-/// counts half for a suspect that was at one of them; one at which its run was sent before the crash before was over
-/// counts half as well, and no crash of the first round does. One before which
-/// nothing of the answer had come counts three quarters. Two crashes suffice
-/// only if no other suspect was at both.
+/// counts half for a suspect that was at one of them; one at which its run was
+/// sent before the crash before was over counts half as well, and no crash of
+/// the first round does. One before which nothing of the answer had come counts
+/// three quarters. Two crashes suffice only if no other suspect was at both.
 ///
 /// Sound requests share all but one part with those that crash endpoints, so
 /// that their parts are at the same crashes. Of two suspects the one at more
@@ -122,6 +124,11 @@
 /// meanwhile. If another suspect explains as much, only requests that carry
 /// both are refused: sound requests with one of them show which it is.
 ///
+/// Once the block of a suspect that isn't certain has ended, all its callers
+/// come back. One request with it is sent on trial, at one instance, while the
+/// others are still refused: it is answered, or its crash tells the suspect
+/// from those that were at the ones before.
+///
 /// A report is a set of crashes; merging is commutative and idempotent, so that
 /// lost, repeated and reordered messages do no harm.
 /// Thread safety: none; for one thread.
@@ -176,6 +183,9 @@
   /// crashes, refuted or not; nothing if there is none.
   std::optional<Suspicion> SuspicionOf(
       const RequestFingerprints& request) const;
+  /// Records that \p request is sent now. Returns whether that is on trial,
+  /// which other instances have to know.
+  bool OnSent(const RequestFingerprints& request, TimePoint now);
   /// Returns whether \p request may be sent once more after a run of it broke:
   /// not after a second crash, which would take a third endpoint.
   bool MayRetry(const RequestFingerprints& request, TimePoint now) const;
@@ -218,6 +228,11 @@
     std::map<Fingerprint, BegunRun> begun;
   };
   /// The crashes that count against a suspect.
+  struct Block {
+    Duration length{0};
+    /// Whether requests are sent on trial afterwards.
+    bool then_trial = false;
+  };
   struct Evidence {
     Crashes chain;
     double weight = 0;
@@ -251,11 +266,18 @@
   /// Returns whether a suspect was at half of the moments at which endpoints
   /// ended from its first crash to its last, not counting the first.
   bool IsAtMostEnds(const Crashes& of_suspect, const Evidence& evidence) const;
-  /// Returns how long \p suspect is refused after the last of its \p
+  /// Returns how \p suspect is refused after the last of its \p
   /// unexplained crashes, in a request that has all of \p carried.
-  Duration BlockOf(const Fingerprint& suspect,
+  Block BlockOf(const Fingerprint& suspect,
+                const std::vector<Fingerprint>& carried,
+                const Crashes& unexplained) const;
+  /// Returns whether a request with \p suspect is sent on trial at \p now, if
+  /// none was lately.
+  bool AwaitsTrial(const Fingerprint& suspect,
                    const std::vector<Fingerprint>& carried,
-                   const Crashes& unexplained) const;
+                   TimePoint now) const;
+  /// Returns how much longer other requests wait for the one on trial.
+  Duration TrialRemaining(const Fingerprint& suspect, TimePoint now) const;
   std::optional<Verdict> JudgeCarried(const Fingerprint& suspect,
                                       const std::vector<Fingerprint>& carried,
                                       TimePoint now) const;
@@ -276,6 +298,8 @@
 
   QuarantineSettings settings;
   std::map<Fingerprint, Crashes> suspects;
+  /// When a request with a suspect was last sent on trial.
+  std::map<Fingerprint, TimePoint> trials;
   /// Broken runs without evidence yet, by the key of the endpoint's start.
   std::map<std::uint32_t, BrokenRuns> undecided;
   RecentSuccesses successes;
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -151,6 +151,26 @@
   }
 }
 
+/// Returns the places of the \p suspects of which a request was on trial, each
+/// with the time since.
+Json TrialsToJson(const std::vector<quarantine::SuspectReport>& suspects) {
+  Json list = Json::array();
+  for (std::size_t place = 0; place < suspects.size(); ++place) {
+    const auto& age = suspects[place].trial_age;
+    if (age) list.push_back({place, age->count()});
+  }
+  return list;
+}
+
+void ApplyTrials(const Json& list,
+                 std::vector<quarantine::SuspectReport>& suspects) {
+  for (const Json& entry : list) {
+    const auto place = entry.at(0).get<std::size_t>();
+    if (place >= suspects.size()) continue;
+    suspects[place].trial_age = Duration(entry.at(1).get<std::int64_t>());
+  }
+}
+
 Json LimitsToJson(const std::vector<limits::LimitReport>& reports) {
   Json list = Json::array();
   for (const limits::LimitReport& report : reports) {
@@ -273,6 +293,7 @@
   if (json.contains("el")) beacon.limits = LimitsFromJson(json.at("el"));
   if (json.contains("sd")) beacon.demands = DemandsFromJson(json.at("sd"));
   if (json.contains("ss")) beacon.suspects = SuspectsFromJson(json.at("ss"));
+  if (json.contains("st")) ApplyTrials(json.at("st"), beacon.suspects);
   if (json.contains("sw")) ApplyWaiting(json.at("sw"), beacon.suspects);
   beacon.engine_statuses = EngineStatusesFromJson(json.at("f"));
   beacon.ready_instances = json.at("ri").get<std::vector<std::uint32_t>>();
@@ -338,6 +359,8 @@
                {"ri", beacon.ready_instances},
                {"dp", beacon.backup_leaders},
                {"p", beacon.peers}};
+  Json trials = TrialsToJson(beacon.suspects);
+  if (!trials.empty()) json["st"] = std::move(trials);
   Json waiting = WaitingToJson(beacon.suspects);
   if (!waiting.empty()) json["sw"] = std::move(waiting);
   if (!beacon.alive.empty()) json["al"] = beacon.alive;
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -242,7 +242,7 @@
                 .Text("endpoint", to.endpoint)
                 .Count("try", this->attempt_counts.total)
                 .Count("stages", static_cast<std::int64_t>(to.stages.size())));
-  this->LogSuspectSent();
+  this->OnSuspectSent();
   this->WatchStall(this->StallTimeout());
 }
 
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -250,13 +250,13 @@
   /// Logs what tells a request that crashes endpoints from one that was only
   /// there: the same content at several ends, and how far its run had come.
   void LogBrokenRun(quarantine::RunStage stage);
-  /// Logs what is known against a request that is sent all the same.
-  void LogSuspectSent();
+  /// Records and logs that a request is sent although something is known
+  /// against it.
+  void OnSuspectSent();
   /// Returns how far the current run has come.
   quarantine::RunStage StageOfRun() const;
-  /// Returns the time since the endpoint began to write, as far as can be
-  /// known.
-  Duration TimeSinceBegin() const;
+  /// Returns for how long the endpoint has written, at most.
+  Duration RunLength() const;
   /// Returns the endpoints that take part in a run at \p to.
   std::vector<Gateway::Participant> ParticipantsOf(const Target& to) const;
   /// Records that the current run broke or fell silent, as a crash of one of
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -61,21 +61,26 @@
   if (!this->has_head) return RunStage::kWaiting;
   // The head may come long before the endpoint begins to write.
   if (!this->run_began) return RunStage::kBegun;
-  const Duration ran = this->TimeSinceBegin();
+  const Duration ran = this->RunLength();
   if (ran <= kMaxCrashDelay) return RunStage::kBegun;
   return ran < kProvenAfter ? RunStage::kLongBegun : RunStage::kProven;
 }
 
-Duration ProxiedRequest::TimeSinceBegin() const {
+Duration ProxiedRequest::RunLength() const {
+  // What was silent before it was given up did not run all the while.
+  if (this->run_began) return this->last_data - *this->run_began;
   const TimePoint sent = this->has_head ? this->head_at : this->attempt_started;
-  return this->gateway.loop.Now() - this->run_began.value_or(sent);
+  return this->gateway.loop.Now() - sent;
 }
 
-void ProxiedRequest::LogSuspectSent() {
-  const quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
+void ProxiedRequest::OnSuspectSent() {
+  quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
   if (quarantine.Empty() || this->target.is_peer) return;
   const auto suspicion = quarantine.SuspicionOf(this->Fingerprints());
   if (!suspicion) return;
+  const bool on_trial =
+      quarantine.OnSent(this->Fingerprints(), this->gateway.loop.Now());
+  if (on_trial) this->gateway.AnnounceNews();
   ++this->gateway.counters.suspects_sent;
   // Popular parts are often at one crash.
   const bool at_several = suspicion->crashes + suspicion->refuted > 1;
@@ -85,7 +90,8 @@
                 .Text("content", quarantine::ToText(suspicion->suspect))
                 .Count("crashes", static_cast<std::int64_t>(suspicion->crashes))
                 .Count("refuted", static_cast<std::int64_t>(suspicion->refuted))
-                .Text("weight", absl::StrFormat("%.2f", suspicion->weight)));
+                .Text("weight", absl::StrFormat("%.2f", suspicion->weight))
+                .Count("on_trial", on_trial ? 1 : 0));
 }
 
 std::vector<Gateway::Participant> ProxiedRequest::ParticipantsOf(
@@ -127,7 +133,7 @@
                   static_cast<std::uint32_t>(HashText(participant.address))};
   run.sent_at = this->attempt_started;
   run.stage = this->StageOfRun();
-  run.ran = this->TimeSinceBegin();
+  run.ran = this->RunLength();
   this->gateway.OnRunBroken(run);
   // Of the other engines the first one shows which is at fault.
   const bool suspected = participant.endpoint == this->target.endpoint ||
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -120,6 +120,7 @@
   if (found == this->suspects.end()) return false;
   const bool suspected = CountUnrefuted(found->second) > 0;
   for (Crash& crash : found->second) crash.refuted = true;
+  this->trials.erase(suspect);
   return suspected;
 }
 
@@ -136,6 +137,10 @@
                   now);
     learned = learned || (added && !crash.refuted);
   }
+  if (report.trial_age && this->suspects.contains(report.suspect)) {
+    TimePoint& trial = this->trials[report.suspect];
+    trial = std::max(trial, now - *report.trial_age);
+  }
   return learned;
 }
 
@@ -229,6 +234,9 @@
   std::erase_if(this->ends, [&](const auto& entry) {
     return now - entry.second > this->settings.certain_block;
   });
+  std::erase_if(this->trials, [&](const auto& entry) {
+    return now - entry.second > this->settings.trial_period;
+  });
   std::erase_if(this->suspects, [&](const auto& entry) {
     const Duration age = now - entry.second.back().at;
     if (age <= this->settings.retention) return false;
--- a/lib/quarantine/reports.cc
+++ b/lib/quarantine/reports.cc
@@ -32,6 +32,8 @@
                               crash.at - crash.sent_at, crash.ran,
                               crash.refuted, crash.waiting});
   }
+  const auto trial = this->trials.find(suspect);
+  if (trial != this->trials.end()) report.trial_age = now - trial->second;
   return report;
 }
 
@@ -55,7 +57,8 @@
           return crash.own && !crash.refuted &&
                  now - crash.at <= this->settings.own_first;
         });
-    return std::tuple(only_here, crashes.size(), entry->first.kind,
+    const bool is_news = only_here || this->trials.contains(entry->first);
+    return std::tuple(is_news, crashes.size(), entry->first.kind,
                       crashes.back().at);
   };
   if (ranked.size() > this->settings.max_reported) {
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -184,23 +184,52 @@
   return moments <= 2 * (std::max(present, evidence.chain.size()) - 1);
 }
 
-Duration Quarantine::BlockOf(const Fingerprint& suspect,
-                             const std::vector<Fingerprint>& carried,
-                             const Crashes& unexplained) const {
+Quarantine::Block Quarantine::BlockOf(const Fingerprint& suspect,
+                                      const std::vector<Fingerprint>& carried,
+                                      const Crashes& unexplained) const {
   const Evidence evidence = this->Weigh(unexplained);
   const bool probable =
       evidence.weight >= this->settings.probable && evidence.several_addresses;
   const bool certain = this->IsCertain(evidence);
-  if (!probable && !certain) return Duration(0);
+  if (!probable && !certain) return {};
   const Comparison others = this->Compare(suspect, carried, evidence);
   const bool is_part = suspect.kind == FingerprintKind::kPromptPart;
   if (is_part &&
       (!certain || others.tied || !this->IsAtMostEnds(unexplained, evidence))) {
-    return Duration(0);
+    return {};
+  }
+  if (certain && !others.tied) return {this->settings.certain_block, false};
+  if (!certain && others.shared) return {};
+  return {this->settings.probable_block, true};
+}
+
+bool Quarantine::AwaitsTrial(const Fingerprint& suspect,
+                             const std::vector<Fingerprint>& carried,
+                             TimePoint now) const {
+  const auto found = this->suspects.find(suspect);
+  if (found == this->suspects.end()) return false;
+  const Crashes unexplained = this->Unexplained(suspect, carried);
+  const Block block = this->BlockOf(suspect, carried, unexplained);
+  return block.then_trial && now - unexplained.back().at >= block.length;
+}
+
+Duration Quarantine::TrialRemaining(const Fingerprint& suspect,
+                                    TimePoint now) const {
+  const auto trial = this->trials.find(suspect);
+  if (trial == this->trials.end()) return Duration(0);
+  return trial->second + this->settings.trial_period - now;
+}
+
+bool Quarantine::OnSent(const RequestFingerprints& request, TimePoint now) {
+  if (this->suspects.empty()) return false;
+  const std::vector<Fingerprint> carried = Carried(request);
+  bool on_trial = false;
+  for (const Fingerprint& suspect : carried) {
+    if (!this->AwaitsTrial(suspect, carried, now)) continue;
+    this->trials[suspect] = now;
+    on_trial = true;
   }
-  if (certain && !others.tied) return this->settings.certain_block;
-  return certain || !others.shared ? this->settings.probable_block
-                                   : Duration(0);
+  return on_trial;
 }
 
 std::optional<Verdict> Quarantine::JudgeCarried(
@@ -212,14 +241,17 @@
   const auto unrefuted = static_cast<double>(CountUnrefuted(found->second));
   if (unrefuted < this->settings.probable) return std::nullopt;
   const Crashes unexplained = this->Unexplained(suspect, carried);
-  const Duration block = this->BlockOf(suspect, carried, unexplained);
-  if (block <= Duration(0)) return std::nullopt;
+  const Block block = this->BlockOf(suspect, carried, unexplained);
+  if (block.length <= Duration(0)) return std::nullopt;
   const Evidence evidence = this->Weigh(unexplained);
   Verdict verdict;
   verdict.suspect = suspect;
   verdict.crashes = evidence.chain.size();
   verdict.last_crash_age = now - evidence.chain.back().at;
-  verdict.blocked_for = block - verdict.last_crash_age;
+  verdict.blocked_for = block.length - verdict.last_crash_age;
+  if (verdict.blocked_for <= Duration(0) && block.then_trial) {
+    verdict.blocked_for = this->TrialRemaining(suspect, now);
+  }
   if (verdict.blocked_for <= Duration(0)) return std::nullopt;
   return verdict;
 }
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -80,6 +80,7 @@
   beacon.suspects = {
       {{7, *rc::gen::arbitrary<std::uint64_t>()}, crashes},
       {{0, 9, quarantine::FingerprintKind::kPromptPart}, crashes}};
+  beacon.suspects.back().trial_age = milliseconds(30);
   beacon.covered_keys = {5, *rc::gen::inRange<std::uint32_t>(5, 1U << 31)};
   beacon.engine_statuses = {{7, {0, 26}, 1.5, 4000}};
   beacon.fleet_loads = {{0xfffffffe, 12, 700000, 3}, {8, 1, 2000, 0}};
--- a/unittests/quarantine/quarantine_test.cc
+++ b/unittests/quarantine/quarantine_test.cc
@@ -105,6 +105,58 @@
   BOOST_TEST(!IsBlocked(quarantine, kSound, later));
 }
 
+/// Sends \p request at \p quarantine, unless it is refused, and lets it crash
+/// the endpoint \p number if it is \p deadly, or else be answered. Returns
+/// whether it was sent.
+bool SendTo(Quarantine& quarantine, const Fingerprint& request,
+            std::uint32_t number, bool deadly, TimePoint at) {
+  if (IsBlocked(quarantine, request, at)) return false;
+  quarantine.OnSent({request, {}}, at);
+  if (deadly) {
+    Crash(quarantine, request, StartOf(number), at + milliseconds(50));
+  } else {
+    quarantine.OnSuccess(request, at);
+  }
+  return true;
+}
+
+// Guards against a request that is sent on by all instances when its block
+// ends, as a sound one that was at the same crashes keeps it from being
+// certain.
+BOOST_AUTO_TEST_CASE(TiedSuspectsAreSentOnTrialAtOneInstance) {
+  std::vector<Quarantine> instances(3);
+  const auto tell = [&](TimePoint now) {
+    for (const Quarantine& from : instances) {
+      for (Quarantine& to : instances) {
+        for (const Fingerprint& suspect : {kCulprit, kSound}) {
+          to.Merge(from.ReportOf(suspect, now), now);
+        }
+      }
+    }
+  };
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    Quarantine& seeing = instances[number - 1];
+    seeing.OnRunBroken({{kSound, {}}, StartOf(number), at, RunStage::kBegun},
+                       at);
+    Crash(seeing, kCulprit, StartOf(number), at);
+    tell(at);
+  }
+  int deadly_sent = 0;
+  int sound_sent = 0;
+  std::uint32_t number = 4;
+  for (int step = 0; step < 2000; ++step) {
+    const TimePoint at = kStart + seconds(4) + step * milliseconds(250);
+    Quarantine& instance = instances[static_cast<std::size_t>(step) % 3];
+    if (SendTo(instance, kCulprit, number++, true, at)) ++deadly_sent;
+    if (SendTo(instance, kSound, number++, false, at)) ++sound_sent;
+    tell(at + milliseconds(100));
+  }
+  BOOST_TEST(deadly_sent == 1);
+  constexpr int kServedAfterTheBlock = 1700;
+  BOOST_TEST(sound_sent > kServedAfterTheBlock);
+}
+
 // Guards against a sound request that is refused for long because it was at all
 // crashes of the culprit, and nothing tells them apart.
 BOOST_AUTO_TEST_CASE(RequestsAtTheSameCrashesAreNotRefusedForLong) {
