--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -14,6 +14,7 @@
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/server.h"
 #include "toucanwharf/instance/adapter.h"
+#include "toucanwharf/instance/address_wait.h"
 #include "toucanwharf/instance/configuration_in_force.h"
 #include "toucanwharf/instance/endpoint_list_log.h"
 #include "toucanwharf/instance/gateway.h"
@@ -148,9 +149,11 @@
     return Success();
   }
 
-  Result<std::unique_ptr<http::Server>> Open(const std::string& address,
-                                             http::Server::Handler handler) {
-    auto server = http::Server::Listen(this->loop, address, std::move(handler));
+  Result<std::unique_ptr<http::Server>> Open(
+      const std::string& address, const http::Server::Handler& handler) {
+    auto server = OpenWhenFree(kAddressWait, [&] {
+      return http::Server::Listen(this->loop, address, handler);
+    });
     if (!server) {
       this->logger.Write(eventlog::Level::kNotable, "listen_failed",
                          eventlog::Fields()
--- a/lib/instance/peer_link.cc
+++ b/lib/instance/peer_link.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "toucanwharf/instance/address_wait.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -56,13 +57,15 @@
 
 Result<void> PeerLink::Start(OnConfiguration on_configuration,
                              OnEndpoints on_endpoints) {
-  this->snapshots.Start(std::move(on_configuration), std::move(on_endpoints));
-  auto bound = http::DatagramSocket::Bind(
-      this->loop, this->settings.datagram_address,
-      [this](const std::string& sender, std::string_view payload) {
-        this->OnDatagram(sender, payload);
-      });
+  auto bound = OpenWhenFree(kAddressWait, [this] {
+    return http::DatagramSocket::Bind(
+        this->loop, this->settings.datagram_address,
+        [this](const std::string& sender, std::string_view payload) {
+          this->OnDatagram(sender, payload);
+        });
+  });
   if (!bound) return bound.error();
+  this->snapshots.Start(std::move(on_configuration), std::move(on_endpoints));
   this->socket = std::move(bound.value());
   for (const std::string& seed : this->settings.seeds) this->AddInstance(seed);
   this->Tick();
