A plain answer without framing is relayed without framing

The head of a call now says that the body ends with the connection, and the answer is relayed that way, also one that is long or comes through another instance. UnframedPlainAnswerIsGivenNoFraming failed for safe and unsafe requests before.

--- a/include/toucanwharf/http/message.h
+++ b/include/toucanwharf/http/message.h
@@ -83,8 +83,8 @@
   Headers headers;
   /// Length of the body; absent when the framing doesn't announce it.
   std::optional<std::uint64_t> length;
-  /// Whether a server sends the body without any framing: it ends with the
-  /// connection.
+  /// Whether the body has no framing: it ends with the connection, and nothing
+  /// shows whether it is whole.
   bool ends_with_connection = false;
 
   friend bool operator==(const ResponseHead&, const ResponseHead&) = default;
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -284,6 +284,7 @@
       return !this->input.empty();
     }
     this->head_delivered = true;
+    this->parser->head.ends_with_connection = this->parser->need_eof();
     if (this->handlers.on_head) {
       const auto on_head = this->handlers.on_head;
       on_head(this->parser->head);
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -92,7 +92,9 @@
   const bool begun = this->attempt_counts.answer_started;
   if (!begun && this->body.size() <= kMaxHeldBackBytes) return;
   if (!begun) {
-    http::ResponseHead out = this->ToRelay(this->head);
+    http::ResponseHead out = this->head.ends_with_connection
+                                 ? this->UnframedHead()
+                                 : this->ToRelay(this->head);
     out.length = this->head.length;
     this->attempt_counts.answer_started = true;
     this->exchange->Begin(out);
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -22,8 +22,20 @@
 
 }  // namespace
 
+http::ResponseHead ProxiedRequest::UnframedHead() const {
+  http::ResponseHead out = this->ToRelay(this->head);
+  out.ends_with_connection = true;
+  return out;
+}
+
 void ProxiedRequest::FinishPlain(bool proven) {
-  this->exchange->Respond(this->ToRelay(this->head), this->body);
+  if (this->head.ends_with_connection) {
+    this->exchange->Begin(this->UnframedHead());
+    this->exchange->Write(this->body);
+    this->exchange->End();
+  } else {
+    this->exchange->Respond(this->ToRelay(this->head), this->body);
+  }
   const bool success = IsSuccess(this->head.status);
   if (success) {
     if (proven) this->OnRunProven("answered");
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -163,9 +163,9 @@
                                                    : "ended_before_event");
     return;
   }
-  if (!this->IsModel() && !this->target.is_peer) {
-    // By HTTP the end of the connection is the end of the answer, and nothing
-    // tells more of an endpoint of a plain service.
+  if (!this->IsModel()) {
+    // Nothing tells more of an endpoint of a plain service: its answer is
+    // relayed as it came, without framing.
     this->Complete(false);
     return;
   }
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -385,7 +385,15 @@
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
   this->AddNotices(head, endpoint);
-  exchange.Respond(head, "ran at " + endpoint.spec.id);
+  const std::string body = "ran at " + endpoint.spec.id;
+  if (!this->unframed) {
+    exchange.Respond(head, body);
+    return;
+  }
+  head.ends_with_connection = true;
+  exchange.Begin(head);
+  exchange.Write(body);
+  exchange.End();
 }
 
 std::vector<Endpoints::Stage> Endpoints::ParsePath(
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -159,8 +159,8 @@
   void EndStalledAfter(Duration time) { this->stall_limit = time; }
   /// Sets the time between two events.
   void SetEventGap(Duration gap) { this->event_gap = gap; }
-  /// Sets whether answers of engines have neither a length nor chunks: they end
-  /// with their connection.
+  /// Sets whether answers have neither a length nor chunks: they end with their
+  /// connection.
   void SendUnframed(bool sends) { this->unframed = sends; }
   /// Sets where a crash cuts answers.
   void CutAnswersAt(CutAt where) { this->cut_at = where; }
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -676,6 +676,20 @@
 }
 
 // Operators read the metrics of an instance on its control address.
+// Guards against a length that nobody stated: an answer that ends with its
+// connection may have been cut off.
+BOOST_AUTO_TEST_CASE(UnframedPlainAnswerIsGivenNoFraming) {
+  PlatformFleet fleet(1);
+  fleet.RunOnLoop([&] { fleet.Endpoints().SendUnframed(true); });
+  for (const char* path : {"/read/one", "/sign/one"}) {
+    const Answer answer = fleet.Plain(0, path, std::string("id") + path);
+    BOOST_TEST(answer.status == http::kOk);
+    BOOST_TEST(answer.body.starts_with("ran at"));
+    BOOST_TEST(!answer.headers.contains("content-length"));
+    BOOST_TEST(!answer.headers.contains("transfer-encoding"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(MetricsReportServedRequests) {
   PlatformFleet fleet(1);
   BOOST_TEST(fleet.Plain(0, "/read/x", "read").status == 200);
