One bounded reader for JSON and CBOR from outside

Texts of the store, of peers, of engines and of the platform were each read by a parser without a bound on depth; what was written out again or copied afterwards recursed.

--- a/lib/control/config.cc
+++ b/lib/control/config.cc
@@ -2,13 +2,15 @@
 
 #include <nlohmann/json.hpp>
 
+#include "toucanwharf/support/json_text.h"
+
 namespace toucanwharf::control {
 namespace {
 
 using Json = nlohmann::json;
 
 Json ParseObject(std::string_view text) {
-  Json json = Json::parse(text, nullptr, false);
+  Json json = ParseJson(text);
   return json.is_object() ? json : Json();
 }
 
@@ -29,8 +31,7 @@
 Json ChangesToJson(const ChangeMap& changes) {
   Json json = Json::object();
   for (const auto& [name, value] : changes) {
-    json[name] =
-        value.has_value() ? Json::parse(*value, nullptr, false) : Json(nullptr);
+    json[name] = value.has_value() ? ParseJson(*value) : Json(nullptr);
   }
   return json;
 }
@@ -117,7 +118,7 @@
 }
 
 std::optional<RecordMap> DecodeChunk(std::string_view text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   if (!json.is_object()) return std::nullopt;
   RecordMap records;
   for (const auto& [name, value] : json.items()) records[name] = value.dump();
--- a/lib/control/lease.cc
+++ b/lib/control/lease.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "toucanwharf/support/json_text.h"
+
 namespace toucanwharf::control {
 namespace {
 
@@ -38,7 +40,7 @@
 /// Returns the value in \p text; an unreadable one has the given fence.
 LeaseValue FromText(const std::string& text,
                     std::uint64_t fence_if_unreadable) {
-  const auto json = nlohmann::json::parse(text, nullptr, false);
+  const auto json = ParseJson(text);
   const bool valid = json.is_object() && json.contains("holder") &&
                      json["holder"].is_string() && json.contains("fence") &&
                      json["fence"].is_number_unsigned();
--- a/lib/daemon/directory.cc
+++ b/lib/daemon/directory.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "toucanwharf/support/json.h"
+#include "toucanwharf/support/json_text.h"
 
 namespace toucanwharf::daemon {
 namespace {
@@ -58,10 +59,6 @@
   return instance;
 }
 
-Json ParseJson(std::string_view body) {
-  return Json::parse(body, nullptr, /*allow_exceptions=*/false);
-}
-
 }  // namespace
 
 std::vector<Instance> ParseInstances(std::string_view body) {
--- a/lib/daemon/engine_protocol.cc
+++ b/lib/daemon/engine_protocol.cc
@@ -4,6 +4,8 @@
 #include <optional>
 #include <utility>
 
+#include "toucanwharf/support/json_text.h"
+
 namespace toucanwharf::daemon {
 namespace {
 
@@ -107,7 +109,7 @@
 }
 
 pipeline::Event ParseEngineEvent(std::uint32_t attempt, std::string_view data) {
-  const Json event = Json::parse(data, nullptr, /*allow_exceptions=*/false);
+  const Json event = ParseJson(data);
   if (!event.is_object()) return Malformed(attempt);
   if (event.contains("error")) return FaultOf(attempt, event);
   auto token = TokenOf(event);
@@ -116,7 +118,7 @@
 }
 
 bool ReportsNotRun(std::string_view body) {
-  const Json parsed = Json::parse(body, nullptr, /*allow_exceptions=*/false);
+  const Json parsed = ParseJson(body);
   if (!parsed.is_object()) return false;
   const auto ran = parsed.find("ran");
   return ran != parsed.end() && *ran == "no";
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -15,6 +15,42 @@
 /// Version of the message layout. Instances ignore messages of another version.
 constexpr std::uint64_t kFormat = 8;
 
+/// Reads CBOR into a value, up to a depth that a beacon doesn't reach: the
+/// library reads each level by a call of its own, and would overflow the stack.
+class BoundedReader : public nlohmann::detail::json_sax_dom_parser<Json> {
+ public:
+  using Base = nlohmann::detail::json_sax_dom_parser<Json>;
+
+  explicit BoundedReader(Json& result) : Base(result, false) {}
+
+  bool start_object(std::size_t size) {
+    return ++this->level <= kMaxLevels && Base::start_object(size);
+  }
+  bool end_object() {
+    --this->level;
+    return Base::end_object();
+  }
+  bool start_array(std::size_t size) {
+    return ++this->level <= kMaxLevels && Base::start_array(size);
+  }
+  bool end_array() {
+    --this->level;
+    return Base::end_array();
+  }
+
+ private:
+  static constexpr int kMaxLevels = 16;
+  int level = 0;
+};
+
+/// Returns the value in \p bytes, discarded if there is none.
+Json ReadCbor(std::string_view bytes) {
+  Json value;
+  BoundedReader reader(value);
+  const bool read = Json::sax_parse(bytes, &reader, Json::input_format_t::cbor);
+  return read ? value : Json(Json::value_t::discarded);
+}
+
 Json AgeOrNull(const std::optional<Duration>& age) {
   return age ? Json(age->count()) : Json();
 }
@@ -393,8 +429,8 @@
   // Bytes that claim an array longer than the parser's limit make it throw,
   // too.
   try {
-    const Json trailer = Json::from_cbor(bytes.substr(common), true, false);
-    const Json json = Json::from_cbor(bytes.substr(0, common), true, false);
+    const Json trailer = ReadCbor(bytes.substr(common));
+    const Json json = ReadCbor(bytes.substr(0, common));
     if (!json.is_object() || CountMemberOrZero(json, "format") != kFormat) {
       return std::nullopt;
     }
--- a/lib/instance/registration.cc
+++ b/lib/instance/registration.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "toucanwharf/support/json_text.h"
+
 namespace toucanwharf::instance {
 namespace {
 
@@ -17,7 +19,7 @@
 }
 
 std::optional<Registration> RegistrationFromText(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   // An instance of an older build writes only its address.
   if (json.is_string()) return Registration{json.get<std::string>(), "", 0};
   if (!json.is_object()) return std::nullopt;
--- a/lib/instance/snapshot_exchange.cc
+++ b/lib/instance/snapshot_exchange.cc
@@ -7,6 +7,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "toucanwharf/support/deflate.h"
+#include "toucanwharf/support/json_text.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -105,7 +106,7 @@
 
 std::optional<endpoints::EndpointListSnapshot> EndpointsFromText(
     const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   if (!json.is_object()) return std::nullopt;
   // A peer of another build may write another shape; such a list is rejected.
   try {
--- a/lib/instance/suspect_record.cc
+++ b/lib/instance/suspect_record.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "toucanwharf/support/json_text.h"
+
 namespace toucanwharf::instance {
 namespace {
 
@@ -54,7 +56,7 @@
 std::optional<quarantine::SuspectReport> SuspectRecordFromText(
     const std::string& name, const std::string& text) {
   const auto suspect = quarantine::FingerprintFromText(name);
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   if (!suspect || !json.is_object()) return std::nullopt;
   // An instance of another build, or another writer, may omit members.
   try {
--- a/lib/once/segment.cc
+++ b/lib/once/segment.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "toucanwharf/support/json.h"
+#include "toucanwharf/support/json_text.h"
 
 namespace toucanwharf::once {
 namespace {
@@ -34,7 +35,7 @@
   if (body.size() > kMaxRetainedBodyBytes) return false;
   const std::string text =
       Json(body).dump(-1, ' ', false, Json::error_handler_t::replace);
-  return Json::parse(text, nullptr, false) == Json(body);
+  return ParseJson(text) == Json(body);
 }
 
 std::string EncodeEntry(const Entry& entry) {
@@ -65,7 +66,7 @@
 }
 
 std::optional<Segment> DecodeSegment(std::string_view text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   if (!json.is_object()) return std::nullopt;
   const auto index = CountMember(json, "index");
   const auto floor = CountMember(json, "floor_millis");
--- a/lib/platform/client.cc
+++ b/lib/platform/client.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "toucanwharf/support/json.h"
+#include "toucanwharf/support/json_text.h"
 
 namespace toucanwharf::platform {
 namespace {
@@ -28,7 +29,7 @@
 
 Json Body(const HttpOutcome& outcome) {
   if (outcome.end != CallEnd::kAnswered) return Json();
-  return Json::parse(outcome.body, nullptr, false);
+  return ParseJson(outcome.body);
 }
 
 store::Object ToObject(const Json& json) {
--- a/lib/platform/config_service.cc
+++ b/lib/platform/config_service.cc
@@ -10,6 +10,7 @@
 #include "toucanwharf/platform/record_inspector.h"
 #include "toucanwharf/records/parse.h"
 #include "toucanwharf/support/ids.h"
+#include "toucanwharf/support/json_text.h"
 
 namespace toucanwharf::platform {
 namespace {
@@ -318,7 +319,7 @@
   this->reports.clear();
   for (const store::Object& object : listing.objects) {
     const std::string& name = object.key.name;
-    const Json value = Json::parse(object.value, nullptr, false);
+    const Json value = ParseJson(object.value);
     if (!name.starts_with(kReportPrefix)) {
       present[name] = object.value;
     } else if (value.is_object() && value.contains("schemas")) {
--- a/lib/platform/record_inspector.cc
+++ b/lib/platform/record_inspector.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "toucanwharf/records/parse.h"
+#include "toucanwharf/support/json_text.h"
 
 namespace toucanwharf::platform {
 namespace {
@@ -25,7 +26,7 @@
 constexpr std::size_t kMaxParsedRecords = 4096;
 
 std::string SchemaOf(const std::string& text) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   if (!json.is_object()) return "";
   const auto found = json.find("schema");
   if (found == json.end() || !found->is_string()) return "";
--- a/lib/timeline/codec.cc
+++ b/lib/timeline/codec.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "toucanwharf/support/json.h"
+#include "toucanwharf/support/json_text.h"
 
 namespace toucanwharf::timeline {
 namespace {
@@ -75,7 +76,7 @@
 }
 
 Result<Page> ParsePage(std::string_view text) {
-  const json value = json::parse(text, nullptr, false);
+  const json value = ParseJson(text);
   if (!value.is_object()) return TimelineError::kMalformedPage;
   const auto events = value.find("events");
   const bool has_events = events != value.end() && events->is_array();
