--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -42,6 +42,25 @@
   return beacon;
 }
 
+// Guards against a datagram that overflows the stack of its reader.
+BOOST_AUTO_TEST_CASE(DeeplyNestedDatagramIsInvalid) {
+  constexpr std::size_t kMaxPayload = 65507;
+  constexpr char kArrayOfOne = '\x81';
+  std::string bytes(kMaxPayload - 1, kArrayOfOne);
+  bytes.push_back('\0');
+  BOOST_TEST(!Decode(bytes).has_value());
+  std::string maps;
+  while (maps.size() < kMaxPayload - 3) maps += "\xa1\x60";
+  maps.push_back('\0');
+  BOOST_TEST(!Decode(maps).has_value());
+  std::string lists(kMaxPayload - 1, '\x9f');
+  lists.push_back('\0');
+  BOOST_TEST(!Decode(lists).has_value());
+  std::string trailing(kMaxPayload - 1, kArrayOfOne);
+  trailing.push_back('\xff');
+  BOOST_TEST(!Decode(trailing).has_value());
+}
+
 RC_BOOST_PROP(DecodingReversesEncoding, ()) {
   Beacon beacon;
   beacon.instance =
