--- a/include/toucanwharf/quarantine/evidence.h
+++ b/include/toucanwharf/quarantine/evidence.h
@@ -46,6 +46,8 @@
   RunStage stage = RunStage::kWaiting;
   /// How long it had run, at most.
   Duration ran{0};
+  /// If it was given up in silence, when its endpoint was last heard of.
+  std::optional<TimePoint> silent_since = std::nullopt;
 
   friend bool operator==(const BrokenRun&, const BrokenRun&) = default;
 };
@@ -61,8 +63,9 @@
   Duration ran{0};
   /// Whether the suspect was answered since.
   bool refuted = false;
-  /// Whether nothing of any answer with the suspect had come.
-  bool waiting = false;
+  /// Whether nothing of any answer with the suspect had come; not told by
+  /// earlier builds.
+  std::optional<bool> waiting = std::nullopt;
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -114,7 +114,8 @@
 /// counts half for a suspect that was at one of them; one at which its run was
 /// sent before the crash before was over counts half as well, and no crash of
 /// the first round does. One before which nothing of the answer had come counts
-/// three quarters. Two crashes suffice only if no other suspect was at both.
+/// three quarters, but
+/// not where a whole request was at three. Two crashes suffice only if no other suspect was at both.
 ///
 /// Sound requests share all but one part with those that crash endpoints, so
 /// that their parts are at the same crashes. Of two suspects the one at more
@@ -219,12 +220,15 @@
     bool ran_long = false;
     /// Whether nothing of any answer had come.
     bool waiting = true;
+    /// Whether all of them were given up in silence.
+    bool silent = true;
   };
   /// Broken runs at one start of an endpoint.
   struct BrokenRuns {
     EndpointStart endpoint;
-    /// When the last of them broke.
+    /// When the last of them broke, and when the last was recorded.
     TimePoint last_at;
+    TimePoint recorded_at;
     std::map<Fingerprint, BegunRun> begun;
   };
   /// The crashes that count against a suspect.
@@ -236,6 +240,8 @@
   struct Evidence {
     Crashes chain;
     double weight = 0;
+    /// The same if each of its runs had begun.
+    double weight_if_begun = 0;
     bool several_addresses = false;
   };
   /// What the crashes of suspects that a request doesn't carry say about those
@@ -248,9 +254,6 @@
   };
 
   Evidence Weigh(const Crashes& crashes) const;
-  /// Returns what \p crash counts for by itself against the suspect with
-  /// \p of_suspect.
-  double WeightOf(const Crashes& of_suspect, const Crash& crash) const;
   bool IsJoint(const Crashes& of_suspect, const Crash& crash) const;
   /// Returns whether crashes at which both were are explained by the one with
   /// \p crashes rather than by the one with \p others.
@@ -262,7 +265,7 @@
   Comparison Compare(const Fingerprint& suspect,
                      const std::vector<Fingerprint>& carried,
                      const Evidence& evidence) const;
-  bool IsCertain(const Evidence& evidence) const;
+  bool IsCertain(const Evidence& evidence, FingerprintKind kind) const;
   /// Returns whether a suspect was at half of the moments at which endpoints
   /// ended from its first crash to its last, not counting the first.
   bool IsAtMostEnds(const Crashes& of_suspect, const Evidence& evidence) const;
@@ -288,6 +291,7 @@
                          TimePoint now) const;
   void CountBegun(BrokenRuns& runs, const BrokenRun& run, TimePoint now);
   bool Add(const Fingerprint& suspect, const Crash& crash, TimePoint now);
+  void KeepMark(const Fingerprint& suspect, const CrashReport& report);
   void RecordEnd(std::uint32_t key, TimePoint at);
   void Prune(TimePoint now);
   /// Removes crashes until there are \p max_size: the oldest that are in no
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -167,7 +167,7 @@
   std::size_t number = 0;
   for (const quarantine::SuspectReport& suspect : suspects) {
     for (const quarantine::CrashReport& crash : suspect.crashes) {
-      if (crash.waiting) list.push_back(number);
+      if (crash.waiting.value_or(false)) list.push_back(number);
       ++number;
     }
   }
@@ -397,8 +397,7 @@
                {"p", beacon.peers}};
   Json trials = TrialsToJson(beacon.suspects);
   if (!trials.empty()) json["st"] = std::move(trials);
-  Json waiting = WaitingToJson(beacon.suspects);
-  if (!waiting.empty()) json["sw"] = std::move(waiting);
+  if (!beacon.suspects.empty()) json["sw"] = WaitingToJson(beacon.suspects);
   if (!beacon.alive.empty()) json["al"] = beacon.alive;
   if (beacon.reaches_endpoints) json["re"] = *beacon.reaches_endpoints;
   Json::to_cbor(json, nlohmann::detail::output_adapter<char>(this->common));
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -68,9 +68,11 @@
 
 Duration ProxiedRequest::RunLength() const {
   // What was silent before it was given up did not run all the while.
-  if (this->run_began) return this->last_data - *this->run_began;
+  if (this->run_began && !this->held) {
+    return this->last_data - *this->run_began;
+  }
   const TimePoint sent = this->has_head ? this->head_at : this->attempt_started;
-  return this->gateway.loop.Now() - sent;
+  return this->gateway.loop.Now() - this->run_began.value_or(sent);
 }
 
 void ProxiedRequest::OnSuspectSent() {
@@ -134,6 +136,7 @@
   run.sent_at = this->attempt_started;
   run.stage = this->StageOfRun();
   run.ran = this->RunLength();
+  if (this->call != 0) run.silent_since = this->last_data;
   this->gateway.OnRunBroken(run);
   // Of the other engines the first one shows which is at fault.
   const bool suspected = participant.endpoint == this->target.endpoint ||
--- a/lib/instance/suspect_record.cc
+++ b/lib/instance/suspect_record.cc
@@ -16,7 +16,16 @@
 }
 
 Duration FromMillis(const Json& json) {
-  return std::chrono::milliseconds(json.get<std::int64_t>());
+  // Another writer may state anything.
+  constexpr std::int64_t kMaxMillis = 1'000'000'000'000;
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kMaxMillis));
+}
+
+std::optional<bool> WaitingFromJson(const Json& json) {
+  const auto found = json.find("waiting");
+  if (found == json.end()) return std::nullopt;
+  return found->get<bool>();
 }
 
 CrashReport CrashFromJson(const Json& json) {
@@ -26,7 +35,7 @@
           FromMillis(json.at("ran_ms")),
           std::chrono::milliseconds(json.value("begun_ms", 0)),
           json.at("refuted").get<bool>(),
-          json.value("waiting", false)};
+          WaitingFromJson(json)};
 }
 
 }  // namespace
@@ -45,7 +54,7 @@
                        {"ran_ms", ToMillis(crash.since_sent)},
                        {"begun_ms", ToMillis(crash.ran)},
                        {"refuted", crash.refuted},
-                       {"waiting", crash.waiting}});
+                       {"waiting", crash.waiting.value_or(false)}});
   }
   return Json{{"crashes", crashes},
               {"written_by", written_by},
--- a/lib/quarantine/quarantine.cc
+++ b/lib/quarantine/quarantine.cc
@@ -16,7 +16,8 @@
   this->Prune(now);
   BrokenRuns& runs = this->undecided[run.endpoint.key];
   runs.endpoint = run.endpoint;
-  runs.last_at = now;
+  runs.last_at = std::max(runs.last_at, run.silent_since.value_or(now));
+  runs.recorded_at = now;
   if (run.stage == RunStage::kProven) {
     this->OnSuccess(run.request, now);
     return;
@@ -32,7 +33,8 @@
     // Of several runs with a part the last one may have been the first after
     // the crash before.
     begun.sent_at = std::max(begun.sent_at, run.sent_at);
-    begun.broke_at = now;
+    begun.broke_at = std::max(begun.broke_at, run.silent_since.value_or(now));
+    begun.silent = begun.silent && run.silent_since.has_value();
     begun.ran = std::max(begun.ran, run.ran);
     begun.ran_long = begun.ran_long || run.stage == RunStage::kLongBegun;
     begun.waiting = begun.waiting && run.stage == RunStage::kWaiting;
@@ -48,9 +50,11 @@
   this->undecided.erase(found);
   this->RecordEnd(key, runs.last_at);
   for (const auto& [suspect, run] : runs.begun) {
-    // An end breaks all runs at one moment; those before broke off.
+    // An end breaks all runs at one moment; those before broke off. One of
+    // which nothing had come may have been silent for long when it came.
     const bool at_end =
-        runs.last_at - run.broke_at <= this->settings.joint_window;
+        runs.last_at - run.broke_at <= this->settings.joint_window ||
+        (run.waiting && run.silent);
     if (!at_end || run.ran_long) continue;
     const Crash crash{runs.endpoint, run.sent_at, runs.last_at, run.ran,
                       false,         run.waiting, true};
@@ -127,23 +131,37 @@
 bool Quarantine::Merge(const SuspectReport& report, TimePoint now) {
   bool learned = false;
   for (const CrashReport& crash : report.crashes) {
-    const TimePoint at = now - crash.age;
-    if (crash.age > this->settings.certain_block) continue;
+    // Ages of another clock may be off, or anything.
+    const Duration age = std::max(crash.age, Duration(0));
+    if (age > this->settings.certain_block) continue;
+    const TimePoint at = now - age;
     this->RecordEnd(crash.endpoint.key, at);
     const bool added =
         this->Add(report.suspect,
                   {crash.endpoint, at - crash.since_sent, at, crash.ran,
-                   crash.refuted, crash.waiting, false},
+                   crash.refuted, crash.waiting.value_or(false), false},
                   now);
+    if (!added) this->KeepMark(report.suspect, crash);
     learned = learned || (added && !crash.refuted);
   }
   if (report.trial_age && this->suspects.contains(report.suspect)) {
     TimePoint& trial = this->trials[report.suspect];
-    trial = std::max(trial, now - *report.trial_age);
+    trial = std::max(trial, now - std::max(*report.trial_age, Duration(0)));
   }
   return learned;
 }
 
+/// Applies what \p report tells of how far runs with \p suspect had come.
+void Quarantine::KeepMark(const Fingerprint& suspect,
+                          const CrashReport& report) {
+  const auto found = this->suspects.find(suspect);
+  if (found == this->suspects.end() || !report.waiting) return;
+  for (Crash& crash : found->second) {
+    if (crash.endpoint.key != report.endpoint.key) continue;
+    crash.waiting = crash.waiting && *report.waiting;
+  }
+}
+
 /// Returns whether the crash was not known.
 bool Quarantine::Add(const Fingerprint& suspect, const Crash& crash,
                      TimePoint now) {
@@ -156,7 +174,7 @@
   if (known != crashes.end()) {
     known->refuted = known->refuted || crash.refuted;
     known->ran = std::max(known->ran, crash.ran);
-    known->waiting = known->waiting && crash.waiting;
+    if (crash.own) known->waiting = known->waiting && crash.waiting;
     // Several runs with a part were there, as seen by different instances.
     known->sent_at = std::max(known->sent_at, crash.sent_at);
     return false;
@@ -229,7 +247,7 @@
   if (now - this->pruned_at < kPrunePeriod) return;
   this->pruned_at = now;
   std::erase_if(this->undecided, [&](const auto& entry) {
-    return now - entry.second.last_at > this->settings.evidence_timeout;
+    return now - entry.second.recorded_at > this->settings.evidence_timeout;
   });
   std::erase_if(this->ends, [&](const auto& entry) {
     return now - entry.second > this->settings.certain_block;
@@ -241,7 +259,7 @@
     const Duration age = now - entry.second.back().at;
     if (age <= this->settings.retention) return false;
     return age > this->settings.certain_block ||
-           !this->IsCertain(this->Weigh(entry.second));
+           !this->IsCertain(this->Weigh(entry.second), entry.first.kind);
   });
 }
 
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -71,22 +71,16 @@
          by_chance + kDeviations * std::sqrt(by_chance);
 }
 
-double Quarantine::WeightOf(const Crashes& of_suspect,
-                            const Crash& crash) const {
-  const double begun = crash.waiting ? this->settings.waiting_weight : 1;
-  const double alone =
-      this->IsJoint(of_suspect, crash) ? this->settings.joint_weight : 1;
-  return begun * alone;
-}
-
 /// Returns the longest sequence of crashes of which each run was sent after the
 /// crash before.
 Quarantine::Evidence Quarantine::Weigh(const Crashes& crashes) const {
   Evidence evidence;
   double beside = 0;
+  double unseen = 0;
   for (const Crash& crash : crashes) {
     if (crash.refuted) continue;
-    const double weight = this->WeightOf(crashes, crash);
+    const double weight =
+        this->IsJoint(crashes, crash) ? this->settings.joint_weight : 1;
     const bool follows =
         evidence.chain.empty() ||
         crash.sent_at + this->settings.clock_skew >= evidence.chain.back().at;
@@ -95,6 +89,7 @@
       continue;
     }
     evidence.weight += weight;
+    if (crash.waiting) unseen += weight * (1 - this->settings.waiting_weight);
     if (!evidence.chain.empty() &&
         evidence.chain.front().endpoint.address != crash.endpoint.address) {
       evidence.several_addresses = true;
@@ -104,11 +99,18 @@
   // Crashes of one moment prove nothing more, however many they are.
   const auto rounds = static_cast<double>(evidence.chain.size());
   evidence.weight += std::min(beside, std::max(rounds - 1, 0.0));
+  evidence.weight_if_begun = evidence.weight;
+  evidence.weight -= unseen;
   return evidence;
 }
 
-bool Quarantine::IsCertain(const Evidence& evidence) const {
-  return evidence.weight >= this->settings.certain &&
+bool Quarantine::IsCertain(const Evidence& evidence,
+                           FingerprintKind kind) const {
+  // A whole request is rarely at three crashes by chance, a part often.
+  const double weight = kind == FingerprintKind::kRequest
+                            ? evidence.weight_if_begun
+                            : evidence.weight;
+  return weight >= this->settings.certain &&
          (evidence.several_addresses ||
           evidence.chain.size() >= this->settings.at_one_address);
 }
@@ -190,7 +192,7 @@
   const Evidence evidence = this->Weigh(unexplained);
   const bool probable =
       evidence.weight >= this->settings.probable && evidence.several_addresses;
-  const bool certain = this->IsCertain(evidence);
+  const bool certain = this->IsCertain(evidence, suspect.kind);
   if (!probable && !certain) return {};
   const Comparison others = this->Compare(suspect, carried, evidence);
   const bool is_part = suspect.kind == FingerprintKind::kPromptPart;
@@ -210,7 +212,8 @@
   if (found == this->suspects.end()) return false;
   const Crashes unexplained = this->Unexplained(suspect, carried);
   const Block block = this->BlockOf(suspect, carried, unexplained);
-  return block.then_trial && now - unexplained.back().at >= block.length;
+  if (!block.then_trial) return false;
+  return now - this->Weigh(unexplained).chain.back().at >= block.length;
 }
 
 Duration Quarantine::TrialRemaining(const Fingerprint& suspect,
@@ -307,6 +310,8 @@
     const auto found = runs.begun.find(suspect);
     if (found == runs.begun.end() || found->second.ran_long) continue;
     const BegunRun& run = found->second;
+    // Most endpoints that are silent for a while have not ended.
+    if (run.silent) continue;
     if (newest && newest->at >= run.broke_at) continue;
     newest = Crash{runs.endpoint, run.sent_at, run.broke_at, run.ran,
                    false,         run.waiting, true};
