A connection that closes inside an answer's head is no answer

Cause: libcurl 7.88 ends a transfer with CURLE_OK when the connection closes between two lines of a response's head, at any time after the first line. The client took that for an answer, with the status of the line received, the fields so far and an empty body. After interim answers it did so with the status of the interim one.

Evidence: the new tests close an answer after each of its bytes.

Change: a call is answered only if the empty line after the fields of a final head (status 200 or above) was passed to the header callback. Otherwise it ends as kBroken, with an error that says so, and with status 0, so that no caller takes the status of a part of a head for one. A 101, which no call asks for, is interim too.

In chunks libcurl takes the last CR for the end; nothing of the answer is missing then, which the tests check.

--- a/include/toucanwharf/transport/http_client.h
+++ b/include/toucanwharf/transport/http_client.h
@@ -45,12 +45,21 @@
 };
 
 /// How a call ended.
-enum class CallEnd { kAnswered, kNotConnected, kBroken, kTimedOut };
+enum class CallEnd {
+  /// The response was received whole: its head with the empty line after it,
+  /// and its body as framed by a length, by chunks or by the connection's end.
+  kAnswered,
+  /// No byte of the request was sent.
+  kNotConnected,
+  /// The connection was lost before the response was whole.
+  kBroken,
+  kTimedOut,
+};
 
 /// Outcome of a call.
 struct HttpOutcome {
   CallEnd end = CallEnd::kBroken;
-  /// 0 if no status line was received.
+  /// 0 if the head of the final response was not received whole.
   int status = 0;
   /// Names in lower case.
   std::map<std::string, std::string> headers;
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -22,6 +22,8 @@
   // A callback may cancel its own call. libcurl forbids removing a handle
   // inside its callbacks, so Cancel posts the removal.
   bool cancelled = false;
+  // Whether the empty line after the fields of the final response was received.
+  bool has_head = false;
 
   ~Transfer() {
     curl_easy_cleanup(this->easy);
@@ -37,6 +39,9 @@
 // NOLINTBEGIN(google-runtime-int): libcurl's options are long.
 constexpr long kKeepaliveIdleSeconds = 5;
 constexpr long kKeepaliveProbeSeconds = 2;
+// Lower ones are interim: another head follows.
+constexpr long kFirstFinalStatus = 200;
+constexpr char kCutHead[] = "the connection closed inside the response's head";
 
 int SetUserTimeout(void* /*owner*/, curl_socket_t socket,
                    curlsocktype /*purpose*/) {
@@ -45,11 +50,24 @@
   return CURL_SOCKOPT_OK;
 }
 
+long StatusOf(CURL* easy) {
+  long status = 0;
+  curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
+  return status;
+}
+
+bool IsEmptyLine(std::string_view line) {
+  return line == "\r\n" || line == "\n";
+}
+
 template <typename Owner>
 std::size_t OnHeader(char* bytes, std::size_t size, std::size_t count,
                      void* owner) {
   auto* transfer = static_cast<Owner*>(owner);
   const std::string_view line(bytes, size * count);
+  if (IsEmptyLine(line) && StatusOf(transfer->easy) >= kFirstFinalStatus) {
+    transfer->has_head = true;
+  }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return line.size();
   const std::string_view value = line.substr(colon + 1);
@@ -66,9 +84,7 @@
   auto* transfer = static_cast<Owner*>(owner);
   const std::string_view data(bytes, size * count);
   if (transfer->cancelled) return 0;
-  long status = 0;
-  curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-  if (!transfer->handlers.on_data || status / 100 != 2) {
+  if (!transfer->handlers.on_data || StatusOf(transfer->easy) / 100 != 2) {
     transfer->outcome.body.append(data);
     return data.size();
   }
@@ -76,8 +92,10 @@
   return transfer->cancelled ? 0 : data.size();
 }
 
-CallEnd EndOf(CURLcode code, bool sent) {
-  if (code == CURLE_OK) return CallEnd::kAnswered;
+/// libcurl reports success for a connection that closes between two lines of a
+/// response's head, so that success alone is no answer.
+CallEnd EndOf(CURLcode code, bool has_head, bool sent) {
+  if (code == CURLE_OK && has_head) return CallEnd::kAnswered;
   if (!sent) return CallEnd::kNotConnected;
   if (code == CURLE_OPERATION_TIMEDOUT) return CallEnd::kTimedOut;
   return CallEnd::kBroken;
@@ -204,11 +222,14 @@
   const auto curl_code = static_cast<CURLcode>(code);
   HttpOutcome outcome = std::move(transfer.outcome);
   outcome.sent = MayHaveSent(transfer.easy);
-  outcome.end = EndOf(curl_code, outcome.sent);
-  long status = 0;  // NOLINT(google-runtime-int): libcurl's type
-  curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
-  outcome.status = static_cast<int>(status);
-  if (curl_code != CURLE_OK) outcome.error = curl_easy_strerror(curl_code);
+  outcome.end = EndOf(curl_code, transfer.has_head, outcome.sent);
+  if (transfer.has_head) {
+    outcome.status = static_cast<int>(StatusOf(transfer.easy));
+  }
+  if (outcome.end != CallEnd::kAnswered) {
+    outcome.error =
+        curl_code == CURLE_OK ? kCutHead : curl_easy_strerror(curl_code);
+  }
   const auto on_done = std::move(transfer.handlers.on_done);
   this->Remove(id);
   on_done(std::move(outcome));
--- a/unittests/transport/http_test.cc
+++ b/unittests/transport/http_test.cc
@@ -257,5 +257,151 @@
   BOOST_TEST(RequestsSeenFor(Reuse::kAllowed) == 2);
 }
 
+/// Sends each of its texts to one connection, in order, once it has read that
+/// connection's request, and closes it in the ordinary way.
+class CuttingServer {
+ public:
+  explicit CuttingServer(std::vector<std::string> answers)
+      : listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* raw = reinterpret_cast<sockaddr*>(&address);
+    socklen_t size = sizeof(address);
+    BOOST_REQUIRE(bind(this->listener, raw, size) == 0);
+    getsockname(this->listener, raw, &size);
+    this->port = ntohs(address.sin_port);
+    listen(this->listener, 8);
+    this->thread = std::thread(
+        [this, answers = std::move(answers)] { this->Serve(answers); });
+  }
+  ~CuttingServer() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+  }
+  CuttingServer(const CuttingServer&) = delete;
+  CuttingServer& operator=(const CuttingServer&) = delete;
+
+  std::uint16_t port = 0;
+
+ private:
+  void Serve(const std::vector<std::string>& answers) const {
+    for (const std::string& answer : answers) {
+      const int connection = accept(this->listener, nullptr, nullptr);
+      if (connection < 0) return;
+      ReadRequest(connection);
+      send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+      close(connection);
+    }
+  }
+
+  static void ReadRequest(int connection) {
+    std::string got;
+    char byte = 0;
+    while (!got.ends_with("\r\n\r\n") && recv(connection, &byte, 1, 0) == 1) {
+      got.push_back(byte);
+    }
+  }
+
+  int listener;
+  std::thread thread;
+};
+
+/// Returns \p answer cut after each of its bytes, the whole answer last.
+std::vector<std::string> AllCutsOf(const std::string& answer) {
+  std::vector<std::string> cuts;
+  for (std::size_t size = 0; size <= answer.size(); ++size) {
+    cuts.push_back(answer.substr(0, size));
+  }
+  return cuts;
+}
+
+/// An answer as it is sent, and what its receiver must have got of it.
+struct SentAnswer {
+  std::string bytes;
+  /// Size of the part that ends with the empty line of the final head.
+  std::size_t head_size = 0;
+  /// It may be taken for answered from this many bytes on.
+  std::size_t answered_from = 0;
+  /// Empty if the body ends with the connection.
+  std::string framed_body;
+};
+
+/// Checks that \p answer, whose connection closes after each of its bytes, is
+/// never answered too early and has no status before its head is whole.
+void CheckAllCuts(const SentAnswer& answer) {
+  constexpr int kOk = 200;
+  CuttingServer server(AllCutsOf(answer.bytes));
+  LoopThread client;
+  int answered_early = 0;
+  int status_early = 0;
+  HttpOutcome outcome;
+  for (std::size_t size = 0; size <= answer.bytes.size(); ++size) {
+    HttpCall call = CallTo(server.port);
+    call.reuse = Reuse::kNever;
+    outcome = client.Fetch(call);
+    const bool answered = outcome.end == CallEnd::kAnswered;
+    if (answered && size < answer.answered_from) ++answered_early;
+    if (outcome.status != 0 && size < answer.head_size) ++status_early;
+    BOOST_TEST(outcome.sent);
+    BOOST_TEST((answered || outcome.end == CallEnd::kBroken));
+    BOOST_TEST(answered == outcome.error.empty());
+    if (size < answer.answered_from || !answered) continue;
+    const std::string body =
+        answer.framed_body.empty()
+            ? answer.bytes.substr(answer.head_size, size - answer.head_size)
+            : answer.framed_body;
+    BOOST_TEST(outcome.body == body);
+  }
+  BOOST_TEST((outcome.end == CallEnd::kAnswered));
+  BOOST_TEST(outcome.status == kOk);
+  BOOST_TEST(answered_early == 0, "of " << answer.answered_from << " cuts "
+                                        << answered_early << " were answered");
+  BOOST_TEST(status_early == 0, "of " << answer.head_size << " cuts "
+                                      << status_early << " had a status");
+}
+
+const std::string kFields = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+const std::string kLengthHead = kFields + "Content-Length: 4\r\n\r\n";
+const std::string kChunkedHead = kFields + "Transfer-Encoding: chunked\r\n\r\n";
+
+/// Returns an answer in chunks. libcurl takes the last CR for the end, and then
+/// nothing of the answer is missing.
+SentAnswer InChunks(const std::string& chunks, const std::string& body) {
+  const std::string bytes = kChunkedHead + chunks;
+  return {bytes, kChunkedHead.size(), bytes.size() - 1, body};
+}
+
+// Guards against an endpoint that stops in its answer's head and is relayed as
+// a 200 with an empty body.
+BOOST_AUTO_TEST_CASE(AnswerCutBeforeItsEndIsBroken) {
+  const std::string bytes = kLengthHead + "body";
+  CheckAllCuts({bytes, kLengthHead.size(), bytes.size(), "body"});
+}
+
+BOOST_AUTO_TEST_CASE(AnswerInChunksCutBeforeItsEndIsBroken) {
+  CheckAllCuts(InChunks("4\r\nbody\r\n3\r\nend\r\n0\r\n\r\n", "bodyend"));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerWithTrailersCutBeforeItsEndIsBroken) {
+  CheckAllCuts(InChunks("4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n", "body"));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerAfterInterimAnswersCutBeforeItsEndIsBroken) {
+  const std::string head =
+      "HTTP/1.1 100 Continue\r\n\r\n"
+      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" +
+      kLengthHead;
+  const std::string bytes = head + "body";
+  CheckAllCuts({bytes, head.size(), bytes.size(), "body"});
+}
+
+// An answer without length or chunks ends with its connection.
+BOOST_AUTO_TEST_CASE(UnframedAnswerIsAnsweredOnlyAfterItsWholeHead) {
+  const std::string head = kFields + "Connection: close\r\n\r\n";
+  CheckAllCuts({head + "body", head.size(), head.size(), ""});
+}
+
 }  // namespace
 }  // namespace toucanwharf::transport
