--- a/test/process/state_test.cc
+++ b/test/process/state_test.cc
@@ -1,4 +1,10 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <csignal>
@@ -39,6 +45,66 @@
           {"spec", spec}};
 }
 
+/// A service that closes each connection inside its answer's head.
+class CutHeadService {
+ public:
+  CutHeadService() : listener(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* raw = reinterpret_cast<sockaddr*>(&own);
+    socklen_t size = sizeof(own);
+    BOOST_REQUIRE(bind(this->listener, raw, size) == 0);
+    BOOST_REQUIRE(listen(this->listener, 8) == 0);
+    getsockname(this->listener, raw, &size);
+    this->port = ntohs(own.sin_port);
+    this->thread = std::thread([this] { this->Serve(); });
+  }
+  ~CutHeadService() {
+    shutdown(this->listener, SHUT_RDWR);
+    this->thread.join();
+    close(this->listener);
+  }
+  CutHeadService(const CutHeadService&) = delete;
+  CutHeadService& operator=(const CutHeadService&) = delete;
+
+  std::string Address() const {
+    return "127.0.0.1:" + std::to_string(this->port);
+  }
+  int Signatures() const { return this->signatures; }
+
+ private:
+  void Serve() {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    while (true) {
+      const int connection = accept(this->listener, nullptr, nullptr);
+      if (connection < 0) return;
+      if (ReadRequest(connection).starts_with("POST /sign ")) {
+        ++this->signatures;
+      }
+      send(connection, head.data(), head.size(), MSG_NOSIGNAL);
+      close(connection);
+    }
+  }
+
+  static std::string ReadRequest(int connection) {
+    std::string got;
+    char byte = 0;
+    while (recv(connection, &byte, 1, 0) == 1) {
+      got.push_back(byte);
+      const bool has_body = got.starts_with("POST ");
+      if (got.ends_with(has_body ? "}" : "\r\n\r\n")) break;
+    }
+    return got;
+  }
+
+  int listener;
+  std::uint16_t port = 0;
+  std::atomic<int> signatures{0};
+  std::thread thread;
+};
+
 /// Two routers and one plain service that signs lots, behind a relay.
 struct Signing {
   Signing() {
@@ -282,6 +348,23 @@
   BOOST_TEST(this->Runs(key) == 0);
 }
 
+// Guards against a 200 with an empty body for an answer whose head was cut.
+BOOST_AUTO_TEST_CASE(AnswerCutInsideItsHeadIsNotRelayedAsWhole) {
+  CutHeadService service;
+  this->ListService(service.Address());
+  std::string key;
+  Answer answer;
+  WaitUntil("a call at the new address", [&] {
+    key = NewId();
+    answer = this->Sign(0, key);
+    return service.Signatures() == 1;
+  });
+  BOOST_TEST(answer.status == 502);
+  BOOST_TEST(RanOf(answer) == "unknown");
+  BOOST_TEST(this->Sign(0, key).status != 200);
+  BOOST_TEST(service.Signatures() == 1);
+}
+
 // The endpoint refuses the request before running it. The response reports it
 // as not run, accurately, and the retry signs.
 BOOST_AUTO_TEST_CASE(RefusalOfTheEndpointIsNotRun) {
