Tests of answers that are cut after each of their bytes, on the users' platform

The same fault was looked for in the client that the users' platform uses (Boost.Beast): answers with a length, in chunks with a trailer, after two interim answers, and unframed, closed after each byte. It was not found there: no cut is taken for a whole answer, the head is delivered only whole, and an unframed body is marked as ended by its connection. All held on the code as it is; the tests keep it so. The peer of the tests takes a pause as an argument, so that the many cuts cost little time.

--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -160,8 +160,9 @@
 /// A peer that sends fixed bytes on each connection, then closes it.
 class ScriptedPeer {
  public:
-  explicit ScriptedPeer(std::vector<std::string> pieces, bool reset = false)
-      : listener(socket(AF_INET, SOCK_STREAM, 0)) {
+  explicit ScriptedPeer(std::vector<std::string> pieces, bool reset = false,
+                        milliseconds pause_after_piece = milliseconds(30))
+      : listener(socket(AF_INET, SOCK_STREAM, 0)), pause(pause_after_piece) {
     sockaddr_in own{};
     own.sin_family = AF_INET;
     own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -194,7 +195,7 @@
     (void)recv(connection, bytes, sizeof(bytes), 0);
     for (const std::string& piece : pieces) {
       send(connection, piece.data(), piece.size(), MSG_NOSIGNAL);
-      std::this_thread::sleep_for(milliseconds(30));
+      std::this_thread::sleep_for(this->pause);
     }
     if (reset) {
       const linger hard{1, 0};
@@ -204,6 +205,7 @@
   }
 
   int listener;
+  milliseconds pause;
   std::uint16_t port = 0;
   std::thread thread;
 };
@@ -564,5 +566,62 @@
   BOOST_TEST(got == "hello");
 }
 
+/// Calls a peer that closes after the first \p size bytes of its answer.
+Fetched CallCutAfter(const std::string& answer, std::size_t size) {
+  Request request;
+  request.method = "GET";
+  request.target = "/";
+  ScriptedPeer peer({answer.substr(0, size)}, false, milliseconds(0));
+  return Call(peer.Address(), request);
+}
+
+/// Checks that \p answer, closed after each of its bytes, is complete only from
+/// \p complete_from bytes on, and that its head is delivered only whole.
+void CheckAllCuts(const std::string& answer, std::size_t complete_from) {
+  const std::string head_end = "\r\n\r\n";
+  const std::size_t final_head = answer.find("HTTP/1.1 200");
+  const std::size_t head_size =
+      answer.find(head_end, final_head) + head_end.size();
+  for (std::size_t size = 0; size <= answer.size(); ++size) {
+    const Fetched fetched = CallCutAfter(answer, size);
+    const bool complete = fetched.result.end == CallEnd::kComplete;
+    BOOST_TEST(complete == (size >= complete_from), "cut after " << size);
+    BOOST_TEST((complete || fetched.result.end == CallEnd::kBroken));
+    BOOST_TEST((fetched.head.status != 0) == (size >= head_size));
+    const bool framed = complete_from == answer.size();
+    BOOST_TEST(fetched.result.ended_by_close == (complete && !framed));
+  }
+}
+
+const std::string kFields = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n";
+
+// Guards against an endpoint that stops in its answer's head and is relayed as
+// a 200 with an empty body.
+BOOST_AUTO_TEST_CASE(AnswerCutBeforeItsEndIsNeverComplete) {
+  const std::string answer = kFields + "Content-Length: 4\r\n\r\nbody";
+  CheckAllCuts(answer, answer.size());
+}
+
+BOOST_AUTO_TEST_CASE(AnswerInChunksCutBeforeItsEndIsNeverComplete) {
+  const std::string answer = kFields +
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "4\r\nbody\r\n0\r\nX-Sum: 1\r\n\r\n";
+  CheckAllCuts(answer, answer.size());
+}
+
+BOOST_AUTO_TEST_CASE(AnswerAfterInterimAnswersCutBeforeItsEndIsNeverComplete) {
+  const std::string answer = "HTTP/1.1 100 Continue\r\n\r\n" +
+                             std::string("HTTP/1.1 103 Early Hints\r\n") +
+                             "Link: </a>\r\n\r\n" + kFields +
+                             "Content-Length: 4\r\n\r\nbody";
+  CheckAllCuts(answer, answer.size());
+}
+
+// An answer without length or chunks ends with its connection.
+BOOST_AUTO_TEST_CASE(UnframedAnswerIsCompleteOnlyAfterItsWholeHead) {
+  const std::string head = kFields + "Connection: close\r\n\r\n";
+  CheckAllCuts(head + "body", head.size());
+}
+
 }  // namespace
 }  // namespace toucanwharf::http
