A plain answer that has begun is never retried into the same body

Callers got a 200 whose body held a part of one runner's answer and then the whole answer of another one (MIXED): the first was killed after more than 256 KiB of a plain answer to a safe request, the size up to which an answer is held back, had been relayed.

Cause: the policy of attempts allowed a retry of any repeatable request, also after the relay had begun. That is meant for streams, whose events say where to go on; a plain answer begins anew.

Change: once a part of a plain answer was relayed there is no retry, and an attempt that ends aborts the caller's connection (I2). A plain answer that only stalls isn't given up for another run any more: its rest is waited for until the deadline, as that of a request that must not run twice.

--- a/include/toucanwharf/attempts/attempt_policy.h
+++ b/include/toucanwharf/attempts/attempt_policy.h
@@ -58,7 +58,8 @@
 /// Returns the step after an attempt that ended with \p outcome, the last of
 /// \p counts. \p budget_left is whether another arrival may be caused. A
 /// request that isn't idempotent and may have run is never sent again (I4), and
-/// is never called "not run" (I3).
+/// is never called "not run" (I3). Nor is one sent again of whose plain answer
+/// the caller has a part (I2).
 /// Thread safety: safe.
 NextStep NextStepAfter(const routes::Route& route, const AttemptCounts& counts,
                        AttemptOutcome outcome, bool budget_left);
--- a/lib/attempts/attempt_policy.cc
+++ b/lib/attempts/attempt_policy.cc
@@ -12,6 +12,13 @@
   return counts.total >= route.max_attempts + kMaxNotRunAttempts;
 }
 
+/// Only a stream can go on where a part of it ended: its events say where that
+/// was. Another run of a plain answer would begin anew in the same body.
+bool CanContinueElsewhere(const routes::Route& route,
+                          const AttemptCounts& counts) {
+  return !counts.answer_started || route.kind == routes::RequestKind::kStream;
+}
+
 }  // namespace
 
 bool PausesBeforeRetry(const routes::Route& route,
@@ -21,6 +28,7 @@
 
 bool MayRetry(const routes::Route& route, const AttemptCounts& counts,
               AttemptOutcome outcome) {
+  if (!CanContinueElsewhere(route, counts)) return false;
   if (!counts.answer_started && MaxNotRunReached(route, counts)) return false;
   if (counts.may_have_run >= route.max_attempts) return false;
   return counts.may_have_run == 0
--- a/unittests/attempts/attempt_policy_test.cc
+++ b/unittests/attempts/attempt_policy_test.cc
@@ -122,5 +122,22 @@
               NextStep::kAbort);
 }
 
+// Guards against a body that holds a part of one endpoint's answer and then the
+// whole answer of another one.
+RC_BOOST_PROP(PlainAnswerThatHasBegunIsNeverRetried, ()) {
+  const auto kind =
+      *rc::gen::element(RequestKind::kIdempotent, RequestKind::kNonIdempotent);
+  const bool resumable = *rc::gen::arbitrary<bool>();
+  const auto route = MakeRoute(kind, resumable, *rc::gen::inRange(1, 4));
+  AttemptCounts counts;
+  counts.may_have_run = *rc::gen::inRange(0, 4);
+  counts.total = counts.may_have_run + *rc::gen::inRange(0, 8);
+  counts.answer_started = true;
+  const AttemptOutcome outcome = *AnyOutcome();
+  RC_ASSERT(!MayRetry(route, counts, outcome));
+  RC_ASSERT(NextStepAfter(route, counts, outcome,
+                          *rc::gen::arbitrary<bool>()) == NextStep::kAbort);
+}
+
 }  // namespace
 }  // namespace toucanwharf::attempts
