--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,9 +34,21 @@
     const timeval receive_timeout{3, 0};
     setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
                sizeof(receive_timeout));
+    const int no_delay = 1;
+    setsockopt(this->descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay,
+               sizeof(no_delay));
     BOOST_REQUIRE(connect(this->descriptor, reinterpret_cast<sockaddr*>(&peer),
                           sizeof(peer)) == 0);
   }
+  /// Takes over a connected socket.
+  struct Connected {
+    int descriptor;
+  };
+  explicit RawSocket(Connected accepted) : descriptor(accepted.descriptor) {
+    const int no_delay = 1;
+    setsockopt(this->descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay,
+               sizeof(no_delay));
+  }
   ~RawSocket() { this->Close(); }
   RawSocket(const RawSocket&) = delete;
   RawSocket& operator=(const RawSocket&) = delete;
@@ -93,6 +106,10 @@
     });
     done.get_future().get();
   }
+  /// Returns after the loop has read what its sockets had received before.
+  void Settle() {
+    for (int turn = 0; turn < 2; ++turn) this->On([] {});
+  }
   std::uint16_t Port() {
     std::uint16_t port = 0;
     this->On([&] { port = this->server->Port(); });
@@ -234,6 +251,134 @@
   BOOST_TEST(caller.ReadUntil("").ends_with("abc"));
 }
 
+/// Bodies in chunks and what they hold.
+struct ChunkedBody {
+  std::string text;
+  std::string content;
+};
+const std::vector<ChunkedBody> kChunkedBodies = {
+    {"0\r\n\r\n", ""},
+    {"0\r\nT: v\r\n\r\n", ""},
+    {"000;x=y\r\n\r\n", ""},
+    {"3\r\nabc\r\n0\r\n\r\n", "abc"},
+    {"2;x=y\r\n\r\n\r\n1\r\nc\r\n0\r\nT: v\r\nU: w\r\n\r\n", "\r\nc"},
+    {"1;x=\"0\"\r\n0\r\n0;x\r\nT: 0\r\n\r\n", "0"},
+};
+
+/// Returns \p text cut at one place and, up to \p pairs_until bytes, at each
+/// two places from \p from on, and byte by byte.
+std::vector<std::vector<std::string>> SplitsOf(const std::string& text,
+                                               std::size_t from,
+                                               std::size_t pairs_until) {
+  std::vector<std::vector<std::string>> splits(1);
+  for (const char byte : text) splits[0].emplace_back(1, byte);
+  for (std::size_t i = 1; i < text.size(); ++i) {
+    splits.push_back({text.substr(0, i), text.substr(i)});
+    if (i < from || text.size() - from > pairs_until) continue;
+    for (std::size_t j = i + 1; j < text.size(); ++j) {
+      splits.push_back(
+          {text.substr(0, i), text.substr(i, j - i), text.substr(j)});
+    }
+  }
+  return splits;
+}
+
+constexpr std::size_t kPairsUntil = 40;
+
+// Guards against a parser's assertion that ends the process at some splits.
+BOOST_AUTO_TEST_CASE(RequestInChunksIsWholeHoweverItIsSplit) {
+  std::string received;
+  ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+    received = exchange->Received().body;
+    ResponseHead head;
+    head.status = kOk;
+    exchange->Respond(head, "end");
+  });
+  RawSocket caller(server.Port());
+  const std::string head =
+      "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const ChunkedBody& body : kChunkedBodies) {
+    const std::string text = head + body.text;
+    for (const auto& pieces : SplitsOf(text, head.size(), kPairsUntil)) {
+      received = "none";
+      for (const std::string& piece : pieces) {
+        caller.Send(piece);
+        server.Settle();
+      }
+      const std::string answer = caller.ReadUntil("end");
+      BOOST_REQUIRE(answer.starts_with("HTTP/1.1 200 "));
+      server.On([&] { BOOST_REQUIRE(received == body.content); });
+    }
+  }
+}
+
+/// Listens on a port of its own and accepts connections one by one.
+class RawListener {
+ public:
+  RawListener() : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(own);
+    BOOST_REQUIRE(
+        bind(this->descriptor, reinterpret_cast<sockaddr*>(&own), size) == 0);
+    BOOST_REQUIRE(listen(this->descriptor, 4) == 0);
+    getsockname(this->descriptor, reinterpret_cast<sockaddr*>(&own), &size);
+    this->address = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+  }
+  ~RawListener() { close(this->descriptor); }
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+
+  RawSocket Accept() const {
+    const int accepted = accept(this->descriptor, nullptr, nullptr);
+    BOOST_REQUIRE(accepted >= 0);
+    return RawSocket(RawSocket::Connected{accepted});
+  }
+  const std::string& Address() const { return this->address; }
+
+ private:
+  int descriptor;
+  std::string address;
+};
+
+// Guards against a parser's assertion that ends the process at some splits.
+BOOST_AUTO_TEST_CASE(AnswerInChunksIsWholeHoweverItIsSplit) {
+  ServerThread side(Echo);
+  const RawListener peer;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  Request request;
+  request.method = "GET";
+  request.target = "/a";
+  for (const ChunkedBody& body : kChunkedBodies) {
+    const std::string text = head + body.text;
+    for (const auto& pieces : SplitsOf(text, head.size(), kPairsUntil)) {
+      std::string received;
+      std::promise<CallEnd> done;
+      CallHandlers handlers;
+      handlers.on_data = [&](std::string_view bytes) { received += bytes; };
+      handlers.on_done = [&](const CallResult& result) {
+        done.set_value(result.end);
+      };
+      side.On([&] {
+        side.client->Start(peer.Address(), request, {}, std::move(handlers));
+      });
+      const RawSocket connection = peer.Accept();
+      connection.ReadUntil("\r\n\r\n");
+      for (const std::string& piece : pieces) {
+        connection.Send(piece);
+        side.Settle();
+      }
+      auto end = done.get_future();
+      BOOST_REQUIRE(end.wait_for(std::chrono::seconds(3)) ==
+                    std::future_status::ready);
+      BOOST_REQUIRE(end.get() == CallEnd::kComplete);
+      BOOST_REQUIRE(received == body.content);
+    }
+  }
+}
+
 // Guards against request smuggling: with two lengths or an invalid one, two
 // parsers disagree where the body ends, and one of them reads the rest as a
 // request that nobody sent.
