No split of a message in chunks ends the process

Beast asserts that what follows the size of the last chunk arrives in pieces it can tell from each other.

The tests' answers name Connection: close now, as the client keeps its connections and the peer of the test accepts one a call.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -109,7 +109,6 @@
     this->parser.emplace();
     this->parser->header_limit(kMaxResponseHeaderBytes);
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    this->parser->eager(true);
     this->parser->skip(head_only);
     this->parser->on_body = [this](std::string_view bytes) {
       this->OnBody(bytes);
@@ -248,7 +247,7 @@
     while (this->id == call && !this->input.empty()) {
       // Deliver the head before any byte of the body.
       const bool head_delivered_before = this->head_delivered;
-      this->parser->eager(head_delivered_before);
+      this->parser->stops_at_body = !head_delivered_before;
       Code parse_error;
       const std::size_t size_before = this->input.size();
       const bool valid = this->parser->Feed(this->input, parse_error);
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -183,7 +183,6 @@
     const ServerLimits& limits = this->server->limits;
     this->parser->header_limit(limits.max_header_bytes);
     this->parser->body_limit(limits.max_body_bytes);
-    this->parser->eager(true);
     this->parser->on_body = [this](std::string_view bytes) {
       this->body.append(bytes);
     };
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -331,6 +331,9 @@
   RawListener& operator=(const RawListener&) = delete;
 
   RawSocket Accept() const {
+    const timeval timeout{3, 0};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+               sizeof(timeout));
     const int accepted = accept(this->descriptor, nullptr, nullptr);
     BOOST_REQUIRE(accepted >= 0);
     return RawSocket(RawSocket::Connected{accepted});
@@ -347,7 +350,8 @@
   ServerThread side(Echo);
   const RawListener peer;
   const std::string head =
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n";
   Request request;
   request.method = "GET";
   request.target = "/a";
