A transfer coding other than chunked is refused, and its body is no request

The parser's library takes a coding that it doesn't know for none: of a request with 'Transfer-Encoding: gzip' (or xchunked, empty, 'chunked, gzip', 'identity' beside a length) the body was read as the next request, and ran as one. Now a request is accepted only with exactly one such field, 'chunked', and no length beside it; all others are refused with 400 and their connections close.

--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -110,7 +110,18 @@
     Headers& headers = kIsRequest ? this->request.headers : this->head.headers;
     headers.Add(Text(name), Text(value));
   }
-  void on_header_impl(Code&) override {}
+  /// Beast takes codings that it doesn't know for none, and the body of such a
+  /// request for the next request.
+  void on_header_impl(Code& error) override {
+    if (!kIsRequest) return;
+    const auto codings = this->request.headers.FindAll("Transfer-Encoding");
+    const bool only_chunked = codings.size() == 1 &&
+                              EqualIgnoringCase(codings[0], "chunked") &&
+                              !this->request.headers.Find("Content-Length");
+    if (!codings.empty() && !only_chunked) {
+      error = boost::beast::http::error::bad_transfer_encoding;
+    }
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          Code&) override {
     if (length) this->head.length = *length;
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -393,19 +393,33 @@
       "Content-Length: 4\r\nContent-Length: 5\r\n",
       "Content-Length: four\r\n",
       "Content-Length: -1\r\n",
+      "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: chunked, gzip\r\n",
+      "Transfer-Encoding: chunked, chunked\r\n",
+      "Transfer-Encoding: chunked;x=y\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding:\r\n",
+      "Transfer-Encoding: identity\r\nContent-Length: 4\r\n",
+      "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
   };
+  const std::string hidden = "GET /hidden HTTP/1.1\r\n\r\n";
   for (const std::string& length : lengths) {
-    int handled = 0;
-    ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
-      ++handled;
-      Echo(exchange);
-    });
-    RawSocket caller(server.Port());
-    caller.Send("POST /a HTTP/1.1\r\nHost: h\r\n" + length +
-                "\r\nGET /hidden HTTP/1.1\r\n\r\n");
-    const std::string answer = caller.ReadUntil("");
-    BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), length);
-    server.On([&] { BOOST_TEST(handled == 0); });
+    for (const std::string& body : {hidden, "0\r\n\r\n" + hidden}) {
+      int handled = 0;
+      ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+        ++handled;
+        Echo(exchange);
+      });
+      RawSocket caller(server.Port());
+      caller.Send("POST /a HTTP/1.1\r\nHost: h\r\n" + length + "\r\n" + body);
+      const std::string answer = caller.ReadUntil("");
+      BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), length);
+      BOOST_TEST(answer.rfind("HTTP/1.1") == 0U, length);
+      server.On([&] { BOOST_TEST(handled == 0); });
+    }
   }
 }
 
