An answer that waits for a slow caller is not cut by a timer

A caller that read slowly got a part of its answer and then the end of the connection: the linger of one second after 'Connection: close' and the idle timer of a kept connection started when the answer was handed over, though most of it still waited in the process. Both now count from the last byte sent. A caller that takes nothing for the idle timeout is still given up.

Shown on the code before, answer of 33,554,432 bytes: LastAnswerIsWholeForSlowCaller got 3,919,808 (1.5 s pause, then all at once), KeptConnectionIsNotIdleWhileItsAnswerIsSent got 18,540,380 (idle timeout 400 ms, 1 MiB each 50 ms). Both are whole now; CallerThatNeverReadsIsClosed holds before and after.

--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -187,7 +187,11 @@
       this->body.append(bytes);
     };
     this->head_received = false;
-    this->SetTimer(limits.idle_timeout, [this] { this->Close(); });
+    this->CloseAfter(limits.idle_timeout);
+  }
+
+  void CloseAfter(Duration delay) {
+    this->SetTimer(delay, [this] { this->Close(); });
   }
 
   void SetTimer(Duration delay, const std::function<void()>& action) {
@@ -277,14 +281,33 @@
   void Linger() {
     this->lingering = true;
     this->input.clear();
-    if (this->unsent.empty() && !this->closed) {
-      Code ignored;
-      this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-    }
-    this->SetTimer(kLingerTimeout, [this] { this->Close(); });
+    this->OnLastAnswerProgress();
     this->Read();
   }
 
+  /// Ends the connection soon after the last byte was sent; until then, only a
+  /// caller that takes nothing for the idle timeout is given up.
+  void OnLastAnswerProgress() {
+    if (this->closed) return;
+    if (!this->unsent.empty()) {
+      this->CloseAfter(this->server->limits.idle_timeout);
+      return;
+    }
+    Code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->CloseAfter(kLingerTimeout);
+  }
+
+  /// Counts the timers of a connection that has no request from the last byte
+  /// sent.
+  void OnProgress() {
+    if (this->lingering) {
+      this->OnLastAnswerProgress();
+    } else if (!this->answering && !this->parser->got_some()) {
+      this->CloseAfter(this->server->limits.idle_timeout);
+    }
+  }
+
   /// Writes what the socket accepts now, and the rest when it is writable.
   void Send(std::string_view bytes) {
     if (this->closed) return;
@@ -326,11 +349,8 @@
       return;
     }
     this->unsent.erase(0, sent);
-    if (!this->unsent.empty()) {
-      this->Drain();
-    } else if (this->lingering) {
-      this->socket.shutdown(tcp::socket::shutdown_send, failed);
-    }
+    if (sent > 0) this->OnProgress();
+    if (!this->unsent.empty()) this->Drain();
   }
 
   /// A send fails inside a call of the handler, so the close is deferred until
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -67,6 +67,19 @@
     }
     return text;
   }
+  /// Reads \p most bytes at a time, with \p pause before each, until the peer
+  /// closes. Returns how many were read.
+  std::size_t CountSlowly(std::size_t most, milliseconds pause) const {
+    std::vector<char> bytes(most);
+    std::size_t total = 0;
+    while (true) {
+      std::this_thread::sleep_for(pause);
+      const ssize_t size =
+          recv(this->descriptor, bytes.data(), most, MSG_WAITALL);
+      if (size <= 0) return total;
+      total += static_cast<std::size_t>(size);
+    }
+  }
   void Close() {
     if (this->descriptor >= 0) close(this->descriptor);
     this->descriptor = -1;
@@ -501,6 +514,48 @@
              std::string::npos);
 }
 
+constexpr std::size_t kMebibyte = 1024UL * 1024;
+/// More than the kernel holds for one connection.
+constexpr std::size_t kLongBody = 32 * kMebibyte;
+
+void AnswerAtLength(const std::shared_ptr<Exchange>& exchange) {
+  ResponseHead head;
+  head.status = kOk;
+  exchange->Respond(head, std::string(kLongBody, 'x'));
+}
+
+// Guards against a close in the middle of what waits for a slow caller.
+BOOST_AUTO_TEST_CASE(LastAnswerIsWholeForSlowCaller) {
+  ServerThread server(AnswerAtLength);
+  RawSocket caller(server.Port());
+  caller.Send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+  caller.ReadUntil("\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1500));
+  BOOST_TEST(caller.CountSlowly(kMebibyte, milliseconds(0)) == kLongBody);
+}
+
+// Guards against an idle timer that runs while an answer is still being sent.
+BOOST_AUTO_TEST_CASE(KeptConnectionIsNotIdleWhileItsAnswerIsSent) {
+  ServerLimits limits;
+  limits.idle_timeout = milliseconds(400);
+  ServerThread server(AnswerAtLength, limits);
+  RawSocket caller(server.Port());
+  caller.Send(kGet);
+  caller.ReadUntil("\r\n\r\n");
+  BOOST_TEST(caller.CountSlowly(kMebibyte, milliseconds(50)) == kLongBody);
+}
+
+// Guards against a caller that never reads and holds its connection for ever.
+BOOST_AUTO_TEST_CASE(CallerThatNeverReadsIsClosed) {
+  ServerLimits limits;
+  limits.idle_timeout = milliseconds(400);
+  ServerThread server(AnswerAtLength, limits);
+  RawSocket caller(server.Port());
+  caller.Send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1500));
+  BOOST_TEST(caller.CountSlowly(kMebibyte, milliseconds(0)) < kLongBody);
+}
+
 // Guards against the loss of the first event of a stream: when the first bytes
 // of a body arrive in one read with the head, the body must not be delivered
 // before the head.
