--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -385,7 +385,11 @@
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
   this->AddNotices(head, endpoint);
-  exchange.Respond(head, "ran at " + endpoint.spec.id);
+  std::string body = "ran at " + endpoint.spec.id;
+  if (request.target.ends_with(Endpoints::kLongAnswer)) {
+    body.resize(Endpoints::kLongAnswerBytes, ' ');
+  }
+  exchange.Respond(head, body);
 }
 
 std::vector<Endpoints::Stage> Endpoints::ParsePath(
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -116,6 +116,9 @@
   /// Number of events in each streamed answer, and the time between two.
   static constexpr int kEvents = 20;
   static constexpr Duration kEventGap = std::chrono::milliseconds(20);
+  /// A plain answer to a target that ends with this has this many bytes.
+  static constexpr const char* kLongAnswer = "/long-answer";
+  static constexpr std::size_t kLongAnswerBytes = 24UL * 1024 * 1024;
   static constexpr Duration kSlowDelay = std::chrono::milliseconds(1800);
   /// A request that has this body, or whose target ends with it, crashes each
   /// endpoint that begins to run it.
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -20,7 +20,6 @@
 constexpr const char* kModelService = "model-service";
 constexpr const char* kPlainService = "plain-service";
 constexpr const char* kSecondModelService = "second-model-service";
-constexpr const char* kHost = "calls.example";
 constexpr const char* kDomains[] = {"domain-a", "domain-b"};
 /// Four engines hold the cover of a domain, one is a spare.
 constexpr int kEnginesPerDomain = 5;
@@ -36,7 +35,7 @@
 Json RouteJson(const char* prefix, const char* kind, const char* service,
                bool open) {
   return {{"name", std::string("route") + prefix},
-          {"host", kHost},
+          {"host", PlatformFleet::kHost},
           {"path_prefix", prefix},
           {"kind", kind},
           {"timeout_ms", 5000},
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -43,6 +43,7 @@
 class PlatformFleet {
  public:
   static constexpr std::uint32_t kLayers = 12;
+  static constexpr const char* kHost = "calls.example";
   static constexpr const char* kKey = "key-of-the-first-customer";
   static constexpr const char* kOtherKey = "key-of-the-second-customer";
 
--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -504,6 +504,37 @@
   BOOST_TEST(fleet.Router(0).Wait() == 0);
 }
 
+// Guards against a stop that ends the process before slow callers have the
+// answers that are ready.
+BOOST_AUTO_TEST_CASE(StopCutsNoAnswerThatWaitsForASlowCaller) {
+  PlatformFleet fleet(2);
+  std::promise<void> begun;
+  std::size_t received = 0;
+  Call call;
+  call.method = "POST";
+  call.url = fleet.CallersAddress(0) + "/sign" + Endpoints::kLongAnswer;
+  call.headers = {"Host: " + std::string(PlatformFleet::kHost),
+                  "X-Request-Id: slow", "X-Deadline-Ms: 4000",
+                  std::string("Authorization: Token ") + PlatformFleet::kKey};
+  call.body = "to sign";
+  call.on_data = [&](const std::string& bytes) {
+    constexpr std::size_t kBytesPerMilli = Endpoints::kLongAnswerBytes / 5000;
+    if (received == 0) begun.set_value();
+    received += bytes.size();
+    Pause(static_cast<int>(bytes.size() / kBytesPerMilli));
+    return true;
+  };
+  auto answer = std::async(std::launch::async, [&] { return Send(call); });
+  BOOST_REQUIRE(begun.get_future().wait_for(std::chrono::seconds(4)) ==
+                std::future_status::ready);
+  fleet.Router(0).Signal(SIGTERM);
+  const Answer got = answer.get();
+  BOOST_TEST(got.status == 200);
+  BOOST_TEST(got.complete);
+  BOOST_TEST(received == Endpoints::kLongAnswerBytes);
+  BOOST_TEST(fleet.Router(0).Wait() == 0);
+}
+
 // Two of three routers are killed, and then in each failure domain more engines
 // crash than there are spares. The remaining router acquires the lease and
 // places the layers again on the remaining engines.
