A stop waits for the answers that slow callers still read

A stopping router now also waits, within its grace time, until no bytes wait for callers or for peers that forwarded requests; the line 'stopped' says how many were left.

--- a/include/toucanwharf/http/server.h
+++ b/include/toucanwharf/http/server.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANWHARF_HTTP_SERVER_H_
 #define TOUCANWHARF_HTTP_SERVER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -76,6 +77,9 @@
   void SetLimits(const ServerLimits& limits);
   /// Makes every later response close its connection.
   void CloseAfterResponses();
+  /// Returns how many bytes of responses, also of those that have ended, are
+  /// queued because their callers haven't read them.
+  std::size_t UnsentBytes() const;
   /// Returns the port listened on.
   std::uint16_t Port() const;
 
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -416,15 +416,28 @@
     this->store.Remove({A::InstanceCollection(), this->settings.name});
   }
 
+  /// Returns how many bytes of answers wait for callers, or for peers that
+  /// forwarded requests, to read.
+  std::size_t UnsentBytes() const {
+    std::size_t total = this->caller_server->UnsentBytes();
+    for (const auto& server : this->control_servers) {
+      total += server->UnsentBytes();
+    }
+    return total;
+  }
+
   void StopIfDone(TimePoint now) {
     const Duration elapsed = now - *this->state.stopping_since;
-    const bool idle = this->gateway.InFlight() == 0 && elapsed > kMinDrain;
+    const std::size_t unsent = this->UnsentBytes();
+    const bool delivered = this->gateway.InFlight() == 0 && unsent == 0;
+    const bool idle = delivered && elapsed > kMinDrain;
     const bool late = elapsed > this->settings.bounds.grace - kKillMargin;
     if (!idle && !late) return;
     this->logger.Write(
         eventlog::Level::kNotable, "stopped",
-        eventlog::Fields().Count(
-            "cut", static_cast<std::int64_t>(this->gateway.InFlight())),
+        eventlog::Fields()
+            .Count("cut", static_cast<std::int64_t>(this->gateway.InFlight()))
+            .Count("unsent_bytes", static_cast<std::int64_t>(unsent)),
         now);
     this->loop.Stop();
   }
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -510,6 +510,14 @@
   this->state->close_after_responses = true;
 }
 
+std::size_t Server::UnsentBytes() const {
+  std::size_t total = 0;
+  for (const auto& [key, weak] : this->state->connections) {
+    if (const auto connection = weak.lock()) total += connection->UnsentBytes();
+  }
+  return total;
+}
+
 std::uint16_t Server::Port() const {
   return this->state->acceptor.local_endpoint().port();
 }
