--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -41,7 +41,8 @@
     std::size_t consumed = 0;
     while (consumed < bytes.size() && !this->is_done()) {
       if (this->stops_at_body && this->is_header_done()) break;
-      const std::string_view rest = std::string_view(bytes).substr(consumed);
+      std::string_view rest = bytes;
+      rest.remove_prefix(consumed);
       if (this->AtChunkLine() && !this->ChunkLineIsWhole(rest)) {
         if (rest.size() <= kMaxChunkLineBytes) break;
         error = boost::beast::http::error::header_limit;
