--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -114,8 +114,8 @@
 /// counts half for a suspect that was at one of them; one at which its run was
 /// sent before the crash before was over counts half as well, and no crash of
 /// the first round does. One before which nothing of the answer had come counts
-/// three quarters, but
-/// not where a whole request was at three. Two crashes suffice only if no other suspect was at both.
+/// three quarters, but not where a whole request was at three. Two crashes
+/// suffice only if no other suspect was at both.
 ///
 /// Sound requests share all but one part with those that crash endpoints, so
 /// that their parts are at the same crashes. Of two suspects the one at more
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -385,7 +385,10 @@
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
   this->AddNotices(head, endpoint);
-  const std::string body = "ran at " + endpoint.spec.id;
+  std::string body = "ran at " + endpoint.spec.id;
+  if (request.target.ends_with(Endpoints::kLongAnswer)) {
+    body.resize(Endpoints::kLongAnswerBytes, ' ');
+  }
   if (!this->unframed) {
     exchange.Respond(head, body);
     return;
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,9 +34,21 @@
     const timeval receive_timeout{3, 0};
     setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &receive_timeout,
                sizeof(receive_timeout));
+    const int no_delay = 1;
+    setsockopt(this->descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay,
+               sizeof(no_delay));
     BOOST_REQUIRE(connect(this->descriptor, reinterpret_cast<sockaddr*>(&peer),
                           sizeof(peer)) == 0);
   }
+  /// Takes over a connected socket.
+  struct Connected {
+    int descriptor;
+  };
+  explicit RawSocket(Connected accepted) : descriptor(accepted.descriptor) {
+    const int no_delay = 1;
+    setsockopt(this->descriptor, IPPROTO_TCP, TCP_NODELAY, &no_delay,
+               sizeof(no_delay));
+  }
   ~RawSocket() { this->Close(); }
   RawSocket(const RawSocket&) = delete;
   RawSocket& operator=(const RawSocket&) = delete;
@@ -54,6 +67,19 @@
     }
     return text;
   }
+  /// Reads \p most bytes at a time, with \p pause before each, until the peer
+  /// closes. Returns how many were read.
+  std::size_t CountSlowly(std::size_t most, milliseconds pause) const {
+    std::vector<char> bytes(most);
+    std::size_t total = 0;
+    while (true) {
+      std::this_thread::sleep_for(pause);
+      const ssize_t size =
+          recv(this->descriptor, bytes.data(), most, MSG_WAITALL);
+      if (size <= 0) return total;
+      total += static_cast<std::size_t>(size);
+    }
+  }
   void Close() {
     if (this->descriptor >= 0) close(this->descriptor);
     this->descriptor = -1;
@@ -93,6 +119,10 @@
     });
     done.get_future().get();
   }
+  /// Returns after the loop has read what its sockets had received before.
+  void Settle() {
+    for (int turn = 0; turn < 2; ++turn) this->On([] {});
+  }
   std::uint16_t Port() {
     std::uint16_t port = 0;
     this->On([&] { port = this->server->Port(); });
@@ -236,6 +266,138 @@
   BOOST_TEST(caller.ReadUntil("").ends_with("abc"));
 }
 
+/// Bodies in chunks and what they hold.
+struct ChunkedBody {
+  std::string text;
+  std::string content;
+};
+const std::vector<ChunkedBody> kChunkedBodies = {
+    {"0\r\n\r\n", ""},
+    {"0\r\nT: v\r\n\r\n", ""},
+    {"000;x=y\r\n\r\n", ""},
+    {"3\r\nabc\r\n0\r\n\r\n", "abc"},
+    {"2;x=y\r\n\r\n\r\n1\r\nc\r\n0\r\nT: v\r\nU: w\r\n\r\n", "\r\nc"},
+    {"1;x=\"0\"\r\n0\r\n0;x\r\nT: 0\r\n\r\n", "0"},
+};
+
+/// Returns \p text cut at one place and, up to \p pairs_until bytes, at each
+/// two places from \p from on, and byte by byte.
+std::vector<std::vector<std::string>> SplitsOf(const std::string& text,
+                                               std::size_t from,
+                                               std::size_t pairs_until) {
+  std::vector<std::vector<std::string>> splits(1);
+  for (const char byte : text) splits[0].emplace_back(1, byte);
+  for (std::size_t i = 1; i < text.size(); ++i) {
+    splits.push_back({text.substr(0, i), text.substr(i)});
+    if (i < from || text.size() - from > pairs_until) continue;
+    for (std::size_t j = i + 1; j < text.size(); ++j) {
+      splits.push_back(
+          {text.substr(0, i), text.substr(i, j - i), text.substr(j)});
+    }
+  }
+  return splits;
+}
+
+constexpr std::size_t kPairsUntil = 40;
+
+// Guards against a parser's assertion that ends the process at some splits.
+BOOST_AUTO_TEST_CASE(RequestInChunksIsWholeHoweverItIsSplit) {
+  std::string received;
+  ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+    received = exchange->Received().body;
+    ResponseHead head;
+    head.status = kOk;
+    exchange->Respond(head, "end");
+  });
+  RawSocket caller(server.Port());
+  const std::string head =
+      "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const ChunkedBody& body : kChunkedBodies) {
+    const std::string text = head + body.text;
+    for (const auto& pieces : SplitsOf(text, head.size(), kPairsUntil)) {
+      received = "none";
+      for (const std::string& piece : pieces) {
+        caller.Send(piece);
+        server.Settle();
+      }
+      const std::string answer = caller.ReadUntil("end");
+      BOOST_REQUIRE(answer.starts_with("HTTP/1.1 200 "));
+      server.On([&] { BOOST_REQUIRE(received == body.content); });
+    }
+  }
+}
+
+/// Listens on a port of its own and accepts connections one by one.
+class RawListener {
+ public:
+  RawListener() : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in own{};
+    own.sin_family = AF_INET;
+    own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(own);
+    BOOST_REQUIRE(
+        bind(this->descriptor, reinterpret_cast<sockaddr*>(&own), size) == 0);
+    BOOST_REQUIRE(listen(this->descriptor, 4) == 0);
+    getsockname(this->descriptor, reinterpret_cast<sockaddr*>(&own), &size);
+    this->address = "127.0.0.1:" + std::to_string(ntohs(own.sin_port));
+  }
+  ~RawListener() { close(this->descriptor); }
+  RawListener(const RawListener&) = delete;
+  RawListener& operator=(const RawListener&) = delete;
+
+  RawSocket Accept() const {
+    const timeval timeout{3, 0};
+    setsockopt(this->descriptor, SOL_SOCKET, SO_RCVTIMEO, &timeout,
+               sizeof(timeout));
+    const int accepted = accept(this->descriptor, nullptr, nullptr);
+    BOOST_REQUIRE(accepted >= 0);
+    return RawSocket(RawSocket::Connected{accepted});
+  }
+  const std::string& Address() const { return this->address; }
+
+ private:
+  int descriptor;
+  std::string address;
+};
+
+// Guards against a parser's assertion that ends the process at some splits.
+BOOST_AUTO_TEST_CASE(AnswerInChunksIsWholeHoweverItIsSplit) {
+  ServerThread side(Echo);
+  const RawListener peer;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+      "Connection: close\r\n\r\n";
+  Request request;
+  request.method = "GET";
+  request.target = "/a";
+  for (const ChunkedBody& body : kChunkedBodies) {
+    const std::string text = head + body.text;
+    for (const auto& pieces : SplitsOf(text, head.size(), kPairsUntil)) {
+      std::string received;
+      std::promise<CallEnd> done;
+      CallHandlers handlers;
+      handlers.on_data = [&](std::string_view bytes) { received += bytes; };
+      handlers.on_done = [&](const CallResult& result) {
+        done.set_value(result.end);
+      };
+      side.On([&] {
+        side.client->Start(peer.Address(), request, {}, std::move(handlers));
+      });
+      const RawSocket connection = peer.Accept();
+      connection.ReadUntil("\r\n\r\n");
+      for (const std::string& piece : pieces) {
+        connection.Send(piece);
+        side.Settle();
+      }
+      auto end = done.get_future();
+      BOOST_REQUIRE(end.wait_for(std::chrono::seconds(3)) ==
+                    std::future_status::ready);
+      BOOST_REQUIRE(end.get() == CallEnd::kComplete);
+      BOOST_REQUIRE(received == body.content);
+    }
+  }
+}
+
 // Guards against request smuggling: with two lengths or an invalid one, two
 // parsers disagree where the body ends, and one of them reads the rest as a
 // request that nobody sent.
@@ -246,19 +408,33 @@
       "Content-Length: 4\r\nContent-Length: 5\r\n",
       "Content-Length: four\r\n",
       "Content-Length: -1\r\n",
+      "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: chunked, gzip\r\n",
+      "Transfer-Encoding: chunked, chunked\r\n",
+      "Transfer-Encoding: chunked;x=y\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding:\r\n",
+      "Transfer-Encoding: identity\r\nContent-Length: 4\r\n",
+      "Content-Length: 4\r\nTransfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
   };
+  const std::string hidden = "GET /hidden HTTP/1.1\r\n\r\n";
   for (const std::string& length : lengths) {
-    int handled = 0;
-    ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
-      ++handled;
-      Echo(exchange);
-    });
-    RawSocket caller(server.Port());
-    caller.Send("POST /a HTTP/1.1\r\nHost: h\r\n" + length +
-                "\r\nGET /hidden HTTP/1.1\r\n\r\n");
-    const std::string answer = caller.ReadUntil("");
-    BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), length);
-    server.On([&] { BOOST_TEST(handled == 0); });
+    for (const std::string& body : {hidden, "0\r\n\r\n" + hidden}) {
+      int handled = 0;
+      ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+        ++handled;
+        Echo(exchange);
+      });
+      RawSocket caller(server.Port());
+      caller.Send("POST /a HTTP/1.1\r\nHost: h\r\n" + length + "\r\n" + body);
+      const std::string answer = caller.ReadUntil("");
+      BOOST_TEST(answer.starts_with("HTTP/1.1 400 "), length);
+      BOOST_TEST(answer.rfind("HTTP/1.1") == 0U, length);
+      server.On([&] { BOOST_TEST(handled == 0); });
+    }
   }
 }
 
@@ -340,6 +516,48 @@
              std::string::npos);
 }
 
+constexpr std::size_t kMebibyte = 1024UL * 1024;
+/// More than the kernel holds for one connection.
+constexpr std::size_t kLongBody = 32 * kMebibyte;
+
+void AnswerAtLength(const std::shared_ptr<Exchange>& exchange) {
+  ResponseHead head;
+  head.status = kOk;
+  exchange->Respond(head, std::string(kLongBody, 'x'));
+}
+
+// Guards against a close in the middle of what waits for a slow caller.
+BOOST_AUTO_TEST_CASE(LastAnswerIsWholeForSlowCaller) {
+  ServerThread server(AnswerAtLength);
+  RawSocket caller(server.Port());
+  caller.Send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+  caller.ReadUntil("\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1500));
+  BOOST_TEST(caller.CountSlowly(kMebibyte, milliseconds(0)) == kLongBody);
+}
+
+// Guards against an idle timer that runs while an answer is still being sent.
+BOOST_AUTO_TEST_CASE(KeptConnectionIsNotIdleWhileItsAnswerIsSent) {
+  ServerLimits limits;
+  limits.idle_timeout = milliseconds(400);
+  ServerThread server(AnswerAtLength, limits);
+  RawSocket caller(server.Port());
+  caller.Send(kGet);
+  caller.ReadUntil("\r\n\r\n");
+  BOOST_TEST(caller.CountSlowly(kMebibyte, milliseconds(50)) == kLongBody);
+}
+
+// Guards against a caller that never reads and holds its connection for ever.
+BOOST_AUTO_TEST_CASE(CallerThatNeverReadsIsClosed) {
+  ServerLimits limits;
+  limits.idle_timeout = milliseconds(400);
+  ServerThread server(AnswerAtLength, limits);
+  RawSocket caller(server.Port());
+  caller.Send("GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+  std::this_thread::sleep_for(milliseconds(1500));
+  BOOST_TEST(caller.CountSlowly(kMebibyte, milliseconds(0)) < kLongBody);
+}
+
 // Guards against the loss of the first event of a stream: when the first bytes
 // of a body arrive in one read with the head, the body must not be delivered
 // before the head.
