The soak plays odd entries among the endpoints and other forms of crashes

An engine that fell silent stays so until its restart: a fault of the soak that ended, or a second crash, would have started two engines at its address.

--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -93,7 +93,7 @@
 
 void Endpoints::SetFault(const std::string& id, EndpointFault fault) {
   const auto found = this->endpoints.find(id);
-  if (found == this->endpoints.end()) return;
+  if (found == this->endpoints.end() || found->second.silent) return;
   found->second.fault = fault;
   if (fault == EndpointFault::kStopped) return;
   for (auto& exchange : std::exchange(found->second.unread, {})) {
@@ -163,7 +163,7 @@
 
 void Endpoints::CrashAndRestart(const std::string& id) {
   const auto found = this->endpoints.find(id);
-  if (found == this->endpoints.end()) return;
+  if (found == this->endpoints.end() || found->second.silent) return;
   const EndpointSpec spec = found->second.spec;
   this->Crash(id);
   this->RestartLater(id, spec);
@@ -173,7 +173,8 @@
   const auto found = this->endpoints.find(id);
   if (found == this->endpoints.end()) return;
   Endpoint& endpoint = found->second;
-  if (endpoint.fault == EndpointFault::kUnresponsive) return;
+  if (endpoint.silent) return;
+  endpoint.silent = true;
   endpoint.fault = EndpointFault::kUnresponsive;
   std::erase_if(this->streams, [&](const auto& stream) {
     if (stream->endpoint != id) return false;
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -216,6 +216,8 @@
     std::optional<double> limit;
     std::optional<std::string> shedding;
     bool leaving = false;
+    /// Whether its machine fell silent; only its restart ends that.
+    bool silent = false;
     pipeline::LayerRange layers;
     std::uint64_t sequence = 0;
     std::string state = "ready";
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -58,7 +58,8 @@
   standin_relay_parts)
 
 tw_process_test(odd_entries)
-target_sources(process_odd_entries PRIVATE test/process/platform_fleet.cc)
+target_sources(process_odd_entries PRIVATE test/process/platform_fleet.cc
+  test/process/odd_entries.cc)
 target_link_libraries(process_odd_entries PRIVATE standin_fleet
   standin_relay_parts)
 
@@ -103,7 +104,8 @@
 # that ever showed a fault (test/soak/seeds.txt).
 tw_program(soak test/soak DEPS tw_process_fixture standin_fleet
   standin_relay_parts)
-target_sources(soak PRIVATE test/process/platform_fleet.cc)
+target_sources(soak PRIVATE test/process/platform_fleet.cc
+  test/process/odd_entries.cc)
 tw_process_test(soak_checks)
 target_sources(process_soak_checks PRIVATE test/soak/checks.cc
   test/soak/callers.cc test/process/platform_fleet.cc)
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -37,6 +37,8 @@
   settings.crash_cuts = options.count("crash-cuts") > 0;
   settings.fleet_restarts = options.count("fleet-restarts") > 0;
   settings.endpoint_stops = options.count("endpoint-stops") > 0;
+  settings.odd_entries = options.count("odd-entries") > 0;
+  settings.crash_forms = options.count("crash-forms") > 0;
   settings.callers = options["callers"].as<std::size_t>();
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
@@ -72,7 +74,9 @@
       "cut unframed answers between events and before the first, too")(
       "fleet-restarts", "kill all routers at once, too")(
       "endpoint-stops",
-      "stop endpoints, which go on, and let them send bytes of bad form, too");
+      "stop endpoints, which go on, and let them send bytes of bad form, too")(
+      "odd-entries", "leave odd entries among the endpoints, too")(
+      "crash-forms", "vary how requests crash engines");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -7,6 +7,7 @@
 namespace toucanwharf::soak {
 namespace {
 
+using standins::fleet::CrashForm;
 using standins::fleet::EndpointFault;
 using standins::fleet::StoreFault;
 
@@ -33,6 +34,10 @@
     EndpointFault::kRejectsResumed, EndpointFault::kIgnoresLastEvent,
     EndpointFault::kSendsWithoutEnd, EndpointFault::kFailsWithoutEnd};
 
+constexpr std::array kCrashForms = {CrashForm::kWhileWriting,
+                                    CrashForm::kBeforeHead, CrashForm::kSilent,
+                                    CrashForm::kAtLastEngine};
+
 constexpr std::array kEndpoints = {"domain-a-0", "domain-a-1", "domain-a-2",
                                    "domain-a-4", "domain-b-0", "domain-b-3",
                                    "plain-0",    "plain-1"};
@@ -55,7 +60,8 @@
                                "store return",
                                "crashing part",
                                "stopped engines",
-                               "stopped plain endpoints"};
+                               "stopped plain endpoints",
+                               "odd entry"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
@@ -126,6 +132,33 @@
   }
 }
 
+/// Adds odd entries that stay for 0.3 to 4 s, several at a time.
+void AddOddEntries(const SoakSettings& settings, std::vector<Fault>& faults) {
+  constexpr std::uint64_t kMeanIntervalMs = 600;
+  constexpr std::uint64_t kStream = 3000;
+  Random random(MixBits(settings.seed + kStream));
+  for (std::int64_t at_ms = 0; at_ms < settings.duration_ms;
+       at_ms += static_cast<std::int64_t>(random.Below(2 * kMeanIntervalMs))) {
+    Fault fault;
+    fault.kind = FaultKind::kOddEntry;
+    fault.at_ms = at_ms;
+    fault.duration_ms = 300 + static_cast<std::int64_t>(random.Below(3700));
+    fault.text = random();
+    faults.push_back(fault);
+  }
+}
+
+/// Varies how the crashing requests among \p faults crash engines.
+void VaryCrashForms(const SoakSettings& settings, std::vector<Fault>& faults) {
+  constexpr std::uint64_t kStream = 4000;
+  Random random(MixBits(settings.seed + kStream));
+  for (Fault& fault : faults) {
+    const bool crashes = fault.kind == FaultKind::kCrashingRequest ||
+                         fault.kind == FaultKind::kCrashingPart;
+    if (crashes) fault.crash_form = Draw(kCrashForms, random);
+  }
+}
+
 }  // namespace
 
 std::vector<Fault> PlanFaults(const SoakSettings& settings) {
@@ -169,6 +202,8 @@
   }
   if (settings.fleet_restarts) AddFleetRestarts(settings, faults);
   if (settings.endpoint_stops) AddEndpointStops(settings, faults);
+  if (settings.odd_entries) AddOddEntries(settings, faults);
+  if (settings.crash_forms) VaryCrashForms(settings, faults);
   return faults;
 }
 
@@ -189,6 +224,12 @@
   const bool stops = fault.kind == FaultKind::kStoppedEngines ||
                      fault.kind == FaultKind::kStoppedPlain;
   if (stops) return text + " " + std::to_string(fault.tenths) + " of ten";
+  if (fault.kind == FaultKind::kOddEntry) {
+    return text + " " + std::to_string(fault.text);
+  }
+  if (fault.crash_form != CrashForm::kWhileWriting) {
+    return text + " form " + std::to_string(static_cast<int>(fault.crash_form));
+  }
   const bool of_no_router = fault.kind == FaultKind::kRevocation ||
                             fault.kind == FaultKind::kCrashingRequest ||
                             fault.kind == FaultKind::kCrashingPart ||
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -52,6 +52,8 @@
   /// the configuration changes.
   kStoppedEngines,
   kStoppedPlain,
+  /// Another writer leaves an odd entry among the endpoints, and removes it.
+  kOddEntry,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -69,6 +71,11 @@
   double limit = 0;
   /// Endpoints of ten that are stopped.
   int tenths = 10;
+  /// How a crashing request crashes engines.
+  standins::fleet::CrashForm crash_form =
+      standins::fleet::CrashForm::kWhileWriting;
+  /// Draw of the text of an odd entry.
+  std::uint64_t text = 0;
 
   friend bool operator==(const Fault&, const Fault&) = default;
 };
@@ -106,6 +113,11 @@
   /// Whether endpoints are also stopped, and go on, and send bytes of bad form;
   /// the same holds.
   bool endpoint_stops = false;
+  /// Whether another writer also leaves odd entries among the endpoints; the
+  /// same holds.
+  bool odd_entries = false;
+  /// Whether the forms in which requests crash engines vary; the same holds.
+  bool crash_forms = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "test/process/odd_entries.h"
 #include "test/process/platform_fleet.h"
 #include "test/soak/callers.h"
 #include "test/soak/checks.h"
@@ -68,6 +69,16 @@
   return {lines.begin(), lines.end()};
 }
 
+bool CrashesEngines(const Fault& fault) {
+  return fault.kind == FaultKind::kCrashingRequest ||
+         fault.kind == FaultKind::kCrashingPart;
+}
+
+/// Name of the entry of \p fault among the endpoints.
+std::string OddNameOf(const Fault& fault) {
+  return "odd-" + std::to_string(fault.text);
+}
+
 CutAt DrawCut(std::uint64_t seed) {
   constexpr std::array kCuts = {CutAt::kInsideEvent, CutAt::kBetweenEvents,
                                 CutAt::kBeforeFirstEvent};
@@ -97,6 +108,9 @@
     for (const FaultEvent& event : FaultEventsOf(PlanFaults(this->settings))) {
       std::this_thread::sleep_until(start + milliseconds(event.at_ms));
       this->CheckProcesses();
+      if (event.begins && CrashesEngines(event.fault)) {
+        this->SetCrashForm(event.fault.crash_form);
+      }
       if (event.fault.kind == FaultKind::kCrashingRequest) {
         callers.SendCrashing(event.begins);
         continue;
@@ -169,6 +183,9 @@
         this->fleet.Reconfigure();
         this->SetStopped(fault, EndpointFault::kStopped);
         return;
+      case FaultKind::kOddEntry:
+        this->PutOddEntry(fault);
+        return;
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
         return;
@@ -217,6 +234,10 @@
       case FaultKind::kStoppedPlain:
         this->SetStopped(fault, EndpointFault::kNone);
         return;
+      case FaultKind::kOddEntry:
+        this->fleet.RunOnLoop(
+            [&] { this->fleet.Store().Remove("servers", OddNameOf(fault)); });
+        return;
       case FaultKind::kReload:
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
@@ -271,7 +292,8 @@
                              event.fault.kind != FaultKind::kRevocation &&
                              event.fault.kind != FaultKind::kStoreReturn &&
                              event.fault.kind != FaultKind::kStoppedEngines &&
-                             event.fault.kind != FaultKind::kStoppedPlain;
+                             event.fault.kind != FaultKind::kStoppedPlain &&
+                             event.fault.kind != FaultKind::kOddEntry;
     if (!of_a_router) return;
     const TimePoint now = BootClock().Now();
     const Duration planned = milliseconds(event.fault.duration_ms);
@@ -285,6 +307,18 @@
     this->fleet.RunOnLoop([&] { this->fleet.Store().SetFault(router, fault); });
   }
 
+  void PutOddEntry(const Fault& fault) {
+    const auto texts = process_test::OddTexts();
+    const std::string& text = texts[fault.text % texts.size()].second;
+    this->fleet.RunOnLoop([&] {
+      this->fleet.Store().PutText("servers", OddNameOf(fault), text);
+    });
+  }
+
+  void SetCrashForm(standins::fleet::CrashForm form) {
+    this->fleet.RunOnLoop([&] { this->fleet.Endpoints().CrashAs(form); });
+  }
+
   void SetStopped(const Fault& fault, EndpointFault state) {
     const bool engines = fault.kind == FaultKind::kStoppedEngines;
     const std::vector<std::string> ids =
