--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -139,4 +139,9 @@
   COMMAND soak --seeds 1,2 --seconds 8 --fleet-restarts)
 set_tests_properties(soak_fleet_restarts PROPERTIES TIMEOUT 300)
 
+add_test(NAME soak_odd_entries
+  COMMAND soak --seeds 1,2 --seconds 8 --odd-entries --crash-forms
+    --crashing-requests)
+set_tests_properties(soak_odd_entries PROPERTIES TIMEOUT 300)
+
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
