--- a/test/process/crash_forms_test.cc
+++ b/test/process/crash_forms_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 
 #include "test/process/crashing_runs.h"
 #include "test/process/platform_fleet.h"
@@ -29,5 +30,16 @@
   CheckIsStopped(fleet, CrashForm::kAtLastEngine);
 }
 
+// Guards against a request being sent on and on whose engines fall silent less
+// than half a second after they began: the silence counts as time it ran.
+BOOST_AUTO_TEST_CASE(RequestThatSilencesEnginesWhileTheyWriteIsStopped) {
+  PlatformFleet fleet(kRouters);
+  fleet.RunOnLoop([&] {
+    fleet.Endpoints().SetEventGap(std::chrono::milliseconds(100));
+    fleet.Endpoints().CrashAfterBegin(std::chrono::milliseconds(400));
+  });
+  CheckIsStopped(fleet, CrashForm::kSilent);
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
--- a/test/process/late_crash_test.cc
+++ b/test/process/late_crash_test.cc
@@ -20,17 +20,6 @@
   CheckIsStopped(fleet, CrashForm::kWhileWriting);
 }
 
-// Guards against a request being sent on and on whose engines fall silent less
-// than half a second after they began: the silence counts as time it ran.
-BOOST_AUTO_TEST_CASE(RequestThatSilencesEnginesWhileTheyWriteIsStopped) {
-  PlatformFleet fleet(kRouters);
-  fleet.RunOnLoop([&] {
-    fleet.Endpoints().SetEventGap(std::chrono::milliseconds(100));
-    fleet.Endpoints().CrashAfterBegin(std::chrono::milliseconds(400));
-  });
-  CheckIsStopped(fleet, CrashForm::kSilent);
-}
-
 // The same where the engines close their connections.
 BOOST_AUTO_TEST_CASE(RequestThatClosesEnginesWhileTheyWriteIsStopped) {
   PlatformFleet fleet(kRouters);
