--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -185,8 +185,8 @@
   void OnNotConnected(const http::CallResult& result);
   /// Returns the head of an answer as the caller gets it.
   http::ResponseHead ToRelay(const http::ResponseHead& answer) const;
-  /// Returns the head of an answer whose endpoint stated no framing: a length or
-  /// chunks would tell the caller that it is whole.
+  /// Returns the head of an answer whose endpoint stated no framing: a length
+  /// or chunks would tell the caller that it is whole.
   http::ResponseHead UnframedHead() const;
   /// Counts the request for the budget of extra arrivals and the demand, unless
   /// it has been counted, here or at another instance.
--- a/test/process/crash_forms_test.cc
+++ b/test/process/crash_forms_test.cc
@@ -41,5 +41,15 @@
   CheckIsStopped(fleet, CrashForm::kSilent);
 }
 
+// Guards against the same where the engines close their connections.
+BOOST_AUTO_TEST_CASE(RequestThatClosesEnginesWhileTheyWriteIsStopped) {
+  PlatformFleet fleet(kRouters);
+  fleet.RunOnLoop([&] {
+    fleet.Endpoints().SetEventGap(std::chrono::milliseconds(100));
+    fleet.Endpoints().CrashAfterBegin(std::chrono::milliseconds(400));
+  });
+  CheckIsStopped(fleet, CrashForm::kWhileWriting);
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
