--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -108,6 +108,8 @@
   }
   void on_field_impl(boost::beast::http::field, View name, View value,
                      Code&) override {
+    // Trailers come after what the head decides, and aren't passed on.
+    if (this->is_header_done()) return;
     Headers& headers = kIsRequest ? this->request.headers : this->head.headers;
     headers.Add(Text(name), Text(value));
   }
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -398,6 +398,26 @@
   }
 }
 
+// Guards against a caller that adds fields after the head, which nothing checks.
+BOOST_AUTO_TEST_CASE(TrailersAreNoFieldsOfTheHead) {
+  bool seen = true;
+  std::string body;
+  ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+    seen = exchange->Received().headers.Find("X-After").has_value();
+    body = exchange->Received().body;
+    Echo(exchange);
+  });
+  RawSocket caller(server.Port());
+  caller.Send(
+      "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nab\r\n0\r\nX-After: v\r\n\r\n");
+  BOOST_TEST(caller.ReadUntil("ab").starts_with("HTTP/1.1 200"));
+  server.On([&] {
+    BOOST_TEST(!seen);
+    BOOST_TEST(body == "ab");
+  });
+}
+
 // Guards against request smuggling: with two lengths or an invalid one, two
 // parsers disagree where the body ends, and one of them reads the rest as a
 // request that nobody sent.
