--- a/include/toucanwharf/quarantine/evidence.h
+++ b/include/toucanwharf/quarantine/evidence.h
@@ -2,6 +2,8 @@
 #define TOUCANWHARF_QUARANTINE_EVIDENCE_H_
 
 #include <cstdint>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 #include "toucanwharf/quarantine/fingerprint.h"
@@ -21,7 +23,8 @@
 
 /// How far a run had come, as far as can be known.
 enum class RunStage {
-  /// The endpoint had not begun it.
+  /// Nothing of the answer has come: whether the endpoint has begun it isn't
+  /// known.
   kWaiting,
   /// The endpoint had begun it no longer ago than a crash by a request takes.
   kBegun,
@@ -31,14 +34,20 @@
   kProven,
 };
 
-/// A run whose connection to its endpoint broke before the answer was complete.
+/// Returns \p stage as a word of a log line. Thread safety: safe.
+std::string_view ToText(RunStage stage);
+
+/// A run that broke, or was given up as silent, before the answer was complete.
 struct BrokenRun {
   RequestFingerprints request;
+  /// An endpoint that took part in it.
   EndpointStart endpoint;
   TimePoint sent_at;
   RunStage stage = RunStage::kWaiting;
-  /// How long it had run, unless it was waiting.
+  /// How long it had run, at most.
   Duration ran{0};
+  /// If it was given up in silence, when its endpoint was last heard of.
+  std::optional<TimePoint> silent_since = std::nullopt;
 
   friend bool operator==(const BrokenRun&, const BrokenRun&) = default;
 };
@@ -54,6 +63,9 @@
   Duration ran{0};
   /// Whether the suspect was answered since.
   bool refuted = false;
+  /// Whether nothing of any answer with the suspect had come; not told by
+  /// earlier builds.
+  std::optional<bool> waiting = std::nullopt;
 
   friend bool operator==(const CrashReport&, const CrashReport&) = default;
 };
@@ -62,6 +74,8 @@
 struct SuspectReport {
   Fingerprint suspect;
   std::vector<CrashReport> crashes;
+  /// Time since a request with the suspect was last sent on trial, if one was.
+  std::optional<Duration> trial_age = std::nullopt;
 
   friend bool operator==(const SuspectReport&, const SuspectReport&) = default;
 };
--- a/include/toucanwharf/quarantine/quarantine.h
+++ b/include/toucanwharf/quarantine/quarantine.h
@@ -30,12 +30,19 @@
   /// Weight of a crash beside one of the sequence: the run was sent before that
   /// one was over.
   double beside_weight = 0.5;
+  /// Weight of a crash before which nothing of the answer had come: the
+  /// endpoint may not have begun it.
+  double waiting_weight = 0.75;
   /// Other endpoints that crash at the same moment, from which on it is joint.
   std::size_t joint_ends = 2;
   Duration joint_window = std::chrono::milliseconds(300);
+  /// How far around a crash others show how many fall together by chance.
+  Duration joint_background = std::chrono::seconds(10);
   /// How long a suspect is refused after its last crash.
   Duration certain_block = std::chrono::hours(1);
   Duration probable_block = std::chrono::seconds(60);
+  /// After that, a request is sent on trial, one in this time.
+  Duration trial_period = std::chrono::seconds(20);
   /// How long crashes are remembered that prove nothing yet.
   Duration retention = std::chrono::minutes(10);
   /// A broken run without evidence of its endpoint's end is forgotten.
@@ -45,7 +52,7 @@
   Duration min_downtime = std::chrono::seconds(1);
   /// Delay of reports between instances, by which their times may be off.
   Duration clock_skew = std::chrono::milliseconds(20);
-  std::size_t max_suspects = 256;
+  std::size_t max_suspects = 1024;
   std::size_t max_crashes = 32;
   /// Of these, those in a message between instances.
   std::size_t max_crashes_reported = 8;
@@ -73,6 +80,18 @@
   friend bool operator==(const Verdict&, const Verdict&) = default;
 };
 
+/// What is known against a request that may be sent all the same.
+struct Suspicion {
+  Fingerprint suspect;
+  /// Crashes that no answer has refuted, and those that one has.
+  std::size_t crashes = 0;
+  std::size_t refuted = 0;
+  /// Weight of the first; see QuarantineSettings.
+  double weight = 0;
+
+  friend bool operator==(const Suspicion&, const Suspicion&) = default;
+};
+
 /// Remembers what was running at endpoints that crashed, from all instances'
 /// reports, and decides which requests are refused. Suspects are requests and
 /// the parts of prompts that requests share.
@@ -86,14 +105,16 @@
 /// endpoints may crash at once for a reason of their own. Crashes count against
 /// a suspect only if
 ///   - the endpoint is known to have ended, and not by an order to leave,
-///   - it had just begun to run a request with the suspect,
+///   - it had just begun to run a request with the suspect, or was to do so,
 ///   - that request was sent there after the crash before: copies of a popular
 ///     suspect at endpoints that crash together are at one crash,
 ///   - no request with the suspect was answered since, by any endpoint, or a
 ///     short time before.
-/// A crash of several endpoints together counts half for a suspect that was at
-/// one of them; one at which its run was sent before the crash before was over
-/// counts half as well, and no crash of the first round does. Two crashes
+/// A crash of several endpoints together, more than fall together by chance,
+/// counts half for a suspect that was at one of them; one at which its run was
+/// sent before the crash before was over counts half as well, and no crash of
+/// the first round does. One before which nothing of the answer had come counts
+/// three quarters, but not where a whole request was at three. Two crashes
 /// suffice only if no other suspect was at both.
 ///
 /// Sound requests share all but one part with those that crash endpoints, so
@@ -104,6 +125,11 @@
 /// meanwhile. If another suspect explains as much, only requests that carry
 /// both are refused: sound requests with one of them show which it is.
 ///
+/// Once the block of a suspect that isn't certain has ended, all its callers
+/// come back. One request with it is sent on trial, at one instance, while the
+/// others are still refused: it is answered, or its crash tells the suspect
+/// from those that were at the ones before.
+///
 /// A report is a set of crashes; merging is commutative and idempotent, so that
 /// lost, repeated and reordered messages do no harm.
 /// Thread safety: none; for one thread.
@@ -154,6 +180,13 @@
   /// Returns why and for how long \p request is refused, or nothing.
   std::optional<Verdict> Judge(const RequestFingerprints& request,
                                TimePoint now) const;
+  /// Returns what is known against the suspect of \p request that was at most
+  /// crashes, refuted or not; nothing if there is none.
+  std::optional<Suspicion> SuspicionOf(
+      const RequestFingerprints& request) const;
+  /// Records that \p request is sent now. Returns whether that is on trial,
+  /// which other instances have to know.
+  bool OnSent(const RequestFingerprints& request, TimePoint now);
   /// Returns whether \p request may be sent once more after a run of it broke:
   /// not after a second crash, which would take a third endpoint.
   bool MayRetry(const RequestFingerprints& request, TimePoint now) const;
@@ -170,6 +203,8 @@
     TimePoint at;
     Duration ran{0};
     bool refuted = false;
+    /// Whether nothing of any answer with the suspect had come.
+    bool waiting = false;
     /// Whether this instance saw it, not a peer.
     bool own = false;
   };
@@ -183,18 +218,30 @@
     Duration ran{0};
     /// Whether one of them had run too long to be the cause.
     bool ran_long = false;
+    /// Whether nothing of any answer had come.
+    bool waiting = true;
+    /// Whether all of them were given up in silence.
+    bool silent = true;
   };
   /// Broken runs at one start of an endpoint.
   struct BrokenRuns {
     EndpointStart endpoint;
-    /// When the last of them broke.
+    /// When the last of them broke, and when the last was recorded.
     TimePoint last_at;
+    TimePoint recorded_at;
     std::map<Fingerprint, BegunRun> begun;
   };
   /// The crashes that count against a suspect.
+  struct Block {
+    Duration length{0};
+    /// Whether requests are sent on trial afterwards.
+    bool then_trial = false;
+  };
   struct Evidence {
     Crashes chain;
     double weight = 0;
+    /// The same if each of its runs had begun.
+    double weight_if_begun = 0;
     bool several_addresses = false;
   };
   /// What the crashes of suspects that a request doesn't carry say about those
@@ -218,15 +265,22 @@
   Comparison Compare(const Fingerprint& suspect,
                      const std::vector<Fingerprint>& carried,
                      const Evidence& evidence) const;
-  bool IsCertain(const Evidence& evidence) const;
+  bool IsCertain(const Evidence& evidence, FingerprintKind kind) const;
   /// Returns whether a suspect was at half of the moments at which endpoints
   /// ended from its first crash to its last, not counting the first.
   bool IsAtMostEnds(const Crashes& of_suspect, const Evidence& evidence) const;
-  /// Returns how long \p suspect is refused after the last of its \p
+  /// Returns how \p suspect is refused after the last of its \p
   /// unexplained crashes, in a request that has all of \p carried.
-  Duration BlockOf(const Fingerprint& suspect,
+  Block BlockOf(const Fingerprint& suspect,
+                const std::vector<Fingerprint>& carried,
+                const Crashes& unexplained) const;
+  /// Returns whether a request with \p suspect is sent on trial at \p now, if
+  /// none was lately.
+  bool AwaitsTrial(const Fingerprint& suspect,
                    const std::vector<Fingerprint>& carried,
-                   const Crashes& unexplained) const;
+                   TimePoint now) const;
+  /// Returns how much longer other requests wait for the one on trial.
+  Duration TrialRemaining(const Fingerprint& suspect, TimePoint now) const;
   std::optional<Verdict> JudgeCarried(const Fingerprint& suspect,
                                       const std::vector<Fingerprint>& carried,
                                       TimePoint now) const;
@@ -237,6 +291,7 @@
                          TimePoint now) const;
   void CountBegun(BrokenRuns& runs, const BrokenRun& run, TimePoint now);
   bool Add(const Fingerprint& suspect, const Crash& crash, TimePoint now);
+  void KeepMark(const Fingerprint& suspect, const CrashReport& report);
   void RecordEnd(std::uint32_t key, TimePoint at);
   void Prune(TimePoint now);
   /// Removes crashes until there are \p max_size: the oldest that are in no
@@ -247,6 +302,8 @@
 
   QuarantineSettings settings;
   std::map<Fingerprint, Crashes> suspects;
+  /// When a request with a suspect was last sent on trial.
+  std::map<Fingerprint, TimePoint> trials;
   /// Broken runs without evidence yet, by the key of the endpoint's start.
   std::map<std::uint32_t, BrokenRuns> undecided;
   RecentSuccesses successes;
--- a/lib/gossip/beacon.cc
+++ b/lib/gossip/beacon.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "toucanwharf/support/json.h"
 
@@ -14,6 +15,42 @@
 /// Version of the message layout. Instances ignore messages of another version.
 constexpr std::uint64_t kFormat = 8;
 
+/// Reads CBOR into a value, up to a depth that a beacon doesn't reach: the
+/// library reads each level by a call of its own, and would overflow the stack.
+class BoundedReader : public nlohmann::detail::json_sax_dom_parser<Json> {
+ public:
+  using Base = nlohmann::detail::json_sax_dom_parser<Json>;
+
+  explicit BoundedReader(Json& result) : Base(result, false) {}
+
+  bool start_object(std::size_t size) {
+    return ++this->level <= kMaxLevels && Base::start_object(size);
+  }
+  bool end_object() {
+    --this->level;
+    return Base::end_object();
+  }
+  bool start_array(std::size_t size) {
+    return ++this->level <= kMaxLevels && Base::start_array(size);
+  }
+  bool end_array() {
+    --this->level;
+    return Base::end_array();
+  }
+
+ private:
+  static constexpr int kMaxLevels = 16;
+  int level = 0;
+};
+
+/// Returns the value in \p bytes, discarded if there is none.
+Json ReadCbor(std::string_view bytes) {
+  Json value;
+  BoundedReader reader(value);
+  const bool read = Json::sax_parse(bytes, &reader, Json::input_format_t::cbor);
+  return read ? value : Json(Json::value_t::discarded);
+}
+
 Json AgeOrNull(const std::optional<Duration>& age) {
   return age ? Json(age->count()) : Json();
 }
@@ -123,6 +160,53 @@
   return suspects;
 }
 
+/// Numbers the crashes of all \p suspects in order, and returns the numbers of
+/// those before which nothing of the answer had come.
+Json WaitingToJson(const std::vector<quarantine::SuspectReport>& suspects) {
+  Json list = Json::array();
+  std::size_t number = 0;
+  for (const quarantine::SuspectReport& suspect : suspects) {
+    for (const quarantine::CrashReport& crash : suspect.crashes) {
+      if (crash.waiting.value_or(false)) list.push_back(number);
+      ++number;
+    }
+  }
+  return list;
+}
+
+/// Sets the crashes that \p list names as WaitingToJson does; others that it
+/// may name are ignored.
+void ApplyWaiting(const Json& list,
+                  std::vector<quarantine::SuspectReport>& suspects) {
+  const auto numbers = list.get<std::set<std::size_t>>();
+  std::size_t number = 0;
+  for (quarantine::SuspectReport& suspect : suspects) {
+    for (quarantine::CrashReport& crash : suspect.crashes) {
+      crash.waiting = numbers.contains(number++);
+    }
+  }
+}
+
+/// Returns the places of the \p suspects of which a request was on trial, each
+/// with the time since.
+Json TrialsToJson(const std::vector<quarantine::SuspectReport>& suspects) {
+  Json list = Json::array();
+  for (std::size_t place = 0; place < suspects.size(); ++place) {
+    const auto& age = suspects[place].trial_age;
+    if (age) list.push_back({place, age->count()});
+  }
+  return list;
+}
+
+void ApplyTrials(const Json& list,
+                 std::vector<quarantine::SuspectReport>& suspects) {
+  for (const Json& entry : list) {
+    const auto place = entry.at(0).get<std::size_t>();
+    if (place >= suspects.size()) continue;
+    suspects[place].trial_age = Duration(entry.at(1).get<std::int64_t>());
+  }
+}
+
 Json LimitsToJson(const std::vector<limits::LimitReport>& reports) {
   Json list = Json::array();
   for (const limits::LimitReport& report : reports) {
@@ -245,6 +329,8 @@
   if (json.contains("el")) beacon.limits = LimitsFromJson(json.at("el"));
   if (json.contains("sd")) beacon.demands = DemandsFromJson(json.at("sd"));
   if (json.contains("ss")) beacon.suspects = SuspectsFromJson(json.at("ss"));
+  if (json.contains("st")) ApplyTrials(json.at("st"), beacon.suspects);
+  if (json.contains("sw")) ApplyWaiting(json.at("sw"), beacon.suspects);
   beacon.engine_statuses = EngineStatusesFromJson(json.at("f"));
   beacon.ready_instances = json.at("ri").get<std::vector<std::uint32_t>>();
   beacon.backup_leaders = json.at("dp").get<std::vector<std::string>>();
@@ -309,6 +395,9 @@
                {"ri", beacon.ready_instances},
                {"dp", beacon.backup_leaders},
                {"p", beacon.peers}};
+  Json trials = TrialsToJson(beacon.suspects);
+  if (!trials.empty()) json["st"] = std::move(trials);
+  if (!beacon.suspects.empty()) json["sw"] = WaitingToJson(beacon.suspects);
   if (!beacon.alive.empty()) json["al"] = beacon.alive;
   if (beacon.reaches_endpoints) json["re"] = *beacon.reaches_endpoints;
   Json::to_cbor(json, nlohmann::detail::output_adapter<char>(this->common));
@@ -339,8 +428,8 @@
   // Bytes that claim an array longer than the parser's limit make it throw,
   // too.
   try {
-    const Json trailer = Json::from_cbor(bytes.substr(common), true, false);
-    const Json json = Json::from_cbor(bytes.substr(0, common), true, false);
+    const Json trailer = ReadCbor(bytes.substr(common));
+    const Json json = ReadCbor(bytes.substr(0, common));
     if (!json.is_object() || CountMemberOrZero(json, "format") != kFormat) {
       return std::nullopt;
     }
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -183,12 +183,15 @@
     const ServerLimits& limits = this->server->limits;
     this->parser->header_limit(limits.max_header_bytes);
     this->parser->body_limit(limits.max_body_bytes);
-    this->parser->eager(true);
     this->parser->on_body = [this](std::string_view bytes) {
       this->body.append(bytes);
     };
     this->head_received = false;
-    this->SetTimer(limits.idle_timeout, [this] { this->Close(); });
+    this->CloseAfter(limits.idle_timeout);
+  }
+
+  void CloseAfter(Duration delay) {
+    this->SetTimer(delay, [this] { this->Close(); });
   }
 
   void SetTimer(Duration delay, const std::function<void()>& action) {
@@ -278,14 +281,33 @@
   void Linger() {
     this->lingering = true;
     this->input.clear();
-    if (this->unsent.empty() && !this->closed) {
-      Code ignored;
-      this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-    }
-    this->SetTimer(kLingerTimeout, [this] { this->Close(); });
+    this->OnLastAnswerProgress();
     this->Read();
   }
 
+  /// Ends the connection soon after the last byte was sent; until then, only a
+  /// caller that takes nothing for the idle timeout is given up.
+  void OnLastAnswerProgress() {
+    if (this->closed) return;
+    if (!this->unsent.empty()) {
+      this->CloseAfter(this->server->limits.idle_timeout);
+      return;
+    }
+    Code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->CloseAfter(kLingerTimeout);
+  }
+
+  /// Counts the timers of a connection that has no request from the last byte
+  /// sent.
+  void OnProgress() {
+    if (this->lingering) {
+      this->OnLastAnswerProgress();
+    } else if (!this->answering && !this->parser->got_some()) {
+      this->CloseAfter(this->server->limits.idle_timeout);
+    }
+  }
+
   /// Writes what the socket accepts now, and the rest when it is writable.
   void Send(std::string_view bytes) {
     if (this->closed) return;
@@ -327,11 +349,8 @@
       return;
     }
     this->unsent.erase(0, sent);
-    if (!this->unsent.empty()) {
-      this->Drain();
-    } else if (this->lingering) {
-      this->socket.shutdown(tcp::socket::shutdown_send, failed);
-    }
+    if (sent > 0) this->OnProgress();
+    if (!this->unsent.empty()) this->Drain();
   }
 
   /// A send fails inside a call of the handler, so the close is deferred until
@@ -491,6 +510,14 @@
   this->state->close_after_responses = true;
 }
 
+std::size_t Server::UnsentBytes() const {
+  std::size_t total = 0;
+  for (const auto& [key, weak] : this->state->connections) {
+    if (const auto connection = weak.lock()) total += connection->UnsentBytes();
+  }
+  return total;
+}
+
 std::uint16_t Server::Port() const {
   return this->state->acceptor.local_endpoint().port();
 }
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -30,22 +30,25 @@
           quarantine::FingerprintsOfSharedParts(parts)};
 }
 
-void Gateway::OnRunBroken(const quarantine::BrokenRun& run,
-                          const BrokenAt& at) {
-  const TimePoint now = this->loop.Now();
-  this->state.quarantine.OnRunBroken(run, now);
+void Gateway::OnRunBroken(const quarantine::BrokenRun& run) {
+  this->state.quarantine.OnRunBroken(run, this->loop.Now());
+}
+
+void Gateway::CheckParticipant(const Participant& participant) {
   // Without a probe the list of endpoints tells whether it has ended.
-  if (!at.is_engine || this->IsPaused(at.endpoint)) return;
-  this->probe.Check(at.address, now, this->ConcurrentProbers(),
-                    [this, at](const ProbeAnswer& answer) {
-                      this->OnEndpointProbed(at, answer);
+  if (!participant.is_engine || this->IsPaused(participant.endpoint)) return;
+  this->probe.Check(participant.address, this->loop.Now(),
+                    this->ConcurrentProbers(),
+                    [this, participant](const ProbeAnswer& answer) {
+                      this->OnEndpointProbed(participant, answer);
                     });
 }
 
 /// An engine that refuses connections has ended, and one that reports another
 /// start has been replaced. One that doesn't respond may be cut off: the list
 /// of endpoints tells.
-void Gateway::OnEndpointProbed(const BrokenAt& at, const ProbeAnswer& answer) {
+void Gateway::OnEndpointProbed(const Participant& at,
+                               const ProbeAnswer& answer) {
   const bool restarted =
       answer.report && answer.report->start_time_ms != at.start_time_ms;
   if (restarted) {
@@ -59,10 +62,17 @@
     return;
   }
   if (answer.alive && answer.report) {
+    this->LogOutlived(at.endpoint);
     this->state.quarantine.OnEndpointCleared(at.key);
   }
 }
 
+void Gateway::LogOutlived(const std::string& endpoint) {
+  ++this->counters.broken_runs_outlived;
+  this->logger.Write(Level::kNotable, "endpoint_outlived_run",
+                     Fields().Text("endpoint", endpoint), this->loop.Now());
+}
+
 void Gateway::OnConnectionRefused(std::uint32_t key) {
   this->OnEndpointRefused(key, this->loop.Now() + kMaxDoubt);
 }
@@ -149,13 +159,15 @@
   }
 }
 
-void Gateway::OnSuccess(const quarantine::RequestFingerprints& request) {
+void Gateway::OnSuccess(const quarantine::RequestFingerprints& request,
+                        std::string_view why) {
   const TimePoint now = this->loop.Now();
   for (const quarantine::Fingerprint& suspect :
        this->state.quarantine.OnSuccess(request, now)) {
-    this->logger.Write(Level::kNotable, "request_cleared",
-                       Fields().Text("content", quarantine::ToText(suspect)),
-                       now);
+    this->logger.Write(
+        Level::kNotable, "request_cleared",
+        Fields().Text("content", quarantine::ToText(suspect)).Text("why", why),
+        now);
     if (this->on_cleared) this->on_cleared(suspect);
   }
 }
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -117,6 +117,8 @@
     /// Milliseconds since 1970.
     std::uint64_t start_time_ms = 0;
     std::vector<pipeline::Stage> stages;
+    /// The endpoint, and the other engines of the path.
+    std::vector<Gateway::Participant> participants;
     double token_millis = 0;
     /// Whether this is a peer, which chooses the endpoint.
     bool is_peer = false;
@@ -183,6 +185,9 @@
   void OnNotConnected(const http::CallResult& result);
   /// Returns the head of an answer as the caller gets it.
   http::ResponseHead ToRelay(const http::ResponseHead& answer) const;
+  /// Returns the head of an answer whose endpoint stated no framing: a length
+  /// or chunks would tell the caller that it is whole.
+  http::ResponseHead UnframedHead() const;
   /// Counts the request for the budget of extra arrivals and the demand, unless
   /// it has been counted, here or at another instance.
   void CountRequest();
@@ -221,6 +226,7 @@
   void Reroute();
   void OnRerouted(const std::vector<pipeline::Stage>& stages, int status,
                   const std::string& body);
+  void OnPathLeft(const std::vector<pipeline::Stage>& next);
   void OnRerouteRefused(const std::vector<pipeline::Stage>& stages,
                         const std::string& fault);
   void SetUnresponsiveAt(const std::string& address);
@@ -246,15 +252,27 @@
   const quarantine::RequestFingerprints& Fingerprints();
   /// Logs what tells a request that crashes endpoints from one that was only
   /// there: the same content at several ends, and how far its run had come.
-  void LogBrokenRun();
+  void LogBrokenRun(quarantine::RunStage stage);
+  /// Records and logs that a request is sent although something is known
+  /// against it.
+  void OnSuspectSent();
   /// Returns how far the current run has come.
   quarantine::RunStage StageOfRun() const;
-  /// Returns the time since the endpoint began to write, as far as can be
-  /// known.
-  Duration TimeSinceBegin() const;
-  /// Records that the connection of the current run broke, as a crash of the
-  /// endpoint by this request would break it.
+  /// Returns for how long the endpoint has written, at most.
+  Duration RunLength() const;
+  /// Returns the endpoints that take part in a run at \p to.
+  std::vector<Gateway::Participant> ParticipantsOf(const Target& to) const;
+  /// Records that the current run broke or fell silent, as a crash of one of
+  /// its endpoints by this request would show.
   void OnRunBroken();
+  /// Records the same of one of its endpoints.
+  void OnRunBrokenAt(const Gateway::Participant& participant);
+  /// Ends the call of the current attempt. A run that is given up in silence
+  /// counts as broken.
+  void GiveUpCall();
+  /// Returns whether nothing has come from the endpoint for so long that it may
+  /// have ended without closing the connection.
+  bool EndpointIsSilent() const;
   /// Finds out whether the answer, which ended only with its connection, is
   /// whole.
   ///
@@ -274,7 +292,7 @@
   /// Records an event of the current run.
   void OnProgress();
   /// Records that this run shows that the request crashes no endpoint.
-  void OnRunProven();
+  void OnRunProven(std::string_view why);
   /// Refuses the request, which was not sent yet, if it is in quarantine.
   /// Returns whether it is.
   bool RefuseQuarantined();
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -92,7 +92,9 @@
   const bool begun = this->attempt_counts.answer_started;
   if (!begun && this->body.size() <= kMaxHeldBackBytes) return;
   if (!begun) {
-    http::ResponseHead out = this->ToRelay(this->head);
+    http::ResponseHead out = this->head.ends_with_connection
+                                 ? this->UnframedHead()
+                                 : this->ToRelay(this->head);
     out.length = this->head.length;
     this->attempt_counts.answer_started = true;
     this->exchange->Begin(out);
@@ -232,7 +234,7 @@
     return;
   }
   this->exchange->End();
-  if (proven) this->OnRunProven();
+  if (proven) this->OnRunProven("answered");
   ++this->gateway.counters.answered;
   this->Finish("answered", this->head.status);
 }
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -22,11 +22,23 @@
 
 }  // namespace
 
+http::ResponseHead ProxiedRequest::UnframedHead() const {
+  http::ResponseHead out = this->ToRelay(this->head);
+  out.ends_with_connection = true;
+  return out;
+}
+
 void ProxiedRequest::FinishPlain(bool proven) {
-  this->exchange->Respond(this->ToRelay(this->head), this->body);
+  if (this->head.ends_with_connection) {
+    this->exchange->Begin(this->UnframedHead());
+    this->exchange->Write(this->body);
+    this->exchange->End();
+  } else {
+    this->exchange->Respond(this->ToRelay(this->head), this->body);
+  }
   const bool success = IsSuccess(this->head.status);
   if (success) {
-    if (proven) this->OnRunProven();
+    if (proven) this->OnRunProven("answered");
     this->gateway.counters.plain_latency.Add(this->gateway.loop.Now() -
                                              this->admitted.arrived);
   }
@@ -122,7 +134,7 @@
   if (std::exchange(this->finished, true)) return;
   // Requests whose caller left, or whose time was over, have waited longest.
   this->RecordWait();
-  this->CancelCall();
+  this->GiveUpCall();
   this->ReleaseLoad();
   this->gateway.loop.Cancel(this->deadline_timer);
   this->gateway.loop.Cancel(this->stall_timer);
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "absl/strings/str_format.h"
 #include "absl/strings/str_join.h"
 #include "proxied_request.h"
 #include "toucanwharf/endpoints/unframed_end.h"
@@ -35,12 +36,17 @@
   return *this->fingerprints;
 }
 
-void ProxiedRequest::LogBrokenRun() {
+void ProxiedRequest::LogBrokenRun(quarantine::RunStage stage) {
   ++this->gateway.counters.broken_runs;
+  if (stage == quarantine::RunStage::kLongBegun ||
+      stage == quarantine::RunStage::kProven) {
+    ++this->gateway.counters.broken_runs_uncounted;
+  }
   Fields fields;
   fields.Text("endpoint", this->target.endpoint)
       .Text("content", quarantine::ToText(this->Fingerprints().request))
       .Text("parts", PartsText(this->Fingerprints().parts))
+      .Text("stage", quarantine::ToText(stage))
       .Count("pieces", this->chunks_written);
   if (this->has_head) {
     fields.Millis("ran_ms", this->gateway.loop.Now() - this->head_at);
@@ -55,20 +61,69 @@
   if (!this->has_head) return RunStage::kWaiting;
   // The head may come long before the endpoint begins to write.
   if (!this->run_began) return RunStage::kBegun;
-  const Duration ran = this->TimeSinceBegin();
+  const Duration ran = this->RunLength();
   if (ran <= kMaxCrashDelay) return RunStage::kBegun;
   return ran < kProvenAfter ? RunStage::kLongBegun : RunStage::kProven;
 }
 
-Duration ProxiedRequest::TimeSinceBegin() const {
+Duration ProxiedRequest::RunLength() const {
+  // What was silent before it was given up did not run all the while.
+  if (this->run_began && !this->held) {
+    return this->last_data - *this->run_began;
+  }
   const TimePoint sent = this->has_head ? this->head_at : this->attempt_started;
   return this->gateway.loop.Now() - this->run_began.value_or(sent);
 }
 
+void ProxiedRequest::OnSuspectSent() {
+  quarantine::Quarantine& quarantine = this->gateway.state.quarantine;
+  if (quarantine.Empty() || this->target.is_peer) return;
+  const auto suspicion = quarantine.SuspicionOf(this->Fingerprints());
+  if (!suspicion) return;
+  const bool on_trial =
+      quarantine.OnSent(this->Fingerprints(), this->gateway.loop.Now());
+  if (on_trial) this->gateway.AnnounceNews();
+  ++this->gateway.counters.suspects_sent;
+  // Popular parts are often at one crash.
+  const bool at_several = suspicion->crashes + suspicion->refuted > 1;
+  this->Log(at_several ? Level::kNotable : Level::kRoutine, "suspect_sent",
+            Fields()
+                .Text("endpoint", this->target.endpoint)
+                .Text("content", quarantine::ToText(suspicion->suspect))
+                .Count("crashes", static_cast<std::int64_t>(suspicion->crashes))
+                .Count("refuted", static_cast<std::int64_t>(suspicion->refuted))
+                .Text("weight", absl::StrFormat("%.2f", suspicion->weight))
+                .Count("on_trial", on_trial ? 1 : 0));
+}
+
+std::vector<Gateway::Participant> ProxiedRequest::ParticipantsOf(
+    const Target& to) const {
+  std::vector<Gateway::Participant> participants;
+  const auto add = [&](const std::string& id) {
+    const endpoints::Endpoint* known = this->gateway.state.endpoints.Find(id);
+    if (known == nullptr) return;
+    participants.push_back({id, known->address, endpoints::EndpointKey(*known),
+                            known->start_time_ms, this->IsModel()});
+  };
+  add(to.endpoint);
+  for (const pipeline::Stage& stage : to.stages) {
+    if (stage.endpoint != to.endpoint) add(stage.endpoint);
+  }
+  return participants;
+}
+
 void ProxiedRequest::OnRunBroken() {
-  this->LogBrokenRun();
+  if (this->target.is_peer) return;
+  this->LogBrokenRun(this->StageOfRun());
+  for (const Gateway::Participant& participant : this->target.participants) {
+    this->OnRunBrokenAt(participant);
+  }
+}
+
+void ProxiedRequest::OnRunBrokenAt(const Gateway::Participant& participant) {
+  const InstanceState& state = this->gateway.state;
   const endpoints::Endpoint* endpoint =
-      this->gateway.state.endpoints.Find(this->target.endpoint);
+      state.endpoints.Find(participant.endpoint);
   // An endpoint that drains, or has left the list, ends by an order.
   if (endpoint == nullptr ||
       endpoint->state == endpoints::EndpointState::kDraining) {
@@ -76,14 +131,28 @@
   }
   quarantine::BrokenRun run;
   run.request = this->Fingerprints();
-  run.endpoint = {this->target.key,
-                  static_cast<std::uint32_t>(HashText(this->target.address))};
+  run.endpoint = {participant.key,
+                  static_cast<std::uint32_t>(HashText(participant.address))};
   run.sent_at = this->attempt_started;
   run.stage = this->StageOfRun();
-  run.ran = this->TimeSinceBegin();
-  this->gateway.OnRunBroken(
-      run, {this->target.endpoint, this->target.address, this->target.key,
-            this->target.start_time_ms, this->IsModel()});
+  run.ran = this->RunLength();
+  if (this->call != 0) run.silent_since = this->last_data;
+  this->gateway.OnRunBroken(run);
+  // Of the other engines the first one shows which is at fault.
+  const bool suspected = participant.endpoint == this->target.endpoint ||
+                         state.loads.IsUnresponsive(participant.endpoint,
+                                                    this->gateway.loop.Now());
+  if (suspected) this->gateway.CheckParticipant(participant);
+}
+
+bool ProxiedRequest::EndpointIsSilent() const {
+  if (this->call == 0 || this->target.is_peer || this->held) return false;
+  return this->gateway.loop.Now() - this->last_data >= this->StallTimeout();
+}
+
+void ProxiedRequest::GiveUpCall() {
+  if (this->EndpointIsSilent()) this->OnRunBroken();
+  this->CancelCall();
 }
 
 void ProxiedRequest::OnEndedByClose() {
@@ -97,9 +166,9 @@
                                                    : "ended_before_event");
     return;
   }
-  if (!this->IsModel() && !this->target.is_peer) {
-    // By HTTP the end of the connection is the end of the answer, and nothing
-    // tells more of an endpoint of a plain service.
+  if (!this->IsModel()) {
+    // Nothing tells more of an endpoint of a plain service: its answer is
+    // relayed as it came, without framing.
     this->Complete(false);
     return;
   }
@@ -166,14 +235,15 @@
 
 void ProxiedRequest::OnProgress() {
   if (!this->run_began) this->run_began = this->last_data;
-  if (this->last_data - *this->run_began >= kProvenAfter) this->OnRunProven();
+  if (this->last_data - *this->run_began < kProvenAfter) return;
+  this->OnRunProven("ran_on");
 }
 
-void ProxiedRequest::OnRunProven() {
+void ProxiedRequest::OnRunProven(std::string_view why) {
   // A peer's answer may go on over several crashes; the peer knows its runs.
   if (this->target.is_peer) return;
   if (std::exchange(this->proven, true)) return;
-  this->gateway.OnSuccess(this->Fingerprints());
+  this->gateway.OnSuccess(this->Fingerprints(), why);
 }
 
 bool ProxiedRequest::RefuseQuarantined() {
--- a/lib/instance/proxied_request_retry.cc
+++ b/lib/instance/proxied_request_retry.cc
@@ -93,7 +93,7 @@
 /// Ends the current attempt and continues as the policy says.
 void ProxiedRequest::EndAttempt(AttemptOutcome outcome,
                                 std::string_view reason) {
-  this->CancelCall();
+  this->GiveUpCall();
   this->ReleaseLoad();
   const TimePoint now = this->gateway.loop.Now();
   this->excluded.insert(this->target.endpoint);
@@ -131,6 +131,9 @@
       .Count("budget_extras", static_cast<std::int64_t>(use.extras))
       .Count("budget_shared_by", static_cast<std::int64_t>(
                                      this->gateway.budget.Sharers().instances));
+  if (outcome == AttemptOutcome::kUnknown) {
+    fields.Text("content", quarantine::ToText(this->Fingerprints().request));
+  }
   this->Log(Level::kNotable, "try_ended", fields);
   this->Proceed(outcome, reason);
 }
--- a/lib/instance/suspect_record.cc
+++ b/lib/instance/suspect_record.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "toucanwharf/support/json_text.h"
+
 namespace toucanwharf::instance {
 namespace {
 
@@ -14,7 +16,16 @@
 }
 
 Duration FromMillis(const Json& json) {
-  return std::chrono::milliseconds(json.get<std::int64_t>());
+  // Another writer may state anything.
+  constexpr std::int64_t kMaxMillis = 1'000'000'000'000;
+  return std::chrono::milliseconds(
+      std::clamp<std::int64_t>(json.get<std::int64_t>(), 0, kMaxMillis));
+}
+
+std::optional<bool> WaitingFromJson(const Json& json) {
+  const auto found = json.find("waiting");
+  if (found == json.end()) return std::nullopt;
+  return found->get<bool>();
 }
 
 CrashReport CrashFromJson(const Json& json) {
@@ -23,7 +34,8 @@
           FromMillis(json.at("before_last_ms")),
           FromMillis(json.at("ran_ms")),
           std::chrono::milliseconds(json.value("begun_ms", 0)),
-          json.at("refuted").get<bool>()};
+          json.at("refuted").get<bool>(),
+          WaitingFromJson(json)};
 }
 
 }  // namespace
@@ -41,7 +53,8 @@
                        {"before_last_ms", ToMillis(crash.age - last)},
                        {"ran_ms", ToMillis(crash.since_sent)},
                        {"begun_ms", ToMillis(crash.ran)},
-                       {"refuted", crash.refuted}});
+                       {"refuted", crash.refuted},
+                       {"waiting", crash.waiting.value_or(false)}});
   }
   return Json{{"crashes", crashes},
               {"written_by", written_by},
@@ -52,7 +65,7 @@
 std::optional<quarantine::SuspectReport> SuspectRecordFromText(
     const std::string& name, const std::string& text) {
   const auto suspect = quarantine::FingerprintFromText(name);
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   if (!suspect || !json.is_object()) return std::nullopt;
   // An instance of another build, or another writer, may omit members.
   try {
--- a/lib/quarantine/reports.cc
+++ b/lib/quarantine/reports.cc
@@ -8,6 +8,20 @@
 
 namespace toucanwharf::quarantine {
 
+std::string_view ToText(RunStage stage) {
+  switch (stage) {
+    case RunStage::kWaiting:
+      return "waiting";
+    case RunStage::kBegun:
+      return "begun";
+    case RunStage::kLongBegun:
+      return "long_begun";
+    case RunStage::kProven:
+      return "proven";
+  }
+  return "";
+}
+
 SuspectReport Quarantine::ToReport(const Fingerprint& suspect,
                                    const Crashes& crashes,
                                    TimePoint now) const {
@@ -16,8 +30,10 @@
   for (const Crash& crash : crashes) {
     report.crashes.push_back({crash.endpoint, now - crash.at,
                               crash.at - crash.sent_at, crash.ran,
-                              crash.refuted});
+                              crash.refuted, crash.waiting});
   }
+  const auto trial = this->trials.find(suspect);
+  if (trial != this->trials.end()) report.trial_age = now - trial->second;
   return report;
 }
 
@@ -41,7 +57,8 @@
           return crash.own && !crash.refuted &&
                  now - crash.at <= this->settings.own_first;
         });
-    return std::tuple(only_here, crashes.size(), entry->first.kind,
+    const bool is_news = only_here || this->trials.contains(entry->first);
+    return std::tuple(is_news, crashes.size(), entry->first.kind,
                       crashes.back().at);
   };
   if (ranked.size() > this->settings.max_reported) {
--- a/lib/quarantine/verdict.cc
+++ b/lib/quarantine/verdict.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "crashes.h"
@@ -40,15 +41,34 @@
 
 }  // namespace
 
-/// Returns whether other endpoints crashed at the same moment without
-/// the suspect.
+/// Returns whether more other endpoints crashed at the same moment without the
+/// suspect than do so by chance where crashes are frequent.
 bool Quarantine::IsJoint(const Crashes& of_suspect, const Crash& crash) const {
   std::size_t others = 0;
+  std::size_t around = 0;
+  TimePoint newest = crash.at;
   for (const auto& [key, at] : this->ends) {
-    if (Distance(at, crash.at) > this->settings.joint_window) continue;
-    if (!WasAt(of_suspect, key)) ++others;
+    newest = std::max(newest, at);
+    const Duration distance = Distance(at, crash.at);
+    if (distance > this->settings.joint_background) continue;
+    if (distance > this->settings.joint_window) {
+      ++around;
+    } else if (!WasAt(of_suspect, key)) {
+      ++others;
+    }
   }
-  return others >= this->settings.joint_ends;
+  if (others < this->settings.joint_ends) return false;
+  const Duration after =
+      std::clamp(newest - crash.at, this->settings.joint_window,
+                 this->settings.joint_background);
+  const Duration moment = 2 * this->settings.joint_window;
+  const Duration observed = this->settings.joint_background + after - moment;
+  const double by_chance = static_cast<double>(around) *
+                           static_cast<double>(moment.count()) /
+                           static_cast<double>(observed.count());
+  constexpr double kDeviations = 2;
+  return static_cast<double>(others) >
+         by_chance + kDeviations * std::sqrt(by_chance);
 }
 
 /// Returns the longest sequence of crashes of which each run was sent after the
@@ -56,6 +76,7 @@
 Quarantine::Evidence Quarantine::Weigh(const Crashes& crashes) const {
   Evidence evidence;
   double beside = 0;
+  double unseen = 0;
   for (const Crash& crash : crashes) {
     if (crash.refuted) continue;
     const double weight =
@@ -68,6 +89,7 @@
       continue;
     }
     evidence.weight += weight;
+    if (crash.waiting) unseen += weight * (1 - this->settings.waiting_weight);
     if (!evidence.chain.empty() &&
         evidence.chain.front().endpoint.address != crash.endpoint.address) {
       evidence.several_addresses = true;
@@ -77,11 +99,18 @@
   // Crashes of one moment prove nothing more, however many they are.
   const auto rounds = static_cast<double>(evidence.chain.size());
   evidence.weight += std::min(beside, std::max(rounds - 1, 0.0));
+  evidence.weight_if_begun = evidence.weight;
+  evidence.weight -= unseen;
   return evidence;
 }
 
-bool Quarantine::IsCertain(const Evidence& evidence) const {
-  return evidence.weight >= this->settings.certain &&
+bool Quarantine::IsCertain(const Evidence& evidence,
+                           FingerprintKind kind) const {
+  // A whole request is rarely at three crashes by chance, a part often.
+  const double weight = kind == FingerprintKind::kRequest
+                            ? evidence.weight_if_begun
+                            : evidence.weight;
+  return weight >= this->settings.certain &&
          (evidence.several_addresses ||
           evidence.chain.size() >= this->settings.at_one_address);
 }
@@ -157,23 +186,53 @@
   return moments <= 2 * (std::max(present, evidence.chain.size()) - 1);
 }
 
-Duration Quarantine::BlockOf(const Fingerprint& suspect,
-                             const std::vector<Fingerprint>& carried,
-                             const Crashes& unexplained) const {
+Quarantine::Block Quarantine::BlockOf(const Fingerprint& suspect,
+                                      const std::vector<Fingerprint>& carried,
+                                      const Crashes& unexplained) const {
   const Evidence evidence = this->Weigh(unexplained);
   const bool probable =
       evidence.weight >= this->settings.probable && evidence.several_addresses;
-  const bool certain = this->IsCertain(evidence);
-  if (!probable && !certain) return Duration(0);
+  const bool certain = this->IsCertain(evidence, suspect.kind);
+  if (!probable && !certain) return {};
   const Comparison others = this->Compare(suspect, carried, evidence);
   const bool is_part = suspect.kind == FingerprintKind::kPromptPart;
   if (is_part &&
       (!certain || others.tied || !this->IsAtMostEnds(unexplained, evidence))) {
-    return Duration(0);
+    return {};
+  }
+  if (certain && !others.tied) return {this->settings.certain_block, false};
+  if (!certain && others.shared) return {};
+  return {this->settings.probable_block, true};
+}
+
+bool Quarantine::AwaitsTrial(const Fingerprint& suspect,
+                             const std::vector<Fingerprint>& carried,
+                             TimePoint now) const {
+  const auto found = this->suspects.find(suspect);
+  if (found == this->suspects.end()) return false;
+  const Crashes unexplained = this->Unexplained(suspect, carried);
+  const Block block = this->BlockOf(suspect, carried, unexplained);
+  if (!block.then_trial) return false;
+  return now - this->Weigh(unexplained).chain.back().at >= block.length;
+}
+
+Duration Quarantine::TrialRemaining(const Fingerprint& suspect,
+                                    TimePoint now) const {
+  const auto trial = this->trials.find(suspect);
+  if (trial == this->trials.end()) return Duration(0);
+  return trial->second + this->settings.trial_period - now;
+}
+
+bool Quarantine::OnSent(const RequestFingerprints& request, TimePoint now) {
+  if (this->suspects.empty()) return false;
+  const std::vector<Fingerprint> carried = Carried(request);
+  bool on_trial = false;
+  for (const Fingerprint& suspect : carried) {
+    if (!this->AwaitsTrial(suspect, carried, now)) continue;
+    this->trials[suspect] = now;
+    on_trial = true;
   }
-  if (certain && !others.tied) return this->settings.certain_block;
-  return certain || !others.shared ? this->settings.probable_block
-                                   : Duration(0);
+  return on_trial;
 }
 
 std::optional<Verdict> Quarantine::JudgeCarried(
@@ -185,14 +244,17 @@
   const auto unrefuted = static_cast<double>(CountUnrefuted(found->second));
   if (unrefuted < this->settings.probable) return std::nullopt;
   const Crashes unexplained = this->Unexplained(suspect, carried);
-  const Duration block = this->BlockOf(suspect, carried, unexplained);
-  if (block <= Duration(0)) return std::nullopt;
+  const Block block = this->BlockOf(suspect, carried, unexplained);
+  if (block.length <= Duration(0)) return std::nullopt;
   const Evidence evidence = this->Weigh(unexplained);
   Verdict verdict;
   verdict.suspect = suspect;
   verdict.crashes = evidence.chain.size();
   verdict.last_crash_age = now - evidence.chain.back().at;
-  verdict.blocked_for = block - verdict.last_crash_age;
+  verdict.blocked_for = block.length - verdict.last_crash_age;
+  if (verdict.blocked_for <= Duration(0) && block.then_trial) {
+    verdict.blocked_for = this->TrialRemaining(suspect, now);
+  }
   if (verdict.blocked_for <= Duration(0)) return std::nullopt;
   return verdict;
 }
@@ -215,6 +277,21 @@
   return longest;
 }
 
+std::optional<Suspicion> Quarantine::SuspicionOf(
+    const RequestFingerprints& request) const {
+  std::optional<Suspicion> most;
+  for (const Fingerprint& suspect : Carried(request)) {
+    const auto found = this->suspects.find(suspect);
+    if (found == this->suspects.end()) continue;
+    const Crashes& crashes = found->second;
+    if (most && most->crashes + most->refuted >= crashes.size()) continue;
+    const std::size_t unrefuted = CountUnrefuted(crashes);
+    most = Suspicion{suspect, unrefuted, crashes.size() - unrefuted,
+                     this->Weigh(crashes).weight};
+  }
+  return most;
+}
+
 bool Quarantine::MayRetry(const RequestFingerprints& request,
                           TimePoint now) const {
   if (this->Judge(request, now)) return false;
@@ -233,9 +310,11 @@
     const auto found = runs.begun.find(suspect);
     if (found == runs.begun.end() || found->second.ran_long) continue;
     const BegunRun& run = found->second;
+    // Most endpoints that are silent for a while have not ended.
+    if (run.silent) continue;
     if (newest && newest->at >= run.broke_at) continue;
-    newest =
-        Crash{runs.endpoint, run.sent_at, run.broke_at, run.ran, false, true};
+    newest = Crash{runs.endpoint, run.sent_at, run.broke_at, run.ran,
+                   false,         run.waiting, true};
   }
   Crashes crashes;
   const auto known = this->suspects.find(suspect);
--- a/unittests/gossip/gossip_test.cc
+++ b/unittests/gossip/gossip_test.cc
@@ -42,6 +42,25 @@
   return beacon;
 }
 
+// Guards against a datagram that overflows the stack of its reader.
+BOOST_AUTO_TEST_CASE(DeeplyNestedDatagramIsInvalid) {
+  constexpr std::size_t kMaxPayload = 65507;
+  constexpr char kArrayOfOne = '\x81';
+  std::string bytes(kMaxPayload - 1, kArrayOfOne);
+  bytes.push_back('\0');
+  BOOST_TEST(!Decode(bytes).has_value());
+  std::string maps;
+  while (maps.size() < kMaxPayload - 3) maps += "\xa1\x60";
+  maps.push_back('\0');
+  BOOST_TEST(!Decode(maps).has_value());
+  std::string lists(kMaxPayload - 1, '\x9f');
+  lists.push_back('\0');
+  BOOST_TEST(!Decode(lists).has_value());
+  std::string trailing(kMaxPayload - 1, kArrayOfOne);
+  trailing.push_back('\xff');
+  BOOST_TEST(!Decode(trailing).has_value());
+}
+
 RC_BOOST_PROP(DecodingReversesEncoding, ()) {
   Beacon beacon;
   beacon.instance =
@@ -69,11 +88,28 @@
     beacon.reaches_endpoints = *rc::gen::arbitrary<bool>();
   }
   const std::vector<quarantine::CrashReport> crashes = {
-      {{1, 2}, milliseconds(900), milliseconds(60), milliseconds(9), false},
-      {{3, 4}, milliseconds(20), milliseconds(50), milliseconds(40), true}};
+      {{1, 2},
+       milliseconds(900),
+       milliseconds(60),
+       milliseconds(9),
+       false,
+       false},
+      {{3, 4},
+       milliseconds(20),
+       milliseconds(50),
+       milliseconds(40),
+       true,
+       true},
+      {{5, 6},
+       milliseconds(20),
+       milliseconds(50),
+       milliseconds(50),
+       false,
+       *rc::gen::arbitrary<bool>()}};
   beacon.suspects = {
       {{7, *rc::gen::arbitrary<std::uint64_t>()}, crashes},
       {{0, 9, quarantine::FingerprintKind::kPromptPart}, crashes}};
+  beacon.suspects.back().trial_age = milliseconds(30);
   beacon.covered_keys = {5, *rc::gen::inRange<std::uint32_t>(5, 1U << 31)};
   beacon.engine_statuses = {{7, {0, 26}, 1.5, 4000}};
   beacon.fleet_loads = {{0xfffffffe, 12, 700000, 3}, {8, 1, 2000, 0}};
@@ -118,7 +154,9 @@
       limits.max_crashes_reported, {{~0U, ~0U},
                                     std::chrono::hours(1),
                                     std::chrono::seconds(9),
-                                    milliseconds(900)});
+                                    milliseconds(900),
+                                    false,
+                                    true});
   beacon.suspects.resize(limits.max_reported, {{~0U, ~0ULL}, crashes});
   for (std::size_t i = 0; i < endpoints; ++i) {
     beacon.loads.push_back({id + std::to_string(i), 190, 70e6, 12});
--- a/unittests/quarantine/quarantine_test.cc
+++ b/unittests/quarantine/quarantine_test.cc
@@ -55,6 +55,66 @@
   return quarantine.Judge(request, now).has_value();
 }
 
+// Guards against a culprit that is forgotten, and a sound request charged in
+// its place, when the runs at an engine that fell silent are given up one by
+// one.
+BOOST_AUTO_TEST_CASE(RunsGivenUpLaterDoNotHideTheCulprit) {
+  Quarantine quarantine;
+  quarantine.OnRunBroken({{kCulprit, {}},
+                          StartOf(1),
+                          kStart - milliseconds(100),
+                          RunStage::kBegun,
+                          milliseconds(50),
+                          kStart - milliseconds(50)},
+                         kStart + milliseconds(100));
+  quarantine.OnRunBroken({{kSound, {}},
+                          StartOf(1),
+                          kStart - milliseconds(80),
+                          RunStage::kWaiting,
+                          milliseconds(480),
+                          kStart - milliseconds(80)},
+                         kStart + milliseconds(400));
+  const auto at_crash =
+      quarantine.OnEndpointEnded(1, kStart + milliseconds(600));
+  BOOST_TEST((std::find(at_crash.begin(), at_crash.end(), kCulprit) !=
+              at_crash.end()));
+}
+
+// Guards against the echo of an instance of an earlier build, which knows no
+// such mark, that lets a crash before the answer count in full.
+BOOST_AUTO_TEST_CASE(ReportWithoutTheMarkKeepsTheLesserWeight) {
+  Quarantine quarantine;
+  quarantine.OnRunBroken(
+      {{kSound, {}}, StartOf(1), kStart - milliseconds(50), RunStage::kWaiting},
+      kStart);
+  quarantine.OnEndpointEnded(1, kStart);
+  const double before = quarantine.SuspicionOf({kSound, {}})->weight;
+  for (SuspectReport report : quarantine.Reports(kStart)) {
+    for (CrashReport& crash : report.crashes) crash.waiting = std::nullopt;
+    quarantine.Merge(report, kStart + milliseconds(10));
+  }
+  BOOST_TEST(quarantine.SuspicionOf({kSound, {}})->weight == before);
+}
+
+// Guards against a culprit that ends engines before the answer and is not
+// refused after the third, because a bystander was at two of them.
+BOOST_AUTO_TEST_CASE(BystanderOfTwoDoesNotFreeACulpritBeforeTheAnswer) {
+  Quarantine quarantine;
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    for (const Fingerprint& request : {kCulprit, kSound}) {
+      if (request == kSound && number == 3) continue;
+      quarantine.OnRunBroken({{request, {}},
+                              StartOf(number),
+                              at - milliseconds(50),
+                              RunStage::kWaiting},
+                             at);
+    }
+    quarantine.OnEndpointEnded(number, at);
+  }
+  BOOST_TEST(IsBlocked(quarantine, kCulprit, kStart + seconds(4)));
+}
+
 // Guards against a request that crashes one endpoint after another.
 BOOST_AUTO_TEST_CASE(TwoCrashesOfItsOwnAreEnough) {
   Quarantine quarantine;
@@ -105,6 +165,58 @@
   BOOST_TEST(!IsBlocked(quarantine, kSound, later));
 }
 
+/// Sends \p request at \p quarantine, unless it is refused, and lets it crash
+/// the endpoint \p number if it is \p deadly, or else be answered. Returns
+/// whether it was sent.
+bool SendTo(Quarantine& quarantine, const Fingerprint& request,
+            std::uint32_t number, bool deadly, TimePoint at) {
+  if (IsBlocked(quarantine, request, at)) return false;
+  quarantine.OnSent({request, {}}, at);
+  if (deadly) {
+    Crash(quarantine, request, StartOf(number), at + milliseconds(50));
+  } else {
+    quarantine.OnSuccess(request, at);
+  }
+  return true;
+}
+
+// Guards against a request that is sent on by all instances when its block
+// ends, as a sound one that was at the same crashes keeps it from being
+// certain.
+BOOST_AUTO_TEST_CASE(TiedSuspectsAreSentOnTrialAtOneInstance) {
+  std::vector<Quarantine> instances(3);
+  const auto tell = [&](TimePoint now) {
+    for (const Quarantine& from : instances) {
+      for (Quarantine& to : instances) {
+        for (const Fingerprint& suspect : {kCulprit, kSound}) {
+          to.Merge(from.ReportOf(suspect, now), now);
+        }
+      }
+    }
+  };
+  for (std::uint32_t number = 1; number <= 3; ++number) {
+    const TimePoint at = kStart + seconds(number);
+    Quarantine& seeing = instances[number - 1];
+    seeing.OnRunBroken({{kSound, {}}, StartOf(number), at, RunStage::kBegun},
+                       at);
+    Crash(seeing, kCulprit, StartOf(number), at);
+    tell(at);
+  }
+  int deadly_sent = 0;
+  int sound_sent = 0;
+  std::uint32_t number = 4;
+  for (int step = 0; step < 2000; ++step) {
+    const TimePoint at = kStart + seconds(4) + step * milliseconds(250);
+    Quarantine& instance = instances[static_cast<std::size_t>(step) % 3];
+    if (SendTo(instance, kCulprit, number++, true, at)) ++deadly_sent;
+    if (SendTo(instance, kSound, number++, false, at)) ++sound_sent;
+    tell(at + milliseconds(100));
+  }
+  BOOST_TEST(deadly_sent == 1);
+  constexpr int kServedAfterTheBlock = 1700;
+  BOOST_TEST(sound_sent > kServedAfterTheBlock);
+}
+
 // Guards against a sound request that is refused for long because it was at all
 // crashes of the culprit, and nothing tells them apart.
 BOOST_AUTO_TEST_CASE(RequestsAtTheSameCrashesAreNotRefusedForLong) {
