--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -398,7 +398,8 @@
   }
 }
 
-// Guards against a caller that adds fields after the head, which nothing checks.
+// Guards against a caller that adds fields after the head, which nothing
+// checks.
 BOOST_AUTO_TEST_CASE(TrailersAreNoFieldsOfTheHead) {
   bool seen = true;
   std::string body;
