A page whose text has space after a value is not taken for the last

Read once more as a newcomer: the text of a member kept the space behind it, so that a store which writes "has_more": true before a line break seemed to send its last page, and all entries behind it looked gone. The value ends with its last character now. SpaceAfterAValueIsNoPartOfIt failed before for two of three texts.

--- a/lib/support/json_text.cc
+++ b/lib/support/json_text.cc
@@ -61,7 +61,8 @@
       if (closes && --open == 0) break;
     }
     if (open > 0 || this->at == first) return std::nullopt;
-    return this->text.substr(first, this->at - first);
+    const std::string_view value = this->text.substr(first, this->at - first);
+    return value.substr(0, value.find_last_not_of(kSpace) + 1);
   }
 
   bool AtEnd() const { return this->at >= this->text.size(); }
--- a/unittests/support/json_text_test.cc
+++ b/unittests/support/json_text_test.cc
@@ -24,6 +24,16 @@
   BOOST_TEST(!IsReadableJson((*elements)[1]));
 }
 
+// Guards against a last page that seems to be one, as "true " isn't "true".
+BOOST_AUTO_TEST_CASE(SpaceAfterAValueIsNoPartOfIt) {
+  for (const char* text :
+       {"{\"a\":true}", "{\"a\": true }", "{\"a\":\ttrue\r\n , \"b\":1\n}"}) {
+    const auto members = SplitObject(text);
+    BOOST_REQUIRE(members.has_value());
+    BOOST_TEST(ValueOf(*members, "a") == "true", text);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(TextsOfAnotherFormAreNotSplit) {
   for (const char* text : {"", "[", "[1", "[1,", "[,]", "[1 2", "[]]", "{}",
                            "[\"a]", "[{]", "1"}) {
