A HEAD request stays one after an interim answer

A call waited for a body that never comes, since the client forgot after an interim answer that the final one has none. AnswerToHeadAfterAnInterimOneHasNoBody failed before.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -97,8 +97,9 @@
   bool Open() const { return !this->closed; }
 
   void PrepareCall(CallId call, std::string text, CallHandlers call_handlers,
-                   bool head_only, bool reused) {
+                   bool without_body, bool reused) {
     this->id = call;
+    this->head_only = without_body;
     this->handlers = std::move(call_handlers);
     this->output = std::move(text);
     this->result = CallResult{};
@@ -109,7 +110,7 @@
     this->parser.emplace();
     this->parser->header_limit(kMaxResponseHeaderBytes);
     this->parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    this->parser->skip(head_only);
+    this->parser->skip(without_body);
     this->parser->on_body = [this](std::string_view bytes) {
       this->OnBody(bytes);
     };
@@ -277,7 +278,8 @@
       std::string rest = std::move(this->input);
       this->input.clear();
       this->PrepareCall(this->id, std::move(this->output),
-                        std::move(this->handlers), false, this->result.reused);
+                        std::move(this->handlers), this->head_only,
+                        this->result.reused);
       this->result.sent = true;
       this->input = std::move(rest);
       return !this->input.empty();
@@ -321,6 +323,8 @@
   std::optional<MessageParser<false>> parser;
   TimerId timer = 0;
   bool head_delivered = false;
+  /// Whether the response has no body, whatever its head says.
+  bool head_only = false;
   bool write_failed = false;
   bool reading = false;
   /// Reading waits for the receiver of the response.
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -848,6 +848,18 @@
   CheckAllCuts(answer, answer.size());
 }
 
+// Guards against a call that waits for a body that never comes.
+BOOST_AUTO_TEST_CASE(AnswerToHeadAfterAnInterimOneHasNoBody) {
+  ScriptedPeer peer({"HTTP/1.1 103 Early Hints\r\n\r\n"
+                     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"});
+  Request request;
+  request.method = "HEAD";
+  const Fetched fetched = Call(peer.Address(), request);
+  BOOST_TEST((fetched.result.end == CallEnd::kComplete));
+  BOOST_TEST(fetched.head.status == 200);
+  BOOST_TEST(fetched.body.empty());
+}
+
 BOOST_AUTO_TEST_CASE(AnswerAfterInterimAnswersCutBeforeItsEndIsNeverComplete) {
   const std::string answer = "HTTP/1.1 100 Continue\r\n\r\n" +
                              std::string("HTTP/1.1 103 Early Hints\r\n") +
