--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -850,8 +850,9 @@
 
 // Guards against a call that waits for a body that never comes.
 BOOST_AUTO_TEST_CASE(AnswerToHeadAfterAnInterimOneHasNoBody) {
-  ScriptedPeer peer({"HTTP/1.1 103 Early Hints\r\n\r\n"
-                     "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"});
+  ScriptedPeer peer(
+      {"HTTP/1.1 103 Early Hints\r\n\r\n"
+       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"});
   Request request;
   request.method = "HEAD";
   const Fetched fetched = Call(peer.Address(), request);
