--- a/test/process/platform_test.cc
+++ b/test/process/platform_test.cc
@@ -706,7 +706,6 @@
   }
 }
 
-// Operators read the metrics of an instance on its control address.
 // Guards against a length that nobody stated: an answer that ends with its
 // connection may have been cut off.
 BOOST_AUTO_TEST_CASE(UnframedPlainAnswerIsGivenNoFraming) {
@@ -721,6 +720,7 @@
   }
 }
 
+// Operators read the metrics of an instance on its control address.
 BOOST_AUTO_TEST_CASE(MetricsReportServedRequests) {
   PlatformFleet fleet(1);
   BOOST_TEST(fleet.Plain(0, "/read/x", "read").status == 200);
