--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -2,6 +2,8 @@
 # are listed before it.
 tw_package(support DEPS Threads::Threads nlohmann_json::nlohmann_json
   OpenSSL::Crypto ZLIB::ZLIB absl::strings absl::str_format absl::hash)
+# What a process may use, and who goes first when it runs out.
+tw_package(resources DEPS toucanwharf_support)
 tw_package(store DEPS toucanwharf_support)
 tw_package(schema DEPS toucanwharf_support)
 tw_package(records DEPS toucanwharf_schema)
