HTTP connections count what they hold, and end by the account

The connections of all servers of a process share one ConnectionTable: when the account is over its capacity, requests in reception and answers that nobody reads are ended, those with most bytes for longest first; when descriptors run out, the longest idle connection. A body is one shared value with its lease, for the exchange and each call. It grows in steps up to its length, is freed at a refusal, and what still comes is discarded with bounds in bytes and time. The next pipelined request waits until the answers before it are read but for 64 KiB. A server may look at a request at the end of its head. Calls count their descriptor and close the longest idle pooled connection for it. Reads take a buffer only while bytes are there; receive buffers are 16 and 32 KiB.

--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -9,6 +9,7 @@
 
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/http/message.h"
+#include "toucanwharf/http/resources.h"
 
 namespace toucanwharf::http {
 
@@ -42,6 +43,9 @@
   /// Whether the peer refused the connection: nothing listens at its address. A
   /// failure of this process, or of the network, is not a refusal.
   bool refused = false;
+  /// Whether there was no descriptor for a connection, which says nothing of
+  /// the peer.
+  bool no_descriptor = false;
   /// Whether the response ended only with its connection: it had neither a
   /// length nor chunks, so that a crash of the peer looks the same.
   bool ended_by_close = false;
@@ -73,8 +77,10 @@
 class Client {
  public:
   /// Connections come from the address \p source_ip of this host; empty lets
-  /// the system choose. Precondition: \p loop outlives the client.
-  explicit Client(Loop& loop, const std::string& source_ip = "");
+  /// the system choose. \p resources count them; null for no limit.
+  /// Precondition: \p loop and \p resources outlive the client.
+  explicit Client(Loop& loop, const std::string& source_ip = "",
+                  Resources* resources = nullptr);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
@@ -82,6 +88,9 @@
   /// Sends \p request to \p address ("IP:PORT"). Sets Content-Length.
   CallId Start(const std::string& address, const Request& request,
                const CallOptions& options, CallHandlers handlers);
+  /// Returns whether there are descriptors for another call and for the few
+  /// that the process makes for itself.
+  bool HasRoom() const;
   /// Closes the call's connection; a call that has ended, or 0, is ignored.
   void Cancel(CallId id);
   /// Sets whether the call's response is read on; while it is not, the peer is
--- a/include/toucanwharf/http/message.h
+++ b/include/toucanwharf/http/message.h
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "toucanwharf/http/body.h"
+
 /// HTTP/1.1 client and server of a router that forwards messages unchanged.
 /// Parses with Boost.Beast and uses the sockets of Boost.Asio.
 namespace toucanwharf::http {
@@ -51,6 +53,9 @@
     return this->Find(name).value_or(std::string_view());
   }
 
+  /// Returns the memory that the fields take, in bytes.
+  std::size_t HeapBytes() const;
+
   auto begin() const { return this->fields.begin(); }
   auto end() const { return this->fields.end(); }
 
@@ -71,7 +76,7 @@
   std::string method = "GET";
   std::string target = "/";
   Headers headers;
-  std::string body;
+  Body body;
 
   friend bool operator==(const Request&, const Request&) = default;
 };
--- /dev/null
+++ b/include/toucanwharf/http/resources.h
@@ -0,0 +1,49 @@
+#ifndef TOUCANWHARF_HTTP_RESOURCES_H_
+#define TOUCANWHARF_HTTP_RESOURCES_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "toucanwharf/resources/account.h"
+#include "toucanwharf/resources/descriptors.h"
+
+namespace toucanwharf::http {
+
+/// How often room had to be made, or wasn't there.
+struct ResourceCounters {
+  /// Requests refused before they were whole, because they had held most memory
+  /// for longest or there was no room for more.
+  std::uint64_t evicted_requests = 0;
+  /// Connections closed because their answers had waited in memory for longest
+  /// without being read.
+  std::uint64_t evicted_readers = 0;
+  /// Connections closed so that another could be opened.
+  std::uint64_t evicted_connections = 0;
+  /// Connections closed when they were accepted, because there was no
+  /// descriptor for them.
+  std::uint64_t refused_connections = 0;
+  /// Calls that failed because there was no descriptor for them.
+  std::uint64_t refused_calls = 0;
+
+  friend bool operator==(const ResourceCounters&,
+                         const ResourceCounters&) = default;
+};
+
+/// What all servers and clients of one process use together.
+/// Thread safety: none; for the loop's thread.
+struct Resources {
+  /// \p buffer_bytes is how much memory may be in use for requests and answers,
+  /// and \p connections how many connections may be open.
+  explicit Resources(std::size_t buffer_bytes = resources::Account::kUnlimited,
+                     std::size_t connections = resources::Account::kUnlimited)
+      : buffers(buffer_bytes), descriptors(connections) {}
+
+  /// Memory of requests, and of answers that wait for their callers, in bytes.
+  resources::Account buffers;
+  resources::Descriptors descriptors;
+  ResourceCounters counters;
+};
+
+}  // namespace toucanwharf::http
+
+#endif  // TOUCANWHARF_HTTP_RESOURCES_H_
--- a/include/toucanwharf/http/server.h
+++ b/include/toucanwharf/http/server.h
@@ -11,6 +11,7 @@
 
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/http/message.h"
+#include "toucanwharf/http/resources.h"
 #include "toucanwharf/support/result.h"
 
 namespace toucanwharf::http {
@@ -58,6 +59,24 @@
   virtual void OnDisconnect(std::function<void()> callback) = 0;
 };
 
+class ConnectionTable;
+
+/// Returns a table of the connections of all servers that share \p resources.
+/// Precondition: both outlive the table. Thread safety: on the loop's thread.
+std::shared_ptr<ConnectionTable> MakeConnectionTable(Loop& loop,
+                                                     Resources& resources);
+
+/// What a server shares with others, and decides before it reads a body.
+struct ServerOptions {
+  /// Null for a server without limits on memory and descriptors.
+  std::shared_ptr<ConnectionTable> table;
+  resources::ConnectionUse use = resources::ConnectionUse::kCaller;
+  /// Called with a request whose head is complete and whose body isn't. If it
+  /// responds, the body is not read and the connection closes; else the request
+  /// is passed to the handler once it is whole.
+  std::function<void(const std::shared_ptr<Exchange>&)> head_check;
+};
+
 /// Listens on one address and passes requests to a handler.
 /// Thread safety: only on the loop's thread.
 class Server {
@@ -68,7 +87,8 @@
   /// Precondition: \p loop outlives the server.
   static Result<std::unique_ptr<Server>> Listen(Loop& loop,
                                                 const std::string& address,
-                                                Handler handler);
+                                                Handler handler,
+                                                ServerOptions options = {});
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -33,8 +33,14 @@
 /// Idle connections kept to one address. More than the callers of one instance
 /// use concurrently would only hold file descriptors.
 constexpr std::size_t kMaxIdlePerAddress = 32;
-
-std::string RequestText(const std::string& address, const Request& request) {
+/// Receive buffer of each connection, in bytes. What waits there for a caller
+/// that reads slowly counts as memory of the machine.
+constexpr int kReceiveBufferBytes = 32 * 1024;
+/// Connections that remain for calls of the process itself, to the store and to
+/// peers, as a part of all.
+constexpr std::size_t kOwnCallsDivisor = 32;
+
+std::string HeadText(const std::string& address, const Request& request) {
   std::string text =
       absl::StrCat(request.method, " ", request.target, " HTTP/1.1\r\n");
   if (!request.headers.Find("Host")) {
@@ -48,7 +54,7 @@
   if (has_length) {
     absl::StrAppend(&text, "Content-Length: ", request.body.size(), "\r\n");
   }
-  text.append("\r\n").append(request.body);
+  text.append("\r\n");
   return text;
 }
 
@@ -69,10 +75,18 @@
 class ClientConnection;
 
 struct Client::State {
-  State(Loop& event_loop, const std::string& source_ip)
-      : loop(event_loop), source(ParseAddress(source_ip + ":0")) {}
+  State(Loop& event_loop, const std::string& source_ip, Resources* shared)
+      : loop(event_loop),
+        resources(shared),
+        source(ParseAddress(source_ip + ":0")) {}
+
+  /// Counts the descriptor of a new connection, for which the one that has been
+  /// idle for longest may be closed. Returns false if there is none.
+  bool TakeDescriptor(resources::DescriptorLease& lease);
+  bool CloseLongestIdle();
 
   Loop& loop;
+  Resources* resources;
   /// Where connections come from; the system chooses if there is none.
   std::optional<tcp::endpoint> source;
   std::map<CallId, std::shared_ptr<ClientConnection>> calls;
@@ -96,12 +110,13 @@
   const std::string& Address() const { return this->address; }
   bool Open() const { return !this->closed; }
 
-  void PrepareCall(CallId call, std::string text, CallHandlers call_handlers,
-                   bool without_body, bool reused) {
+  void PrepareCall(CallId call, std::string text, Body body,
+                   CallHandlers call_handlers, bool without_body, bool reused) {
     this->id = call;
     this->head_only = without_body;
     this->handlers = std::move(call_handlers);
     this->output = std::move(text);
+    this->output_body = std::move(body);
     this->result = CallResult{};
     this->result.reused = reused;
     this->head_delivered = false;
@@ -119,6 +134,10 @@
   void Connect(const tcp::endpoint& peer,
                const std::optional<tcp::endpoint>& source, Duration timeout) {
     this->Bind(source);
+    Code ignored;
+    if (!this->socket.is_open()) this->socket.open(peer.protocol(), ignored);
+    this->socket.set_option(
+        tcp::socket::receive_buffer_size(kReceiveBufferBytes), ignored);
     const auto weak = this->weak_from_this();
     this->timer = this->loop.After(timeout, [weak] {
       if (const auto self = weak.lock()) self->Finish(CallEnd::kNotConnected);
@@ -129,6 +148,22 @@
         });
   }
 
+  void SetDescriptor(resources::DescriptorLease lease) {
+    this->descriptor = std::move(lease);
+  }
+
+  /// Ends the call, for which there is no descriptor, without a connection.
+  void FailWithoutDescriptor() {
+    this->loop.Post([self = this->shared_from_this()] {
+      if (self->id == 0) return;
+      self->result.no_descriptor = true;
+      self->Finish(CallEnd::kNotConnected);
+    });
+  }
+
+  TimePoint IdleSince() const { return this->idle_since; }
+  void RemoveFromPool();
+
   /// Sends the request on an open connection.
   void PostRequest() {
     this->loop.Post([self = this->shared_from_this()] {
@@ -153,9 +188,16 @@
     this->loop.Cancel(this->timer);
     Code ignored;
     this->socket.close(ignored);
+    this->descriptor.Release();
+    this->FreeOutput();
   }
 
  private:
+  void FreeOutput() {
+    std::string().swap(this->output);
+    this->output_body = Body();
+  }
+
   void Bind(const std::optional<tcp::endpoint>& source) {
     if (!source) return;
     const Code error = BindSource(this->socket, *source);
@@ -188,16 +230,19 @@
 
   void SendRequest() {
     this->result.sent = true;
-    boost::asio::async_write(this->socket, boost::asio::buffer(this->output),
-                             [self = this->shared_from_this(), call = this->id](
-                                 const Code& error, std::size_t) {
-                               // A server may respond before it has read
-                               // the whole request. The response is read first;
-                               // the read side reports a lost connection.
-                               if (self->id != call) return;
-                               if (error) self->write_failed = true;
-                               self->output.clear();
-                             });
+    const std::array<boost::asio::const_buffer, 2> text = {
+        boost::asio::buffer(this->output),
+        boost::asio::buffer(this->output_body.Text())};
+    boost::asio::async_write(
+        this->socket, text,
+        [self = this->shared_from_this(), call = this->id,
+         body = this->output_body](const Code& error, std::size_t) {
+          // A server may respond before it has read the whole request. The
+          // response is read first; the read side reports a lost connection.
+          if (self->id != call) return;
+          if (error) self->write_failed = true;
+          self->FreeOutput();
+        });
   }
 
   void Read() {
@@ -278,8 +323,8 @@
       std::string rest = std::move(this->input);
       this->input.clear();
       this->PrepareCall(this->id, std::move(this->output),
-                        std::move(this->handlers), this->head_only,
-                        this->result.reused);
+                        std::move(this->output_body), std::move(this->handlers),
+                        this->head_only, this->result.reused);
       this->result.sent = true;
       this->input = std::move(rest);
       return !this->input.empty();
@@ -307,7 +352,6 @@
   }
 
   void Finish(CallEnd end);
-  void RemoveFromPool();
   void ReturnToPool(Client::State& state);
 
   std::weak_ptr<Client::State> client;
@@ -319,7 +363,11 @@
   CallResult result;
   std::array<char, kReadSize> buffer{};
   std::string input;
+  /// The head of the request, and its body, until they are sent.
   std::string output;
+  Body output_body;
+  resources::DescriptorLease descriptor;
+  TimePoint idle_since;
   std::optional<MessageParser<false>> parser;
   TimerId timer = 0;
   bool head_delivered = false;
@@ -361,6 +409,7 @@
     this->Close();
     return;
   }
+  this->idle_since = this->loop.Now();
   pool.push_back(this->shared_from_this());
   const auto weak = this->weak_from_this();
   this->loop.Cancel(this->timer);
@@ -384,8 +433,43 @@
   if (found->second.empty()) state->idle.erase(found);
 }
 
-Client::Client(Loop& loop, const std::string& source_ip)
-    : state(std::make_shared<State>(loop, source_ip)) {}
+bool Client::State::CloseLongestIdle() {
+  std::shared_ptr<ClientConnection> longest;
+  for (const auto& [address, pool] : this->idle) {
+    const auto& first = pool.front();
+    if (!longest || first->IdleSince() < longest->IdleSince()) longest = first;
+  }
+  if (!longest) return false;
+  longest->Close();
+  longest->RemoveFromPool();
+  ++this->resources->counters.evicted_connections;
+  return true;
+}
+
+bool Client::State::TakeDescriptor(resources::DescriptorLease& lease) {
+  if (this->resources == nullptr) return true;
+  constexpr auto kUse = resources::ConnectionUse::kCall;
+  resources::Descriptors& descriptors = this->resources->descriptors;
+  if (!descriptors.HasRoom(kUse)) this->CloseLongestIdle();
+  if (!descriptors.Take(kUse)) {
+    ++this->resources->counters.refused_calls;
+    return false;
+  }
+  lease = resources::DescriptorLease(descriptors, kUse);
+  return true;
+}
+
+Client::Client(Loop& loop, const std::string& source_ip, Resources* resources)
+    : state(std::make_shared<State>(loop, source_ip, resources)) {}
+
+bool Client::HasRoom() const {
+  if (this->state->resources == nullptr) return true;
+  const resources::Descriptors& descriptors =
+      this->state->resources->descriptors;
+  const std::size_t own_calls = descriptors.Capacity() / kOwnCallsDivisor;
+  return descriptors.Room(resources::ConnectionUse::kCall) > own_calls ||
+         !this->state->idle.empty();
+}
 
 Client::~Client() {
   for (const auto& [id, connection] : this->state->calls) connection->Abandon();
@@ -399,23 +483,29 @@
   State& inner = *this->state;
   const CallId id = ++inner.last_call;
   const bool head_only = request.method == "HEAD";
-  std::string text = RequestText(address, request);
+  std::string text = HeadText(address, request);
   const auto pool = inner.idle.find(address);
   if (options.reuse == Reuse::kAllowed && pool != inner.idle.end()) {
     const auto connection = pool->second.back();
     pool->second.pop_back();
     if (pool->second.empty()) inner.idle.erase(pool);
     inner.calls.emplace(id, connection);
-    connection->PrepareCall(id, std::move(text), std::move(handlers), head_only,
-                            true);
+    connection->PrepareCall(id, std::move(text), request.body,
+                            std::move(handlers), head_only, true);
     connection->PostRequest();
     return id;
   }
   const auto connection =
       std::make_shared<ClientConnection>(this->state, inner.loop, address);
   inner.calls.emplace(id, connection);
-  connection->PrepareCall(id, std::move(text), std::move(handlers), head_only,
-                          false);
+  connection->PrepareCall(id, std::move(text), request.body,
+                          std::move(handlers), head_only, false);
+  resources::DescriptorLease descriptor;
+  if (!inner.TakeDescriptor(descriptor)) {
+    connection->FailWithoutDescriptor();
+    return id;
+  }
+  connection->SetDescriptor(std::move(descriptor));
   const auto peer = ParseAddress(address);
   // A malformed address fails like an unreachable one.
   connection->Connect(peer.value_or(tcp::endpoint()), inner.source,
--- /dev/null
+++ b/lib/http/connection.cc
@@ -0,0 +1,607 @@
+#include "connection.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/status.hpp>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "server_state.h"
+
+namespace toucanwharf::http {
+namespace {
+
+using boost::asio::ip::tcp;
+using Code = boost::system::error_code;
+namespace beast_http = boost::beast::http;
+
+constexpr std::size_t kReadSize = 16UL * 1024;
+/// Reads in a row of a connection that has more, before others get their turn.
+constexpr int kMaxReadsInARow = 4;
+/// Bytes of pipelined requests that are read while one is being answered; the
+/// rest stays in the socket's buffers.
+constexpr std::size_t kMaxReadAhead = 64UL * 1024;
+/// The next pipelined request is taken up only when no more bytes than this
+/// wait for the caller to read.
+constexpr std::size_t kMaxUnsentBeforeNext = 64UL * 1024;
+/// After a response that closes the connection, further bytes are read and
+/// discarded for this long: closing with unread bytes resets the connection,
+/// and the caller would lose the response.
+constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+/// A body must be complete this long after the head.
+constexpr Duration kBodyTimeout = std::chrono::seconds(10);
+/// A caller that has read nothing for this long may lose its connection when
+/// memory runs out.
+constexpr Duration kStalledReader = std::chrono::milliseconds(500);
+/// A body is first given this much memory, and twice as much each time.
+constexpr std::size_t kFirstBodyBytes = 16UL * 1024;
+/// Requests that hold more leave a part of the memory to those that hold less.
+constexpr std::size_t kSmallRequestBytes = 64UL * 1024;
+constexpr std::size_t kSmallRequestDivisor = 8;
+/// Memory that an answered request takes besides its own bytes.
+constexpr std::size_t kExchangeBytes = 4UL * 1024;
+/// Retry-After of a request for which there was no memory.
+constexpr const char* kRetryNoMemory = "1";
+
+std::string ReasonOf(const ResponseHead& head) {
+  if (!head.reason.empty()) return head.reason;
+  const auto default_reason =
+      beast_http::obsolete_reason(static_cast<beast_http::status>(head.status));
+  return {default_reason.data(), default_reason.size()};
+}
+
+std::string HeadText(const ResponseHead& head, bool chunked,
+                     std::optional<std::uint64_t> length, bool close,
+                     Duration idle) {
+  std::string text =
+      absl::StrCat("HTTP/1.1 ", head.status, " ", ReasonOf(head), "\r\n");
+  for (const auto& [name, value] : head.headers) {
+    absl::StrAppend(&text, name, ": ", value, "\r\n");
+  }
+  if (chunked) {
+    absl::StrAppend(&text, "Transfer-Encoding: chunked\r\n");
+  } else if (length) {
+    absl::StrAppend(&text, "Content-Length: ", *length, "\r\n");
+  }
+  if (close) {
+    absl::StrAppend(&text, "Connection: close\r\n");
+  } else {
+    const auto seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(idle).count();
+    absl::StrAppend(&text, "Keep-Alive: timeout=", seconds, "\r\n");
+  }
+  absl::StrAppend(&text, "\r\n");
+  return text;
+}
+
+/// Returns the status of the response to an unacceptable request.
+int StatusOf(const Code& why) {
+  if (why == beast_http::error::header_limit) return kHeaderTooLarge;
+  if (why == beast_http::error::body_limit) return kContentTooLarge;
+  return kBadRequest;
+}
+
+bool BodylessStatus(int status) {
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status == kNoContent || status == kNotModified;
+}
+
+/// Returns the memory of \p text outside of the object, in bytes.
+std::size_t HeapBytes(const std::string& text) {
+  static const std::size_t kInside = std::string().capacity();
+  return text.capacity() > kInside ? text.capacity() : 0;
+}
+
+std::size_t HeapBytes(const Request& request) {
+  return HeapBytes(request.method) + HeapBytes(request.target) +
+         request.headers.HeapBytes();
+}
+
+void Free(std::string& text) { std::string().swap(text); }
+
+}  // namespace
+
+/// The exchange of one request. It keeps its connection alive, and no longer
+/// uses it after the response has ended.
+class Connection::ConnectionExchange : public Exchange {
+ public:
+  ConnectionExchange(std::shared_ptr<Connection> caller_connection,
+                     Request received, resources::Lease counted)
+      : connection(std::move(caller_connection)),
+        request(std::move(received)),
+        lease(std::move(counted)) {}
+  /// Closes the connection if the handler drops a request without a response,
+  /// so that the caller doesn't wait.
+  ~ConnectionExchange() override {
+    if (!this->done) this->connection->Close();
+  }
+  ConnectionExchange(const ConnectionExchange&) = delete;
+  ConnectionExchange& operator=(const ConnectionExchange&) = delete;
+
+  /// Ends the exchange without a response and returns its request, whose body
+  /// is still to come; nothing if it has been answered.
+  std::optional<Request> TakeUnanswered() {
+    if (std::exchange(this->done, true)) return std::nullopt;
+    return std::move(this->request);
+  }
+
+  const Request& Received() const override { return this->request; }
+  void Respond(const ResponseHead& head, std::string_view body) override {
+    if (std::exchange(this->done, true)) return;
+    this->connection->Respond(head, body);
+  }
+  void Begin(const ResponseHead& head) override {
+    if (!this->done) this->connection->Begin(head);
+  }
+  void Write(std::string_view bytes) override {
+    if (!this->done) this->connection->Write(bytes);
+  }
+  void End() override {
+    if (std::exchange(this->done, true)) return;
+    this->connection->End();
+  }
+  void Abort() override {
+    if (std::exchange(this->done, true)) return;
+    this->connection->SetOnDisconnect(nullptr);
+    this->connection->Close();
+  }
+  bool IsDisconnected() const override { return this->connection->Closed(); }
+  std::size_t UnsentBytes() const override {
+    return this->connection->UnsentBytes();
+  }
+  void OnDisconnect(std::function<void()> callback) override {
+    if (!this->done) this->connection->SetOnDisconnect(std::move(callback));
+  }
+
+ private:
+  std::shared_ptr<Connection> connection;
+  Request request;
+  resources::Lease lease;
+  bool done = false;
+};
+
+Connection::Connection(std::shared_ptr<Server::State> server_state,
+                       tcp::socket accepted, resources::DescriptorLease counted)
+    : server(std::move(server_state)),
+      table(this->server->options.table),
+      descriptor(std::move(counted)),
+      lease(this->table->Shared().buffers),
+      socket(std::move(accepted)),
+      place(this->table->Add(this, this->server->options.use)),
+      phase_began(this->server->loop.Now()),
+      last_sent(this->phase_began) {}
+
+Connection::~Connection() {
+  this->table->Remove(this->place, this->server->options.use, this->phase);
+  this->server->connections.erase(this);
+  this->server->loop.Cancel(this->timer);
+}
+
+void Connection::Start() {
+  this->server->connections.emplace(this, this->weak_from_this());
+  this->PrepareNextRequest();
+  this->Read();
+}
+
+void Connection::Close() {
+  if (this->closed) return;
+  this->closed = true;
+  this->server->loop.Cancel(this->timer);
+  Code ignored;
+  this->socket.close(ignored);
+  this->descriptor.Release();
+  this->DropRequest();
+  Free(this->unsent);
+  this->CountBuffers();
+  // Nothing that is closed is closed once more.
+  this->Enter(Phase::kAnswering);
+  this->NotifyDisconnect();
+}
+
+void Connection::Respond(const ResponseHead& head, std::string_view text) {
+  const bool bodyless = BodylessStatus(head.status);
+  std::string response = HeadText(
+      head, false,
+      bodyless ? std::nullopt : std::optional<std::uint64_t>(text.size()),
+      this->NeedsCloseHeader(head), this->server->limits.idle_timeout);
+  if (!this->head_only) response.append(text);
+  this->Send(response);
+  this->OnResponseEnd();
+}
+
+void Connection::Begin(const ResponseHead& head) {
+  this->chunked = !head.length.has_value() && !head.ends_with_connection;
+  this->close_after = this->close_after || head.ends_with_connection;
+  this->Send(HeadText(head, this->chunked, head.length,
+                      this->NeedsCloseHeader(head),
+                      this->server->limits.idle_timeout));
+}
+
+void Connection::Write(std::string_view bytes) {
+  if (bytes.empty() || this->head_only) return;
+  if (!this->chunked) {
+    this->Send(bytes);
+    return;
+  }
+  std::string chunk =
+      absl::StrCat(absl::Hex(static_cast<std::uint64_t>(bytes.size())));
+  chunk.append("\r\n").append(bytes).append("\r\n");
+  this->Send(chunk);
+}
+
+void Connection::End() {
+  if (this->chunked && !this->head_only) this->Send("0\r\n\r\n");
+  this->OnResponseEnd();
+}
+
+bool Connection::NeedsCloseHeader(const ResponseHead& head) {
+  const bool close_requested =
+      EqualIgnoringCase(head.headers.Get("Connection"), "close");
+  this->close_after = this->close_after || close_requested ||
+                      this->server->close_after_responses || !this->keep_alive;
+  return this->close_after && !close_requested;
+}
+
+void Connection::Enter(Phase next) {
+  this->table->Move(this->place, this->server->options.use, this->phase, next);
+  this->phase = next;
+  this->phase_began = this->server->loop.Now();
+}
+
+void Connection::PrepareNextRequest() {
+  this->parser.emplace();
+  const ServerLimits& limits = this->server->limits;
+  this->parser->header_limit(limits.max_header_bytes);
+  this->parser->body_limit(limits.max_body_bytes);
+  this->parser->on_body = [this](std::string_view bytes) {
+    this->AppendBody(bytes);
+  };
+  this->head_received = false;
+  this->head_bytes = 0;
+  this->Enter(Phase::kIdle);
+  this->CloseAfter(limits.idle_timeout);
+}
+
+void Connection::CloseAfter(Duration delay) {
+  this->SetTimer(delay, [this] { this->Close(); });
+}
+
+void Connection::SetTimer(Duration delay, const std::function<void()>& action) {
+  this->server->loop.Cancel(this->timer);
+  const auto weak = this->weak_from_this();
+  this->timer = this->server->loop.After(delay, [weak, action] {
+    if (const auto self = weak.lock()) action();
+  });
+}
+
+/// Waits for bytes without a buffer: most connections are idle.
+void Connection::Read() {
+  if (this->closed || this->failed || this->reading) return;
+  const std::size_t read_ahead =
+      this->table->Shared().buffers.Allowance(kMaxReadAhead, 0);
+  if (this->answering && this->input.size() > read_ahead) return;
+  this->reading = true;
+  this->socket.async_wait(tcp::socket::wait_read,
+                          [self = this->shared_from_this()](const Code& error) {
+                            self->reading = false;
+                            self->OnReadable(error);
+                          });
+}
+
+void Connection::OnReadable(const Code& error) {
+  if (this->closed) return;
+  if (error) {
+    this->Close();
+    return;
+  }
+  for (int reads = 0; reads < kMaxReadsInARow; ++reads) {
+    std::array<char, kReadSize> buffer;
+    Code read_error;
+    const std::size_t size =
+        this->socket.read_some(boost::asio::buffer(buffer), read_error);
+    if (read_error == boost::asio::error::would_block) break;
+    if (read_error) {
+      this->Close();
+      return;
+    }
+    this->OnBytes({buffer.data(), size});
+    if (this->closed || this->answering || size < buffer.size()) break;
+  }
+  this->Read();
+}
+
+void Connection::OnBytes(std::string_view bytes) {
+  if (this->lingering) {
+    this->Discard(bytes.size());
+    return;
+  }
+  this->input.append(bytes);
+  if (this->TakesRequests()) this->Parse();
+  this->CountBuffers();
+  this->KeepWithinBuffers();
+}
+
+/// A caller is to get its refusal, but not to send for ever.
+void Connection::Discard(std::size_t size) {
+  this->discarded_bytes += size;
+  if (this->discarded_bytes > this->server->limits.max_body_bytes) {
+    this->Close();
+  }
+}
+
+void Connection::Parse() {
+  if (this->input.empty()) return;
+  const bool begins = !this->parser->got_some();
+  Code why;
+  if (!this->parser->Feed(this->input, why)) {
+    this->Reject(StatusOf(why));
+    return;
+  }
+  if (this->parser->is_done()) {
+    this->Dispatch();
+    return;
+  }
+  if (begins) {
+    this->Enter(Phase::kReceiving);
+    this->SetTimer(this->server->limits.header_timeout,
+                   [this] { this->Reject(kRequestTimeout); });
+  }
+  if (this->parser->is_header_done() && !this->head_received) this->OnHead();
+}
+
+void Connection::OnHead() {
+  this->head_received = true;
+  this->head_bytes = HeapBytes(this->parser->request);
+  if (this->AnsweredByHead()) return;
+  this->SetTimer(kBodyTimeout, [this] { this->Reject(kRequestTimeout); });
+  const auto expect = this->parser->request.headers.Get("Expect");
+  if (EqualIgnoringCase(expect, "100-continue")) {
+    this->Send("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+bool Connection::AnsweredByHead() {
+  if (!this->server->options.head_check) return false;
+  this->answering = true;
+  this->keep_alive = false;
+  this->head_only = this->parser->request.method == "HEAD";
+  const auto exchange = std::make_shared<ConnectionExchange>(
+      this->shared_from_this(), std::move(this->parser->request),
+      resources::Lease());
+  this->server->options.head_check(exchange);
+  auto unanswered = exchange->TakeUnanswered();
+  if (!unanswered) return true;
+  this->parser->request = std::move(*unanswered);
+  this->answering = false;
+  return false;
+}
+
+/// Grows the body in steps, up to its length if that is known: what is only
+/// announced takes no memory.
+void Connection::AppendBody(std::string_view bytes) {
+  const std::size_t size = this->body.size() + bytes.size();
+  if (size > this->body.capacity()) {
+    std::size_t capacity =
+        std::max({kFirstBodyBytes, 2 * this->body.capacity(), size});
+    if (const auto length = this->parser->head.length) {
+      capacity = std::max<std::size_t>(
+          size, std::min<std::uint64_t>(capacity, *length));
+    }
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(this->body);
+    this->body.swap(larger);
+  }
+  this->body.append(bytes);
+}
+
+void Connection::Reject(int status) {
+  this->DropRequest();
+  this->keep_alive = false;
+  this->answering = true;
+  ResponseHead head;
+  head.status = status;
+  if (status == kUnavailable) head.headers.Add("Retry-After", kRetryNoMemory);
+  this->Respond(head, "");
+}
+
+void Connection::Dispatch() {
+  this->server->loop.Cancel(this->timer);
+  this->CountBuffers();
+  if (!this->KeepWithinBuffers()) return;
+  this->answering = true;
+  this->Enter(Phase::kAnswering);
+  this->keep_alive = this->parser->keep_alive();
+  this->head_only = this->parser->request.method == "HEAD";
+  Request request = std::move(this->parser->request);
+  resources::Account& buffers = this->table->Shared().buffers;
+  // The call to the endpoint has a head of its own.
+  resources::Lease exchange_lease(buffers,
+                                  kExchangeBytes + 2 * HeapBytes(request));
+  if (!this->body.empty()) {
+    if (this->body.capacity() > 2 * this->body.size()) {
+      this->body.shrink_to_fit();
+    }
+    resources::Lease body_lease(buffers, HeapBytes(this->body));
+    request.body =
+        Body(std::exchange(this->body, std::string()), std::move(body_lease));
+  }
+  this->head_bytes = 0;
+  this->CountBuffers();
+  this->server->handler(std::make_shared<ConnectionExchange>(
+      this->shared_from_this(), std::move(request), std::move(exchange_lease)));
+}
+
+void Connection::OnResponseEnd() {
+  this->answering = false;
+  this->on_disconnect = nullptr;
+  if (this->close_after) {
+    this->Linger();
+    return;
+  }
+  this->PrepareNextRequest();
+  // Posted, because the handler that is still running may use the exchange.
+  this->server->loop.Post([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) self->ParseNextRequest();
+  });
+}
+
+void Connection::ParseNextRequest() {
+  if (this->closed || !this->TakesRequests() || this->lingering) return;
+  if (!this->parser->got_some()) this->Parse();
+  this->CountBuffers();
+  this->Read();
+}
+
+void Connection::Linger() {
+  this->lingering = true;
+  this->DropRequest();
+  this->CountBuffers();
+  this->OnLastAnswerProgress();
+  this->Read();
+}
+
+void Connection::OnLastAnswerProgress() {
+  if (this->closed) return;
+  if (!this->unsent.empty()) {
+    this->CloseAfter(this->server->limits.idle_timeout);
+    return;
+  }
+  Code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->Enter(Phase::kIdle);
+  this->CloseAfter(kLingerTimeout);
+}
+
+void Connection::OnProgress() {
+  this->last_sent = this->server->loop.Now();
+  if (this->lingering) {
+    this->OnLastAnswerProgress();
+    return;
+  }
+  if (this->answering || this->parser->got_some()) return;
+  this->CloseAfter(this->server->limits.idle_timeout);
+  if (this->unsent.empty()) this->Enter(Phase::kIdle);
+  this->ParseNextRequest();
+}
+
+void Connection::Send(std::string_view bytes) {
+  if (this->closed || this->failed) return;
+  if (this->unsent.empty()) {
+    Code error;
+    const std::size_t sent = this->socket.write_some(
+        boost::asio::buffer(bytes.data(), bytes.size()), error);
+    if (error && error != boost::asio::error::would_block) {
+      this->CloseSoon();
+      return;
+    }
+    bytes.remove_prefix(sent);
+    this->last_sent = this->server->loop.Now();
+  }
+  if (bytes.empty()) return;
+  this->unsent.append(bytes);
+  this->Drain();
+  this->CountBuffers();
+  this->KeepWithinBuffers();
+}
+
+void Connection::Drain() {
+  if (this->writing) return;
+  this->writing = true;
+  this->socket.async_wait(tcp::socket::wait_write,
+                          [self = this->shared_from_this()](const Code& error) {
+                            self->writing = false;
+                            self->OnWritable(error);
+                          });
+}
+
+void Connection::OnWritable(const Code& error) {
+  if (this->closed || this->failed) return;
+  Code write_error = error;
+  std::size_t sent = 0;
+  if (!write_error) {
+    sent =
+        this->socket.write_some(boost::asio::buffer(this->unsent), write_error);
+  }
+  if (write_error && write_error != boost::asio::error::would_block) {
+    this->Close();
+    return;
+  }
+  this->unsent.erase(0, sent);
+  this->CountBuffers();
+  if (sent > 0) this->OnProgress();
+  if (!this->closed && !this->unsent.empty()) this->Drain();
+}
+
+void Connection::CloseSoon() {
+  this->failed = true;
+  this->server->loop.Post([self = this->shared_from_this()] { self->Close(); });
+}
+
+void Connection::NotifyDisconnect() {
+  if (!this->on_disconnect) return;
+  const auto callback = std::exchange(this->on_disconnect, nullptr);
+  callback();
+}
+
+std::optional<Duration> Connection::EvictableFor(TimePoint now) const {
+  if (this->closed || this->failed) return std::nullopt;
+  if (!this->unsent.empty()) {
+    const Duration stalled = now - this->last_sent;
+    if (stalled < kStalledReader) return std::nullopt;
+    return stalled;
+  }
+  if (this->phase != Phase::kReceiving) return std::nullopt;
+  return now - this->phase_began;
+}
+
+void Connection::Evict() {
+  ResourceCounters& counters = this->table->Shared().counters;
+  if (this->unsent.empty()) {
+    ++counters.evicted_requests;
+    this->Reject(kUnavailable);
+    return;
+  }
+  ++counters.evicted_readers;
+  Free(this->unsent);
+  this->CountBuffers();
+  this->CloseSoon();
+}
+
+bool Connection::TakesRequests() const {
+  return !this->answering && this->unsent.size() <= kMaxUnsentBeforeNext;
+}
+
+void Connection::CountBuffers() {
+  if (this->input.empty()) Free(this->input);
+  if (this->unsent.empty()) Free(this->unsent);
+  this->lease.Resize(HeapBytes(this->input) + HeapBytes(this->body) +
+                     HeapBytes(this->unsent) + this->head_bytes);
+}
+
+bool Connection::KeepWithinBuffers() {
+  const resources::Account& buffers = this->table->Shared().buffers;
+  std::size_t limit = buffers.Capacity();
+  if (this->lease.Amount() > kSmallRequestBytes) {
+    limit -= limit / kSmallRequestDivisor;
+  }
+  if (buffers.Used() <= limit) return true;
+  this->table->FreeBuffers(limit);
+  const bool receives =
+      !this->answering && !this->lingering && !this->closed && !this->failed;
+  if (buffers.Used() > limit && receives && this->parser->got_some()) {
+    this->Evict();
+  }
+  return receives && !this->answering && !this->lingering;
+}
+
+void Connection::DropRequest() {
+  Free(this->body);
+  Free(this->input);
+  if (this->parser) this->parser->request = Request();
+  this->head_bytes = 0;
+}
+
+}  // namespace toucanwharf::http
--- a/lib/http/message.cc
+++ b/lib/http/message.cc
@@ -88,6 +88,17 @@
   return values;
 }
 
+std::size_t Headers::HeapBytes() const {
+  // A string is allocated only beyond what the object itself holds.
+  static const std::size_t kInside = std::string().capacity();
+  std::size_t bytes = this->fields.capacity() * sizeof(Field);
+  for (const auto& [name, value] : this->fields) {
+    if (name.capacity() > kInside) bytes += name.capacity();
+    if (value.capacity() > kInside) bytes += value.capacity();
+  }
+  return bytes;
+}
+
 Headers EndToEnd(const Headers& headers) {
   const auto named = ConnectionOptions(headers);
   Headers end_to_end;
--- a/lib/instance/gateway_evidence.cc
+++ b/lib/instance/gateway_evidence.cc
@@ -26,7 +26,7 @@
     parts.append(list);
   }
   return {quarantine::FingerprintOf(
-              {customer, request.method, request.target, request.body}),
+              {customer, request.method, request.target, request.body.Text()}),
           quarantine::FingerprintsOfSharedParts(parts)};
 }
 
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -43,7 +43,7 @@
   pkg_check_modules(MICROHTTPD REQUIRED IMPORTED_TARGET libmicrohttpd)
   find_package(glog REQUIRED)
   # Asio and Beast are headers of Boost; only this package includes them.
-  tw_package(http DEPS toucanwharf_support absl::strings)
+  tw_package(http DEPS toucanwharf_resources absl::strings)
   target_compile_definitions(toucanwharf_http PRIVATE
     BOOST_ASIO_DISABLE_CONCEPTS BOOST_ALLOW_DEPRECATED_HEADERS)
   tw_package(instance DEPS toucanwharf_http toucanwharf_eventlog
--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -38,7 +38,7 @@
 
 bool Crashes(const http::Request& request) {
   const std::string_view content = Endpoints::kCrashingContent;
-  return request.body == content || request.target.ends_with(content) ||
+  return request.body.Text() == content || request.target.ends_with(content) ||
          HasCrashingPart(request);
 }
 
@@ -314,7 +314,7 @@
 void Endpoints::HandleOrder(Endpoint& endpoint, http::Exchange& exchange) {
   ++this->orders;
   const http::Request& request = exchange.Received();
-  const Json body = Json::parse(request.body, nullptr, false);
+  const Json body = Json::parse(request.body.Text(), nullptr, false);
   if (body.value("op", "") == "repath") {
     ++this->reroutes;
     const bool refuses = endpoint.fault == EndpointFault::kRefusesReroute;
@@ -347,7 +347,7 @@
   run.endpoint = endpoint.spec.id;
   run.request_id = std::string(request.headers.Get("X-Request-Id"));
   run.target = request.target;
-  run.body = request.body;
+  run.body = request.body.Text();
   run.customer = std::string(request.headers.Get("X-Tenant"));
   run.headers = request.headers;
   run.at = this->loop.Now();
--- a/standins/fleet/store.cc
+++ b/standins/fleet/store.cc
@@ -156,7 +156,7 @@
   const std::string kind(rest.substr(0, slash));
   const bool named = slash != std::string_view::npos;
   const std::string name(named ? rest.substr(slash + 1) : "");
-  const Json body = Json::parse(request.body, nullptr, false);
+  const Json body = Json::parse(request.body.Text(), nullptr, false);
   if (request.method == "POST") return this->Create(kind, body);
   if (request.method == "PUT") return this->Replace(kind, name, body);
   if (request.method == "DELETE") {
--- a/unittests/adapter/adapter_test.cc
+++ b/unittests/adapter/adapter_test.cc
@@ -145,7 +145,7 @@
 
 BOOST_AUTO_TEST_CASE(OrderRequestsCarryExpectedSequence) {
   const auto place = PlatformAdapter::OrderRequest({"i-1", {20, 31}, 4});
-  const auto body = nlohmann::json::parse(place.body);
+  const auto body = nlohmann::json::parse(place.body.Text());
   BOOST_TEST(body["op"] == "place");
   BOOST_TEST(body["from"] == 20);
   BOOST_TEST(body["target"] == 31);
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -146,7 +146,7 @@
   for (const auto& [name, value] : request.headers) {
     body += name + ": " + value + "\n";
   }
-  exchange->Respond(head, body + request.body);
+  exchange->Respond(head, body + request.body.Text());
 }
 
 /// Outcome of a client call.
@@ -304,7 +304,7 @@
 BOOST_AUTO_TEST_CASE(RequestInChunksIsWholeHoweverItIsSplit) {
   std::string received;
   ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
-    received = exchange->Received().body;
+    received = exchange->Received().body.Text();
     ResponseHead head;
     head.status = kOk;
     exchange->Respond(head, "end");
@@ -405,7 +405,7 @@
   std::string body;
   ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
     seen = exchange->Received().headers.Find("X-After").has_value();
-    body = exchange->Received().body;
+    body = exchange->Received().body.Text();
     Echo(exchange);
   });
   RawSocket caller(server.Port());
