A router on the platform has one account of its machine

Cause: limits.memory_mb and limits.max_fds were not read; each bound held for one connection.

Answers that wait may hold a sixteenth of what is free each, 16 KiB to 1 MiB. A request for which there is no descriptor is refused at once, and such a failure says nothing of an endpoint. Large blocks go back to the system when freed, small ones when half of the recent peak is free. Gauges and counters, a line for each doubling of the peak and at most one a second for shortages.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -129,6 +129,7 @@
 };
 
 class ProxiedRequest;
+struct Admitted;
 
 /// Proxies callers' requests to endpoints and relays the answers. Owned by
 /// Instance.
@@ -138,7 +139,8 @@
   /// Precondition: all references outlive the gateway.
   Gateway(http::Loop& event_loop, http::Client& http_client,
           InstanceState& shared_state, eventlog::Logger& log,
-          const InstanceSettings& initial_settings, HeaderNames header_names,
+          const InstanceSettings& initial_settings,
+          resources::Account& buffer_account, HeaderNames header_names,
           EngineCalls engine_calls);
 
   /// Calls \p task when this instance learns something of an endpoint that the
@@ -208,6 +210,13 @@
     std::size_t bytes = 0;
   };
 
+  /// Why and how a request is refused.
+  struct Refusal {
+    int status = 0;
+    RetryTime retry;
+    std::string_view reason;
+  };
+
   /// The requests that wait for capacity of one service.
   struct ServiceQueue {
     admission::ClaimQueue order;
@@ -243,6 +252,10 @@
   /// starting process reads. The quarantine is worth the wait, but an unread
   /// one doesn't keep the process from serving.
   bool KnowsEnoughToAdmit(TimePoint now) const;
+  /// Finds the route and the customer of \p request for \p admitted. Returns
+  /// why the request is refused, if its head shows that.
+  std::optional<Refusal> FindRoute(const http::Request& request, TimePoint now,
+                                   Admitted& admitted) const;
   /// Admits or refuses a request that arrived at \p arrived.
   void Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived,
              const std::optional<ForwardedRequest>& forwarded = std::nullopt);
@@ -368,6 +381,8 @@
 
   http::Loop& loop;
   http::Client& client;
+  /// Memory of requests and of answers that wait to be read.
+  resources::Account& buffers;
   InstanceState& state;
   eventlog::Logger& logger;
   InstanceSettings settings;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -24,8 +24,11 @@
 #include "toucanwharf/instance/placement_driver.h"
 #include "toucanwharf/instance/quarantine_sync.h"
 #include "toucanwharf/instance/registration.h"
+#include "toucanwharf/instance/resource_plan.h"
+#include "toucanwharf/instance/resource_watch.h"
 #include "toucanwharf/instance/store_sync.h"
 #include "toucanwharf/support/ids.h"
+#include "toucanwharf/support/process_limits.h"
 
 namespace toucanwharf::instance {
 
@@ -39,10 +42,10 @@
       : settings(std::move(initial_settings)),
         logger(log_descriptor, this->settings.name),
         state(this->settings, NewId()),
-        client(this->loop, this->settings.source_ip),
+        client(this->loop, this->settings.source_ip, &this->resources),
         store(this->loop, this->client, this->settings.store_address),
         gateway(this->loop, this->client, this->state, this->logger,
-                this->settings, A::Headers(),
+                this->settings, this->resources.buffers, A::Headers(),
                 {A::ReportRequest(), &A::ToReport, &A::RerouteRequest,
                  &A::PathText, &A::ToRerouteFault}),
         peers(this->loop, this->client, this->state, this->logger,
@@ -129,12 +132,19 @@
   static constexpr const char* kMetricsPath = "/metrics";
 
   Result<void> Listen() {
-    BOOST_OUTCOME_TRY(
-        opened, this->Open(this->settings.callers_address,
-                           [this](std::shared_ptr<http::Exchange> exchange) {
-                             this->gateway.Handle(std::move(exchange));
-                           }));
+    http::ServerOptions of_callers;
+    of_callers.table = this->connections;
+    BOOST_OUTCOME_TRY(opened,
+                      this->Open(
+                          this->settings.callers_address,
+                          [this](std::shared_ptr<http::Exchange> exchange) {
+                            this->gateway.Handle(std::move(exchange));
+                          },
+                          of_callers));
     this->caller_server = std::move(opened);
+    http::ServerOptions of_control;
+    of_control.table = this->connections;
+    of_control.use = resources::ConnectionUse::kControl;
     const auto handle =
         [this](const std::shared_ptr<http::Exchange>& exchange) {
           this->HandleControlRequest(exchange);
@@ -143,16 +153,17 @@
          {this->settings.ready_address, this->settings.directory_address,
           this->settings.control_address}) {
       if (address.empty()) continue;
-      BOOST_OUTCOME_TRY(server, this->Open(address, handle));
+      BOOST_OUTCOME_TRY(server, this->Open(address, handle, of_control));
       this->control_servers.push_back(std::move(server));
     }
     return Success();
   }
 
   Result<std::unique_ptr<http::Server>> Open(
-      const std::string& address, const http::Server::Handler& handler) {
+      const std::string& address, const http::Server::Handler& handler,
+      const http::ServerOptions& options) {
     auto server = OpenWhenFree(kAddressWait, [&] {
-      return http::Server::Listen(this->loop, address, handler);
+      return http::Server::Listen(this->loop, address, handler, options);
     });
     if (!server) {
       this->logger.Write(eventlog::Level::kNotable, "listen_failed",
@@ -194,7 +205,8 @@
     if (target == kMetricsPath) {
       head.headers.Add("Content-Type", "text/plain; version=0.0.4");
       exchange.Respond(head, MetricsText(this->gateway, this->state,
-                                         this->logger.Dropped(), now));
+                                         this->logger.Dropped(), now) +
+                                 ResourceMetricsText(this->resources));
       return;
     }
     if (this->peers.HandlePeer(shared_exchange)) return;
@@ -379,10 +391,29 @@
     this->state.ShareLimits(this->settings.datagram_address, now);
     this->state.ForgetGoneEndpoints(now);
     this->LogStateChanges(now);
+    this->WatchResources(now);
     if (this->state.stopping_since) this->StopIfDone(now);
     this->logger.Flush();
   }
 
+  /// Logs how far the resources are used, and gives memory back that was needed
+  /// for a while.
+  void WatchResources(TimePoint now) {
+    if (const auto peak = this->resource_watch.NewPeak(this->resources)) {
+      this->logger.Write(eventlog::Level::kNotable, "resource_peak", *peak,
+                         now);
+    }
+    if (const auto shortage =
+            this->resource_watch.Shortage(this->resources, now)) {
+      this->logger.Write(eventlog::Level::kNotable, "resources_short",
+                         *shortage, now);
+    }
+    if (this->resource_watch.HasFreeMemory(this->resources.buffers.Used(),
+                                           now)) {
+      ReturnFreeMemory();
+    }
+  }
+
   /// Logs when this instance starts or stops admitting keys, and when it
   /// becomes ready or not ready for callers.
   void LogStateChanges(TimePoint now) {
@@ -446,7 +477,13 @@
   }
 
   InstanceSettings settings;
+  ResourcePlan plan{PlanResources(this->settings.machine, SystemMemoryBytes(),
+                                  SystemDescriptors())};
+  http::Resources resources{this->plan.buffer_bytes, this->plan.connections};
+  ResourceWatch resource_watch;
   http::Loop loop;
+  std::shared_ptr<http::ConnectionTable> connections{
+      http::MakeConnectionTable(this->loop, this->resources)};
   eventlog::Logger logger;
   EndpointListLog endpoint_log{this->logger};
   InstanceState state;
--- a/include/toucanwharf/instance/metrics.h
+++ b/include/toucanwharf/instance/metrics.h
@@ -21,6 +21,10 @@
 std::string MetricsText(const Gateway& gateway, const InstanceState& state,
                         std::uint64_t log_lines_dropped, TimePoint now);
 
+/// Returns how far the resources of the process are used, in the Prometheus
+/// text format. Thread safety: on the loop's thread.
+std::string ResourceMetricsText(const http::Resources& resources);
+
 }  // namespace toucanwharf::instance
 
 #endif  // TOUCANWHARF_INSTANCE_METRICS_H_
--- a/include/toucanwharf/instance/settings.h
+++ b/include/toucanwharf/instance/settings.h
@@ -2,6 +2,7 @@
 #define TOUCANWHARF_INSTANCE_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,17 @@
   friend bool operator==(const Bounds&, const Bounds&) = default;
 };
 
+/// What a process may use of its machine.
+struct MachineResources {
+  /// Memory, in bytes; nothing for all that the system has.
+  std::optional<std::uint64_t> memory_bytes;
+  /// Descriptors; nothing for as many as the system lets the process open.
+  std::optional<std::uint64_t> descriptors;
+
+  friend bool operator==(const MachineResources&,
+                         const MachineResources&) = default;
+};
+
 /// Settings of a process, read at its start.
 struct InstanceSettings {
   std::string name;
@@ -51,6 +63,7 @@
   Duration endpoint_heartbeat{std::chrono::milliseconds(1200)};
   /// Share of a core that the process may use.
   double processor_share = 1;
+  MachineResources machine;
   Bounds bounds;
   attempts::ArrivalBudgetSettings budget;
   Mechanisms mechanisms;
--- a/lib/instance/forwarding.cc
+++ b/lib/instance/forwarding.cc
@@ -25,10 +25,10 @@
 constexpr Duration kMaxAge = std::chrono::minutes(10);
 
 /// Reasons of refusals that hold at one instance only.
-constexpr std::array<std::string_view, 8> kReasonsOfOneInstance = {
-    "no_configuration", "keys_unconfirmed",        "stopping",
-    "isolated",         "not_connected",           "forward_invalid",
-    "forward_behind",   "forward_unknown_instance"};
+constexpr std::array<std::string_view, 9> kReasonsOfOneInstance = {
+    "no_configuration", "keys_unconfirmed", "stopping",
+    "isolated",         "not_connected",    "forward_invalid",
+    "forward_behind",   "no_descriptor",    "forward_unknown_instance"};
 
 /// Returns the only value of \p name, a number up to \p max.
 std::optional<std::uint64_t> NumberOf(const http::Headers& headers,
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -15,6 +15,9 @@
 /// Retry-After of an instance that lacks configuration or endpoints: it reads
 /// the store about once a second.
 constexpr Duration kRetryWithoutState = std::chrono::milliseconds(500);
+/// Retry-After of an instance without a descriptor for another call: answers
+/// end, and free theirs, many times a second.
+constexpr Duration kRetryWithoutDescriptor = std::chrono::milliseconds(500);
 /// Streams last a few seconds. One that arrives later than this after the
 /// signal to stop could be cut by the kill, so it is refused and its caller
 /// goes to another instance.
@@ -57,9 +60,11 @@
 Gateway::Gateway(http::Loop& event_loop, http::Client& http_client,
                  InstanceState& shared_state, eventlog::Logger& log,
                  const InstanceSettings& initial_settings,
-                 HeaderNames header_names, EngineCalls engine_calls)
+                 resources::Account& buffer_account, HeaderNames header_names,
+                 EngineCalls engine_calls)
     : loop(event_loop),
       client(http_client),
+      buffers(buffer_account),
       state(shared_state),
       logger(log),
       settings(initial_settings),
@@ -120,47 +125,58 @@
   }
 }
 
-void Gateway::Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived,
-                    const std::optional<ForwardedRequest>& forwarded) {
-  const TimePoint now = this->loop.Now();
-  const http::Request& request = exchange->Received();
+std::optional<Gateway::Refusal> Gateway::FindRoute(const http::Request& request,
+                                                   TimePoint now,
+                                                   Admitted& admitted) const {
   const auto table = this->state.route_table;
   if (!table) {
-    this->Refuse(*exchange, http::kUnavailable, {kRetryWithoutState},
-                 "no_configuration");
-    return;
+    return Refusal{
+        http::kUnavailable, {kRetryWithoutState}, "no_configuration"};
   }
   if (this->TooLateToAccept(now)) {
-    this->Refuse(*exchange, http::kUnavailable, {}, "stopping");
-    return;
+    return Refusal{http::kUnavailable, {}, "stopping"};
   }
-  Admitted admitted;
   admitted.table = table;
-  admitted.arrived = arrived;
-  admitted.forwarded = forwarded;
   admitted.route =
       table->Find(request.headers.Get("Host"), http::PathOf(request.target));
   if (admitted.route == nullptr) {
-    this->Refuse(*exchange, http::kNotFound, {}, "no_route");
-    return;
+    return Refusal{http::kNotFound, {}, "no_route"};
   }
   const routes::Route& route = *admitted.route;
   if (!route.open && !table->All().customers.empty()) {
     if (!this->state.MayAcceptKeys(now)) {
-      this->Refuse(*exchange, http::kUnavailable, {kRetryWithoutState},
-                   "keys_unconfirmed");
-      return;
+      return Refusal{
+          http::kUnavailable, {kRetryWithoutState}, "keys_unconfirmed"};
     }
     const routes::Customer* customer =
         table->CustomerOf(KeyOf(request.headers.Get(this->names.authorization),
                                 this->names.key_scheme));
     if (customer == nullptr) {
-      this->Refuse(*exchange, http::kUnauthorized, {}, "unknown_key");
-      return;
+      return Refusal{http::kUnauthorized, {}, "unknown_key"};
     }
     admitted.customer = customer->name;
     admitted.customer_rank = customer->priority;
   }
+  if (!this->client.HasRoom()) {
+    return Refusal{
+        http::kUnavailable, {kRetryWithoutDescriptor}, "no_descriptor"};
+  }
+  return std::nullopt;
+}
+
+void Gateway::Admit(std::shared_ptr<http::Exchange> exchange, TimePoint arrived,
+                    const std::optional<ForwardedRequest>& forwarded) {
+  const TimePoint now = this->loop.Now();
+  const http::Request& request = exchange->Received();
+  Admitted admitted;
+  if (const auto refusal = this->FindRoute(request, now, admitted)) {
+    this->Refuse(*exchange, refusal->status, refusal->retry, refusal->reason);
+    return;
+  }
+  admitted.arrived = arrived;
+  admitted.forwarded = forwarded;
+  const auto table = admitted.table;
+  const routes::Route& route = *admitted.route;
   const routes::ServiceShare* share = routes::DrawService(route, this->random);
   if (share != nullptr) admitted.service = table->FindService(share->service);
   if (admitted.service == nullptr) {
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -238,4 +238,51 @@
   return writer.Take() + WaitMetricsText(gateway.Waiting(), counters.waits);
 }
 
+std::string ResourceMetricsText(const http::Resources& resources) {
+  using resources::ConnectionUse;
+  const auto real = [](std::size_t value) {
+    return static_cast<double>(value);
+  };
+  const resources::Account& buffers = resources.buffers;
+  const resources::Descriptors& descriptors = resources.descriptors;
+  const http::ResourceCounters& counters = resources.counters;
+  Writer writer;
+  writer.Gauge("buffered_bytes",
+               "memory of requests, and of answers that wait to be read",
+               real(buffers.Used()));
+  writer.Gauge("buffered_peak_bytes", "largest value of buffered_bytes so far",
+               real(buffers.Peak()));
+  writer.Gauge("buffered_limit_bytes",
+               "value of buffered_bytes at which requests are refused",
+               real(buffers.Capacity()));
+  writer.Gauge("caller_connections", "open connections of callers",
+               real(descriptors.Used(ConnectionUse::kCaller)));
+  writer.Gauge("control_connections",
+               "open connections to the addresses that callers don't use",
+               real(descriptors.Used(ConnectionUse::kControl)));
+  writer.Gauge("call_connections",
+               "open connections to endpoints, peers and the store",
+               real(descriptors.Used(ConnectionUse::kCall)));
+  writer.Gauge("peak_connections", "most connections open so far",
+               real(descriptors.Peak()));
+  writer.Gauge("limit_connections", "connections that may be open",
+               real(descriptors.Capacity()));
+  writer.Counter("evicted_requests",
+                 "requests refused before they were whole, for lack of memory",
+                 counters.evicted_requests);
+  writer.Counter("evicted_readers",
+                 "connections closed whose answers were not read, for lack of "
+                 "memory",
+                 counters.evicted_readers);
+  writer.Counter("evicted_connections",
+                 "connections closed for lack of descriptors",
+                 counters.evicted_connections);
+  writer.Counter("refused_connections",
+                 "new connections closed for lack of descriptors",
+                 counters.refused_connections);
+  writer.Counter("refused_calls", "calls that had no descriptor",
+                 counters.refused_calls);
+  return writer.Take();
+}
+
 }  // namespace toucanwharf::instance
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -33,7 +33,8 @@
     : gateway(owner),
       exchange(std::move(caller)),
       admitted(std::move(admitted_request)),
-      detector(this->admitted.route->objective) {
+      detector(this->admitted.route->objective),
+      body_lease(owner.buffers) {
   const http::Headers& headers = this->exchange->Received().headers;
   const HeaderNames& names = this->gateway.names;
   this->request_id = std::string(headers.Get(names.request_id));
@@ -207,7 +208,7 @@
   this->run_began.reset();
   this->head_usable = false;
   this->head_outcome.reset();
-  this->body.clear();
+  this->DropHeldBack();
   this->events.BeginRun();
   this->attempt_started = this->gateway.loop.Now();
   this->last_data = this->attempt_started;
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -171,6 +171,12 @@
   void ReadOnWhenSent();
   /// Keeps the body of a failure.
   void OnFailureData(std::string_view bytes);
+  /// Adds to what is held back of an answer, or of a failure.
+  void HoldBack(std::string_view bytes);
+  void DropHeldBack();
+  /// Returns how many bytes may wait for the caller before the endpoint has to
+  /// wait too: fewer while memory is short.
+  std::size_t MaxUnsentBytes() const;
   /// Holds back the body of a plain answer, or relays it if it is long.
   void OnPlainData(std::string_view bytes);
   void OnDone(const http::CallResult& result);
@@ -388,6 +394,7 @@
   bool head_usable = false;
   std::optional<attempts::AttemptOutcome> head_outcome;
   std::string body;
+  resources::Lease body_lease;
   http::EventSplitter events;
   bool has_event = false;
   /// When the first event of the current run arrived.
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -16,6 +16,8 @@
 /// Bytes that wait for a caller that reads slowly; beyond, the endpoint waits.
 constexpr std::size_t kMaxUnsentBytes = 1024UL * 1024;
 constexpr Duration kUnsentPollPeriod = std::chrono::milliseconds(20);
+/// What an answer may hold of each of these while memory is short.
+constexpr std::size_t kMinHeldBytes = 16UL * 1024;
 
 }  // namespace
 
@@ -88,36 +90,56 @@
 }
 
 void ProxiedRequest::OnPlainData(std::string_view bytes) {
-  this->body.append(bytes);
-  const bool begun = this->attempt_counts.answer_started;
-  if (!begun && this->body.size() <= kMaxHeldBackBytes) return;
-  if (!begun) {
-    http::ResponseHead out = this->head.ends_with_connection
-                                 ? this->UnframedHead()
-                                 : this->ToRelay(this->head);
-    out.length = this->head.length;
-    this->attempt_counts.answer_started = true;
-    this->exchange->Begin(out);
+  if (this->attempt_counts.answer_started) {
+    this->last_relayed = this->last_data;
+    this->Relay(bytes);
+    return;
   }
+  this->HoldBack(bytes);
+  const std::size_t most =
+      this->gateway.buffers.Allowance(kMaxHeldBackBytes, kMinHeldBytes);
+  if (this->body.size() <= most) return;
+  http::ResponseHead out = this->head.ends_with_connection
+                               ? this->UnframedHead()
+                               : this->ToRelay(this->head);
+  out.length = this->head.length;
+  this->attempt_counts.answer_started = true;
+  this->exchange->Begin(out);
   this->last_relayed = this->last_data;
   this->Relay(this->body);
-  this->body.clear();
+  this->DropHeldBack();
+}
+
+void ProxiedRequest::HoldBack(std::string_view bytes) {
+  this->body.append(bytes);
+  this->body_lease.Resize(this->body.capacity());
+}
+
+void ProxiedRequest::DropHeldBack() {
+  std::string().swap(this->body);
+  this->body_lease.Resize(0);
 }
 
 void ProxiedRequest::Relay(std::string_view bytes) {
   this->exchange->Write(bytes);
-  if (this->held || this->exchange->UnsentBytes() <= kMaxUnsentBytes) return;
+  if (this->held || this->exchange->UnsentBytes() <= this->MaxUnsentBytes()) {
+    return;
+  }
   this->held = true;
   this->gateway.client.SetReading(this->call, false);
   this->ReadOnWhenSent();
 }
 
+std::size_t ProxiedRequest::MaxUnsentBytes() const {
+  return this->gateway.buffers.Allowance(kMaxUnsentBytes, kMinHeldBytes);
+}
+
 void ProxiedRequest::ReadOnWhenSent() {
   this->reading_timer = this->gateway.loop.After(
       kUnsentPollPeriod, [weak = this->weak_from_this()] {
         const auto self = weak.lock();
         if (!self || self->finished) return;
-        if (self->exchange->UnsentBytes() > kMaxUnsentBytes / 2) {
+        if (self->exchange->UnsentBytes() > self->MaxUnsentBytes() / 2) {
           self->ReadOnWhenSent();
           return;
         }
@@ -128,8 +150,10 @@
 }
 
 void ProxiedRequest::OnFailureData(std::string_view bytes) {
-  if (this->body.size() + bytes.size() <= kMaxFailureBytes) {
-    this->body.append(bytes);
+  const std::size_t most =
+      this->gateway.buffers.Allowance(kMaxFailureBytes, kMinHeldBytes);
+  if (this->body.size() + bytes.size() <= most) {
+    this->HoldBack(bytes);
     return;
   }
   // What it says of a request that it has not run holds all the same.
--- a/tools/toucanwharfd/main.cc
+++ b/tools/toucanwharfd/main.cc
@@ -13,6 +13,7 @@
 #include "platform/names.h"
 #include "platform/settings.h"
 #include "toucanwharf/instance/instance.h"
+#include "toucanwharf/support/process_limits.h"
 #include "toucanwharfd/exit_codes.h"
 #include "toucanwharfd/native_interface.h"
 
@@ -65,6 +66,7 @@
   if (!parsed.problems.empty()) return kExitBadSettings;
   parsed.settings.mechanisms = selection.mechanisms;
   std::signal(SIGPIPE, SIG_IGN);
+  toucanwharf::ReturnLargeBlocks();
   toucanwharf::instance::Instance<toucanwharf::adapter::PlatformAdapter>
       instance(parsed.settings, STDOUT_FILENO);
   const auto result = instance.Run();
