A request that its head condemns is refused before its body

Cause: the handler got a request only when it was whole.

Change: at the end of a head whose body is still to come, route, key, room for a call and what a forwarded request states are looked at, by the code that admits requests (Gateway::FindRoute). On the other addresses only a forwarded request has a body, any other is answered at the end of its head. While a process starts and knows no configuration nothing is judged.

--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -179,6 +179,11 @@
   void RemoveOldUnread();
   /// Makes the check of this instance's own paths that is due, if any.
   void CheckPaths();
+  /// Refuses a request whose body has not been read yet, if its head shows that
+  /// it can't be served.
+  void CheckHead(const std::shared_ptr<http::Exchange>& exchange);
+  /// The same for a request that another instance forwards.
+  void CheckForwardedHead(const std::shared_ptr<http::Exchange>& exchange);
   /// Accepts a request; its answer may be sent much later.
   void Handle(std::shared_ptr<http::Exchange> exchange);
   /// Accepts a request that another instance forwards because it can't reach
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -134,6 +134,10 @@
   Result<void> Listen() {
     http::ServerOptions of_callers;
     of_callers.table = this->connections;
+    of_callers.head_check =
+        [this](const std::shared_ptr<http::Exchange>& exchange) {
+          this->gateway.CheckHead(exchange);
+        };
     BOOST_OUTCOME_TRY(opened,
                       this->Open(
                           this->settings.callers_address,
@@ -145,6 +149,10 @@
     http::ServerOptions of_control;
     of_control.table = this->connections;
     of_control.use = resources::ConnectionUse::kControl;
+    of_control.head_check =
+        [this](const std::shared_ptr<http::Exchange>& exchange) {
+          this->CheckControlHead(exchange);
+        };
     const auto handle =
         [this](const std::shared_ptr<http::Exchange>& exchange) {
           this->HandleControlRequest(exchange);
@@ -176,6 +184,16 @@
     return server;
   }
 
+  /// Only requests that a peer forwards have bodies; all others are answered
+  /// without them.
+  void CheckControlHead(const std::shared_ptr<http::Exchange>& exchange) {
+    if (ClaimsForwarding(exchange->Received())) {
+      this->gateway.CheckForwardedHead(exchange);
+      return;
+    }
+    this->HandleControlRequest(exchange);
+  }
+
   void HandleControlRequest(
       const std::shared_ptr<http::Exchange>& shared_exchange) {
     if (ClaimsForwarding(shared_exchange->Received())) {
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -125,6 +125,18 @@
   }
 }
 
+void Gateway::CheckHead(const std::shared_ptr<http::Exchange>& exchange) {
+  const TimePoint now = this->loop.Now();
+  const bool may_wait = this->settings.mechanisms.startup_wait &&
+                        !this->startup_wait.Expired(now);
+  if (may_wait && !this->KnowsEnoughToAdmit(now)) return;
+  Admitted found;
+  const auto refusal = this->FindRoute(exchange->Received(), now, found);
+  if (!refusal) return;
+  ++this->counters.received;
+  this->Refuse(*exchange, refusal->status, refusal->retry, refusal->reason);
+}
+
 std::optional<Gateway::Refusal> Gateway::FindRoute(const http::Request& request,
                                                    TimePoint now,
                                                    Admitted& admitted) const {
--- a/lib/instance/gateway_forwarding.cc
+++ b/lib/instance/gateway_forwarding.cc
@@ -28,6 +28,19 @@
   return this->state.CanAdmitRequests(now) ? "" : "no_configuration";
 }
 
+void Gateway::CheckForwardedHead(
+    const std::shared_ptr<http::Exchange>& exchange) {
+  const TimePoint now = this->loop.Now();
+  const auto forwarded = ForwardingOf(exchange->Received().headers);
+  const std::string_view problem = this->ForwardProblem(forwarded, now);
+  if (problem.empty()) {
+    this->CheckHead(exchange);
+    return;
+  }
+  ++this->counters.received;
+  this->RejectForwarded(*exchange, problem, now);
+}
+
 void Gateway::HandleForwarded(std::shared_ptr<http::Exchange> exchange) {
   ++this->counters.received;
   const TimePoint now = this->loop.Now();
