The router with its own interface counts its connections, too

Cause: limits per request and per listener, none for the sum; a connection that idles is never closed in favour of another.

What waits with most for longest is closed by a shutdown of its socket, which its own thread then ends; a body that finds no room is answered 503, not run, with Retry-After. A length over the limit is refused at the end of the head. The limit of libmicrohttpd is per thread and only stops accepting, so it is above that of the registry.

--- a/include/toucanwharf/settings/settings.h
+++ b/include/toucanwharf/settings/settings.h
@@ -42,6 +42,9 @@
 struct Limits {
   /// Largest body of a request, in bytes.
   std::uint64_t body_bytes = 1048576;
+  /// Memory that the process may use, in megabytes of 10^6 bytes; 0 for all
+  /// that the machine has.
+  std::uint64_t memory_mb = 0;
   /// Most open connections of callers.
   std::uint32_t connections = 12000;
   /// Most requests that wait for an endpoint.
--- a/include/toucanwharf/transport/http_server.h
+++ b/include/toucanwharf/transport/http_server.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "toucanwharf/support/result.h"
+#include "toucanwharf/transport/connection_registry.h"
 #include "toucanwharf/transport/http_client.h"
 
 struct MHD_Connection;
@@ -66,11 +67,16 @@
 
   /// Precondition: `mutex` is held.
   void Resume();
+  /// Counts the request and what waits of its answer; drops the answer if there
+  /// is no room for it. Precondition: `mutex` is held.
+  void CountHeld();
 
   const HttpRequest request;
   /// Guards all members below.
   std::mutex mutex;
   MHD_Connection* connection = nullptr;
+  std::shared_ptr<ConnectionRegistry> registry;
+  ConnectionRegistry::Id registered = 0;
   int socket = -1;
   bool suspended = false;
   bool answered = false;
@@ -106,10 +112,12 @@
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
   /// Opens the listener at \p address ("ip:port"; port 0 chooses one).
+  /// \p registry counts its connections with those of other listeners; null for
+  /// no limit on all of them together.
   /// Errors: transport_error when the address is malformed or taken.
-  static Result<std::unique_ptr<HttpServer>> Open(const std::string& address,
-                                                  ServerLimits limits,
-                                                  Handler handler);
+  static Result<std::unique_ptr<HttpServer>> Open(
+      const std::string& address, ServerLimits limits, Handler handler,
+      std::shared_ptr<ConnectionRegistry> registry = nullptr);
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
@@ -129,7 +137,8 @@
   struct Callbacks;
   struct Incoming;
 
-  HttpServer(ServerLimits limits, Handler handler);
+  HttpServer(ServerLimits limits, Handler handler,
+             std::shared_ptr<ConnectionRegistry> connections);
 
   /// Returns false if the server is closing.
   bool Register(const std::shared_ptr<Exchange>& exchange);
@@ -138,6 +147,7 @@
 
   ServerLimits limits;
   Handler handler;
+  std::shared_ptr<ConnectionRegistry> registry;
   MHD_Daemon* daemon = nullptr;
   std::uint16_t port = 0;
   int quiesced_socket = -1;
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -24,6 +25,7 @@
 #include "toucanwharf/platform/config_service.h"
 #include "toucanwharf/platform/idempotency_journal.h"
 #include "toucanwharf/support/ids.h"
+#include "toucanwharf/support/process_limits.h"
 #include "toucanwharf/support/random.h"
 #include "toucanwharf/timeline/buffer.h"
 #include "toucanwharf/timeline/codec.h"
@@ -42,6 +44,14 @@
 // page with the last sequence number.
 constexpr std::size_t kTimelinePage = 2000;
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
+constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
+/// Part of the memory for requests that are received and answers that wait.
+constexpr std::uint64_t kBufferDivisor = 4;
+/// Part of the memory for connections, and what each takes in libmicrohttpd.
+constexpr std::uint64_t kConnectionDivisor = 4;
+constexpr std::uint64_t kConnectionBytes = 36UL * 1024;
+/// Descriptors for calls to endpoints, peers and the platform, and for files.
+constexpr std::uint64_t kOtherDescriptors = 1024;
 
 }  // namespace
 
@@ -189,28 +199,50 @@
     this->loop.After(kDrainCheckPeriod, [this] { this->CheckDrain(); });
   }
 
+  /// Returns how much all listeners together may use.
+  transport::ConnectionLimits SharedLimits() const {
+    const settings::Limits& configured = this->settings.limits;
+    const std::uint64_t memory =
+        configured.memory_mb == 0
+            ? SystemMemoryBytes()
+            : std::min(configured.memory_mb * kBytesPerMegabyte,
+                       SystemMemoryBytes());
+    const std::uint64_t descriptors = SystemDescriptors();
+    transport::ConnectionLimits shared;
+    shared.buffer_bytes = memory / kBufferDivisor;
+    shared.connections = std::min<std::uint64_t>(
+        {configured.connections,
+         descriptors - std::min(descriptors / 2, kOtherDescriptors),
+         memory / kConnectionDivisor / kConnectionBytes});
+    return shared;
+  }
+
   Result<void> OpenListeners() {
+    const auto registry =
+        std::make_shared<transport::ConnectionRegistry>(this->SharedLimits());
     transport::ServerLimits limits;
     limits.body_bytes = this->settings.limits.body_bytes;
     limits.connections = this->settings.limits.connections;
-    BOOST_OUTCOME_TRY(
-        caller_listener,
-        transport::HttpServer::Open(this->settings.listen.callers, limits,
-                                    [this](const SharedExchange& exchange) {
-                                      this->loop.Post([this, exchange] {
-                                        this->callers.Serve(exchange);
-                                      });
-                                    }));
+    BOOST_OUTCOME_TRY(caller_listener,
+                      transport::HttpServer::Open(
+                          this->settings.listen.callers, limits,
+                          [this](const SharedExchange& exchange) {
+                            this->loop.Post([this, exchange] {
+                              this->callers.Serve(exchange);
+                            });
+                          },
+                          registry));
     transport::ServerLimits admin_limits;
     admin_limits.threads = 1;
-    BOOST_OUTCOME_TRY(
-        admin_listener,
-        transport::HttpServer::Open(this->settings.listen.admin, admin_limits,
-                                    [this](const SharedExchange& exchange) {
-                                      this->loop.Post([this, exchange] {
-                                        this->admin.Serve(exchange);
-                                      });
-                                    }));
+    BOOST_OUTCOME_TRY(admin_listener,
+                      transport::HttpServer::Open(
+                          this->settings.listen.admin, admin_limits,
+                          [this](const SharedExchange& exchange) {
+                            this->loop.Post([this, exchange] {
+                              this->admin.Serve(exchange);
+                            });
+                          },
+                          registry));
     BOOST_OUTCOME_TRY(this->fleet.Start());
     this->caller_server = std::move(caller_listener);
     this->admin_server = std::move(admin_listener);
--- a/lib/packages.cmake
+++ b/lib/packages.cmake
@@ -55,7 +55,7 @@
   target_include_directories(toucanwharf_adapter PUBLIC ${CMAKE_SOURCE_DIR})
   target_link_libraries(toucanwharf_adapter PUBLIC toucanwharf_instance)
   tw_unit_tests(adapter toucanwharf_adapter)
-  tw_package(transport DEPS toucanwharf_support CURL::libcurl
+  tw_package(transport DEPS toucanwharf_resources CURL::libcurl
     PkgConfig::MICROHTTPD)
   tw_package(platform DEPS toucanwharf_transport toucanwharf_once
     toucanwharf_control glog::glog)
--- a/lib/settings/settings.cc
+++ b/lib/settings/settings.cc
@@ -108,6 +108,7 @@
 Limits ReadLimits(const json& group) {
   const Limits defaults;
   return Limits{group.value("body_bytes", defaults.body_bytes),
+                group.value("memory_mb", defaults.memory_mb),
                 group.value("connections", defaults.connections),
                 group.value("waiting_requests", defaults.waiting_requests),
                 group.value("timeline_events", defaults.timeline_events)};
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -26,6 +26,7 @@
   this->status = new_status;
   this->headers = std::move(new_headers);
   this->pending = std::move(body);
+  this->CountHeld();
   this->Resume();
 }
 
@@ -44,6 +45,7 @@
   assert(this->streaming && "Write requires BeginStream");
   if (this->disconnected) return;
   this->pending.append(bytes);
+  this->CountHeld();
   this->Resume();
 }
 
@@ -72,11 +74,28 @@
   MHD_resume_connection(this->connection);
 }
 
+void Exchange::CountHeld() {
+  if (!this->registry) return;
+  const TimePoint now = BootClock().Now();
+  // Whoever reads what is ready makes it less at once.
+  this->registry->Enter(this->registered,
+                        this->pending.empty() ? ConnectionPhase::kAnswering
+                                              : ConnectionPhase::kWaiting,
+                        now);
+  const std::size_t held = this->request.body.size() + this->pending.size();
+  if (this->registry->Hold(this->registered, held, now)) return;
+  if (!this->streaming) return;
+  std::string().swap(this->pending);
+  this->disconnected = true;
+}
+
 /// State of a connection while its request is read.
 struct HttpServer::Incoming {
   TimePoint start_time;
+  ConnectionRegistry::Id registered = 0;
   std::string body;
-  bool refused = false;
+  /// The status of a refusal, for which the rest of the body is discarded.
+  std::optional<int> refusal;
   std::shared_ptr<Exchange> exchange;
 };
 
@@ -84,6 +103,11 @@
 
 constexpr int kContentTooLarge = 413;
 constexpr int kRequestTimeout = 408;
+constexpr int kUnavailable = 503;
+/// Connections that are being closed for lack of room at one moment.
+constexpr unsigned int kClosingConnections = 256;
+/// Retry-After of a request for which there was no memory, in seconds.
+constexpr const char* kRetryNoMemory = "1";
 
 MHD_Result AddPair(void* owner, enum MHD_ValueKind /*kind*/, const char* key,
                    const char* value) {
@@ -107,12 +131,31 @@
       body.size(), const_cast<char*>(body.data()), MHD_RESPMEM_MUST_COPY);
   MHD_add_response_header(response, "Content-Type", "application/json");
   MHD_add_response_header(response, "Connection", "close");
+  if (status == kUnavailable) {
+    MHD_add_response_header(response, "Retry-After", kRetryNoMemory);
+  }
   const MHD_Result done = MHD_queue_response(
       connection, static_cast<unsigned int>(status), response);
   MHD_destroy_response(response);
   return done;
 }
 
+/// Returns the length that the head of the request announces; 0 if none.
+std::uint64_t AnnouncedLength(MHD_Connection* connection) {
+  const char* text = MHD_lookup_connection_value(connection, MHD_HEADER_KIND,
+                                                 "Content-Length");
+  std::uint64_t length = 0;
+  if (text == nullptr || !absl::SimpleAtoi(text, &length)) return 0;
+  return length;
+}
+
+ConnectionRegistry::Id RegisteredId(MHD_Connection* connection) {
+  const auto* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  if (info == nullptr) return 0;
+  return reinterpret_cast<ConnectionRegistry::Id>(info->socket_context);
+}
+
 std::optional<sockaddr_in> ParseAddress(const std::string& address) {
   const std::size_t colon = address.rfind(':');
   if (colon == std::string::npos) return std::nullopt;
@@ -141,8 +184,15 @@
     if (*state == nullptr) {
       auto* incoming = new Incoming;
       incoming->start_time = BootClock().Now();
+      incoming->registered = RegisteredId(connection);
       *state = incoming;
       ++server->open_exchanges;
+      if (AnnouncedLength(connection) > server->limits.body_bytes) {
+        return RefuseNow(connection, kContentTooLarge,
+                         "the body is too large; send less");
+      }
+      server->registry->Enter(incoming->registered, ConnectionPhase::kWaiting,
+                              incoming->start_time);
       return MHD_YES;
     }
     auto* incoming = static_cast<Incoming*>(*state);
@@ -152,9 +202,11 @@
       *upload_size = 0;
       return AppendBody(*server, connection, *incoming, bytes);
     }
-    if (incoming->refused) {
-      return RefuseNow(connection, kContentTooLarge,
-                       "the body is too large; send less");
+    if (incoming->refusal) {
+      return RefuseNow(connection, *incoming->refusal,
+                       *incoming->refusal == kUnavailable
+                           ? "there is no memory for it now; come back"
+                           : "the body is too large; send less");
     }
     return PassToHandler(*server, connection, *incoming, url, method);
   }
@@ -165,14 +217,26 @@
       return RefuseNow(connection, kRequestTimeout,
                        "the request came too slowly; send it at once");
     }
+    if (incoming.refusal) return MHD_YES;
     if (incoming.body.size() + bytes.size() > server.limits.body_bytes) {
-      incoming.refused = true;
-      incoming.body.clear();
+      Refuse(server, incoming, kContentTooLarge);
+      return MHD_YES;
+    }
+    incoming.body.append(bytes);
+    if (!server.registry->Hold(incoming.registered, incoming.body.capacity(),
+                               BootClock().Now())) {
+      Refuse(server, incoming, kUnavailable);
     }
-    if (!incoming.refused) incoming.body.append(bytes);
     return MHD_YES;
   }
 
+  /// Refuses a request as soon as it has ended; what still comes is discarded.
+  static void Refuse(HttpServer& server, Incoming& incoming, int status) {
+    incoming.refusal = status;
+    std::string().swap(incoming.body);
+    server.registry->Hold(incoming.registered, 0, BootClock().Now());
+  }
+
   static MHD_Result PassToHandler(HttpServer& server,
                                   MHD_Connection* connection,
                                   Incoming& incoming, const char* url,
@@ -188,9 +252,13 @@
     auto exchange = std::make_shared<Exchange>(std::move(request));
     incoming.exchange = exchange;
     if (!server.Register(exchange)) return MHD_NO;
+    server.registry->Enter(incoming.registered, ConnectionPhase::kAnswering,
+                           BootClock().Now());
     {
       const std::lock_guard lock(exchange->mutex);
       exchange->connection = connection;
+      exchange->registry = server.registry;
+      exchange->registered = incoming.registered;
       const auto* info = MHD_get_connection_info(
           connection, MHD_CONNECTION_INFO_CONNECTION_FD);
       if (info != nullptr) exchange->socket = info->connect_fd;
@@ -263,6 +331,7 @@
     const std::size_t size = std::min(capacity, exchange.pending.size());
     std::copy_n(exchange.pending.begin(), size, buffer);
     exchange.pending.erase(0, size);
+    exchange.CountHeld();
     return static_cast<ssize_t>(size);
   }
 
@@ -270,6 +339,22 @@
     delete static_cast<std::shared_ptr<Exchange>*>(owner);
   }
 
+  static void OnConnection(void* owner, MHD_Connection* connection,
+                           void** context,
+                           enum MHD_ConnectionNotificationCode what) {
+    auto* server = static_cast<HttpServer*>(owner);
+    if (what == MHD_CONNECTION_NOTIFY_CLOSED) {
+      server->registry->Close(
+          reinterpret_cast<ConnectionRegistry::Id>(*context));
+      return;
+    }
+    const auto* info =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const int socket = info == nullptr ? -1 : info->connect_fd;
+    *context = reinterpret_cast<void*>(
+        server->registry->Open(socket, BootClock().Now()));
+  }
+
   static void OnCompleted(void* owner, MHD_Connection* /*connection*/,
                           void** state,
                           enum MHD_RequestTerminationCode /*how*/) {
@@ -282,32 +367,49 @@
       incoming->exchange->disconnected = true;
       incoming->exchange->suspended = false;
       incoming->exchange->connection = nullptr;
+      incoming->exchange->registry = nullptr;
       incoming->exchange->socket = -1;
     }
+    const TimePoint now = BootClock().Now();
+    server->registry->Hold(incoming->registered, 0, now);
+    server->registry->Enter(incoming->registered, ConnectionPhase::kIdle, now);
     delete incoming;
     *state = nullptr;
     --server->open_exchanges;
   }
 };
 
-HttpServer::HttpServer(ServerLimits limits, Handler handler)
-    : limits(limits), handler(std::move(handler)) {}
+HttpServer::HttpServer(ServerLimits limits, Handler handler,
+                       std::shared_ptr<ConnectionRegistry> connections)
+    : limits(limits),
+      handler(std::move(handler)),
+      registry(std::move(connections)) {
+  if (this->registry) return;
+  this->registry = std::make_shared<ConnectionRegistry>(ConnectionLimits{});
+}
 
-Result<std::unique_ptr<HttpServer>> HttpServer::Open(const std::string& address,
-                                                     ServerLimits limits,
-                                                     Handler handler) {
+Result<std::unique_ptr<HttpServer>> HttpServer::Open(
+    const std::string& address, ServerLimits limits, Handler handler,
+    std::shared_ptr<ConnectionRegistry> registry) {
   std::optional<sockaddr_in> parsed = ParseAddress(address);
   if (!parsed) return make_error_code(TransportError::kBadAddress);
+  // The registry closes connections when there are too many of all listeners;
+  // libmicrohttpd, which divides its limit between the threads, would only stop
+  // accepting.
+  const unsigned int most_accepted =
+      registry ? (limits.connections + kClosingConnections) * limits.threads
+               : limits.connections;
   std::unique_ptr<HttpServer> server(
-      new HttpServer(limits, std::move(handler)));
+      new HttpServer(limits, std::move(handler), std::move(registry)));
   const auto idle_seconds = static_cast<unsigned int>(
       std::chrono::duration_cast<std::chrono::seconds>(limits.idle).count());
   server->daemon = MHD_start_daemon(
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, 0,
       nullptr, nullptr, &Callbacks::OnAccess, server.get(),
       MHD_OPTION_SOCK_ADDR, &*parsed, MHD_OPTION_NOTIFY_COMPLETED,
-      &Callbacks::OnCompleted, server.get(), MHD_OPTION_THREAD_POOL_SIZE,
-      limits.threads, MHD_OPTION_CONNECTION_LIMIT, limits.connections,
+      &Callbacks::OnCompleted, server.get(), MHD_OPTION_NOTIFY_CONNECTION,
+      &Callbacks::OnConnection, server.get(), MHD_OPTION_THREAD_POOL_SIZE,
+      limits.threads, MHD_OPTION_CONNECTION_LIMIT, most_accepted,
       MHD_OPTION_CONNECTION_TIMEOUT, idle_seconds,
       MHD_OPTION_LISTEN_BACKLOG_SIZE, 1024U, MHD_OPTION_END);
   if (server->daemon == nullptr) {
--- a/test/process/clients_test.cc
+++ b/test/process/clients_test.cc
@@ -63,32 +63,6 @@
   double idle_bytes;
 };
 
-std::string Head(std::size_t index, const std::string& framing,
-                 const std::string& method_and_target = "POST /read/x",
-                 const std::string& key = PlatformFleet::kKey) {
-  return method_and_target +
-         " HTTP/1.1\r\nHost: calls.example\r\nX-Request-Id: crowd-" +
-         std::to_string(index) + "\r\nX-Deadline-Ms: 4000\r\n" +
-         (key.empty() ? "" : "Authorization: Token " + key + "\r\n") + framing +
-         "\r\n";
-}
-
-std::string LengthField(std::size_t length) {
-  return "Content-Length: " + std::to_string(length) + "\r\n";
-}
-
-constexpr const char* kChunkedField = "Transfer-Encoding: chunked\r\n";
-
-/// Returns \p bytes in chunks of \p chunk_bytes, without the last chunk.
-std::string Chunks(std::size_t bytes, std::size_t chunk_bytes) {
-  char size[32];
-  std::snprintf(size, sizeof(size), "%zx\r\n", chunk_bytes);
-  const std::string chunk = size + std::string(chunk_bytes, 'c') + "\r\n";
-  std::string text;
-  for (std::size_t sent = 0; sent < bytes; sent += chunk_bytes) text += chunk;
-  return text;
-}
-
 /// Sends bodies with a length to \p listener that stop short of their end.
 void PlayBodiesShortOfTheirEnd(Listener listener,
                                const std::string& method_and_target) {
@@ -97,7 +71,7 @@
     Crowd crowd(machine.fleet.AddressOf(0, listener), kBodies);
     crowd.Send(
         [&](std::size_t index) {
-          return Head(index, LengthField(kBodyBytes), method_and_target);
+          return RequestHead(index, LengthField(kBodyBytes), method_and_target);
         },
         std::string(kBodyBytes - 1, 'b'));
     machine.Check();
@@ -111,8 +85,9 @@
   SmallMachine machine(limits);
   {
     Crowd crowd(machine.fleet.CallersAddress(0), kBodies);
-    crowd.Send([](std::size_t index) { return Head(index, kChunkedField); },
-               Chunks(bytes, chunk_bytes));
+    crowd.Send(
+        [](std::size_t index) { return RequestHead(index, kChunkedField); },
+        Chunks(bytes, chunk_bytes));
     machine.Check();
   }
   machine.CheckAfterwards();
@@ -125,7 +100,8 @@
     Crowd crowd(machine.fleet.CallersAddress(0), kBodies);
     crowd.Send(
         [&](std::size_t index) {
-          return Head(index, LengthField(kBodyBytes), "POST /read/x", key);
+          return RequestHead(index, LengthField(kBodyBytes), "POST /read/x",
+                             key);
         },
         std::string(kBodyBytes, 'b'));
     machine.Check();
@@ -167,7 +143,9 @@
   {
     Crowd crowd(machine.fleet.CallersAddress(0), 600);
     crowd.Send(
-        [](std::size_t index) { return Head(index, LengthField(kSmallBytes)); },
+        [](std::size_t index) {
+          return RequestHead(index, LengthField(kSmallBytes));
+        },
         std::string(kSmallBytes - 1, 'b'));
     machine.Check();
   }
@@ -192,10 +170,13 @@
     Crowd just_sent(machine.fleet.CallersAddress(0), kBodies);
     const std::string chunks = Chunks(2 * kBodyBytes, 64UL * 1024);
     announced.Send(
-        [](std::size_t index) { return Head(index, LengthField(kFarOver)); },
+        [](std::size_t index) {
+          return RequestHead(index, LengthField(kFarOver));
+        },
+        chunks);
+    just_sent.Send(
+        [](std::size_t index) { return RequestHead(index, kChunkedField); },
         chunks);
-    just_sent.Send([](std::size_t index) { return Head(index, kChunkedField); },
-                   chunks);
     machine.Check();
   }
   machine.CheckAfterwards();
@@ -250,7 +231,8 @@
     std::string fields = LengthField(kBodyBytes);
     while (fields.size() < 15000) fields += "a:b\r\n";
     Crowd crowd(machine.fleet.CallersAddress(0), 300);
-    crowd.Send([&](std::size_t index) { return Head(index, fields); }, "b");
+    crowd.Send([&](std::size_t index) { return RequestHead(index, fields); },
+               "b");
     machine.Check();
   }
   machine.CheckAfterwards();
@@ -263,7 +245,7 @@
     Crowd crowd(machine.fleet.CallersAddress(0), kBodies);
     crowd.Send(
         [](std::size_t index) {
-          return Head(index, "", "GET /read/long-answer");
+          return RequestHead(index, "", "GET /read/long-answer");
         },
         "");
     machine.Check();
@@ -277,7 +259,7 @@
   {
     std::string more;
     for (std::size_t i = 0; i < 40; ++i) {
-      more += Head(i, "", "GET /read/medium-answer");
+      more += RequestHead(i, "", "GET /read/medium-answer");
     }
     Crowd crowd(machine.fleet.CallersAddress(0), kBodies);
     crowd.Send([](std::size_t) { return ""; }, more);
@@ -301,7 +283,9 @@
     SetFaultOfAll(machine.fleet, EndpointFault::kUnresponsive);
     Crowd crowd(machine.fleet.CallersAddress(0), kBodies);
     crowd.Send(
-        [](std::size_t index) { return Head(index, LengthField(kBodyBytes)); },
+        [](std::size_t index) {
+          return RequestHead(index, LengthField(kBodyBytes));
+        },
         std::string(kBodyBytes, 'b'));
     SetFaultOfAll(machine.fleet, EndpointFault::kNone);
     machine.Check();
--- a/test/process/crowd.cc
+++ b/test/process/crowd.cc
@@ -12,7 +12,9 @@
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <system_error>
+#include <utility>
 
 namespace toucanwharf::process_test {
 namespace {
@@ -59,6 +61,77 @@
 
 }  // namespace
 
+std::string LengthField(std::size_t length) {
+  return "Content-Length: " + std::to_string(length) + "\r\n";
+}
+
+std::string RequestHead(std::size_t index, const std::string& framing,
+                        const std::string& method_and_target,
+                        const std::string& key) {
+  return method_and_target + " HTTP/1.1\r\nHost: " + PlatformFleet::kHost +
+         "\r\nX-Request-Id: crowd-" + std::to_string(index) +
+         "\r\nX-Deadline-Ms: 4000\r\n" +
+         (key.empty() ? "" : "Authorization: Token " + key + "\r\n") + framing +
+         "\r\n";
+}
+
+std::string Chunks(std::size_t bytes, std::size_t chunk_bytes) {
+  std::ostringstream size;
+  size << std::hex << chunk_bytes << "\r\n";
+  const std::string chunk = size.str() + std::string(chunk_bytes, 'c') + "\r\n";
+  std::string text;
+  for (std::size_t sent = 0; sent < bytes; sent += chunk_bytes) text += chunk;
+  return text;
+}
+
+namespace {
+
+/// Returns what clients that do \p what send: a head for each, and a body.
+std::pair<std::function<std::string(std::size_t)>, std::string> ScriptOf(
+    Misbehaviour what, std::size_t body_bytes) {
+  constexpr std::size_t kLongHead = 12000;
+  constexpr std::size_t kLargeChunk = 64UL * 1024;
+  const auto with = [](const std::string& framing,
+                       const std::string& call = "POST /read/x",
+                       const std::string& key = PlatformFleet::kKey) {
+    return [=](std::size_t index) {
+      return RequestHead(index, framing, call, key);
+    };
+  };
+  const std::string length = LengthField(body_bytes);
+  switch (what) {
+    case Misbehaviour::kNothing:
+      return {[](std::size_t) { return ""; }, ""};
+    case Misbehaviour::kHeadWithoutEnd:
+      return {[](std::size_t) { return "GET /read/x HTTP/1.1\r\nX-Long: "; },
+              std::string(kLongHead, 'h')};
+    case Misbehaviour::kBodyShortOfItsEnd:
+      return {with(length), std::string(body_bytes - 1, 'b')};
+    case Misbehaviour::kTinyChunks:
+      return {with(kChunkedField), Chunks(body_bytes / 8, 1)};
+    case Misbehaviour::kBodyOverTheLimit:
+      return {with(kChunkedField), Chunks(2 * body_bytes, kLargeChunk)};
+    case Misbehaviour::kWholeBodyWithoutKey:
+      return {with(length, "POST /read/x", ""), std::string(body_bytes, 'b')};
+    case Misbehaviour::kWholeBody:
+      return {with(length), std::string(body_bytes, 'b')};
+    case Misbehaviour::kReadsNothing:
+      return {with("", "GET /read/long-answer"), ""};
+  }
+  return {};
+}
+
+}  // namespace
+
+void PlayCrowd(const std::string& address, Misbehaviour what, std::size_t count,
+               std::size_t body_bytes, std::chrono::milliseconds duration) {
+  const auto until = Clock::now() + duration;
+  const auto [head, body] = ScriptOf(what, body_bytes);
+  Crowd crowd(address, count);
+  crowd.Send(head, body);
+  std::this_thread::sleep_until(until);
+}
+
 Crowd::Crowd(const std::string& address, std::size_t count) {
   const sockaddr_in to = ParseAddress(address);
   for (std::size_t index = 0; index < count; ++index) {
--- a/test/process/crowd.h
+++ b/test/process/crowd.h
@@ -4,14 +4,51 @@
 #include <sys/types.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "test/process/platform_fleet.h"
+
 namespace toucanwharf::process_test {
 
+/// Framing of a body in chunks.
+inline constexpr const char* kChunkedField = "Transfer-Encoding: chunked\r\n";
+
+/// Returns the framing of a body of \p length bytes.
+std::string LengthField(std::size_t length);
+
+/// Returns the head of a request to the routers of a PlatformFleet, with an id
+/// for \p index and the field of \p framing. Without a \p key it has none.
+std::string RequestHead(std::size_t index, const std::string& framing,
+                        const std::string& method_and_target = "POST /read/x",
+                        const std::string& key = PlatformFleet::kKey);
+
+/// Returns \p bytes in chunks of \p chunk_bytes, without the last chunk.
+std::string Chunks(std::size_t bytes, std::size_t chunk_bytes);
+
+/// What the clients of a crowd do.
+enum class Misbehaviour {
+  kNothing,
+  kHeadWithoutEnd,
+  kBodyShortOfItsEnd,
+  kTinyChunks,
+  kBodyOverTheLimit,
+  kWholeBodyWithoutKey,
+  kWholeBody,
+  kReadsNothing,
+};
+inline constexpr std::size_t kMisbehaviours = 8;
+
+/// Plays \p count clients that do \p what at \p address for \p duration, or
+/// some seconds longer. \p body_bytes is the largest body that the router
+/// takes.
+void PlayCrowd(const std::string& address, Misbehaviour what, std::size_t count,
+               std::size_t body_bytes, std::chrono::milliseconds duration);
+
 /// Connections of clients that send what a test tells them, read nothing, and
 /// stay open until the crowd is destroyed.
 /// Thread safety: one thread.
--- a/test/process/native_clients_test.cc
+++ b/test/process/native_clients_test.cc
@@ -65,10 +65,6 @@
          std::string(Fleet::kCustomerKey) + "\r\n" + framing + "\r\n";
 }
 
-std::string LengthField(std::size_t length) {
-  return "Content-Length: " + std::to_string(length) + "\r\n";
-}
-
 void PlayBodies(const std::string& address, SmallRouter& router,
                 const std::string& head, std::size_t body_bytes) {
   {
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -105,12 +105,13 @@
 target_link_libraries(process_endless_answer PRIVATE standin_fleet
   standin_relay_parts)
 
-# tw_client_tests(NAME SOURCE...): test/process/NAME_test.cc, whose clients don't
+# tw_client_tests(NAME): test/process/NAME_test.cc, whose clients don't
 # behave; an entry of ctest a case, which runs alone, since all of them measure
 # memory.
 function(tw_client_tests NAME)
   tw_process_program(${NAME})
-  target_sources(process_${NAME} PRIVATE test/process/crowd.cc ${ARGN})
+  target_sources(process_${NAME} PRIVATE test/process/crowd.cc
+    test/process/platform_fleet.cc)
   target_link_libraries(process_${NAME} PRIVATE standin_fleet
     standin_relay_parts)
   file(STRINGS test/process/${NAME}_test.cc cases
@@ -124,7 +125,7 @@
       RUN_SERIAL TRUE)
   endforeach()
 endfunction()
-tw_client_tests(clients test/process/platform_fleet.cc)
+tw_client_tests(clients)
 tw_client_tests(native_clients)
 
 # Faults at random on real routers; CI plays two short seeds, and each seed
@@ -132,7 +133,7 @@
 tw_program(soak test/soak DEPS tw_process_fixture standin_fleet
   standin_relay_parts)
 target_sources(soak PRIVATE test/process/platform_fleet.cc
-  test/process/odd_entries.cc)
+  test/process/odd_entries.cc test/process/crowd.cc)
 tw_process_test(soak_checks)
 target_sources(process_soak_checks PRIVATE test/soak/checks.cc
   test/soak/callers.cc test/process/platform_fleet.cc)
@@ -171,4 +172,8 @@
     --crashing-requests)
 set_tests_properties(soak_odd_entries PROPERTIES TIMEOUT 300)
 
+add_test(NAME soak_crowds
+  COMMAND soak --seeds 1,2 --seconds 10 --crowds)
+set_tests_properties(soak_crowds PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
+
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
