Soak: crowds of clients that misbehave, on small machines

--crowds: routers with 64 MB and 400 descriptors, crowds of 80 clients of eight kinds at any of four addresses for 0.3 to 4 s, several at a time, beside ordinary callers and all other faults. It checks the memory of each process, and that the gauge is back at the end. What crowds do and the texts of requests are shared with the tests of single crowds.

--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -39,6 +39,7 @@
   settings.endpoint_stops = options.count("endpoint-stops") > 0;
   settings.odd_entries = options.count("odd-entries") > 0;
   settings.crash_forms = options.count("crash-forms") > 0;
+  settings.crowds = options.count("crowds") > 0;
   settings.callers = options["callers"].as<std::size_t>();
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
@@ -76,7 +77,8 @@
       "endpoint-stops",
       "stop endpoints, which go on, and let them send bytes of bad form, too")(
       "odd-entries", "leave odd entries among the endpoints, too")(
-      "crash-forms", "vary how requests crash engines");
+      "crash-forms", "vary how requests crash engines")(
+      "crowds", "let clients misbehave, on small machines");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -61,7 +61,8 @@
                                "crashing part",
                                "stopped engines",
                                "stopped plain endpoints",
-                               "odd entry"};
+                               "odd entry",
+                               "crowd"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
@@ -132,18 +133,20 @@
   }
 }
 
-/// Adds odd entries that stay for 0.3 to 4 s, several at a time.
-void AddOddEntries(const SoakSettings& settings, std::vector<Fault>& faults) {
+/// Adds faults of \p kind that last for 0.3 to 4 s, several at a time, drawn
+/// from the numbers of \p stream.
+void AddOverlapping(FaultKind kind, std::uint64_t stream,
+                    const SoakSettings& settings, std::vector<Fault>& faults) {
   constexpr std::uint64_t kMeanIntervalMs = 600;
-  constexpr std::uint64_t kStream = 3000;
-  Random random(MixBits(settings.seed + kStream));
+  Random random(MixBits(settings.seed + stream));
   for (std::int64_t at_ms = 0; at_ms < settings.duration_ms;
        at_ms += static_cast<std::int64_t>(random.Below(2 * kMeanIntervalMs))) {
     Fault fault;
-    fault.kind = FaultKind::kOddEntry;
+    fault.kind = kind;
     fault.at_ms = at_ms;
     fault.duration_ms = 300 + static_cast<std::int64_t>(random.Below(3700));
     fault.text = random();
+    fault.router = fault.text % settings.routers;
     faults.push_back(fault);
   }
 }
@@ -202,7 +205,14 @@
   }
   if (settings.fleet_restarts) AddFleetRestarts(settings, faults);
   if (settings.endpoint_stops) AddEndpointStops(settings, faults);
-  if (settings.odd_entries) AddOddEntries(settings, faults);
+  constexpr std::uint64_t kOddEntries = 3000;
+  constexpr std::uint64_t kCrowds = 5000;
+  if (settings.odd_entries) {
+    AddOverlapping(FaultKind::kOddEntry, kOddEntries, settings, faults);
+  }
+  if (settings.crowds) {
+    AddOverlapping(FaultKind::kCrowd, kCrowds, settings, faults);
+  }
   if (settings.crash_forms) VaryCrashForms(settings, faults);
   return faults;
 }
@@ -224,7 +234,7 @@
   const bool stops = fault.kind == FaultKind::kStoppedEngines ||
                      fault.kind == FaultKind::kStoppedPlain;
   if (stops) return text + " " + std::to_string(fault.tenths) + " of ten";
-  if (fault.kind == FaultKind::kOddEntry) {
+  if (fault.kind == FaultKind::kOddEntry || fault.kind == FaultKind::kCrowd) {
     return text + " " + std::to_string(fault.text);
   }
   if (fault.crash_form != CrashForm::kWhileWriting) {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -54,6 +54,8 @@
   kStoppedPlain,
   /// Another writer leaves an odd entry among the endpoints, and removes it.
   kOddEntry,
+  /// A crowd of clients misbehaves at one of a router's addresses.
+  kCrowd,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -74,7 +76,7 @@
   /// How a crashing request crashes engines.
   standins::fleet::CrashForm crash_form =
       standins::fleet::CrashForm::kWhileWriting;
-  /// Draw of the text of an odd entry.
+  /// Draw of the text of an odd entry, or of what a crowd does and where.
   std::uint64_t text = 0;
 
   friend bool operator==(const Fault&, const Fault&) = default;
@@ -118,6 +120,9 @@
   bool odd_entries = false;
   /// Whether the forms in which requests crash engines vary; the same holds.
   bool crash_forms = false;
+  /// Whether routers run on small machines, and clients also misbehave; the
+  /// same holds.
+  bool crowds = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "test/process/crowd.h"
 #include "test/process/odd_entries.h"
 #include "test/process/platform_fleet.h"
 #include "test/soak/callers.h"
@@ -19,6 +20,8 @@
 namespace toucanwharf::soak {
 namespace {
 
+using process_test::Listener;
+using process_test::Misbehaviour;
 using process_test::PlatformFleet;
 using standins::fleet::CutAt;
 using standins::fleet::EndpointFault;
@@ -37,6 +40,13 @@
 /// With few callers only a tight bound on repeats is ever reached.
 constexpr process_test::ArrivalBound kTightBound{0.1, 12};
 
+/// What routers run on beside crowds, and how many clients are one.
+constexpr process_test::MachineLimits kSmallMachine{64, 400, 1024UL * 1024};
+constexpr std::size_t kCrowd = 80;
+constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+/// Of the request that asks how much is held.
+constexpr double kBytesOfOneRequest = 16.0 * 1024;
+
 /// The begin or the end of a fault.
 struct FaultEvent {
   std::int64_t at_ms = 0;
@@ -89,9 +99,10 @@
  public:
   explicit Soak(const SoakSettings& chosen)
       : settings(chosen),
-        fleet(chosen.routers, false, true,
-              chosen.endpoint_stops ? kTightBound
-                                    : process_test::ArrivalBound()) {
+        fleet(
+            chosen.routers, false, true,
+            chosen.endpoint_stops ? kTightBound : process_test::ArrivalBound(),
+            chosen.crowds ? kSmallMachine : process_test::MachineLimits()) {
     const bool unframed = (chosen.crashing_parts || chosen.endpoint_stops) &&
                           chosen.seed % 2 == 1;
     this->fleet.RunOnLoop([&] {
@@ -123,6 +134,7 @@
       event.begins ? this->Begin(event.fault) : this->End(event.fault);
     }
     const std::vector<ObservedRequest> observed = callers.Stop();
+    this->CheckResources();
     this->CheckRecovery();
     return this->Judge(observed);
   }
@@ -186,6 +198,9 @@
       case FaultKind::kOddEntry:
         this->PutOddEntry(fault);
         return;
+      case FaultKind::kCrowd:
+        this->PlayCrowd(fault);
+        return;
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
         return;
@@ -239,12 +254,59 @@
             [&] { this->fleet.Store().Remove("servers", OddNameOf(fault)); });
         return;
       case FaultKind::kReload:
+      case FaultKind::kCrowd:
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
         return;
     }
   }
 
+  void PlayCrowd(const Fault& fault) {
+    constexpr std::array kListeners = {Listener::kCallers, Listener::kCallers,
+                                       Listener::kReady, Listener::kControl,
+                                       Listener::kDirectory};
+    const std::uint64_t draw = MixBits(fault.text);
+    const auto what =
+        static_cast<Misbehaviour>(draw % process_test::kMisbehaviours);
+    const Listener listener =
+        kListeners[draw / process_test::kMisbehaviours % kListeners.size()];
+    this->crowds.emplace_back(
+        [address = this->fleet.AddressOf(fault.router, listener), what,
+         duration = milliseconds(fault.duration_ms)] {
+          process_test::PlayCrowd(address, what, kCrowd,
+                                  kSmallMachine.max_body_bytes, duration);
+        });
+  }
+
+  /// Records what a router has taken beyond its machine, or keeps for crowds
+  /// that are gone.
+  void CheckResources() {
+    if (!this->settings.crowds) return;
+    for (std::thread& crowd : this->crowds) crowd.join();
+    this->crowds.clear();
+    for (std::size_t router = 0; router < this->settings.routers; ++router) {
+      const process_test::ProcessWatch watch(this->fleet.Router(router).Pid());
+      const std::string name = "router " + std::to_string(router);
+      const std::size_t peak = watch.PeakResidentBytes();
+      if (peak > kSmallMachine.memory_mb * kBytesPerMegabyte) {
+        this->violations.push_back(name + " took " + std::to_string(peak) +
+                                   " bytes of memory");
+      }
+      const bool freed = PlatformFleet::Eventually(
+          [&] { return this->BufferedBytes(router) <= kBytesOfOneRequest; },
+          kRecoveryTimeoutMs);
+      if (!freed) this->violations.push_back(name + " keeps memory of crowds");
+    }
+  }
+
+  double BufferedBytes(std::size_t router) {
+    const std::string text = this->fleet.Metrics(router);
+    const std::string line = "\ntoucanwharf_buffered_bytes ";
+    const std::size_t found = text.find(line);
+    if (found == std::string::npos) return kBytesOfOneRequest + 1;
+    return std::stod(text.substr(found + line.size()));
+  }
+
   void ReturnStore() {
     this->fleet.ReturnStore(kStoreAway);
     this->fleet.RunOnLoop(
@@ -293,7 +355,8 @@
                              event.fault.kind != FaultKind::kStoreReturn &&
                              event.fault.kind != FaultKind::kStoppedEngines &&
                              event.fault.kind != FaultKind::kStoppedPlain &&
-                             event.fault.kind != FaultKind::kOddEntry;
+                             event.fault.kind != FaultKind::kOddEntry &&
+                             event.fault.kind != FaultKind::kCrowd;
     if (!of_a_router) return;
     const TimePoint now = BootClock().Now();
     const Duration planned = milliseconds(event.fault.duration_ms);
@@ -434,6 +497,7 @@
   std::vector<RouterFaultPeriod> router_faults;
   std::vector<LimitPeriod> limits;
   std::vector<std::string> violations;
+  std::vector<std::thread> crowds;
   int probes = 0;
 };
 
