Readiness when memory is short; calls without a descriptor blame nobody

And a call or a probe that failed for want of a descriptor here counted against its endpoint.

Change: requests without a body on the addresses that callers don't use are answered whatever is held; the two failures are no evidence. Calls, too, take a read buffer only while bytes are there.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -23,7 +23,7 @@
 using boost::asio::ip::tcp;
 using Code = boost::system::error_code;
 
-constexpr std::size_t kReadSize = 8UL * 1024;
+constexpr std::size_t kReadSize = 16UL * 1024;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
 /// Assumed when a server doesn't announce an idle timeout.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(1);
@@ -245,19 +245,35 @@
         });
   }
 
+  /// Waits for bytes without a buffer: most connections are idle, or wait for
+  /// the next event.
   void Read() {
     if (this->closed || this->reading || this->held) return;
     this->reading = true;
-    this->socket.async_read_some(
-        boost::asio::buffer(this->buffer),
-        [self = this->shared_from_this()](const Code& error, std::size_t size) {
+    this->socket.async_wait(
+        tcp::socket::wait_read,
+        [self = this->shared_from_this()](const Code& error) {
           self->reading = false;
-          self->OnRead(error, size);
+          self->OnReadable(error);
         });
   }
 
-  void OnRead(const Code& error, std::size_t size) {
+  void OnReadable(const Code& error) {
     if (this->closed) return;
+    std::array<char, kReadSize> buffer;
+    Code read_error = error;
+    std::size_t size = 0;
+    if (!read_error) {
+      size = this->socket.read_some(boost::asio::buffer(buffer), read_error);
+    }
+    if (read_error == boost::asio::error::would_block) {
+      this->Read();
+      return;
+    }
+    this->OnRead(read_error, {buffer.data(), size});
+  }
+
+  void OnRead(const Code& error, std::string_view bytes) {
     if (this->id == 0) {
       // Idle: the peer closed, or sent bytes that belong to no request.
       this->Close();
@@ -268,7 +284,7 @@
       this->OnReadError(error);
       return;
     }
-    this->input.append(this->buffer.data(), size);
+    this->input.append(bytes);
     this->Parse();
     this->Read();
   }
@@ -361,7 +377,6 @@
   CallId id = 0;
   CallHandlers handlers;
   CallResult result;
-  std::array<char, kReadSize> buffer{};
   std::string input;
   /// The head of the request, and its body, until they are sent.
   std::string output;
--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -410,7 +410,11 @@
 void Connection::Dispatch() {
   this->server->loop.Cancel(this->timer);
   this->CountBuffers();
-  if (!this->KeepWithinBuffers()) return;
+  // The platform must not take an instance for dead that is only full.
+  const bool asks_for_state =
+      this->server->options.use == resources::ConnectionUse::kControl &&
+      this->body.empty();
+  if (!asks_for_state && !this->KeepWithinBuffers()) return;
   this->answering = true;
   this->Enter(Phase::kAnswering);
   this->keep_alive = this->parser->keep_alive();
--- a/lib/instance/engine_probe.cc
+++ b/lib/instance/engine_probe.cc
@@ -101,6 +101,8 @@
   // connection may have been reset for any reason.
   const bool reset = result.end != http::CallEnd::kNotConnected && !timed_out;
   if (reset && !result.reused) pending->liveness_seen = true;
+  // This process is short of descriptors, which is not the engine's fault.
+  if (result.no_descriptor) pending->liveness_seen = true;
   if (result.refused) pending->refused = true;
   if (!pending->repeated) {
     this->SendRepeat(pending);
--- a/lib/instance/proxied_request_forwarding.cc
+++ b/lib/instance/proxied_request_forwarding.cc
@@ -116,7 +116,7 @@
 }
 
 void ProxiedRequest::OnNotConnected(const http::CallResult& result) {
-  if (this->target.is_peer) return;
+  if (this->target.is_peer || result.no_descriptor) return;
   this->gateway.path_monitor.OnFailure(
       this->target.endpoint, endpoints::ConnectionFailure::kNotConnected,
       "not_connected");
