--- a/lib/instance/resource_watch.cc
+++ b/lib/instance/resource_watch.cc
@@ -27,8 +27,7 @@
 
 }  // namespace
 
-std::optional<Fields> ResourceWatch::NewPeak(
-    const http::Resources& resources) {
+std::optional<Fields> ResourceWatch::NewPeak(const http::Resources& resources) {
   const std::size_t bytes = resources.buffers.Peak();
   const std::size_t connections = resources.descriptors.Peak();
   const std::size_t byte_capacity = resources.buffers.Capacity();
--- a/unittests/adapter/adapter_test.cc
+++ b/unittests/adapter/adapter_test.cc
@@ -34,6 +34,21 @@
   BOOST_TEST(parsed.settings.budget.slack == 196);
 }
 
+// Guards against a machine whose stated limits are not read, so that nothing
+// bounds what clients take of it.
+BOOST_AUTO_TEST_CASE(MachineLimitsAreRead) {
+  const auto stated = ParsePlatformSettings(
+      kSettings + "limits.memory_mb=260\nlimits.max_fds=4200\n");
+  BOOST_TEST(stated.problems.empty());
+  BOOST_TEST(stated.settings.machine.memory_bytes.value() == 260'000'000U);
+  BOOST_TEST(stated.settings.machine.descriptors.value() == 4200U);
+  const auto absent = ParsePlatformSettings(kSettings);
+  BOOST_TEST(!absent.settings.machine.memory_bytes.has_value());
+  const auto too_small = ParsePlatformSettings(
+      kSettings + "limits.memory_mb=8\nlimits.max_fds=-1\n");
+  BOOST_TEST(too_small.problems.size() == 2U);
+}
+
 // Guards against reporting only the first problem, so that an operator would
 // have to correct a settings file once for each.
 BOOST_AUTO_TEST_CASE(AllProblemsAreReportedTogether) {
--- a/unittests/settings/settings_test.cc
+++ b/unittests/settings/settings_test.cc
@@ -32,7 +32,7 @@
   json document = GoodSettings();
   document["advertise"] = {{"callers", "10.0.0.1:80"}};
   document["timeouts"] = {{"progress_ms", 250}};
-  document["limits"] = {{"body_bytes", 4096}};
+  document["limits"] = {{"body_bytes", 4096}, {"memory_mb", 512}};
   const auto parsed = ParseSettings(document.dump());
   BOOST_REQUIRE(parsed.has_value());
   const Settings& settings = parsed.assume_value();
@@ -40,6 +40,7 @@
   BOOST_TEST(settings.advertise.admin == settings.listen.admin);
   BOOST_TEST(settings.timeouts.progress.count() == 250000);
   BOOST_TEST(settings.limits.body_bytes == 4096u);
+  BOOST_TEST(settings.limits.memory_mb == 512u);
 }
 
 BOOST_AUTO_TEST_CASE(EveryInvalidSettingIsReported) {
@@ -48,9 +49,10 @@
   document["listen"]["admin"] = "localhost:8081";
   document["listen"]["peers"] = "127.0.0.1:8080";
   document["timeouts"] = {{"connect_ms", 0}, {"conect_ms", 5}};
+  document["limits"] = {{"memory_mb", 1}};
   const auto parsed = ParseSettings(document.dump());
   BOOST_REQUIRE(parsed.has_error());
-  BOOST_TEST(parsed.assume_error().size() == 5u);
+  BOOST_TEST(parsed.assume_error().size() == 6u);
 }
 
 // Guards against disclosure of a mistyped key: problems are written to
