--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -3,10 +3,11 @@
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/error.hpp>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "response_text.h"
 #include "server_state.h"
 
 namespace toucanwharf::http {
@@ -44,37 +45,6 @@
 /// Retry-After of a request for which there was no memory.
 constexpr const char* kRetryNoMemory = "1";
 
-std::string ReasonOf(const ResponseHead& head) {
-  if (!head.reason.empty()) return head.reason;
-  const auto default_reason =
-      beast_http::obsolete_reason(static_cast<beast_http::status>(head.status));
-  return {default_reason.data(), default_reason.size()};
-}
-
-std::string HeadText(const ResponseHead& head, bool chunked,
-                     std::optional<std::uint64_t> length, bool close,
-                     Duration idle) {
-  std::string text =
-      absl::StrCat("HTTP/1.1 ", head.status, " ", ReasonOf(head), "\r\n");
-  for (const auto& [name, value] : head.headers) {
-    absl::StrAppend(&text, name, ": ", value, "\r\n");
-  }
-  if (chunked) {
-    absl::StrAppend(&text, "Transfer-Encoding: chunked\r\n");
-  } else if (length) {
-    absl::StrAppend(&text, "Content-Length: ", *length, "\r\n");
-  }
-  if (close) {
-    absl::StrAppend(&text, "Connection: close\r\n");
-  } else {
-    const auto seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(idle).count();
-    absl::StrAppend(&text, "Keep-Alive: timeout=", seconds, "\r\n");
-  }
-  absl::StrAppend(&text, "\r\n");
-  return text;
-}
-
 /// Returns the status of the response to an unacceptable request.
 int StatusOf(const Code& why) {
   if (why == beast_http::error::header_limit) return kHeaderTooLarge;
@@ -82,12 +52,6 @@
   return kBadRequest;
 }
 
-bool BodylessStatus(int status) {
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return status == kNoContent || status == kNotModified;
-}
-
 /// Returns the memory of \p text outside of the object, in bytes.
 std::size_t HeapBytes(const std::string& text) {
   static const std::size_t kInside = std::string().capacity();
@@ -201,7 +165,7 @@
 }
 
 void Connection::Respond(const ResponseHead& head, std::string_view text) {
-  const bool bodyless = BodylessStatus(head.status);
+  const bool bodyless = HasNoBody(head.status);
   std::string response = HeadText(
       head, false,
       bodyless ? std::nullopt : std::optional<std::uint64_t>(text.size()),
