Answers that are ready at one moment stay within the memory

What callers would see: a crowd asks for long answers at once and reads nothing; all are ready before any of its readers counts as stalled (0.5 s), the account is full, and an ordinary caller beside it gets 503 until then.

Cause: only requests in reception and stalled readers were ended; an answer that was ready was always taken in. Change: an answer of which more than 64 KiB is unread ends when it doesn't fit into fifteen sixteenths of the memory, after the stalled ones. Whoever reads has less unread, or room. Evidence: AnswersReadyAtOnceStayWithinTheMemory failed before (the ordinary request had no 200) and passes.

--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -37,6 +37,9 @@
 constexpr Duration kStalledReader = std::chrono::milliseconds(500);
 /// A body is first given this much memory, and twice as much each time.
 constexpr std::size_t kFirstBodyBytes = 16UL * 1024;
+/// Answers of which more than that is unread don't take this last part of the
+/// memory: many of them may be ready before any counts as stalled.
+constexpr std::size_t kUnreadMarginDivisor = 16;
 /// Requests that hold more leave a part of the memory to those that hold less.
 constexpr std::size_t kSmallRequestBytes = 64UL * 1024;
 constexpr std::size_t kSmallRequestDivisor = 8;
@@ -473,6 +476,15 @@
   this->Drain();
   this->CountBuffers();
   this->KeepWithinBuffers();
+  if (this->unsent.size() > kMaxUnsentBeforeNext) this->MakeRoomForAnswer();
+}
+
+void Connection::MakeRoomForAnswer() {
+  const resources::Account& buffers = this->table->Shared().buffers;
+  const std::size_t most =
+      buffers.Capacity() - buffers.Capacity() / kUnreadMarginDivisor;
+  this->table->FreeBuffers(most);
+  if (buffers.Used() > most && !this->failed) this->Evict();
 }
 
 void Connection::Drain() {
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -100,6 +100,8 @@
   /// Makes room if too much memory is in use. If nothing else can be freed, the
   /// request that is being received is refused. Returns whether it may go on.
   bool KeepWithinBuffers();
+  /// Makes room for an answer of which much waits; without room, it ends.
+  void MakeRoomForAnswer();
   /// Returns whether the next request may be taken up.
   bool TakesRequests() const;
   /// Frees the memory of the request that is being received.
--- a/unittests/http/resources_test.cc
+++ b/unittests/http/resources_test.cc
@@ -23,6 +23,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t kBodyBytes = 200'000;
+/// More than the kernel takes for a peer that doesn't read.
+constexpr std::size_t kLongAnswerBytes = 6'000'000;
 
 /// A connection of a client that a test controls byte for byte.
 class Peer {
@@ -85,8 +87,11 @@
           }
           ResponseHead head;
           head.status = kOk;
-          exchange->Respond(head,
-                            std::to_string(exchange->Received().body.size()));
+          std::string answer = std::to_string(exchange->Received().body.size());
+          if (exchange->Received().target == "/long") {
+            answer.resize(kLongAnswerBytes);
+          }
+          exchange->Respond(head, answer);
         },
         options);
     BOOST_REQUIRE(opened.has_value());
@@ -228,6 +233,22 @@
   BOOST_TEST(small.Read().ends_with("10"));
 }
 
+// Guards against answers that are all ready before any reader counts as
+// stalled.
+BOOST_AUTO_TEST_CASE(AnswersReadyAtOnceStayWithinTheMemory) {
+  constexpr std::size_t kCapacity = 20'000'000;
+  SmallServer server(kCapacity, 100);
+  std::vector<std::unique_ptr<Peer>> crowd;
+  for (int i = 0; i < 30; ++i) {
+    crowd.push_back(std::make_unique<Peer>(server.Port()));
+    crowd.back()->Send("GET /long HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  const Peer ordinary(server.Port());
+  ordinary.Send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  BOOST_TEST(ordinary.Read().starts_with("HTTP/1.1 200"));
+  BOOST_TEST(server.resources.buffers.Peak() <= kCapacity + kLongAnswerBytes);
+}
+
 // Guards against idle connections that keep an ordinary caller out.
 BOOST_AUTO_TEST_CASE(LongestIdleConnectionGoesFirst) {
   SmallServer server(1'000'000, 20);
