--- a/unittests/resources/account_test.cc
+++ b/unittests/resources/account_test.cc
@@ -3,6 +3,7 @@
 #include <rapidcheck.h>
 
 #include <boost/test/unit_test.hpp>
+#include <cstddef>
 #include <vector>
 
 namespace toucanwharf::resources {
@@ -40,7 +41,8 @@
     std::vector<Lease> leases;
     for (const unsigned char amount : amounts) {
       if (amount % 3 == 0 && !leases.empty()) {
-        leases.erase(leases.begin() + amount % leases.size());
+        leases.erase(leases.begin() +
+                     static_cast<std::ptrdiff_t>(amount % leases.size()));
       } else {
         leases.emplace_back(account, amount);
         leases.front().Resize(amount / 2U);
