An answer that was dropped for lack of memory never looks whole

Own interface, by reading: where the registry finds no room for a stream's bytes these are dropped, and an end that follows would complete the answer. The reader of the stream now ends with an error once anything was dropped.

--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -321,6 +321,8 @@
                             char* buffer, std::size_t capacity) {
     Exchange& exchange = **static_cast<std::shared_ptr<Exchange>*>(owner);
     const std::lock_guard lock(exchange.mutex);
+    // What waited was dropped: the answer must not look whole.
+    if (exchange.disconnected) return MHD_CONTENT_READER_END_WITH_ERROR;
     if (exchange.pending.empty()) {
       if (exchange.ended) return MHD_CONTENT_READER_END_OF_STREAM;
       if (exchange.server_closing) return MHD_CONTENT_READER_END_WITH_ERROR;
--- a/unittests/transport/connection_registry_test.cc
+++ b/unittests/transport/connection_registry_test.cc
@@ -1,13 +1,19 @@
 #include "toucanwharf/transport/connection_registry.h"
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <future>
 #include <memory>
+#include <string>
 #include <vector>
 
+#include "toucanwharf/transport/http_server.h"
+
 namespace toucanwharf::transport {
 namespace {
 
@@ -98,6 +104,48 @@
   BOOST_TEST(!pairs[0].IsShutDown());
 }
 
+// Guards against an answer that looks whole although a part of it was dropped
+// for lack of memory.
+BOOST_AUTO_TEST_CASE(AnswerDroppedForLackOfMemoryIsNotWhole) {
+  constexpr std::size_t kPieceBytes = 100'000;
+  constexpr int kPieces = 200;
+  const auto registry =
+      std::make_shared<ConnectionRegistry>(ConnectionLimits{1'000'000, 10});
+  std::promise<void> written;
+  auto server = HttpServer::Open(
+      "127.0.0.1:0", {},
+      [&](const std::shared_ptr<Exchange>& exchange) {
+        exchange->BeginStream(200, {});
+        for (int i = 0; i < kPieces; ++i) {
+          exchange->Write(std::string(kPieceBytes, 'a'));
+        }
+        exchange->End();
+        written.set_value();
+      },
+      registry);
+  BOOST_REQUIRE(server.has_value());
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(server.value()->Port());
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  BOOST_REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof(to)) ==
+                0);
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  BOOST_REQUIRE(send(caller, request.data(), request.size(), 0) > 0);
+  written.get_future().get();
+  std::string text;
+  std::vector<char> bytes(kPieceBytes);
+  for (ssize_t size = 1; size > 0;) {
+    size = recv(caller, bytes.data(), bytes.size(), 0);
+    if (size > 0) text.append(bytes.data(), static_cast<std::size_t>(size));
+    if (text.ends_with("0\r\n\r\n")) break;
+  }
+  close(caller);
+  BOOST_TEST(text.size() < kPieces * kPieceBytes);
+  BOOST_TEST(!text.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
