Calls of the process itself keep descriptors beside pooled ones

What operators would see: callers' requests take the last descriptors, and no call to the store or a peer can be opened. Cause: one connection in the pool was enough for another request to be let in, and its call then took from what is kept for the process. Change: what is free and what idles in the pool together must be more than what is kept.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -84,6 +84,8 @@
   /// idle for longest may be closed. Returns false if there is none.
   bool TakeDescriptor(resources::DescriptorLease& lease);
   bool CloseLongestIdle();
+  /// Returns how many connections idle, which could be closed for others.
+  std::size_t IdleCount() const;
 
   Loop& loop;
   Resources* resources;
@@ -448,6 +450,12 @@
   if (found->second.empty()) state->idle.erase(found);
 }
 
+std::size_t Client::State::IdleCount() const {
+  std::size_t count = 0;
+  for (const auto& [address, pool] : this->idle) count += pool.size();
+  return count;
+}
+
 bool Client::State::CloseLongestIdle() {
   std::shared_ptr<ClientConnection> longest;
   for (const auto& [address, pool] : this->idle) {
@@ -482,8 +490,8 @@
   const resources::Descriptors& descriptors =
       this->state->resources->descriptors;
   const std::size_t own_calls = descriptors.Capacity() / kOwnCallsDivisor;
-  return descriptors.Room(resources::ConnectionUse::kCall) > own_calls ||
-         !this->state->idle.empty();
+  const std::size_t room = descriptors.Room(resources::ConnectionUse::kCall);
+  return room > own_calls || room + this->state->IdleCount() > own_calls;
 }
 
 Client::~Client() {
