A caller that still reads its answer doesn't count as idle

Cause: with its answer handed over, a connection entered the idle phase, although bytes of it were unsent. Change: it is idle once all is sent. CallerThatReadsIsNotIdle failed before and passes, as does OwnCallsKeepDescriptors.

By the code, too: a request without memory closed a connection on which an answer before it was unread; it is refused after that answer now. A body in chunks grows to the largest body at most, not to twice as much.

--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -227,7 +227,8 @@
   };
   this->head_received = false;
   this->head_bytes = 0;
-  this->Enter(Phase::kIdle);
+  // A caller that still reads its answer is not idle.
+  this->Enter(this->unsent.empty() ? Phase::kIdle : Phase::kAnswering);
   this->CloseAfter(limits.idle_timeout);
 }
 
@@ -345,17 +346,17 @@
   return false;
 }
 
-/// Grows the body in steps, up to its length if that is known: what is only
-/// announced takes no memory.
+/// Grows the body in steps, up to its length, or to the largest one if that
+/// isn't known: what is only announced takes no memory.
 void Connection::AppendBody(std::string_view bytes) {
   const std::size_t size = this->body.size() + bytes.size();
   if (size > this->body.capacity()) {
     std::size_t capacity =
         std::max({kFirstBodyBytes, 2 * this->body.capacity(), size});
-    if (const auto length = this->parser->head.length) {
-      capacity = std::max<std::size_t>(
-          size, std::min<std::uint64_t>(capacity, *length));
-    }
+    const std::uint64_t most =
+        this->parser->head.length.value_or(this->server->limits.max_body_bytes);
+    capacity =
+        std::max<std::size_t>(size, std::min<std::uint64_t>(capacity, most));
     std::string larger;
     larger.reserve(capacity);
     larger.append(this->body);
@@ -484,7 +485,7 @@
   const std::size_t most =
       buffers.Capacity() - buffers.Capacity() / kUnreadMarginDivisor;
   this->table->FreeBuffers(most);
-  if (buffers.Used() > most && !this->failed) this->Evict();
+  if (buffers.Used() > most && !this->failed) this->CutAnswer();
 }
 
 void Connection::Drain() {
@@ -538,13 +539,20 @@
 }
 
 void Connection::Evict() {
-  ResourceCounters& counters = this->table->Shared().counters;
   if (this->unsent.empty()) {
-    ++counters.evicted_requests;
-    this->Reject(kUnavailable);
-    return;
+    this->RefuseForMemory();
+  } else {
+    this->CutAnswer();
   }
-  ++counters.evicted_readers;
+}
+
+void Connection::RefuseForMemory() {
+  ++this->table->Shared().counters.evicted_requests;
+  this->Reject(kUnavailable);
+}
+
+void Connection::CutAnswer() {
+  ++this->table->Shared().counters.evicted_readers;
   Free(this->unsent);
   this->CountBuffers();
   this->CloseSoon();
@@ -571,8 +579,9 @@
   this->table->FreeBuffers(limit);
   const bool receives =
       !this->answering && !this->lingering && !this->closed && !this->failed;
+  // Its refusal comes after what is still unread of the answer before it.
   if (buffers.Used() > limit && receives && this->parser->got_some()) {
-    this->Evict();
+    this->RefuseForMemory();
   }
   return receives && !this->answering && !this->lingering;
 }
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -104,6 +104,10 @@
   void MakeRoomForAnswer();
   /// Returns whether the next request may be taken up.
   bool TakesRequests() const;
+  /// Refuses the request that is being received, for which there is no memory.
+  void RefuseForMemory();
+  /// Closes the connection, for whose unread answer there is no memory.
+  void CutAnswer();
   /// Frees the memory of the request that is being received.
   void DropRequest();
 
--- a/unittests/http/resources_test.cc
+++ b/unittests/http/resources_test.cc
@@ -262,6 +262,58 @@
   BOOST_TEST(server.resources.descriptors.Peak() <= 20);
 }
 
+// Guards against an answer that is cut because its caller, who still reads it,
+// counts as idle when descriptors run out.
+BOOST_AUTO_TEST_CASE(CallerThatReadsIsNotIdle) {
+  SmallServer server(20'000'000, 20);
+  const Peer reader(server.Port());
+  reader.Send("GET /long HTTP/1.1\r\nHost: x\r\n\r\n");
+  server.Await([&] { return server.resources.buffers.Used() > 0 ? 1 : 0; }, 1);
+  std::vector<std::unique_ptr<Peer>> crowd;
+  for (int i = 0; i < 40; ++i) {
+    crowd.push_back(std::make_unique<Peer>(server.Port()));
+  }
+  BOOST_TEST(server.Await(
+                 [&] {
+                   return server.resources.counters.evicted_connections > 0 ? 1
+                                                                            : 0;
+                 },
+                 1) == 1);
+  BOOST_TEST(reader.Read().size() > kLongAnswerBytes);
+}
+
+// Guards against calls for callers that take the last descriptors, so that none
+// is left for the store and the peers.
+BOOST_AUTO_TEST_CASE(OwnCallsKeepDescriptors) {
+  constexpr auto kCall = resources::ConnectionUse::kCall;
+  Resources few(1'000'000, 64);
+  SmallServer server(1'000'000, 100);
+  std::unique_ptr<Client> client;
+  const std::string address = "127.0.0.1:" + std::to_string(server.Port());
+  server.On([&] { client = std::make_unique<Client>(server.loop, "", &few); });
+  // A connection that idles in the pool counts as one that can be had.
+  std::promise<void> done;
+  server.On([&] {
+    CallHandlers handlers;
+    handlers.on_done = [&](const CallResult&) { done.set_value(); };
+    client->Start(address, Request(), {}, std::move(handlers));
+  });
+  done.get_future().get();
+  server.On([&] {
+    Request held;
+    held.target = "/held";
+    CallOptions options;
+    options.reuse = Reuse::kNever;
+    for (int i = 0; i < 64 && client->HasRoom(); ++i) {
+      client->Start(address, held, options, {});
+    }
+    BOOST_TEST(!client->HasRoom());
+    // The idle one and what is free are left for the process itself.
+    BOOST_TEST(few.descriptors.Room(kCall) + 1 >= 2);
+    client.reset();
+  });
+}
+
 // Guards against a call for which there is no descriptor that is taken for a
 // failure of its peer.
 BOOST_AUTO_TEST_CASE(CallWithoutADescriptorSaysSo) {
