Own interface: long waits stay long, and heads are counted

What operators would see: under a shortage of memory newcomers are closed in place of a caller that reads nothing of a long stream, since each piece written for it began its wait anew; and heads of many fields that wait for their answers were counted by nobody. Cause: ConnectionRegistry::Enter took each report for a new phase; only bodies were held. Evidence: WaitingLongerIsNotANewWait and HeadsOfWaitingRequestsAreCounted failed before (0 of 80,000 bytes counted) and pass.

--- a/include/toucanwharf/transport/connection_registry.h
+++ b/include/toucanwharf/transport/connection_registry.h
@@ -50,8 +50,11 @@
   Id Open(int socket, TimePoint now);
   /// Removes a connection. Precondition: its socket is still open.
   void Close(Id id);
-  /// Records that a connection enters \p phase.
+  /// Records that a connection is in \p phase; it has been for as long as it
+  /// was recorded without another between.
   void Enter(Id id, ConnectionPhase phase, TimePoint now);
+  /// Records that the caller of a connection has read of its answer.
+  void Progress(Id id, TimePoint now);
   /// Records how many \p bytes a connection holds. If all together hold too
   /// many, closes those that have waited with most for longest. Returns false
   /// if there is no room for what this one holds.
--- a/include/toucanwharf/transport/http_server.h
+++ b/include/toucanwharf/transport/http_server.h
@@ -34,13 +34,16 @@
   friend bool operator==(const HttpRequest&, const HttpRequest&) = default;
 };
 
+/// Returns the memory that \p request takes, in bytes. Thread safety: safe.
+std::size_t HeldBytes(const HttpRequest& request);
+
 /// One request and its response. Data written after the caller has
 /// disconnected is discarded.
 ///
 /// Thread safety: all methods are safe.
 class Exchange {
  public:
-  explicit Exchange(HttpRequest request) : request(std::move(request)) {}
+  explicit Exchange(HttpRequest received);
 
   /// Returns the request, which never changes.
   const HttpRequest& Request() const { return this->request; }
@@ -72,6 +75,7 @@
   void CountHeld();
 
   const HttpRequest request;
+  const std::size_t request_bytes;
   /// Guards all members below.
   std::mutex mutex;
   MHD_Connection* connection = nullptr;
--- a/lib/transport/connection_registry.cc
+++ b/lib/transport/connection_registry.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <utility>
 
 #include "toucanwharf/resources/eviction.h"
 
@@ -53,10 +54,16 @@
   const std::lock_guard lock(this->mutex);
   const auto found = this->entries.find(id);
   if (found == this->entries.end()) return;
-  found->second.phase = phase;
+  if (std::exchange(found->second.phase, phase) == phase) return;
   found->second.since = now;
 }
 
+void ConnectionRegistry::Progress(Id id, TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  const auto found = this->entries.find(id);
+  if (found != this->entries.end()) found->second.since = now;
+}
+
 bool ConnectionRegistry::Hold(Id id, std::size_t bytes, TimePoint now) {
   const std::lock_guard lock(this->mutex);
   const auto found = this->entries.find(id);
--- a/lib/transport/http_server.cc
+++ b/lib/transport/http_server.cc
@@ -17,78 +17,6 @@
 
 namespace toucanwharf::transport {
 
-void Exchange::Respond(int new_status, std::vector<Header> new_headers,
-                       std::string body) {
-  const std::lock_guard lock(this->mutex);
-  assert(!this->answered && "an exchange has exactly one response");
-  this->answered = true;
-  this->ended = true;
-  this->status = new_status;
-  this->headers = std::move(new_headers);
-  this->pending = std::move(body);
-  this->CountHeld();
-  this->Resume();
-}
-
-void Exchange::BeginStream(int new_status, std::vector<Header> new_headers) {
-  const std::lock_guard lock(this->mutex);
-  assert(!this->answered && "an exchange has exactly one response");
-  this->answered = true;
-  this->streaming = true;
-  this->status = new_status;
-  this->headers = std::move(new_headers);
-  this->Resume();
-}
-
-void Exchange::Write(std::string_view bytes) {
-  const std::lock_guard lock(this->mutex);
-  assert(this->streaming && "Write requires BeginStream");
-  if (this->disconnected) return;
-  this->pending.append(bytes);
-  this->CountHeld();
-  this->Resume();
-}
-
-void Exchange::End() {
-  const std::lock_guard lock(this->mutex);
-  assert(this->streaming && "End requires BeginStream");
-  this->ended = true;
-  this->Resume();
-}
-
-bool Exchange::IsDisconnected() {
-  const std::lock_guard lock(this->mutex);
-  if (this->disconnected) return true;
-  // libmicrohttpd doesn't poll a suspended connection, so a close by the caller
-  // is detected here; the socket stays open while the connection is suspended.
-  if (!this->suspended || this->socket < 0) return false;
-  char byte = 0;
-  const ssize_t received_bytes =
-      recv(this->socket, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT);
-  return received_bytes == 0;
-}
-
-void Exchange::Resume() {
-  if (!this->suspended) return;
-  this->suspended = false;
-  MHD_resume_connection(this->connection);
-}
-
-void Exchange::CountHeld() {
-  if (!this->registry) return;
-  const TimePoint now = BootClock().Now();
-  // Whoever reads what is ready makes it less at once.
-  this->registry->Enter(this->registered,
-                        this->pending.empty() ? ConnectionPhase::kAnswering
-                                              : ConnectionPhase::kWaiting,
-                        now);
-  const std::size_t held = this->request.body.size() + this->pending.size();
-  if (this->registry->Hold(this->registered, held, now)) return;
-  if (!this->streaming) return;
-  std::string().swap(this->pending);
-  this->disconnected = true;
-}
-
 /// State of a connection while its request is read.
 struct HttpServer::Incoming {
   TimePoint start_time;
@@ -106,6 +34,7 @@
 constexpr int kUnavailable = 503;
 /// Connections that are being closed for lack of room at one moment.
 constexpr unsigned int kClosingConnections = 256;
+constexpr const char* kNoMemory = "there is no memory for it now; come back";
 /// Retry-After of a request for which there was no memory, in seconds.
 constexpr const char* kRetryNoMemory = "1";
 
@@ -205,7 +134,7 @@
     if (incoming->refusal) {
       return RefuseNow(connection, *incoming->refusal,
                        *incoming->refusal == kUnavailable
-                           ? "there is no memory for it now; come back"
+                           ? kNoMemory
                            : "the body is too large; send less");
     }
     return PassToHandler(*server, connection, *incoming, url, method);
@@ -249,6 +178,10 @@
                               &request.query);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, AddHeader,
                               &request.headers);
+    if (!server.registry->Hold(incoming.registered, HeldBytes(request),
+                               BootClock().Now())) {
+      return RefuseNow(connection, kUnavailable, kNoMemory);
+    }
     auto exchange = std::make_shared<Exchange>(std::move(request));
     incoming.exchange = exchange;
     if (!server.Register(exchange)) return MHD_NO;
@@ -334,6 +267,9 @@
     std::copy_n(exchange.pending.begin(), size, buffer);
     exchange.pending.erase(0, size);
     exchange.CountHeld();
+    if (exchange.registry) {
+      exchange.registry->Progress(exchange.registered, BootClock().Now());
+    }
     return static_cast<ssize_t>(size);
   }
 
--- a/unittests/transport/connection_registry_test.cc
+++ b/unittests/transport/connection_registry_test.cc
@@ -9,6 +9,7 @@
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,23 @@
   std::array<int, 2> ends{};
 };
 
+/// Returns a socket that is connected to \p port.
+int ConnectTo(std::uint16_t port) {
+  const int caller = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to{};
+  to.sin_family = AF_INET;
+  to.sin_port = htons(port);
+  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  BOOST_REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof(to)) ==
+                0);
+  return caller;
+}
+
+void SendAll(int socket, const std::string& bytes) {
+  BOOST_REQUIRE(send(socket, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                static_cast<ssize_t>(bytes.size()));
+}
+
 TimePoint At(int millis) { return TimePoint{milliseconds(millis)}; }
 
 BOOST_AUTO_TEST_SUITE(ConnectionRegistryTest)
@@ -77,6 +95,59 @@
   BOOST_TEST(!registry.Hold(ids[0], 600, At(31)));
 }
 
+// Guards against a reader of a stream that counts as new with each piece that
+// is written for it.
+BOOST_AUTO_TEST_CASE(WaitingLongerIsNotANewWait) {
+  const std::vector<Pair> pairs(2);
+  ConnectionRegistry registry({1000, 10});
+  const auto reader = registry.Open(pairs[0].Server(), At(0));
+  for (int i = 0; i < 90; ++i) {
+    registry.Enter(reader, ConnectionPhase::kWaiting, At(i));
+    registry.Hold(reader, 5UL * static_cast<std::size_t>(i), At(i));
+  }
+  const auto newcomer = registry.Open(pairs[1].Server(), At(80));
+  registry.Enter(newcomer, ConnectionPhase::kWaiting, At(80));
+  BOOST_TEST(registry.Hold(newcomer, 600, At(90)));
+  BOOST_TEST(pairs[0].IsShutDown());
+  BOOST_TEST(!pairs[1].IsShutDown());
+}
+
+// Guards against heads of many fields that wait for their answers uncounted.
+BOOST_AUTO_TEST_CASE(HeadsOfWaitingRequestsAreCounted) {
+  constexpr int kRequests = 10;
+  constexpr std::size_t kHeadBytes = 8000;
+  const auto registry =
+      std::make_shared<ConnectionRegistry>(ConnectionLimits{1'000'000, 100});
+  std::mutex mutex;
+  std::vector<std::shared_ptr<Exchange>> held;
+  std::promise<void> all_held;
+  auto server = HttpServer::Open(
+      "127.0.0.1:0", {},
+      [&](const std::shared_ptr<Exchange>& exchange) {
+        const std::lock_guard lock(mutex);
+        held.push_back(exchange);
+        if (held.size() == kRequests) all_held.set_value();
+      },
+      registry);
+  BOOST_REQUIRE(server.has_value());
+  std::string request = "GET / HTTP/1.1\r\nHost: x\r\n";
+  for (int i = 0; request.size() < kHeadBytes; ++i) {
+    request += "x" + std::to_string(i) + ": " + std::string(40, 'y') + "\r\n";
+  }
+  std::vector<int> callers;
+  for (int i = 0; i < kRequests; ++i) {
+    callers.push_back(ConnectTo(server.value()->Port()));
+    SendAll(callers.back(), request + "\r\n");
+  }
+  all_held.get_future().get();
+  BOOST_TEST(registry->BufferedBytes() >= kRequests * kHeadBytes);
+  for (const auto& exchange : held) exchange->Respond(200, {}, "");
+  held.clear();
+  for (const int caller : callers) close(caller);
+  server.value().reset();
+  BOOST_TEST(registry->BufferedBytes() == 0U);
+}
+
 // Guards against memory that is never given back once a connection has ended.
 BOOST_AUTO_TEST_CASE(EachEndGivesBackWhatWasHeld) {
   const std::vector<Pair> pairs(4);
@@ -124,15 +195,8 @@
       },
       registry);
   BOOST_REQUIRE(server.has_value());
-  const int caller = socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in to{};
-  to.sin_family = AF_INET;
-  to.sin_port = htons(server.value()->Port());
-  to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  BOOST_REQUIRE(connect(caller, reinterpret_cast<sockaddr*>(&to), sizeof(to)) ==
-                0);
-  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
-  BOOST_REQUIRE(send(caller, request.data(), request.size(), 0) > 0);
+  const int caller = ConnectTo(server.value()->Port());
+  SendAll(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n");
   written.get_future().get();
   std::string text;
   std::vector<char> bytes(kPieceBytes);
