--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -10,6 +10,7 @@
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/http/message.h"
 #include "toucanwharf/http/resources.h"
+#include "toucanwharf/resources/account.h"
 
 namespace toucanwharf::http {
 
@@ -49,6 +50,9 @@
   /// Whether the response ended only with its connection: it had neither a
   /// length nor chunks, so that a crash of the peer looks the same.
   bool ended_by_close = false;
+  /// Whether sending the request failed before its end, as it does when the
+  /// peer resets the connection or answers before it has read everything.
+  bool write_failed = false;
 
   friend bool operator==(const CallResult&, const CallResult&) = default;
 };
@@ -91,6 +95,8 @@
   /// Returns whether there are descriptors for another call and for the few
   /// that the process makes for itself.
   bool HasRoom() const;
+  /// Returns a lease, of nothing yet, for what is held of an answer.
+  resources::Lease LeaseForAnswer() const;
   /// Closes the call's connection; a call that has ended, or 0, is ignored.
   void Cancel(CallId id);
   /// Sets whether the call's response is read on; while it is not, the peer is
--- a/include/toucanwharf/http/event_splitter.h
+++ b/include/toucanwharf/http/event_splitter.h
@@ -40,6 +40,8 @@
   EventFault Fault() const { return this->fault; }
   /// Discards a partial event: another run goes on after the last event.
   void BeginRun();
+  /// Returns the memory of what is pending, in bytes.
+  std::size_t HeldBytes() const { return this->pending.capacity(); }
   /// Returns whether a partial event is pending.
   bool HasPartialEvent() const { return !this->pending.empty(); }
   /// Returns the id of the last event that TakeCompleteEvents returned.
--- a/include/toucanwharf/http/resources.h
+++ b/include/toucanwharf/http/resources.h
@@ -24,6 +24,8 @@
   std::uint64_t refused_connections = 0;
   /// Calls that failed because there was no descriptor for them.
   std::uint64_t refused_calls = 0;
+  /// Calls whose bytes were no answer.
+  std::uint64_t malformed_answers = 0;
 
   friend bool operator==(const ResourceCounters&,
                          const ResourceCounters&) = default;
@@ -40,6 +42,9 @@
 
   /// Memory of requests, and of answers that wait for their callers, in bytes.
   resources::Account buffers;
+  /// Memory of what calls hold of answers before it is passed on: heads, lines
+  /// between chunks, events, and bodies that are collected, in bytes.
+  resources::Account answers;
   resources::Descriptors descriptors;
   ResourceCounters counters;
 };
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -110,6 +110,8 @@
   std::uint64_t forwarded = 0;
   std::uint64_t forwarded_here = 0;
   std::uint64_t forwards_rejected = 0;
+  /// Requests that were taken after the signal to stop.
+  std::uint64_t taken_while_stopping = 0;
   LatencyHistogram plain_latency;
   LatencyHistogram first_event_latency;
   WaitsByRank waits{};
@@ -197,6 +199,8 @@
   const attempts::BudgetSharers& Sharers() const {
     return this->budget.Sharers();
   }
+  /// Logs the requests in flight, which the end of the process cuts.
+  void LogCut() const;
   /// Returns how many requests are in flight.
   std::size_t InFlight() const {
     return this->active.size() + this->early_requests.size();
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -485,9 +485,13 @@
     const bool idle = delivered && elapsed > kMinDrain;
     const bool late = elapsed > this->settings.bounds.grace - kKillMargin;
     if (!idle && !late) return;
+    this->gateway.LogCut();
     this->logger.Write(
         eventlog::Level::kNotable, "stopped",
         eventlog::Fields()
+            .Count("taken_while_stopping",
+                   static_cast<std::int64_t>(
+                       this->gateway.Counters().taken_while_stopping))
             .Count("cut", static_cast<std::int64_t>(this->gateway.InFlight()))
             .Count("unsent_bytes", static_cast<std::int64_t>(unsent)),
         now);
--- a/lib/eventlog/logger.cc
+++ b/lib/eventlog/logger.cc
@@ -101,7 +101,7 @@
 }
 
 void Logger::Append(std::string_view event, const Fields& fields) {
-  absl::StrAppend(&this->buffer, "{\"v\":2,\"at\":", WallMillis(),
+  absl::StrAppend(&this->buffer, "{\"v\":3,\"at\":", WallMillis(),
                   ",\"instance\":\"", this->instance, "\",\"event\":\"",
                   absl::string_view(event.data(), event.size()), "\"",
                   fields.Json(), "}\n");
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -150,6 +150,11 @@
         });
   }
 
+  void SetResources(Resources& shared) {
+    this->resources = &shared;
+    this->input_lease = resources::Lease(shared.answers);
+  }
+
   void SetDescriptor(resources::DescriptorLease lease) {
     this->descriptor = std::move(lease);
   }
@@ -191,6 +196,7 @@
     Code ignored;
     this->socket.close(ignored);
     this->descriptor.Release();
+    this->input_lease.Resize(0);
     this->FreeOutput();
   }
 
@@ -242,7 +248,7 @@
           // A server may respond before it has read the whole request. The
           // response is read first; the read side reports a lost connection.
           if (self->id != call) return;
-          if (error) self->write_failed = true;
+          if (error) self->result.write_failed = true;
           self->FreeOutput();
         });
   }
@@ -287,10 +293,16 @@
       return;
     }
     this->input.append(bytes);
+    this->CountInput();
     this->Parse();
+    this->CountInput();
     this->Read();
   }
 
+  void CountInput() {
+    this->input_lease.Resize(this->closed ? 0 : this->input.capacity());
+  }
+
   void OnReadError(const Code& error) {
     if (error == boost::asio::error::eof && this->parser->got_some()) {
       Code parse_error;
@@ -317,6 +329,9 @@
       const bool valid = this->parser->Feed(this->input, parse_error);
       if (this->id != call) return;
       if (!valid) {
+        if (this->resources != nullptr) {
+          ++this->resources->counters.malformed_answers;
+        }
         this->Finish(CallEnd::kMalformed);
         return;
       }
@@ -365,7 +380,7 @@
   void OnComplete() {
     // Surplus bytes, or a request not yet fully sent, rule out reuse.
     this->reusable = this->parser->keep_alive() && this->input.empty() &&
-                     this->output.empty() && !this->write_failed;
+                     this->output.empty() && !this->result.write_failed;
     this->Finish(CallEnd::kComplete);
   }
 
@@ -380,6 +395,8 @@
   CallHandlers handlers;
   CallResult result;
   std::string input;
+  resources::Lease input_lease;
+  Resources* resources = nullptr;
   /// The head of the request, and its body, until they are sent.
   std::string output;
   Body output_body;
@@ -390,7 +407,6 @@
   bool head_delivered = false;
   /// Whether the response has no body, whatever its head says.
   bool head_only = false;
-  bool write_failed = false;
   bool reading = false;
   /// Reading waits for the receiver of the response.
   bool held = false;
@@ -494,6 +510,11 @@
   return room > own_calls || room + this->state->IdleCount() > own_calls;
 }
 
+resources::Lease Client::LeaseForAnswer() const {
+  if (this->state->resources == nullptr) return {};
+  return resources::Lease(this->state->resources->answers);
+}
+
 Client::~Client() {
   for (const auto& [id, connection] : this->state->calls) connection->Abandon();
   for (const auto& [address, pool] : this->state->idle) {
@@ -529,6 +550,7 @@
     return id;
   }
   connection->SetDescriptor(std::move(descriptor));
+  if (inner.resources != nullptr) connection->SetResources(*inner.resources);
   const auto peer = ParseAddress(address);
   // A malformed address fails like an unreachable one.
   connection->Connect(peer.value_or(tcp::endpoint()), inner.source,
@@ -564,7 +586,8 @@
         limits(fetch_limits),
         done(std::move(on_done)),
         started_at(event_loop.Now()),
-        last_byte_at(event_loop.Now()) {}
+        last_byte_at(event_loop.Now()),
+        body_lease(http_client.LeaseForAnswer()) {}
 
   void Start(const std::string& address, const Request& request,
              const CallOptions& options) {
@@ -604,6 +627,7 @@
       return;
     }
     this->body.append(bytes);
+    this->body_lease.Resize(this->body.capacity());
   }
 
   void CheckDeadline() {
@@ -630,6 +654,7 @@
   TimePoint last_byte_at;
   ResponseHead head;
   std::string body;
+  resources::Lease body_lease;
   CallId call = 0;
   TimerId timer = 0;
 };
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -211,11 +211,16 @@
     admitted.caller_age =
         this->usual_time.RecordAttempt(route.name, left, arrived);
   }
+  if (this->state.stopping_since) ++this->counters.taken_while_stopping;
   std::make_shared<ProxiedRequest>(*this, std::move(exchange),
                                    std::move(admitted))
       ->Start();
 }
 
+void Gateway::LogCut() const {
+  for (const ProxiedRequest* request : this->active) request->LogCut();
+}
+
 void Gateway::Refuse(http::Exchange& exchange, int status,
                      const RetryTime& retry_time, std::string_view reason,
                      const Fields& more, bool reached_endpoint) {
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -175,6 +175,9 @@
   writer.Counter("forwards_rejected",
                  "requests of other instances that were not taken",
                  counters.forwards_rejected);
+  writer.Counter("taken_while_stopping",
+                 "requests taken after the signal to stop",
+                 counters.taken_while_stopping);
   writer.Latencies("plain_seconds", "time to the end of a plain answer",
                    counters.plain_latency);
   writer.Latencies("first_event_seconds", "time to a stream's first event",
@@ -255,6 +258,11 @@
   writer.Gauge("buffered_limit_bytes",
                "value of buffered_bytes at which requests are refused",
                real(buffers.Capacity()));
+  writer.Gauge("answer_bytes",
+               "memory of what calls hold of answers before it is passed on",
+               real(resources.answers.Used()));
+  writer.Gauge("answer_peak_bytes", "largest value of answer_bytes so far",
+               real(resources.answers.Peak()));
   writer.Gauge("caller_connections", "open connections of callers",
                real(descriptors.Used(ConnectionUse::kCaller)));
   writer.Gauge("control_connections",
@@ -282,6 +290,8 @@
                  counters.refused_connections);
   writer.Counter("refused_calls", "calls that had no descriptor",
                  counters.refused_calls);
+  writer.Counter("malformed_answers", "calls whose bytes were no answer",
+                 counters.malformed_answers);
   return writer.Take();
 }
 
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -34,7 +34,8 @@
       exchange(std::move(caller)),
       admitted(std::move(admitted_request)),
       detector(this->admitted.route->objective),
-      body_lease(owner.buffers) {
+      body_lease(owner.buffers),
+      events_lease(owner.client.LeaseForAnswer()) {
   const http::Headers& headers = this->exchange->Received().headers;
   const HeaderNames& names = this->gateway.names;
   this->request_id = std::string(headers.Get(names.request_id));
@@ -201,6 +202,7 @@
   ++this->attempt_counts.may_have_run;
   if (to.is_peer) ++this->gateway.counters.forwarded;
   if (!to.is_peer) this->CountRequest();
+  this->trace.BeginAttempt();
   this->has_head = false;
   this->held = false;
   this->gateway.loop.Cancel(this->reading_timer);
@@ -210,6 +212,7 @@
   this->head_outcome.reset();
   this->DropHeldBack();
   this->events.BeginRun();
+  this->events_lease.Resize(this->events.HeldBytes());
   this->attempt_started = this->gateway.loop.Now();
   this->last_data = this->attempt_started;
   this->detector.Restart();
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "answer_trace.h"
 #include "toucanwharf/admission/claim.h"
 #include "toucanwharf/attempts/attempt_policy.h"
 #include "toucanwharf/attempts/stall_detector.h"
@@ -91,6 +92,8 @@
 
   /// Checks for capacity again, and sends the request if there is some.
   QueueStep LeaveQueue();
+  /// Logs what the end of the process cuts.
+  void LogCut() const;
   /// Refuses the request, which waiting can't help any more.
   void RefuseQueued();
   bool IsFinished() const { return this->finished; }
@@ -198,6 +201,8 @@
   /// it has been counted, here or at another instance.
   void CountRequest();
   void BeginStream(const http::ResponseHead& head);
+  /// Passes the head of an answer on, whose body follows in parts.
+  void BeginAnswer(const http::ResponseHead& out);
   /// Ends the request with the answer, which is whole; \p proven says whether
   /// that shows that the request crashes no endpoint.
   void Complete(bool proven);
@@ -388,6 +393,7 @@
   bool proven = false;
   std::optional<quarantine::RequestFingerprints> fingerprints;
 
+  AnswerTrace trace;
   http::ResponseHead head;
   bool has_head = false;
   /// The head can be relayed.
@@ -396,6 +402,7 @@
   std::string body;
   resources::Lease body_lease;
   http::EventSplitter events;
+  resources::Lease events_lease;
   bool has_event = false;
   /// When the first event of the current run arrived.
   std::optional<TimePoint> run_began;
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -86,7 +86,12 @@
   if (this->attempt_counts.answer_started) return;
   this->attempt_counts.answer_started = true;
   this->last_relayed = this->last_data;
-  this->exchange->Begin(this->ToRelay(answer));
+  this->BeginAnswer(this->ToRelay(answer));
+}
+
+void ProxiedRequest::BeginAnswer(const http::ResponseHead& out) {
+  this->trace.OnRelayedHead(out);
+  this->exchange->Begin(out);
 }
 
 void ProxiedRequest::OnPlainData(std::string_view bytes) {
@@ -104,7 +109,7 @@
                                : this->ToRelay(this->head);
   out.length = this->head.length;
   this->attempt_counts.answer_started = true;
-  this->exchange->Begin(out);
+  this->BeginAnswer(out);
   this->last_relayed = this->last_data;
   this->Relay(this->body);
   this->DropHeldBack();
@@ -121,6 +126,7 @@
 }
 
 void ProxiedRequest::Relay(std::string_view bytes) {
+  this->trace.OnRelayed(bytes.size());
   this->exchange->Write(bytes);
   if (this->held || this->exchange->UnsentBytes() <= this->MaxUnsentBytes()) {
     return;
@@ -165,6 +171,7 @@
 void ProxiedRequest::OnData(std::string_view bytes) {
   if (this->finished || this->call == 0) return;
   this->last_data = this->gateway.loop.Now();
+  this->trace.OnReceived(bytes.size());
   if (!this->target.is_peer) {
     this->gateway.path_monitor.OnData(this->target.endpoint);
   }
@@ -180,6 +187,7 @@
   }
   this->events.Feed(bytes);
   const std::string complete = this->events.TakeCompleteEvents();
+  this->events_lease.Resize(this->events.HeldBytes());
   if (!complete.empty()) this->RelayEvents(complete);
   if (this->events.Fault() == http::EventFault::kNone) return;
   this->EndAttempt(AttemptOutcome::kUnknown,
@@ -207,6 +215,7 @@
 void ProxiedRequest::OnDone(const http::CallResult& result) {
   this->call = 0;
   if (this->finished) return;
+  this->trace.OnCallEnd(result);
   if (result.end == http::CallEnd::kNotConnected) {
     this->OnNotConnected(result);
     this->EndAttempt(AttemptOutcome::kNotSent, "not_connected");
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -30,12 +30,16 @@
 
 void ProxiedRequest::FinishPlain(bool proven) {
   if (this->head.ends_with_connection) {
-    this->exchange->Begin(this->UnframedHead());
+    this->BeginAnswer(this->UnframedHead());
     this->exchange->Write(this->body);
     this->exchange->End();
   } else {
-    this->exchange->Respond(this->ToRelay(this->head), this->body);
+    http::ResponseHead out = this->ToRelay(this->head);
+    out.length = this->body.size();
+    this->trace.OnRelayedHead(out);
+    this->exchange->Respond(out, this->body);
   }
+  this->trace.OnRelayed(this->body.size());
   const bool success = IsSuccess(this->head.status);
   if (success) {
     if (proven) this->OnRunProven("answered");
@@ -164,8 +168,22 @@
           .Count("tokens", static_cast<std::int64_t>(this->claim.prompt_tokens +
                                                      this->claim.output_tokens))
           .Millis("waited_ms", this->waited)
-          .Millis("took_ms",
-                  this->gateway.loop.Now() - this->admitted.arrived));
+          .Millis("took_ms", this->gateway.loop.Now() - this->admitted.arrived)
+          .Append(this->trace.OfAttempt())
+          .Append(this->trace.OfAnswer()));
+}
+
+void ProxiedRequest::LogCut() const {
+  const TimePoint now = this->gateway.loop.Now();
+  const TimePoint stopping = this->gateway.state.stopping_since.value_or(now);
+  Fields fields;
+  fields.Text("endpoint", this->target.endpoint)
+      .Count("sent", this->call != 0 ? 1 : 0)
+      .Count("idempotent", this->admitted.route->Repeatable() ? 1 : 0)
+      .Count("after_stop", this->admitted.arrived >= stopping ? 1 : 0)
+      .Millis("age_ms", now - this->admitted.arrived)
+      .Append(this->trace.OfAnswer());
+  this->Log(Level::kNotable, "cut_by_stop", fields);
 }
 
 void ProxiedRequest::CancelCall() {
--- a/lib/instance/proxied_request_retry.cc
+++ b/lib/instance/proxied_request_retry.cc
@@ -131,6 +131,7 @@
       .Count("budget_extras", static_cast<std::int64_t>(use.extras))
       .Count("budget_shared_by", static_cast<std::int64_t>(
                                      this->gateway.budget.Sharers().instances));
+  fields.Append(this->trace.OfAttempt());
   if (outcome == AttemptOutcome::kUnknown) {
     fields.Text("content", quarantine::ToText(this->Fingerprints().request));
   }
