A process that ends beside new connections doesn't crash

Cause: what waits in the event loop is destroyed with it, after the loop's timers: a connection that was accepted as the server closed cancels its timer in maps that are gone (backtrace: io_context's end, Connection's destructor, Loop::Cancel).

The loop ends its timers first, while sockets can still be closed, and the maps outlive the context.

--- a/lib/http/loop.cc
+++ b/lib/http/loop.cc
@@ -28,7 +28,12 @@
 
 Loop::Loop() : state(std::make_unique<State>()) {}
 
-Loop::~Loop() = default;
+Loop::~Loop() {
+  // Tasks may hold sockets, which must not outlive the context.
+  while (!this->state->timers.empty()) {
+    this->Cancel(this->state->timers.begin()->first.second);
+  }
+}
 
 void Loop::Post(Task task) {
   boost::asio::post(this->state->context, std::move(task));
--- a/lib/http/loop_state.h
+++ b/lib/http/loop_state.h
@@ -14,11 +14,12 @@
 
 /// State of a loop, shared with the other files of this library.
 struct Loop::State {
+  /// Destroyed after the context, whose handlers cancel timers at their end.
+  std::map<std::pair<TimePoint, TimerId>, Task> timers;
+  std::map<TimerId, TimePoint> due_times;
   /// A concurrency hint of 1 makes Asio omit its locks.
   boost::asio::io_context context{1};
   boost::asio::steady_timer alarm{context};
-  std::map<std::pair<TimePoint, TimerId>, Task> timers;
-  std::map<TimerId, TimePoint> due_times;
   TimerId last_timer = 0;
   /// When the alarm fires; Duration::max() while it isn't armed.
   TimePoint armed_for{Duration::max()};
