An answer that nobody waits for is read on for a bounded length

What callers saw: the router's time went to an endpoint that sends a body without an end to a call that must not run twice: after its caller had left, all of it was read and thrown away until the deadline.

Cause: a run that must not be interrupted was read on without a bound. An answer that has come by a mebibyte shows that its run has ended; the call ends then. What was held back for the caller is dropped at once, and a caller that didn't read holds up nothing any more.

--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -411,6 +411,8 @@
   bool finished = false;
   /// The caller has disconnected, but the work continues.
   bool abandoned = false;
+  /// Of the answer, since then.
+  std::uint64_t abandoned_bytes = 0;
   /// Shortest wait for an endpoint whose limit was in the way of the last
   /// choice.
   std::optional<Duration> limit_wait;
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -15,6 +15,9 @@
 constexpr std::size_t kMaxFailureBytes = 256UL * 1024;
 /// Bytes that wait for a caller that reads slowly; beyond, the endpoint waits.
 constexpr std::size_t kMaxUnsentBytes = 1024UL * 1024;
+/// Of an answer whose caller has left, read on so that its run isn't
+/// interrupted; a run that has sent this much has shown its end.
+constexpr std::uint64_t kMaxAbandonedBytes = 1024UL * 1024;
 constexpr Duration kUnsentPollPeriod = std::chrono::milliseconds(20);
 /// What an answer may hold of each of these while memory is short.
 constexpr std::size_t kMinHeldBytes = 16UL * 1024;
@@ -175,6 +178,13 @@
   if (!this->target.is_peer) {
     this->gateway.path_monitor.OnData(this->target.endpoint);
   }
+  if (this->abandoned) {
+    this->abandoned_bytes += bytes.size();
+    if (this->abandoned_bytes > kMaxAbandonedBytes) {
+      this->Finish("left_by_caller", 0);
+    }
+    return;
+  }
   if (!this->head_usable) {
     // The body of a failure, which is no part of an answer that was begun by an
     // earlier attempt.
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -69,6 +69,12 @@
     // Work that must not run twice continues once it was sent: its progress is
     // unknown, and cancelling would interrupt the endpoint in the middle of it.
     this->abandoned = true;
+    this->DropHeldBack();
+    // A caller that doesn't read holds up nothing any more.
+    if (std::exchange(this->held, false)) {
+      this->gateway.loop.Cancel(this->reading_timer);
+      this->gateway.client.SetReading(this->call, true);
+    }
     return;
   }
   this->Finish("left_by_caller", 0);
