Large messages leave half of the loop's time to others

What callers saw: four answers without an end took the whole of a router's core; ordinary requests beside them waited.

Cause: what is readable is read, in the order in which it is, and bytes without an end are always readable: the share of an ordinary request shrinks with their number. Class: bounds on memory, none on time.

A message whose reading has taken 5 ms waits for turns, which rest for as long as they took. Answers of endpoints and bodies of callers alike.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -14,6 +14,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "address.h"
+#include "bulk_turns.h"
 #include "loop_state.h"
 #include "parser.h"
 
@@ -120,6 +121,7 @@
     this->output = std::move(text);
     this->output_body = std::move(body);
     this->result = CallResult{};
+    this->meter.Reset();
     this->result.reused = reused;
     this->head_delivered = false;
     this->held = false;
@@ -268,9 +270,22 @@
 
   void OnReadable(const Code& error) {
     if (this->closed) return;
+    if (!this->meter.IsBulk() || error) {
+      this->ReadOnce(error);
+      return;
+    }
+    this->reading = true;
+    this->loop.InternalState().bulk.Await([self = this->shared_from_this()] {
+      self->reading = false;
+      if (!self->closed && !self->held) self->ReadOnce(Code());
+    });
+  }
+
+  void ReadOnce(const Code& error) {
     std::array<char, kReadSize> buffer;
     Code read_error = error;
     std::size_t size = 0;
+    const TimePoint began = this->loop.Now();
     if (!read_error) {
       size = this->socket.read_some(boost::asio::buffer(buffer), read_error);
     }
@@ -278,7 +293,9 @@
       this->Read();
       return;
     }
+    const auto self = this->shared_from_this();
     this->OnRead(read_error, {buffer.data(), size});
+    if (size == kReadSize) this->meter.Add(this->loop.Now() - began);
   }
 
   void OnRead(const Code& error, std::string_view bytes) {
@@ -402,6 +419,7 @@
   Body output_body;
   resources::DescriptorLease descriptor;
   TimePoint idle_since;
+  BulkMeter meter;
   std::optional<MessageParser<false>> parser;
   TimerId timer = 0;
   bool head_delivered = false;
--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "loop_state.h"
 #include "response_text.h"
 #include "server_state.h"
 
@@ -227,6 +228,7 @@
   };
   this->head_received = false;
   this->head_bytes = 0;
+  this->meter.Reset();
   // A caller that still reads its answer is not idle.
   this->Enter(this->unsent.empty() ? Phase::kIdle : Phase::kAnswering);
   this->CloseAfter(limits.idle_timeout);
@@ -264,7 +266,21 @@
     this->Close();
     return;
   }
-  for (int reads = 0; reads < kMaxReadsInARow; ++reads) {
+  if (!this->meter.IsBulk()) {
+    this->ReadSome(kMaxReadsInARow);
+    return;
+  }
+  this->reading = true;
+  this->server->loop.InternalState().bulk.Await(
+      [self = this->shared_from_this()] {
+        self->reading = false;
+        if (!self->closed) self->ReadSome(1);
+      });
+}
+
+void Connection::ReadSome(int most) {
+  const TimePoint began = this->server->loop.Now();
+  for (int reads = 0; reads < most; ++reads) {
     std::array<char, kReadSize> buffer;
     Code read_error;
     const std::size_t size =
@@ -277,6 +293,8 @@
     this->OnBytes({buffer.data(), size});
     if (this->closed || this->answering || size < buffer.size()) break;
   }
+  // What answering takes isn't the message's.
+  if (!this->answering) this->meter.Add(this->server->loop.Now() - began);
   this->Read();
 }
 
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "bulk_turns.h"
 #include "connection_table.h"
 #include "parser.h"
 #include "toucanwharf/http/server.h"
@@ -67,6 +68,8 @@
 
   void Read();
   void OnReadable(const Code& error);
+  /// Reads what is there, in \p most reads.
+  void ReadSome(int most);
   void OnBytes(std::string_view bytes);
   void Discard(std::size_t size);
   void Parse();
@@ -119,6 +122,7 @@
   std::string input;
   std::string unsent;
   std::optional<MessageParser<true>> parser;
+  BulkMeter meter;
   std::string body;
   /// Memory of the head of the request that is being received, in bytes.
   std::size_t head_bytes = 0;
--- a/lib/http/loop.cc
+++ b/lib/http/loop.cc
@@ -30,6 +30,7 @@
 
 Loop::~Loop() {
   // Tasks may hold sockets, which must not outlive the context.
+  this->state->bulk.Clear();
   while (!this->state->timers.empty()) {
     this->Cancel(this->state->timers.begin()->first.second);
   }
--- a/lib/http/loop_state.h
+++ b/lib/http/loop_state.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <utility>
 
+#include "bulk_turns.h"
 #include "toucanwharf/http/loop.h"
 
 namespace toucanwharf::http {
@@ -20,6 +21,7 @@
   /// A concurrency hint of 1 makes Asio omit its locks.
   boost::asio::io_context context{1};
   boost::asio::steady_timer alarm{context};
+  BulkTurns bulk{context};
   TimerId last_timer = 0;
   /// When the alarm fires; Duration::max() while it isn't armed.
   TimePoint armed_for{Duration::max()};
