A cut answer without framing ends by a reset

What callers saw: an answer without a length or chunks that the router broke off (at the deadline, when its endpoint broke, for lack of memory, at the end of the process) looked whole; with a body without an end, more bytes than any answer.

Cause: such an answer ends with its connection, and Connection::Close closed that with a FIN, whatever was missing. Class: the end of a connection is taken for the end of what it carries.

A connection whose answer only its close would end, and that hasn't sent all of it, is reset. Answers with a length or chunks keep the orderly close, so that what was sent of a stream still arrives.

--- a/include/toucanwharf/http/server.h
+++ b/include/toucanwharf/http/server.h
@@ -48,7 +48,8 @@
   virtual void Write(std::string_view bytes) = 0;
   /// Ends the body started by Begin.
   virtual void End() = 0;
-  /// Closes the connection, so that the partial response can't look complete.
+  /// Closes the connection, so that the partial response can't look complete:
+  /// by a reset if nothing but the close would end it.
   virtual void Abort() = 0;
   /// Returns whether the caller's connection is closed.
   virtual bool IsDisconnected() const = 0;
--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -157,6 +157,9 @@
   this->closed = true;
   this->server->loop.Cancel(this->timer);
   Code ignored;
+  if (this->CloseWouldEndAnswer()) {
+    this->socket.set_option(tcp::socket::linger(true, 0), ignored);
+  }
   this->socket.close(ignored);
   this->descriptor.Release();
   this->DropRequest();
@@ -167,6 +170,12 @@
   this->NotifyDisconnect();
 }
 
+bool Connection::CloseWouldEndAnswer() const {
+  const bool whole =
+      this->answer_ended && this->unsent.empty() && !this->failed;
+  return this->ends_with_connection && !whole;
+}
+
 void Connection::Respond(const ResponseHead& head, std::string_view text) {
   const bool bodyless = HasNoBody(head.status);
   std::string response = HeadText(
@@ -180,6 +189,7 @@
 
 void Connection::Begin(const ResponseHead& head) {
   this->chunked = !head.length.has_value() && !head.ends_with_connection;
+  this->ends_with_connection = head.ends_with_connection;
   this->close_after = this->close_after || head.ends_with_connection;
   this->Send(HeadText(head, this->chunked, head.length,
                       this->NeedsCloseHeader(head),
@@ -200,6 +210,7 @@
 
 void Connection::End() {
   if (this->chunked && !this->head_only) this->Send("0\r\n\r\n");
+  this->answer_ended = true;
   this->OnResponseEnd();
 }
 
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -60,6 +60,9 @@
   using Socket = boost::asio::ip::tcp::socket;
 
   bool NeedsCloseHeader(const ResponseHead& head);
+  /// Returns whether the caller would take an orderly close, which ends an
+  /// answer without a length or chunks, for the end of one that isn't whole.
+  bool CloseWouldEndAnswer() const;
   void PrepareNextRequest();
   void CloseAfter(Duration delay);
   void SetTimer(Duration delay, const std::function<void()>& action);
@@ -142,6 +145,9 @@
   bool keep_alive = true;
   bool close_after = false;
   bool chunked = false;
+  /// Whether only the end of the connection ends the answer.
+  bool ends_with_connection = false;
+  bool answer_ended = false;
   bool head_only = false;
 };
 
