--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -398,6 +398,85 @@
   }
 }
 
+// Guards against a coded body that is taken for the answer's own bytes.
+BOOST_AUTO_TEST_CASE(AnswerInAnotherTransferCodingIsMalformed) {
+  const std::vector<std::string> codings = {
+      "Transfer-Encoding: gzip\r\n",
+      "Transfer-Encoding: gzip, chunked\r\n",
+      "Transfer-Encoding: chunked, gzip\r\n",
+      "Transfer-Encoding: chunked, chunked\r\n",
+      "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n",
+      "Transfer-Encoding: gzip\r\nContent-Length: 4\r\n",
+      "Content-Length: 4\r\nContent-Length: 5\r\n",
+  };
+  for (const std::string& coding : codings) {
+    const ScriptedPeer peer(
+        {"HTTP/1.1 200 OK\r\n" + coding + "\r\n4\r\nbody\r\n0\r\n\r\n"});
+    Request request;
+    request.method = "GET";
+    request.target = "/a";
+    const Fetched fetched = Call(peer.Address(), request);
+    BOOST_TEST((fetched.result.end == CallEnd::kMalformed), coding);
+  }
+}
+
+// Guards against a part of an answer that is complete because a write has taken
+// the error of the reset.
+BOOST_AUTO_TEST_CASE(ResetThatEndsTheRequestIsNoEndOfTheAnswer) {
+  constexpr std::size_t kMoreThanBuffersHold = 16UL * 1024 * 1024;
+  const ScriptedPeer peer({"HTTP/1.1 200 OK\r\n\r\na part"}, true);
+  Request request;
+  request.method = "POST";
+  request.target = "/a";
+  request.body = Body(std::string(kMoreThanBuffersHold, 'x'));
+  const Fetched fetched = Call(peer.Address(), request);
+  BOOST_TEST(fetched.body == "a part");
+  BOOST_TEST((fetched.result.end == CallEnd::kBroken));
+}
+
+// Guards against a second answer to one request that the next one on its
+// connection gets.
+BOOST_AUTO_TEST_CASE(AnswerThatCameBeforeItsRequestIsNotItsAnswer) {
+  ServerThread side(Echo);
+  const RawListener peer;
+  Request request;
+  request.method = "GET";
+  request.target = "/a";
+  const auto answer = [](const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=9\r\nContent-Length: 3\r\n"
+           "\r\n" +
+           body;
+  };
+  std::string body;
+  const auto start = [&](std::promise<CallEnd>& done) {
+    CallHandlers handlers;
+    handlers.on_data = [&](std::string_view bytes) { body += bytes; };
+    handlers.on_done = [&](const CallResult& result) {
+      done.set_value(result.end);
+    };
+    side.client->Start(peer.Address(), request, {}, std::move(handlers));
+  };
+  std::promise<CallEnd> first_done;
+  side.On([&] { start(first_done); });
+  const RawSocket first = peer.Accept();
+  first.ReadUntil("\r\n\r\n");
+  first.Send(answer("one"));
+  BOOST_REQUIRE((first_done.get_future().get() == CallEnd::kComplete));
+  std::promise<CallEnd> second_done;
+  side.On([&] {
+    first.Send(answer("one"));
+    std::this_thread::sleep_for(milliseconds(20));
+    body.clear();
+    start(second_done);
+  });
+  const RawSocket second = peer.Accept();
+  second.ReadUntil("\r\n\r\n");
+  second.Send(answer("two"));
+  BOOST_TEST((second_done.get_future().get() == CallEnd::kComplete));
+  BOOST_TEST(body == "two");
+}
+
 // Guards against a caller that adds fields after the head, which nothing
 // checks.
 BOOST_AUTO_TEST_CASE(TrailersAreNoFieldsOfTheHead) {
