A reset that a failed write has reported doesn't end an answer

What callers saw (by test): a part of an answer without framing, as a whole one.

Cause: a socket reports a reset once. While the request is still being sent, the write takes the error, and the read that follows only sees an end of file, which ends an answer without a length or chunks. Class: an end that isn't the sender's own is taken for the end of what it sent.

After a failed write, an end of file breaks the answer off. Answers with a length or chunks don't need it.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -303,8 +303,12 @@
     this->input_lease.Resize(this->closed ? 0 : this->input.capacity());
   }
 
+  /// The socket reports a reset once: after a write has failed by it, the read
+  /// side only sees an end.
   void OnReadError(const Code& error) {
-    if (error == boost::asio::error::eof && this->parser->got_some()) {
+    const bool orderly =
+        error == boost::asio::error::eof && !this->result.write_failed;
+    if (orderly && this->parser->got_some()) {
       Code parse_error;
       this->parser->put_eof(parse_error);
       if (!parse_error && this->parser->is_done()) {
