An answer in an unknown transfer coding is malformed

What callers saw (by test): the coded bytes of a body as the body itself, as a whole answer; the field that names the coding isn't passed on.

Cause: the parser takes codings other than chunked for none. Requests were checked for that, answers weren't.

The check of requests now holds for answers, too.

--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -113,14 +113,15 @@
     Headers& headers = kIsRequest ? this->request.headers : this->head.headers;
     headers.Add(Text(name), Text(value));
   }
-  /// Beast takes codings that it doesn't know for none, and the body of such a
-  /// request for the next request.
+  /// Beast takes codings that it doesn't know for none: the body of such a
+  /// request for the next request, and of such a response for what it encodes.
   void on_header_impl(Code& error) override {
-    if (!kIsRequest) return;
-    const auto codings = this->request.headers.FindAll("Transfer-Encoding");
+    const Headers& headers =
+        kIsRequest ? this->request.headers : this->head.headers;
+    const auto codings = headers.FindAll("Transfer-Encoding");
     const bool only_chunked = codings.size() == 1 &&
                               EqualIgnoringCase(codings[0], "chunked") &&
-                              !this->request.headers.Find("Content-Length");
+                              !headers.Find("Content-Length");
     if (!codings.empty() && !only_chunked) {
       error = boost::beast::http::error::bad_transfer_encoding;
     }
