What came on a kept connection is no answer to the next request

What callers saw (by test): where an endpoint answers twice, the next request on the connection got the second answer, head and body.

Cause: a request took a kept connection without a look at what the socket had received since the last answer.

A kept connection with unread bytes, or with an end, is closed when it is chosen, and the next one is taken. What comes after the request was sent still counts as its answer.

--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -84,6 +84,9 @@
   /// idle for longest may be closed. Returns false if there is none.
   bool TakeDescriptor(resources::DescriptorLease& lease);
   bool CloseLongestIdle();
+  /// Removes an idle connection to \p address that can take a request from the
+  /// pool and returns it; null if there is none.
+  std::shared_ptr<ClientConnection> TakeIdle(const std::string& address);
   /// Returns how many connections idle, which could be closed for others.
   std::size_t IdleCount() const;
 
@@ -169,6 +172,16 @@
   }
 
   TimePoint IdleSince() const { return this->idle_since; }
+
+  /// Returns whether an idle connection can take a request: what the peer has
+  /// sent since its last response would be read as the response to it.
+  bool IsQuiet() {
+    char byte = 0;
+    Code error;
+    this->socket.receive(boost::asio::buffer(&byte, 1),
+                         tcp::socket::message_peek, error);
+    return error == boost::asio::error::would_block;
+  }
   void RemoveFromPool();
 
   /// Sends the request on an open connection.
@@ -489,6 +502,24 @@
   return true;
 }
 
+std::shared_ptr<ClientConnection> Client::State::TakeIdle(
+    const std::string& address) {
+  const auto pool = this->idle.find(address);
+  if (pool == this->idle.end()) return nullptr;
+  std::shared_ptr<ClientConnection> quiet;
+  while (!quiet && !pool->second.empty()) {
+    const auto last = std::move(pool->second.back());
+    pool->second.pop_back();
+    if (last->IsQuiet()) {
+      quiet = last;
+    } else {
+      last->Close();
+    }
+  }
+  if (pool->second.empty()) this->idle.erase(pool);
+  return quiet;
+}
+
 bool Client::State::TakeDescriptor(resources::DescriptorLease& lease) {
   if (this->resources == nullptr) return true;
   constexpr auto kUse = resources::ConnectionUse::kCall;
@@ -532,15 +563,13 @@
   const CallId id = ++inner.last_call;
   const bool head_only = request.method == "HEAD";
   std::string text = HeadText(address, request);
-  const auto pool = inner.idle.find(address);
-  if (options.reuse == Reuse::kAllowed && pool != inner.idle.end()) {
-    const auto connection = pool->second.back();
-    pool->second.pop_back();
-    if (pool->second.empty()) inner.idle.erase(pool);
-    inner.calls.emplace(id, connection);
-    connection->PrepareCall(id, std::move(text), request.body,
-                            std::move(handlers), head_only, true);
-    connection->PostRequest();
+  const auto idle =
+      options.reuse == Reuse::kAllowed ? inner.TakeIdle(address) : nullptr;
+  if (idle) {
+    inner.calls.emplace(id, idle);
+    idle->PrepareCall(id, std::move(text), request.body, std::move(handlers),
+                      head_only, true);
+    idle->PostRequest();
     return id;
   }
   const auto connection =
