--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -14,6 +14,7 @@
 using Json = nlohmann::json;
 
 constexpr int kAccepted = 202;
+constexpr Duration kSecondAnswerDelay = std::chrono::milliseconds(60);
 constexpr const char* kPartialEvent = "id: 10\nda";
 /// Maximum number of layers that an engine of the fleet can hold.
 constexpr std::uint32_t kMaxLayers = 6;
@@ -265,7 +266,10 @@
   const bool fails = endpoint.fault == EndpointFault::kFailsWithoutEnd;
   if (fails || endpoint.fault == EndpointFault::kSendsWithoutEnd) {
     this->runs.push_back(this->RunOf(endpoint, request));
-    exchange->Begin(HeadOf(fails ? http::kServerError : http::kOk, request));
+    http::ResponseHead head =
+        HeadOf(fails ? http::kServerError : http::kOk, request);
+    head.ends_with_connection = this->unframed;
+    exchange->Begin(head);
     this->SendWithoutEnd(exchange);
     return;
   }
@@ -397,10 +401,36 @@
     exchange.Respond(head, body);
     return;
   }
+  this->SendPlainUnframed(endpoint, shared, std::move(head), body);
+}
+
+void Endpoints::SendPlainUnframed(
+    const Endpoint& endpoint, const std::shared_ptr<http::Exchange>& exchange,
+    http::ResponseHead head, const std::string& body) {
   head.ends_with_connection = true;
-  exchange.Begin(head);
-  exchange.Write(body);
-  exchange.End();
+  exchange->Begin(head);
+  if (endpoint.fault == EndpointFault::kCrashesInAnswer) {
+    exchange->Write(body.substr(0, body.size() / 2));
+    exchange->End();
+    this->loop.Post(
+        [this, id = endpoint.spec.id] { this->CrashAndRestart(id); });
+    return;
+  }
+  exchange->Write(body);
+  const bool late = endpoint.fault == EndpointFault::kAnswersTwiceLate;
+  if (!late && endpoint.fault != EndpointFault::kAnswersTwice) {
+    exchange->End();
+    return;
+  }
+  std::string second = "HTTP/1.1 200 OK\r\n";
+  for (const auto& [name, value] : head.headers) {
+    absl::StrAppend(&second, name, ": ", value, "\r\n");
+  }
+  absl::StrAppend(&second, "\r\n", body);
+  this->loop.After(late ? kSecondAnswerDelay : Duration(0), [exchange, second] {
+    exchange->Write(second);
+    exchange->End();
+  });
 }
 
 std::vector<Endpoints::Stage> Endpoints::ParsePath(
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -63,6 +63,13 @@
   kSendsWithoutEnd,
   /// The same with status 500.
   kFailsWithoutEnd,
+  /// Sends a second answer right after a plain one that is unframed.
+  kAnswersTwice,
+  /// The same a moment later.
+  kAnswersTwiceLate,
+  /// Crashes while it sends a plain answer that is unframed: the kernel ends
+  /// its connections as if it had closed them, and refuses new ones.
+  kCrashesInAnswer,
 };
 
 /// One request that an endpoint has read, whether or not it ran it.
@@ -256,6 +263,10 @@
   void Serve(Endpoint& endpoint, std::shared_ptr<http::Exchange> exchange);
   /// Crashes the endpoint \p id shortly if \p request is one that does so.
   void CrashAfter(const std::string& id, const http::Request& request);
+  /// Sends \p body as an unframed answer, or as the fault says instead of it.
+  void SendPlainUnframed(const Endpoint& endpoint,
+                         const std::shared_ptr<http::Exchange>& exchange,
+                         http::ResponseHead head, const std::string& body);
   void ServePlain(Endpoint& endpoint,
                   const std::shared_ptr<http::Exchange>& shared);
   void ServeStream(Endpoint& endpoint,
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -73,6 +73,11 @@
 target_link_libraries(process_endpoint_limit PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(unframed_answer)
+target_sources(process_unframed_answer PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_unframed_answer PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(partition)
 target_sources(process_partition PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_partition PRIVATE standin_fleet
