A second answer behind an unframed one is no part of its body

What callers saw (by test): where an endpoint answers twice, at once or late, and its answer has neither a length nor chunks, the body held both answers, the head of the second one in the middle, and looked whole.

Cause: all bytes up to the end of the connection were the answer's. Class: bytes that belong to no request.

SecondAnswerFinder (lib/http, no I/O) looks for a head that names the same request behind such a body, however it is split, holds what may become one (up to 16 KiB), and ends the answer before it. Bodies that only look alike (of another request, other line ends, no fields) stay as they are. What follows the body and is no head still can't be told from it.

--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -211,6 +211,7 @@
   this->head_usable = false;
   this->head_outcome.reset();
   this->DropHeldBack();
+  this->second_answer.reset();
   this->events.BeginRun();
   this->events_lease.Resize(this->events.HeldBytes());
   this->attempt_started = this->gateway.loop.Now();
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -16,6 +16,7 @@
 #include "toucanwharf/attempts/stall_detector.h"
 #include "toucanwharf/endpoints/unframed_end.h"
 #include "toucanwharf/http/event_splitter.h"
+#include "toucanwharf/http/second_answer.h"
 #include "toucanwharf/instance/forwarding.h"
 #include "toucanwharf/instance/gateway.h"
 #include "toucanwharf/placement/path_finder.h"
@@ -167,6 +168,10 @@
 
   void OnHead(const http::ResponseHead& head);
   void OnData(std::string_view bytes);
+  /// Handles bytes that belong to the answer.
+  void OnBody(std::string_view bytes);
+  /// The endpoint has begun another answer behind this one.
+  void OnSecondAnswer();
   void RelayEvents(std::string_view complete);
   /// Sends part of the answer to the caller, and stops reading from the
   /// endpoint while the caller lags behind.
@@ -292,6 +297,9 @@
   /// request that crashed the endpoint seems to be answered. An endpoint that
   /// still runs after the end has sent it.
   void OnEndedByClose();
+  /// Ends the attempt if the answer, which has ended, is a stream that isn't
+  /// whole. Returns whether it did.
+  bool EndedInsideStream();
   void OnEndProbed(const ProbeAnswer& answer);
   /// Returns whether the answer had stalled when it ended: a live engine cuts
   /// off what waits for another engine of the path.
@@ -401,6 +409,8 @@
   std::optional<attempts::AttemptOutcome> head_outcome;
   std::string body;
   resources::Lease body_lease;
+  /// Of an answer that only its connection ends.
+  std::optional<http::SecondAnswerFinder> second_answer;
   http::EventSplitter events;
   resources::Lease events_lease;
   bool has_event = false;
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -6,6 +6,8 @@
 namespace {
 
 using attempts::AttemptOutcome;
+using eventlog::Fields;
+using eventlog::Level;
 
 /// A plain answer up to this size is relayed only when it is complete, so that
 /// another endpoint can replace one that breaks.
@@ -34,6 +36,10 @@
   this->last_data = this->gateway.loop.Now();
   this->head_at = this->last_data;
   this->head = answer;
+  if (answer.ends_with_connection) {
+    this->second_answer.emplace(this->gateway.names.request_id,
+                                this->request_id);
+  }
   this->ClassifyHead(answer);
 }
 
@@ -175,6 +181,31 @@
   if (!this->target.is_peer) {
     this->gateway.path_monitor.OnData(this->target.endpoint);
   }
+  if (!this->second_answer) {
+    this->OnBody(bytes);
+    return;
+  }
+  const http::CallId of = this->call;
+  const std::string own = this->second_answer->Feed(bytes);
+  const bool found = this->second_answer->Found();
+  if (!own.empty()) this->OnBody(own);
+  if (found && !this->finished && this->call == of) this->OnSecondAnswer();
+}
+
+void ProxiedRequest::OnSecondAnswer() {
+  this->Log(Level::kNotable, "second_answer",
+            Fields().Text("endpoint", this->target.endpoint));
+  this->gateway.client.Cancel(std::exchange(this->call, 0));
+  if (this->head_outcome) {
+    this->EndAttempt(*this->head_outcome, "answered_twice");
+    return;
+  }
+  if (this->EndedInsideStream()) return;
+  // The endpoint went on to another answer, so this one is at its end.
+  this->Complete(true);
+}
+
+void ProxiedRequest::OnBody(std::string_view bytes) {
   if (!this->head_usable) {
     // The body of a failure, which is no part of an answer that was begun by an
     // earlier attempt.
@@ -243,6 +274,11 @@
       return;
     }
   }
+  if (this->second_answer) {
+    const std::string rest = this->second_answer->TakeRest();
+    if (!rest.empty()) this->OnBody(rest);
+    if (this->finished || this->call != 0) return;
+  }
   if (this->head_outcome) {
     this->EndAttempt(*this->head_outcome,
                      *this->head_outcome == AttemptOutcome::kNotRun
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -155,17 +155,19 @@
   this->CancelCall();
 }
 
-void ProxiedRequest::OnEndedByClose() {
+bool ProxiedRequest::EndedInsideStream() {
   const bool inside_event = this->IsStream() && this->events.HasPartialEvent();
   // A run that goes on after the last event has nothing to send.
   const bool without_event = this->IsStream() && !this->has_event;
-  if (inside_event || without_event) {
-    this->OnRunBroken();
-    this->EndAttempt(AttemptOutcome::kUnknown, inside_event
-                                                   ? "ended_inside_event"
-                                                   : "ended_before_event");
-    return;
-  }
+  if (!inside_event && !without_event) return false;
+  this->OnRunBroken();
+  this->EndAttempt(AttemptOutcome::kUnknown,
+                   inside_event ? "ended_inside_event" : "ended_before_event");
+  return true;
+}
+
+void ProxiedRequest::OnEndedByClose() {
+  if (this->EndedInsideStream()) return;
   if (!this->IsModel()) {
     // Nothing tells more of an endpoint of a plain service: its answer is
     // relayed as it came, without framing.
