A plain endpoint that crashes in an unframed answer hasn't ended it

What callers saw (by test): a part of an answer as the whole one, with the status and the signature of a success, where the endpoint's process ended while it sent an answer without a length or chunks.

Cause: the kernel closes the connections of a process that has ended as if the process had closed them. Answers of models ask the endpoint's report after such an end; plain ones took it for the answer's. Class: an end that isn't the sender's own is taken for the end of what it sent.

Plain endpoints are asked, too, by the same probe: the same start is a proof, nobody there or another start breaks the attempt (again elsewhere if that is allowed, else 502). Without a proof either way the answer is passed on as it came, also at the deadline; so is that of an endpoint that leaves, which may go with its last answer. A start that isn't known no longer counts as another one.

--- a/include/toucanwharf/endpoints/unframed_end.h
+++ b/include/toucanwharf/endpoints/unframed_end.h
@@ -27,7 +27,8 @@
   friend bool operator==(const AfterEnd&, const AfterEnd&) = default;
 };
 
-/// Returns what the end of an answer means whose sender started at \p start_ms.
+/// Returns what the end of an answer means whose sender started at \p start_ms,
+/// 0 if that isn't known.
 ///
 /// The list of endpoints has no say: an instance that was suspended may read it
 /// before the end, and finds the sender gone or another start in its place.
--- a/lib/endpoints/unframed_end.cc
+++ b/lib/endpoints/unframed_end.cc
@@ -3,6 +3,8 @@
 namespace toucanwharf::endpoints {
 
 UnframedEnd MeaningOfEnd(std::uint64_t start_ms, const AfterEnd& after) {
+  const bool comparable = start_ms != 0;
+  if (!comparable && after.reported_start_ms) return UnframedEnd::kUnknown;
   if (after.reported_start_ms == start_ms) return UnframedEnd::kWhole;
   const bool ended = after.refused || after.reported_start_ms.has_value();
   return ended ? UnframedEnd::kBroken : UnframedEnd::kUnknown;
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -212,6 +212,7 @@
   this->head_outcome.reset();
   this->DropHeldBack();
   this->second_answer.reset();
+  this->end_is_asked = false;
   this->events.BeginRun();
   this->events_lease.Resize(this->events.HeldBytes());
   this->attempt_started = this->gateway.loop.Now();
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -301,6 +301,9 @@
   /// whole. Returns whether it did.
   bool EndedInsideStream();
   void OnEndProbed(const ProbeAnswer& answer);
+  /// Returns whether what the endpoint's address shows now tells how the answer
+  /// ended.
+  bool MayAskAfterEnd() const;
   /// Returns whether the answer had stalled when it ended: a live engine cuts
   /// off what waits for another engine of the path.
   bool EndedAfterStall() const;
@@ -411,6 +414,8 @@
   resources::Lease body_lease;
   /// Of an answer that only its connection ends.
   std::optional<http::SecondAnswerFinder> second_answer;
+  /// Whether all of a plain answer is there, and only its end is in doubt.
+  bool end_is_asked = false;
   http::EventSplitter events;
   resources::Lease events_lease;
   bool has_event = false;
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -52,6 +52,11 @@
 
 void ProxiedRequest::OnDeadline() {
   if (this->finished) return;
+  if (this->end_is_asked) {
+    // What is ready is delivered.
+    this->Complete(false);
+    return;
+  }
   ++this->gateway.counters.timed_out;
   if (this->attempt_counts.answer_started) {
     this->exchange->Abort();
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -168,18 +168,11 @@
 
 void ProxiedRequest::OnEndedByClose() {
   if (this->EndedInsideStream()) return;
-  if (!this->IsModel()) {
-    // Nothing tells more of an endpoint of a plain service: its answer is
-    // relayed as it came, without framing.
-    this->Complete(false);
-    return;
-  }
-  const bool may_ask =
-      !this->target.is_peer && !this->gateway.IsPaused(this->target.endpoint);
-  if (this->EndedAfterStall() || !may_ask) {
+  if (this->EndedAfterStall() || !this->MayAskAfterEnd()) {
     this->OnUnframedEnd(endpoints::UnframedEnd::kUnknown);
     return;
   }
+  this->end_is_asked = !this->IsModel();
   this->gateway.probe.Check(
       this->target.address, this->gateway.loop.Now(),
       this->gateway.ConcurrentProbers(),
@@ -198,6 +191,18 @@
   this->OnUnframedEnd(meaning);
 }
 
+bool ProxiedRequest::MayAskAfterEnd() const {
+  if (this->target.is_peer || this->gateway.IsPaused(this->target.endpoint)) {
+    return false;
+  }
+  if (this->IsModel()) return true;
+  // A plain endpoint that leaves may go as soon as its last answer is sent.
+  const endpoints::Endpoint* endpoint =
+      this->gateway.state.endpoints.Find(this->target.endpoint);
+  return endpoint != nullptr &&
+         endpoint->state != endpoints::EndpointState::kDraining;
+}
+
 bool ProxiedRequest::EndedAfterStall() const {
   return this->IsStream() && this->gateway.loop.Now() - this->last_data >=
                                  this->detector.StallTimeout();
@@ -221,6 +226,11 @@
       this->EndAttempt(AttemptOutcome::kUnknown, "ended_with_endpoint");
       return;
     case UnframedEnd::kUnknown:
+      // A plain answer is relayed as it came, without framing.
+      if (!this->IsModel()) {
+        this->Complete(false);
+        return;
+      }
       // A run that is asked to go on after the last event shows whether
       // anything is missing.
       this->EndAttempt(AttemptOutcome::kUnknown, "end_unproven");
--- a/unittests/endpoints/unframed_end_test.cc
+++ b/unittests/endpoints/unframed_end_test.cc
@@ -26,5 +26,14 @@
   BOOST_TEST((MeaningOfEnd(kStartMs, {}) == UnframedEnd::kUnknown));
 }
 
+// Guards against a whole answer that is given up because nobody knows when its
+// endpoint started.
+BOOST_AUTO_TEST_CASE(EndOfAnEndpointOfUnknownStartIsBrokenOnlyIfRefused) {
+  const AfterEnd refused{true, std::nullopt};
+  const AfterEnd answers{false, kStartMs};
+  BOOST_TEST((MeaningOfEnd(0, refused) == UnframedEnd::kBroken));
+  BOOST_TEST((MeaningOfEnd(0, answers) == UnframedEnd::kUnknown));
+}
+
 }  // namespace
 }  // namespace toucanwharf::endpoints
