--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -477,6 +477,42 @@
   BOOST_TEST(body == "two");
 }
 
+// Guards against the lines between chunks in the body of a caller that doesn't
+// know chunks.
+BOOST_AUTO_TEST_CASE(CallerOfTheFormerVersionGetsNoChunks) {
+  ServerThread server([](const std::shared_ptr<Exchange>& exchange) {
+    ResponseHead head;
+    head.status = kOk;
+    exchange->Begin(head);
+    exchange->Write("body");
+    exchange->End();
+  });
+  const RawSocket caller(server.Port());
+  caller.Send("GET /a HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+  const std::string answer = caller.ReadUntil("");
+  BOOST_TEST(answer.find("chunked") == std::string::npos, answer);
+  BOOST_TEST(answer.ends_with("\r\n\r\nbody"), answer);
+}
+
+// Guards against bytes behind an answer that has no body, which its caller
+// takes for the next answer.
+BOOST_AUTO_TEST_CASE(AnswerThatHasNoBodyHasNoChunks) {
+  constexpr int kNoContent = 204;
+  ServerThread server([](const std::shared_ptr<Exchange>& exchange) {
+    ResponseHead head;
+    head.status = kNoContent;
+    exchange->Begin(head);
+    exchange->Write("body");
+    exchange->End();
+  });
+  const RawSocket caller(server.Port());
+  caller.Send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::string answer = caller.ReadUntil("");
+  BOOST_TEST(answer.find("chunked") == std::string::npos, answer);
+  BOOST_TEST(answer.ends_with("\r\n\r\n"), answer);
+  BOOST_TEST(answer.find("\r\n\r\n") == answer.size() - 4U, answer);
+}
+
 // Guards against a caller that adds fields after the head, which nothing
 // checks.
 BOOST_AUTO_TEST_CASE(TrailersAreNoFieldsOfTheHead) {
