A caller of HTTP/1.0 gets no chunks

What callers saw (by test): the lines between the chunks as a part of the body, which then ended with the connection and looked whole.

Cause: the server answered in chunks whatever the version of the request.

--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -43,6 +43,8 @@
 /// Requests that hold more leave a part of the memory to those that hold less.
 constexpr std::size_t kSmallRequestBytes = 64UL * 1024;
 constexpr std::size_t kSmallRequestDivisor = 8;
+/// HTTP/1.1.
+constexpr int kFirstVersionWithChunks = 11;
 /// Memory that an answered request takes besides its own bytes.
 constexpr std::size_t kExchangeBytes = 4UL * 1024;
 /// Retry-After of a request for which there was no memory.
@@ -188,9 +190,12 @@
 }
 
 void Connection::Begin(const ResponseHead& head) {
-  this->chunked = !head.length.has_value() && !head.ends_with_connection;
-  this->ends_with_connection = head.ends_with_connection;
-  this->close_after = this->close_after || head.ends_with_connection;
+  const bool knows_chunks = this->parser->version >= kFirstVersionWithChunks;
+  const bool has_end = head.length.has_value();
+  this->chunked = !has_end && !head.ends_with_connection && knows_chunks;
+  this->ends_with_connection =
+      head.ends_with_connection || (!has_end && !this->chunked);
+  this->close_after = this->close_after || this->ends_with_connection;
   this->Send(HeadText(head, this->chunked, head.length,
                       this->NeedsCloseHeader(head),
                       this->server->limits.idle_timeout));
--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -30,6 +30,8 @@
   MessageParser() { this->eager(false); }
 
   Request request;
+  /// Version of the request, as ten times the major number plus the minor one.
+  int version = 0;
   ResponseHead head;
   std::function<void(std::string_view)> on_body;
   /// Whether Feed stops at the start of the body.
@@ -97,8 +99,9 @@
     return std::string(view.data(), view.size());
   }
 
-  void on_request_impl(boost::beast::http::verb, View method, View target, int,
-                       Code&) override {
+  void on_request_impl(boost::beast::http::verb, View method, View target,
+                       int number, Code&) override {
+    this->version = number;
     this->request.method = Text(method);
     this->request.target = Text(target);
   }
