An answer whose status has no body has no chunks

What callers saw (by test): five bytes and more behind a 204 on a kept connection, which the caller takes for the answer to its next request. It needs a stream's endpoint that answers 204 or 304.

Cause: an answer that is passed on while it comes was sent in chunks whatever its status; answers that are sent whole had the rule.

AnswerThatHasNoBodyHasNoChunks failed before (1 of 1 play), held in 1 of 1 after.

--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -191,7 +191,9 @@
 
 void Connection::Begin(const ResponseHead& head) {
   const bool knows_chunks = this->parser->version >= kFirstVersionWithChunks;
-  const bool has_end = head.length.has_value();
+  // The status itself says that there is no body, as the method HEAD does.
+  this->head_only = this->head_only || HasNoBody(head.status);
+  const bool has_end = head.length.has_value() || this->head_only;
   this->chunked = !has_end && !head.ends_with_connection && knows_chunks;
   this->ends_with_connection =
       head.ends_with_connection || (!has_end && !this->chunked);
