--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -44,6 +44,8 @@
 /// Requests that hold more leave a part of the memory to those that hold less.
 constexpr std::size_t kSmallRequestBytes = 64UL * 1024;
 constexpr std::size_t kSmallRequestDivisor = 8;
+/// HTTP/1.1.
+constexpr int kFirstVersionWithChunks = 11;
 /// Memory that an answered request takes besides its own bytes.
 constexpr std::size_t kExchangeBytes = 4UL * 1024;
 /// Retry-After of a request for which there was no memory.
@@ -158,6 +160,9 @@
   this->closed = true;
   this->server->loop.Cancel(this->timer);
   Code ignored;
+  if (this->CloseWouldEndAnswer()) {
+    this->socket.set_option(tcp::socket::linger(true, 0), ignored);
+  }
   this->socket.close(ignored);
   this->descriptor.Release();
   this->DropRequest();
@@ -168,6 +173,12 @@
   this->NotifyDisconnect();
 }
 
+bool Connection::CloseWouldEndAnswer() const {
+  const bool whole =
+      this->answer_ended && this->unsent.empty() && !this->failed;
+  return this->ends_with_connection && !whole;
+}
+
 void Connection::Respond(const ResponseHead& head, std::string_view text) {
   const bool bodyless = HasNoBody(head.status);
   std::string response = HeadText(
@@ -180,8 +191,14 @@
 }
 
 void Connection::Begin(const ResponseHead& head) {
-  this->chunked = !head.length.has_value() && !head.ends_with_connection;
-  this->close_after = this->close_after || head.ends_with_connection;
+  const bool knows_chunks = this->parser->version >= kFirstVersionWithChunks;
+  // The status itself says that there is no body, as the method HEAD does.
+  this->head_only = this->head_only || HasNoBody(head.status);
+  const bool has_end = head.length.has_value() || this->head_only;
+  this->chunked = !has_end && !head.ends_with_connection && knows_chunks;
+  this->ends_with_connection =
+      head.ends_with_connection || (!has_end && !this->chunked);
+  this->close_after = this->close_after || this->ends_with_connection;
   this->Send(HeadText(head, this->chunked, head.length,
                       this->NeedsCloseHeader(head),
                       this->server->limits.idle_timeout));
@@ -201,6 +218,7 @@
 
 void Connection::End() {
   if (this->chunked && !this->head_only) this->Send("0\r\n\r\n");
+  this->answer_ended = true;
   this->OnResponseEnd();
 }
 
--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -30,6 +30,8 @@
   MessageParser() { this->eager(false); }
 
   Request request;
+  /// Version of the request, as ten times the major number plus the minor one.
+  int version = 0;
   ResponseHead head;
   std::function<void(std::string_view)> on_body;
   /// Whether Feed stops at the start of the body.
@@ -97,8 +99,9 @@
     return std::string(view.data(), view.size());
   }
 
-  void on_request_impl(boost::beast::http::verb, View method, View target, int,
-                       Code&) override {
+  void on_request_impl(boost::beast::http::verb, View method, View target,
+                       int number, Code&) override {
+    this->version = number;
     this->request.method = Text(method);
     this->request.target = Text(target);
   }
@@ -113,14 +116,15 @@
     Headers& headers = kIsRequest ? this->request.headers : this->head.headers;
     headers.Add(Text(name), Text(value));
   }
-  /// Beast takes codings that it doesn't know for none, and the body of such a
-  /// request for the next request.
+  /// Beast takes codings that it doesn't know for none: the body of such a
+  /// request for the next request, and of such a response for what it encodes.
   void on_header_impl(Code& error) override {
-    if (!kIsRequest) return;
-    const auto codings = this->request.headers.FindAll("Transfer-Encoding");
+    const Headers& headers =
+        kIsRequest ? this->request.headers : this->head.headers;
+    const auto codings = headers.FindAll("Transfer-Encoding");
     const bool only_chunked = codings.size() == 1 &&
                               EqualIgnoringCase(codings[0], "chunked") &&
-                              !this->request.headers.Find("Content-Length");
+                              !headers.Find("Content-Length");
     if (!codings.empty() && !only_chunked) {
       error = boost::beast::http::error::bad_transfer_encoding;
     }
