--- /dev/null
+++ b/test/process/planned_stop_test.cc
@@ -0,0 +1,65 @@
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <csignal>
+#include <future>
+#include <string>
+#include <thread>
+
+#include "test/process/platform_fleet.h"
+
+namespace toucanwharf::process_test {
+namespace {
+
+using standins::fleet::EndpointFault;
+using std::chrono::milliseconds;
+
+constexpr int kGraceSeconds = 2;
+
+void SetPlainFault(PlatformFleet& fleet, EndpointFault fault) {
+  fleet.RunOnLoop([&] {
+    for (const std::string& id : PlatformFleet::PlainIds()) {
+      fleet.Endpoints().SetFault(id, fault);
+    }
+  });
+}
+
+// Guards against a request that comes late in a planned stop, is taken, and is
+// cut by its end.
+BOOST_AUTO_TEST_CASE(RequestLateInAStopIsRefusedOrAnswered) {
+  MachineLimits limits;
+  limits.grace_seconds = kGraceSeconds;
+  PlatformFleet fleet(1, false, false, {}, limits);
+  SetPlainFault(fleet, EndpointFault::kUnresponsive);
+  // Keeps the router from ending early.
+  auto before = std::async(std::launch::async, [&] {
+    return fleet.Plain(0, "/sign/before", "before");
+  });
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet.Router(0).Signal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(1000));
+  const Answer late = fleet.Plain(0, "/sign/late", "late");
+  BOOST_TEST(late.status != 0);
+  if (late.status == http::kUnavailable) {
+    BOOST_TEST(fleet.RunsOf("late").empty());
+  }
+  before.wait();
+}
+
+// Guards against a request under way that gets no answer at the end of a
+// planned stop.
+BOOST_AUTO_TEST_CASE(RequestUnderWayAtTheEndOfAStopGetsAnAnswer) {
+  MachineLimits limits;
+  limits.grace_seconds = kGraceSeconds;
+  PlatformFleet fleet(1, false, false, {}, limits);
+  SetPlainFault(fleet, EndpointFault::kUnresponsive);
+  auto before = std::async(std::launch::async, [&] {
+    return fleet.Plain(0, "/sign/before", "before");
+  });
+  std::this_thread::sleep_for(milliseconds(100));
+  fleet.Router(0).Signal(SIGTERM);
+  // Whether it ran is not known.
+  BOOST_TEST(before.get().status == http::kBadGateway);
+}
+
+}  // namespace
+}  // namespace toucanwharf::process_test
--- a/test/process/platform_fleet.cc
+++ b/test/process/platform_fleet.cc
@@ -25,6 +25,7 @@
 /// Four engines hold the cover of a domain, one is a spare.
 constexpr int kEnginesPerDomain = 5;
 constexpr int kPlainEndpoints = 2;
+constexpr int kDefaultGraceSeconds = 8;
 constexpr const char* kEndpointIpPrefix = "127.0.2.";
 
 int PortOf(const std::string& address) {
@@ -289,7 +290,11 @@
        << "provider.addr=" << this->store_addresses[index] << "\n"
        << "bounds.strict_revoke=true\nbounds.revoke_ms=2500\n"
        << "bounds.config_ms=2000\nbounds.drain_ms=2000\n"
-       << "bounds.grace_s=8\nbounds.budget_window_s=10\n"
+       << "bounds.grace_s="
+       << (this->machine_limits.grace_seconds > 0
+               ? this->machine_limits.grace_seconds
+               : kDefaultGraceSeconds)
+       << "\nbounds.budget_window_s=10\n"
        << "bounds.budget_ratio=" << this->arrival_bound.ratio << "\n"
        << "bounds.budget_slack=" << this->arrival_bound.slack << "\n"
        << "a.field.to.come=ignored\n";
--- a/test/process/platform_fleet.h
+++ b/test/process/platform_fleet.h
@@ -34,14 +34,16 @@
   friend bool operator==(const ArrivalBound&, const ArrivalBound&) = default;
 };
 
-/// What a router's machine has, and what callers may send. Zero leaves a field
-/// at the router's default.
+/// What a router's machine has, what callers may send, and how long a planned
+/// stop may take. Zero leaves a field at its default.
 struct MachineLimits {
   /// Memory of the process, in megabytes of 10^6 bytes.
   std::size_t memory_mb = 0;
   std::size_t max_descriptors = 0;
   /// Largest body of a request, in bytes.
   std::size_t max_body_bytes = 0;
+  /// From the signal to stop to the kill, in seconds; 8 by default.
+  int grace_seconds = 0;
 
   friend bool operator==(const MachineLimits&, const MachineLimits&) = default;
 };
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -100,6 +100,11 @@
 target_link_libraries(process_stopped_endpoints PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(planned_stop)
+target_sources(process_planned_stop PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_planned_stop PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(endless_answer)
 target_sources(process_endless_answer PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_endless_answer PRIVATE standin_fleet
