Every request under way gets its final answer before a planned stop ends

What callers saw: at the end of the grace time of a planned stop, the connections of all requests under way ended without an answer.

Cause: the process left its loop with requests under way; their exchanges closed the connections as they were destroyed. Requests that were half received were cut in the same way, even where the process ended early as idle.

Change: the end of a stop is a step (Instance::End). Each request is answered: 503 if it did not run, 502 if it may have, a broken off answer is reset. Requests being received get 503, idle connections are closed orderly after a last read, and the process waits up to 0.2 s until callers have read the end.

Why it works: nothing is left to the destructors but what is already answered, and the margin is a part of the grace, so that the exit precedes the kill whatever the grace is.

--- a/include/toucanwharf/http/server.h
+++ b/include/toucanwharf/http/server.h
@@ -97,6 +97,13 @@
   void SetLimits(const ServerLimits& limits);
   /// Makes every later response close its connection.
   void CloseAfterResponses();
+  /// Refuses the requests that are being received, and closes the connections
+  /// that are idle. Those with a request under way close after its response.
+  void CloseUnused();
+  /// Returns how many requests are being received.
+  std::size_t Receiving() const;
+  /// Returns how many connections are open.
+  std::size_t Open() const;
   /// Returns how many bytes of responses, also of those that have ended, are
   /// queued because their callers haven't read them.
   std::size_t UnsentBytes() const;
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -199,8 +199,10 @@
   const attempts::BudgetSharers& Sharers() const {
     return this->budget.Sharers();
   }
-  /// Logs the requests in flight, which the end of the process cuts.
-  void LogCut() const;
+  /// Logs the requests in flight and gives each its final answer, as the
+  /// process ends: a refusal if it did not run, else a failure; an answer that
+  /// has begun is broken off. All that come later are refused.
+  void EndAll();
   /// Returns how many requests are in flight.
   std::size_t InFlight() const {
     return this->active.size() + this->early_requests.size();
@@ -420,6 +422,8 @@
   /// By service; none is empty between two rounds.
   std::map<std::string, ServiceQueue> queues;
   std::uint64_t queued_ids = 0;
+  /// Whether all that was under way got its final answer.
+  bool ended = false;
   /// By service.
   std::map<std::string, ServiceReturns> returns;
   http::TimerId queue_timer = 0;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "toucanwharf/admission/stop_plan.h"
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/server.h"
@@ -117,8 +118,9 @@
   /// After the signal to stop, callers may still arrive until the other
   /// instances have received the news.
   static constexpr Duration kMinDrain = std::chrono::milliseconds(1500);
-  /// Time reserved for the last answers to be sent before the kill.
-  static constexpr Duration kKillMargin = std::chrono::milliseconds(400);
+  /// Callers take the end of a connection within a round trip.
+  static constexpr Duration kMaxLastWait = std::chrono::milliseconds(200);
+  static constexpr Duration kExitPoll = std::chrono::milliseconds(5);
   static constexpr Duration kUnreadableLogPeriod = std::chrono::seconds(10);
   /// Per instance: all together register forty times a second.
   static constexpr Duration kRegistrationSpread = std::chrono::milliseconds(25);
@@ -463,29 +465,42 @@
             "under_way", static_cast<std::int64_t>(this->gateway.InFlight())),
         now);
     this->caller_server->CloseAfterResponses();
+    this->loop.After(this->stop_plan.AnswerBy(), [this] { this->End(); });
     this->peers.Announce();
     this->placement.Release();
     this->store.Remove({A::InstanceCollection(), this->settings.name});
   }
 
+  /// Calls \p act with each server.
+  template <typename Act>
+  void ForEachServer(const Act& act) {
+    act(*this->caller_server);
+    for (const auto& server : this->control_servers) act(*server);
+  }
+
   /// Returns how many bytes of answers wait for callers, or for peers that
   /// forwarded requests, to read.
-  std::size_t UnsentBytes() const {
-    std::size_t total = this->caller_server->UnsentBytes();
-    for (const auto& server : this->control_servers) {
-      total += server->UnsentBytes();
-    }
+  std::size_t UnsentBytes() {
+    std::size_t total = 0;
+    this->ForEachServer(
+        [&](const http::Server& server) { total += server.UnsentBytes(); });
     return total;
   }
 
+  /// Ends the process early if nothing is under way.
   void StopIfDone(TimePoint now) {
     const Duration elapsed = now - *this->state.stopping_since;
-    const std::size_t unsent = this->UnsentBytes();
-    const bool delivered = this->gateway.InFlight() == 0 && unsent == 0;
-    const bool idle = delivered && elapsed > kMinDrain;
-    const bool late = elapsed > this->settings.bounds.grace - kKillMargin;
-    if (!idle && !late) return;
-    this->gateway.LogCut();
+    if (elapsed <= kMinDrain || this->ending) return;
+    const bool idle = this->gateway.InFlight() == 0 &&
+                      this->UnsentBytes() == 0 &&
+                      this->caller_server->Receiving() == 0;
+    if (idle) this->End();
+  }
+
+  /// Gives all that is under way its final answer, and ends the process once
+  /// callers have read it.
+  void End() {
+    if (std::exchange(this->ending, true)) return;
     this->logger.Write(
         eventlog::Level::kNotable, "stopped",
         eventlog::Fields()
@@ -493,9 +508,27 @@
                    static_cast<std::int64_t>(
                        this->gateway.Counters().taken_while_stopping))
             .Count("cut", static_cast<std::int64_t>(this->gateway.InFlight()))
-            .Count("unsent_bytes", static_cast<std::int64_t>(unsent)),
-        now);
-    this->loop.Stop();
+            .Count("unsent_bytes",
+                   static_cast<std::int64_t>(this->UnsentBytes())),
+        this->loop.Now());
+    this->gateway.EndAll();
+    this->ForEachServer([](http::Server& server) { server.CloseUnused(); });
+    this->end_by =
+        std::min(*this->state.stopping_since + this->stop_plan.ExitBy(),
+                 this->loop.Now() + kMaxLastWait);
+    this->ExitIfDelivered();
+  }
+
+  /// Callers close their side once they have read the end of the last answer.
+  void ExitIfDelivered() {
+    std::size_t open = 0;
+    this->ForEachServer(
+        [&](const http::Server& server) { open += server.Open(); });
+    if (open == 0 || this->loop.Now() >= this->end_by) {
+      this->loop.Stop();
+      return;
+    }
+    this->loop.After(kExitPoll, [this] { this->ExitIfDelivered(); });
   }
 
   InstanceSettings settings;
@@ -525,6 +558,10 @@
   std::uint64_t seen_epoch = 0;
   std::uint64_t unreadable_epochs = 0;
   TimePoint unreadable_logged{Duration(-1'000'000'000)};
+  admission::StopPlan stop_plan{this->settings.bounds.grace};
+  /// Whether the last answers were given, and when the process ends.
+  bool ending = false;
+  TimePoint end_by;
   bool startup_announced = false;
   bool keys_accepted = false;
   bool was_ready = false;
--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -47,6 +47,8 @@
 constexpr std::size_t kExchangeBytes = 4UL * 1024;
 /// Retry-After of a request for which there was no memory.
 constexpr const char* kRetryNoMemory = "1";
+/// The same of one that comes as the process ends: its caller goes elsewhere.
+constexpr const char* kRetryElsewhere = "0";
 
 /// Returns the status of the response to an unacceptable request.
 int StatusOf(const Code& why) {
@@ -167,6 +169,38 @@
   this->NotifyDisconnect();
 }
 
+void Connection::CloseAtEnd() {
+  if (this->closed) return;
+  const bool unfinished = this->answering || !this->unsent.empty();
+  Code ignored;
+  if (unfinished) {
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
+  this->Close();
+}
+
+bool Connection::Receives() const {
+  return !this->closed && !this->failed && !this->answering &&
+         !this->lingering && this->parser->got_some();
+}
+
+void Connection::CloseUnused() {
+  if (this->closed || this->failed || this->answering || this->lingering) {
+    return;
+  }
+  if (!this->Receives()) {
+    // A request may have come that was not read yet.
+    const auto self = this->shared_from_this();
+    this->OnReadable(Code());
+    if (this->closed || this->answering || this->lingering) return;
+  }
+  if (this->Receives()) {
+    this->Reject(kUnavailable, kRetryElsewhere);
+    return;
+  }
+  this->Linger();
+}
+
 void Connection::Respond(const ResponseHead& head, std::string_view text) {
   const bool bodyless = HasNoBody(head.status);
   std::string response = HeadText(
@@ -365,13 +399,13 @@
   this->body.append(bytes);
 }
 
-void Connection::Reject(int status) {
+void Connection::Reject(int status, const char* retry_after) {
   this->DropRequest();
   this->keep_alive = false;
   this->answering = true;
   ResponseHead head;
   head.status = status;
-  if (status == kUnavailable) head.headers.Add("Retry-After", kRetryNoMemory);
+  if (retry_after != nullptr) head.headers.Add("Retry-After", retry_after);
   this->Respond(head, "");
 }
 
@@ -548,7 +582,7 @@
 
 void Connection::RefuseForMemory() {
   ++this->table->Shared().counters.evicted_requests;
-  this->Reject(kUnavailable);
+  this->Reject(kUnavailable, kRetryNoMemory);
 }
 
 void Connection::CutAnswer() {
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -32,6 +32,14 @@
 
   void Start();
   void Close();
+  /// Closes the connection as the process ends: what is unfinished is reset, so
+  /// that it can't look complete.
+  void CloseAtEnd();
+  /// Refuses the request that is being received, or closes the connection if
+  /// there is none. One whose request is under way is left.
+  void CloseUnused();
+  /// Returns whether a request is being received.
+  bool Receives() const;
 
   /// Send the response to the current request; see Exchange.
   void Respond(const ResponseHead& head, std::string_view body);
@@ -75,7 +83,7 @@
   /// whether it was answered.
   bool AnsweredByHead();
   void AppendBody(std::string_view bytes);
-  void Reject(int status);
+  void Reject(int status, const char* retry_after = nullptr);
   void Dispatch();
   void OnResponseEnd();
   void ParseNextRequest();
--- a/lib/http/server.cc
+++ b/lib/http/server.cc
@@ -1,5 +1,6 @@
 #include "toucanwharf/http/server.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdio>
 #include <optional>
@@ -35,6 +36,20 @@
   return resources::DescriptorLease(descriptors, options.use);
 }
 
+/// Returns the connections that aren't closed, which may close while the result
+/// is used.
+std::vector<std::shared_ptr<Connection>> OpenConnections(
+    const Server::State& state) {
+  std::vector<std::shared_ptr<Connection>> open;
+  for (const auto& [key, weak] : state.connections) {
+    auto connection = weak.lock();
+    if (connection && !connection->Closed()) {
+      open.push_back(std::move(connection));
+    }
+  }
+  return open;
+}
+
 void Accept(const std::shared_ptr<Server::State>& state);
 
 void OnAccepted(const std::shared_ptr<Server::State>& state,
@@ -106,11 +121,9 @@
 Server::~Server() {
   Code ignored;
   this->state->acceptor.close(ignored);
-  std::vector<std::shared_ptr<Connection>> open;
-  for (const auto& [key, weak] : this->state->connections) {
-    if (auto connection = weak.lock()) open.push_back(std::move(connection));
+  for (const auto& connection : OpenConnections(*this->state)) {
+    connection->CloseAtEnd();
   }
-  for (const auto& connection : open) connection->Close();
 }
 
 void Server::SetLimits(const ServerLimits& limits) {
@@ -121,6 +134,24 @@
   this->state->close_after_responses = true;
 }
 
+void Server::CloseUnused() {
+  this->CloseAfterResponses();
+  for (const auto& connection : OpenConnections(*this->state)) {
+    connection->CloseUnused();
+  }
+}
+
+std::size_t Server::Receiving() const {
+  const auto open = OpenConnections(*this->state);
+  return static_cast<std::size_t>(std::count_if(
+      open.begin(), open.end(),
+      [](const auto& connection) { return connection->Receives(); }));
+}
+
+std::size_t Server::Open() const {
+  return OpenConnections(*this->state).size();
+}
+
 std::size_t Server::UnsentBytes() const {
   std::size_t total = 0;
   for (const auto& [key, weak] : this->state->connections) {
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -87,8 +87,8 @@
 }
 
 bool Gateway::TooLateToAccept(TimePoint now) const {
-  return this->state.stopping_since &&
-         now - *this->state.stopping_since > kAcceptAfterStop;
+  return this->ended || (this->state.stopping_since &&
+                         now - *this->state.stopping_since > kAcceptAfterStop);
 }
 
 bool Gateway::KnowsEnoughToAdmit(TimePoint now) const {
@@ -146,7 +146,7 @@
         http::kUnavailable, {kRetryWithoutState}, "no_configuration"};
   }
   if (this->TooLateToAccept(now)) {
-    return Refusal{http::kUnavailable, {}, "stopping"};
+    return Refusal{http::kUnavailable, {}, kStopping};
   }
   admitted.table = table;
   admitted.route =
@@ -217,8 +217,19 @@
       ->Start();
 }
 
-void Gateway::LogCut() const {
-  for (const ProxiedRequest* request : this->active) request->LogCut();
+void Gateway::EndAll() {
+  this->ended = true;
+  std::vector<std::shared_ptr<ProxiedRequest>> requests;
+  for (ProxiedRequest* request : this->active) {
+    if (auto held = request->weak_from_this().lock()) {
+      requests.push_back(std::move(held));
+    }
+  }
+  for (const auto& request : requests) request->EndByStop();
+  for (EarlyRequest& waiting : std::exchange(this->early_requests, {})) {
+    this->startup_wait.Leave(waiting.bytes);
+    this->Refuse(*waiting.exchange, http::kUnavailable, {}, kStopping);
+  }
 }
 
 void Gateway::Refuse(http::Exchange& exchange, int status,
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -30,6 +30,9 @@
 /// Between checks for capacity for an answer that lost its path.
 inline constexpr Duration kCapacityPollPeriod = std::chrono::milliseconds(60);
 
+/// Why an instance that stops refuses requests.
+inline constexpr std::string_view kStopping = "stopping";
+
 /// Returns whether an answer with \p status is a success. Thread safety: safe.
 inline bool IsSuccess(int status) {
   constexpr int kFirstSuccess = 200;
@@ -92,8 +95,8 @@
 
   /// Checks for capacity again, and sends the request if there is some.
   QueueStep LeaveQueue();
-  /// Logs what the end of the process cuts.
-  void LogCut() const;
+  /// Gives the request its final answer, as the process ends.
+  void EndByStop();
   /// Refuses the request, which waiting can't help any more.
   void RefuseQueued();
   bool IsFinished() const { return this->finished; }
@@ -312,6 +315,8 @@
   void OnDeadline();
   void OnCallerDisconnected();
 
+  /// Logs what the end of the process cuts.
+  void LogCut() const;
   void Refuse(std::string_view reason);
   /// Returns when the caller, which is refused now, should retry.
   RetryTime RetryAfter();
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -86,8 +86,11 @@
     this->Fail(http::kBadGateway, reason);
     return;
   }
+  // Other instances have not refused it.
+  const RetryTime retry =
+      reason == kStopping ? RetryTime() : this->RetryAfter();
   this->gateway.Refuse(
-      *this->exchange, http::kUnavailable, this->RetryAfter(), reason,
+      *this->exchange, http::kUnavailable, retry, reason,
       Fields()
           .Count("endpoints", this->candidates.ready)
           .Count("endpoints_suspected", this->candidates.suspected)
@@ -173,6 +176,12 @@
           .Append(this->trace.OfAnswer()));
 }
 
+void ProxiedRequest::EndByStop() {
+  if (this->finished) return;
+  this->LogCut();
+  this->Refuse(kStopping);
+}
+
 void ProxiedRequest::LogCut() const {
   const TimePoint now = this->gateway.loop.Now();
   const TimePoint stopping = this->gateway.state.stopping_since.value_or(now);
