A planned stop takes only requests that it can finish

What callers saw: requests that came late in the grace time of a planned stop were taken and cut at its end, among them calls that must not run twice.

Cause: what came up to 2.8 s after the signal was taken, whatever the grace time is and however long the request may last; what waited in a queue was sent on at any time.

Change: StopPlan::MayTake decides without I/O from the time since the signal, the grace and the time that the request may take: all that is left to it if it must not run twice, else the longest of the last 64 answers of its route. It is asked at the head, at admission, when a request leaves the queue, and before a call that must not run twice is sent again.

Why it works: nothing shorter than its deadline is certain for a call that can't be repeated; a refusal costs callers a connection, a cut one the request.

--- a/include/toucanwharf/admission/stop_plan.h
+++ b/include/toucanwharf/admission/stop_plan.h
@@ -1,10 +1,24 @@
 #ifndef TOUCANWHARF_ADMISSION_STOP_PLAN_H_
 #define TOUCANWHARF_ADMISSION_STOP_PLAN_H_
 
+#include <optional>
+
 #include "toucanwharf/support/clock.h"
 
 namespace toucanwharf::admission {
 
+/// How long a request may last.
+struct ExpectedTime {
+  /// Until its answer is due.
+  Duration left;
+  /// What its route usually takes; nothing while that isn't known.
+  std::optional<Duration> usual;
+  /// Whether it may run twice.
+  bool repeatable = false;
+
+  friend bool operator==(const ExpectedTime&, const ExpectedTime&) = default;
+};
+
 /// What a process does at which time of a planned stop, counted from the signal
 /// to stop. An immutable value. Thread safety: safe.
 class StopPlan {
@@ -18,6 +32,16 @@
   /// Returns when the process ends, delivered or not.
   Duration ExitBy() const { return this->exit_by; }
 
+  /// Returns whether to take a request \p elapsed after the signal: whether it
+  /// gets its answer before the last ones are given. What may run twice is
+  /// expected to take as long as usual. What may not is allowed all the time
+  /// that is left to it, since nothing shorter is certain.
+  ///
+  /// Load: callers learn of the stop seconds after the signal and send on until
+  /// then. A refusal costs them another connection, an answer that is cut the
+  /// request.
+  bool MayTake(Duration elapsed, const ExpectedTime& expected) const;
+
   friend bool operator==(const StopPlan&, const StopPlan&) = default;
 
  private:
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -13,8 +13,10 @@
 #include <vector>
 
 #include "toucanwharf/admission/answer_meter.h"
+#include "toucanwharf/admission/answer_times.h"
 #include "toucanwharf/admission/claim_queue.h"
 #include "toucanwharf/admission/return_schedule.h"
+#include "toucanwharf/admission/stop_plan.h"
 #include "toucanwharf/admission/usual_time.h"
 #include "toucanwharf/attempts/arrival_budget.h"
 #include "toucanwharf/attempts/probe_backoff.h"
@@ -383,7 +385,10 @@
               std::string_view reason,
               const eventlog::Fields& more = eventlog::Fields(),
               bool reached_endpoint = false);
-  bool TooLateToAccept(TimePoint now) const;
+  /// Returns whether the process stops and may end before a request of
+  /// \p route, with \p left of its time, has its answer.
+  bool TooLateToTake(const routes::Route& route, Duration left,
+                     TimePoint now) const;
   /// Returns why a forwarded request can't be taken; empty if it can.
   std::string_view ForwardProblem(
       const std::optional<ForwardedRequest>& forwarded, TimePoint now) const;
@@ -401,6 +406,8 @@
   attempts::ArrivalBudget budget;
   attempts::UnreadRequests unread;
   admission::UsualTime usual_time;
+  admission::AnswerTimes answer_times;
+  admission::StopPlan stop_plan;
   Random random;
   EngineCalls calls;
   GatewayCounters counters;
--- /dev/null
+++ b/lib/admission/answer_times.cc
@@ -0,0 +1,30 @@
+#include "toucanwharf/admission/answer_times.h"
+
+#include <algorithm>
+
+namespace toucanwharf::admission {
+namespace {
+
+/// Answers of a route that count: the longest of them is hardly exceeded.
+constexpr std::size_t kAnswers = 64;
+/// Bound of the memory: routes that are no longer configured are forgotten
+/// together with the others, which are soon learned again.
+constexpr std::size_t kMaxRoutes = 4096;
+
+}  // namespace
+
+void AnswerTimes::Record(const std::string& route, Duration took) {
+  const bool full = this->routes.size() >= kMaxRoutes;
+  if (full && !this->routes.contains(route)) this->routes.clear();
+  std::deque<Duration>& last = this->routes[route];
+  last.push_back(took);
+  if (last.size() > kAnswers) last.pop_front();
+}
+
+std::optional<Duration> AnswerTimes::LongestOf(const std::string& route) const {
+  const auto found = this->routes.find(route);
+  if (found == this->routes.end()) return std::nullopt;
+  return *std::max_element(found->second.begin(), found->second.end());
+}
+
+}  // namespace toucanwharf::admission
--- a/lib/admission/stop_plan.cc
+++ b/lib/admission/stop_plan.cc
@@ -18,4 +18,12 @@
   this->exit_by = grace - margin / 2;
 }
 
+bool StopPlan::MayTake(Duration elapsed, const ExpectedTime& expected) const {
+  Duration needed = expected.left;
+  if (expected.repeatable && expected.usual) {
+    needed = std::min(needed, *expected.usual);
+  }
+  return elapsed + needed <= this->answer_by;
+}
+
 }  // namespace toucanwharf::admission
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -18,10 +18,6 @@
 /// Retry-After of an instance without a descriptor for another call: answers
 /// end, and free theirs, many times a second.
 constexpr Duration kRetryWithoutDescriptor = std::chrono::milliseconds(500);
-/// Streams last a few seconds. One that arrives later than this after the
-/// signal to stop could be cut by the kill, so it is refused and its caller
-/// goes to another instance.
-constexpr Duration kAcceptAfterStop = std::chrono::milliseconds(2800);
 constexpr double kMicrosPerSecond = 1e6;
 /// Between checks whether early requests can be admitted.
 constexpr Duration kEarlyPollPeriod = std::chrono::milliseconds(10);
@@ -71,6 +67,7 @@
       names(std::move(header_names)),
       budget(initial_settings.budget, event_loop.Now()),
       unread(initial_settings.budget.window),
+      stop_plan(initial_settings.bounds.grace),
       random(HashText(shared_state.instance)),
       calls(std::move(engine_calls)),
       probe(event_loop, http_client, this->calls.report, this->calls.to_report),
@@ -86,9 +83,13 @@
   });
 }
 
-bool Gateway::TooLateToAccept(TimePoint now) const {
-  return this->ended || (this->state.stopping_since &&
-                         now - *this->state.stopping_since > kAcceptAfterStop);
+bool Gateway::TooLateToTake(const routes::Route& route, Duration left,
+                            TimePoint now) const {
+  if (this->ended) return true;
+  if (!this->state.stopping_since) return false;
+  const admission::ExpectedTime expected{
+      left, this->answer_times.LongestOf(route.name), route.Repeatable()};
+  return !this->stop_plan.MayTake(now - *this->state.stopping_since, expected);
 }
 
 bool Gateway::KnowsEnoughToAdmit(TimePoint now) const {
@@ -145,9 +146,6 @@
     return Refusal{
         http::kUnavailable, {kRetryWithoutState}, "no_configuration"};
   }
-  if (this->TooLateToAccept(now)) {
-    return Refusal{http::kUnavailable, {}, kStopping};
-  }
   admitted.table = table;
   admitted.route =
       table->Find(request.headers.Get("Host"), http::PathOf(request.target));
@@ -155,6 +153,11 @@
     return Refusal{http::kNotFound, {}, "no_route"};
   }
   const routes::Route& route = *admitted.route;
+  const Duration left =
+      DeadlineOf(request.headers.Get(this->names.deadline), route.timeout);
+  if (this->TooLateToTake(route, left, now)) {
+    return Refusal{http::kUnavailable, {}, kStopping};
+  }
   if (!route.open && !table->All().customers.empty()) {
     if (!this->state.MayAcceptKeys(now)) {
       return Refusal{
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -124,6 +124,11 @@
 ProxiedRequest::QueueStep ProxiedRequest::LeaveQueue() {
   if (this->finished) return QueueStep::kEnded;
   if (this->RefuseQuarantined()) return QueueStep::kEnded;
+  if (this->TooLateToSend()) {
+    this->RecordWait();
+    this->Refuse(kStopping);
+    return QueueStep::kEnded;
+  }
   const auto chosen = this->ChooseTarget();
   if (chosen) {
     this->RecordWait();
@@ -165,6 +170,15 @@
   this->Log(Level::kRoutine, "queued", fields);
 }
 
+bool ProxiedRequest::TooLateToSend() const {
+  const routes::Route& route = *this->admitted.route;
+  const bool sent_before = this->attempt_counts.total > 0;
+  if (this->attempt_counts.answer_started) return false;
+  if (sent_before && route.Repeatable()) return false;
+  const TimePoint now = this->gateway.loop.Now();
+  return this->gateway.TooLateToTake(route, this->admitted.deadline - now, now);
+}
+
 void ProxiedRequest::StartAttempt() {
   // Requests that go before this one are served first.
   const std::string& service = this->admitted.service->name;
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -144,6 +144,9 @@
   }
   bool IsModel() const { return this->admitted.service->engine.has_value(); }
 
+  /// Returns whether the process may end before the answer to what would be
+  /// sent now.
+  bool TooLateToSend() const;
   void StartAttempt();
   std::optional<Target> ChooseTarget();
   std::optional<Target> ChooseForRetry(attempts::AttemptOutcome outcome);
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -147,6 +147,11 @@
   this->gateway.loop.Cancel(this->stall_timer);
   this->exchange->OnDisconnect(nullptr);
   const bool answered = outcome == "answered";
+  if (answered) {
+    this->gateway.answer_times.Record(
+        this->admitted.route->name,
+        this->gateway.loop.Now() - this->admitted.arrived);
+  }
   if (answered && this->IsModel()) {
     this->gateway.OnAnswerEnded(this->admitted.service->name);
   }
--- a/lib/instance/proxied_request_retry.cc
+++ b/lib/instance/proxied_request_retry.cc
@@ -27,7 +27,7 @@
     AttemptOutcome outcome) {
   const TimePoint now = this->gateway.loop.Now();
   if (now >= this->admitted.deadline) return std::nullopt;
-  if (!this->MayRetry(outcome)) return std::nullopt;
+  if (!this->MayRetry(outcome) || this->TooLateToSend()) return std::nullopt;
   auto next = this->ChooseTarget();
   if (!next) return std::nullopt;
   // An attempt without a connection caused no arrival.
--- a/unittests/http/http_test.cc
+++ b/unittests/http/http_test.cc
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <functional>
 #include <future>
 #include <memory>
@@ -80,6 +81,11 @@
       total += static_cast<std::size_t>(size);
     }
   }
+  /// Waits for the next byte or the end. Returns whether it is a reset.
+  bool IsReset() const {
+    char byte = 0;
+    return recv(this->descriptor, &byte, 1, 0) < 0 && errno == ECONNRESET;
+  }
   void Close() {
     if (this->descriptor >= 0) close(this->descriptor);
     this->descriptor = -1;
@@ -537,6 +543,68 @@
              std::string::npos);
 }
 
+// Guards against requests that end with the process, half received, unread or
+// under way, without an answer.
+BOOST_AUTO_TEST_CASE(EndingServerAnswersWhatItHasReceived) {
+  std::vector<std::shared_ptr<Exchange>> held;
+  ServerThread server([&](const std::shared_ptr<Exchange>& exchange) {
+    held.push_back(exchange);
+  });
+  RawSocket under_way(server.Port());
+  under_way.Send(kGet);
+  RawSocket half_head(server.Port());
+  half_head.Send("GET /a HT");
+  RawSocket half_body(server.Port());
+  half_body.Send("POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nfour");
+  RawSocket idle(server.Port());
+  while (true) {
+    std::size_t receiving = 0;
+    std::size_t open = 0;
+    server.On([&] {
+      receiving = server.server->Receiving();
+      open = server.server->Open();
+    });
+    if (receiving == 2 && open == 4 && held.size() == 1) break;
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+  server.On([&] { server.server->CloseUnused(); });
+  for (const RawSocket* caller : {&half_head, &half_body}) {
+    const std::string answer = caller->ReadUntil("");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+    BOOST_TEST(answer.find("Retry-After: 0") != std::string::npos);
+  }
+  BOOST_TEST(idle.ReadUntil("").empty());
+  server.On([&] {
+    ResponseHead head;
+    head.status = kOk;
+    held.front()->Respond(head, "late");
+    held.clear();
+  });
+  BOOST_TEST(under_way.ReadUntil("").ends_with("late"));
+}
+
+// Guards against a part of an answer that looks whole because the process ends
+// with the connection.
+BOOST_AUTO_TEST_CASE(UnfinishedAnswerIsResetByTheEndOfItsServer) {
+  std::shared_ptr<Exchange> held;
+  auto server = std::make_unique<ServerThread>(
+      [&](const std::shared_ptr<Exchange>& exchange) {
+        ResponseHead head;
+        head.status = kOk;
+        head.ends_with_connection = true;
+        exchange->Begin(head);
+        exchange->Write("a part");
+        held = exchange;
+      });
+  RawSocket caller(server->Port());
+  caller.Send(kGet);
+  BOOST_TEST(caller.ReadUntil("a part").ends_with("a part"));
+  server->On([&] { server->server.reset(); });
+  BOOST_TEST(caller.IsReset());
+  server->On([&] { held.reset(); });
+}
+
 constexpr std::size_t kMebibyte = 1024UL * 1024;
 /// More than the kernel holds for one connection.
 constexpr std::size_t kLongBody = 32 * kMebibyte;
