--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -13,8 +13,10 @@
 #include <vector>
 
 #include "toucanwharf/admission/answer_meter.h"
+#include "toucanwharf/admission/answer_times.h"
 #include "toucanwharf/admission/claim_queue.h"
 #include "toucanwharf/admission/return_schedule.h"
+#include "toucanwharf/admission/stop_plan.h"
 #include "toucanwharf/admission/usual_time.h"
 #include "toucanwharf/attempts/arrival_budget.h"
 #include "toucanwharf/attempts/probe_backoff.h"
@@ -199,8 +201,10 @@
   const attempts::BudgetSharers& Sharers() const {
     return this->budget.Sharers();
   }
-  /// Logs the requests in flight, which the end of the process cuts.
-  void LogCut() const;
+  /// Logs the requests in flight and gives each its final answer, as the
+  /// process ends: a refusal if it did not run, else a failure; an answer that
+  /// has begun is broken off. All that come later are refused.
+  void EndAll();
   /// Returns how many requests are in flight.
   std::size_t InFlight() const {
     return this->active.size() + this->early_requests.size();
@@ -381,7 +385,10 @@
               std::string_view reason,
               const eventlog::Fields& more = eventlog::Fields(),
               bool reached_endpoint = false);
-  bool TooLateToAccept(TimePoint now) const;
+  /// Returns whether the process stops and may end before a request of
+  /// \p route, with \p left of its time, has its answer.
+  bool TooLateToTake(const routes::Route& route, Duration left,
+                     TimePoint now) const;
   /// Returns why a forwarded request can't be taken; empty if it can.
   std::string_view ForwardProblem(
       const std::optional<ForwardedRequest>& forwarded, TimePoint now) const;
@@ -399,6 +406,8 @@
   attempts::ArrivalBudget budget;
   attempts::UnreadRequests unread;
   admission::UsualTime usual_time;
+  admission::AnswerTimes answer_times;
+  admission::StopPlan stop_plan;
   Random random;
   EngineCalls calls;
   GatewayCounters counters;
@@ -420,6 +429,8 @@
   /// By service; none is empty between two rounds.
   std::map<std::string, ServiceQueue> queues;
   std::uint64_t queued_ids = 0;
+  /// Whether all that was under way got its final answer.
+  bool ended = false;
   /// By service.
   std::map<std::string, ServiceReturns> returns;
   http::TimerId queue_timer = 0;
--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -50,6 +50,8 @@
 constexpr std::size_t kExchangeBytes = 4UL * 1024;
 /// Retry-After of a request for which there was no memory.
 constexpr const char* kRetryNoMemory = "1";
+/// The same of one that comes as the process ends: its caller goes elsewhere.
+constexpr const char* kRetryElsewhere = "0";
 
 /// Returns the status of the response to an unacceptable request.
 int StatusOf(const Code& why) {
@@ -179,6 +181,28 @@
   return this->ends_with_connection && !whole;
 }
 
+bool Connection::Receives() const {
+  return !this->closed && !this->failed && !this->answering &&
+         !this->lingering && this->parser->got_some();
+}
+
+void Connection::CloseUnused() {
+  if (this->closed || this->failed || this->answering || this->lingering) {
+    return;
+  }
+  if (!this->Receives()) {
+    // A request may have come that was not read yet.
+    const auto self = this->shared_from_this();
+    this->OnReadable(Code());
+    if (this->closed || this->answering || this->lingering) return;
+  }
+  if (this->Receives()) {
+    this->Reject(kUnavailable, kRetryElsewhere);
+    return;
+  }
+  this->Linger();
+}
+
 void Connection::Respond(const ResponseHead& head, std::string_view text) {
   const bool bodyless = HasNoBody(head.status);
   std::string response = HeadText(
@@ -401,13 +425,13 @@
   this->body.append(bytes);
 }
 
-void Connection::Reject(int status) {
+void Connection::Reject(int status, const char* retry_after) {
   this->DropRequest();
   this->keep_alive = false;
   this->answering = true;
   ResponseHead head;
   head.status = status;
-  if (status == kUnavailable) head.headers.Add("Retry-After", kRetryNoMemory);
+  if (retry_after != nullptr) head.headers.Add("Retry-After", retry_after);
   this->Respond(head, "");
 }
 
@@ -584,7 +608,7 @@
 
 void Connection::RefuseForMemory() {
   ++this->table->Shared().counters.evicted_requests;
-  this->Reject(kUnavailable);
+  this->Reject(kUnavailable, kRetryNoMemory);
 }
 
 void Connection::CutAnswer() {
--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -97,8 +97,11 @@
     this->Fail(http::kBadGateway, reason);
     return;
   }
+  // Other instances have not refused it.
+  const RetryTime retry =
+      reason == kStopping ? RetryTime() : this->RetryAfter();
   this->gateway.Refuse(
-      *this->exchange, http::kUnavailable, this->RetryAfter(), reason,
+      *this->exchange, http::kUnavailable, retry, reason,
       Fields()
           .Count("endpoints", this->candidates.ready)
           .Count("endpoints_suspected", this->candidates.suspected)
@@ -155,6 +158,11 @@
   this->gateway.loop.Cancel(this->stall_timer);
   this->exchange->OnDisconnect(nullptr);
   const bool answered = outcome == "answered";
+  if (answered) {
+    this->gateway.answer_times.Record(
+        this->admitted.route->name,
+        this->gateway.loop.Now() - this->admitted.arrived);
+  }
   if (answered && this->IsModel()) {
     this->gateway.OnAnswerEnded(this->admitted.service->name);
   }
@@ -184,6 +192,12 @@
           .Append(this->trace.OfAnswer()));
 }
 
+void ProxiedRequest::EndByStop() {
+  if (this->finished) return;
+  this->LogCut();
+  this->Refuse(kStopping);
+}
+
 void ProxiedRequest::LogCut() const {
   const TimePoint now = this->gateway.loop.Now();
   const TimePoint stopping = this->gateway.state.stopping_since.value_or(now);
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -111,6 +111,11 @@
 target_link_libraries(process_abandoned_answer PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(planned_stop)
+target_sources(process_planned_stop PRIVATE test/process/platform_fleet.cc)
+target_link_libraries(process_planned_stop PRIVATE standin_fleet
+  standin_relay_parts)
+
 tw_process_test(endless_answer)
 target_sources(process_endless_answer PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_endless_answer PRIVATE standin_fleet
