A killed process resets answers that only their connection ends

What callers saw: an answer without a length or chunks looked whole when its router was killed, or ran out of memory, in the middle: the kernel closes the connections of a process that has no code left to run in order.

The reset is set when such an answer begins and taken back when all of it was handed to the kernel, instead of being set by Close. So it holds for each way in which the process or the connection ends, and for callers of HTTP/1.0, who get no chunks.

--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -162,9 +162,6 @@
   this->closed = true;
   this->server->loop.Cancel(this->timer);
   Code ignored;
-  if (this->CloseWouldEndAnswer()) {
-    this->socket.set_option(tcp::socket::linger(true, 0), ignored);
-  }
   this->socket.close(ignored);
   this->descriptor.Release();
   this->DropRequest();
@@ -175,10 +172,9 @@
   this->NotifyDisconnect();
 }
 
-bool Connection::CloseWouldEndAnswer() const {
-  const bool whole =
-      this->answer_ended && this->unsent.empty() && !this->failed;
-  return this->ends_with_connection && !whole;
+void Connection::ResetAtClose(bool resets) {
+  Code ignored;
+  this->socket.set_option(tcp::socket::linger(resets, 0), ignored);
 }
 
 bool Connection::Receives() const {
@@ -223,6 +219,7 @@
   this->ends_with_connection =
       head.ends_with_connection || (!has_end && !this->chunked);
   this->close_after = this->close_after || this->ends_with_connection;
+  if (this->ends_with_connection) this->ResetAtClose(true);
   this->Send(HeadText(head, this->chunked, head.length,
                       this->NeedsCloseHeader(head),
                       this->server->limits.idle_timeout));
@@ -242,7 +239,6 @@
 
 void Connection::End() {
   if (this->chunked && !this->head_only) this->Send("0\r\n\r\n");
-  this->answer_ended = true;
   this->OnResponseEnd();
 }
 
@@ -502,6 +498,7 @@
     return;
   }
   Code ignored;
+  if (this->ends_with_connection) this->ResetAtClose(false);
   this->socket.shutdown(tcp::socket::shutdown_send, ignored);
   this->Enter(Phase::kIdle);
   this->CloseAfter(kLingerTimeout);
--- a/lib/http/connection.h
+++ b/lib/http/connection.h
@@ -66,9 +66,11 @@
   using Socket = boost::asio::ip::tcp::socket;
 
   bool NeedsCloseHeader(const ResponseHead& head);
-  /// Returns whether the caller would take an orderly close, which ends an
-  /// answer without a length or chunks, for the end of one that isn't whole.
-  bool CloseWouldEndAnswer() const;
+  /// Sets whether the end of the connection is a reset. An orderly one would
+  /// end an answer that has neither a length nor chunks, whatever is missing;
+  /// so until all of it was sent, the kernel resets the connection even of a
+  /// process that is killed.
+  void ResetAtClose(bool resets);
   void PrepareNextRequest();
   void CloseAfter(Duration delay);
   void SetTimer(Duration delay, const std::function<void()>& action);
@@ -156,7 +158,6 @@
   bool chunked = false;
   /// Whether only the end of the connection ends the answer.
   bool ends_with_connection = false;
-  bool answer_ended = false;
   bool head_only = false;
 };
 
