What is passed on while it comes isn't framed by its connection

What callers saw (by test): a part of a long plain answer as the whole one, where the router was killed while it passed the answer on.

Cause: an answer without a length or chunks kept that form towards its caller, and the kernel closes the connections of a killed process in order. It holds between routers, too.

Before such an answer is passed on in parts (it is longer than what is held back), its endpoint is asked for its start, and reading waits for that. If the start is known, the answer goes on in chunks; the last one follows only when the same start has proved the end, otherwise the answer is broken off. If the endpoint tells no start, the answer keeps its form and ends as it came, so that none is lost for lack of a proof; it can still look whole when the router is killed. Answers that are held back whole keep their form and are written at once.

--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -212,6 +212,9 @@
   this->head_outcome.reset();
   this->DropHeldBack();
   this->second_answer.reset();
+  this->start_is_asked = false;
+  this->start_is_awaited = false;
+  this->end_provable = false;
   this->end_is_asked = false;
   this->events.BeginRun();
   this->events_lease.Resize(this->events.HeldBytes());
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -177,6 +177,16 @@
   /// endpoint while the caller lags behind.
   void Relay(std::string_view bytes);
   void ReadOnWhenSent();
+  /// Returns whether a long answer without framing waits for the start of its
+  /// endpoint, which it asks for once.
+  ///
+  /// Failure guarded against: this process is killed while it passes the answer
+  /// on, and the kernel's close ends the answer for its caller. Chunks don't
+  /// end so, but whoever sends their last must be able to prove the end.
+  bool AwaitsStart();
+  void OnStartKnown(const ProbeAnswer& answer);
+  /// Begins to pass on a plain answer, of which a part is held.
+  void PassOnHeldBack();
   /// Keeps the body of a failure.
   void OnFailureData(std::string_view bytes);
   /// Adds to what is held back of an answer, or of a failure.
@@ -301,6 +311,8 @@
   /// whole. Returns whether it did.
   bool EndedInsideStream();
   void OnEndProbed(const ProbeAnswer& answer);
+  /// Returns what \p answer says of an end that comes before it.
+  endpoints::UnframedEnd MeaningOf(const ProbeAnswer& answer) const;
   /// Returns whether what the endpoint's address shows now tells how the answer
   /// ended.
   bool MayAskAfterEnd() const;
@@ -414,6 +426,14 @@
   resources::Lease body_lease;
   /// Of an answer that only its connection ends.
   std::optional<http::SecondAnswerFinder> second_answer;
+  /// Whether the endpoint's start was asked for while the answer came, and
+  /// whether it is known, so that the answer's end can be proved.
+  bool start_is_asked = false;
+  bool start_is_awaited = false;
+  bool end_provable = false;
+  /// Whether a plain answer is passed on in chunks, the last of which says that
+  /// all of it came.
+  bool in_chunks = false;
   /// Whether all of a plain answer is there, and only its end is in doubt.
   bool end_is_asked = false;
   http::EventSplitter events;
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -1,11 +1,13 @@
 #include <utility>
 
 #include "proxied_request.h"
+#include "toucanwharf/endpoints/unframed_end.h"
 
 namespace toucanwharf::instance {
 namespace {
 
 using attempts::AttemptOutcome;
+using endpoints::UnframedEnd;
 using eventlog::Fields;
 using eventlog::Level;
 
@@ -109,10 +111,16 @@
   this->HoldBack(bytes);
   const std::size_t most =
       this->gateway.buffers.Allowance(kMaxHeldBackBytes, kMinHeldBytes);
-  if (this->body.size() <= most) return;
-  http::ResponseHead out = this->head.ends_with_connection
-                               ? this->UnframedHead()
-                               : this->ToRelay(this->head);
+  // One that has ended is passed on whole.
+  if (this->body.size() <= most || this->call == 0) return;
+  if (!this->AwaitsStart()) this->PassOnHeldBack();
+}
+
+void ProxiedRequest::PassOnHeldBack() {
+  this->in_chunks = !this->head.length.has_value() && this->end_provable;
+  const bool unframed = this->head.ends_with_connection && !this->in_chunks;
+  http::ResponseHead out =
+      unframed ? this->UnframedHead() : this->ToRelay(this->head);
   out.length = this->head.length;
   this->attempt_counts.answer_started = true;
   this->BeginAnswer(out);
@@ -121,6 +129,32 @@
   this->DropHeldBack();
 }
 
+bool ProxiedRequest::AwaitsStart() {
+  const bool asked = std::exchange(this->start_is_asked, true);
+  if (asked || !this->head.ends_with_connection || !this->MayAskAfterEnd()) {
+    return this->start_is_awaited;
+  }
+  this->start_is_awaited = true;
+  this->held = true;
+  this->gateway.client.SetReading(this->call, false);
+  this->gateway.probe.Check(
+      this->target.address, this->attempt_started,
+      this->gateway.ConcurrentProbers(),
+      [self = this->shared_from_this(), of = this->call](const auto& answer) {
+        if (!self->finished && self->call == of) self->OnStartKnown(answer);
+      });
+  return true;
+}
+
+void ProxiedRequest::OnStartKnown(const ProbeAnswer& answer) {
+  this->start_is_awaited = false;
+  this->end_provable = this->MeaningOf(answer) == UnframedEnd::kWhole;
+  this->held = false;
+  this->last_data = this->gateway.loop.Now();
+  this->PassOnHeldBack();
+  if (!this->held) this->gateway.client.SetReading(this->call, true);
+}
+
 void ProxiedRequest::HoldBack(std::string_view bytes) {
   this->body.append(bytes);
   this->body_lease.Resize(this->body.capacity());
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -172,7 +172,7 @@
     this->OnUnframedEnd(endpoints::UnframedEnd::kUnknown);
     return;
   }
-  this->end_is_asked = !this->IsModel();
+  this->end_is_asked = !this->IsModel() && !this->in_chunks;
   this->gateway.probe.Check(
       this->target.address, this->gateway.loop.Now(),
       this->gateway.ConcurrentProbers(),
@@ -181,20 +181,24 @@
       });
 }
 
-void ProxiedRequest::OnEndProbed(const ProbeAnswer& answer) {
+endpoints::UnframedEnd ProxiedRequest::MeaningOf(
+    const ProbeAnswer& answer) const {
   endpoints::AfterEnd after;
   after.refused = answer.refused;
   const bool states_start = answer.report && answer.report->start_time_ms != 0;
   if (states_start) after.reported_start_ms = answer.report->start_time_ms;
-  const auto meaning =
-      endpoints::MeaningOfEnd(this->target.start_time_ms, after);
-  this->OnUnframedEnd(meaning);
+  return endpoints::MeaningOfEnd(this->target.start_time_ms, after);
+}
+
+void ProxiedRequest::OnEndProbed(const ProbeAnswer& answer) {
+  this->OnUnframedEnd(this->MeaningOf(answer));
 }
 
 bool ProxiedRequest::MayAskAfterEnd() const {
-  if (this->target.is_peer || this->gateway.IsPaused(this->target.endpoint)) {
-    return false;
-  }
+  if (this->target.is_peer) return false;
+  // Nothing but a proof ends it.
+  if (this->in_chunks) return true;
+  if (this->gateway.IsPaused(this->target.endpoint)) return false;
   if (this->IsModel()) return true;
   // A plain endpoint that leaves may go as soon as its last answer is sent.
   const endpoints::Endpoint* endpoint =
@@ -227,7 +231,7 @@
       return;
     case UnframedEnd::kUnknown:
       // A plain answer is relayed as it came, without framing.
-      if (!this->IsModel()) {
+      if (!this->IsModel() && !this->in_chunks) {
         this->Complete(false);
         return;
       }
