Streams are taken in a stop until callers know of it

Cause: what may be repeated was allowed the longest of the last 64 answers at any time. That refused most streams from the signal on, and some streams last longer still.

Change: what is surely finished, even if it uses all its time, is taken at any time. Until callers know of the stop (2.8 s, by how long they keep addresses) what may be repeated is taken too if the median of the last answers of its route fits; later it isn't.

Why it works: a stream cut after it was taken early is the exception, as its median fits; a late one has other instances to go to.

--- a/include/toucanwharf/admission/answer_times.h
+++ b/include/toucanwharf/admission/answer_times.h
@@ -16,9 +16,9 @@
  public:
   /// Records an answer of \p route that was whole \p took after its request.
   void Record(const std::string& route, Duration took);
-  /// Returns the longest of the last answers of \p route; nothing if there were
+  /// Returns the median of the last answers of \p route; nothing if there were
   /// none.
-  std::optional<Duration> LongestOf(const std::string& route) const;
+  std::optional<Duration> MedianOf(const std::string& route) const;
 
  private:
   std::map<std::string, std::deque<Duration>> routes;
--- a/include/toucanwharf/admission/stop_plan.h
+++ b/include/toucanwharf/admission/stop_plan.h
@@ -23,23 +23,24 @@
 /// to stop. An immutable value. Thread safety: safe.
 class StopPlan {
  public:
-  /// The process is killed \p grace after the signal. Precondition: \p grace is
-  /// positive.
-  explicit StopPlan(Duration grace);
+  /// The process is killed \p grace after the signal, and most callers know of
+  /// the stop \p news after it. Precondition: \p grace is positive.
+  StopPlan(Duration grace, Duration news);
 
   /// Returns when each request that is still under way gets its final answer.
   Duration AnswerBy() const { return this->answer_by; }
   /// Returns when the process ends, delivered or not.
   Duration ExitBy() const { return this->exit_by; }
 
-  /// Returns whether to take a request \p elapsed after the signal: whether it
-  /// gets its answer before the last ones are given. What may run twice is
-  /// expected to take as long as usual. What may not is allowed all the time
-  /// that is left to it, since nothing shorter is certain.
+  /// Returns whether to take a request \p elapsed after the signal. What is
+  /// answered before the last answers are given, even if it uses all the time
+  /// that is left to it, is taken. So is, while callers can't know of the stop,
+  /// what may run twice and usually takes no longer.
   ///
   /// Load: callers learn of the stop seconds after the signal and send on until
-  /// then. A refusal costs them another connection, an answer that is cut the
-  /// request.
+  /// then. Where many instances stop together, refusals leave them no place to
+  /// go. Later ones are few and know other instances, and a refusal costs them
+  /// less than an answer that is cut.
   bool MayTake(Duration elapsed, const ExpectedTime& expected) const;
 
   friend bool operator==(const StopPlan&, const StopPlan&) = default;
@@ -47,6 +48,7 @@
  private:
   Duration answer_by;
   Duration exit_by;
+  Duration known_by;
 };
 
 }  // namespace toucanwharf::admission
--- a/include/toucanwharf/instance/gateway.h
+++ b/include/toucanwharf/instance/gateway.h
@@ -209,6 +209,8 @@
   std::size_t InFlight() const {
     return this->active.size() + this->early_requests.size();
   }
+  /// Returns what the process does when in a planned stop.
+  const admission::StopPlan& Stop() const { return this->stop_plan; }
   const GatewayCounters& Counters() const { return this->counters; }
   /// Returns what waits for capacity of any service, by rank.
   WaitingByRank Waiting() const;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -10,7 +10,6 @@
 #include <utility>
 #include <vector>
 
-#include "toucanwharf/admission/stop_plan.h"
 #include "toucanwharf/eventlog/logger.h"
 #include "toucanwharf/http/client.h"
 #include "toucanwharf/http/server.h"
@@ -465,7 +464,7 @@
             "under_way", static_cast<std::int64_t>(this->gateway.InFlight())),
         now);
     this->caller_server->CloseAfterResponses();
-    this->loop.After(this->stop_plan.AnswerBy(), [this] { this->End(); });
+    this->loop.After(this->gateway.Stop().AnswerBy(), [this] { this->End(); });
     this->peers.Announce();
     this->placement.Release();
     this->store.Remove({A::InstanceCollection(), this->settings.name});
@@ -514,7 +513,7 @@
     this->gateway.EndAll();
     this->ForEachServer([](http::Server& server) { server.CloseUnused(); });
     this->end_by =
-        std::min(*this->state.stopping_since + this->stop_plan.ExitBy(),
+        std::min(*this->state.stopping_since + this->gateway.Stop().ExitBy(),
                  this->loop.Now() + kMaxLastWait);
     this->ExitIfDelivered();
   }
@@ -558,7 +557,6 @@
   std::uint64_t seen_epoch = 0;
   std::uint64_t unreadable_epochs = 0;
   TimePoint unreadable_logged{Duration(-1'000'000'000)};
-  admission::StopPlan stop_plan{this->settings.bounds.grace};
   /// Whether the last answers were given, and when the process ends.
   bool ending = false;
   TimePoint end_by;
--- a/lib/admission/answer_times.cc
+++ b/lib/admission/answer_times.cc
@@ -1,11 +1,12 @@
 #include "toucanwharf/admission/answer_times.h"
 
 #include <algorithm>
+#include <cstddef>
 
 namespace toucanwharf::admission {
 namespace {
 
-/// Answers of a route that count: the longest of them is hardly exceeded.
+/// Answers of a route that count.
 constexpr std::size_t kAnswers = 64;
 /// Bound of the memory: routes that are no longer configured are forgotten
 /// together with the others, which are soon learned again.
@@ -21,10 +22,14 @@
   if (last.size() > kAnswers) last.pop_front();
 }
 
-std::optional<Duration> AnswerTimes::LongestOf(const std::string& route) const {
+std::optional<Duration> AnswerTimes::MedianOf(const std::string& route) const {
   const auto found = this->routes.find(route);
   if (found == this->routes.end()) return std::nullopt;
-  return *std::max_element(found->second.begin(), found->second.end());
+  std::deque<Duration> last = found->second;
+  const auto middle =
+      last.begin() + static_cast<std::ptrdiff_t>(last.size() / 2);
+  std::nth_element(last.begin(), middle, last.end());
+  return *middle;
 }
 
 }  // namespace toucanwharf::admission
--- a/lib/admission/stop_plan.cc
+++ b/lib/admission/stop_plan.cc
@@ -12,18 +12,18 @@
 
 }  // namespace
 
-StopPlan::StopPlan(Duration grace) {
+StopPlan::StopPlan(Duration grace, Duration news) : known_by(news) {
   const Duration margin = std::min(kMaxKillMargin, grace / kKillMarginDivisor);
   this->answer_by = grace - margin;
   this->exit_by = grace - margin / 2;
 }
 
 bool StopPlan::MayTake(Duration elapsed, const ExpectedTime& expected) const {
-  Duration needed = expected.left;
-  if (expected.repeatable && expected.usual) {
-    needed = std::min(needed, *expected.usual);
-  }
-  return elapsed + needed <= this->answer_by;
+  const Duration left = this->answer_by - elapsed;
+  if (expected.left <= left) return true;
+  const bool unknown_to_callers = elapsed <= this->known_by;
+  return unknown_to_callers && expected.repeatable && expected.usual &&
+         *expected.usual <= left;
 }
 
 }  // namespace toucanwharf::admission
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -18,6 +18,9 @@
 /// Retry-After of an instance without a descriptor for another call: answers
 /// end, and free theirs, many times a second.
 constexpr Duration kRetryWithoutDescriptor = std::chrono::milliseconds(500);
+/// Until most callers know of a stop: they keep the addresses that they were
+/// told for two seconds.
+constexpr Duration kNewsTime = std::chrono::milliseconds(2800);
 constexpr double kMicrosPerSecond = 1e6;
 /// Between checks whether early requests can be admitted.
 constexpr Duration kEarlyPollPeriod = std::chrono::milliseconds(10);
@@ -67,7 +70,7 @@
       names(std::move(header_names)),
       budget(initial_settings.budget, event_loop.Now()),
       unread(initial_settings.budget.window),
-      stop_plan(initial_settings.bounds.grace),
+      stop_plan(initial_settings.bounds.grace, kNewsTime),
       random(HashText(shared_state.instance)),
       calls(std::move(engine_calls)),
       probe(event_loop, http_client, this->calls.report, this->calls.to_report),
@@ -88,7 +91,7 @@
   if (this->ended) return true;
   if (!this->state.stopping_since) return false;
   const admission::ExpectedTime expected{
-      left, this->answer_times.LongestOf(route.name), route.Repeatable()};
+      left, this->answer_times.MedianOf(route.name), route.Repeatable()};
   return !this->stop_plan.MayTake(now - *this->state.stopping_since, expected);
 }
 
