--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -52,6 +52,22 @@
   return absl::StrCat("id: ", number, "\ndata: piece ", number, "\n\n");
 }
 
+/// Bytes of an answer that stops, under what a router takes of an event.
+constexpr std::size_t kUnendedBytes = 250UL * 1000;
+/// Short fields of a head, whose bytes a router takes.
+constexpr std::size_t kShortFields = 12'000;
+
+void StopInsideAnswer(const std::shared_ptr<http::Exchange>& exchange,
+                      bool long_head) {
+  http::ResponseHead head = HeadOf(http::kOk, exchange->Received());
+  head.headers.Add("Content-Type", "text/event-stream");
+  for (std::size_t i = 0; long_head && i < kShortFields; ++i) {
+    head.headers.Add("a", "");
+  }
+  exchange->Begin(head);
+  if (!long_head) exchange->Write(std::string(kUnendedBytes, 'x'));
+}
+
 }  // namespace
 
 Endpoints::Endpoints(http::Loop& event_loop, Store& registry,
@@ -269,6 +285,12 @@
     this->SendWithoutEnd(exchange);
     return;
   }
+  const bool long_head = endpoint.fault == EndpointFault::kSendsLongHead;
+  if (long_head || endpoint.fault == EndpointFault::kStopsInsideAnswer) {
+    this->runs.push_back(this->RunOf(endpoint, request));
+    StopInsideAnswer(exchange, long_head);
+    return;
+  }
   const bool resumes = request.headers.Find("Last-Event-Id").has_value();
   if (endpoint.fault == EndpointFault::kRejectsResumed && resumes) {
     exchange->Respond(HeadOf(http::kNotFound, request), "no such answer\n");
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -63,6 +63,11 @@
   kSendsWithoutEnd,
   /// The same with status 500.
   kFailsWithoutEnd,
+  /// Begins a long event, or plain body, that a router still takes, and sends
+  /// no more, but keeps the connection.
+  kStopsInsideAnswer,
+  /// Sends only a head, of many short fields, and keeps the connection.
+  kSendsLongHead,
 };
 
 /// One request that an endpoint has read, whether or not it ran it.
--- a/test/process/endless_answer_test.cc
+++ b/test/process/endless_answer_test.cc
@@ -3,7 +3,9 @@
 #include <fstream>
 #include <string>
 #include <thread>
+#include <vector>
 
+#include "test/process/crowd.h"
 #include "test/process/platform_fleet.h"
 
 namespace toucanwharf::process_test {
@@ -70,5 +72,83 @@
   }
 }
 
+constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+/// An idle router takes a third of its memory.
+constexpr MachineLimits kSmallMachine{64, 1600, 0};
+constexpr std::size_t kCrowd = 300;
+
+void SetFaults(PlatformFleet& fleet, const std::vector<std::string>& ids,
+               EndpointFault fault) {
+  fleet.RunOnLoop([&] {
+    for (const std::string& id : ids) fleet.Endpoints().SetFault(id, fault);
+  });
+}
+
+void CheckMachine(PlatformFleet& fleet, const ProcessWatch& watch) {
+  BOOST_TEST(fleet.Router(0).ExitDescription() == "");
+  BOOST_TEST(watch.PeakResidentBytes() <=
+             kSmallMachine.memory_mb * kBytesPerMegabyte);
+}
+
+/// Sends many streams to engines with \p fault.
+void PlayStreams(EndpointFault fault) {
+  PlatformFleet fleet(1, false, false, {}, kSmallMachine);
+  const ProcessWatch watch(fleet.Router(0).Pid());
+  SetFaults(fleet, PlatformFleet::EngineIds(), fault);
+  {
+    Crowd crowd(fleet.CallersAddress(0), kCrowd);
+    crowd.Send(
+        [](std::size_t index) {
+          return RequestHead(index,
+                             LengthField(1) + "X-Token-Counts: 100,100\r\n",
+                             "POST /chat/one");
+        },
+        "p");
+    BOOST_TEST(fleet.Plain(0, "/read/x", "beside").status == http::kOk);
+    CheckMachine(fleet, watch);
+  }
+  SetFaults(fleet, PlatformFleet::EngineIds(), EndpointFault::kNone);
+  BOOST_TEST(PlatformFleet::Eventually(
+      [&] { return fleet.Plain(0, "/read/x", "after").status == http::kOk; }));
+  CheckMachine(fleet, watch);
+}
+
+/// Sends many plain requests to endpoints with \p fault.
+void PlayPlain(EndpointFault fault) {
+  PlatformFleet fleet(1, false, false, {}, kSmallMachine);
+  const ProcessWatch watch(fleet.Router(0).Pid());
+  SetFaults(fleet, PlatformFleet::PlainIds(), fault);
+  {
+    Crowd crowd(fleet.CallersAddress(0), kCrowd);
+    crowd.Send(
+        [](std::size_t index) { return RequestHead(index, "", "GET /read/x"); },
+        "");
+    const EventStream beside = fleet.Stream(0, "beside");
+    BOOST_TEST(beside.answer.status == http::kOk);
+    BOOST_TEST(beside.answer.complete);
+    CheckMachine(fleet, watch);
+  }
+  SetFaults(fleet, PlatformFleet::PlainIds(), EndpointFault::kNone);
+  BOOST_TEST(PlatformFleet::Eventually(
+      [&] { return fleet.Plain(0, "/read/x", "after").status == http::kOk; }));
+  CheckMachine(fleet, watch);
+}
+
+// Guards against events without an end that each stay inside their limit, and
+// all together fill the memory.
+BOOST_AUTO_TEST_CASE(ManyEventsWithoutAnEnd) {
+  PlayStreams(EndpointFault::kStopsInsideAnswer);
+}
+
+// Guards against heads of answers whose many short fields take a multiple of
+// their bytes.
+BOOST_AUTO_TEST_CASE(ManyHeadsOfManyFields) {
+  PlayPlain(EndpointFault::kSendsLongHead);
+}
+
+BOOST_AUTO_TEST_CASE(ManyPlainAnswersWithoutAnEnd) {
+  PlayPlain(EndpointFault::kStopsInsideAnswer);
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -101,7 +101,8 @@
   standin_relay_parts)
 
 tw_process_test(endless_answer)
-target_sources(process_endless_answer PRIVATE test/process/platform_fleet.cc)
+target_sources(process_endless_answer PRIVATE test/process/platform_fleet.cc
+  test/process/crowd.cc)
 target_link_libraries(process_endless_answer PRIVATE standin_fleet
   standin_relay_parts)
 
