What calls receive has its part of the memory

A head of short fields took 16 times its bytes, twice. Change: the account of answers gets an eighth of the memory. When it is full, the calls that held most for longest since their last progress end as kNoMemory (resources::ChooseEvictions), a sixteenth at once; a response has 1,000 fields at most; the parser's copy of the head and mostly empty buffers are freed. Metrics answer_limit_bytes, evicted_answers_total; the line resources_short and try_ended name it. Why it works: whatever the bytes are, they are counted where they lie, and the sum, not each answer, decides. Sound answers pass on what they hold, so that they never are what held most for longest.

--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -32,6 +32,9 @@
   kBroken,
   /// The bytes received are not a valid response.
   kMalformed,
+  /// This process had no memory for the rest of the response, of which it held
+  /// more for longer than of others. Says nothing of the peer.
+  kNoMemory,
 };
 
 struct CallResult {
@@ -72,6 +75,9 @@
   std::function<void(const ResponseHead&)> on_head;
   std::function<void(std::string_view)> on_data;
   std::function<void(const CallResult&)> on_done;
+  /// Returns how many bytes the receiver holds of the response, of those that a
+  /// lease of Client::LeaseForAnswer counts. Without it there are none.
+  std::function<std::size_t()> held_bytes;
 };
 
 /// Sends HTTP requests, one at a time on each connection, and pools idle
@@ -95,7 +101,9 @@
   /// Returns whether there are descriptors for another call and for the few
   /// that the process makes for itself.
   bool HasRoom() const;
-  /// Returns a lease, of nothing yet, for what is held of an answer.
+  /// Returns a lease, of nothing yet, for what a receiver holds of an answer.
+  /// When more is held of all answers than there is room for, the calls that
+  /// hold most for longest are ended; see CallHandlers::held_bytes.
   resources::Lease LeaseForAnswer() const;
   /// Closes the call's connection; a call that has ended, or 0, is ignored.
   void Cancel(CallId id);
--- a/include/toucanwharf/http/message.h
+++ b/include/toucanwharf/http/message.h
@@ -53,6 +53,7 @@
     return this->Find(name).value_or(std::string_view());
   }
 
+  std::size_t Size() const { return this->fields.size(); }
   /// Returns the memory that the fields take, in bytes.
   std::size_t HeapBytes() const;
 
--- a/include/toucanwharf/http/resources.h
+++ b/include/toucanwharf/http/resources.h
@@ -24,6 +24,9 @@
   std::uint64_t refused_connections = 0;
   /// Calls that failed because there was no descriptor for them.
   std::uint64_t refused_calls = 0;
+  /// Calls ended because, when there was no room for more, they had held most
+  /// of an answer for longest.
+  std::uint64_t evicted_answers = 0;
   /// Calls whose bytes were no answer.
   std::uint64_t malformed_answers = 0;
 
@@ -34,11 +37,15 @@
 /// What all servers and clients of one process use together.
 /// Thread safety: none; for the loop's thread.
 struct Resources {
-  /// \p buffer_bytes is how much memory may be in use for requests and answers,
-  /// and \p connections how many connections may be open.
+  /// \p buffer_bytes is how much memory may be in use for requests and answers
+  /// that wait, \p connections how many connections may be open, and
+  /// \p answer_bytes how much memory may be in use for what calls receive.
   explicit Resources(std::size_t buffer_bytes = resources::Account::kUnlimited,
-                     std::size_t connections = resources::Account::kUnlimited)
-      : buffers(buffer_bytes), descriptors(connections) {}
+                     std::size_t connections = resources::Account::kUnlimited,
+                     std::size_t answer_bytes = resources::Account::kUnlimited)
+      : buffers(buffer_bytes),
+        answers(answer_bytes),
+        descriptors(connections) {}
 
   /// Memory of requests, and of answers that wait for their callers, in bytes.
   resources::Account buffers;
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -426,8 +426,9 @@
       this->logger.Write(eventlog::Level::kNotable, "resources_short",
                          *shortage, now);
     }
-    if (this->resource_watch.HasFreeMemory(this->resources.buffers.Used(),
-                                           now)) {
+    const std::size_t used =
+        this->resources.buffers.Used() + this->resources.answers.Used();
+    if (this->resource_watch.HasFreeMemory(used, now)) {
       ReturnFreeMemory();
     }
   }
@@ -501,7 +502,8 @@
   InstanceSettings settings;
   ResourcePlan plan{PlanResources(this->settings.machine, SystemMemoryBytes(),
                                   SystemDescriptors())};
-  http::Resources resources{this->plan.buffer_bytes, this->plan.connections};
+  http::Resources resources{this->plan.buffer_bytes, this->plan.connections,
+                            this->plan.answer_bytes};
   ResourceWatch resource_watch;
   http::Loop loop;
   std::shared_ptr<http::ConnectionTable> connections{
--- a/include/toucanwharf/instance/resource_plan.h
+++ b/include/toucanwharf/instance/resource_plan.h
@@ -12,6 +12,8 @@
 struct ResourcePlan {
   /// Memory of requests, and of answers that wait for their callers, in bytes.
   std::size_t buffer_bytes = 0;
+  /// Memory of what calls hold of answers before it is passed on, in bytes.
+  std::size_t answer_bytes = 0;
   /// Connections of all uses.
   std::size_t connections = 0;
 
--- a/lib/eventlog/explain.cc
+++ b/lib/eventlog/explain.cc
@@ -17,7 +17,7 @@
 
 /// Explanation of each reason that an attempt or a request ended, and the log
 /// lines to check.
-constexpr std::array<std::pair<std::string_view, std::string_view>, 29>
+constexpr std::array<std::pair<std::string_view, std::string_view>, 30>
     kCauses = {{
         {"no_configuration",
          "the instance had just started and had no configuration; see its "
@@ -50,6 +50,9 @@
         {"failed_at_endpoint", "the endpoint ran it and failed"},
         {"broken",
          "the connection to the endpoint broke before the answer was whole"},
+        {"no_memory",
+         "this instance had no memory for the rest of the answer, of which it "
+         "held most for longest"},
         {"answer_of_another_request",
          "the endpoint sent an answer to another request"},
         {"ended_inside_event", "the endpoint ended in the middle of an event"},
--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -16,6 +16,7 @@
 #include "address.h"
 #include "loop_state.h"
 #include "parser.h"
+#include "toucanwharf/resources/eviction.h"
 
 namespace toucanwharf::http {
 namespace {
@@ -36,6 +37,11 @@
 /// Receive buffer of each connection, in bytes. What waits there for a caller
 /// that reads slowly counts as memory of the machine.
 constexpr int kReceiveBufferBytes = 32 * 1024;
+/// A buffer of up to this many bytes is kept for the next ones.
+constexpr std::size_t kKeptInputBytes = 1024;
+/// When there is no room for more of answers, this part of all is freed at
+/// once, so that room is seldom looked for.
+constexpr std::size_t kFreedAnswersDivisor = 16;
 /// Connections that remain for calls of the process itself, to the store and to
 /// peers, as a part of all.
 constexpr std::size_t kOwnCallsDivisor = 32;
@@ -86,6 +92,12 @@
   bool CloseLongestIdle();
   /// Returns how many connections idle, which could be closed for others.
   std::size_t IdleCount() const;
+  /// Ends the calls that hold most for longest of their answers if there is no
+  /// room for what all hold.
+  ///
+  /// Load: faulty peers send what is no answer on many calls at once, and each
+  /// call stays inside its own limits. Answers that make progress go on.
+  void KeepWithinAnswers();
 
   Loop& loop;
   Resources* resources;
@@ -123,6 +135,8 @@
     this->result.reused = reused;
     this->head_delivered = false;
     this->held = false;
+    this->held_before = 0;
+    this->progressed_at = this->loop.Now();
     this->loop.Cancel(this->timer);
     this->parser.emplace();
     this->parser->header_limit(kMaxResponseHeaderBytes);
@@ -183,6 +197,15 @@
     if (reads) this->Read();
   }
 
+  /// Returns what this call holds of its answer, which ending it would free.
+  resources::Holding Holding() const {
+    return {static_cast<std::size_t>(this->id), this->HeldBytes(),
+            this->loop.Now() - this->progressed_at};
+  }
+
+  /// Ends the call, for whose answer there is no memory.
+  void EndForMemory() { this->Finish(CallEnd::kNoMemory); }
+
   void Abandon() {
     this->id = 0;
     this->handlers = {};
@@ -292,15 +315,33 @@
       this->OnReadError(error);
       return;
     }
+    const auto self = this->shared_from_this();
     this->input.append(bytes);
-    this->CountInput();
     this->Parse();
     this->CountInput();
+    if (const auto state = this->client.lock()) state->KeepWithinAnswers();
     this->Read();
   }
 
   void CountInput() {
-    this->input_lease.Resize(this->closed ? 0 : this->input.capacity());
+    if (this->closed) std::string().swap(this->input);
+    const std::size_t capacity = this->input.capacity();
+    const bool mostly_unused = this->input.size() <= capacity / 4;
+    if (capacity > kKeptInputBytes && mostly_unused) {
+      this->input.shrink_to_fit();
+    }
+    this->input_lease.Resize(this->closed
+                                 ? 0
+                                 : this->input.capacity() +
+                                       this->parser->head.headers.HeapBytes());
+    const std::size_t held = this->HeldBytes();
+    if (held <= this->held_before) this->progressed_at = this->loop.Now();
+    this->held_before = held;
+  }
+
+  std::size_t HeldBytes() const {
+    const auto& of_receiver = this->handlers.held_bytes;
+    return this->input_lease.Amount() + (of_receiver ? of_receiver() : 0);
   }
 
   void OnReadError(const Code& error) {
@@ -368,6 +409,10 @@
       const auto on_head = this->handlers.on_head;
       on_head(this->parser->head);
     }
+    // The receiver has a copy.
+    this->idle_timeout =
+        IdleTimeout(this->parser->head.headers.Get("Keep-Alive"));
+    this->parser->head.headers = Headers();
     return true;
   }
 
@@ -396,6 +441,11 @@
   CallResult result;
   std::string input;
   resources::Lease input_lease;
+  /// Bytes held after the last read, and when they last became no more.
+  std::size_t held_before = 0;
+  TimePoint progressed_at;
+  /// How long the connection may idle after this call.
+  Duration idle_timeout = kDefaultIdleTimeout;
   Resources* resources = nullptr;
   /// The head of the request, and its body, until they are sent.
   std::string output;
@@ -435,10 +485,8 @@
 }
 
 void ClientConnection::ReturnToPool(Client::State& state) {
-  const Duration idle_timeout =
-      IdleTimeout(this->parser->head.headers.Get("Keep-Alive"));
   auto& pool = state.idle[this->address];
-  if (idle_timeout <= Duration(0) || pool.size() >= kMaxIdlePerAddress) {
+  if (this->idle_timeout <= Duration(0) || pool.size() >= kMaxIdlePerAddress) {
     this->Close();
     return;
   }
@@ -446,7 +494,7 @@
   pool.push_back(this->shared_from_this());
   const auto weak = this->weak_from_this();
   this->loop.Cancel(this->timer);
-  this->timer = this->loop.After(idle_timeout, [weak] {
+  this->timer = this->loop.After(this->idle_timeout, [weak] {
     const auto self = weak.lock();
     if (!self || self->id != 0) return;
     self->Close();
@@ -472,6 +520,27 @@
   return count;
 }
 
+void Client::State::KeepWithinAnswers() {
+  if (this->resources == nullptr) return;
+  const resources::Account& answers = this->resources->answers;
+  if (answers.Used() <= answers.Capacity()) return;
+  const std::size_t wanted =
+      answers.Capacity() - answers.Capacity() / kFreedAnswersDivisor;
+  std::vector<resources::Holding> holdings;
+  for (const auto& [id, connection] : this->calls) {
+    const resources::Holding holding = connection->Holding();
+    if (holding.bytes > 0) holdings.push_back(holding);
+  }
+  for (const std::size_t id : resources::ChooseEvictions(
+           std::move(holdings), answers.Used() - wanted)) {
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end()) continue;
+    ++this->resources->counters.evicted_answers;
+    const auto connection = found->second;
+    connection->EndForMemory();
+  }
+}
+
 bool Client::State::CloseLongestIdle() {
   std::shared_ptr<ClientConnection> longest;
   for (const auto& [address, pool] : this->idle) {
@@ -587,7 +656,7 @@
         done(std::move(on_done)),
         started_at(event_loop.Now()),
         last_byte_at(event_loop.Now()),
-        body_lease(http_client.LeaseForAnswer()) {}
+        held_lease(http_client.LeaseForAnswer()) {}
 
   void Start(const std::string& address, const Request& request,
              const CallOptions& options) {
@@ -596,12 +665,14 @@
     handlers.on_head = [self](const ResponseHead& received_head) {
       self->last_byte_at = self->loop.Now();
       self->head = received_head;
+      self->CountHeld();
     };
     handlers.on_data = [self](std::string_view bytes) { self->OnData(bytes); };
     handlers.on_done = [self](const CallResult& result) {
       self->loop.Cancel(self->timer);
       self->done(result, self->head, self->body);
     };
+    handlers.held_bytes = [self] { return self->held_lease.Amount(); };
     this->Wait();
     this->call =
         this->client.Start(address, request, options, std::move(handlers));
@@ -627,7 +698,12 @@
       return;
     }
     this->body.append(bytes);
-    this->body_lease.Resize(this->body.capacity());
+    this->CountHeld();
+  }
+
+  void CountHeld() {
+    this->held_lease.Resize(this->body.capacity() +
+                            this->head.headers.HeapBytes());
   }
 
   void CheckDeadline() {
@@ -654,7 +730,7 @@
   TimePoint last_byte_at;
   ResponseHead head;
   std::string body;
-  resources::Lease body_lease;
+  resources::Lease held_lease;
   CallId call = 0;
   TimerId timer = 0;
 };
--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::string_view kIdField = "id:";
+/// A buffer of up to this many bytes is kept for the next events.
+constexpr std::size_t kKeptBytes = 1024;
 
 /// Returns the value of \p line if it is the field of an event's id.
 std::optional<std::string_view> IdIn(std::string_view line) {
@@ -48,6 +50,10 @@
   this->pending.erase(0, end);
   if (this->pending.size() > kMaxEventBytes) this->fault = EventFault::kTooLong;
   if (this->fault != EventFault::kNone) this->pending.clear();
+  const std::size_t capacity = this->pending.capacity();
+  if (capacity > kKeptBytes && this->pending.size() <= capacity / 4) {
+    this->pending.shrink_to_fit();
+  }
   return complete;
 }
 
--- a/lib/http/parser.h
+++ b/lib/http/parser.h
@@ -65,6 +65,9 @@
  private:
   /// Most bytes of a chunk's extensions, or of these and all trailers.
   static constexpr std::size_t kMaxChunkLineBytes = 16UL * 1024;
+  /// Most fields in the head of a response: short ones take a multiple of their
+  /// bytes.
+  static constexpr std::size_t kMaxResponseFields = 1000;
   static constexpr std::string_view kLineEnd = "\r\n";
   static constexpr std::string_view kMessageEnd = "\r\n\r\n";
 
@@ -107,9 +110,13 @@
     this->head.reason = Text(reason);
   }
   void on_field_impl(boost::beast::http::field, View name, View value,
-                     Code&) override {
+                     Code& error) override {
     // Trailers come after what the head decides, and aren't passed on.
     if (this->is_header_done()) return;
+    if (!kIsRequest && this->head.headers.Size() >= kMaxResponseFields) {
+      error = boost::beast::http::error::header_limit;
+      return;
+    }
     Headers& headers = kIsRequest ? this->request.headers : this->head.headers;
     headers.Add(Text(name), Text(value));
   }
--- a/lib/instance/answer_trace.cc
+++ b/lib/instance/answer_trace.cc
@@ -20,6 +20,8 @@
       return "reset_or_cut";
     case http::CallEnd::kMalformed:
       return "malformed";
+    case http::CallEnd::kNoMemory:
+      return "no_memory";
   }
   return "unknown";
 }
--- a/lib/instance/metrics.cc
+++ b/lib/instance/metrics.cc
@@ -263,6 +263,9 @@
                real(resources.answers.Used()));
   writer.Gauge("answer_peak_bytes", "largest value of answer_bytes so far",
                real(resources.answers.Peak()));
+  writer.Gauge("answer_limit_bytes",
+               "value of answer_bytes at which calls are ended",
+               real(resources.answers.Capacity()));
   writer.Gauge("caller_connections", "open connections of callers",
                real(descriptors.Used(ConnectionUse::kCaller)));
   writer.Gauge("control_connections",
@@ -282,6 +285,10 @@
                  "connections closed whose answers were not read, for lack of "
                  "memory",
                  counters.evicted_readers);
+  writer.Counter("evicted_answers",
+                 "calls ended that held most of their answers, for lack of "
+                 "memory",
+                 counters.evicted_answers);
   writer.Counter("evicted_connections",
                  "connections closed for lack of descriptors",
                  counters.evicted_connections);
--- a/lib/instance/proxied_request.cc
+++ b/lib/instance/proxied_request.cc
@@ -35,7 +35,7 @@
       admitted(std::move(admitted_request)),
       detector(this->admitted.route->objective),
       body_lease(owner.buffers),
-      events_lease(owner.client.LeaseForAnswer()) {
+      answer_lease(owner.client.LeaseForAnswer()) {
   const http::Headers& headers = this->exchange->Received().headers;
   const HeaderNames& names = this->gateway.names;
   this->request_id = std::string(headers.Get(names.request_id));
@@ -212,7 +212,7 @@
   this->head_outcome.reset();
   this->DropHeldBack();
   this->events.BeginRun();
-  this->events_lease.Resize(this->events.HeldBytes());
+  this->CountHeldAnswer();
   this->attempt_started = this->gateway.loop.Now();
   this->last_data = this->attempt_started;
   this->detector.Restart();
@@ -236,6 +236,9 @@
   handlers.on_done = [self = this->shared_from_this()](const auto& result) {
     self->OnDone(result);
   };
+  handlers.held_bytes = [self = this->shared_from_this()] {
+    return self->answer_lease.Amount();
+  };
   this->call = this->gateway.client.Start(to.address, this->BuildRequest(to),
                                           options, std::move(handlers));
   // A peer counts what has not been counted.
--- a/lib/instance/proxied_request.h
+++ b/lib/instance/proxied_request.h
@@ -177,6 +177,8 @@
   /// Adds to what is held back of an answer, or of a failure.
   void HoldBack(std::string_view bytes);
   void DropHeldBack();
+  /// Counts what is held of the head and of the events of the answer.
+  void CountHeldAnswer();
   /// Returns how many bytes may wait for the caller before the endpoint has to
   /// wait too: fewer while memory is short.
   std::size_t MaxUnsentBytes() const;
@@ -402,7 +404,8 @@
   std::string body;
   resources::Lease body_lease;
   http::EventSplitter events;
-  resources::Lease events_lease;
+  /// Of the head and the events.
+  resources::Lease answer_lease;
   bool has_event = false;
   /// When the first event of the current run arrived.
   std::optional<TimePoint> run_began;
--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -34,6 +34,7 @@
   this->last_data = this->gateway.loop.Now();
   this->head_at = this->last_data;
   this->head = answer;
+  this->CountHeldAnswer();
   this->ClassifyHead(answer);
 }
 
@@ -120,6 +121,11 @@
   this->body_lease.Resize(this->body.capacity());
 }
 
+void ProxiedRequest::CountHeldAnswer() {
+  this->answer_lease.Resize(this->events.HeldBytes() +
+                            this->head.headers.HeapBytes());
+}
+
 void ProxiedRequest::DropHeldBack() {
   std::string().swap(this->body);
   this->body_lease.Resize(0);
@@ -187,7 +193,7 @@
   }
   this->events.Feed(bytes);
   const std::string complete = this->events.TakeCompleteEvents();
-  this->events_lease.Resize(this->events.HeldBytes());
+  this->CountHeldAnswer();
   if (!complete.empty()) this->RelayEvents(complete);
   if (this->events.Fault() == http::EventFault::kNone) return;
   this->EndAttempt(AttemptOutcome::kUnknown,
@@ -234,7 +240,7 @@
     }
     this->EndAttempt(
         result.sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
-        "broken");
+        result.end == http::CallEnd::kNoMemory ? "no_memory" : "broken");
     return;
   }
   if (this->target.is_peer) {
--- a/lib/instance/resource_plan.cc
+++ b/lib/instance/resource_plan.cc
@@ -8,6 +8,9 @@
 /// The rest is for the program, for what it knows of the fleet, for the
 /// kernel's buffers, and for what the allocator can't use.
 constexpr double kBufferPart = 0.4;
+/// Sound answers hold some KiB each, for a moment. A part of its own: callers
+/// can't take it, and answers can't take what requests need.
+constexpr double kAnswerPart = 0.125;
 /// Descriptors of files, and those that the program itself opens: listeners,
 /// the event loop, the log.
 constexpr std::uint64_t kOtherDescriptors = 216;
@@ -26,7 +29,10 @@
       descriptors > kOtherDescriptors + kMinConnections
           ? descriptors - kOtherDescriptors
           : kMinConnections;
-  return {static_cast<std::size_t>(static_cast<double>(memory) * kBufferPart),
+  const auto part = [memory](double share) {
+    return static_cast<std::size_t>(static_cast<double>(memory) * share);
+  };
+  return {part(kBufferPart), part(kAnswerPart),
           static_cast<std::size_t>(connections)};
 }
 
--- a/lib/instance/resource_watch.cc
+++ b/lib/instance/resource_watch.cc
@@ -63,6 +63,8 @@
              since(counters.evicted_requests, before.evicted_requests))
       .Count("evicted_readers",
              since(counters.evicted_readers, before.evicted_readers))
+      .Count("evicted_answers",
+             since(counters.evicted_answers, before.evicted_answers))
       .Count("evicted_connections",
              since(counters.evicted_connections, before.evicted_connections))
       .Count("refused_connections",
@@ -70,6 +72,7 @@
       .Count("refused_calls",
              since(counters.refused_calls, before.refused_calls))
       .Count("buffered_bytes", CountOf(resources.buffers.Used()))
+      .Count("answer_bytes", CountOf(resources.answers.Used()))
       .Count("callers", CountOf(descriptors.Used(ConnectionUse::kCaller)))
       .Count("control", CountOf(descriptors.Used(ConnectionUse::kControl)))
       .Count("calls", CountOf(descriptors.Used(ConnectionUse::kCall)));
--- a/unittests/instance/resource_test.cc
+++ b/unittests/instance/resource_test.cc
@@ -20,6 +20,7 @@
   const ResourcePlan stated =
       PlanResources({260'000'000, 4200}, kSystemMemory, kSystemDescriptors);
   BOOST_TEST(stated.buffer_bytes == 104'000'000U);
+  BOOST_TEST(stated.answer_bytes == 32'500'000U);
   BOOST_TEST(stated.connections == 3984U);
   // The system lets the process have less than the settings say.
   const ResourcePlan less =
@@ -70,12 +71,13 @@
 }
 
 BOOST_AUTO_TEST_CASE(MetricsTellHowFullTheAccountsAre) {
-  http::Resources resources(1000, 100);
+  http::Resources resources(1000, 100, 64);
   const resources::Lease lease(resources.buffers, 250);
   const std::string text = ResourceMetricsText(resources);
   for (const std::string line :
        {"buffered_bytes 250", "buffered_limit_bytes 1000",
-        "limit_connections 100", "evicted_requests_total 0"}) {
+        "limit_connections 100", "evicted_requests_total 0",
+        "answer_limit_bytes 64", "evicted_answers_total 0"}) {
     BOOST_TEST(text.find("toucanwharf_" + line + "\n") != std::string::npos,
                line);
   }
