--- a/include/toucanwharf/transport/event_stream.h
+++ b/include/toucanwharf/transport/event_stream.h
@@ -1,6 +1,7 @@
 #ifndef TOUCANWHARF_TRANSPORT_EVENT_STREAM_H_
 #define TOUCANWHARF_TRANSPORT_EVENT_STREAM_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -18,6 +19,10 @@
 
   /// Returns how many events were dropped because of their size.
   int Dropped() const { return this->dropped; }
+  /// Returns the memory of what is kept, in bytes.
+  std::size_t HeldBytes() const {
+    return this->partial_line.capacity() + this->data.capacity();
+  }
 
  private:
   void ParseLine(std::string_view line, std::vector<std::string>& events);
--- a/unittests/transport/event_stream_test.cc
+++ b/unittests/transport/event_stream_test.cc
@@ -38,5 +38,16 @@
   BOOST_TEST(parser.Dropped() == 1);
 }
 
+// Guards against an event without an end that is kept line by line.
+BOOST_AUTO_TEST_CASE(LinesWithoutAnEventsEndAreNotKept) {
+  EventStreamParser parser;
+  const std::string line = "data: " + std::string(1000, 'x') + "\n";
+  for (int i = 0; i < 20'000; ++i) parser.Feed(line);
+  BOOST_TEST(parser.HeldBytes() <= 4U << 20);
+  const auto events = parser.Feed("\n\ndata: next\n\n");
+  BOOST_TEST(events.size() == 1U);
+  BOOST_TEST(parser.Dropped() == 1);
+}
+
 }  // namespace
 }  // namespace toucanwharf::transport
