Answers at the own interface have limits, each and together

Change: HttpCall::max_body_bytes (16 MiB, 128 KiB for an engine's report), 64 KiB and 1,000 fields for a response with its interim ones and trailers; what all calls keep counts in an account of an eighth of the memory, and the calls that held most for longest since their last progress end as kBroken with the reason in the error. Gauges toucanwharf_answer_bytes and toucanwharf_answers_evicted, a line on standard error at most once a second. Why it works: each buffer that a peer can fill has a bound, and their sum too.

--- a/lib/daemon/answer_runner.cc
+++ b/lib/daemon/answer_runner.cc
@@ -242,6 +242,7 @@
   handlers.on_done = [this, run, attempt](const HttpOutcome& outcome) {
     this->OnStreamEnd(run, attempt, outcome);
   };
+  handlers.held_bytes = [run] { return run->parser.HeldBytes(); };
   run->stream = this->client.Start(std::move(call), std::move(handlers));
 }
 
@@ -290,6 +291,7 @@
     call.headers = {{"Content-Type", "application/json"}};
     call.body = CancelBody(run->job.request.id, action.attempt);
     call.total_timeout = kCancelTimeout;
+    call.max_body_bytes = transport::kMaxReportBytes;
     this->client.Start(std::move(call),
                        {nullptr, [](const HttpOutcome& /*outcome*/) {}});
   }
@@ -304,6 +306,7 @@
     call.total_timeout =
         std::max(action.deadline - this->loop.Now(), Duration(1000));
     call.connect_timeout = call.total_timeout;
+    call.max_body_bytes = transport::kMaxReportBytes;
     const auto on_done = [this, run, attempt = action.attempt,
                           endpoint =
                               stage.endpoint](const HttpOutcome& outcome) {
--- a/lib/daemon/directory.cc
+++ b/lib/daemon/directory.cc
@@ -228,6 +228,7 @@
   call.url = "http://" + instance->second.address +
              (with_status ? "/v1/status" : "/v1/load");
   call.total_timeout = kPollTimeout;
+  call.max_body_bytes = transport::kMaxReportBytes;
   const auto on_done = [this, id,
                         with_status](const transport::HttpOutcome& outcome) {
     if (outcome.end != transport::CallEnd::kAnswered) {
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -50,9 +50,19 @@
 /// Part of the memory for connections, and what each takes in libmicrohttpd.
 constexpr std::uint64_t kConnectionDivisor = 4;
 constexpr std::uint64_t kConnectionBytes = 36UL * 1024;
+/// Part of the memory for what calls keep of their answers.
+constexpr std::uint64_t kAnswerDivisor = 8;
+constexpr Duration kMemoryExportPeriod = std::chrono::seconds(1);
 /// Descriptors for calls to endpoints, peers and the platform, and for files.
 constexpr std::uint64_t kOtherDescriptors = 1024;
 
+/// Returns the memory of this machine, or the part that the settings state.
+std::uint64_t MemoryBytes(const settings::Settings& settings) {
+  const std::uint64_t stated = settings.limits.memory_mb * kBytesPerMegabyte;
+  if (stated == 0) return SystemMemoryBytes();
+  return std::min(stated, SystemMemoryBytes());
+}
+
 }  // namespace
 
 /// All components of a router, in dependency order; destruction runs in
@@ -63,7 +73,7 @@
         incarnation(NewId()),
         seed(HashText(this->incarnation)),
         events(this->settings.instance, this->settings.limits.timeline_events),
-        client(this->loop),
+        client(this->loop, MemoryBytes(this->settings) / kAnswerDivisor),
         directory(this->loop, this->client, this->metrics,
                   this->settings.platform_address,
                   this->settings.failure_domain),
@@ -148,6 +158,16 @@
       this->metrics.Set("toucanwharf_config_generation",
                         static_cast<double>(this->config.Catalog().generation));
     });
+    this->ExportAnswerMemory();
+  }
+
+  void ExportAnswerMemory() {
+    this->metrics.Set("toucanwharf_answer_bytes",
+                      static_cast<double>(this->client.HeldBytes()));
+    this->metrics.Set("toucanwharf_answers_evicted",
+                      static_cast<double>(this->client.Evicted()));
+    this->loop.After(kMemoryExportPeriod,
+                     [this] { this->ExportAnswerMemory(); });
   }
 
   std::string Status() const {
@@ -202,11 +222,7 @@
   /// Returns how much all listeners together may use.
   transport::ConnectionLimits SharedLimits() const {
     const settings::Limits& configured = this->settings.limits;
-    const std::uint64_t memory =
-        configured.memory_mb == 0
-            ? SystemMemoryBytes()
-            : std::min(configured.memory_mb * kBytesPerMegabyte,
-                       SystemMemoryBytes());
+    const std::uint64_t memory = MemoryBytes(this->settings);
     const std::uint64_t descriptors = SystemDescriptors();
     transport::ConnectionLimits shared;
     shared.buffer_bytes = memory / kBufferDivisor;
--- a/lib/transport/event_stream.cc
+++ b/lib/transport/event_stream.cc
@@ -18,7 +18,7 @@
     const std::size_t end = bytes.find('\n');
     this->partial_line.append(bytes.substr(0, end));
     if (this->partial_line.size() > kMaxEventBytes) {
-      this->partial_line.clear();
+      std::string().swap(this->partial_line);
       this->too_long = true;
     }
     if (end == std::string_view::npos) break;
@@ -43,13 +43,15 @@
     this->too_long = false;
     return;
   }
-  if (line.substr(0, kDataField.size()) != kDataField) return;
+  if (line.substr(0, kDataField.size()) != kDataField || this->too_long) return;
   line.remove_prefix(kDataField.size());
   if (!line.empty() && line.front() == ' ') line.remove_prefix(1);
   if (this->has_data) this->data.push_back('\n');
   this->data.append(line);
   this->has_data = true;
-  if (this->data.size() > kMaxEventBytes) this->too_long = true;
+  if (this->data.size() <= kMaxEventBytes) return;
+  this->too_long = true;
+  std::string().swap(this->data);
 }
 
 std::string FormatEvent(std::string_view data) {
--- a/lib/transport/http_client.cc
+++ b/lib/transport/http_client.cc
@@ -6,8 +6,11 @@
 #include <sys/socket.h>
 
 #include <cassert>
+#include <chrono>
+#include <cstdio>
 
 #include "absl/strings/ascii.h"
+#include "toucanwharf/resources/eviction.h"
 
 namespace toucanwharf::transport {
 
@@ -24,6 +27,31 @@
   bool cancelled = false;
   // Whether the empty line after the fields of the final response was received.
   bool has_head = false;
+  HttpClient* owner = nullptr;
+  /// Of all fields: of interim responses, of the head and of trailers.
+  std::size_t field_bytes = 0;
+  std::size_t fields = 0;
+  resources::Lease lease;
+  /// When the call first kept more than it gave on.
+  TimePoint holds_since;
+  /// Why this client ended the call; empty if it didn't.
+  std::string failure;
+
+  /// Returns what is kept of the response, in bytes.
+  std::size_t HeldBytes() const {
+    return this->outcome.body.capacity() + this->field_bytes +
+           this->fields * kFieldBytes +
+           (this->handlers.held_bytes ? this->handlers.held_bytes() : 0);
+  }
+  bool CountHeld() { return this->owner->CountHeld(*this); }
+  /// Ends the call from inside a callback of libcurl.
+  std::size_t Fail(std::string_view why) {
+    this->failure = why;
+    return 0;
+  }
+
+  static constexpr std::size_t kFieldBytes =
+      sizeof(std::pair<std::string, std::string>) + 4 * sizeof(void*);
 
   ~Transfer() {
     curl_easy_cleanup(this->easy);
@@ -41,6 +69,16 @@
 constexpr long kKeepaliveProbeSeconds = 2;
 // Lower ones are interim: another head follows.
 constexpr long kFirstFinalStatus = 200;
+/// Most bytes, and number, of the fields of a response, with interim ones and
+/// trailers.
+constexpr std::size_t kMaxFieldBytes = 64UL * 1024;
+constexpr std::size_t kMaxFields = 1000;
+/// When there is no room, this part of all is freed at once.
+constexpr std::size_t kFreedDivisor = 16;
+constexpr Duration kShortageLogPeriod = std::chrono::seconds(1);
+constexpr char kTooLong[] = "the response is longer than its limit";
+constexpr char kNoMemory[] =
+    "no memory for the rest of the response, which held most for longest";
 constexpr char kCutHead[] = "the connection closed inside the response's head";
 
 int SetUserTimeout(void* /*owner*/, curl_socket_t socket,
@@ -65,6 +103,11 @@
                      void* owner) {
   auto* transfer = static_cast<Owner*>(owner);
   const std::string_view line(bytes, size * count);
+  transfer->field_bytes += line.size();
+  ++transfer->fields;
+  if (transfer->field_bytes > kMaxFieldBytes || transfer->fields > kMaxFields) {
+    return transfer->Fail(kTooLong);
+  }
   if (IsEmptyLine(line) && StatusOf(transfer->easy) >= kFirstFinalStatus) {
     transfer->has_head = true;
   }
@@ -83,13 +126,18 @@
                    void* owner) {
   auto* transfer = static_cast<Owner*>(owner);
   const std::string_view data(bytes, size * count);
-  if (transfer->cancelled) return 0;
+  if (transfer->cancelled || !transfer->failure.empty()) return 0;
   if (!transfer->handlers.on_data || StatusOf(transfer->easy) / 100 != 2) {
-    transfer->outcome.body.append(data);
-    return data.size();
+    std::string& body = transfer->outcome.body;
+    if (body.size() + data.size() > transfer->call.max_body_bytes) {
+      return transfer->Fail(kTooLong);
+    }
+    body.append(data);
+  } else {
+    transfer->handlers.on_data(data);
   }
-  transfer->handlers.on_data(data);
-  return transfer->cancelled ? 0 : data.size();
+  if (transfer->cancelled) return 0;
+  return transfer->CountHeld() ? data.size() : 0;
 }
 
 /// libcurl reports success for a connection that closes between two lines of a
@@ -158,7 +206,8 @@
 // NOLINTEND(google-runtime-int)
 }  // namespace
 
-HttpClient::HttpClient(EventLoop& loop) : loop(loop) {
+HttpClient::HttpClient(EventLoop& loop, std::size_t answer_bytes)
+    : loop(loop), answers(answer_bytes) {
   loop.SetTransfersHook([this] { this->CollectFinished(); });
 }
 
@@ -175,6 +224,8 @@
   transfer->easy = curl_easy_init();
   transfer->call = std::move(call);
   transfer->handlers = std::move(handlers);
+  transfer->owner = this;
+  transfer->lease = resources::Lease(this->answers);
   Configure(*transfer);
   CURL* easy = transfer->easy;
   this->transfers.emplace(id, std::move(transfer));
@@ -201,6 +252,51 @@
   this->loop.Post([this, id] { this->Remove(id); });
 }
 
+bool HttpClient::CountHeld(Transfer& transfer) {
+  const std::size_t before = transfer.lease.Amount();
+  const std::size_t held = transfer.HeldBytes();
+  // A receiver that keeps no more than before makes progress.
+  if (held <= before || before == 0) transfer.holds_since = this->loop.Now();
+  transfer.lease.Resize(held);
+  this->KeepWithinAnswers();
+  return transfer.failure.empty();
+}
+
+void HttpClient::KeepWithinAnswers() {
+  if (this->answers.Used() <= this->answers.Capacity()) return;
+  const std::size_t wanted =
+      this->answers.Capacity() - this->answers.Capacity() / kFreedDivisor;
+  const TimePoint now = this->loop.Now();
+  std::vector<resources::Holding> holdings;
+  for (const auto& [id, transfer] : this->transfers) {
+    if (transfer->lease.Amount() == 0) continue;
+    holdings.push_back({static_cast<std::size_t>(id), transfer->lease.Amount(),
+                        now - transfer->holds_since});
+  }
+  for (const std::size_t id : resources::ChooseEvictions(
+           std::move(holdings), this->answers.Used() - wanted)) {
+    this->EndForMemory(*this->transfers.at(id));
+  }
+  if (now - this->shortage_logged < kShortageLogPeriod) return;
+  this->shortage_logged = now;
+  std::fprintf(stderr,
+               "no memory for answers: %llu calls that held most were ended "
+               "so far; %zu of %zu bytes are in use\n",
+               static_cast<unsigned long long>(this->evicted),
+               this->answers.Used(), this->answers.Capacity());
+}
+
+void HttpClient::EndForMemory(Transfer& transfer) {
+  ++this->evicted;
+  transfer.failure = kNoMemory;
+  std::string().swap(transfer.outcome.body);
+  transfer.lease.Resize(0);
+  // libcurl forbids removing a handle inside its callbacks.
+  this->loop.Post([this, id = transfer.id] {
+    this->Finish(id, static_cast<int>(CURLE_WRITE_ERROR));
+  });
+}
+
 void HttpClient::CollectFinished() {
   std::vector<std::pair<CallId, int>> finished;
   int queued = 0;
@@ -223,6 +319,9 @@
   HttpOutcome outcome = std::move(transfer.outcome);
   outcome.sent = MayHaveSent(transfer.easy);
   outcome.end = EndOf(curl_code, transfer.has_head, outcome.sent);
+  if (!transfer.failure.empty() && outcome.end == CallEnd::kAnswered) {
+    outcome.end = CallEnd::kBroken;
+  }
   if (transfer.has_head) {
     outcome.status = static_cast<int>(StatusOf(transfer.easy));
   }
@@ -230,6 +329,7 @@
     outcome.error =
         curl_code == CURLE_OK ? kCutHead : curl_easy_strerror(curl_code);
   }
+  if (!transfer.failure.empty()) outcome.error = transfer.failure;
   const auto on_done = std::move(transfer.handlers.on_done);
   this->Remove(id);
   on_done(std::move(outcome));
--- a/unittests/transport/http_client_test.cc
+++ b/unittests/transport/http_client_test.cc
@@ -114,15 +114,21 @@
   HttpOutcome Fetch(const HttpCall& call) {
     std::promise<HttpOutcome> done;
     this->loop.Post([&] {
-      this->client.Start(call, {{}, [&done](HttpOutcome outcome) {
+      this->client.Start(call, {{},
+                                [&done](HttpOutcome outcome) {
                                   done.set_value(std::move(outcome));
-                                }});
+                                },
+                                {}});
     });
     return done.get_future().get();
   }
 
+  explicit ClientThread(
+      std::size_t answer_bytes = resources::Account::kUnlimited)
+      : client(this->loop, answer_bytes) {}
+
   EventLoop loop;
-  HttpClient client{this->loop};
+  HttpClient client;
   std::thread thread{[this] { this->loop.Run(); }};
 };
 
@@ -175,6 +181,44 @@
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", fields));
 }
 
+// Guards against bodies that each stay inside the limit, and all together fill
+// the memory.
+BOOST_AUTO_TEST_CASE(ManyBodiesWithoutAnEnd) {
+  constexpr std::size_t kCalls = 20;
+  constexpr std::size_t kRoom = 4 * kMebibyte;
+  const EndlessPeer faulty(
+      "HTTP/1.1 500 No\r\nContent-Length: 99999999\r\n\r\n",
+      std::string(kMebibyte, 'x'), kMebibyte);
+  const EndlessPeer sound("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "",
+                          0);
+  ClientThread client(kRoom);
+  std::atomic<std::size_t> broken = 0;
+  client.loop.Post([&] {
+    for (std::size_t i = 0; i < kCalls; ++i) {
+      client.client.Start(faulty.ToCall(),
+                          {{},
+                           [&](const HttpOutcome& outcome) {
+                             if (outcome.end == CallEnd::kBroken) {
+                               ++broken;
+                             }
+                           },
+                           {}});
+    }
+  });
+  for (int poll = 0; poll < 300 && faulty.Sent() < kCalls * kMebibyte; ++poll) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST(client.Fetch(sound.ToCall()).body == "ok");
+  std::promise<std::pair<std::size_t, std::size_t>> seen;
+  client.loop.Post([&] {
+    seen.set_value({client.client.HeldBytes(), client.client.Evicted()});
+  });
+  const auto [held, evicted] = seen.get_future().get();
+  BOOST_TEST(held <= kRoom);
+  BOOST_TEST(evicted > 0U);
+  BOOST_TEST(broken == evicted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
