Reports that take a multiple of their bytes, played (failing)

Shown, 1 of 1 play: ten engines report 3 MB, a list of a million empty members; the router takes 182 MB of 64.

--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -57,6 +57,13 @@
 /// Short fields of a head, whose bytes a router takes.
 constexpr std::size_t kShortFields = 12'000;
 
+std::string LongReport() {
+  constexpr std::size_t kMembers = 1'000'000;
+  std::string text = R"({"seq":1,"stalled":[{})";
+  for (std::size_t i = 1; i < kMembers; ++i) text += ",{}";
+  return text + "]}";
+}
+
 void StopInsideAnswer(const std::shared_ptr<http::Exchange>& exchange,
                       bool long_head) {
   http::ResponseHead head = HeadOf(http::kOk, exchange->Received());
@@ -314,6 +321,10 @@
 
 void Endpoints::HandleReport(const Endpoint& endpoint,
                              http::Exchange& exchange) {
+  if (endpoint.fault == EndpointFault::kReportsLongList) {
+    exchange.Respond(HeadOf(http::kOk, exchange.Received()), LongReport());
+    return;
+  }
   Json stalled = Json::array();
   for (const auto& stream : this->streams) {
     if (stream->endpoint != endpoint.spec.id) continue;
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -68,6 +68,8 @@
   kStopsInsideAnswer,
   /// Sends only a head, of many short fields, and keeps the connection.
   kSendsLongHead,
+  /// Reports with a list of a million empty members.
+  kReportsLongList,
 };
 
 /// One request that an endpoint has read, whether or not it ran it.
--- a/test/process/endless_answer_test.cc
+++ b/test/process/endless_answer_test.cc
@@ -150,5 +150,20 @@
   PlayPlain(EndpointFault::kStopsInsideAnswer);
 }
 
+// Guards against a report that takes a multiple of its bytes when it is parsed.
+BOOST_AUTO_TEST_CASE(ReportsOfLongLists) {
+  PlatformFleet fleet(1, false, false, {}, kSmallMachine);
+  const ProcessWatch watch(fleet.Router(0).Pid());
+  SetFaults(fleet, PlatformFleet::EngineIds(), EndpointFault::kReportsLongList);
+  // For several reports of each engine.
+  std::this_thread::sleep_for(milliseconds(5000));
+  BOOST_TEST(fleet.Plain(0, "/read/x", "beside").status == http::kOk);
+  CheckMachine(fleet, watch);
+  SetFaults(fleet, PlatformFleet::EngineIds(), EndpointFault::kNone);
+  BOOST_TEST(PlatformFleet::Eventually(
+      [&] { return fleet.Stream(0, "after").answer.status == http::kOk; }));
+  CheckMachine(fleet, watch);
+}
+
 }  // namespace
 }  // namespace toucanwharf::process_test
--- a/unittests/transport/http_client_test.cc
+++ b/unittests/transport/http_client_test.cc
@@ -167,8 +167,9 @@
 
 BOOST_AUTO_TEST_CASE(InterimResponsesWithoutAnEnd) {
   std::string heads;
-  while (heads.size() < kMebibyte)
+  while (heads.size() < kMebibyte) {
     heads += "HTTP/1.1 103 Early\r\nA: b\r\n\r\n";
+  }
   CheckEnds(EndlessPeer("", heads));
 }
 
