Answers of engines to reports, probes and orders are short

Change: FetchLimits takes the longest body of what the call is for; 128 KiB for reports, probes and orders. Why it works: what is parsed is short, so that a multiple of it is small; the calls themselves count in the account of answers.

--- a/include/toucanwharf/http/client.h
+++ b/include/toucanwharf/http/client.h
@@ -125,6 +125,9 @@
   FetchLimits(Duration timeout) : inactivity(timeout), total(timeout) {}
   FetchLimits(Duration max_inactivity, Duration max_total)
       : inactivity(max_inactivity), total(max_total) {}
+  /// For a body of \p most_bytes at most, from what the call is for.
+  FetchLimits(Duration timeout, std::size_t most_bytes)
+      : inactivity(timeout), total(timeout), max_bytes(most_bytes) {}
 
   /// Longest time without a byte of the response.
   Duration inactivity;
--- a/include/toucanwharf/instance/adapter.h
+++ b/include/toucanwharf/instance/adapter.h
@@ -2,6 +2,7 @@
 #define TOUCANWHARF_INSTANCE_ADAPTER_H_
 
 #include <concepts>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -57,6 +58,10 @@
   friend bool operator==(const EntryRequest&, const EntryRequest&) = default;
 };
 
+/// Longest answer of an endpoint to a report, a probe or an order, in bytes:
+/// some KiB. Parsed it takes a multiple.
+inline constexpr std::size_t kMaxReportBytes = 128UL * 1024;
+
 /// A store call fails after this time without a byte of its answer. A slow
 /// store takes a quarter of a second.
 inline constexpr Duration kStoreInactivityTimeout =
--- a/include/toucanwharf/instance/engine_orders.h
+++ b/include/toucanwharf/instance/engine_orders.h
@@ -60,7 +60,8 @@
     http::Request request = A::OrderRequest(order);
     request.headers.Set(A::Headers().expected_endpoint, order.engine);
     http::Fetch(
-        this->loop, this->client, endpoint.address, request, kTimeout,
+        this->loop, this->client, endpoint.address, request,
+        {kTimeout, kMaxReportBytes},
         [this, id = order.engine](
             const http::CallResult& result, const http::ResponseHead& head,
             const std::string&) { this->OnOrderOutcome(id, result, head); });
--- a/include/toucanwharf/instance/engine_reports.h
+++ b/include/toucanwharf/instance/engine_reports.h
@@ -131,7 +131,7 @@
     known.report_in_flight = true;
     known.requested_at = now;
     http::Fetch(this->loop, this->client, endpoint.address, A::ReportRequest(),
-                kTimeout,
+                {kTimeout, kMaxReportBytes},
                 [this, id = endpoint.id, now](const http::CallResult& result,
                                               const http::ResponseHead& head,
                                               const std::string& body) {
--- a/lib/instance/engine_probe.cc
+++ b/lib/instance/engine_probe.cc
@@ -65,7 +65,8 @@
   options.reuse = reuse;
   options.connect_timeout = timeout;
   http::Fetch(
-      this->loop, this->client, pending->address, this->request, timeout,
+      this->loop, this->client, pending->address, this->request,
+      {timeout, kMaxReportBytes},
       [this, pending, ends = this->loop.Now() + timeout](
           const http::CallResult& result, const http::ResponseHead& head,
           const std::string& body) {
--- a/lib/instance/path_monitor.cc
+++ b/lib/instance/path_monitor.cc
@@ -3,6 +3,8 @@
 #include <limits>
 #include <utility>
 
+#include "toucanwharf/instance/adapter.h"
+
 namespace toucanwharf::instance {
 namespace {
 
@@ -90,7 +92,8 @@
   options.connect_timeout = kCheckTimeout;
   const TimePoint started = this->loop.Now();
   http::Fetch(
-      this->loop, this->client, endpoint.address, this->request, kCheckTimeout,
+      this->loop, this->client, endpoint.address, this->request,
+      {kCheckTimeout, kMaxReportBytes},
       [this, id = endpoint.id, started](const http::CallResult& result,
                                         const http::ResponseHead& /*head*/,
                                         const std::string& /*body*/) {
--- a/lib/instance/proxied_request_stall.cc
+++ b/lib/instance/proxied_request_stall.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "proxied_request.h"
+#include "toucanwharf/instance/adapter.h"
 
 namespace toucanwharf::instance {
 namespace {
@@ -266,7 +267,7 @@
   order.headers.Set(this->gateway.names.expected_endpoint,
                     this->target.endpoint);
   http::Fetch(this->gateway.loop, this->gateway.client, this->target.address,
-              order, kRerouteTimeout,
+              order, {kRerouteTimeout, kMaxReportBytes},
               [self = this->shared_from_this(), probed_call = this->call,
                stages = next->stages](const http::CallResult& result,
                                       const http::ResponseHead& head,
