An event is searched once, however it comes

What callers saw: none of it was recorded; bytes without an end in chunks of a byte would stop the loop for seconds. Cause: EventSplitter searched all that was pending for each piece. Change: it keeps the start of the unfinished line, how far it looked for its end, and the id that it read. Why it works: each byte is looked at once.

--- a/include/toucanwharf/http/event_splitter.h
+++ b/include/toucanwharf/http/event_splitter.h
@@ -53,7 +53,16 @@
   /// Returns the end of the complete events that may be released.
   std::size_t ReleasableEnd();
 
+  /// Forgets how far what is pending was searched.
+  void SearchAnew();
+
   std::string pending;
+  /// Where the first line that is not complete starts, and up to where its end
+  /// was looked for.
+  std::size_t line_start = 0;
+  std::size_t searched = 0;
+  /// The id of the event that is pending, as far as it was read.
+  std::optional<std::string> pending_id;
   std::optional<std::string> last_id;
   EventOrder order;
   EventFault fault = EventFault::kNone;
--- a/lib/http/event_splitter.cc
+++ b/lib/http/event_splitter.cc
@@ -1,5 +1,6 @@
 #include "toucanwharf/http/event_splitter.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace toucanwharf::http {
@@ -22,24 +23,25 @@
 std::size_t EventSplitter::ReleasableEnd() {
   const std::string_view text = this->pending;
   std::size_t released = 0;
-  std::size_t line_start = 0;
-  std::optional<std::string_view> id;
   // A blank line ends an event; lines end with LF or CRLF.
-  for (std::size_t end = text.find('\n'); end != std::string_view::npos;
-       end = text.find('\n', line_start)) {
-    std::string_view line = text.substr(line_start, end - line_start);
+  for (std::size_t end = text.find('\n', this->searched);
+       end != std::string_view::npos; end = text.find('\n', this->line_start)) {
+    std::string_view line =
+        text.substr(this->line_start, end - this->line_start);
     if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    const bool ends_event = line.empty();
-    line_start = end + 1;
-    if (const auto found = IdIn(line)) id = found;
-    if (!ends_event) continue;
-    if (id && !this->order.Accept(*id)) {
+    this->line_start = end + 1;
+    if (const auto found = IdIn(line)) this->pending_id = std::string(*found);
+    if (!line.empty()) continue;
+    if (this->pending_id && !this->order.Accept(*this->pending_id)) {
       this->fault = EventFault::kOutOfOrder;
       return released;
     }
-    if (id) this->last_id = std::string(*std::exchange(id, std::nullopt));
-    released = line_start;
+    if (this->pending_id) {
+      this->last_id = std::exchange(this->pending_id, std::nullopt);
+    }
+    released = this->line_start;
   }
+  this->searched = text.size();
   return released;
 }
 
@@ -48,8 +50,13 @@
   const std::size_t end = this->ReleasableEnd();
   std::string complete = this->pending.substr(0, end);
   this->pending.erase(0, end);
+  this->line_start -= end;
+  this->searched -= std::min(end, this->searched);
   if (this->pending.size() > kMaxEventBytes) this->fault = EventFault::kTooLong;
-  if (this->fault != EventFault::kNone) this->pending.clear();
+  if (this->fault != EventFault::kNone) {
+    this->pending.clear();
+    this->SearchAnew();
+  }
   const std::size_t capacity = this->pending.capacity();
   if (capacity > kKeptBytes && this->pending.size() <= capacity / 4) {
     this->pending.shrink_to_fit();
@@ -59,10 +66,17 @@
 
 void EventSplitter::BeginRun() {
   this->pending.clear();
+  this->SearchAnew();
   this->fault = EventFault::kNone;
   this->order.BeginRun();
 }
 
+void EventSplitter::SearchAnew() {
+  this->line_start = 0;
+  this->searched = 0;
+  this->pending_id.reset();
+}
+
 void EventSplitter::SetLastId(std::string id) {
   this->order.GoOnAfter(id);
   this->last_id = std::move(id);
