--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -45,6 +45,7 @@
     this->second_answer.emplace(this->gateway.names.request_id,
                                 this->request_id);
   }
+  this->CountHeldAnswer();
   this->ClassifyHead(answer);
 }
 
@@ -163,6 +164,11 @@
   this->body_lease.Resize(this->body.capacity());
 }
 
+void ProxiedRequest::CountHeldAnswer() {
+  this->answer_lease.Resize(this->events.HeldBytes() +
+                            this->head.headers.HeapBytes());
+}
+
 void ProxiedRequest::DropHeldBack() {
   std::string().swap(this->body);
   this->body_lease.Resize(0);
@@ -262,7 +268,7 @@
   }
   this->events.Feed(bytes);
   const std::string complete = this->events.TakeCompleteEvents();
-  this->events_lease.Resize(this->events.HeldBytes());
+  this->CountHeldAnswer();
   if (!complete.empty()) this->RelayEvents(complete);
   if (this->events.Fault() == http::EventFault::kNone) return;
   this->EndAttempt(AttemptOutcome::kUnknown,
@@ -309,7 +315,7 @@
     }
     this->EndAttempt(
         result.sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
-        "broken");
+        result.end == http::CallEnd::kNoMemory ? "no_memory" : "broken");
     return;
   }
   if (this->target.is_peer) {
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -70,6 +70,13 @@
   /// Crashes while it sends a plain answer that is unframed: the kernel ends
   /// its connections as if it had closed them, and refuses new ones.
   kCrashesInAnswer,
+  /// Begins a long event, or plain body, that a router still takes, and sends
+  /// no more, but keeps the connection.
+  kStopsInsideAnswer,
+  /// Sends only a head, of many short fields, and keeps the connection.
+  kSendsLongHead,
+  /// Reports with a list of a million empty members.
+  kReportsLongList,
 };
 
 /// One request that an endpoint has read, whether or not it ran it.
