The soak spoils answers and stops routers as planned

Operators saw answers that weren't whole and looked whole, processes that ran out of memory by bytes without an end, and requests cut at the end of a planned stop. The soak had none of these faults beside the others.

--faulty-answers: endpoints send without an end (in a head, a line before a chunk, an event, a body without framing, a failure's body), also to 150 requests at once; answer twice (at once, 40 ms later, behind an answer without framing); and send answers without framing in parts, which resets cut, or cut in half by their crash.

--- a/standins/fleet/endpoints.cc
+++ b/standins/fleet/endpoints.cc
@@ -101,6 +101,11 @@
   }
 }
 
+void Endpoints::SetAnswerFault(const std::string& id, AnswerFault fault) {
+  const auto found = this->endpoints.find(id);
+  if (found != this->endpoints.end()) found->second.answer_fault = fault;
+}
+
 void Endpoints::SetLimit(const std::string& id,
                          std::optional<double> per_second) {
   const auto found = this->endpoints.find(id);
@@ -269,6 +274,10 @@
     this->SendWithoutEnd(exchange);
     return;
   }
+  if (endpoint.answer_fault != AnswerFault::kNone) {
+    this->ServeFaulty(endpoint, exchange);
+    return;
+  }
   const bool resumes = request.headers.Find("Last-Event-Id").has_value();
   if (endpoint.fault == EndpointFault::kRejectsResumed && resumes) {
     exchange->Respond(HeadOf(http::kNotFound, request), "no such answer\n");
@@ -386,13 +395,9 @@
   }
   head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
   this->AddNotices(head, endpoint);
-  std::string body = "ran at " + endpoint.spec.id;
-  if (request.target.ends_with(Endpoints::kLongAnswer)) {
-    body.resize(Endpoints::kLongAnswerBytes, ' ');
-  }
-  if (request.target.ends_with(Endpoints::kMediumAnswer)) {
-    body.resize(Endpoints::kMediumAnswerBytes, ' ');
-  }
+  const std::string body = PlainBody(
+      endpoint.spec.id, std::string(request.headers.Get("X-Request-Id")),
+      request.target);
   if (!this->unframed) {
     exchange.Respond(head, body);
     return;
@@ -403,6 +408,53 @@
   exchange.End();
 }
 
+std::string Endpoints::PlainBody(const std::string& id,
+                                 const std::string& request_id,
+                                 const std::string& target) {
+  std::string body = "ran at " + id;
+  if (target.ends_with(Endpoints::kOwnLongAnswer)) {
+    while (body.size() < Endpoints::kOwnLongAnswerBytes) {
+      absl::StrAppend(&body, " ", body.size(), " of ", request_id);
+    }
+  } else if (target.ends_with(Endpoints::kLongAnswer)) {
+    body.resize(Endpoints::kLongAnswerBytes, ' ');
+  } else if (target.ends_with(Endpoints::kMediumAnswer)) {
+    body.resize(Endpoints::kMediumAnswerBytes, ' ');
+  }
+  return body;
+}
+
+std::string Endpoints::EventsText(int first) {
+  std::string text;
+  for (int number = first; number <= kEvents; ++number) {
+    text += EventText(number);
+  }
+  return text;
+}
+
+void Endpoints::ServeFaulty(const Endpoint& endpoint,
+                            const std::shared_ptr<http::Exchange>& exchange) {
+  const http::Request& request = exchange->Received();
+  Run run = this->RunOf(endpoint, request);
+  http::ResponseHead head = HeadOf(http::kOk, request);
+  head.headers.Add("X-Server-Stamp", "stamp-of-" + endpoint.spec.id);
+  std::string body =
+      PlainBody(endpoint.spec.id, run.request_id, request.target);
+  if (!endpoint.spec.kind.empty()) {
+    int last = 0;
+    (void)absl::SimpleAtoi(std::string(request.headers.Get("Last-Event-Id")),
+                           &last);
+    run.first_event = last + 1;
+    head.headers.Add("Content-Type", "text/event-stream");
+    body = EventsText(run.first_event);
+  }
+  this->runs.push_back(std::move(run));
+  const AnswerFault fault = endpoint.answer_fault;
+  SendFaulty(this->loop, fault, exchange, std::move(head), body);
+  if (fault != AnswerFault::kUnframedCutByCrash) return;
+  this->loop.Post([this, id = endpoint.spec.id] { this->CrashAndRestart(id); });
+}
+
 std::vector<Endpoints::Stage> Endpoints::ParsePath(
     const std::string& text) const {
   std::vector<Stage> path;
--- a/standins/fleet/endpoints.h
+++ b/standins/fleet/endpoints.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "standins/fleet/faulty_answers.h"
 #include "standins/fleet/store.h"
 #include "toucanwharf/http/loop.h"
 #include "toucanwharf/http/server.h"
@@ -122,6 +123,10 @@
   /// The same, with fewer bytes than a router relays before it has all of them.
   static constexpr const char* kMediumAnswer = "/medium-answer";
   static constexpr std::size_t kMediumAnswerBytes = 100UL * 1024;
+  /// The same, with more bytes than a router holds back, all of the request's
+  /// own.
+  static constexpr const char* kOwnLongAnswer = "/own-long-answer";
+  static constexpr std::size_t kOwnLongAnswerBytes = 600UL * 1024;
   static constexpr Duration kSlowDelay = std::chrono::milliseconds(1800);
   /// A request that has this body, or whose target ends with it, crashes each
   /// endpoint that begins to run it.
@@ -142,6 +147,8 @@
   void Add(const EndpointSpec& spec);
   /// Sets the fault of an endpoint; one that is not running has none.
   void SetFault(const std::string& id, EndpointFault fault);
+  /// Sets how an endpoint spoils its answers.
+  void SetAnswerFault(const std::string& id, AnswerFault fault);
   /// Sets the requests per second that an endpoint states in its answers;
   /// nothing for no limit. It serves more all the same.
   void SetLimit(const std::string& id, std::optional<double> per_second);
@@ -193,6 +200,14 @@
   /// Returns the id of the endpoint at \p address; empty if there is none.
   std::string IdAt(const std::string& address);
 
+  /// Returns the whole body of the plain answer of the endpoint \p id to the
+  /// request \p request_id for \p target.
+  static std::string PlainBody(const std::string& id,
+                               const std::string& request_id,
+                               const std::string& target);
+  /// Returns the events of an answer from the number \p first on.
+  static std::string EventsText(int first = 1);
+
   const std::vector<Run>& Runs() const { return this->runs; }
   /// Returns the requests of callers that reached endpoints, in order of time.
   const std::vector<Arrival>& Arrivals() const { return this->arrivals; }
@@ -219,6 +234,7 @@
     std::uint64_t start_time = 0;
     std::unique_ptr<http::Server> server;
     EndpointFault fault = EndpointFault::kNone;
+    AnswerFault answer_fault = AnswerFault::kNone;
     std::optional<double> limit;
     std::optional<std::string> shedding;
     bool leaving = false;
@@ -260,6 +276,10 @@
                   const std::shared_ptr<http::Exchange>& shared);
   void ServeStream(Endpoint& endpoint,
                    std::shared_ptr<http::Exchange> exchange);
+  /// Runs the request of \p exchange and answers with the fault of
+  /// \p endpoint.
+  void ServeFaulty(const Endpoint& endpoint,
+                   const std::shared_ptr<http::Exchange>& exchange);
   /// Sends the head of the answer, and then its events.
   void BeginStream(const std::shared_ptr<Stream>& stream,
                    const http::ResponseHead& head);
--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -136,7 +136,8 @@
   test/process/odd_entries.cc test/process/crowd.cc)
 tw_process_test(soak_checks)
 target_sources(process_soak_checks PRIVATE test/soak/checks.cc
-  test/soak/callers.cc test/process/platform_fleet.cc)
+  test/soak/callers.cc test/soak/kept_connection.cc
+  test/process/platform_fleet.cc)
 target_link_libraries(process_soak_checks PRIVATE standin_fleet
   standin_relay_parts)
 file(STRINGS test/soak/seeds.txt soak_seeds REGEX "^[0-9]")
@@ -176,4 +177,18 @@
   COMMAND soak --seeds 9001,9002 --seconds 8 --crowds)
 set_tests_properties(soak_crowds PROPERTIES TIMEOUT 300 RUN_SERIAL TRUE)
 
+# tw_soak_with(SWITCH [argument...]): adds the test of the seeds that
+# test/soak/seeds.txt has for --SWITCH.
+function(tw_soak_with SWITCH)
+  file(STRINGS test/soak/seeds.txt seeds REGEX "^${SWITCH} ")
+  list(TRANSFORM seeds REPLACE "^${SWITCH} ([0-9]+) .*" "\\1")
+  list(JOIN seeds "," seeds)
+  string(REPLACE "-" "_" name ${SWITCH})
+  add_test(NAME soak_${name}
+    COMMAND soak --seeds ${seeds} --${SWITCH} ${ARGN})
+  set_tests_properties(soak_${name} PROPERTIES TIMEOUT 300)
+endfunction()
+tw_soak_with(faulty-answers --seconds 8)
+tw_soak_with(planned-stops --seconds 6 --callers 16)
+
 tw_program(bench_recovery bench/recovery DEPS tw_process_fixture)
--- a/test/process/soak_checks_test.cc
+++ b/test/process/soak_checks_test.cc
@@ -155,6 +155,66 @@
   BOOST_TEST(FindLimitViolations({read}, runs, {limit}, {}).empty());
 }
 
+BOOST_AUTO_TEST_CASE(AnswerThatLooksWholeAndIsNotIsSeen) {
+  ObservedRequest read = Answered("x", RequestKind::kRead);
+  read.body_defect = "7 bytes of 14, cut";
+  BOOST_TEST(FindViolations({read}, Runs("x", 1), {}).size() == 1U);
+  read.answer.complete = false;
+  BOOST_TEST(FindViolations({read}, Runs("x", 1), {}).empty());
+  read.has_more = true;
+  BOOST_TEST(FindViolations({read}, Runs("x", 1), {}).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(BodyThatIsNotWholeIsSeen) {
+  using standins::fleet::Endpoints;
+  const std::string target = Endpoints::kOwnLongAnswer;
+  process_test::Answer answer;
+  answer.headers["x-server-stamp"] = "stamp-of-plain-0";
+  const std::string whole = Endpoints::PlainBody("plain-0", "x", target);
+  for (const std::string& body :
+       {whole, whole.substr(1), whole.substr(0, whole.size() - 1), whole + "x",
+        Endpoints::PlainBody("plain-0", "y", target),
+        Endpoints::PlainBody("plain-1", "x", target)}) {
+    answer.body = body;
+    BOOST_TEST(BodyDefect(RequestKind::kRead, "x", target, answer).empty() ==
+               (body == whole));
+  }
+  answer.body = Endpoints::EventsText();
+  BOOST_TEST(BodyDefect(RequestKind::kStream, "x", "", answer).empty());
+  answer.body.pop_back();
+  BOOST_TEST(!BodyDefect(RequestKind::kStream, "x", "", answer).empty());
+}
+
+BOOST_AUTO_TEST_CASE(RequestCutByAPlannedStopIsSeen) {
+  const Clock::time_point begin = Clock::now();
+  const TimePoint from{
+      std::chrono::duration_cast<Duration>(begin.time_since_epoch())};
+  const auto call = [&](Duration sent, Duration ended) {
+    ObservedRequest sign = Answered("x", RequestKind::kSign);
+    sign.answer = {};
+    sign.sent = begin + sent;
+    sign.ended = begin + ended;
+    return sign;
+  };
+  using std::chrono::milliseconds;
+  const PlannedStop stop{0, from, from + std::chrono::seconds(9)};
+  const ObservedRequest late = call(milliseconds(4100), milliseconds(7900));
+  BOOST_TEST(FindCutByStops({late}, Runs("x", 1), {stop}).size() == 1U);
+  BOOST_TEST(FindCutByStops({late}, {}, {stop}).size() == 1U);
+  BOOST_TEST(FindCutByStops({late}, Runs("x", 1), {}).empty());
+  ObservedRequest answered = late;
+  answered.answer.complete = true;
+  BOOST_TEST(FindCutByStops({answered}, Runs("x", 1), {stop}).empty());
+  const ObservedRequest early = call(milliseconds(2900), milliseconds(6800));
+  BOOST_TEST(FindCutByStops({early}, Runs("x", 1), {stop}).empty());
+  const ObservedRequest soon = call(milliseconds(2900), milliseconds(4000));
+  BOOST_TEST(FindCutByStops({soon}, Runs("x", 1), {stop}).size() == 1U);
+  const ObservedRequest timed_out = call(milliseconds(0), milliseconds(4000));
+  BOOST_TEST(FindCutByStops({timed_out}, Runs("x", 1), {stop}).empty());
+  const ObservedRequest unread = call(milliseconds(2900), milliseconds(3000));
+  BOOST_TEST(FindCutByStops({unread}, {}, {stop}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(SoundRequestInQuarantineIsSeen) {
   ObservedRequest read = Answered("x", RequestKind::kRead);
   read.answer.status = 503;
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -36,6 +36,11 @@
   return text;
 }
 
+/// The two clocks differ only by the time that the machine was asleep.
+TimePoint OnBootClock(Clock::time_point at) {
+  return TimePoint{std::chrono::duration_cast<Duration>(at.time_since_epoch())};
+}
+
 bool AnswerIsItsOwn(const ObservedRequest& call) {
   if (!IsSuccess(call) || !call.answer.complete) return true;
   const auto id = call.answer.headers.find("x-request-id");
@@ -210,6 +215,48 @@
   return violations;
 }
 
+std::vector<std::string> FindCutByStops(
+    const std::vector<ObservedRequest>& observed,
+    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<PlannedStop>& stops) {
+  std::set<std::string> passed_on;
+  for (const auto& run : runs) passed_on.insert(run.request_id);
+  std::vector<std::string> violations;
+  for (const ObservedRequest& call : observed) {
+    // What an endpoint or the deadline breaks off isn't cut by a stop; a router
+    // passes on short answers only when they are whole.
+    const bool broken_off = call.is_long && call.answer.status != 0;
+    const bool cut = call.kind != RequestKind::kStream &&
+                     !call.answer.complete && !broken_off &&
+                     call.ended - call.sent < kPlainDeadline;
+    const bool ran = passed_on.contains(call.id);
+    if (!cut || (!ran && call.ended - call.sent <= kClosedWithoutAnswer)) {
+      continue;
+    }
+    const TimePoint sent = OnBootClock(call.sent);
+    const TimePoint ended = OnBootClock(call.ended);
+    for (const PlannedStop& stop : stops) {
+      const bool within = stop.router == call.router && ended >= stop.from &&
+                          ended <= stop.until;
+      const bool allowed =
+          sent <= stop.from + kEarlyInStop && ended >= stop.from + kLateInStop;
+      if (!within || allowed) continue;
+      const auto ms = [&](TimePoint at) {
+        return std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(at -
+                                                                  stop.from)
+                .count());
+      };
+      violations.push_back(
+          call.id + " at router " + std::to_string(call.router) + ", " +
+          (call.kind == RequestKind::kSign ? "non-idempotent, " : "") +
+          (ran ? "passed on, " : "not passed on, ") + "sent " + ms(sent) +
+          " ms after SIGTERM: cut " + ms(ended) + " ms after it (I6)");
+    }
+  }
+  return violations;
+}
+
 std::vector<std::string> FindViolations(
     const std::vector<ObservedRequest>& observed,
     const std::vector<standins::fleet::Run>& runs,
@@ -235,6 +282,12 @@
       add(call, "refused as if it crashed endpoints");
     }
     if (!AnswerIsItsOwn(call)) add(call, "not its own answer (I2)");
+    const bool looks_whole =
+        IsSuccess(call) && call.answer.complete && !call.disconnected;
+    if (looks_whole && !call.body_defect.empty()) {
+      add(call, "looks whole and isn't (I2): " + call.body_defect);
+    }
+    if (call.has_more) add(call, "bytes that belong to no answer (I2)");
     if (!EventsAreRight(call)) {
       add(call, "events missing or repeated (I1, I2): " + EventsOf(call));
     }
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -76,6 +76,29 @@
     const std::vector<standins::fleet::Arrival>& arrivals,
     const process_test::ArrivalBound& bound);
 
+/// Planned stop of a router: SIGTERM, and when it is started again.
+struct PlannedStop {
+  std::size_t router = 0;
+  TimePoint from;
+  TimePoint until;
+};
+
+/// How long after a whole request a connection may still be closed without an
+/// answer, if the request wasn't passed on.
+inline constexpr Duration kClosedWithoutAnswer = std::chrono::milliseconds(200);
+/// A request that came so early in a stop, and is still at its endpoint so late
+/// in the grace, may be cut.
+inline constexpr Duration kEarlyInStop = std::chrono::seconds(3);
+inline constexpr Duration kLateInStop =
+    std::chrono::milliseconds(kGraceMs) * 5 / 6;
+
+/// Returns a line for each plain request that a planned stop has cut: it was
+/// passed on, or read, and got no answer. Thread safety: safe.
+std::vector<std::string> FindCutByStops(
+    const std::vector<ObservedRequest>& observed,
+    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<PlannedStop>& stops);
+
 /// Returns a line for each violation of the router's guarantees in what callers
 /// and endpoints observed.
 /// Thread safety: safe.
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -40,6 +40,8 @@
   settings.odd_entries = options.count("odd-entries") > 0;
   settings.crash_forms = options.count("crash-forms") > 0;
   settings.crowds = options.count("crowds") > 0;
+  settings.faulty_answers = options.count("faulty-answers") > 0;
+  settings.planned_stops = options.count("planned-stops") > 0;
   settings.callers = options["callers"].as<std::size_t>();
   std::uint64_t failed = 0;
   for (const std::uint64_t seed :
@@ -78,7 +80,10 @@
       "stop endpoints, which go on, and let them send bytes of bad form, too")(
       "odd-entries", "leave odd entries among the endpoints, too")(
       "crash-forms", "vary how requests crash engines")(
-      "crowds", "let clients misbehave, on small machines");
+      "crowds", "let clients misbehave, on small machines")(
+      "faulty-answers", "let endpoints spoil their answers, on small machines")(
+      "planned-stops",
+      "stop routers as planned, while callers keep their connections");
   try {
     const auto parsed = options.parse(argc, argv);
     if (parsed.count("help") > 0) {
--- a/test/soak/plan.cc
+++ b/test/soak/plan.cc
@@ -1,5 +1,6 @@
 #include "test/soak/plan.h"
 
+#include <algorithm>
 #include <array>
 
 #include "toucanwharf/support/random.h"
@@ -7,6 +8,7 @@
 namespace toucanwharf::soak {
 namespace {
 
+using standins::fleet::AnswerFault;
 using standins::fleet::CrashForm;
 using standins::fleet::EndpointFault;
 using standins::fleet::StoreFault;
@@ -34,6 +36,13 @@
     EndpointFault::kRejectsResumed, EndpointFault::kIgnoresLastEvent,
     EndpointFault::kSendsWithoutEnd, EndpointFault::kFailsWithoutEnd};
 
+constexpr std::array kAnswerFaults = {
+    AnswerFault::kEndlessHead,     AnswerFault::kEndlessChunkLine,
+    AnswerFault::kEndlessEvent,    AnswerFault::kEndlessBody,
+    AnswerFault::kEndlessFailure,  AnswerFault::kTwice,
+    AnswerFault::kTwiceLater,      AnswerFault::kTwiceUnframed,
+    AnswerFault::kUnframedInParts, AnswerFault::kUnframedCutByCrash};
+
 constexpr std::array kCrashForms = {CrashForm::kWhileWriting,
                                     CrashForm::kBeforeHead, CrashForm::kSilent,
                                     CrashForm::kAtLastEngine};
@@ -62,7 +71,14 @@
                                "stopped engines",
                                "stopped plain endpoints",
                                "odd entry",
-                               "crowd"};
+                               "crowd",
+                               "faulty answers",
+                               "answers reset",
+                               "planned stop",
+                               "slow endpoint",
+                               "burst"};
+
+constexpr std::array kPlainEndpoints = {"plain-0", "plain-1"};
 
 template <typename Array>
 auto Draw(const Array& from, Random& random) {
@@ -151,6 +167,71 @@
   }
 }
 
+/// Adds faults of answers, half of them at plain endpoints: those that are cut
+/// have resets of connections in their middle, and some that are endless a
+/// burst of requests.
+void AddFaultyAnswers(const SoakSettings& settings,
+                      std::vector<Fault>& faults) {
+  constexpr std::uint64_t kStream = 6000;
+  constexpr std::uint64_t kMeanIntervalMs = 500;
+  constexpr std::int64_t kResetMs = 50;
+  Random random(MixBits(settings.seed + kStream));
+  for (std::int64_t at_ms = 300; at_ms < settings.duration_ms;
+       at_ms += static_cast<std::int64_t>(random.Below(2 * kMeanIntervalMs))) {
+    Fault fault;
+    fault.kind = FaultKind::kFaultyAnswers;
+    fault.at_ms = at_ms;
+    fault.duration_ms = 300 + static_cast<std::int64_t>(random.Below(2700));
+    fault.endpoint = random.Below(2) == 0 ? Draw(kPlainEndpoints, random)
+                                          : Draw(kEndpoints, random);
+    fault.answer_fault = Draw(kAnswerFaults, random);
+    fault.router = random.Below(settings.routers);
+    const bool bursts = random.Below(4) == 0;
+    faults.push_back(fault);
+    const bool endless = fault.answer_fault <= AnswerFault::kEndlessFailure;
+    if (endless && bursts) {
+      fault.kind = FaultKind::kBurst;
+      faults.push_back(fault);
+    }
+    if (fault.answer_fault != AnswerFault::kUnframedInParts) continue;
+    fault.kind = FaultKind::kAnswersReset;
+    fault.at_ms += fault.duration_ms / 2;
+    fault.duration_ms = kResetMs;
+    faults.push_back(fault);
+  }
+}
+
+bool EndsProcess(const Fault& fault) {
+  return fault.kind == FaultKind::kKill || fault.kind == FaultKind::kStop ||
+         fault.kind == FaultKind::kSuspend;
+}
+
+/// Adds a planned stop of two routers, beside a slow endpoint, and leaves out
+/// what else would end or suspend them at about the time.
+void AddPlannedStops(const SoakSettings& settings, std::vector<Fault>& faults) {
+  constexpr std::uint64_t kStream = 7000;
+  constexpr std::int64_t kApartMs = 5000;
+  Random random(MixBits(settings.seed + kStream));
+  const std::size_t first = random.Below(settings.routers);
+  for (std::size_t number = 0; number < 2; ++number) {
+    Fault fault;
+    fault.kind = FaultKind::kPlannedStop;
+    fault.router = (first + number) % settings.routers;
+    fault.at_ms = 500 + static_cast<std::int64_t>(random.Below(
+                            static_cast<std::uint64_t>(settings.duration_ms)));
+    fault.duration_ms = kStopMs;
+    std::erase_if(faults, [&](const Fault& other) {
+      return EndsProcess(other) && other.router == fault.router &&
+             other.at_ms < fault.at_ms + kStopMs + kApartMs &&
+             other.at_ms + other.duration_ms > fault.at_ms - kApartMs;
+    });
+    faults.push_back(fault);
+    fault.kind = FaultKind::kSlowEndpoint;
+    fault.endpoint = kPlainEndpoints[number];
+    faults.push_back(fault);
+  }
+}
+
 /// Varies how the crashing requests among \p faults crash engines.
 void VaryCrashForms(const SoakSettings& settings, std::vector<Fault>& faults) {
   constexpr std::uint64_t kStream = 4000;
@@ -213,6 +294,8 @@
   if (settings.crowds) {
     AddOverlapping(FaultKind::kCrowd, kCrowds, settings, faults);
   }
+  if (settings.faulty_answers) AddFaultyAnswers(settings, faults);
+  if (settings.planned_stops) AddPlannedStops(settings, faults);
   if (settings.crash_forms) VaryCrashForms(settings, faults);
   return faults;
 }
@@ -221,7 +304,13 @@
   std::string text = std::to_string(fault.at_ms) + " ms, for " +
                      std::to_string(fault.duration_ms) +
                      " ms: " + kNames[static_cast<std::size_t>(fault.kind)];
-  if (fault.kind == FaultKind::kEndpointPause) {
+  if (fault.kind == FaultKind::kFaultyAnswers) {
+    return text + " " + fault.endpoint + " fault " +
+           std::to_string(static_cast<int>(fault.answer_fault));
+  }
+  if (fault.kind == FaultKind::kEndpointPause ||
+      fault.kind == FaultKind::kAnswersReset ||
+      fault.kind == FaultKind::kSlowEndpoint) {
     return text + " " + fault.endpoint;
   }
   if (fault.kind == FaultKind::kEndpoint) {
--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -56,6 +56,16 @@
   kOddEntry,
   /// A crowd of clients misbehaves at one of a router's addresses.
   kCrowd,
+  /// An endpoint spoils its answers.
+  kFaultyAnswers,
+  /// Connections from all routers to an endpoint are reset.
+  kAnswersReset,
+  /// The router is asked to stop (SIGTERM), and has its whole grace to do so.
+  kPlannedStop,
+  /// A plain endpoint is slow.
+  kSlowEndpoint,
+  /// A crowd of clients sends plain requests at once, and reads nothing.
+  kBurst,
 };
 
 /// One fault. Times are in milliseconds since the callers started.
@@ -69,6 +79,8 @@
   standins::fleet::EndpointFault endpoint_fault =
       standins::fleet::EndpointFault::kNone;
   std::string endpoint;
+  standins::fleet::AnswerFault answer_fault =
+      standins::fleet::AnswerFault::kNone;
   /// Requests per second that the endpoint states.
   double limit = 0;
   /// Endpoints of ten that are stopped.
@@ -123,10 +135,21 @@
   /// Whether routers run on small machines, and clients also misbehave; the
   /// same holds.
   bool crowds = false;
+  /// Whether endpoints also spoil their answers, on small machines; the same
+  /// holds.
+  bool faulty_answers = false;
+  /// Whether routers are also stopped as planned while callers keep their
+  /// connections. Other stops of the same router beside one are left out.
+  bool planned_stops = false;
 
   friend bool operator==(const SoakSettings&, const SoakSettings&) = default;
 };
 
+/// Time that a router has from SIGTERM on, and until it is started again.
+/// Equals `bounds.grace_s` in the settings of the fleet's routers.
+inline constexpr std::int64_t kGraceMs = 8000;
+inline constexpr std::int64_t kStopMs = kGraceMs + 1000;
+
 /// Returns the faults for \p settings, ordered by time. Deterministic.
 /// Thread safety: safe.
 std::vector<Fault> PlanFaults(const SoakSettings& settings);
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <deque>
 #include <fstream>
+#include <map>
 #include <optional>
 #include <set>
 #include <thread>
@@ -23,6 +24,7 @@
 using process_test::Listener;
 using process_test::Misbehaviour;
 using process_test::PlatformFleet;
+using standins::fleet::AnswerFault;
 using standins::fleet::CutAt;
 using standins::fleet::EndpointFault;
 using standins::fleet::StoreFault;
@@ -43,6 +45,7 @@
 /// What routers run on beside crowds, and how many clients are one.
 constexpr process_test::MachineLimits kSmallMachine{64, 400, 1024UL * 1024};
 constexpr std::size_t kCrowd = 80;
+constexpr std::size_t kBurst = 150;
 constexpr std::size_t kBytesPerMegabyte = 1'000'000;
 /// Of the request that asks how much is held.
 constexpr double kBytesOfOneRequest = 16.0 * 1024;
@@ -84,6 +87,10 @@
          fault.kind == FaultKind::kCrashingPart;
 }
 
+bool IsSmall(const SoakSettings& settings) {
+  return settings.crowds || settings.faulty_answers;
+}
+
 /// Name of the entry of \p fault among the endpoints.
 std::string OddNameOf(const Fault& fault) {
   return "odd-" + std::to_string(fault.text);
@@ -102,8 +109,15 @@
         fleet(
             chosen.routers, false, true,
             chosen.endpoint_stops ? kTightBound : process_test::ArrivalBound(),
-            chosen.crowds ? kSmallMachine : process_test::MachineLimits()) {
-    const bool unframed = (chosen.crashing_parts || chosen.endpoint_stops) &&
+            IsSmall(chosen) ? kSmallMachine : process_test::MachineLimits()) {
+    for (const auto& ids :
+         {PlatformFleet::EngineIds(), PlatformFleet::PlainIds()}) {
+      for (const std::string& id : ids) {
+        this->addresses[id] = this->fleet.Endpoints().AddressOf(id);
+      }
+    }
+    const bool unframed = (chosen.crashing_parts || chosen.endpoint_stops ||
+                           chosen.faulty_answers) &&
                           chosen.seed % 2 == 1;
     this->fleet.RunOnLoop([&] {
       this->fleet.Endpoints().SendUnframed(unframed);
@@ -130,6 +144,10 @@
         callers.SendCrashingParts(event.begins);
         continue;
       }
+      if (event.fault.kind == FaultKind::kPlannedStop) {
+        callers.PreferRouter(event.begins ? std::optional(event.fault.router)
+                                          : std::nullopt);
+      }
       this->RecordRouterFault(event);
       event.begins ? this->Begin(event.fault) : this->End(event.fault);
     }
@@ -143,6 +161,7 @@
   void Begin(const Fault& fault) {
     switch (fault.kind) {
       case FaultKind::kKill:
+        this->CheckMemory(fault.router);
         this->stopped_routers.insert(fault.router);
         this->fleet.Router(fault.router).Kill();
         return;
@@ -150,6 +169,7 @@
         this->fleet.Router(fault.router).Signal(SIGSTOP);
         return;
       case FaultKind::kStop:
+        this->CheckMemory(fault.router);
         this->stopped_routers.insert(fault.router);
         this->fleet.Router(fault.router).Signal(SIGTERM);
         return;
@@ -201,6 +221,24 @@
       case FaultKind::kCrowd:
         this->PlayCrowd(fault);
         return;
+      case FaultKind::kFaultyAnswers:
+        this->SetAnswerFault(fault.endpoint, fault.answer_fault);
+        return;
+      case FaultKind::kAnswersReset:
+        this->ResetLinks(fault.endpoint);
+        return;
+      case FaultKind::kPlannedStop:
+        this->stopped_routers.insert(fault.router);
+        this->stops.push_back(
+            {fault.router, BootClock().Now(), TimePoint{Duration::max()}});
+        this->fleet.Router(fault.router).Signal(SIGTERM);
+        return;
+      case FaultKind::kSlowEndpoint:
+        this->SetEndpoint(fault.endpoint, EndpointFault::kSlow);
+        return;
+      case FaultKind::kBurst:
+        this->PlayBurst(fault);
+        return;
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
         return;
@@ -253,7 +291,23 @@
         this->fleet.RunOnLoop(
             [&] { this->fleet.Store().Remove("servers", OddNameOf(fault)); });
         return;
+      case FaultKind::kFaultyAnswers:
+        this->SetAnswerFault(fault.endpoint, AnswerFault::kNone);
+        return;
+      case FaultKind::kAnswersReset:
+        for (std::size_t router = 0; router < this->settings.routers;
+             ++router) {
+          this->fleet.HealLinks(router);
+        }
+        return;
+      case FaultKind::kPlannedStop:
+        this->EndPlannedStop(fault.router);
+        return;
+      case FaultKind::kSlowEndpoint:
+        this->SetEndpoint(fault.endpoint, EndpointFault::kNone);
+        return;
       case FaultKind::kReload:
+      case FaultKind::kBurst:
       case FaultKind::kCrowd:
       case FaultKind::kCrashingRequest:
       case FaultKind::kCrashingPart:
@@ -261,6 +315,55 @@
     }
   }
 
+  /// Sets \p fault of the endpoint that is at the address of \p endpoint now.
+  void SetAnswerFault(const std::string& endpoint, AnswerFault fault) {
+    this->fleet.RunOnLoop([&] {
+      auto& all = this->fleet.Endpoints();
+      all.SetAnswerFault(all.IdAt(this->addresses.at(endpoint)), fault);
+    });
+  }
+
+  void ResetLinks(const std::string& endpoint) {
+    std::string id;
+    this->fleet.RunOnLoop([&] {
+      id = this->fleet.Endpoints().IdAt(this->addresses.at(endpoint));
+    });
+    if (id.empty()) return;
+    for (std::size_t router = 0; router < this->settings.routers; ++router) {
+      this->fleet.CutLinks(router, standins::fleet::LinkFault::kReset, {id});
+    }
+  }
+
+  void EndPlannedStop(std::size_t router) {
+    const std::string end = this->fleet.Router(router).ExitDescription();
+    if (end != "exit code 0") {
+      this->violations.push_back("router " + std::to_string(router) +
+                                 " did not end in its grace as planned: " +
+                                 (end.empty() ? "it runs" : end));
+    }
+    for (PlannedStop& stop : this->stops) {
+      if (stop.router != router) continue;
+      stop.until = std::min(stop.until, BootClock().Now());
+    }
+    this->fleet.StartRouter(router);
+    this->stopped_routers.erase(router);
+  }
+
+  void PlayBurst(const Fault& fault) {
+    this->crowds.emplace_back(
+        [address = this->fleet.AddressOf(fault.router, Listener::kCallers),
+         duration = milliseconds(fault.duration_ms)] {
+          const auto until = Clock::now() + duration;
+          process_test::Crowd crowd(address, kBurst);
+          crowd.Send(
+              [](std::size_t index) {
+                return process_test::RequestHead(index, "", "GET /read/burst");
+              },
+              "");
+          std::this_thread::sleep_until(until);
+        });
+  }
+
   void PlayCrowd(const Fault& fault) {
     constexpr std::array kListeners = {Listener::kCallers, Listener::kCallers,
                                        Listener::kReady, Listener::kControl,
@@ -281,24 +384,30 @@
   /// Records what a router has taken beyond its machine, or keeps for crowds
   /// that are gone.
   void CheckResources() {
-    if (!this->settings.crowds) return;
+    if (!IsSmall(this->settings)) return;
     for (std::thread& crowd : this->crowds) crowd.join();
     this->crowds.clear();
     for (std::size_t router = 0; router < this->settings.routers; ++router) {
-      const process_test::ProcessWatch watch(this->fleet.Router(router).Pid());
+      this->CheckMemory(router);
       const std::string name = "router " + std::to_string(router);
-      const std::size_t peak = watch.PeakResidentBytes();
-      if (peak > kSmallMachine.memory_mb * kBytesPerMegabyte) {
-        this->violations.push_back(name + " took " + std::to_string(peak) +
-                                   " bytes of memory");
-      }
       const bool freed = PlatformFleet::Eventually(
           [&] { return this->BufferedBytes(router) <= kBytesOfOneRequest; },
           kRecoveryTimeoutMs);
-      if (!freed) this->violations.push_back(name + " keeps memory of crowds");
+      if (freed) continue;
+      this->violations.push_back(name + " keeps memory of what is gone");
     }
   }
 
+  /// Records whether the process of \p router took more than its machine has.
+  void CheckMemory(std::size_t router) {
+    if (!IsSmall(this->settings)) return;
+    const process_test::ProcessWatch watch(this->fleet.Router(router).Pid());
+    const std::size_t peak = watch.PeakResidentBytes();
+    if (peak <= kSmallMachine.memory_mb * kBytesPerMegabyte) return;
+    this->violations.push_back("router " + std::to_string(router) + " took " +
+                               std::to_string(peak) + " bytes of memory");
+  }
+
   double BufferedBytes(std::size_t router) {
     const std::string text = this->fleet.Metrics(router);
     const std::string line = "\ntoucanwharf_buffered_bytes ";
@@ -356,7 +465,8 @@
                              event.fault.kind != FaultKind::kStoppedEngines &&
                              event.fault.kind != FaultKind::kStoppedPlain &&
                              event.fault.kind != FaultKind::kOddEntry &&
-                             event.fault.kind != FaultKind::kCrowd;
+                             event.fault.kind != FaultKind::kCrowd &&
+                             event.fault.kind < FaultKind::kFaultyAnswers;
     if (!of_a_router) return;
     const TimePoint now = BootClock().Now();
     const Duration planned = milliseconds(event.fault.duration_ms);
@@ -478,6 +588,7 @@
       result.violations.insert(result.violations.end(), more.begin(),
                                more.end());
     };
+    add(FindCutByStops(observed, runs, this->stops));
     add(FindCrashViolations(runs, this->router_faults));
     add(FindLimitViolations(observed, runs, this->limits, this->router_faults));
     if (this->settings.endpoint_stops) {
@@ -496,6 +607,9 @@
   std::vector<RevocationPeriod> revoked;
   std::vector<RouterFaultPeriod> router_faults;
   std::vector<LimitPeriod> limits;
+  std::vector<PlannedStop> stops;
+  /// Addresses of the endpoints that the fleet began with, by their ids.
+  std::map<std::string, std::string> addresses;
   std::vector<std::string> violations;
   std::vector<std::thread> crowds;
   int probes = 0;
