--- a/test/soak/plan.h
+++ b/test/soak/plan.h
@@ -64,7 +64,8 @@
   kPlannedStop,
   /// A plain endpoint is slow.
   kSlowEndpoint,
-  /// A crowd of clients sends plain requests at once, and reads nothing.
+  /// All endpoints spoil their answers while a crowd of clients sends requests
+  /// at once, and reads nothing.
   kBurst,
 };
 
