The end of a drain answers the calls that it breaks off

What callers saw: at timeouts.drain, the router of the product's own interface ended the connections of calls and answers under way without an answer, and until then it took calls that would outlast it.

Cause: the process left its loop with them under way.

The drain never ends before callers know of it, as before.

No test plays a model answer through the end of a drain.

--- a/include/toucanwharf/daemon/answer_sessions.h
+++ b/include/toucanwharf/daemon/answer_sessions.h
@@ -76,6 +76,9 @@
   /// Returns whether the answer \p id of any customer is retained here.
   bool Contains(const std::string& id) const { return this->log.Contains(id); }
 
+  /// Ends all answers, as the process ends: their readers are told.
+  void EndAll();
+
   /// Returns the number of answers queued or running.
   std::size_t Running() const { return this->sessions.size(); }
 
--- a/include/toucanwharf/daemon/caller_api.h
+++ b/include/toucanwharf/daemon/caller_api.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <utility>
 
+#include "toucanwharf/admission/stop_plan.h"
 #include "toucanwharf/daemon/answer_sessions.h"
 #include "toucanwharf/daemon/entry_advice_provider.h"
 #include "toucanwharf/daemon/metrics.h"
@@ -41,6 +42,13 @@
     this->resume_elsewhere = std::move(resume);
   }
 
+  /// Returns whether the process ends before a request that needs \p time has
+  /// its answer.
+  using EndsWithin = std::function<bool(const admission::ExpectedTime& time)>;
+
+  /// Sets what knows of a stop.
+  void SetEndsWithin(EndsWithin ends) { this->ends_within = std::move(ends); }
+
   /// Serves one request. Precondition: the exchange has no answer yet.
   void Serve(const std::shared_ptr<transport::Exchange>& exchange);
 
@@ -62,6 +70,10 @@
   void ServeResume(const SharedExchange& exchange,
                    const records::Customer& customer);
   void ServeModels(const SharedExchange& exchange);
+  /// Refuses a request that the end of the process would break off. Returns
+  /// whether it did.
+  bool RefuseInStop(const SharedExchange& exchange,
+                    const admission::ExpectedTime& time);
   void Refuse(const SharedExchange& exchange, Refusal refusal);
 
   transport::EventLoop& loop;
@@ -72,6 +84,7 @@
   EntryAdviceProvider& entry_advice;
   Metrics& metrics;
   ResumeElsewhere resume_elsewhere;
+  EndsWithin ends_within;
 };
 
 }  // namespace toucanwharf::daemon
--- a/include/toucanwharf/daemon/service_runner.h
+++ b/include/toucanwharf/daemon/service_runner.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -75,11 +76,17 @@
   void Start(ServiceJob job, Done done);
 
   /// Returns the number of calls in progress.
-  std::size_t Running() const { return this->calls_running; }
+  std::size_t Running() const { return this->calls.size(); }
+
+  /// Ends all calls, as the process ends: each is refused, as not run if no
+  /// endpoint can have run it.
+  void EndAll();
 
  private:
   struct Call;
 
+  /// Returns the refusal of \p call, which the end of the process breaks off.
+  static Refusal BrokenOff(const Call& call);
   void ClaimKey(const std::shared_ptr<Call>& call);
   void OnVerdict(const std::shared_ptr<Call>& call, once::Verdict verdict);
   void RecordOutcome(const Call& call, const ServiceResult& result);
@@ -93,7 +100,7 @@
   platform::IdempotencyJournal& journal;
   Metrics& metrics;
   Random random;
-  std::size_t calls_running = 0;
+  std::set<std::shared_ptr<Call>> calls;
 };
 
 }  // namespace toucanwharf::daemon
--- a/lib/daemon/answer_sessions.cc
+++ b/lib/daemon/answer_sessions.cc
@@ -1,5 +1,7 @@
 #include "toucanwharf/daemon/answer_sessions.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <chrono>
 #include <optional>
@@ -231,6 +233,15 @@
   session->readers.push_back(std::move(exchange));
 }
 
+void AnswerSessions::EndAll() {
+  std::vector<std::string> open;
+  for (const auto& [id, session] : this->sessions) open.push_back(id);
+  for (const std::string& id : open) {
+    LOG(WARNING) << "the end of the process breaks off answer " << id;
+    this->runner.Abandon(id);
+  }
+}
+
 void AnswerSessions::CheckReaders() {
   const TimePoint now = this->loop.Now();
   std::vector<std::string> abandoned;
--- a/lib/daemon/caller_api.cc
+++ b/lib/daemon/caller_api.cc
@@ -217,6 +217,9 @@
                                        "operators must write it"));
     return;
   }
+  // Another instance resumes an answer that is broken off.
+  const Duration allowed = this->settings.timeouts.answer;
+  if (this->RefuseInStop(exchange, {allowed, Duration(0), true})) return;
   SessionRequest session;
   session.customer = customer.name;
   session.stream = completion.stream;
@@ -290,6 +293,10 @@
   if (!job.idempotent && job.idempotency_key.empty()) {
     job.idempotency_key = job.request_id;
   }
+  if (this->RefuseInStop(exchange,
+                         {job.service.timeout, std::nullopt, job.idempotent})) {
+    return;
+  }
   const std::string id = job.request_id;
   const auto done = [this, exchange, id](ServiceResult result) {
     if (auto* refusal = std::get_if<Refusal>(&result)) {
@@ -340,6 +347,15 @@
   SendJson(*exchange, Json({{"object", "list"}, {"data", data}}).dump());
 }
 
+bool CallerApi::RefuseInStop(const SharedExchange& exchange,
+                             const admission::ExpectedTime& time) {
+  if (!this->ends_within || !this->ends_within(time)) return false;
+  this->Refuse(exchange, MakeRefusal(kUnavailable, "stopping",
+                                     "this instance stops; use another entry "
+                                     "instance"));
+  return true;
+}
+
 void CallerApi::Refuse(const SharedExchange& exchange, Refusal refusal) {
   if (refusal.request_id.empty()) refusal.request_id = NewId();
   this->metrics.Count("toucanwharf_refusals_total{code=\"" + refusal.code +
--- a/lib/daemon/router.cc
+++ b/lib/daemon/router.cc
@@ -10,6 +10,7 @@
 #include <string>
 #include <utility>
 
+#include "toucanwharf/admission/stop_plan.h"
 #include "toucanwharf/daemon/admin_api.h"
 #include "toucanwharf/daemon/answer_admission.h"
 #include "toucanwharf/daemon/answer_relay.h"
@@ -44,6 +45,7 @@
 // page with the last sequence number.
 constexpr std::size_t kTimelinePage = 2000;
 constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(100);
+constexpr Duration kEndCheckPeriod = std::chrono::milliseconds(10);
 constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
 /// Part of the memory for requests that are received and answers that wait.
 constexpr std::uint64_t kBufferDivisor = 4;
@@ -92,6 +94,9 @@
     this->entry_advice.SetTrafficShare([this](const std::string& customer) {
       return this->answer_admission.TrafficShareOf(customer);
     });
+    this->callers.SetEndsWithin([this](const admission::ExpectedTime& time) {
+      return this->EndsWithin(time);
+    });
     this->callers.SetResumeElsewhere(
         [this](const std::string& id, std::uint32_t from,
                const std::string& customer, const SharedExchange& exchange) {
@@ -179,24 +184,48 @@
     this->entry_advice.Leave();
     this->fleet.AnnounceDrain();
     this->config.ReleaseLease();
+    this->loop.After(this->stop_plan.AnswerBy(), [this] { this->EndAll(); });
+    this->loop.After(this->stop_plan.ExitBy(), [this] { this->Exit(); });
     this->CheckDrain();
   }
 
+  /// Ends what is under way with a final answer.
+  void EndAll() {
+    LOG(WARNING) << "drain of " << this->settings.instance << " breaks off "
+                 << this->services.Running() << " calls and "
+                 << this->sessions.Running() << " answers";
+    this->ending = true;
+    this->services.EndAll();
+    this->sessions.EndAll();
+  }
+
+  void Exit() {
+    LOG(INFO) << "drain of " << this->settings.instance << " complete";
+    this->loop.Stop();
+  }
+
+  bool IsIdle() const {
+    return this->runner.Running() == 0 && this->services.Running() == 0 &&
+           this->journal.Idle() && this->caller_server->OpenExchanges() == 0;
+  }
+
+  bool EndsWithin(const admission::ExpectedTime& time) const {
+    if (!this->drain_began) return false;
+    return !this->stop_plan.MayTake(this->loop.Now() - *this->drain_began,
+                                    time);
+  }
+
   void CheckDrain() {
     const TimePoint now = this->loop.Now();
-    const Duration elapsed = now - *this->drain_began;
     if (now >= this->entry_advice.ServeUntil(*this->drain_began)) {
       this->caller_server->StopListening();
-      const bool idle = this->runner.Running() == 0 &&
-                        this->services.Running() == 0 && this->journal.Idle() &&
-                        this->caller_server->OpenExchanges() == 0;
-      if (idle || elapsed >= this->settings.timeouts.drain) {
-        LOG(INFO) << "drain of " << this->settings.instance << " complete";
-        this->loop.Stop();
+      if (this->IsIdle()) {
+        this->Exit();
         return;
       }
     }
-    this->loop.After(kDrainCheckPeriod, [this] { this->CheckDrain(); });
+    this->loop.After(this->ending ? kEndCheckPeriod : kDrainCheckPeriod,
+                     [this] { this->CheckDrain(); });
   }
 
   /// Returns how much all listeners together may use.
@@ -272,6 +301,12 @@
   std::unique_ptr<transport::HttpServer> caller_server;
   std::unique_ptr<transport::HttpServer> admin_server;
   std::optional<TimePoint> drain_began;
+  /// Callers are served at least until they know of the drain.
+  Duration news{this->entry_advice.ServeUntil(TimePoint()) - TimePoint()};
+  admission::StopPlan stop_plan{
+      std::max(this->settings.timeouts.drain, this->news), this->news};
+  /// Whether what was under way was broken off.
+  bool ending = false;
 };
 
 Router::Router(std::unique_ptr<Parts> parts) : parts(std::move(parts)) {}
--- a/lib/daemon/service_runner.cc
+++ b/lib/daemon/service_runner.cc
@@ -1,5 +1,7 @@
 #include "toucanwharf/daemon/service_runner.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <chrono>
 #include <set>
@@ -114,6 +116,9 @@
   // Whether an earlier attempt may have run; then the call must not be reported
   // as not run (I3).
   bool may_have_run = false;
+  /// The attempt in flight; 0 for none.
+  transport::CallId attempt = 0;
+  bool finished = false;
   /// Request and claim in the journal, for a call with a caller's key.
   platform::IdempotentRequest request;
   std::string claim;
@@ -131,11 +136,11 @@
       random(seed) {}
 
 void ServiceRunner::Start(ServiceJob job, Done done) {
-  ++this->calls_running;
   this->metrics.Count("toucanwharf_service_calls_total");
   auto call = std::make_shared<Call>();
   call->job = std::move(job);
   call->done = std::move(done);
+  this->calls.insert(call);
   // A call without a caller-supplied key can't be repeated, so it needs no
   // claim, and "not run" can be reported without asking the platform.
   const bool has_caller_key = !call->job.idempotent &&
@@ -162,6 +167,7 @@
 
 void ServiceRunner::OnVerdict(const std::shared_ptr<Call>& call,
                               once::Verdict verdict) {
+  if (call->finished) return;
   if (std::holds_alternative<once::Granted>(verdict)) {
     call->granted = true;
     this->StartAttempt(call);
@@ -241,11 +247,39 @@
   const auto on_done = [this, call](const HttpOutcome& outcome) {
     this->OnOutcome(call, outcome);
   };
-  this->client.Start(std::move(http), {nullptr, on_done});
+  call->attempt = this->client.Start(std::move(http), {nullptr, on_done});
+}
+
+void ServiceRunner::EndAll() {
+  const auto open = this->calls;
+  for (const auto& call : open) {
+    const bool in_flight = call->attempt != 0;
+    this->client.Cancel(std::exchange(call->attempt, 0));
+    call->may_have_run = call->may_have_run || in_flight;
+    LOG(WARNING) << "the end of the process breaks off call "
+                 << call->job.request_id << " of service "
+                 << call->job.service.name;
+    this->Finish(call, BrokenOff(*call));
+  }
+}
+
+Refusal ServiceRunner::BrokenOff(const Call& call) {
+  if (call.may_have_run) {
+    return MakeRefusal(call.job, kBadGateway, "outcome_unknown",
+                       "this instance ended before the endpoint had answered; "
+                       "ask the service whether the call ran before you send "
+                       "it anew",
+                       pipeline::Ran::kUnknown);
+  }
+  return MakeRefusal(call.job, kUnavailable, "stopping",
+                     "this instance stops; use another entry instance",
+                     pipeline::Ran::kNo);
 }
 
 void ServiceRunner::OnOutcome(const std::shared_ptr<Call>& call,
                               const HttpOutcome& outcome) {
+  if (call->finished) return;
+  call->attempt = 0;
   const bool answered = outcome.end == CallEnd::kAnswered;
   if (answered && !RefusedBeforeRunning(outcome)) {
     ServiceAnswer answer;
@@ -275,7 +309,8 @@
 
 void ServiceRunner::Finish(const std::shared_ptr<Call>& call,
                            ServiceResult result) {
-  --this->calls_running;
+  if (std::exchange(call->finished, true)) return;
+  this->calls.erase(call);
   this->RecordOutcome(*call, result);
   call->done(std::move(result));
 }
--- a/test/process/fixture.h
+++ b/test/process/fixture.h
@@ -131,11 +131,12 @@
   /// Starts an engine, behind a relay if requested, and registers it with the
   /// platform.
   void AddEngine(const EngineSpec& spec);
-  /// Starts a router in \p failure_domain, with \p limits in its settings, and
-  /// returns its index, from 0.
-  std::size_t AddRouter(
-      const std::string& failure_domain,
-      const nlohmann::json& limits = nlohmann::json::object());
+  /// Starts a router in \p failure_domain, with \p limits and \p timeouts in
+  /// its settings, and returns its index, from 0.
+  std::size_t AddRouter(const std::string& failure_domain,
+                        const nlohmann::json& limits = nlohmann::json::object(),
+                        const nlohmann::json& timeouts = {
+                            {"entries_ttl_ms", 500}});
   /// Waits until every router knows all engines and routers and serves the
   /// pipeline. Throws std::runtime_error after 600 polls at 50 ms, about half a
   /// minute.
--- a/test/process/fleet.cc
+++ b/test/process/fleet.cc
@@ -181,7 +181,7 @@
 }
 
 std::size_t Fleet::AddRouter(const std::string& failure_domain,
-                             const Json& limits) {
+                             const Json& limits, const Json& timeouts) {
   const std::size_t number = this->routers.size();
   const std::string name = "router-" + std::to_string(number);
   const std::string callers = FreeAddress();
@@ -194,7 +194,7 @@
       {"listen", {{"callers", callers}, {"admin", admin}, {"peers", peers}}},
       {"platform", {{"address", this->platform_address}}},
       {"keys", {{"admin", kAdminKey}, {"peer", kPeerKey}}},
-      {"timeouts", {{"entries_ttl_ms", 500}}},
+      {"timeouts", timeouts},
       {"limits", limits}};
   const std::string file = RunDirectory() + "/" + name + ".json";
   std::ofstream(file) << settings.dump();
--- a/test/process/state_test.cc
+++ b/test/process/state_test.cc
@@ -251,6 +251,33 @@
   BOOST_TEST(this->Runs(key) == 1);
 }
 
+// Guards against calls that the end of a drain cuts without an answer, and
+// against those that are sent on although it would cut them.
+BOOST_AUTO_TEST_CASE(EndOfADrainAnswersCallsAndTakesNoneThatOutlastIt) {
+  this->Write(Record("service", "lot-records",
+                     {{"calls", Json::array()}, {"timeout_ms", 9000}}));
+  const std::size_t router = this->fleet.AddRouter(
+      "casa-a", Json::object(), {{"entries_ttl_ms", 500}, {"drain_ms", 4500}});
+  WaitUntil("a signature through the new router",
+            [&] { return this->Sign(router, NewId()).status == 200; });
+  this->ServiceFault({{"delay_ms", 6000}});
+  const std::string key = NewId();
+  auto first = std::async(std::launch::async,
+                          [&, key] { return this->Sign(router, key); });
+  WaitUntil("the run", [&] { return this->Runs(key) == 1; });
+  this->fleet.Router(router).Signal(SIGTERM);
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const std::string late_key = NewId();
+  const Answer late = this->Sign(router, late_key);
+  BOOST_TEST(late.status == 503);
+  BOOST_TEST(this->RanOf(late) == "no");
+  BOOST_TEST(this->Runs(late_key) == 0);
+  const Answer cut = first.get();
+  BOOST_TEST(cut.status == 502);
+  BOOST_TEST(this->RanOf(cut) == "unknown");
+  BOOST_TEST(this->fleet.Router(router).Wait() == 0);
+}
+
 // The store writes the claim, but several of its responses in a row are lost.
 // The router finds its claim by reading it back, and the signature succeeds.
 BOOST_AUTO_TEST_CASE(LostStoreResponsesFailNoCall) {
