A request counts as passed on to an endpoint once that has read it

The check of planned stops took the begin of a run, which a slow endpoint puts off, so that a request cut within 200 ms of being passed on wasn't seen. Stricter now.

--- a/test/process/soak_checks_test.cc
+++ b/test/process/soak_checks_test.cc
@@ -197,26 +197,28 @@
     return sign;
   };
   using std::chrono::milliseconds;
+  const std::vector<standins::fleet::Arrival> arrivals = {
+      {"plain", "plain-0", "x", from}};
   const PlannedStop stop{0, from, from + std::chrono::seconds(9)};
   const ObservedRequest late = call(milliseconds(4100), milliseconds(7900));
-  BOOST_TEST(FindCutByStops({late}, Runs("x", 1), {stop}, false).size() == 1U);
+  BOOST_TEST(FindCutByStops({late}, arrivals, {stop}, false).size() == 1U);
   BOOST_TEST(FindCutByStops({late}, {}, {stop}, false).size() == 1U);
-  BOOST_TEST(FindCutByStops({late}, Runs("x", 1), {}, false).empty());
+  BOOST_TEST(FindCutByStops({late}, arrivals, {}, false).empty());
   ObservedRequest answered = late;
   answered.answer.complete = true;
-  BOOST_TEST(FindCutByStops({answered}, Runs("x", 1), {stop}, false).empty());
+  BOOST_TEST(FindCutByStops({answered}, arrivals, {stop}, false).empty());
   const ObservedRequest early = call(milliseconds(2900), milliseconds(6800));
-  BOOST_TEST(FindCutByStops({early}, Runs("x", 1), {stop}, false).empty());
+  BOOST_TEST(FindCutByStops({early}, arrivals, {stop}, false).empty());
   const ObservedRequest soon = call(milliseconds(2900), milliseconds(4000));
-  BOOST_TEST(FindCutByStops({soon}, Runs("x", 1), {stop}, false).size() == 1U);
+  BOOST_TEST(FindCutByStops({soon}, arrivals, {stop}, false).size() == 1U);
   const ObservedRequest timed_out = call(milliseconds(0), milliseconds(4000));
-  BOOST_TEST(FindCutByStops({timed_out}, Runs("x", 1), {stop}, false).empty());
+  BOOST_TEST(FindCutByStops({timed_out}, arrivals, {stop}, false).empty());
   const ObservedRequest unread = call(milliseconds(2900), milliseconds(3000));
   BOOST_TEST(FindCutByStops({unread}, {}, {stop}, false).empty());
   ObservedRequest broken_off = late;
   broken_off.answer.status = 200;
-  BOOST_TEST(FindCutByStops({broken_off}, Runs("x", 1), {stop}, true).empty());
-  BOOST_TEST(FindCutByStops({broken_off}, Runs("x", 1), {stop}, false).size() ==
+  BOOST_TEST(FindCutByStops({broken_off}, arrivals, {stop}, true).empty());
+  BOOST_TEST(FindCutByStops({broken_off}, arrivals, {stop}, false).size() ==
              1U);
 }
 
--- a/test/soak/checks.cc
+++ b/test/soak/checks.cc
@@ -217,18 +217,18 @@
 
 std::vector<std::string> FindCutByStops(
     const std::vector<ObservedRequest>& observed,
-    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<standins::fleet::Arrival>& arrivals,
     const std::vector<PlannedStop>& stops, bool answers_break) {
   std::set<std::string> passed_on;
-  for (const auto& run : runs) passed_on.insert(run.request_id);
+  for (const auto& arrival : arrivals) passed_on.insert(arrival.request_id);
   std::vector<std::string> violations;
   for (const ObservedRequest& call : observed) {
     const bool broken_off = answers_break && call.answer.status != 0;
     const bool cut = call.kind != RequestKind::kStream &&
                      !call.answer.complete && !broken_off &&
                      call.ended - call.sent < kPlainDeadline;
-    const bool ran = passed_on.contains(call.id);
-    if (!cut || (!ran && call.ended - call.sent <= kClosedWithoutAnswer)) {
+    const bool arrived = passed_on.contains(call.id);
+    if (!cut || (!arrived && call.ended - call.sent <= kClosedWithoutAnswer)) {
       continue;
     }
     const TimePoint sent = OnBootClock(call.sent);
@@ -248,7 +248,7 @@
       violations.push_back(
           call.id + " at router " + std::to_string(call.router) + ", " +
           (call.kind == RequestKind::kSign ? "non-idempotent, " : "") +
-          (ran ? "passed on, " : "not passed on, ") + "sent " + ms(sent) +
+          (arrived ? "passed on, " : "not passed on, ") + "sent " + ms(sent) +
           " ms after SIGTERM: cut " + ms(ended) + " ms after it (I6)");
     }
   }
--- a/test/soak/checks.h
+++ b/test/soak/checks.h
@@ -98,7 +98,7 @@
 /// got no head count. Thread safety: safe.
 std::vector<std::string> FindCutByStops(
     const std::vector<ObservedRequest>& observed,
-    const std::vector<standins::fleet::Run>& runs,
+    const std::vector<standins::fleet::Arrival>& arrivals,
     const std::vector<PlannedStop>& stops, bool answers_break);
 
 /// Returns a line for each violation of the router's guarantees in what callers
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -608,7 +608,7 @@
       result.violations.insert(result.violations.end(), more.begin(),
                                more.end());
     };
-    add(FindCutByStops(observed, runs, this->stops,
+    add(FindCutByStops(observed, arrivals, this->stops,
                        this->settings.faulty_answers));
     add(FindCrashViolations(runs, this->router_faults));
     add(FindLimitViolations(observed, runs, this->limits, this->router_faults));
