A process that ends beside requests crashes: a failing test

Backtrace of one trial: the loop's end destroys its timers first; one holds the last reference to a ProxiedRequest (the lambda of ProxiedRequest::Start), whose destructor calls Client::Cancel on a client that is gone. Not mended here.

--- a/test/process/process_tests.cmake
+++ b/test/process/process_tests.cmake
@@ -100,6 +100,11 @@
 target_link_libraries(process_stopped_endpoints PRIVATE standin_fleet
   standin_relay_parts)
 
+tw_process_test(stop_under_way)
+target_sources(process_stop_under_way PRIVATE
+  test/process/platform_fleet.cc)
+target_link_libraries(process_stop_under_way PRIVATE standin_fleet
+  standin_relay_parts)
 tw_process_test(endless_answer)
 target_sources(process_endless_answer PRIVATE test/process/platform_fleet.cc)
 target_link_libraries(process_endless_answer PRIVATE standin_fleet
