Calls of a usual length are taken at the begin of a stop; timers end before what they refer to

What callers saw: a call that must not run twice was refused from the signal to stop on if its deadline was longer than the grace time, however short its runs are. While callers can't know of the stop, it is taken if the longest of the last 64 answers of its route fits; what outlasts that gets its 502 at the end. What may run twice is judged by the median, as before.

--- a/include/toucanwharf/admission/answer_times.h
+++ b/include/toucanwharf/admission/answer_times.h
@@ -19,6 +19,8 @@
   /// Returns the median of the last answers of \p route; nothing if there were
   /// none.
   std::optional<Duration> MedianOf(const std::string& route) const;
+  /// The same of the longest.
+  std::optional<Duration> LongestOf(const std::string& route) const;
 
  private:
   std::map<std::string, std::deque<Duration>> routes;
--- a/include/toucanwharf/admission/stop_plan.h
+++ b/include/toucanwharf/admission/stop_plan.h
@@ -11,10 +11,9 @@
 struct ExpectedTime {
   /// Until its answer is due.
   Duration left;
-  /// What its route usually takes; nothing while that isn't known.
+  /// What it is expected to take by what its route has taken; nothing while
+  /// that isn't known.
   std::optional<Duration> usual;
-  /// Whether it may run twice.
-  bool repeatable = false;
 
   friend bool operator==(const ExpectedTime&, const ExpectedTime&) = default;
 };
@@ -35,7 +34,7 @@
   /// Returns whether to take a request \p elapsed after the signal. What is
   /// answered before the last answers are given, even if it uses all the time
   /// that is left to it, is taken. So is, while callers can't know of the stop,
-  /// what may run twice and usually takes no longer.
+  /// what is expected to take no longer.
   ///
   /// Load: callers learn of the stop seconds after the signal and send on until
   /// then. Where many instances stop together, refusals leave them no place to
--- a/include/toucanwharf/http/loop.h
+++ b/include/toucanwharf/http/loop.h
@@ -37,6 +37,8 @@
   void OnSignal(int number, Task task);
   /// Serves until Stop. Precondition: called once.
   void Run();
+  /// Drops all timers. After Run, so that no task outlives what it refers to.
+  void DropTimers();
   /// Makes Run return after the current task.
   void Stop();
   /// Returns the time on the clock that the timers use.
--- a/include/toucanwharf/instance/instance.h
+++ b/include/toucanwharf/instance/instance.h
@@ -106,6 +106,7 @@
     });
     this->loop.Every(kHousekeepingPeriod, [this] { this->RunHousekeeping(); });
     this->loop.Run();
+    this->loop.DropTimers();
     this->logger.Flush();
     return Success();
   }
--- a/lib/admission/answer_times.cc
+++ b/lib/admission/answer_times.cc
@@ -32,4 +32,10 @@
   return *middle;
 }
 
+std::optional<Duration> AnswerTimes::LongestOf(const std::string& route) const {
+  const auto found = this->routes.find(route);
+  if (found == this->routes.end()) return std::nullopt;
+  return *std::max_element(found->second.begin(), found->second.end());
+}
+
 }  // namespace toucanwharf::admission
--- a/lib/admission/stop_plan.cc
+++ b/lib/admission/stop_plan.cc
@@ -22,8 +22,7 @@
   const Duration left = this->answer_by - elapsed;
   if (expected.left <= left) return true;
   const bool unknown_to_callers = elapsed <= this->known_by;
-  return unknown_to_callers && expected.repeatable && expected.usual &&
-         *expected.usual <= left;
+  return unknown_to_callers && expected.usual && *expected.usual <= left;
 }
 
 }  // namespace toucanwharf::admission
--- a/lib/daemon/caller_api.cc
+++ b/lib/daemon/caller_api.cc
@@ -219,7 +219,7 @@
   }
   // Another instance resumes an answer that is broken off.
   const Duration allowed = this->settings.timeouts.answer;
-  if (this->RefuseInStop(exchange, {allowed, Duration(0), true})) return;
+  if (this->RefuseInStop(exchange, {allowed, Duration(0)})) return;
   SessionRequest session;
   session.customer = customer.name;
   session.stream = completion.stream;
@@ -293,8 +293,7 @@
   if (!job.idempotent && job.idempotency_key.empty()) {
     job.idempotency_key = job.request_id;
   }
-  if (this->RefuseInStop(exchange,
-                         {job.service.timeout, std::nullopt, job.idempotent})) {
+  if (this->RefuseInStop(exchange, {job.service.timeout, std::nullopt})) {
     return;
   }
   const std::string id = job.request_id;
--- a/lib/http/loop.cc
+++ b/lib/http/loop.cc
@@ -28,8 +28,10 @@
 
 Loop::Loop() : state(std::make_unique<State>()) {}
 
-Loop::~Loop() {
-  // Tasks may hold sockets, which must not outlive the context.
+/// Tasks may hold sockets, which must not outlive the context.
+Loop::~Loop() { this->DropTimers(); }
+
+void Loop::DropTimers() {
   this->state->bulk.Clear();
   while (!this->state->timers.empty()) {
     this->Cancel(this->state->timers.begin()->first.second);
--- a/lib/instance/gateway.cc
+++ b/lib/instance/gateway.cc
@@ -90,9 +90,12 @@
                             TimePoint now) const {
   if (this->ended) return true;
   if (!this->state.stopping_since) return false;
-  const admission::ExpectedTime expected{
-      left, this->answer_times.MedianOf(route.name), route.Repeatable()};
-  return !this->stop_plan.MayTake(now - *this->state.stopping_since, expected);
+  // What must not run twice can't go on elsewhere.
+  const auto usual = route.Repeatable()
+                         ? this->answer_times.MedianOf(route.name)
+                         : this->answer_times.LongestOf(route.name);
+  return !this->stop_plan.MayTake(now - *this->state.stopping_since,
+                                  {left, usual});
 }
 
 bool Gateway::KnowsEnoughToAdmit(TimePoint now) const {
