An answer cut for lack of memory never ends in order

What callers saw: an unframed answer of which the rest was dropped for lack of memory looked whole: its end came before the close that was posted, found nothing unsent and took the reset back.

A connection that is about to be closed makes no progress any more.

--- a/lib/http/connection.cc
+++ b/lib/http/connection.cc
@@ -492,7 +492,7 @@
 }
 
 void Connection::OnLastAnswerProgress() {
-  if (this->closed) return;
+  if (this->closed || this->failed) return;
   if (!this->unsent.empty()) {
     this->CloseAfter(this->server->limits.idle_timeout);
     return;
--- a/unittests/http/cut_answer_test.cc
+++ b/unittests/http/cut_answer_test.cc
@@ -4,7 +4,7 @@
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
-#include <cerrno>
+#include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
@@ -12,6 +12,7 @@
 #include <thread>
 
 #include "toucanwharf/http/loop.h"
+#include "toucanwharf/http/resources.h"
 #include "toucanwharf/http/server.h"
 
 namespace toucanwharf::http {
@@ -43,12 +44,14 @@
   Caller(const Caller&) = delete;
   Caller& operator=(const Caller&) = delete;
 
-  Received ReadToEnd() const {
+  /// Pauses \p pause after each piece.
+  Received ReadToEnd(std::chrono::microseconds pause = {}) const {
     Received received;
     char bytes[4096];
     ssize_t size = 0;
     while ((size = recv(this->descriptor, bytes, sizeof(bytes), 0)) > 0) {
       received.text.append(bytes, static_cast<std::size_t>(size));
+      if (pause.count() > 0) std::this_thread::sleep_for(pause);
     }
     received.looks_whole = size == 0;
     return received;
@@ -61,8 +64,13 @@
 /// A server on a loop of its own thread.
 class LoopServer {
  public:
-  explicit LoopServer(Server::Handler handler) {
-    auto opened = Server::Listen(this->loop, "127.0.0.1:0", std::move(handler));
+  explicit LoopServer(Server::Handler handler,
+                      std::size_t buffer_bytes = resources::Account::kUnlimited)
+      : resources(buffer_bytes) {
+    ServerOptions options;
+    options.table = MakeConnectionTable(this->loop, this->resources);
+    auto opened =
+        Server::Listen(this->loop, "127.0.0.1:0", std::move(handler), options);
     BOOST_REQUIRE(opened.has_value());
     this->server = std::move(opened.value());
     this->port = this->server->Port();
@@ -86,6 +94,7 @@
   }
   std::uint16_t Port() const { return this->port; }
 
+  Resources resources;
   Loop loop;
   std::unique_ptr<Server> server;
   std::uint16_t port = 0;
@@ -126,5 +135,34 @@
   server.On([&] { held.reset(); });
 }
 
+/// More than the kernel takes for a peer that doesn't read.
+constexpr std::size_t kLongAnswerBytes = 6'000'000;
+
+void AnswerAtLength(const std::shared_ptr<Exchange>& exchange) {
+  exchange->Begin(UnframedHead());
+  exchange->Write(std::string(kLongAnswerBytes, 'x'));
+  exchange->End();
+}
+
+// Guards against a part of an answer that looks whole because there was no
+// memory for the rest.
+BOOST_AUTO_TEST_CASE(AnswerCutForLackOfMemoryDoesNotLookWhole) {
+  LoopServer server(AnswerAtLength, 1'000'000);
+  const Caller caller(server.Port());
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  const Received received = caller.ReadToEnd();
+  BOOST_TEST(received.text.size() < kLongAnswerBytes);
+  BOOST_TEST(!received.looks_whole);
+}
+
+// Guards against a whole answer that is reset before a slow caller has read it.
+BOOST_AUTO_TEST_CASE(WholeAnswerReachesASlowCaller) {
+  LoopServer server(AnswerAtLength);
+  const Received received =
+      Caller(server.Port()).ReadToEnd(std::chrono::microseconds(1000));
+  BOOST_TEST(received.text.size() > kLongAnswerBytes);
+  BOOST_TEST(received.looks_whole);
+}
+
 }  // namespace
 }  // namespace toucanwharf::http
