A plain answer that ended in order is delivered without a proof, too

Without a proof such an answer is passed on as it came, in chunks as well: its end was an orderly one, which the last chunk states and no more. Only a shown end of the endpoint breaks it.

--- a/lib/instance/proxied_request_end.cc
+++ b/lib/instance/proxied_request_end.cc
@@ -194,6 +194,11 @@
 
 void ProxiedRequest::EndByStop() {
   if (this->finished) return;
+  if (this->end_is_asked) {
+    // What is ready is delivered.
+    this->Complete(false);
+    return;
+  }
   this->LogCut();
   this->Refuse(kStopping);
 }
--- a/lib/instance/proxied_request_evidence.cc
+++ b/lib/instance/proxied_request_evidence.cc
@@ -172,7 +172,7 @@
     this->OnUnframedEnd(endpoints::UnframedEnd::kUnknown);
     return;
   }
-  this->end_is_asked = !this->IsModel() && !this->in_chunks;
+  this->end_is_asked = !this->IsModel();
   this->gateway.probe.Check(
       this->target.address, this->gateway.loop.Now(),
       this->gateway.ConcurrentProbers(),
@@ -196,8 +196,6 @@
 
 bool ProxiedRequest::MayAskAfterEnd() const {
   if (this->target.is_peer) return false;
-  // Nothing but a proof ends it.
-  if (this->in_chunks) return true;
   if (this->gateway.IsPaused(this->target.endpoint)) return false;
   if (this->IsModel()) return true;
   // A plain endpoint that leaves may go as soon as its last answer is sent.
@@ -230,8 +228,8 @@
       this->EndAttempt(AttemptOutcome::kUnknown, "ended_with_endpoint");
       return;
     case UnframedEnd::kUnknown:
-      // A plain answer is relayed as it came, without framing.
-      if (!this->IsModel() && !this->in_chunks) {
+      // A plain answer is relayed as it came: its end was an orderly one.
+      if (!this->IsModel()) {
         this->Complete(false);
         return;
       }
