--- a/lib/instance/engine_probe.cc
+++ b/lib/instance/engine_probe.cc
@@ -38,6 +38,15 @@
     return;
   }
   auto& pending = this->probes[address];
+  if (pending && pending->started < since) {
+    // Its answer may have been sent before that.
+    pending->waiting.push_back(
+        [this, address, since, probers,
+         done = std::move(done)](const ProbeAnswer& /*of_before*/) {
+          this->Check(address, since, probers, done);
+        });
+    return;
+  }
   if (pending) {
     pending->waiting.push_back(std::move(done));
     return;
@@ -124,7 +133,7 @@
   std::erase_if(this->recent, [now](const auto& entry) {
     return now - entry.second.time > kMaxResultAge;
   });
-  this->recent[pending->address] = {now, answer};
+  this->recent[pending->address] = {pending->started, answer};
   this->probes.erase(pending->address);
   const auto waiting = std::exchange(pending->waiting, {});
   for (const OnAnswer& done : waiting) done(answer);
