--- a/lib/http/client.cc
+++ b/lib/http/client.cc
@@ -27,6 +27,8 @@
 
 constexpr std::size_t kReadSize = 16UL * 1024;
 constexpr std::uint32_t kMaxResponseHeaderBytes = 64 * 1024;
+/// Before the final response of a call.
+constexpr int kMaxInterimResponses = 100;
 /// Assumed when a server doesn't announce an idle timeout.
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(1);
 /// Subtracted from the idle timeout that a server announces: the server's timer
@@ -137,6 +139,7 @@
     this->output_body = std::move(body);
     this->result = CallResult{};
     this->meter.Reset();
+    this->interim_responses = 0;
     this->result.reused = reused;
     this->head_delivered = false;
     this->held = false;
@@ -428,12 +431,22 @@
     constexpr int kFirstFinal = 200;
     if (status < kFirstFinal) {
       // An interim response; the final one follows.
+      const int interim = this->interim_responses + 1;
+      if (interim > kMaxInterimResponses) {
+        this->Finish(CallEnd::kMalformed);
+        return false;
+      }
+      const BulkMeter meter_of_call = this->meter;
+      const bool failed_before = this->result.write_failed;
       std::string rest = std::move(this->input);
       this->input.clear();
       this->PrepareCall(this->id, std::move(this->output),
                         std::move(this->output_body), std::move(this->handlers),
                         this->head_only, this->result.reused);
       this->result.sent = true;
+      this->result.write_failed = failed_before;
+      this->meter = meter_of_call;
+      this->interim_responses = interim;
       this->input = std::move(rest);
       return !this->input.empty();
     }
@@ -487,6 +500,7 @@
   resources::DescriptorLease descriptor;
   TimePoint idle_since;
   BulkMeter meter;
+  int interim_responses = 0;
   std::optional<MessageParser<false>> parser;
   TimerId timer = 0;
   bool head_delivered = false;
--- a/unittests/http/answers_test.cc
+++ b/unittests/http/answers_test.cc
@@ -158,7 +158,8 @@
   while (heads.size() < 200'000) heads += "HTTP/1.1 100 Continue\r\n\r\n";
   Resources resources(resources::Account::kUnlimited,
                       resources::Account::kUnlimited, kAnswerBytes);
-  BOOST_TEST(PlayCalls(heads, resources, false).empty());
+  const Ends ends = PlayCalls(heads, resources, false);
+  BOOST_TEST((ends == Ends{{CallEnd::kMalformed, kCalls}}));
   BOOST_TEST(resources.answers.Used() == 0U);
 }
 
