--- a/lib/admission/answer_times.cc
+++ b/lib/admission/answer_times.cc
@@ -8,6 +8,8 @@
 
 /// Answers of a route that count.
 constexpr std::size_t kAnswers = 64;
+/// The longest of fewer says little.
+constexpr std::size_t kEnoughAnswers = 16;
 /// Bound of the memory: routes that are no longer configured are forgotten
 /// together with the others, which are soon learned again.
 constexpr std::size_t kMaxRoutes = 4096;
@@ -34,7 +36,9 @@
 
 std::optional<Duration> AnswerTimes::LongestOf(const std::string& route) const {
   const auto found = this->routes.find(route);
-  if (found == this->routes.end()) return std::nullopt;
+  const bool known =
+      found != this->routes.end() && found->second.size() >= kEnoughAnswers;
+  if (!known) return std::nullopt;
   return *std::max_element(found->second.begin(), found->second.end());
 }
 
--- a/unittests/admission/stop_plan_test.cc
+++ b/unittests/admission/stop_plan_test.cc
@@ -85,6 +85,15 @@
   BOOST_TEST(plan.MayTake(seconds(5), {seconds(2), std::nullopt}));
 }
 
+// Guards against a call that is trusted to be short by a few runs.
+BOOST_AUTO_TEST_CASE(LongestOfFewAnswersSaysNothing) {
+  AnswerTimes times;
+  for (int i = 0; i < 15; ++i) times.Record("r", milliseconds(100));
+  BOOST_TEST(!times.LongestOf("r").has_value());
+  times.Record("r", milliseconds(100));
+  BOOST_TEST(times.LongestOf("r").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MedianOfTheLastAnswersCounts) {
   AnswerTimes times;
   BOOST_TEST(!times.MedianOf("r").has_value());
