--- a/lib/instance/proxied_request_answer.cc
+++ b/lib/instance/proxied_request_answer.cc
@@ -252,7 +252,7 @@
   }
   if (this->EndedInsideStream()) return;
   // The endpoint went on to another answer, so this one is at its end.
-  this->Complete(true);
+  this->Complete(false);
 }
 
 void ProxiedRequest::OnBody(std::string_view bytes) {
@@ -310,9 +310,16 @@
           this->target.endpoint, endpoints::ConnectionFailure::kNotConnected,
           "reset");
     }
-    if (by_endpoint && result.sent && result.end == http::CallEnd::kBroken) {
+    // One that answers before it has read the request closes soundly.
+    const bool answered_early = result.write_failed && this->has_head;
+    if (by_endpoint && result.sent && result.end == http::CallEnd::kBroken &&
+        !answered_early) {
       this->OnRunBroken();
     }
+    if (answered_early && this->head_outcome == AttemptOutcome::kNotRun) {
+      this->EndAttempt(AttemptOutcome::kNotRun, "refused_by_endpoint");
+      return;
+    }
     this->EndAttempt(
         result.sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent,
         result.end == http::CallEnd::kNoMemory ? "no_memory" : "broken");
