--- a/lib/daemon/service_runner.cc
+++ b/lib/daemon/service_runner.cc
@@ -167,8 +167,16 @@
 
 void ServiceRunner::OnVerdict(const std::shared_ptr<Call>& call,
                               once::Verdict verdict) {
-  if (call->finished) return;
-  if (std::holds_alternative<once::Granted>(verdict)) {
+  const bool granted = std::holds_alternative<once::Granted>(verdict);
+  if (call->finished) {
+    // It ended without a run, so that a repeat of its key may run.
+    if (granted) {
+      this->journal.RecordOutcome(call->request, call->claim,
+                                  once::KeyState::kNotRun, once::Outcome());
+    }
+    return;
+  }
+  if (granted) {
     call->granted = true;
     this->StartAttempt(call);
     return;
